Lay the ground: modules, names, errors, configuration documents, checks

Cause: nothing stands yet; every further part needs the same names, the same closed list of errors and one reading of inventory and rule set.

--- /dev/null
+++ b/modules/heatherridge_coordination/heatherridge_coordination.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/**
+ * Module heatherridge_coordination.
+ *
+ * Purpose: what the processes do together: following the log, relaying it, membership, keys, expert groups. Each part
+ * is a state machine that takes events and returns actions, or reaches the outside through an interface; none owns a
+ * socket or a thread.
+ *
+ * Dependencies: heatherridge_protocol, heatherridge_state.
+ */
+
+#include "heatherridge_coordination/logservice.h"
--- /dev/null
+++ b/modules/heatherridge_coordination/module.cpp
@@ -0,0 +1,1 @@
+#include "heatherridge_coordination/heatherridge_coordination.h"
--- /dev/null
+++ b/modules/heatherridge_state/config/ruleset.cpp
@@ -0,0 +1,176 @@
+#include "heatherridge_state/config/ruleset.h"
+
+#include "heatherridge_state/config/sectionreader.h"
+
+#include <algorithm>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr double HighestWeight = 1e6;
+constexpr int PriorityBound = 10;
+constexpr std::chrono::milliseconds ShortestTimeout{10};
+constexpr std::chrono::milliseconds LongestTimeout{3'600'000};
+
+bool matches(std::string_view pattern, std::string_view path)
+{
+    if (!pattern.empty() && pattern.back() == '*') {
+        return path.substr(0, pattern.size() - 1) == pattern.substr(0, pattern.size() - 1);
+    }
+    return pattern == path;
+}
+
+} // namespace
+
+/** Builds one rule set from one document, section by section. */
+class RuleSetReader
+{
+public:
+    std::variant<RuleSet, std::vector<ConfigFault>> read(const IniDocument &document)
+    {
+        m_faults = document.faults();
+        for (const auto &section : document.sections()) {
+            readSection(section);
+        }
+        if (!m_faults.empty()) {
+            std::stable_sort(m_faults.begin(), m_faults.end(),
+                             [](const auto &a, const auto &b) { return a.line < b.line; });
+            return m_faults;
+        }
+        return std::move(m_rules);
+    }
+
+private:
+    void readSection(const IniSection &section)
+    {
+        if (section.kind == "workspace" && !section.name.empty()) {
+            readWorkspace(section);
+        } else if (section.kind == "service" && !section.name.empty()) {
+            readService(section);
+        } else if (section.kind == "planned-stop" && !section.name.empty()) {
+            readPlannedStop(section);
+        } else if (section.kind == "balance" && section.name.empty()) {
+            readBalance(section);
+        } else {
+            m_faults.push_back({.line = section.line,
+                                .reason = "unknown section; a rule set has [workspace.NAME], [service.NAME], "
+                                          "[planned-stop.NAME] and [balance]"});
+        }
+    }
+
+    void readWorkspace(const IniSection &section)
+    {
+        SectionReader reader(section, m_faults);
+        Workspace workspace{.name = WorkspaceName(section.name),
+                            .weight = reader.fraction("weight", 1, 0.001, HighestWeight),
+                            .key = reader.text("key"),
+                            .priority = static_cast<int>(reader.number("priority", 0, -PriorityBound, PriorityBound))};
+        if (!workspace.key.empty() && m_rules.findByKey(workspace.key) != nullptr) {
+            reader.fault("key", "two workspaces share this key");
+        }
+        reader.finish();
+        m_rules.m_workspaces.emplace(workspace.name, workspace);
+    }
+
+    void readService(const IniSection &section)
+    {
+        SectionReader reader(section, m_faults);
+        ServiceRules service{
+            .name = ServiceName(section.name),
+            .timeout = reader.duration("timeout-ms", ServiceRules{}.timeout, ShortestTimeout, LongestTimeout)};
+        for (const auto &call : reader.list("repeatable")) {
+            const auto space = call.find(' ');
+            const auto path =
+                space == std::string::npos ? std::string_view{} : trimmed(std::string_view(call).substr(space));
+            if (path.empty() || path.front() != '/') {
+                reader.fault("repeatable", "'" + call + "' is not a method, a space and a path");
+                continue;
+            }
+            service.repeatable.push_back({.method = call.substr(0, space), .path = std::string(path)});
+        }
+        reader.finish();
+        m_rules.m_services.emplace(service.name, service);
+    }
+
+    void readPlannedStop(const IniSection &section)
+    {
+        SectionReader reader(section, m_faults);
+        m_rules.m_plannedStops.push_back({.name = section.name, .target = TargetName(reader.requiredText("target"))});
+        reader.finish();
+    }
+
+    void readBalance(const IniSection &section)
+    {
+        SectionReader reader(section, m_faults);
+        m_rules.m_balance.skew = reader.fraction("skew-weight", 1, 0, HighestWeight);
+        m_rules.m_balance.cost = reader.fraction("cost-weight", 1, 0, HighestWeight);
+        reader.finish();
+    }
+
+    RuleSet m_rules;
+    std::vector<ConfigFault> m_faults;
+};
+
+std::variant<RuleSet, std::vector<ConfigFault>> RuleSet::fromDocument(const IniDocument &document)
+{
+    return RuleSetReader().read(document);
+}
+
+const std::map<WorkspaceName, Workspace> &RuleSet::workspaces() const
+{
+    return m_workspaces;
+}
+
+const Workspace *RuleSet::find(const WorkspaceName &name) const
+{
+    const auto workspace = m_workspaces.find(name);
+    return workspace == m_workspaces.end() ? nullptr : &workspace->second;
+}
+
+const Workspace *RuleSet::findByKey(std::string_view key) const
+{
+    if (key.empty()) {
+        return nullptr;
+    }
+    const auto entry = std::find_if(m_workspaces.begin(), m_workspaces.end(),
+                                    [key](const auto &candidate) { return candidate.second.key == key; });
+    return entry == m_workspaces.end() ? nullptr : &entry->second;
+}
+
+ServiceRules RuleSet::serviceRules(const ServiceName &service) const
+{
+    const auto rules = m_services.find(service);
+    return rules == m_services.end() ? ServiceRules{.name = service} : rules->second;
+}
+
+bool RuleSet::mayRepeat(const ServiceName &service, std::string_view method, std::string_view path) const
+{
+    const auto rules = m_services.find(service);
+    if (rules == m_services.end()) {
+        return false;
+    }
+    const auto &calls = rules->second.repeatable;
+    return std::any_of(calls.begin(), calls.end(),
+                       [&](const auto &call) { return call.method == method && matches(call.path, path); });
+}
+
+const std::vector<PlannedStop> &RuleSet::plannedStops() const
+{
+    return m_plannedStops;
+}
+
+bool RuleSet::isStopping(const TargetName &target) const
+{
+    return std::any_of(m_plannedStops.begin(), m_plannedStops.end(),
+                       [&target](const auto &stop) { return stop.target == target; });
+}
+
+const BalanceWeights &RuleSet::balance() const
+{
+    return m_balance;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_state/heatherridge_state.h
@@ -0,0 +1,20 @@
+#pragma once
+
+/**
+ * Module heatherridge_state.
+ *
+ * Purpose: all that is agreed or decided, as plain values and deterministic functions: names, errors, configuration
+ * documents, the fold of the log's records, and the decisions under load. No I/O, no clock, no threads of its own.
+ *
+ * Dependencies: the C++ standard library and xxHash. Must not include Asio, HTTP, log or codec headers; CI checks it.
+ */
+
+#include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/base/errorkind.h"
+#include "heatherridge_state/base/ids.h"
+#include "heatherridge_state/base/randomsource.h"
+#include "heatherridge_state/base/result.h"
+#include "heatherridge_state/config/inidocument.h"
+#include "heatherridge_state/config/inventory.h"
+#include "heatherridge_state/config/ruleset.h"
+#include "heatherridge_state/config/sectionreader.h"
--- /dev/null
+++ b/modules/heatherridge_transport/cxx17/websocket.cpp
@@ -0,0 +1,1 @@
+#include <string>
--- /dev/null
+++ b/modules/heatherridge_transport/module.cpp
@@ -0,0 +1,1 @@
+#include "heatherridge_transport/heatherridge_transport.h"
