--- a/modules/heatherridge_transport/http/httpserver.cpp
+++ b/modules/heatherridge_transport/http/httpserver.cpp
@@ -32,8 +32,8 @@
         m_watchers.erase(connection);
     }
 
-    void state_changed(const restinio::connection_state::notice_t
-                           &notice) noexcept // NOLINT(readability-identifier-naming): RESTinio calls it
+    /** The name is RESTinio's. */
+    void state_changed(const restinio::connection_state::notice_t &notice) noexcept
     {
         if (!std::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) {
             return;
@@ -60,8 +60,8 @@
 
 struct ServerTraits : restinio::default_traits_t
 {
-    using connection_state_listener_t = ClosedConnections; // NOLINT(readability-identifier-naming): RESTinio's name
-    static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming): RESTinio's name
+    using connection_state_listener_t = ClosedConnections;
+    static constexpr bool use_connection_count_limiter = true;
 };
 
 using ChunkedBuilder = restinio::response_builder_t<restinio::chunked_output_t>;
