--- a/modules/heatherridge_transport/cxx17/websocket.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <string>
--- a/modules/heatherridge_transport/http/httpserver.cpp
+++ b/modules/heatherridge_transport/http/httpserver.cpp
@@ -58,9 +58,11 @@
     std::unordered_map<std::uint64_t, std::vector<std::function<void()>>> m_watchers;
 };
 
+/** The names are RESTinio's. */
 struct ServerTraits : restinio::default_traits_t
 {
     using connection_state_listener_t = ClosedConnections;
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static constexpr bool use_connection_count_limiter = true;
 };
 
@@ -152,17 +154,28 @@
     void abort() override
     {
         const std::lock_guard lock(m_mutex);
-        if (m_finished || !m_stream) {
+        if (m_finished) {
             return;
         }
         // A caller must not take a cut answer for a whole one. RESTinio closes the connection without the closing
         // chunk when a write notification throws; it offers no other way to do so.
         m_finished = true;
-        m_stream->flush([](const auto &error) {
+        const auto fail = [](const auto &error) {
             if (!error) {
                 throw std::runtime_error("answer cut off");
             }
-        });
+        };
+        if (m_stream) {
+            m_stream->flush(fail);
+            return;
+        }
+        const auto connection = std::move(restinio::impl::access_req_connection(*m_handle));
+        restinio::write_group_t nothing{restinio::writable_items_container_t{}};
+        nothing.after_write_notificator(fail);
+        connection->write_response_parts(
+            m_handle->request_id(),
+            {restinio::response_parts_attr_t::not_final_parts, restinio::response_connection_attr_t::connection_close},
+            std::move(nothing));
     }
 
     void onClosed(std::function<void()> closed) override
--- a/modules/heatherridge_transport/http/httpserver.h
+++ b/modules/heatherridge_transport/http/httpserver.h
@@ -44,7 +44,10 @@
     /** Ends an answer in chunks as complete. */
     virtual void end() = 0;
 
-    /** Ends an answer in chunks so that the caller sees it cut off: the closing chunk is not sent. */
+    /**
+     * Closes the connection: an answer in chunks is seen to be cut off, since its closing chunk is not sent; when no
+     * answer has begun, none is sent at all.
+     */
     virtual void abort() = 0;
 
     /** Calls @p closed once, on a server thread, when the connection closes before the answer's end. */
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -23,6 +23,10 @@
     if (request.path == "/silent") {
         return;
     }
+    if (request.path == "/hang-up") {
+        exchange->abort();
+        return;
+    }
     exchange->beginStream(200, {{"Content-Type", "text/plain"}});
     for (int i = 0; i < 10; ++i) {
         exchange->write("chunk" + std::to_string(i), [exchange](bool) {});
@@ -51,6 +55,7 @@
      200,
      "chunk0chunk1chunk2chunk3chunk4chunk5chunk6chunk7chunk8chunk9"},
     {"a stream that is cut off is not taken for whole", {.method = "GET", .path = "/cut"}, 0, ""},
+    {"a connection closed without any answer", {.method = "POST", .path = "/hang-up", .body = "x"}, 0, ""},
     {"an exchange dropped without an answer ends at once", {.method = "GET", .path = "/silent"}, 500, ""},
 };
 
