Add the messages between entries and targets

Cause: requests, answers, back pressure and load need one typed form between processes. Change: eight messages as a variant with a CBOR codec that checks each field. Conclusion: the daemons can speak.

--- a/modules/heatherridge_protocol/heatherridge_protocol.h
+++ b/modules/heatherridge_protocol/heatherridge_protocol.h
@@ -10,3 +10,4 @@
  */
 
 #include "heatherridge_protocol/envelope.h"
+#include "heatherridge_protocol/trafficmessage.h"
--- /dev/null
+++ b/modules/heatherridge_protocol/trafficmessage.cpp
@@ -0,0 +1,226 @@
+#include "heatherridge_protocol/trafficmessage.h"
+
+#include "heatherridge_protocol/cborreader.h"
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::size_t MostHeaders = 128;
+constexpr int HighestPriority = 1000;
+constexpr int HighestAttempt = 100;
+constexpr std::int64_t LongestMilliseconds = 86'400'000;
+constexpr std::int64_t LowestStatus = 100;
+constexpr std::int64_t HighestStatus = 999;
+
+/** The alternatives' place in the variant is their type number on the wire. */
+enum class Type : std::uint64_t { Submit, Cancel, Credit, Head, Chunk, End, Error, Load };
+
+json encodeHeaders(const std::vector<HeaderField> &headers)
+{
+    auto list = json::array();
+    for (const auto &header : headers) {
+        list.push_back(header.name);
+        list.push_back(header.value);
+    }
+    return list;
+}
+
+std::vector<HeaderField> readHeaders(CborReader &reader)
+{
+    std::vector<HeaderField> headers;
+    const auto *list = reader.array("h");
+    if (list == nullptr) {
+        return headers;
+    }
+    if (list->size() % 2 != 0 || list->size() > 2 * MostHeaders) {
+        reader.fail("h");
+        return headers;
+    }
+    for (std::size_t i = 0; i < list->size(); i += 2) {
+        if (!(*list)[i].is_string() || !(*list)[i + 1].is_string()) {
+            reader.fail("h");
+            return headers;
+        }
+        headers.push_back({.name = (*list)[i], .value = (*list)[i + 1]});
+    }
+    return headers;
+}
+
+json toMap(const SubmitRequest &message)
+{
+    return {{"w", message.workspace.text()},
+            {"s", message.service.text()},
+            {"m", message.method},
+            {"p", message.path},
+            {"q", message.query},
+            {"h", encodeHeaders(message.headers)},
+            {"b", binary(message.body)},
+            {"pr", message.priority},
+            {"d", message.timeLeft.count()},
+            {"k", message.key.text()},
+            {"r", message.mayRepeat},
+            {"c", message.cost},
+            {"a", message.attempt}};
+}
+
+json toMap(const CancelRequest & /*message*/)
+{
+    return json::object();
+}
+
+json toMap(const GrantCredit &message)
+{
+    return {{"n", message.bytes}};
+}
+
+json toMap(const AnswerHead &message)
+{
+    return {{"st", message.status}, {"h", encodeHeaders(message.headers)}};
+}
+
+json toMap(const AnswerChunk &message)
+{
+    return {{"n", message.sequence}, {"b", binary(message.bytes)}};
+}
+
+json toMap(const AnswerEnd &message)
+{
+    return {{"n", message.chunks}};
+}
+
+json toMap(const AnswerError &message)
+{
+    json map{{"e", std::string(answerFor(message.kind).name)},
+             {"r", static_cast<unsigned>(message.ran)},
+             {"t", message.detail}};
+    if (message.retryAfter) {
+        map["d"] = message.retryAfter->count();
+    }
+    return map;
+}
+
+json toMap(const LoadReport &message)
+{
+    return {{"ta", message.target.text()},
+            {"u", message.running},
+            {"q", message.queued},
+            {"l", message.limit},
+            {"x", message.draining}};
+}
+
+const RequestId &idOf(const auto &message)
+{
+    return message.id;
+}
+
+RequestId idOf(const LoadReport & /*message*/)
+{
+    return {};
+}
+
+TrafficMessage readSubmit(CborReader &reader, RequestId id)
+{
+    return SubmitRequest{.id = std::move(id),
+                         .workspace = WorkspaceName(reader.text("w")),
+                         .service = ServiceName(reader.text("s")),
+                         .method = reader.text("m"),
+                         .path = reader.text("p"),
+                         .query = reader.text("q"),
+                         .headers = readHeaders(reader),
+                         .body = reader.bytes("b"),
+                         .priority = static_cast<int>(reader.integer("pr", -HighestPriority, HighestPriority)),
+                         .timeLeft = std::chrono::milliseconds(reader.integer("d", 0, LongestMilliseconds)),
+                         .key = IdempotencyKey(reader.text("k")),
+                         .mayRepeat = reader.toggle("r"),
+                         .cost = reader.number("c"),
+                         .attempt = static_cast<int>(reader.integer("a", 1, HighestAttempt))};
+}
+
+TrafficMessage readError(CborReader &reader, RequestId id)
+{
+    AnswerError message{.id = std::move(id), .detail = reader.text("t")};
+    const auto kind = errorKindFromName(reader.text("e"));
+    if (!kind) {
+        reader.fail("e");
+    }
+    message.kind = kind.value_or(ErrorKind::Internal);
+    message.ran = static_cast<Ran>(reader.number("r", static_cast<std::uint64_t>(Ran::Unknown)));
+    if (reader.has("d")) {
+        message.retryAfter = std::chrono::milliseconds(reader.integer("d", 0, LongestMilliseconds));
+    }
+    return message;
+}
+
+TrafficMessage readLoad(CborReader &reader)
+{
+    return LoadReport{.target = TargetName(reader.text("ta")),
+                      .running = reader.number("u"),
+                      .queued = reader.number("q"),
+                      .limit = reader.number("l"),
+                      .draining = reader.toggle("x")};
+}
+
+TrafficMessage readBody(CborReader &reader, Type type, RequestId id)
+{
+    switch (type) {
+    case Type::Submit:
+        return readSubmit(reader, std::move(id));
+    case Type::Cancel:
+        return CancelRequest{.id = std::move(id)};
+    case Type::Credit:
+        return GrantCredit{.id = std::move(id), .bytes = reader.number("n")};
+    case Type::Head:
+        return AnswerHead{.id = std::move(id),
+                          .status = static_cast<int>(reader.integer("st", LowestStatus, HighestStatus)),
+                          .headers = readHeaders(reader)};
+    case Type::Chunk:
+        return AnswerChunk{.id = std::move(id), .sequence = reader.number("n"), .bytes = reader.bytes("b")};
+    case Type::End:
+        return AnswerEnd{.id = std::move(id), .chunks = reader.number("n")};
+    case Type::Error:
+        return readError(reader, std::move(id));
+    case Type::Load:
+        return readLoad(reader);
+    }
+    return CancelRequest{};
+}
+
+} // namespace
+
+Bytes encode(const TrafficMessage &message)
+{
+    return std::visit(
+        [&message](const auto &alternative) {
+            auto map = toMap(alternative);
+            map["ty"] = message.index();
+            map["id"] = idOf(alternative).text();
+            return toCbor(map);
+        },
+        message);
+}
+
+Result<TrafficMessage> decodeTrafficMessage(const Bytes &payload)
+{
+    json map;
+    if (!CborReader::parse(payload, map)) {
+        return malformed("no CBOR map");
+    }
+    CborReader reader(map);
+    const auto type = static_cast<Type>(reader.number("ty", std::variant_size_v<TrafficMessage> - 1));
+    RequestId id(reader.text("id"));
+    auto message = readBody(reader, type, id);
+    if (!reader.ok()) {
+        return malformed("traffic field " + reader.failedKey());
+    }
+    if (id.isEmpty() && type != Type::Load) {
+        return malformed("no request id");
+    }
+    return message;
+}
+
+} // namespace Heatherridge
