Fold the control stream into one configuration at every reader

Cause: processes must reach one configuration from the log alone, and of two publishes close together each reader must choose the same one. Change: typed records, their CBOR codec, and ConfigState, a deterministic fold. A scan without recursion stands before the codec: an array of arrays 2 MB deep ended the process in the test before the scan was there, and is skipped now.

--- a/modules/heatherridge_protocol/cborreader.cpp
+++ b/modules/heatherridge_protocol/cborreader.cpp
@@ -1,5 +1,7 @@
 #include "heatherridge_protocol/cborreader.h"
 
+#include "heatherridge_protocol/cborstructure.h"
+
 #include <cmath>
 
 namespace Heatherridge
@@ -7,6 +9,9 @@
 
 bool CborReader::parse(const Bytes &bytes, nlohmann::json &into)
 {
+    if (!isPlainCbor(bytes)) {
+        return false;
+    }
     into = nlohmann::json::from_cbor(bytes, true, false);
     return into.is_object();
 }
--- a/modules/heatherridge_state/heatherridge_state.h
+++ b/modules/heatherridge_state/heatherridge_state.h
@@ -18,3 +18,4 @@
 #include "heatherridge_state/config/inventory.h"
 #include "heatherridge_state/config/ruleset.h"
 #include "heatherridge_state/config/sectionreader.h"
+#include "heatherridge_state/fold/configstate.h"
--- /dev/null
+++ b/tests/protocol/controlrecord_test.cpp
@@ -0,0 +1,103 @@
+#include "heatherridge_protocol/cborreader.h"
+#include "heatherridge_protocol/cborstructure.h"
+#include "heatherridge_protocol/controlrecordcodec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Heatherridge;
+
+namespace
+{
+
+const ControlRecord Records[] = {
+    Publish{.document = DocumentKind::Rules,
+            .operation = OperationId("op-1"),
+            .basedOn = LogOffset{7},
+            .content = WholeDocument{.text = "[workspace.mill]\n"}},
+    Publish{.operation = OperationId("op-2"),
+            .content = DocumentChange{.put = "[zone.a]\nregion = r\n", .removed = {"target.x", "target.y"}}},
+    ClaimRole{.role = RoleName("leader"),
+              .claimant = ProcessName("p"),
+              .incarnation = Incarnation{UINT64_MAX},
+              .replaces = FencingNumber{3}},
+    SnapshotTaken{.covers = LogOffset{9}, .digest = Digest{UINT64_MAX}},
+    ResetFold{.operation = OperationId("r"), .basedOn = LogOffset{4}, .inventory = "", .rules = ""},
+};
+
+class EveryRecord : public testing::TestWithParam<ControlRecord>
+{
+};
+
+TEST_P(EveryRecord, ComesBackAsItWasWritten)
+{
+    const auto decoded = decodeControlRecord(encodeControlRecord(GetParam()));
+    ASSERT_TRUE(std::holds_alternative<ControlRecord>(decoded));
+    EXPECT_EQ(std::get<ControlRecord>(decoded), GetParam());
+}
+
+TEST_P(EveryRecord, IsMalformedWhenAnyFieldIsMissing)
+{
+    const auto map = nlohmann::json::from_cbor(encodeControlRecord(GetParam()));
+    for (const auto &[key, value] : map.items()) {
+        auto lacking = map;
+        lacking.erase(key);
+        const auto decoded = decodeControlRecord(toCbor(lacking));
+        ASSERT_TRUE(std::holds_alternative<SkipReason>(decoded)) << key;
+        EXPECT_EQ(std::get<SkipReason>(decoded), SkipReason::Malformed) << key;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, EveryRecord, testing::ValuesIn(Records));
+
+struct HostileRow
+{
+    const char *story;
+    Bytes payload;
+    SkipReason reason;
+};
+
+const HostileRow HostileRows[] = {
+    {"nothing", {}, SkipReason::Malformed},
+    {"text in place of a record", {'[', 'z', ']'}, SkipReason::Malformed},
+    {"arrays nested until the stack ends", Bytes(2'000'000, 0x81), SkipReason::Malformed},
+    {"chunked texts nested until the stack ends", Bytes(2'000'000, 0x7F), SkipReason::Malformed},
+    {"chunked bytes nested until the stack ends", Bytes(2'000'000, 0x5F), SkipReason::Malformed},
+    {"an array longer than any memory", {0x9B, 0x7F, 0xFF, 0xFF, 0xFF, 0xFF, 0xFF, 0xFF, 0xFF}, SkipReason::Malformed},
+    {"larger than any record", Bytes(MaxControlRecordBytes + 1, 0), SkipReason::Oversized},
+    {"of a later release", toCbor({{"v", 2}, {"kind", "vote"}}), SkipReason::UnknownVersion},
+    {"an unknown kind", toCbor({{"v", 1}, {"kind", "vote"}}), SkipReason::Malformed},
+};
+
+class HostileRecord : public testing::TestWithParam<HostileRow>
+{
+};
+
+// One operator's script appends something that is no record. If a reader crashed on it, every process would crash
+// at the same offset, and again after each restart: one append would take the whole system away.
+TEST_P(HostileRecord, IsSkippedForItsReason)
+{
+    const auto decoded = decodeControlRecord(GetParam().payload);
+    ASSERT_TRUE(std::holds_alternative<SkipReason>(decoded)) << GetParam().story;
+    EXPECT_EQ(std::get<SkipReason>(decoded), GetParam().reason) << GetParam().story;
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, HostileRecord, testing::ValuesIn(HostileRows));
+
+RC_GTEST_PROP(ControlRecordCodec, DamagedBytesNeverThrow, ())
+{
+    auto payload = encodeControlRecord(Records[*rc::gen::inRange<std::size_t>(0, std::size(Records))]);
+    const auto damages = *rc::gen::inRange(1, 5);
+    for (int i = 0; i < damages; ++i) {
+        payload.at(*rc::gen::inRange<std::size_t>(0, payload.size())) = *rc::gen::arbitrary<std::uint8_t>();
+    }
+    decodeControlRecord(payload);
+}
+
+RC_GTEST_PROP(CborStructure, AcceptsWhatTheEncoderWrites,
+              (const std::map<std::string, std::vector<std::uint32_t>> &map))
+{
+    RC_ASSERT(isPlainCbor(toCbor(nlohmann::json(map))));
+}
+
+} // namespace
