Fold a stream of idempotency keys into a ledger

Cause: keyed calls have to run at most once over restarts and moves of their holder; the log's order is the only one there is.

Change: keys are UUIDs of version 7, which carry their own creation time, so that the ledger can forget old keys without making them new again. Claims name the claim that they replace, so that of two racing ones the lower offset wins; intents count only while their writer holds the shard. Each batch carries what its writer had folded, for readers whose older records have expired.

Shown by: a table of folds, a property that no key above the floor is ever forgotten, and a codec test that refuses every truncation.

--- /dev/null
+++ b/modules/heatherridge_state/keys/keyshards.cpp
@@ -0,0 +1,28 @@
+#include "heatherridge_state/keys/keyshards.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace Heatherridge
+{
+
+KeyShard shardOf(const Uuid7 &key)
+{
+    const auto &octets = key.octets();
+    return static_cast<KeyShard>(XXH3_64bits(octets.data(), octets.size()) % KeyShardCount);
+}
+
+std::vector<const Target *> holdersOf(const Inventory &inventory, const ServiceName &service, KeyShard shard)
+{
+    const auto weight = [shard](const Target *target) {
+        const auto &name = target->name.text();
+        return XXH3_64bits_withSeed(name.data(), name.size(), toNumber(shard));
+    };
+    auto targets = inventory.targetsOf(service);
+    std::sort(targets.begin(), targets.end(), [&weight](const Target *left, const Target *right) {
+        return std::pair(weight(left), left->name) > std::pair(weight(right), right->name);
+    });
+    return targets;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_state/keys/requestfingerprint.cpp
@@ -0,0 +1,42 @@
+#include "heatherridge_state/keys/requestfingerprint.h"
+
+#include <memory>
+#include <xxhash.h>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+struct FreeState
+{
+    void operator()(XXH3_state_t *state) const
+    {
+        XXH3_freeState(state);
+    }
+};
+
+void add(XXH3_state_t *state, std::string_view part)
+{
+    const std::uint64_t size = part.size();
+    XXH3_128bits_update(state, &size, sizeof size);
+    XXH3_128bits_update(state, part.data(), part.size());
+}
+
+} // namespace
+
+RequestFingerprint fingerprintOf(const WorkspaceName &workspace, std::string_view method, std::string_view path,
+                                 std::string_view body)
+{
+    const std::unique_ptr<XXH3_state_t, FreeState> state(XXH3_createState());
+    XXH3_128bits_reset(state.get());
+    add(state.get(), workspace.text());
+    add(state.get(), method);
+    add(state.get(), path);
+    add(state.get(), body);
+    const auto hash = XXH3_128bits_digest(state.get());
+    return {.high = hash.high64, .low = hash.low64};
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/tests/keys/keyledger_test.cpp
@@ -0,0 +1,292 @@
+#include "heatherridge_protocol/keyrecordcodec.h"
+#include "heatherridge_state/keys/keyledger.h"
+#include "heatherridge_state/keys/keyshards.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const GateId GateA{.process = ProcessName("a"), .incarnation = Incarnation{1}};
+const GateId GateB{.process = ProcessName("b"), .incarnation = Incarnation{2}};
+
+Uuid7 keyAt(int second)
+{
+    return Uuid7::make(WallTime(1'000'000s + std::chrono::seconds(second)), 1, 1);
+}
+
+KeyClaim claimOf(const GateId &gate, std::uint64_t basedOn)
+{
+    return {.id = {.holder = gate, .serial = 1}, .basedOn = static_cast<LogOffset>(basedOn)};
+}
+
+KeyIntent intentOf(int second, const GateId &gate)
+{
+    return {.key = keyAt(second), .runner = gate};
+}
+
+KeyOutcome outcomeOf(int second, const GateId &gate, KeyFate fate)
+{
+    return {.key = keyAt(second), .runner = gate, .fate = fate, .answer = {.status = 201}};
+}
+
+KeyBatch batchOf(const GateId &writer, std::uint64_t serial, std::vector<KeyRecord> records,
+                 const LedgerView &view = {})
+{
+    KeyBatch batch;
+    batch.writer = writer;
+    batch.serial = serial;
+    batch.view = view;
+    batch.records = std::move(records);
+    return batch;
+}
+
+struct Step
+{
+    GateId writer;
+    std::uint64_t serial;
+    std::vector<KeyRecord> records;
+};
+
+struct FoldRow
+{
+    const char *story;
+    std::vector<Step> steps;
+    GateId holder;
+    std::optional<GateId> runner; ///< of the key of second 5
+    KeyFate fate;
+};
+
+const FoldRow FoldRows[] = {
+    {"an intent by the holder counts", {{GateA, 1, {claimOf(GateA, 0), intentOf(5, GateA)}}}, GateA, GateA, {}},
+    {"an intent by anybody else is void",
+     {{GateA, 1, {claimOf(GateA, 0)}}, {GateB, 1, {intentOf(5, GateB)}}},
+     GateA,
+     {},
+     {}},
+    {"of two racing claims the lower offset wins",
+     {{GateA, 1, {claimOf(GateA, 0)}}, {GateB, 1, {claimOf(GateB, 0), intentOf(5, GateB)}}},
+     GateA,
+     {},
+     {}},
+    {"a paused holder's intent behind its successor's claim is void",
+     {{GateA, 1, {claimOf(GateA, 0)}}, {GateB, 1, {claimOf(GateB, 1)}}, {GateA, 2, {intentOf(5, GateA)}}},
+     GateB,
+     {},
+     {}},
+    {"the successor can't run what its predecessor announced",
+     {{GateA, 1, {claimOf(GateA, 0), intentOf(5, GateA)}}, {GateB, 1, {claimOf(GateB, 1), intentOf(5, GateB)}}},
+     GateB,
+     GateA,
+     KeyFate::Open},
+    {"the predecessor's outcome still counts",
+     {{GateA, 1, {claimOf(GateA, 0), intentOf(5, GateA)}},
+      {GateB, 1, {claimOf(GateB, 1)}},
+      {GateA, 2, {outcomeOf(5, GateA, KeyFate::Answered)}}},
+     GateB,
+     GateA,
+     KeyFate::Answered},
+    {"a released key may be announced anew",
+     {{GateA, 1, {claimOf(GateA, 0), intentOf(5, GateA)}},
+      {GateA, 2, {outcomeOf(5, GateA, KeyFate::NotRun)}},
+      {GateB, 1, {claimOf(GateB, 1), intentOf(5, GateB)}}},
+     GateB,
+     GateB,
+     KeyFate::Open},
+    {"a doubled release doesn't release the second run",
+     {{GateA, 1, {claimOf(GateA, 0), intentOf(5, GateA)}},
+      {GateA, 2, {outcomeOf(5, GateA, KeyFate::NotRun)}},
+      {GateA, 3, {intentOf(5, GateA)}},
+      {GateA, 2, {outcomeOf(5, GateA, KeyFate::NotRun)}}},
+     GateA,
+     GateA,
+     KeyFate::Open},
+    {"an outcome without an intent stands for a run made while the log was out",
+     {{GateA, 1, {claimOf(GateA, 0)}}, {GateA, 2, {outcomeOf(5, GateA, KeyFate::Answered)}}},
+     GateA,
+     GateA,
+     KeyFate::Answered},
+    {"a key below a claim's floor can't be announced",
+     {{GateA, 1, {KeyClaim{.id = {GateA, 1}, .floor = keyAt(6).time()}, intentOf(5, GateA)}}},
+     GateA,
+     {},
+     {}},
+};
+
+class LedgerFold : public testing::TestWithParam<FoldRow>
+{
+};
+
+TEST_P(LedgerFold, GivesOneHolderAndOneRunner)
+{
+    KeyLedger ledger({});
+    std::uint64_t offset = 0;
+    for (const auto &step : GetParam().steps) {
+        ledger.apply(static_cast<LogOffset>(++offset), batchOf(step.writer, step.serial, step.records));
+    }
+    EXPECT_TRUE(ledger.isHolder(GetParam().holder)) << GetParam().story;
+    const auto *entry = ledger.find(keyAt(5));
+    ASSERT_EQ(entry != nullptr, GetParam().runner.has_value()) << GetParam().story;
+    if (entry != nullptr) {
+        EXPECT_EQ(entry->runner, *GetParam().runner) << GetParam().story;
+        EXPECT_EQ(entry->fate, GetParam().fate) << GetParam().story;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, LedgerFold, testing::ValuesIn(FoldRows));
+
+// A guest is charged again by a key from last week. The ledger had forgotten the key to bound its memory, and took its
+// absence for "never used". Whatever is forgotten lies below the floor, and the floor never sinks.
+RC_GTEST_PROP(KeyLedger, NeverForgetsAboveItsFloor, (const std::vector<std::uint8_t> &seconds))
+{
+    KeyLedger ledger({.window = 60s, .maxEntries = 20, .maxAnswerBytes = 100});
+    ledger.apply(LogOffset{1}, batchOf(GateA, 1, {claimOf(GateA, 0)}));
+    std::vector<int> announced;
+    std::uint64_t serial = 1;
+    for (const auto second : seconds) {
+        const auto floor = ledger.floor();
+        auto outcome = outcomeOf(second, GateA, KeyFate::Answered);
+        outcome.answer.body = "0123456789";
+        ++serial;
+        ledger.apply(static_cast<LogOffset>(serial), batchOf(GateA, serial, {outcome}));
+        announced.push_back(second);
+        RC_ASSERT(ledger.floor() >= floor);
+        RC_ASSERT(ledger.entries().size() <= 20U);
+        for (const auto known : announced) {
+            RC_ASSERT(ledger.find(keyAt(known)) != nullptr || !ledger.canDecide(keyAt(known).time()));
+        }
+    }
+}
+
+// A process comes up when the older records of a stream have expired. It must not take a key for new because the
+// record of it is gone, and has to know who holds the shard.
+TEST(KeyLedger, GoesOnFromABatchWhoseWriterSawTheLostRecords)
+{
+    KeyLedger whole({});
+    whole.apply(LogOffset{1}, batchOf(GateA, 1, {claimOf(GateA, 0)}));
+    whole.apply(LogOffset{2}, batchOf(GateA, 2, {intentOf(3, GateA)}));
+    const auto unseen = batchOf(GateA, 3, {intentOf(4, GateA)}, {.covers = LogOffset{1}});
+    const auto seen = batchOf(GateA, 4, {intentOf(9, GateA)}, whole.view());
+    KeyLedger late({});
+    late.recordsLost(LogOffset{2});
+    late.apply(LogOffset{3}, unseen);
+    EXPECT_FALSE(late.isWhole());
+    EXPECT_FALSE(late.canDecide(keyAt(50).time()));
+    late.apply(LogOffset{4}, seen);
+    ASSERT_TRUE(late.isWhole());
+    EXPECT_TRUE(late.isHolder(GateA));
+    EXPECT_NE(late.find(keyAt(4)), nullptr);
+    EXPECT_FALSE(late.canDecide(keyAt(3).time()));
+    EXPECT_TRUE(late.canDecide(keyAt(50).time()));
+}
+
+// All records of a quiet shard have expired, so that nobody's claim is known. A claim made after the loss counts only
+// at the very next offset; with anything in between, nobody may take it for valid.
+TEST(KeyLedger, AClaimAfterLossCountsOnlyAtTheNextOffset)
+{
+    for (const bool disturbed : {false, true}) {
+        KeyLedger ledger({});
+        ledger.recordsLost(LogOffset{7});
+        auto claim = claimOf(GateB, 7);
+        claim.afterLoss = true;
+        claim.floor = keyAt(10).time();
+        if (disturbed) {
+            ledger.apply(LogOffset{8}, batchOf(GateA, 9, {intentOf(20, GateA)}));
+        }
+        ledger.apply(next(ledger.folded()), batchOf(GateB, 1, {claim}));
+        EXPECT_EQ(ledger.isHolder(GateB), !disturbed);
+        EXPECT_EQ(ledger.canDecide(keyAt(10).time()), !disturbed);
+        EXPECT_FALSE(ledger.canDecide(keyAt(9).time()));
+    }
+}
+
+TEST(KeyBatch, SurvivesItsCodecAndAnyCutIsRefused)
+{
+    KeyClaim claim = claimOf(GateB, 7);
+    claim.witnesses = {GateA};
+    claim.until = keyAt(100).time();
+    auto outcome = outcomeOf(4, GateA, KeyFate::Answered);
+    outcome.answer = {.status = 201, .contentType = "application/json", .body = std::string("\x00\xff", 2)};
+    const auto batch =
+        batchOf(GateA, 3, {intentOf(3, GateA), outcome, claim},
+                {.covers = LogOffset{2}, .claim = PlacedClaim{LogOffset{1}, claim}, .floor = keyAt(1).time()});
+    const auto bytes = encode(batch);
+    const auto back = decodeKeyBatch(bytes);
+    ASSERT_EQ(errorIn(back), nullptr);
+    EXPECT_EQ(std::get<KeyBatch>(back), batch);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        const auto cut = decodeKeyBatch(Bytes(bytes.begin(), bytes.begin() + static_cast<std::ptrdiff_t>(length)));
+        EXPECT_NE(errorIn(cut), nullptr) << length;
+    }
+}
+
+struct UuidRow
+{
+    const char *text;
+    bool valid;
+};
+
+const UuidRow UuidRows[] = {
+    {"017f22e2-79b0-7cc3-98c4-dc0c0c07398f", true},   {"017F22E2-79B0-7CC3-98C4-DC0C0C07398F", true},
+    {"017f22e2-79b0-4cc3-98c4-dc0c0c07398f", false},  {"017f22e2-79b0-7cc3-18c4-dc0c0c07398f", false},
+    {"017f22e279b07cc398c4dc0c0c07398f", false},      {"017f22e2-79b0-7cc3-98c4-dc0c0c07398g", false},
+    {"017f22e2-79b0-7cc3-98c4-dc0c0c07398f0", false}, {"", false},
+};
+
+class UuidText : public testing::TestWithParam<UuidRow>
+{
+};
+
+TEST_P(UuidText, IsVersion7OrRefused)
+{
+    const auto uuid = Uuid7::parse(GetParam().text);
+    ASSERT_EQ(uuid.has_value(), GetParam().valid);
+    if (uuid) {
+        EXPECT_EQ(uuid->toString(), "017f22e2-79b0-7cc3-98c4-dc0c0c07398f");
+        EXPECT_EQ(uuid->time(), WallTime(1645557742000ms)); // the example of RFC 9562, appendix A.6
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, UuidText, testing::ValuesIn(UuidRows));
+
+TEST(RequestFingerprint, SeesEachPartAndTheBorderBetweenParts)
+{
+    const auto base = fingerprintOf(WorkspaceName("w"), "POST", "/a", "b");
+    EXPECT_EQ(base, fingerprintOf(WorkspaceName("w"), "POST", "/a", "b"));
+    EXPECT_NE(base, fingerprintOf(WorkspaceName("x"), "POST", "/a", "b"));
+    EXPECT_NE(base, fingerprintOf(WorkspaceName("w"), "PUT", "/a", "b"));
+    EXPECT_NE(base, fingerprintOf(WorkspaceName("w"), "POST", "/ab", ""));
+}
+
+// When one target leaves, only its own shards may move: every other shard's holder keeps the memory that lets it run
+// keys.
+RC_GTEST_PROP(KeyShards, ALeavingTargetMovesOnlyItsOwnShards, ())
+{
+    const auto count = *rc::gen::inRange(2, 12);
+    std::string text = "[zone.z]\nregion = r\n";
+    const auto section = [](int index) {
+        return "[target.t" + std::to_string(index)
+            + "]\nhost = h\nzone = z\nservice = s\nkind = plain\ngate = 127.0.0.1:" + std::to_string(index + 1)
+            + "\nbackend = 127.0.0.2:" + std::to_string(index + 1) + "\n";
+    };
+    const auto leaving = *rc::gen::inRange(0, count);
+    auto without = text;
+    for (int index = 0; index < count; ++index) {
+        text += section(index);
+        without += index == leaving ? "" : section(index);
+    }
+    const auto all = std::get<Inventory>(Inventory::fromDocument(IniDocument::parse(text)));
+    const auto rest = std::get<Inventory>(Inventory::fromDocument(IniDocument::parse(without)));
+    for (std::uint32_t shard = 0; shard < KeyShardCount; ++shard) {
+        const auto before = holdersOf(all, ServiceName("s"), static_cast<KeyShard>(shard));
+        const auto after = holdersOf(rest, ServiceName("s"), static_cast<KeyShard>(shard));
+        const bool held = before[0]->name == TargetName("t" + std::to_string(leaving));
+        RC_ASSERT(after[0]->name == before[held ? 1 : 0]->name);
+    }
+}
+
+} // namespace
