Place experts on ranks, estimate their popularity, decide when a change pays

Change: numbered immutable expert maps with split replicas; an incremental placement that keeps what need not move; estimators that tell drift from noise and a straggler from a hot expert; a decision that switches when the cost of not switching has reached the price of the change; stages bounded by the weight store. Greedy, replicated and hierarchical placements and the never, periodic and always policies stand beside it as baselines.

--- /dev/null
+++ b/modules/heatherridge_state/groups/popularityestimator.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "heatherridge_state/groups/expertmap.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/** What one rank measured in one window. Arrives late, twice or never. */
+struct RankReport
+{
+    int rank = 0;
+    std::uint64_t window = 0; ///< number of the measuring window, the same on all ranks
+    MapNumber map{}; ///< the map in force throughout the window; windows with a switch are not reported
+    std::vector<std::uint32_t> tokens{}; ///< by slot of the rank, layer by layer, in the order of the map
+    std::chrono::microseconds busy{}; ///< time spent in expert layers, waiting not counted
+
+    bool operator==(const RankReport &) const = default;
+};
+
+/** An estimate with its spread. */
+struct Popularity
+{
+    double part = 0; ///< of the layer's tokens
+    double error = 0; ///< standard error of `part`
+};
+
+/**
+ * Estimates how the tokens of each layer divide among its experts, from reports that lag and go missing.
+ *
+ * Pattern of load: popularity drifts over hours, jumps now and then, and every window carries sampling noise. Without
+ * the split a placement would chase noise. Each expert has a slow average, which removes noise, and a fast one; when
+ * the two are further apart than noise explains, the slow one jumps to the fast one. A missing replica's tokens are
+ * inferred from its siblings' through their shares; an expert that nobody reported keeps its estimate.
+ *
+ * One thread. See StragglerDetector for the other half of a report.
+ */
+class PopularityEstimator
+{
+public:
+    /** Part of a new window in the slow average: with 10 s windows a memory of about 4 minutes, short against a drift
+     * of hours and long enough to cut the noise of one window to a seventh. */
+    static constexpr double SlowGain = 0.04;
+    /** Part of a new window in the fast average: about 4 windows, so a real jump shows within 40 s. */
+    static constexpr double FastGain = 0.4;
+    /** Standard errors between the averages that count as a jump. Among 60 x 64 experts, noise passes 5 less than once
+     * in 400 windows, and then the only harm is a noisier estimate of one expert. */
+    static constexpr double JumpErrors = 5;
+    /** Least part of an expert's shares that must have reported to infer the rest: below a quarter the inferred value
+     * is noisier than the old estimate. */
+    static constexpr double LeastShareSeen = 0.25;
+    /** Windows kept open for late reports; older ones are closed with what has arrived. */
+    static constexpr std::uint64_t OpenWindows = 3;
+
+    /** Starts with all experts of @p shape equally popular. */
+    explicit PopularityEstimator(const GroupShape &shape);
+
+    /**
+     * Takes one report. Doubled ones and those for closed windows are dropped and counted.
+     * @param map the map that the report's number names; a report whose tokens don't fit it is dropped
+     */
+    void add(const RankReport &report, const ExpertMap &map);
+
+    /** Closes all windows that are more than OpenWindows older than @p newest and takes them into the estimate. */
+    void closeWindows(std::uint64_t newest);
+
+    /** The estimate for one expert. */
+    Popularity popularity(int layer, int expert) const;
+
+    /** The parts of all experts of @p layer; they add up to 1. */
+    std::vector<double> parts(int layer) const;
+
+    /** Standard error of a typical rank's load relative to the mean rank's load. */
+    double relativeError() const;
+
+    /** Reports dropped as late, doubled or not fitting their map. */
+    std::uint64_t droppedReports() const;
+
+    /** How often an estimate jumped to the fast average. */
+    std::uint64_t jumps() const;
+
+private:
+    struct Track
+    {
+        double slow = 0;
+        double fast = 0;
+        double variance = 0; ///< of one window's value
+        double slowWeight = 1; ///< sum of squared weights in the slow average: 1 just after a jump
+    };
+
+    struct Sum
+    {
+        double tokens = 0;
+        double share = 0;
+    };
+
+    struct Window
+    {
+        std::vector<bool> seen{};
+        std::vector<Sum> sums{};
+    };
+
+    void close(const Window &window);
+    void closeLayer(const Window &window, int layer);
+    void update(Track &track, double part);
+
+    GroupShape m_shape;
+    std::vector<Track> m_tracks; ///< layer by layer
+    std::map<std::uint64_t, Window> m_open;
+    std::uint64_t m_closedBefore = 0;
+    std::uint64_t m_closedCount = 0;
+    std::uint64_t m_dropped = 0;
+    std::uint64_t m_jumps = 0;
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_state/groups/rebalancepolicy.cpp
@@ -0,0 +1,113 @@
+#include "heatherridge_state/groups/rebalancepolicy.h"
+
+#include "heatherridge_state/groups/greedyplacement.h"
+#include "heatherridge_state/groups/hierarchicalplacement.h"
+#include "heatherridge_state/groups/replicatedplacement.h"
+#include "heatherridge_state/groups/stageplan.h"
+
+#include <algorithm>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+/** Keeps a weight of zero from making a price infinite or nothing: below this the other weight decides alone. */
+constexpr double LeastWeight = 1e-3;
+
+bool holdsOnlyRanksWithSlots(const GroupProblem &problem, const std::vector<LayerPlacement> &layers)
+{
+    for (const auto &layer : layers) {
+        for (const auto &slot : layer) {
+            if (slot.rank >= problem.shape.slots.size() || problem.shape.slots[slot.rank] == 0) {
+                return false;
+            }
+        }
+    }
+    return !layers.empty();
+}
+
+} // namespace
+
+std::optional<std::vector<LayerPlacement>> NeverRebalance::decide(const RebalanceInput & /*input*/)
+{
+    return std::nullopt;
+}
+
+std::optional<std::vector<LayerPlacement>> baselinePlacement(BaselinePlacement method, const GroupProblem &problem)
+{
+    std::vector<LayerPlacement> layers;
+    for (const auto &layer : problem.layers) {
+        std::optional<LayerPlacement> placement;
+        switch (method) {
+        case BaselinePlacement::Greedy:
+            placement = greedyPlacement(layer);
+            break;
+        case BaselinePlacement::Replicated:
+            placement = replicatedPlacement(layer);
+            break;
+        case BaselinePlacement::Hierarchical:
+            placement = hierarchicalPlacement(layer, problem.shape.places);
+            break;
+        }
+        if (!placement) {
+            return std::nullopt;
+        }
+        layers.push_back(std::move(*placement));
+    }
+    return layers;
+}
+
+std::optional<std::vector<LayerPlacement>> PeriodicRebalance::decide(const RebalanceInput &input)
+{
+    waited += input.sinceLast;
+    if (waited < period) {
+        return std::nullopt;
+    }
+    waited = {};
+    auto layers = baselinePlacement(method, input.problem);
+    if (!layers || *layers == input.current) {
+        return std::nullopt;
+    }
+    return layers;
+}
+
+std::optional<std::vector<LayerPlacement>> RegretRebalance::decide(const RebalanceInput &input)
+{
+    const double skewWeight = std::max(input.weights.skew, LeastWeight);
+    const double costWeight = std::max(input.weights.cost, LeastWeight);
+    const double expertSeconds = static_cast<double>(input.problem.shape.expertBytes) / input.storeBytesPerSecond;
+    const double price = expertSeconds * costWeight * input.problem.shape.layers / (Horizon.count() * skewWeight);
+    auto improved = improvePlacement(input.problem, input.current, {.pricePerExpert = price});
+    auto *layers = std::get_if<std::vector<LayerPlacement>>(&improved);
+    if (layers == nullptr) {
+        return std::nullopt;
+    }
+    if (!holdsOnlyRanksWithSlots(input.problem, input.current)) {
+        m_regret = 0;
+        return std::move(*layers);
+    }
+    const double gain = excessTime(input.problem, input.current) - excessTime(input.problem, *layers)
+        - NoiseErrors * input.relativeError;
+    m_regret = std::max(0.0, m_regret + gain * skewWeight * input.sinceLast.count());
+    const auto bytes = static_cast<double>(bytesToMove(input.problem.shape, input.current, *layers));
+    const double cost = costWeight * (bytes / input.storeBytesPerSecond + SwitchPrice.count());
+    if (gain <= 0 || m_regret < cost) {
+        return std::nullopt;
+    }
+    m_regret = 0;
+    return std::move(*layers);
+}
+
+double RegretRebalance::regret() const
+{
+    return m_regret;
+}
+
+std::optional<std::vector<LayerPlacement>> decide(RebalancePolicy &policy, const RebalanceInput &input)
+{
+    return std::visit([&input](auto &chosen) { return chosen.decide(input); }, policy);
+}
+
+} // namespace Heatherridge
