Decide under load: admission, limits, placement, retries, health

Cause: nothing decided yet what a target lets in, where an entry sends work and when it repeats it. Change: one class a decision, without network, clock or threads. The queue stands at the target, the one place that sees the load of all entries; entries place and never queue. The rule set gains [placement], whose policy is a variant. Conclusion: fit to be wired; thresholds are reasoned, not yet measured.

--- a/modules/heatherridge_state/config/ruleset.cpp
+++ b/modules/heatherridge_state/config/ruleset.cpp
@@ -12,6 +12,8 @@
 
 constexpr double HighestWeight = 1e6;
 constexpr int PriorityBound = 10;
+constexpr long long MostSamples = 64;
+constexpr double HighestZonePrice = 1000;
 constexpr std::chrono::milliseconds ShortestTimeout{10};
 constexpr std::chrono::milliseconds LongestTimeout{3'600'000};
 
@@ -54,10 +56,12 @@
             readPlannedStop(section);
         } else if (section.kind == "balance" && section.name.empty()) {
             readBalance(section);
+        } else if (section.kind == "placement" && section.name.empty()) {
+            readPlacement(section);
         } else {
             m_faults.push_back({.line = section.line,
                                 .reason = "unknown section; a rule set has [workspace.NAME], [service.NAME], "
-                                          "[planned-stop.NAME] and [balance]"});
+                                          "[planned-stop.NAME], [balance] and [placement]"});
         }
     }
 
@@ -110,6 +114,24 @@
         reader.finish();
     }
 
+    void readPlacement(const IniSection &section)
+    {
+        SectionReader reader(section, m_faults);
+        const CostPlacementOptions defaults;
+        const auto policy =
+            reader.choice("policy", {"cost", "round-robin", "least-requests", "two-choices", "consistent-hash"}, 0);
+        const CostPlacementOptions cost{
+            .samples = static_cast<std::size_t>(
+                reader.number("samples", static_cast<long long>(defaults.samples), 1, MostSamples)),
+            .usePrefix = reader.toggle("use-prefix", defaults.usePrefix),
+            .useReports = reader.toggle("use-reports", defaults.useReports),
+            .zonePrice = reader.fraction("zone-price", defaults.zonePrice, 0, HighestZonePrice)};
+        const PlacementRules choices[] = {cost, RoundRobinOptions{}, LeastRequestsOptions{}, TwoChoicesOptions{},
+                                          HashOptions{}};
+        m_rules.m_placement = choices[policy];
+        reader.finish();
+    }
+
     RuleSet m_rules;
     std::vector<ConfigFault> m_faults;
 };
@@ -173,4 +195,9 @@
     return m_balance;
 }
 
+const PlacementRules &RuleSet::placement() const
+{
+    return m_placement;
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_state/config/ruleset.h
+++ b/modules/heatherridge_state/config/ruleset.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_state/base/ids.h"
 #include "heatherridge_state/config/inidocument.h"
+#include "heatherridge_state/decisions/placementrules.h"
 
 #include <chrono>
 #include <map>
@@ -101,6 +102,9 @@
     /** The weights of skew against the cost of rebalancing. */
     const BalanceWeights &balance() const;
 
+    /** How entries choose targets. */
+    const PlacementRules &placement() const;
+
     bool operator==(const RuleSet &) const = default;
 
 private:
@@ -110,6 +114,7 @@
     std::map<ServiceName, ServiceRules> m_services;
     std::vector<PlannedStop> m_plannedStops;
     BalanceWeights m_balance;
+    PlacementRules m_placement;
 };
 
 } // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_state/decisions/admissionqueue.cpp
@@ -0,0 +1,307 @@
+#include "heatherridge_state/decisions/admissionqueue.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+/** Shortest and longest time a refused caller is told to wait: below, it costs more than it saves; above, nobody can
+ * foresee the load. */
+constexpr std::chrono::milliseconds ShortestReturn{100};
+constexpr std::chrono::milliseconds LongestReturn{30'000};
+/** How long after the last short request slots are kept free for the next. */
+constexpr std::chrono::seconds ShortMemory{10};
+/** Share of the newest request in the average cost. */
+constexpr double NewestShare = 0.02;
+
+} // namespace
+
+AdmissionQueue::AdmissionQueue(AdmissionOptions options)
+    : m_options(options)
+{
+}
+
+Offer AdmissionQueue::offer(const WorkRequest &request, SteadyTime now)
+{
+    Share &share = shareOf(request);
+    if (m_draining) {
+        return Error{.kind = ErrorKind::Draining, .ran = Ran::No, .retryAfter = ShortestReturn};
+    }
+    m_averageCost = m_averageCost == 0 ? request.cost : m_averageCost * (1 - NewestShare) + request.cost * NewestShare;
+    const bool isLong = request.cost > m_options.longFactor * m_averageCost;
+    if (!isLong) {
+        m_lastShort = now;
+    }
+    const auto latestStart = request.deadline - m_rate.durationOf(request.cost);
+    if (latestStart < now) {
+        return refusal(ErrorKind::DeadlineUnreachable, share, request.cost, now);
+    }
+    const bool slotFree = m_running.size() < m_limit && (!isLong || longAllowed(now));
+    if (slotFree && m_waiting.empty()) {
+        start(share, request, isLong, now);
+        return Started{};
+    }
+    if (!isOverloaded(share, now) && now + expectedWait(share, now) > latestStart) {
+        return refusal(ErrorKind::DeadlineUnreachable, share, request.cost, now);
+    }
+    if (!makePlace(share, now)) {
+        return refusal(ErrorKind::QueueFull, share, request.cost, now);
+    }
+    if (share.lane.isEmpty()) {
+        m_activeWeight += share.weight;
+        share.tag = std::max(share.tag, m_virtualTime - m_options.burst / share.weight);
+    }
+    share.lane.add({.request = request, .arrived = now, .latestStart = latestStart, .isLong = isLong}, now);
+    m_waiting.emplace(request.id, request.workspace);
+    m_nextSweep = m_nextSweep ? std::min(*m_nextSweep, latestStart) : latestStart;
+    trim(share, now);
+    return Queued{};
+}
+
+std::optional<RequestId> AdmissionQueue::take(SteadyTime now)
+{
+    sweep(now);
+    if (m_running.size() >= m_limit || m_waiting.empty()) {
+        return std::nullopt;
+    }
+    const bool allowLong = longAllowed(now);
+    Share *next = nullptr;
+    double lowest = 0;
+    for (auto &[name, share] : m_shares) {
+        if (share.lane.isEmpty(allowLong)) {
+            continue;
+        }
+        const double tag = share.tag - share.lane.highestPriority() * m_averageCost / share.weight;
+        if (next == nullptr || tag < lowest) {
+            next = &share;
+            lowest = tag;
+        }
+    }
+    if (next == nullptr) {
+        return std::nullopt;
+    }
+    const auto waiting = next->lane.pop(now, allowLong, isOverloaded(*next, now));
+    m_waiting.erase(waiting->request.id);
+    if (next->lane.isEmpty()) {
+        m_activeWeight -= next->weight;
+    }
+    start(*next, waiting->request, waiting->isLong, now);
+    return waiting->request.id;
+}
+
+void AdmissionQueue::finish(const RequestId &id, double actualCost, SteadyTime now)
+{
+    const auto entry = m_running.find(id);
+    if (entry == m_running.end()) {
+        return;
+    }
+    const Running &running = entry->second;
+    m_rate.record(running.cost, std::chrono::duration_cast<std::chrono::microseconds>(now - running.started));
+    if (const auto share = m_shares.find(running.workspace); share != m_shares.end()) {
+        share->second.tag += (actualCost - running.cost) / share->second.weight;
+    }
+    m_longRunning -= running.isLong ? 1 : 0;
+    m_running.erase(entry);
+}
+
+bool AdmissionQueue::cancel(const RequestId &id)
+{
+    const auto entry = m_waiting.find(id);
+    if (entry == m_waiting.end()) {
+        return false;
+    }
+    auto &share = m_shares.at(entry->second);
+    share.lane.remove(id);
+    if (share.lane.isEmpty()) {
+        m_activeWeight -= share.weight;
+    }
+    m_waiting.erase(entry);
+    return true;
+}
+
+void AdmissionQueue::setLimit(std::size_t limit)
+{
+    m_limit = std::max<std::size_t>(limit, 1);
+}
+
+void AdmissionQueue::drain()
+{
+    m_draining = true;
+    for (auto &[name, share] : m_shares) {
+        while (const auto waiting = share.lane.popOldest()) {
+            m_givenUp.push_back({.id = waiting->request.id,
+                                 .error = {.kind = ErrorKind::Draining, .ran = Ran::No, .retryAfter = ShortestReturn}});
+        }
+    }
+    m_waiting.clear();
+    m_activeWeight = 0;
+    m_nextSweep.reset();
+}
+
+std::vector<GivenUp> AdmissionQueue::collectGivenUp()
+{
+    return std::exchange(m_givenUp, {});
+}
+
+void AdmissionQueue::sweep(SteadyTime now)
+{
+    if (!m_nextSweep || now <= *m_nextSweep) {
+        return;
+    }
+    m_nextSweep.reset();
+    for (auto &[name, share] : m_shares) {
+        while (auto waiting = share.lane.popLate(now)) {
+            giveUp(share, std::move(waiting), ErrorKind::DeadlineUnreachable, now);
+        }
+        if (const auto latest = share.lane.earliestLatestStart()) {
+            m_nextSweep = m_nextSweep ? std::min(*m_nextSweep, *latest) : *latest;
+        }
+    }
+}
+
+std::optional<SteadyTime> AdmissionQueue::nextSweep() const
+{
+    return m_nextSweep;
+}
+
+AdmissionLoad AdmissionQueue::load() const
+{
+    AdmissionLoad load{.running = m_running.size(), .waiting = m_waiting.size(), .limit = m_limit};
+    for (const auto &[name, share] : m_shares) {
+        load.waitingCost += share.lane.backlog();
+    }
+    return load;
+}
+
+AdmissionQueue::Share &AdmissionQueue::shareOf(const WorkRequest &request)
+{
+    Share &share = m_shares[request.workspace];
+    if (!share.lane.isEmpty()) {
+        m_activeWeight += request.weight - share.weight;
+    }
+    share.weight = request.weight;
+    return share;
+}
+
+/** The part of the slots that falls to @p share while it competes with the other lanes that wait. */
+double AdmissionQueue::slotsOf(const Share &share) const
+{
+    const double others = m_activeWeight - (share.lane.isEmpty() ? 0 : share.weight);
+    return static_cast<double>(m_limit) * share.weight / (share.weight + std::max(others, 0.0));
+}
+
+bool AdmissionQueue::isOverloaded(const Share &share, SteadyTime now) const
+{
+    const auto since = share.lane.busySince();
+    return since && now - *since > m_options.overloadedAfter;
+}
+
+bool AdmissionQueue::longAllowed(SteadyTime now) const
+{
+    if (!m_lastShort || now - *m_lastShort > ShortMemory) {
+        return true;
+    }
+    const double most = std::max(1.0, m_options.longShare * static_cast<double>(m_limit));
+    return static_cast<double>(m_longRunning) < most;
+}
+
+std::chrono::microseconds AdmissionQueue::expectedWait(const Share &share, SteadyTime /*now*/) const
+{
+    return m_rate.drainTime(share.lane.backlog(), slotsOf(share));
+}
+
+/**
+ * When a refused request should come back: after what waits and what was sent back before it has been worked off.
+ * Counting the latter spreads the returns; without it all refused callers would come back at one moment.
+ */
+std::chrono::milliseconds AdmissionQueue::comeBackAfter(Share &share, double cost, SteadyTime now)
+{
+    const double slots = slotsOf(share);
+    if (m_rate.isKnown()) {
+        const std::chrono::duration<double, std::micro> passed = now - share.promisedAt;
+        const double unit = static_cast<double>(m_rate.drainTime(1'000, slots).count()) / 1'000;
+        share.promised = std::max(0.0, share.promised - passed.count() / std::max(unit, 1e-3));
+    }
+    share.promisedAt = now;
+    share.promised += cost;
+    const auto wait = m_rate.drainTime(share.lane.backlog() + share.promised, slots);
+    // What has been promised is bounded as well, so that the time is right again soon after the load has gone.
+    if (wait > LongestReturn) {
+        share.promised -= cost;
+    }
+    return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(wait), ShortestReturn, LongestReturn);
+}
+
+Error AdmissionQueue::refusal(ErrorKind kind, Share &share, double cost, SteadyTime now)
+{
+    return Error{.kind = kind, .ran = Ran::No, .retryAfter = comeBackAfter(share, cost, now)};
+}
+
+/** Over its limit is a workspace only while others wait too; alone, it is the target that has too little. */
+ErrorKind AdmissionQueue::overloadKind(const Share &share) const
+{
+    return m_activeWeight > share.weight * 1.001 ? ErrorKind::WorkspaceOverLimit : ErrorKind::Overloaded;
+}
+
+void AdmissionQueue::giveUp(Share &share, std::optional<WorkspaceLane::Waiting> waiting, ErrorKind kind, SteadyTime now)
+{
+    if (!waiting) {
+        return;
+    }
+    m_waiting.erase(waiting->request.id);
+    m_givenUp.push_back({.id = waiting->request.id, .error = refusal(kind, share, waiting->request.cost, now)});
+    if (share.lane.isEmpty()) {
+        m_activeWeight -= share.weight;
+    }
+}
+
+/** Gives up the oldest requests of an overloaded lane beyond what it works off in time; the newest always stays. */
+void AdmissionQueue::trim(Share &share, SteadyTime now)
+{
+    if (!isOverloaded(share, now)) {
+        return;
+    }
+    while (share.lane.size() > 1
+           && m_rate.drainTime(share.lane.backlog(), slotsOf(share)) > m_options.overloadedBacklog) {
+        giveUp(share, share.lane.popOldest(), overloadKind(share), now);
+    }
+}
+
+/**
+ * Makes a place for a request of @p share when all are taken: the lane that holds most for its weight loses its oldest.
+ * Without it a workspace that fills the queue would lock the others out before shares come into play.
+ */
+bool AdmissionQueue::makePlace(Share &share, SteadyTime now)
+{
+    if (m_waiting.size() < m_options.places) {
+        return true;
+    }
+    Share *fullest = &share;
+    for (auto &[name, other] : m_shares) {
+        if (other.lane.backlog() / other.weight > fullest->lane.backlog() / fullest->weight) {
+            fullest = &other;
+        }
+    }
+    if (fullest == &share && !isOverloaded(share, now)) {
+        return false;
+    }
+    giveUp(*fullest, fullest->lane.popOldest(), ErrorKind::QueueFull, now);
+    return true;
+}
+
+void AdmissionQueue::start(Share &share, const WorkRequest &request, bool isLong, SteadyTime now)
+{
+    share.tag = std::max(share.tag, m_virtualTime - m_options.burst / share.weight);
+    m_virtualTime = std::max(m_virtualTime, share.tag);
+    share.tag += request.cost / share.weight;
+    m_longRunning += isLong ? 1 : 0;
+    m_running.emplace(request.id,
+                      Running{.workspace = request.workspace, .cost = request.cost, .started = now, .isLong = isLong});
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_state/decisions/costplacement.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "heatherridge_state/base/randomsource.h"
+#include "heatherridge_state/decisions/placementrules.h"
+#include "heatherridge_state/decisions/targetview.h"
+
+#include <optional>
+#include <span>
+
+namespace Heatherridge
+{
+
+/**
+ * Places a request where it is expected to finish first, in microseconds of expected time.
+ *
+ * Load pattern: many entries with lagging reports, prompts that share prefixes, zones apart, targets of unequal speed.
+ *
+ * - Load: own in-flight work at once, that of others by the target's report. A report's weight fades with its age
+ *   towards the mean of all, with a half-life of ReportHalfLife; without it a target that was idle once stays
+ *   attractive until its next report.
+ * - Herding: only a random sample is compared, other entries draw other samples. Without it all entries send
+ *   to the same target that looks idle until its next report.
+ * - Prefix: a cached prefix counts as the prompt time it saves, and only while the holder's load is below PrefixBound
+ *   times the mean; a hot prefix so spreads, and the next target that serves it holds it too. A prompt without a known
+ *   holder goes to the place its beginning hashes to, so that all entries agree without exchange.
+ * - Zones: the delay counts at zonePrice; work so stays in its zone until its targets are that much busier.
+ * - Speed: a straggler's slowness multiplies its load and the request's own time, slow start divides by warmth.
+ *
+ * One thread; keeps no state between calls.
+ */
+class CostPlacement
+{
+public:
+    /** About one mean request: what a report says about others is half gone by then. */
+    static constexpr std::chrono::milliseconds ReportHalfLife{1000};
+    /** Consistent hashing with bounded loads loses little affinity at twice the mean, and no target exceeds it. */
+    static constexpr double PrefixBound = 2;
+
+    explicit CostPlacement(CostPlacementOptions options = {});
+
+    /** The index in @p targets to send to, or nothing when none is usable. */
+    std::optional<std::size_t> choose(std::span<const TargetView> targets, const RequestTraits &traits,
+                                      RandomSource &random) const;
+
+private:
+    struct Means
+    {
+        double load = 0; ///< of own and others
+        double others = 0; ///< of others alone
+        std::size_t usable = 0;
+    };
+
+    Means meansOf(std::span<const TargetView> targets) const;
+    double loadOf(const TargetView &target, const Means &means) const;
+    double scoreOf(const TargetView &target, const RequestTraits &traits, const Means &means, bool isHome) const;
+
+    CostPlacementOptions m_options;
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_state/decisions/prefixindex.cpp
@@ -0,0 +1,113 @@
+#include "heatherridge_state/decisions/prefixindex.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Heatherridge
+{
+
+PrefixIndex::PrefixIndex(PrefixOptions options)
+    : m_options(options)
+    , m_blocks(std::max<std::size_t>(options.entries / Ways, 1) * Ways)
+{
+}
+
+std::vector<std::uint64_t> PrefixIndex::chainOf(std::string_view prompt)
+{
+    std::vector<std::uint64_t> chain;
+    std::uint64_t hash = 0;
+    while (prompt.size() >= BlockBytes && chain.size() < MostBlocks) {
+        hash = XXH3_64bits_withSeed(prompt.data(), BlockBytes, hash);
+        chain.push_back(std::max<std::uint64_t>(hash, 1));
+        prompt.remove_prefix(BlockBytes);
+    }
+    return chain;
+}
+
+void PrefixIndex::insert(TargetSlot target, std::span<const std::uint64_t> chain, SteadyTime now)
+{
+    const auto holder = static_cast<std::uint32_t>(target) + 1;
+    for (const auto hash : chain) {
+        const auto first = m_blocks.begin() + static_cast<std::ptrdiff_t>(setOf(hash));
+        const auto last = first + Ways;
+        auto place = std::find_if(first, last, [hash](const Block &block) { return block.hash == hash; });
+        if (place == last) {
+            place = std::min_element(first, last, [](const Block &a, const Block &b) { return a.used < b.used; });
+            *place = Block{.hash = hash};
+        }
+        place->used = now;
+        auto &holders = place->holders;
+        if (std::find(holders.begin(), holders.end(), holder) == holders.end()) {
+            holders[place->nextHolder++ % Holders] = holder;
+        }
+    }
+}
+
+void PrefixIndex::erase(TargetSlot target, std::uint64_t hash)
+{
+    const auto first = m_blocks.begin() + static_cast<std::ptrdiff_t>(setOf(hash));
+    const auto place = std::find_if(first, first + Ways, [hash](const Block &block) { return block.hash == hash; });
+    if (place != first + Ways) {
+        std::replace(place->holders.begin(), place->holders.end(), static_cast<std::uint32_t>(target) + 1, 0U);
+    }
+}
+
+void PrefixIndex::distrust(TargetSlot target, SteadyTime now)
+{
+    const auto slot = static_cast<std::size_t>(target);
+    if (slot >= m_trustedSince.size()) {
+        m_trustedSince.resize(slot + 1);
+    }
+    m_trustedSince[slot] = now;
+}
+
+std::vector<PrefixMatch> PrefixIndex::match(std::span<const std::uint64_t> chain, SteadyTime now) const
+{
+    std::vector<PrefixMatch> matches;
+    std::uint32_t depth = 0;
+    for (const auto hash : chain) {
+        const Block *block = find(hash, now);
+        if (block == nullptr) {
+            break;
+        }
+        for (const auto holder : block->holders) {
+            if (holder == 0 || !isTrusted(holder - 1, *block)) {
+                continue;
+            }
+            const auto target = static_cast<TargetSlot>(holder - 1);
+            const auto known = std::find_if(matches.begin(), matches.end(),
+                                            [target](const PrefixMatch &match) { return match.target == target; });
+            if (known == matches.end() && depth == 0) {
+                matches.push_back({.target = target, .blocks = 1});
+            } else if (known != matches.end() && known->blocks == depth) {
+                ++known->blocks; // a block after a missing one is of no use to the engine
+            }
+        }
+        ++depth;
+    }
+    std::stable_sort(matches.begin(), matches.end(),
+                     [](const PrefixMatch &a, const PrefixMatch &b) { return a.blocks > b.blocks; });
+    return matches;
+}
+
+std::size_t PrefixIndex::setOf(std::uint64_t hash) const
+{
+    return (hash % (m_blocks.size() / Ways)) * Ways;
+}
+
+const PrefixIndex::Block *PrefixIndex::find(std::uint64_t hash, SteadyTime now) const
+{
+    const auto first = m_blocks.begin() + static_cast<std::ptrdiff_t>(setOf(hash));
+    const auto place = std::find_if(first, first + Ways, [hash](const Block &block) { return block.hash == hash; });
+    const bool isKnown = place != first + Ways && now - place->used <= m_options.lifetime;
+    return isKnown ? &*place : nullptr;
+}
+
+/** A block's time is that of its last use by any holder, so distrust can miss a block that another target renewed. */
+bool PrefixIndex::isTrusted(std::uint32_t slot, const Block &block) const
+{
+    return slot >= m_trustedSince.size() || block.used > m_trustedSince[slot];
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_state/decisions/prefixindex.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "heatherridge_state/base/clock.h"
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/** A small number that the owner of a PrefixIndex gives to a target. */
+enum class TargetSlot : std::uint32_t {};
+
+/** How much of a prompt a target is thought to hold. */
+struct PrefixMatch
+{
+    TargetSlot target{};
+    std::uint32_t blocks = 0; ///< leading blocks, of PrefixIndex::BlockBytes each
+
+    bool operator==(const PrefixMatch &) const = default;
+};
+
+/** Bounds of a PrefixIndex. */
+struct PrefixOptions
+{
+    std::size_t entries = 1U << 15U; ///< blocks known at a time; 40 bytes each, so about 1.3 MB
+    std::chrono::seconds lifetime{300}; ///< an engine's cache turns over within minutes; older knowledge misleads
+};
+
+/**
+ * Which target likely holds a prompt's beginning in its cache.
+ *
+ * Load pattern: prompts that share long beginnings (instructions, a conversation so far). Without it each target
+ * computes each of them. Knowledge comes from this entry's own placements at once and from the engines' events late
+ * and with gaps, so it is a hint: a false match costs a prompt computed anew, nothing else. A gap in a target's events
+ * may hide evictions, so older knowledge of that target then counts no more. Memory is fixed: a table by hash, in which
+ * a new block takes the place of the one unused for longest among Ways. One thread.
+ */
+class PrefixIndex
+{
+public:
+    /** About 64 tokens: shorter blocks cost memory, longer ones miss shared beginnings. */
+    static constexpr std::size_t BlockBytes = 256;
+    /** Blocks of a prompt that are looked at: 8 KB; beyond, the match is long enough to decide. */
+    static constexpr std::size_t MostBlocks = 32;
+
+    explicit PrefixIndex(PrefixOptions options = {});
+
+    /** One hash a whole block of @p prompt, each over all before it too, at most MostBlocks. */
+    static std::vector<std::uint64_t> chainOf(std::string_view prompt);
+
+    /** @p target now holds @p chain. */
+    void insert(TargetSlot target, std::span<const std::uint64_t> chain, SteadyTime now);
+
+    /** @p target has evicted the block @p hash. */
+    void erase(TargetSlot target, std::uint64_t hash);
+
+    /** Events of @p target were lost, or it was restarted: what was known of it before @p now counts no more. */
+    void distrust(TargetSlot target, SteadyTime now);
+
+    /** Every target that holds at least the first block of @p chain, the longest match first. */
+    std::vector<PrefixMatch> match(std::span<const std::uint64_t> chain, SteadyTime now) const;
+
+private:
+    static constexpr std::size_t Ways = 4;
+    static constexpr std::size_t Holders = 4; ///< a hotter block than that is spread enough
+
+    struct Block
+    {
+        std::uint64_t hash = 0; ///< 0 for a free place
+        SteadyTime used{};
+        std::array<std::uint32_t, Holders> holders{}; ///< slot + 1; 0 for none
+        std::uint32_t nextHolder = 0; ///< which to replace next
+    };
+
+    std::size_t setOf(std::uint64_t hash) const;
+    const Block *find(std::uint64_t hash, SteadyTime now) const;
+    bool isTrusted(std::uint32_t slot, const Block &block) const;
+
+    PrefixOptions m_options;
+    std::vector<Block> m_blocks;
+    std::vector<SteadyTime> m_trustedSince; ///< by slot
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_state/decisions/servicerate.cpp
@@ -0,0 +1,55 @@
+#include "heatherridge_state/decisions/servicerate.h"
+
+#include <algorithm>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr double Longest = 1e13; // keeps the conversion to a whole number defined
+
+std::chrono::microseconds fromFraction(double microseconds)
+{
+    return std::chrono::microseconds(static_cast<long long>(std::clamp(microseconds, 0.0, Longest)));
+}
+
+} // namespace
+
+void ServiceRate::record(double cost, std::chrono::microseconds duration)
+{
+    const double units = std::max(cost, 1.0);
+    const auto measured = static_cast<double>(std::max(duration, std::chrono::microseconds(1)).count());
+    if (!isKnown()) {
+        m_microsecondsPerUnit = measured / units;
+        m_meanCost = units;
+        return;
+    }
+    // Both parts of the quotient are averaged, so that many short requests do not outweigh the few long ones.
+    const double meanDuration = m_microsecondsPerUnit * m_meanCost * (1 - NewestShare) + measured * NewestShare;
+    m_meanCost = m_meanCost * (1 - NewestShare) + units * NewestShare;
+    m_microsecondsPerUnit = meanDuration / m_meanCost;
+}
+
+bool ServiceRate::isKnown() const
+{
+    return m_microsecondsPerUnit > 0;
+}
+
+std::chrono::microseconds ServiceRate::durationOf(double cost) const
+{
+    return fromFraction(m_microsecondsPerUnit * cost);
+}
+
+std::chrono::microseconds ServiceRate::drainTime(double cost, double slots) const
+{
+    return fromFraction(m_microsecondsPerUnit * cost / std::max(slots, 0.01));
+}
+
+double ServiceRate::meanCost() const
+{
+    return std::max(m_meanCost, 1.0);
+}
+
+} // namespace Heatherridge
