Close a connection without an answer when an exchange is aborted early

Cause: abort() did nothing before an answer was begun, and dropping the exchange answers 500. Neither shows a caller what a lost reply looks like.

Change: abort() of an unanswered exchange takes the socket out of RESTinio's connection on that connection's executor and lets it close, the way its websocket upgrade takes it.

--- a/modules/heatherridge_transport/http/httpserver.cpp
+++ b/modules/heatherridge_transport/http/httpserver.cpp
@@ -152,7 +152,12 @@
     void abort() override
     {
         const std::lock_guard lock(m_mutex);
-        if (m_finished || !m_stream) {
+        if (m_finished) {
+            return;
+        }
+        if (!m_stream) {
+            m_finished = true;
+            closeUnanswered();
             return;
         }
         // A caller must not take a cut answer for a whole one. RESTinio closes the connection without the closing
@@ -176,6 +181,19 @@
     }
 
 private:
+    /**
+     * Closes the connection without any answer. RESTinio offers that only by taking the socket out of the connection,
+     * as its websocket upgrade does; the socket closes at the end of the task. The task runs on the connection's
+     * executor, since a read may be pending there.
+     */
+    void closeUnanswered()
+    {
+        using Connection = restinio::impl::connection_t<ServerTraits>;
+        auto handle = std::move(restinio::impl::access_req_connection(*m_handle));
+        const auto connection = std::dynamic_pointer_cast<Connection>(handle);
+        asio::post(connection->get_executor(), [connection] { connection->move_upgrade_internals(); });
+    }
+
     bool isFinished()
     {
         const std::lock_guard lock(m_mutex);
--- a/modules/heatherridge_transport/http/httpserver.h
+++ b/modules/heatherridge_transport/http/httpserver.h
@@ -44,7 +44,10 @@
     /** Ends an answer in chunks as complete. */
     virtual void end() = 0;
 
-    /** Ends an answer in chunks so that the caller sees it cut off: the closing chunk is not sent. */
+    /**
+     * Closes the connection so that the caller sees its answer cut off: an answer in chunks stays without its closing
+     * chunk, and where no answer was begun none is sent.
+     */
     virtual void abort() = 0;
 
     /** Calls @p closed once, on a server thread, when the connection closes before the answer's end. */
