Add stand-ins for the platform and the back ends

One program, heatherridge-standin, plays the log, the host list, the weight store, a model engine or a booking service. All state of a stand-in lives on one thread. Faults are whole-number switches, set as flags at start or through POST /faults while it runs; GET /counters tells what happened. The engine's answer is a function of the prompt, so that a test can compare it byte for byte.

--- /dev/null
+++ b/extras/heatherridge-standin/hoststandin.cpp
@@ -0,0 +1,78 @@
+#include "hoststandin.h"
+
+#include <algorithm>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::size_t MostVersions = 1000;
+
+bool isHostList(const nlohmann::json &body)
+{
+    if (!body.is_object() || !body.contains("hosts") || !body["hosts"].is_array()) {
+        return false;
+    }
+    const auto &hosts = body["hosts"];
+    return std::all_of(hosts.begin(), hosts.end(), [](const nlohmann::json &host) {
+        return host.is_object() && host.contains("host") && host["host"].is_string() && host.contains("state")
+            && (host["state"] == "live" || host["state"] == "leaving");
+    });
+}
+
+} // namespace
+
+HostStandIn::HostStandIn(EventLoop &loop)
+    : StandIn(loop,
+              {{.name = "lag-ms", .value = 0, .meaning = "milliseconds until a change of the list is told"},
+               {.name = "duplicates", .value = 0, .meaning = "1: every host is told twice"},
+               {.name = "out", .value = 0, .meaning = "1: every request is answered 503 at once"}})
+{
+}
+
+void HostStandIn::serve(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    if (fault("out") != 0) {
+        respondFailure(*exchange, 503, "the host list is out");
+    } else if (request.path != "/hosts") {
+        respondFailure(*exchange, 404, "the host list has /hosts");
+    } else if (request.method == "PUT") {
+        replace(exchange);
+    } else {
+        count("reads");
+        respondJson(*exchange, 200, {{"hosts", lagging()}});
+    }
+}
+
+void HostStandIn::replace(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto body = nlohmann::json::parse(exchange->request().body, nullptr, false);
+    if (!isHostList(body)) {
+        respondFailure(*exchange, 400, "the list is {\"hosts\":[{\"host\":NAME,\"state\":\"live\"|\"leaving\"}]}");
+        return;
+    }
+    count("changes");
+    m_versions.push_back({.since = wallMilliseconds(), .hosts = body["hosts"]});
+    if (m_versions.size() > MostVersions) {
+        m_versions.pop_front();
+    }
+    respondJson(*exchange, 200, {{"hosts", body["hosts"].size()}});
+}
+
+nlohmann::json HostStandIn::lagging() const
+{
+    const auto limit = wallMilliseconds() - fault("lag-ms");
+    auto version = std::find_if(m_versions.rbegin(), m_versions.rend(),
+                                [limit](const Version &candidate) { return candidate.since <= limit; });
+    auto hosts = version == m_versions.rend() ? m_versions.front().hosts : version->hosts;
+    if (fault("duplicates") != 0) {
+        const auto once = hosts;
+        hosts.insert(hosts.end(), once.begin(), once.end());
+    }
+    return hosts;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/extras/heatherridge-standin/hoststandin.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "standin.h"
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+
+namespace Heatherridge
+{
+
+/**
+ * The platform's list of live and leaving hosts, which lags.
+ *
+ * `PUT /hosts` sets the list `{"hosts":[{"host":NAME,"state":"live"|"leaving"}]}`, `GET /hosts` tells it as it was some
+ * time ago.
+ */
+class HostStandIn final : public StandIn
+{
+public:
+    /** An empty list. */
+    explicit HostStandIn(EventLoop &loop);
+
+protected:
+    void serve(const std::shared_ptr<HttpExchange> &exchange) override;
+
+private:
+    struct Version
+    {
+        std::int64_t since = 0; // milliseconds since the epoch
+        nlohmann::json hosts = nlohmann::json::array();
+    };
+
+    void replace(const std::shared_ptr<HttpExchange> &exchange);
+    nlohmann::json lagging() const;
+
+    std::deque<Version> m_versions{Version{}}; // oldest first, never empty
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/extras/heatherridge-standin/logstandin.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "logstream.h"
+#include "standin.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/**
+ * The platform's append-only log.
+ *
+ * `POST /streams/NAME/records` appends the body and answers `{"offset":N}`. `GET /streams/NAME/records` with `from`,
+ * `most` and `wait-ms` answers a page as a CBOR map `{first, last, records: [{o, t, p}]}`. A stream begins with its
+ * first append, at offset 1.
+ */
+class LogStandIn final : public StandIn
+{
+public:
+    /** A log without records. */
+    explicit LogStandIn(EventLoop &loop);
+
+protected:
+    void serve(const std::shared_ptr<HttpExchange> &exchange) override;
+
+private:
+    struct Waiter
+    {
+        std::shared_ptr<HttpExchange> exchange{};
+        std::uint64_t from = 1;
+        std::size_t most = 0;
+    };
+
+    void dispatch(const std::shared_ptr<HttpExchange> &exchange);
+    void append(const std::string &name, const std::shared_ptr<HttpExchange> &exchange);
+    void read(const std::string &name, const std::shared_ptr<HttpExchange> &exchange);
+    void answer(const std::string &name, const Waiter &waiter);
+    void wake(const std::string &name);
+    LogStream::Retention retention() const;
+
+    std::map<std::string, LogStream> m_streams;
+    std::map<std::string, std::vector<std::shared_ptr<Waiter>>> m_waiters; // exchange is null once answered
+    std::vector<std::shared_ptr<HttpExchange>> m_held; // never answered, by the fault `hang`
+    std::chrono::steady_clock::time_point m_nextAppend{}; // when the rate allows one more
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/extras/heatherridge-standin/main.cpp
@@ -0,0 +1,173 @@
+#include "enginestandin.h"
+#include "eventloop.h"
+#include "hoststandin.h"
+#include "logstandin.h"
+#include "plainstandin.h"
+#include "weightstandin.h"
+
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <memory>
+
+using namespace Heatherridge;
+
+namespace
+{
+
+namespace Options = boost::program_options;
+
+constexpr int ExitUsage = 2;
+constexpr int ServerThreads = 2;
+constexpr std::size_t MostBodyBytes = 64UL << 20U; // an exported cache; each mode sets its own lower bounds
+
+struct Mode
+{
+    std::string name{};
+    std::string meaning{};
+    std::function<std::unique_ptr<StandIn>(EventLoop &)> make{};
+};
+
+template<typename Kind>
+std::unique_ptr<StandIn> make(EventLoop &loop)
+{
+    return std::make_unique<Kind>(loop);
+}
+
+const std::vector<Mode> &modes()
+{
+    static const std::vector<Mode> All{
+        {.name = "log", .meaning = "the platform's append-only log", .make = make<LogStandIn>},
+        {.name = "hosts", .meaning = "the platform's lagging host list", .make = make<HostStandIn>},
+        {.name = "weights", .meaning = "the platform's rate-limited weight store", .make = make<WeightStandIn>},
+        {.name = "engine", .meaning = "a model engine", .make = make<EngineStandIn>},
+        {.name = "plain", .meaning = "a booking service", .make = make<PlainStandIn>},
+    };
+    return All;
+}
+
+void printUsage(std::ostream &out)
+{
+    out << "usage: heatherridge-standin MODE [--listen ADDRESS:PORT] [--SWITCH VALUE ...]\n\n"
+           "Plays one part of the platform or one back end. Port 0 lets the kernel choose; the line\n"
+           "`ready MODE ADDRESS:PORT` says where it listens. POST /faults sets switches at run time.\n\nmodes:\n";
+    for (const auto &mode : modes()) {
+        out << "  " << mode.name << "\t" << mode.meaning << "\n";
+    }
+    out << "\nheatherridge-standin MODE --help lists the mode's switches.\n";
+}
+
+const Mode *findMode(std::string_view name)
+{
+    for (const auto &mode : modes()) {
+        if (mode.name == name) {
+            return &mode;
+        }
+    }
+    return nullptr;
+}
+
+/** Where to listen; unlike an inventory's endpoints with port 0 allowed. */
+std::optional<Endpoint> parseListen(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    const auto port = colon == std::string::npos ? std::nullopt : parseNumber(text.substr(colon + 1), 0, 65535);
+    if (!port) {
+        return std::nullopt;
+    }
+    return Endpoint{.address = text.substr(0, colon), .port = static_cast<int>(*port)};
+}
+
+Options::options_description describe(const FaultSwitches &switches)
+{
+    Options::options_description description("options");
+    description.add_options()("help", "print this and exit")(
+        "listen", Options::value<std::string>()->default_value("127.0.0.1:0"), "where to listen");
+    for (const auto &[name, entry] : switches.all()) {
+        description.add_options()(name.c_str(), Options::value<long long>()->default_value(entry.value),
+                                  entry.meaning.c_str());
+    }
+    return description;
+}
+
+/** Serves until SIGTERM or SIGINT, which must be blocked in all threads. */
+int serve(const std::string &mode, EventLoop &loop, StandIn &standIn, const Endpoint &listen)
+{
+    HttpServer server({.listen = listen, .threads = ServerThreads, .maxBodyBytes = MostBodyBytes},
+                      [&loop, &standIn](const std::shared_ptr<HttpExchange> &exchange) {
+                          loop.post([&standIn, exchange] { standIn.handle(exchange); });
+                      });
+    const auto started = server.start();
+    if (const auto *error = errorIn(started)) {
+        std::cerr << "heatherridge-standin: " << error->detail << "\n";
+        return EXIT_FAILURE;
+    }
+    loop.start();
+    std::cout << "ready " << mode << " " << toString(std::get<Endpoint>(started)) << std::endl;
+    sigset_t signals{};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    int signal = 0;
+    sigwait(&signals, &signal);
+    loop.stop();
+    server.stop();
+    return EXIT_SUCCESS;
+}
+
+int run(int argc, char **argv)
+{
+    const auto *mode = argc > 1 ? findMode(argv[1]) : nullptr;
+    if (mode == nullptr) {
+        const bool help = argc > 1 && std::string_view(argv[1]) == "--help";
+        printUsage(help ? std::cout : std::cerr);
+        return help ? EXIT_SUCCESS : ExitUsage;
+    }
+    EventLoop loop;
+    const auto standIn = mode->make(loop);
+    auto &switches = standIn->faults();
+    const auto description = describe(switches);
+    Options::variables_map values;
+    Options::store(Options::parse_command_line(argc - 1, argv + 1, description), values);
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return EXIT_SUCCESS;
+    }
+    auto chosen = nlohmann::json::object();
+    for (const auto &[name, entry] : switches.all()) {
+        chosen[name] = values[name].as<long long>();
+    }
+    switches.set(chosen);
+    const auto listen = parseListen(values["listen"].as<std::string>());
+    if (!listen) {
+        std::cerr << "heatherridge-standin: --listen takes an IP number, a colon and a port\n";
+        return ExitUsage;
+    }
+    return serve(mode->name, loop, *standIn, *listen);
+}
+
+/** Blocks the signals that end a program, before any thread is started, so that sigwait alone sees them. */
+void blockEndSignals()
+{
+    sigset_t signals{};
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    blockEndSignals();
+    try {
+        return run(argc, argv);
+    } catch (const Options::error &error) {
+        std::cerr << "heatherridge-standin: " << error.what() << "\n";
+        return ExitUsage;
+    }
+}
--- /dev/null
+++ b/extras/heatherridge-standin/plainstandin.cpp
@@ -0,0 +1,121 @@
+#include "plainstandin.h"
+
+#include <functional>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::uint64_t MostSeats = 40;
+
+/** What an execution is counted under. */
+std::string executionKey(const std::string &body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (json.is_object()) {
+        if (const auto field = json.find("reference"); field != json.end() && field->is_string()) {
+            return field->get<std::string>();
+        }
+    }
+    return body;
+}
+
+/** @p fault as a count of calls that it still strikes: -1 strikes all. */
+bool strikes(FaultSwitches &faults, const std::string &fault)
+{
+    const auto left = faults.value(fault);
+    if (left > 0) {
+        faults.set({{fault, left - 1}});
+    }
+    return left != 0;
+}
+
+} // namespace
+
+PlainStandIn::PlainStandIn(EventLoop &loop)
+    : StandIn(
+        loop,
+        {{.name = "delay-ms", .value = 0, .meaning = "milliseconds between a call's execution and its answer"},
+         {.name = "hang", .value = 0, .meaning = "1: calls are taken, neither executed nor answered"},
+         {.name = "close-before-run", .value = 0, .meaning = "calls whose connection closes unexecuted; -1 for all"},
+         {.name = "close-after-run",
+          .value = 0,
+          .meaning = "calls whose connection closes after the execution; -1 for all"},
+         {.name = "fail-status", .value = 0, .meaning = "answer with this status without executing; 0 is off"}})
+{
+}
+
+void PlainStandIn::serve(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (exchange->request().path == "/executions") {
+        respondJson(*exchange, 200, m_executions);
+        return;
+    }
+    count("calls");
+    if (fault("hang") != 0) {
+        count("held");
+        m_held.push_back(exchange);
+        return;
+    }
+    m_held.clear();
+    if (strikes(faults(), "close-before-run")) {
+        count("closed-before-run");
+        exchange->abort();
+        return;
+    }
+    if (const auto status = fault("fail-status"); status != 0) {
+        count("failed");
+        respondFailure(*exchange, static_cast<int>(status), "the service fails as it was told to");
+        return;
+    }
+    run(exchange);
+}
+
+void PlainStandIn::run(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    if (request.method == "GET" || request.method == "HEAD") {
+        loop().after(std::chrono::milliseconds(fault("delay-ms")), [this, exchange] { lookUp(exchange); });
+    } else {
+        execute(exchange);
+    }
+}
+
+void PlainStandIn::execute(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    const auto key = executionKey(request.body);
+    const auto executions = ++m_executions[key];
+    count("executions");
+    if (strikes(faults(), "close-after-run")) {
+        count("closed-after-run");
+        exchange->abort();
+        return;
+    }
+    const nlohmann::json answer{{"method", request.method},
+                                {"path", request.path},
+                                {"reference", key},
+                                {"executions", executions},
+                                {"bytes", request.body.size()}};
+    const int status = request.path == "/bookings" || request.path == "/deposits" ? 201 : 200;
+    loop().after(std::chrono::milliseconds(fault("delay-ms")),
+                 [exchange, status, answer] { respondJson(*exchange, status, answer); });
+}
+
+void PlainStandIn::lookUp(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    const auto parts = pathParts(request.path);
+    count("lookups");
+    nlohmann::json answer{{"method", request.method}, {"path", request.path}};
+    if (!parts.empty() && parts.front() == "availability") {
+        answer["seats"] = std::hash<std::string>{}(request.path) % MostSeats;
+    } else if (!parts.empty() && parts.front() == "contracts") {
+        answer["contract"] = parts.back();
+    }
+    respondJson(*exchange, 200, answer);
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/extras/heatherridge-standin/prompttext.cpp
@@ -0,0 +1,72 @@
+#include "prompttext.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <utility>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+/** Words with the characters that careless escaping breaks. */
+constexpr std::array<const char *, 8> Words = {"oak",     "chips ",  "\"dry\" ", "Sicilia\n",
+                                               "perché ", "\\load ", "é",        "yard "};
+
+std::string textOf(const nlohmann::json &value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+} // namespace
+
+PromptText PromptText::fromRequest(const nlohmann::json &request)
+{
+    std::string text;
+    if (const auto messages = request.find("messages"); messages != request.end() && messages->is_array()) {
+        for (const auto &message : *messages) {
+            if (message.is_object()) {
+                text += textOf(message.value("role", nlohmann::json("user"))) + ':'
+                    + textOf(message.value("content", nlohmann::json(""))) + '\n';
+            }
+        }
+    }
+    return PromptText(std::move(text));
+}
+
+PromptText::PromptText(std::string text)
+    : m_text(std::move(text))
+    , m_hash(XXH64(m_text.data(), m_text.size(), 0))
+{
+}
+
+const std::string &PromptText::text() const
+{
+    return m_text;
+}
+
+std::size_t PromptText::tokens() const
+{
+    return m_text.size() / BytesPerToken + 1;
+}
+
+std::vector<std::uint64_t> PromptText::blocks() const
+{
+    std::vector<std::uint64_t> hashes;
+    std::uint64_t hash = 0;
+    for (std::size_t start = 0; start + BytesPerBlock <= m_text.size(); start += BytesPerBlock) {
+        hash = XXH64(m_text.data() + start, BytesPerBlock, hash);
+        hashes.push_back(hash);
+    }
+    return hashes;
+}
+
+std::string PromptText::answerToken(std::uint64_t index) const
+{
+    const auto draw = XXH64(&index, sizeof index, m_hash);
+    return std::to_string(draw % 1000) + Words[(draw >> 32U) % Words.size()];
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/extras/heatherridge-standin/weightstandin.cpp
@@ -0,0 +1,70 @@
+#include "weightstandin.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::size_t PieceBytes = 256UL << 10U;
+constexpr long long MostBytes = 64LL << 20U;
+constexpr long long MicrosecondsPerSecond = 1'000'000;
+
+} // namespace
+
+WeightStandIn::WeightStandIn(EventLoop &loop)
+    : StandIn(loop,
+              {{.name = "bytes-per-s", .value = 200'000'000, .meaning = "rate of the whole store"},
+               {.name = "out", .value = 0, .meaning = "1: every request is answered 503 at once"}})
+{
+}
+
+void WeightStandIn::serve(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    const auto parts = pathParts(request.path);
+    if (fault("out") != 0) {
+        respondFailure(*exchange, 503, "the weight store is out");
+        return;
+    }
+    if (parts.size() != 4 || parts[0] != "weights" || request.method != "GET") {
+        respondFailure(*exchange, 404, "the store has /weights/MODEL/LAYER/EXPERT");
+        return;
+    }
+    const auto bytes = std::min(MostBytes, queryNumber(request, "bytes", 1LL << 20U));
+    const auto transfer = std::make_shared<Transfer>();
+    transfer->exchange = exchange;
+    transfer->fill = static_cast<char>('a' + std::hash<std::string>{}(request.path) % 26);
+    transfer->left = static_cast<std::size_t>(bytes);
+    count("loads");
+    count("bytes", static_cast<std::uint64_t>(bytes));
+    exchange->beginStream(200, {{.name = "Content-Type", .value = "application/octet-stream"}});
+    sendPiece(transfer);
+}
+
+void WeightStandIn::sendPiece(const std::shared_ptr<Transfer> &transfer)
+{
+    if (transfer->left == 0) {
+        transfer->exchange->end();
+        return;
+    }
+    const auto bytes = std::min(PieceBytes, transfer->left);
+    const auto rate = std::max(1LL, fault("bytes-per-s"));
+    const auto now = std::chrono::steady_clock::now();
+    m_nextPiece = std::max(now, m_nextPiece)
+        + std::chrono::microseconds(static_cast<long long>(bytes) * MicrosecondsPerSecond / rate);
+    const auto wait = std::chrono::duration_cast<std::chrono::microseconds>(m_nextPiece - now);
+    loop().after(wait, [this, transfer, bytes] {
+        transfer->left -= bytes;
+        transfer->exchange->write(std::string(bytes, transfer->fill), [this, transfer](bool sent) {
+            if (sent) {
+                loop().post([this, transfer] { sendPiece(transfer); });
+            }
+        });
+    });
+}
+
+} // namespace Heatherridge
