--- /dev/null
+++ b/extras/heatherridge-entry/main.cpp
@@ -0,0 +1,63 @@
+#include "heatherridge_transport/app/daemon.h"
+#include "heatherridge_transport/app/logger.h"
+#include "heatherridge_transport/entry/entryserver.h"
+
+#include <iostream>
+
+using namespace Heatherridge;
+
+namespace
+{
+
+const SettingSpec OwnSettings[] = {
+    {.key = "listen", .type = SettingType::Address, .fallback = "127.0.0.1:8080", .help = "where callers are served"},
+    {.key = "http-threads", .type = SettingType::Number, .fallback = "2", .lowest = 1, .highest = 64, .help = "threads of the callers' server"},
+    {.key = "traffic-threads", .type = SettingType::Number, .fallback = "1", .lowest = 1, .highest = 64, .help = "threads that pass requests on"},
+    {.key = "max-body-bytes", .type = SettingType::Number, .fallback = "1048576", .lowest = 1, .highest = 4194304, .help = "largest request body"},
+    {.key = "max-header-bytes", .type = SettingType::Number, .fallback = "8192", .lowest = 64, .highest = 65536, .help = "largest value of one header"},
+    {.key = "longest-timeout", .type = SettingType::Milliseconds, .fallback = "600000", .lowest = 10, .highest = 3600000, .help = "longest deadline that a caller may name"},
+    {.key = "send-timeout", .type = SettingType::Milliseconds, .fallback = "10000", .lowest = 10, .highest = 600000, .help = "longest time for a request to arrive"},
+    {.key = "caller-timeout", .type = SettingType::Milliseconds, .fallback = "60000", .lowest = 10, .highest = 3600000, .help = "longest time for a caller to take nothing of its answer"},
+    {.key = "drain-timeout", .type = SettingType::Milliseconds, .fallback = "60000", .lowest = 0, .highest = 3600000, .help = "longest wait for open requests at shutdown"},
+};
+
+EntryServer::Options optionsFrom(const Settings &settings)
+{
+    return {.process = ProcessName(settings.text("name")),
+            .incarnation = drawIncarnation(),
+            .zone = ZoneName(settings.text("zone")),
+            .listen = settings.address("listen"),
+            .logService = settings.address("log-service"),
+            .httpThreads = static_cast<int>(settings.number("http-threads")),
+            .trafficThreads = static_cast<int>(settings.number("traffic-threads")),
+            .limits = {.maxBodyBytes = static_cast<std::size_t>(settings.number("max-body-bytes")),
+                       .maxHeaderBytes = static_cast<std::size_t>(settings.number("max-header-bytes")),
+                       .longestTimeout = settings.duration("longest-timeout")},
+            .callerTimeout = settings.duration("caller-timeout"),
+            .sendTimeout = settings.duration("send-timeout"),
+            .drainTimeout = settings.duration("drain-timeout")};
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    blockStopSignals();
+    const auto loaded = Settings::load("heatherridge-entry", "entry", withCommonSettings(OwnSettings), argc, argv);
+    if (const auto *exit = std::get_if<Settings::Exit>(&loaded)) {
+        (exit->code == Settings::ExitOk ? std::cout : std::cerr) << exit->text;
+        return exit->code;
+    }
+    const auto &settings = std::get<Settings>(loaded);
+    setUpLoggerFrom(settings);
+    EntryServer server(optionsFrom(settings));
+    const auto started = server.start();
+    if (const auto *error = errorIn(started)) {
+        logEvent(Severity::Error, "start-failed", {{"reason", error->detail}});
+        return 1;
+    }
+    announceReady("entry", {std::get<Endpoint>(started)});
+    waitForStopSignal();
+    server.drainAndStop();
+    return 0;
+}
--- /dev/null
+++ b/modules/heatherridge_transport/app/daemon.cpp
@@ -0,0 +1,93 @@
+#include "heatherridge_transport/app/daemon.h"
+
+#include "heatherridge_transport/app/logger.h"
+
+#include <csignal>
+#include <iostream>
+#include <random>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+const SettingSpec Common[] = {
+    {.key = "name", .required = true, .help = "name of this process, unique in the deployment; a target's own name"},
+    {.key = "zone", .required = true, .help = "availability zone of this host, as in the inventory"},
+    {.key = "log-service", .type = SettingType::Address, .required = true, .help = "where the platform's log listens"},
+    {.key = "log-format", .fallback = "key-value", .help = "form of the process's own log: key-value or json"},
+    {.key = "log-level", .fallback = "info", .help = "lowest level that is written: debug, info, warning or error"},
+};
+
+sigset_t stopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+Severity severityFrom(std::string_view name)
+{
+    if (name == "debug") {
+        return Severity::Debug;
+    }
+    if (name == "warning") {
+        return Severity::Warning;
+    }
+    return name == "error" ? Severity::Error : Severity::Info;
+}
+
+} // namespace
+
+std::span<const SettingSpec> commonSettings()
+{
+    return Common;
+}
+
+std::vector<SettingSpec> withCommonSettings(std::span<const SettingSpec> own)
+{
+    std::vector<SettingSpec> all(std::begin(Common), std::end(Common));
+    all.insert(all.end(), own.begin(), own.end());
+    return all;
+}
+
+void setUpLoggerFrom(const Settings &settings)
+{
+    setUpLogger({.process = settings.text("name"),
+                 .format = settings.text("log-format") == "json" ? LogFormat::Json : LogFormat::KeyValue,
+                 .lowest = severityFrom(settings.text("log-level"))});
+}
+
+Incarnation drawIncarnation()
+{
+    std::random_device entropy;
+    return static_cast<Incarnation>((static_cast<std::uint64_t>(entropy()) << 32U) | entropy());
+}
+
+void announceReady(std::string_view role, const std::vector<Endpoint> &endpoints)
+{
+    std::cout << "ready " << role;
+    for (const auto &endpoint : endpoints) {
+        std::cout << ' ' << toString(endpoint);
+    }
+    std::cout << std::endl;
+}
+
+void blockStopSignals()
+{
+    const auto signals = stopSignals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+void waitForStopSignal()
+{
+    const auto signals = stopSignals();
+    int received = 0;
+    sigwait(&signals, &received);
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/app/eventloop.cpp
@@ -0,0 +1,114 @@
+#include "heatherridge_transport/app/eventloop.h"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <future>
+#include <thread>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+/** A timer that arms itself again; it lives as long as its pending wait does. */
+class Ticker : public std::enable_shared_from_this<Ticker>
+{
+public:
+    Ticker(asio::io_context &context, std::chrono::milliseconds period, std::function<void()> task)
+        : m_timer(context)
+        , m_period(period)
+        , m_task(std::move(task))
+    {
+    }
+
+    void arm()
+    {
+        m_timer.expires_after(m_period);
+        m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
+            if (!error) {
+                self->m_task();
+                self->arm();
+            }
+        });
+    }
+
+private:
+    asio::steady_timer m_timer;
+    std::chrono::milliseconds m_period;
+    std::function<void()> m_task;
+};
+
+} // namespace
+
+class EventLoop::Implementation
+{
+public:
+    asio::io_context context{1};
+    asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
+    std::thread thread{};
+};
+
+EventLoop::EventLoop()
+    : m_implementation(std::make_unique<Implementation>())
+{
+}
+
+EventLoop::~EventLoop()
+{
+    stop();
+}
+
+void EventLoop::start()
+{
+    m_implementation->thread = std::thread([this] { m_implementation->context.run(); });
+}
+
+void EventLoop::stop()
+{
+    m_implementation->context.stop();
+    if (m_implementation->thread.joinable()) {
+        m_implementation->thread.join();
+    }
+}
+
+void EventLoop::post(std::function<void()> task)
+{
+    asio::post(m_implementation->context, std::move(task));
+}
+
+void EventLoop::every(std::chrono::milliseconds period, std::function<void()> task)
+{
+    auto ticker = std::make_shared<Ticker>(m_implementation->context, period, std::move(task));
+    post([ticker] { ticker->arm(); });
+}
+
+void EventLoop::after(std::chrono::milliseconds delay, std::function<void()> task)
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_implementation->context, delay);
+    timer->async_wait([timer, task = std::move(task)](const asio::error_code &error) {
+        if (!error) {
+            task();
+        }
+    });
+}
+
+void EventLoop::run(const std::function<void()> &task)
+{
+    std::promise<void> done;
+    post([&task, &done] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+asio::io_context &EventLoop::context()
+{
+    return m_implementation->context;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/app/settings.cpp
@@ -0,0 +1,228 @@
+#include "heatherridge_transport/app/settings.h"
+
+#include <boost/program_options.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <fstream>
+#include <sstream>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+namespace options = boost::program_options;
+
+using Values = std::map<std::string, std::string, std::less<>>;
+
+std::string_view typeName(SettingType type)
+{
+    switch (type) {
+    case SettingType::Text:
+        return "text";
+    case SettingType::Address:
+        return "IP number:port";
+    case SettingType::Number:
+        return "whole number";
+    case SettingType::Milliseconds:
+        return "milliseconds";
+    case SettingType::Switch:
+        return "yes or no";
+    }
+    return "";
+}
+
+bool isBounded(const SettingSpec &spec)
+{
+    return spec.type == SettingType::Number || spec.type == SettingType::Milliseconds;
+}
+
+std::string describe(const SettingSpec &spec)
+{
+    auto text = std::string(spec.help) + " (" + std::string(typeName(spec.type));
+    if (isBounded(spec)) {
+        text += ", " + std::to_string(spec.lowest) + " to " + std::to_string(spec.highest);
+    }
+    if (spec.required) {
+        text += ", required";
+    } else if (!spec.fallback.empty()) {
+        text += ", default " + std::string(spec.fallback);
+    }
+    return text + ")";
+}
+
+/** @p text as an address whose port may be 0. */
+std::optional<Endpoint> parseListenAddress(std::string_view text)
+{
+    constexpr std::string_view anyPort = ":0";
+    if (text.size() > anyPort.size() && text.substr(text.size() - anyPort.size()) == anyPort) {
+        auto endpoint = parseEndpoint(std::string(text.substr(0, text.size() - 1)) + "1");
+        if (endpoint) {
+            endpoint->port = 0;
+        }
+        return endpoint;
+    }
+    return parseEndpoint(text);
+}
+
+/** What is wrong with @p value for @p spec, or an empty text. */
+std::string faultIn(const SettingSpec &spec, const std::string &value)
+{
+    const auto key = "'" + std::string(spec.key) + "'";
+    switch (spec.type) {
+    case SettingType::Text:
+        return value.empty() && spec.required ? key + " must not be empty" : "";
+    case SettingType::Address:
+        return parseListenAddress(value) ? "" : key + " must be an IP number, a colon and a port, not '" + value + "'";
+    case SettingType::Number:
+    case SettingType::Milliseconds:
+        return parseNumber(value, spec.lowest, spec.highest) ? "" : key + " must be " + std::string(typeName(spec.type)) + " from "
+                + std::to_string(spec.lowest) + " to " + std::to_string(spec.highest) + ", not '" + value + "'";
+    case SettingType::Switch:
+        return parseSwitch(value) ? "" : key + " must be yes or no, not '" + value + "'";
+    }
+    return "";
+}
+
+const SettingSpec *findSpec(std::span<const SettingSpec> specs, std::string_view key)
+{
+    const auto spec = std::find_if(specs.begin(), specs.end(), [key](const auto &candidate) { return candidate.key == key; });
+    return spec == specs.end() ? nullptr : &*spec;
+}
+
+/** Reads @p file into @p values; every fault becomes one line "file:line: reason". */
+std::string readFile(const std::string &file, std::string_view section, std::span<const SettingSpec> specs, Values &values)
+{
+    std::ifstream stream(file);
+    if (!stream) {
+        return file + ": cannot be read\n";
+    }
+    std::ostringstream text;
+    text << stream.rdbuf();
+    const auto document = IniDocument::parse(text.str());
+    std::string faults;
+    const auto report = [&faults, &file](int line, const std::string &reason) {
+        faults += file + ":" + std::to_string(line) + ": " + reason + "\n";
+    };
+    for (const auto &fault : document.faults()) {
+        report(fault.line, fault.reason);
+    }
+    for (const auto &part : document.sections()) {
+        if (part.kind != section || !part.name.empty()) {
+            report(part.line, "unknown section; this program reads [" + std::string(section) + "]");
+            continue;
+        }
+        for (const auto &entry : part.entries) {
+            const auto *spec = findSpec(specs, entry.key);
+            const auto fault = spec == nullptr ? "unknown key '" + entry.key + "'" : faultIn(*spec, entry.value);
+            if (!fault.empty()) {
+                report(entry.line, fault);
+            }
+            values[entry.key] = entry.value;
+        }
+    }
+    return faults;
+}
+
+options::options_description describeFlags(std::string_view program, std::span<const SettingSpec> specs)
+{
+    options::options_description flags(std::string(program) + " [options]");
+    flags.add_options()("help", "print this and end")("version", "print the version and end")(
+        "sample", "print a commented settings file and end")("config", options::value<std::string>(), "settings file (INI)");
+    for (const auto &spec : specs) {
+        flags.add_options()(std::string(spec.key).c_str(), options::value<std::string>(), describe(spec).c_str());
+    }
+    return flags;
+}
+
+Settings::Exit usageError(std::string text)
+{
+    return {.code = Settings::ExitUsage, .text = std::move(text)};
+}
+
+} // namespace
+
+std::variant<Settings, Settings::Exit> Settings::load(std::string_view program, std::string_view section,
+                                                      std::span<const SettingSpec> specs, int argc, const char *const *argv)
+{
+    const auto flags = describeFlags(program, specs);
+    options::variables_map given;
+    try {
+        options::store(options::parse_command_line(argc, argv, flags), given);
+    } catch (const options::error &error) {
+        return usageError(std::string(program) + ": " + error.what() + "\n");
+    }
+    if (given.count("help") != 0) {
+        std::ostringstream help;
+        help << flags;
+        return Exit{.text = help.str()};
+    }
+    if (given.count("version") != 0) {
+        return Exit{.text = std::string(program) + " " + HEATHERRIDGE_VERSION + "\n"};
+    }
+    if (given.count("sample") != 0) {
+        return Exit{.text = sampleSettings(section, specs)};
+    }
+    Settings settings;
+    std::string faults;
+    if (given.count("config") != 0) {
+        faults = readFile(given["config"].as<std::string>(), section, specs, settings.m_values);
+    }
+    for (const auto &spec : specs) {
+        const std::string key(spec.key);
+        if (given.count(key) != 0) {
+            settings.m_values[key] = given[key].as<std::string>();
+            const auto fault = faultIn(spec, settings.m_values[key]);
+            faults += fault.empty() ? "" : "--" + key + ": " + fault + "\n";
+        } else if (!settings.m_values.contains(key)) {
+            faults += spec.required ? "'" + key + "' is missing\n" : "";
+            settings.m_values[key] = spec.fallback;
+        }
+    }
+    if (!faults.empty()) {
+        return usageError(faults);
+    }
+    return settings;
+}
+
+const std::string &Settings::text(std::string_view key) const
+{
+    const auto entry = m_values.find(key);
+    assert(entry != m_values.end());
+    return entry->second;
+}
+
+Endpoint Settings::address(std::string_view key) const
+{
+    return parseListenAddress(text(key)).value_or(Endpoint{});
+}
+
+long long Settings::number(std::string_view key) const
+{
+    return parseNumber(text(key), INT64_MIN, INT64_MAX).value_or(0);
+}
+
+std::chrono::milliseconds Settings::duration(std::string_view key) const
+{
+    return std::chrono::milliseconds(number(key));
+}
+
+bool Settings::toggle(std::string_view key) const
+{
+    return parseSwitch(text(key)).value_or(false);
+}
+
+std::string sampleSettings(std::string_view section, std::span<const SettingSpec> specs)
+{
+    std::string text = "[" + std::string(section) + "]\n";
+    for (const auto &spec : specs) {
+        text += "\n# " + describe(spec) + "\n";
+        const bool commented = spec.required || spec.fallback.empty();
+        text += (commented ? "# " : "") + std::string(spec.key) + " = " + std::string(spec.fallback) + "\n";
+    }
+    return text;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/entry/callerrequest.cpp
@@ -0,0 +1,248 @@
+#include "heatherridge_transport/entry/callerrequest.h"
+
+#include <nlohmann/json.hpp>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::string_view ChatPath = "/v1/chat/completions";
+constexpr std::string_view ServicesPrefix = "/services/";
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr int PriorityBound = 10;
+/** English text runs at about four bytes a token; the estimate steers shares and placement, no promise rests on it. */
+constexpr double BytesPerToken = 4;
+constexpr std::uint64_t DefaultAnswerTokens = 256;
+constexpr std::uint64_t MostAnswerTokens = 1'000'000;
+/** Prompts that begin alike for so many bytes share a place in a prefix cache: about one cache block of 256 tokens. */
+constexpr std::size_t AffinityBytes = 1024;
+/** Longest idempotency key; a UUID has 36 characters. */
+constexpr std::size_t MostKeyBytes = 128;
+
+/** Headers that concern one connection or are set anew at each hop; they are not passed on. */
+constexpr std::array<std::string_view, 14> HopHeaders{
+    "Connection", "Keep-Alive",    "Proxy-Authenticate", "Proxy-Authorization", "TE",         "Trailer",   "Transfer-Encoding",
+    "Upgrade",    "Content-Length", "Host",               "Authorization",       "X-Request-Id", "Expect", "X-Priority"};
+
+Error fault(ErrorKind kind, std::string detail)
+{
+    return Error{.kind = kind, .detail = std::move(detail), .ran = Ran::No};
+}
+
+std::vector<HeaderField> passedOnHeaders(const std::vector<HttpHeader> &headers)
+{
+    std::vector<HeaderField> passed;
+    for (const auto &header : headers) {
+        const bool hop = std::any_of(HopHeaders.begin(), HopHeaders.end(),
+                                     [&header](auto name) { return sameHeaderName(name, header.name); });
+        if (!hop) {
+            passed.push_back({.name = header.name, .value = header.value});
+        }
+    }
+    return passed;
+}
+
+/** Checks one request step by step; each step returns the error that ends it. */
+class Reader
+{
+public:
+    Reader(const HttpRequest &request, const ConfigView &config, const CallerLimits &limits, CallerRequest &result)
+        : m_request(request)
+        , m_config(config)
+        , m_limits(limits)
+        , m_result(result)
+    {
+    }
+
+    Outcome read()
+    {
+        for (const auto step : {&Reader::readSizes, &Reader::readWorkspace, &Reader::readPriority, &Reader::readKey, &Reader::readRoute,
+                                &Reader::readDeadline}) {
+            auto outcome = (this->*step)();
+            if (errorIn(outcome) != nullptr) {
+                return outcome;
+            }
+        }
+        return {};
+    }
+
+private:
+    Outcome readSizes()
+    {
+        if (m_request.body.size() > m_limits.maxBodyBytes) {
+            return fault(ErrorKind::BodyTooLarge, "at most " + std::to_string(m_limits.maxBodyBytes) + " bytes");
+        }
+        for (const auto &header : m_request.headers) {
+            if (header.value.size() > m_limits.maxHeaderBytes) {
+                return fault(ErrorKind::HeaderTooLarge, header.name);
+            }
+        }
+        return {};
+    }
+
+    Outcome readWorkspace()
+    {
+        const auto name = m_request.header("X-Workspace");
+        const auto authorization = m_request.header("Authorization");
+        const Workspace *workspace = nullptr;
+        if (authorization.substr(0, BearerPrefix.size()) == BearerPrefix) {
+            workspace = m_config.rules->findByKey(authorization.substr(BearerPrefix.size()));
+        } else {
+            workspace = m_config.rules->find(WorkspaceName(std::string(name)));
+            // A workspace with a key is reached by its key alone, or anybody could spend its share by its name.
+            if (workspace != nullptr && !workspace->key.empty()) {
+                workspace = nullptr;
+            }
+        }
+        if (workspace == nullptr) {
+            return fault(ErrorKind::UnknownWorkspace, name.empty() ? "no workspace named" : std::string(name));
+        }
+        m_result.submit.workspace = workspace->name;
+        m_result.submit.priority = workspace->priority;
+        m_result.weight = workspace->weight;
+        return {};
+    }
+
+    Outcome readPriority()
+    {
+        const auto text = m_request.header("X-Priority");
+        if (text.empty()) {
+            return {};
+        }
+        const auto priority = parseNumber(text, -PriorityBound, PriorityBound);
+        if (!priority) {
+            return fault(ErrorKind::BadRequest, "X-Priority must be a whole number from -10 to 10");
+        }
+        m_result.submit.priority += static_cast<int>(*priority);
+        return {};
+    }
+
+    Outcome readKey()
+    {
+        const auto key = m_request.header("Idempotency-Key");
+        if (key.size() > MostKeyBytes) {
+            return fault(ErrorKind::BadIdempotencyKey, "at most " + std::to_string(MostKeyBytes) + " bytes");
+        }
+        m_result.submit.key = IdempotencyKey(std::string(key));
+        return {};
+    }
+
+    Outcome readRoute()
+    {
+        m_result.submit.method = m_request.method;
+        m_result.submit.query = m_request.query;
+        m_result.submit.headers = passedOnHeaders(m_request.headers);
+        m_result.submit.body = Bytes(m_request.body.begin(), m_request.body.end());
+        if (m_request.path == ChatPath) {
+            return readChat();
+        }
+        if (m_request.path.substr(0, ServicesPrefix.size()) == ServicesPrefix) {
+            return readPlainCall();
+        }
+        return fault(ErrorKind::NotFound, m_request.path);
+    }
+
+    Outcome readChat()
+    {
+        if (m_request.method != "POST") {
+            return fault(ErrorKind::MethodNotAllowed, m_request.method);
+        }
+        const auto body = nlohmann::json::parse(m_request.body, nullptr, false);
+        if (!body.is_object()) {
+            return fault(ErrorKind::BadRequest, "the body is no JSON object");
+        }
+        const auto model = body.find("model");
+        const auto messages = body.find("messages");
+        if (model == body.end() || !model->is_string() || messages == body.end() || !messages->is_array()) {
+            return fault(ErrorKind::BadRequest, "'model' must be a text and 'messages' a list");
+        }
+        m_result.model = ModelName(model->get<std::string>());
+        const auto stream = body.find("stream");
+        m_result.streams = stream != body.end() && stream->is_boolean() && stream->get<bool>();
+        readCost(body, messages->dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+        m_result.submit.path = ChatPath;
+        // A chat answer has no effect beside itself, so running it twice does no harm.
+        m_result.submit.mayRepeat = true;
+        return findService();
+    }
+
+    void readCost(const nlohmann::json &body, const std::string &prompt)
+    {
+        const auto tokens = body.find("max_tokens");
+        const bool given = tokens != body.end() && tokens->is_number_unsigned();
+        const auto answerTokens = std::min(given ? tokens->get<std::uint64_t>() : DefaultAnswerTokens, MostAnswerTokens);
+        m_result.promptTokens = static_cast<double>(prompt.size()) / BytesPerToken;
+        m_result.submit.cost = answerTokens + static_cast<std::uint64_t>(m_result.promptTokens) + 1;
+        m_result.affinityKey = XXH3_64bits(prompt.data(), std::min(prompt.size(), AffinityBytes));
+    }
+
+    Outcome findService()
+    {
+        for (const auto &[name, target] : m_config.inventory->targets()) {
+            if (std::find(target.models.begin(), target.models.end(), m_result.model) != target.models.end()) {
+                m_result.submit.service = target.service;
+                return {};
+            }
+        }
+        return fault(ErrorKind::UnknownModel, m_result.model.text());
+    }
+
+    Outcome readPlainCall()
+    {
+        const auto rest = std::string_view(m_request.path).substr(ServicesPrefix.size());
+        const auto slash = rest.find('/');
+        const ServiceName service(std::string(rest.substr(0, slash)));
+        const auto targets = m_config.inventory->targetsOf(service);
+        if (targets.empty() || targets.front()->kind != TargetKind::Plain) {
+            return fault(ErrorKind::UnknownService, service.text());
+        }
+        m_result.submit.service = service;
+        m_result.submit.path = slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
+        m_result.submit.mayRepeat = m_config.rules->mayRepeat(service, m_request.method, m_result.submit.path);
+        return {};
+    }
+
+    Outcome readDeadline()
+    {
+        m_result.timeout = m_config.rules->serviceRules(m_result.submit.service).timeout;
+        const auto text = m_request.header("X-Deadline-Ms");
+        if (text.empty()) {
+            return {};
+        }
+        const auto deadline = parseNumber(text, 1, m_limits.longestTimeout.count());
+        if (!deadline) {
+            return fault(ErrorKind::BadDeadline,
+                         "X-Deadline-Ms must be a whole number from 1 to " + std::to_string(m_limits.longestTimeout.count()));
+        }
+        m_result.timeout = std::chrono::milliseconds(*deadline);
+        return {};
+    }
+
+    const HttpRequest &m_request;
+    const ConfigView &m_config;
+    const CallerLimits &m_limits;
+    CallerRequest &m_result;
+};
+
+} // namespace
+
+Result<CallerRequest> readCallerRequest(const HttpRequest &request, const RequestId &id, const ConfigView &config,
+                                        const CallerLimits &limits)
+{
+    CallerRequest result;
+    result.submit.id = id;
+    auto outcome = Reader(request, config, limits, result).read();
+    if (const auto *error = errorIn(outcome)) {
+        return *error;
+    }
+    return result;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/entry/entryserver.cpp
@@ -0,0 +1,202 @@
+#include "heatherridge_transport/entry/entryserver.h"
+
+#include "heatherridge_transport/app/adminanswers.h"
+#include "heatherridge_transport/app/logger.h"
+#include "heatherridge_transport/app/problem.h"
+
+#include <thread>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+using nlohmann::ordered_json;
+
+constexpr std::chrono::milliseconds DrainPoll{20};
+/** Room above the product's own limits, so that an oversized request gets a reason instead of a closed connection. */
+constexpr std::size_t BackstopFactor = 4;
+
+} // namespace
+
+EntryServer::EntryServer(Options options)
+    : m_options(std::move(options))
+    , m_control({.process = m_options.process, .incarnation = m_options.incarnation, .logService = m_options.logService}, m_metrics)
+{
+    for (int i = 0; i < m_options.trafficThreads; ++i) {
+        m_traffic.push_back(std::make_unique<EntryTraffic>(
+            EntryTraffic::Options{.process = m_options.process, .incarnation = m_options.incarnation, .zone = m_options.zone}, m_metrics,
+            m_journal));
+    }
+    m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) {
+        for (const auto &traffic : m_traffic) {
+            traffic->setView(view);
+        }
+    });
+    m_server = std::make_unique<HttpServer>(HttpServer::Options{.listen = m_options.listen,
+                                                                .threads = m_options.httpThreads,
+                                                                .maxBodyBytes = BackstopFactor * m_options.limits.maxBodyBytes,
+                                                                .maxHeaderBytes = BackstopFactor * m_options.limits.maxHeaderBytes,
+                                                                .readTimeout = m_options.sendTimeout,
+                                                                .writeTimeout = m_options.callerTimeout},
+                                            [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); });
+}
+
+EntryServer::~EntryServer() = default;
+
+Result<Endpoint> EntryServer::start()
+{
+    for (const auto &traffic : m_traffic) {
+        traffic->start();
+    }
+    m_control.start();
+    return m_server->start();
+}
+
+void EntryServer::drainAndStop()
+{
+    m_draining = true;
+    logEvent(Severity::Info, "drain-begun", {{"open", std::to_string(openCalls())}});
+    const auto latest = std::chrono::steady_clock::now() + m_options.drainTimeout;
+    while (openCalls() > 0 && std::chrono::steady_clock::now() < latest) {
+        std::this_thread::sleep_for(DrainPoll);
+    }
+    logEvent(Severity::Info, "drain-ended", {{"open", std::to_string(openCalls())}});
+    m_server->stop();
+    m_control.stop();
+    for (const auto &traffic : m_traffic) {
+        traffic->stop();
+    }
+}
+
+void EntryServer::handle(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    if (request.path == "/healthz") {
+        exchange->respond({.body = "ok\n"});
+    } else if (request.path == "/readyz") {
+        const bool ready = !m_draining && toNumber(m_control.view()->offset) > 0;
+        exchange->respond({.status = ready ? 200 : 503, .body = ready ? "ready\n" : "not ready\n"});
+    } else if (request.path == "/metrics") {
+        exchange->respond(metricsAnswer(m_metrics));
+    } else if (request.path.rfind("/admin/", 0) == 0) {
+        exchange->respond(answerAdmin(request));
+    } else {
+        handleCaller(exchange);
+    }
+}
+
+void EntryServer::handleCaller(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto id = newRequestId();
+    const auto refuse = [&](const Error &error) {
+        m_metrics.errors(error.kind).add();
+        m_journal.note(id, "refused", {}, std::string(answerFor(error.kind).name));
+        m_journal.finish(id, std::string(answerFor(error.kind).name));
+        exchange->respond(problemResponse(error, id));
+    };
+    if (m_draining) {
+        refuse(Error{.kind = ErrorKind::Draining});
+        return;
+    }
+    const auto view = m_control.view();
+    if (toNumber(view->offset) == 0) {
+        refuse(Error{.kind = ErrorKind::Unconfirmed, .detail = "no configuration yet"});
+        return;
+    }
+    auto request = readCallerRequest(exchange->request(), id, *view, m_options.limits);
+    if (const auto *error = errorIn(request)) {
+        refuse(*error);
+        return;
+    }
+    const auto thread = std::hash<RequestId>{}(id) % m_traffic.size();
+    m_traffic[thread]->submit(std::get<CallerRequest>(std::move(request)), exchange);
+}
+
+HttpResponse EntryServer::answerAdmin(const HttpRequest &request)
+{
+    if (request.path == "/admin/status") {
+        return status();
+    }
+    if (request.path == "/admin/targets") {
+        return targets();
+    }
+    if (request.path == "/admin/explain") {
+        return explain(request);
+    }
+    return notFoundAnswer(request.path);
+}
+
+HttpResponse EntryServer::status() const
+{
+    const auto view = m_control.view();
+    return jsonAnswer({{"process", m_options.process.text()},
+                         {"role", "entry"},
+                         {"zone", m_options.zone.text()},
+                         {"version", HEATHERRIDGE_VERSION},
+                         {"incarnation", hexText(toNumber(m_options.incarnation))},
+                         {"offset", toNumber(view->offset)},
+                         {"digest", hexText(toNumber(view->digest))},
+                         {"confirmed", view->confirmed},
+                         {"draining", m_draining.load()},
+                         {"open", openCalls()}});
+}
+
+HttpResponse EntryServer::targets()
+{
+    const auto view = m_control.view();
+    auto list = ordered_json::array();
+    for (const auto &status : m_traffic.front()->targets()) {
+        const auto *target = view->inventory->find(status.target);
+        if (target == nullptr) {
+            continue;
+        }
+        std::string state = "serving";
+        if (target->withdrawn) {
+            state = "withdrawn";
+        } else if (!view->takesWork(*target) || status.report.draining) {
+            state = "draining";
+        } else if (!status.isUp) {
+            state = "unreachable";
+        }
+        list.push_back({{"target", status.target.text()},
+                        {"service", target->service.text()},
+                        {"zone", target->zone.text()},
+                        {"state", state},
+                        {"running", status.report.running},
+                        {"waiting", status.report.queued},
+                        {"limit", status.report.limit}});
+    }
+    return jsonAnswer({{"targets", list}});
+}
+
+HttpResponse EntryServer::explain(const HttpRequest &request) const
+{
+    const RequestId id(request.queryParameter("request"));
+    const auto entry = m_journal.find(id);
+    if (!entry) {
+        return problemResponse(Error{.kind = ErrorKind::UnknownRequest, .detail = id.text()}, id);
+    }
+    auto steps = ordered_json::array();
+    for (const auto &step : entry->steps) {
+        steps.push_back({{"ms", step.since.count()}, {"event", step.event}, {"target", step.target.text()}, {"reason", step.reason}});
+    }
+    return jsonAnswer({{"request", id.text()}, {"outcome", entry->outcome.empty() ? "open" : entry->outcome}, {"steps", steps}});
+}
+
+std::size_t EntryServer::openCalls() const
+{
+    std::size_t open = 0;
+    for (const auto &traffic : m_traffic) {
+        open += traffic->openCalls();
+    }
+    return open;
+}
+
+RequestId EntryServer::newRequestId()
+{
+    return RequestId(hexText(toNumber(m_options.incarnation)) + "-" + std::to_string(++m_lastRequest));
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/entry/entryserver.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "heatherridge_transport/app/controlplane.h"
+#include "heatherridge_transport/entry/entrytraffic.h"
+
+#include <memory>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/**
+ * The whole of an entry: callers' HTTP server, traffic threads and control thread.
+ *
+ * Serves `POST /v1/chat/completions`, any method below `/services/NAME/`, `GET /healthz`, `/readyz`, `/metrics` and
+ * the operator's `GET /admin/...`.
+ */
+class EntryServer
+{
+public:
+    struct Options {
+        ProcessName process{};
+        Incarnation incarnation{};
+        ZoneName zone{};
+        Endpoint listen{}; ///< for callers
+        Endpoint logService{};
+        int httpThreads = 2;
+        int trafficThreads = 1;
+        CallerLimits limits{};
+        std::chrono::milliseconds callerTimeout{60'000}; ///< a caller that takes nothing for so long is dropped
+        std::chrono::milliseconds sendTimeout{10'000}; ///< a request that takes longer to arrive is dropped
+        std::chrono::milliseconds drainTimeout{60'000}; ///< longest wait for open calls at shutdown
+    };
+
+    explicit EntryServer(Options options);
+    ~EntryServer();
+
+    EntryServer(const EntryServer &) = delete;
+    EntryServer &operator=(const EntryServer &) = delete;
+
+    /** Starts all threads. @returns where callers are served, or why not */
+    Result<Endpoint> start();
+
+    /**
+     * Graceful shutdown: /readyz fails, new requests are refused as not run, open ones end, then all threads stop.
+     * Blocks until then, at most for the drain timeout.
+     */
+    void drainAndStop();
+
+private:
+    void handle(const std::shared_ptr<HttpExchange> &exchange);
+    void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
+    HttpResponse answerAdmin(const HttpRequest &request);
+    HttpResponse status() const;
+    HttpResponse targets();
+    HttpResponse explain(const HttpRequest &request) const;
+    std::size_t openCalls() const;
+    RequestId newRequestId();
+
+    Options m_options;
+    Metrics m_metrics;
+    RequestJournal m_journal;
+    ControlPlane m_control;
+    std::vector<std::unique_ptr<EntryTraffic>> m_traffic;
+    std::unique_ptr<HttpServer> m_server;
+    std::atomic<std::uint64_t> m_lastRequest{0};
+    std::atomic<bool> m_draining{false};
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -0,0 +1,441 @@
+#include "heatherridge_transport/entry/entrytraffic.h"
+
+#include "heatherridge_transport/app/logger.h"
+#include "heatherridge_transport/entry/entrycall.h"
+#include "heatherridge_transport/app/problem.h"
+
+#include <asio/io_context.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds LinkTick{10};
+constexpr std::chrono::hours NoReportAge{1};
+/** An attempt is worth making when about this much time is left for it. */
+constexpr std::chrono::milliseconds ShortestAttempt{5};
+
+/** Headers of a back end's answer that concern its own connection to the target's process. */
+constexpr std::array<std::string_view, 5> HopHeaders{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "X-Request-Id"};
+
+std::vector<HttpHeader> passedBackHeaders(const AnswerHead &head)
+{
+    std::vector<HttpHeader> headers{{.name = std::string(RequestIdHeader), .value = head.id.text()}};
+    for (const auto &header : head.headers) {
+        const bool hop = std::any_of(HopHeaders.begin(), HopHeaders.end(), [&](auto name) { return sameHeaderName(name, header.name); });
+        if (!hop) {
+            headers.push_back({.name = header.name, .value = header.value});
+        }
+    }
+    return headers;
+}
+
+std::chrono::microseconds microsecondsSince(SteadyTime begin)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - begin);
+}
+
+/** The failure of an attempt whose target went away: nobody who could know has said whether it ran. */
+Error lostAnswer(const EntryCall &call)
+{
+    return Error{.kind = call.answerBegun ? ErrorKind::StreamBroken : ErrorKind::OutcomeUnknown,
+                 .detail = "the connection to target " + call.target.text() + " was lost",
+                 .ran = call.answerBegun ? Ran::Yes : Ran::Unknown};
+}
+
+} // namespace
+
+/** What this thread knows of one target beside the inventory. */
+struct EntryTraffic::KnownTarget {
+    LoadReport report{};
+    std::optional<SteadyTime> reportedAt{};
+    double ownLoad = 0;
+    double ownAtReport = 0;
+    std::uint32_t ownInFlight = 0;
+};
+
+EntryTraffic::EntryTraffic(Options options, Metrics &metrics, RequestJournal &journal)
+    : m_options(std::move(options))
+    , m_metrics(metrics)
+    , m_journal(journal)
+    , m_view(std::make_shared<const ConfigView>())
+    , m_encoder(m_options.process, m_options.incarnation, [this] { return m_view; })
+    , m_random(toNumber(m_options.incarnation))
+    , m_placement(std::make_unique<Placement>(m_view->rules->placement()))
+    , m_requests(metrics.counter("heatherridge_requests_total"))
+    , m_answers(metrics.counter("heatherridge_answers_total"))
+    , m_strayFrames(metrics.counter("heatherridge_stray_frames_total"))
+    , m_firstByte(metrics.histogram("heatherridge_first_byte_seconds"))
+    , m_whole(metrics.histogram("heatherridge_answer_seconds"))
+{
+    m_links = std::make_unique<TargetLinks>(
+        m_loop, m_encoder, metrics,
+        TargetLinkEvents{.received = [this](const TargetName &target, const TrafficMessage &message) { received(target, message); },
+                         .control = [](const TargetName &, const Envelope &) {},
+                         .up = [](const TargetName &) {},
+                         .down = [this](const TargetName &target) { linkDown(target); }});
+}
+
+EntryTraffic::~EntryTraffic()
+{
+    stop();
+}
+
+void EntryTraffic::start()
+{
+    m_loop.every(LinkTick, [this] { m_links->tick(std::chrono::steady_clock::now()); });
+    m_loop.start();
+}
+
+void EntryTraffic::stop()
+{
+    m_loop.stop();
+}
+
+void EntryTraffic::setView(std::shared_ptr<const ConfigView> view)
+{
+    m_loop.post([this, view = std::move(view)] {
+        if (view->rules != m_view->rules) {
+            m_placement = std::make_unique<Placement>(view->rules->placement());
+        }
+        m_view = view;
+        m_links->follow(*view->inventory);
+        std::erase_if(m_targets, [&view](const auto &entry) { return view->inventory->find(entry.first) == nullptr; });
+        for (const auto &[name, target] : view->inventory->targets()) {
+            m_health.add(name);
+        }
+    });
+}
+
+void EntryTraffic::submit(CallerRequest request, std::shared_ptr<HttpExchange> exchange)
+{
+    m_requests.add();
+    m_openCalls.fetch_add(1);
+    auto call = std::make_shared<EntryCall>();
+    call->arrived = std::chrono::steady_clock::now();
+    call->deadline = call->arrived + request.timeout;
+    call->request = std::move(request);
+    call->exchange = std::move(exchange);
+    m_loop.post([this, call] { begin(call); });
+}
+
+std::size_t EntryTraffic::openCalls() const
+{
+    return m_openCalls.load();
+}
+
+std::vector<EntryTraffic::TargetStatus> EntryTraffic::targets()
+{
+    std::vector<TargetStatus> statuses;
+    m_loop.run([this, &statuses] {
+        for (const auto &[name, target] : m_view->inventory->targets()) {
+            const auto known = m_targets.find(name);
+            statuses.push_back({.target = name,
+                                .isUp = m_links->isUp(name),
+                                .report = known == m_targets.end() ? LoadReport{} : known->second.report});
+        }
+    });
+    return statuses;
+}
+
+void EntryTraffic::begin(const Call &call)
+{
+    m_calls.emplace(call->id(), call);
+    m_journal.note(call->id(), "arrived", {}, call->request.submit.service.text());
+    call->exchange->onClosed([this, id = call->id()] { m_loop.post([this, id] { callerGone(id); }); });
+    m_retries.recordFirstAttempt();
+    attempt(call);
+}
+
+void EntryTraffic::attempt(const Call &call)
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(call->deadline - now);
+    if (left < ShortestAttempt) {
+        fail(call, Error{.kind = ErrorKind::DeadlineExceeded, .ran = Ran::No});
+        return;
+    }
+    const auto targets = candidates(*call);
+    std::vector<TargetView> views;
+    views.reserve(targets.size());
+    for (const auto *target : targets) {
+        views.push_back(viewOf(*target, *call, now));
+    }
+    const auto &submit = call->request.submit;
+    const auto choice = m_placement->choose(views,
+                                            {.cost = static_cast<double>(submit.cost),
+                                             .promptTokens = call->request.promptTokens,
+                                             .affinityKey = call->request.affinityKey,
+                                             .mayProbe = submit.mayRepeat},
+                                            m_random);
+    if (const auto *error = errorIn(choice)) {
+        fail(call, *error);
+        return;
+    }
+    const auto &target = targets[std::get<std::size_t>(choice)]->name;
+    call->target = target;
+    call->sent = now;
+    ++call->attempts;
+    auto &known = m_targets[target];
+    known.ownLoad += static_cast<double>(submit.cost);
+    ++known.ownInFlight;
+    call->request.submit.timeLeft = left;
+    call->request.submit.attempt = call->attempts;
+    call->timer = std::make_unique<asio::steady_timer>(m_loop.context(), call->deadline);
+    call->timer->async_wait([this, call](const asio::error_code &error) {
+        if (!error && m_calls.contains(call->id())) {
+            cancelAtTarget(call);
+            fail(call, Error{.kind = call->answerBegun ? ErrorKind::StreamBroken : ErrorKind::DeadlineExceeded,
+                             .detail = "the deadline passed"});
+        }
+    });
+    m_journal.note(call->id(), "placed", target);
+    m_links->send(target, call->request.submit);
+}
+
+std::vector<const Target *> EntryTraffic::candidates(const EntryCall &call) const
+{
+    auto targets = m_view->inventory->targetsOf(call.request.submit.service);
+    // A lock-step group is one replica to callers; its rank 0 takes the requests.
+    std::erase_if(targets, [&call](const Target *target) {
+        const auto &model = call.request.model;
+        const bool servesModel = model.isEmpty()
+            || std::find(target->models.begin(), target->models.end(), model) != target->models.end();
+        return !servesModel || (!target->group.isEmpty() && target->rank != 0);
+    });
+    return targets;
+}
+
+bool EntryTraffic::isUsable(const Target &target, const EntryCall &call) const
+{
+    return m_view->takesWork(target) && m_links->isUp(target.name) && !call.tried.contains(target.name);
+}
+
+TargetView EntryTraffic::viewOf(const Target &target, const EntryCall &call, SteadyTime now)
+{
+    const auto &known = m_targets[target.name];
+    const auto health = m_health.healthOf(target.name, now);
+    const auto age = known.reportedAt ? now - *known.reportedAt : NoReportAge;
+    return TargetView{.key = keyOf(target.name),
+                      .zoneDelay = m_view->inventory->delayBetween(m_options.zone, target.zone),
+                      .reportedLoad = static_cast<double>((known.report.running + known.report.queued) * call.request.submit.cost),
+                      .reportAge = std::chrono::duration_cast<std::chrono::microseconds>(age),
+                      .ownAtReport = known.ownAtReport,
+                      .ownLoad = known.ownLoad,
+                      .ownInFlight = known.ownInFlight,
+                      .usable = isUsable(target, call) && !known.report.draining && health != Health::Ejected,
+                      .probe = health == Health::Probing};
+}
+
+void EntryTraffic::received(const TargetName &target, const TrafficMessage &message)
+{
+    if (const auto *report = std::get_if<LoadReport>(&message)) {
+        auto &known = m_targets[target];
+        known.report = *report;
+        known.reportedAt = std::chrono::steady_clock::now();
+        known.ownAtReport = known.ownLoad;
+        return;
+    }
+    const auto id = std::visit(Visitor{[](const LoadReport &) { return RequestId(); }, [](const auto &other) { return other.id; }}, message);
+    const auto entry = m_calls.find(id);
+    // Frames of an attempt that was given up, or from a target that does not have the request, must not reach the
+    // caller: they would show as a gap, a repeat, or bytes of another attempt.
+    if (entry == m_calls.end() || entry->second->target != target) {
+        m_strayFrames.add();
+        return;
+    }
+    const auto call = entry->second;
+    std::visit(Visitor{[&](const AnswerHead &head) { takeHead(call, head); },
+                       [&](const AnswerChunk &chunk) { takeChunk(call, chunk); },
+                       [&](const AnswerEnd &end) { takeEnd(call, end); },
+                       [&](const AnswerError &error) {
+                           attemptFailed(call,
+                                         Error{.kind = error.kind,
+                                               .detail = error.detail,
+                                               .ran = error.ran,
+                                               .retryAfter = error.retryAfter});
+                       },
+                       [&](const auto &) { m_strayFrames.add(); }},
+               message);
+}
+
+void EntryTraffic::linkDown(const TargetName &target)
+{
+    std::vector<Call> lost;
+    for (const auto &[id, call] : m_calls) {
+        if (call->target == target) {
+            lost.push_back(call);
+        }
+    }
+    for (const auto &call : lost) {
+        attemptFailed(call, lostAnswer(*call));
+    }
+}
+
+void EntryTraffic::takeHead(const Call &call, const AnswerHead &head)
+{
+    if (call->answerBegun) {
+        m_strayFrames.add();
+        return;
+    }
+    call->answerBegun = true;
+    m_firstByte.record(microsecondsSince(call->arrived));
+    call->exchange->beginStream(head.status, passedBackHeaders(head));
+}
+
+void EntryTraffic::takeChunk(const Call &call, const AnswerChunk &chunk)
+{
+    auto ready = call->answerBegun ? call->assembler.take(chunk.sequence, chunk.bytes)
+                                   : Result<Bytes>(Error{.kind = ErrorKind::StreamBroken, .detail = "chunk before the head"});
+    if (const auto *error = errorIn(ready)) {
+        cancelAtTarget(call);
+        fail(call, *error);
+        return;
+    }
+    passOn(call, std::get<Bytes>(ready));
+    if (call->assembler.isComplete()) {
+        finish(call, "answered");
+    }
+}
+
+void EntryTraffic::takeEnd(const Call &call, const AnswerEnd &end)
+{
+    auto outcome = call->assembler.end(end.chunks);
+    if (const auto *error = errorIn(outcome)) {
+        cancelAtTarget(call);
+        fail(call, *error);
+        return;
+    }
+    if (call->assembler.isComplete()) {
+        finish(call, "answered");
+    }
+}
+
+void EntryTraffic::passOn(const Call &call, const Bytes &bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    // The target may send as much again only once the bytes have left: a slow caller holds back its own engine
+    // stream instead of filling this process.
+    call->exchange->write(std::string(bytes.begin(), bytes.end()),
+                          [this, id = call->id(), target = call->target, count = bytes.size()](bool sent) {
+                              m_loop.post([this, id, target, count, sent] {
+                                  if (!sent) {
+                                      callerGone(id);
+                                  } else if (m_calls.contains(id)) {
+                                      m_links->send(target, GrantCredit{.id = id, .bytes = count});
+                                  }
+                              });
+                          });
+}
+
+void EntryTraffic::leaveTarget(EntryCall &call, Attempt attempt)
+{
+    if (call.target.isEmpty()) {
+        return;
+    }
+    auto &known = m_targets[call.target];
+    known.ownLoad -= static_cast<double>(call.request.submit.cost);
+    known.ownInFlight -= known.ownInFlight > 0 ? 1 : 0;
+    m_health.record(call.target, attempt, std::chrono::steady_clock::now());
+    call.target = TargetName();
+    if (call.timer) {
+        call.timer->cancel();
+    }
+}
+
+void EntryTraffic::attemptFailed(const Call &call, Error error)
+{
+    m_journal.note(call->id(), "attempt-failed", call->target, std::string(answerFor(error.kind).name));
+    call->tried.insert(call->target);
+    const bool refused = error.ranOrDefault() == Ran::No;
+    const auto now = std::chrono::steady_clock::now();
+    leaveTarget(*call, refused ? Attempt::Succeeded : Attempt::Failed);
+    const auto others = candidates(*call);
+    const FailedAttempt failed{.error = error,
+                               .idempotent = call->request.submit.mayRepeat,
+                               .answerBegun = call->answerBegun,
+                               .otherTargets = std::any_of(others.begin(), others.end(),
+                                                           [&](const Target *target) { return isUsable(*target, *call); }),
+                               .attempt = call->attempts,
+                               .deadline = call->deadline,
+                               .expectedDuration = ShortestAttempt};
+    const auto decision = m_retries.decide(failed, now, m_random);
+    const std::string verdict(textFor(decision.verdict).name);
+    m_metrics.counter("heatherridge_retry_verdicts_total", "verdict=\"" + verdict + "\"").add();
+    if (decision.verdict != RetryVerdict::Retry) {
+        fail(call, error);
+        return;
+    }
+    m_journal.note(call->id(), "retry", {}, verdict);
+    if (!failed.otherTargets) {
+        call->tried.clear();
+    }
+    call->timer = std::make_unique<asio::steady_timer>(m_loop.context(), decision.delay);
+    call->timer->async_wait([this, call](const asio::error_code &cancelled) {
+        if (!cancelled && m_calls.contains(call->id())) {
+            attempt(call);
+        }
+    });
+}
+
+void EntryTraffic::finish(const Call &call, const std::string &outcome)
+{
+    leaveTarget(*call, Attempt::Succeeded);
+    call->exchange->end();
+    m_answers.add();
+    m_whole.record(microsecondsSince(call->arrived));
+    m_journal.finish(call->id(), outcome);
+    m_calls.erase(call->id());
+    m_openCalls.fetch_sub(1);
+}
+
+void EntryTraffic::fail(const Call &call, const Error &error)
+{
+    leaveTarget(*call, Attempt::TimedOut);
+    m_metrics.errors(error.kind).add();
+    const std::string kind(answerFor(error.kind).name);
+    logEvent(Severity::Info, "request-failed",
+             {{"request", call->id().text()}, {"kind", kind}, {"ran", std::string(toString(error.ranOrDefault()))}, {"detail", error.detail}});
+    if (!call->answerBegun) {
+        call->exchange->respond(problemResponse(error, call->id()));
+    } else {
+        if (call->request.streams) {
+            call->exchange->write(problemEvent(error, call->id()), [](bool) {});
+        }
+        call->exchange->abort();
+    }
+    m_journal.finish(call->id(), kind);
+    m_calls.erase(call->id());
+    m_openCalls.fetch_sub(1);
+}
+
+void EntryTraffic::cancelAtTarget(const Call &call)
+{
+    if (!call->target.isEmpty()) {
+        m_links->send(call->target, CancelRequest{.id = call->id()});
+    }
+}
+
+void EntryTraffic::callerGone(const RequestId &id)
+{
+    const auto entry = m_calls.find(id);
+    if (entry == m_calls.end()) {
+        return;
+    }
+    const auto call = entry->second;
+    cancelAtTarget(call);
+    leaveTarget(*call, Attempt::Succeeded);
+    m_metrics.errors(ErrorKind::CallerGone).add();
+    m_journal.finish(id, std::string(answerFor(ErrorKind::CallerGone).name));
+    m_calls.erase(id);
+    m_openCalls.fetch_sub(1);
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/entry/targetlinks.cpp
@@ -0,0 +1,151 @@
+#include "heatherridge_transport/entry/targetlinks.h"
+
+#include "heatherridge_transport/app/logger.h"
+
+#include <algorithm>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+/** A restarted target process is back within a second; a host that is gone is asked every two seconds. */
+constexpr std::chrono::milliseconds FirstPause{50};
+constexpr int MostDoublings = 5;
+
+std::chrono::milliseconds pauseAfter(int failures)
+{
+    return FirstPause * (1 << std::min(failures, MostDoublings));
+}
+
+} // namespace
+
+TargetLinks::TargetLinks(EventLoop &loop, const FrameEncoder &encoder, Metrics &metrics, TargetLinkEvents events)
+    : m_encoder(encoder)
+    , m_events(std::move(events))
+    , m_connector(loop.context(), MaxFrameBytes)
+    , m_malformed(metrics.errors(ErrorKind::MalformedFrame))
+    , m_lost(metrics.counter("heatherridge_links_lost_total"))
+{
+}
+
+void TargetLinks::follow(const Inventory &inventory)
+{
+    for (auto entry = m_links.begin(); entry != m_links.end();) {
+        const auto *target = inventory.find(entry->first);
+        if (target != nullptr && target->gate == entry->second.endpoint) {
+            ++entry;
+            continue;
+        }
+        const auto socket = entry->second.socket;
+        entry = m_links.erase(entry);
+        if (socket) {
+            socket->close();
+        }
+    }
+    for (const auto &[name, target] : inventory.targets()) {
+        m_links.try_emplace(name, Link{.endpoint = target.gate});
+    }
+}
+
+void TargetLinks::tick(SteadyTime now)
+{
+    for (auto &[name, link] : m_links) {
+        if (!link.socket && now >= link.notBefore) {
+            connect(name, link);
+        }
+    }
+}
+
+void TargetLinks::connect(const TargetName &target, Link &link)
+{
+    const auto opened = [this, target](const std::shared_ptr<PeerSocket> &socket) {
+        const auto entry = m_links.find(target);
+        if (entry == m_links.end() || entry->second.socket != socket) {
+            socket->close();
+            return;
+        }
+        entry->second.isUp = true;
+        entry->second.failures = 0;
+        m_events.up(target);
+    };
+    const auto received = [this, target](const auto & /*socket*/, const Bytes &frame) { take(target, frame); };
+    const auto closed = [this, target](const std::shared_ptr<PeerSocket> &socket) { lost(target, socket); };
+    link.socket = m_connector.connect(link.endpoint.address, link.endpoint.port, {opened, received, closed});
+}
+
+void TargetLinks::take(const TargetName &target, const Bytes &frame)
+{
+    auto envelope = decodeEnvelope(frame);
+    if (errorIn(envelope) != nullptr) {
+        m_malformed.add();
+        return;
+    }
+    const auto &outer = std::get<Envelope>(envelope);
+    if (outer.channel != Channel::Traffic) {
+        m_events.control(target, outer);
+        return;
+    }
+    auto message = decodeTrafficMessage(outer.payload);
+    if (errorIn(message) != nullptr) {
+        m_malformed.add();
+        return;
+    }
+    m_events.received(target, std::get<TrafficMessage>(std::move(message)));
+}
+
+void TargetLinks::lost(const TargetName &target, const std::shared_ptr<PeerSocket> &socket)
+{
+    const auto entry = m_links.find(target);
+    const bool current = entry != m_links.end() && entry->second.socket == socket;
+    if (current) {
+        auto &link = entry->second;
+        link.socket.reset();
+        link.isUp = false;
+        link.notBefore = std::chrono::steady_clock::now() + pauseAfter(link.failures++);
+    }
+    m_lost.add();
+    logEvent(Severity::Debug, "link-down", {{"target", target.text()}});
+    m_events.down(target);
+}
+
+bool TargetLinks::isUp(const TargetName &target) const
+{
+    const auto entry = m_links.find(target);
+    return entry != m_links.end() && entry->second.isUp;
+}
+
+bool TargetLinks::send(const TargetName &target, const TrafficMessage &message)
+{
+    return send(target, Channel::Traffic, encode(message));
+}
+
+bool TargetLinks::send(const TargetName &target, Channel channel, Bytes payload)
+{
+    const auto entry = m_links.find(target);
+    if (entry == m_links.end() || !entry->second.isUp) {
+        return false;
+    }
+    entry->second.socket->send(m_encoder.frame(channel, std::move(payload)));
+    return true;
+}
+
+std::size_t TargetLinks::bufferedBytes(const TargetName &target) const
+{
+    const auto entry = m_links.find(target);
+    return entry == m_links.end() || !entry->second.socket ? 0 : entry->second.socket->bufferedBytes();
+}
+
+void TargetLinks::close()
+{
+    const auto links = std::move(m_links);
+    m_links.clear();
+    for (const auto &[name, link] : links) {
+        if (link.socket) {
+            link.socket->close();
+        }
+    }
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/entry/targetlinks.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "heatherridge_transport/app/eventloop.h"
+#include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/cxx17/peersocket.h"
+#include "heatherridge_transport/link/frameencoder.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Heatherridge
+{
+
+/** What the owner of the links is told; on the loop's thread. */
+struct TargetLinkEvents {
+    std::function<void(const TargetName &target, TrafficMessage message)> received{};
+    std::function<void(const TargetName &target, const Envelope &envelope)> control{}; ///< frames of other channels
+    std::function<void(const TargetName &target)> up{};
+    std::function<void(const TargetName &target)> down{}; ///< whatever was sent and not answered is in doubt
+};
+
+/**
+ * The connections of one traffic thread to the processes beside the targets.
+ *
+ * Keeps one connection to each target of the inventory, connects again after a pause when one is lost, and drops those
+ * that the inventory no longer has once nothing is open on them. All methods on the loop's thread.
+ */
+class TargetLinks
+{
+public:
+    /** Links on @p loop; @p encoder and @p metrics must outlive them. */
+    TargetLinks(EventLoop &loop, const FrameEncoder &encoder, Metrics &metrics, TargetLinkEvents events);
+
+    /** Connects to the targets of @p inventory that have no link yet, and drops links to targets it does not have. */
+    void follow(const Inventory &inventory);
+
+    /** Connects again where the pause is over. Called every few milliseconds. */
+    void tick(SteadyTime now);
+
+    /** Whether @p target is connected. */
+    bool isUp(const TargetName &target) const;
+
+    /** Sends @p message; false when @p target is not connected, and then nothing was sent. */
+    bool send(const TargetName &target, const TrafficMessage &message);
+
+    /** Sends @p payload on @p channel; false when @p target is not connected. */
+    bool send(const TargetName &target, Channel channel, Bytes payload);
+
+    /** Bytes that wait to leave for @p target. */
+    std::size_t bufferedBytes(const TargetName &target) const;
+
+    /** Closes all links. */
+    void close();
+
+private:
+    struct Link {
+        Endpoint endpoint{};
+        std::shared_ptr<PeerSocket> socket{};
+        bool isUp = false;
+        int failures = 0;
+        SteadyTime notBefore{};
+    };
+
+    void connect(const TargetName &target, Link &link);
+    void take(const TargetName &target, const Bytes &frame);
+    void lost(const TargetName &target, const std::shared_ptr<PeerSocket> &socket);
+
+    const FrameEncoder &m_encoder;
+    TargetLinkEvents m_events;
+    PeerConnector m_connector;
+    std::map<TargetName, Link> m_links;
+    Counter &m_malformed;
+    Counter &m_lost;
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/platform/httplogservice.cpp
@@ -0,0 +1,114 @@
+#include "heatherridge_transport/platform/httplogservice.h"
+
+#include "heatherridge_protocol/cborreader.h"
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr int StatusOk = 200;
+
+Error unavailable(const std::string &reason, Ran ran)
+{
+    return Error{.kind = ErrorKind::PlatformUnavailable, .detail = "log: " + reason, .ran = ran};
+}
+
+std::string pathOf(const StreamName &stream)
+{
+    return "/streams/" + stream.text() + "/records";
+}
+
+/** Reads the offset out of the answer to an append. */
+Result<LogOffset> offsetFrom(const HttpResponse &response)
+{
+    if (response.status != StatusOk) {
+        // The log's own refusal: nothing was appended.
+        return unavailable("status " + std::to_string(response.status), Ran::No);
+    }
+    const auto answer = nlohmann::json::parse(response.body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("offset") || !answer["offset"].is_number_unsigned()) {
+        return unavailable("answer without an offset", Ran::Unknown);
+    }
+    return static_cast<LogOffset>(answer["offset"].get<std::uint64_t>());
+}
+
+Result<LogRecord> recordFrom(const nlohmann::json &map)
+{
+    CborReader reader(map);
+    LogRecord record{.offset = static_cast<LogOffset>(reader.number("o")),
+                     .appended = WallTime(std::chrono::milliseconds(reader.integer("t", 0, INT64_MAX))),
+                     .payload = reader.bytes("p")};
+    if (!reader.ok()) {
+        return unavailable("damaged record", Ran::No);
+    }
+    return record;
+}
+
+Result<LogPage> pageFrom(const HttpResponse &response)
+{
+    if (response.status != StatusOk) {
+        return unavailable("status " + std::to_string(response.status), Ran::No);
+    }
+    nlohmann::json map;
+    if (!CborReader::parse(Bytes(response.body.begin(), response.body.end()), map)) {
+        return unavailable("damaged page", Ran::No);
+    }
+    CborReader reader(map);
+    LogPage page{.first = static_cast<LogOffset>(reader.number("first")), .last = static_cast<LogOffset>(reader.number("last"))};
+    const auto *records = reader.array("records");
+    if (!reader.ok()) {
+        return unavailable("damaged page", Ran::No);
+    }
+    for (const auto &entry : *records) {
+        auto record = recordFrom(entry);
+        if (const auto *error = errorIn(record)) {
+            return *error;
+        }
+        page.records.push_back(std::get<LogRecord>(std::move(record)));
+    }
+    return page;
+}
+
+} // namespace
+
+HttpLogService::HttpLogService(HttpClient &client, Options options)
+    : m_client(client)
+    , m_options(std::move(options))
+{
+}
+
+void HttpLogService::append(const StreamName &stream, Bytes payload, AppendDone done)
+{
+    HttpRequest request{.method = "POST", .path = pathOf(stream), .body = std::string(payload.begin(), payload.end())};
+    request.headers.push_back({.name = "Content-Type", .value = "application/octet-stream"});
+    // A fresh connection: libcurl would repeat an append on its own when a reused one breaks, and a doubled record,
+    // though folded once, costs the log's rate.
+    m_client.send({.endpoint = m_options.endpoint, .request = std::move(request), .timeout = m_options.timeout, .reuseConnection = false},
+                  [done = std::move(done)](const std::variant<HttpResponse, HttpClient::Failure> &result) {
+                      if (const auto *failure = std::get_if<HttpClient::Failure>(&result)) {
+                          done(unavailable(failure->reason, failure->mayHaveArrived ? Ran::Unknown : Ran::No));
+                      } else {
+                          done(offsetFrom(std::get<HttpResponse>(result)));
+                      }
+                  });
+}
+
+void HttpLogService::read(const StreamName &stream, LogOffset from, std::size_t most, std::chrono::milliseconds wait, ReadDone done)
+{
+    HttpRequest request{.method = "GET",
+                        .path = pathOf(stream),
+                        .query = "from=" + std::to_string(toNumber(from)) + "&most=" + std::to_string(most)
+                            + "&wait-ms=" + std::to_string(wait.count())};
+    m_client.send({.endpoint = m_options.endpoint, .request = std::move(request), .timeout = m_options.timeout + wait},
+                  [done = std::move(done)](const std::variant<HttpResponse, HttpClient::Failure> &result) {
+                      if (const auto *failure = std::get_if<HttpClient::Failure>(&result)) {
+                          done(unavailable(failure->reason, Ran::No));
+                      } else {
+                          done(pageFrom(std::get<HttpResponse>(result)));
+                      }
+                  });
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/target/backendwork.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "heatherridge_protocol/heatherridge_protocol.h"
+#include "heatherridge_transport/cxx17/peersocket.h"
+#include "heatherridge_transport/http/httpclient.h"
+
+#include <memory>
+#include <optional>
+
+namespace Heatherridge
+{
+
+/** One request at a target's process, from its arrival to the end of its answer. Owned by TargetTraffic. */
+struct BackendWork {
+    SubmitRequest request{};
+    std::shared_ptr<PeerSocket> entry{}; ///< where the answer goes; empty once nobody waits for it
+    SteadyTime arrived{};
+    SteadyTime deadline{};
+    std::optional<SteadyTime> started{}; ///< when it was given to the back end; nothing while it waits
+    std::optional<SteadyTime> firstByte{};
+    HttpClient::CallId call{};
+    bool headSent = false;
+    std::uint64_t chunks = 0; ///< sent so far; the next chunk's number
+    std::uint64_t sentBytes = 0;
+    std::uint64_t creditedBytes = 0; ///< of those sent, how many the entry has passed on
+    bool paused = false;
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -0,0 +1,102 @@
+#include "heatherridge_transport/target/targetserver.h"
+
+#include "heatherridge_transport/app/adminanswers.h"
+#include "heatherridge_transport/app/logger.h"
+
+#include <thread>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds DrainPoll{20};
+
+} // namespace
+
+TargetServer::TargetServer(Options options)
+    : m_options(std::move(options))
+    , m_control({.process = ProcessName(m_options.target.text()),
+                 .incarnation = m_options.incarnation,
+                 .logService = m_options.logService},
+                m_metrics)
+    , m_traffic({.target = m_options.target, .incarnation = m_options.incarnation, .listen = m_options.listen}, m_metrics)
+{
+    m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) { m_traffic.setView(view); });
+    m_server = std::make_unique<HttpServer>(HttpServer::Options{.listen = m_options.admin},
+                                            [this](const std::shared_ptr<HttpExchange> &exchange) {
+                                                exchange->respond(answer(exchange->request()));
+                                            });
+}
+
+TargetServer::~TargetServer() = default;
+
+Result<TargetServer::Addresses> TargetServer::start()
+{
+    const auto gate = m_traffic.start();
+    if (const auto *error = errorIn(gate)) {
+        return *error;
+    }
+    m_control.start();
+    const auto admin = m_server->start();
+    if (const auto *error = errorIn(admin)) {
+        return *error;
+    }
+    return Addresses{.gate = std::get<Endpoint>(gate), .admin = std::get<Endpoint>(admin)};
+}
+
+void TargetServer::drainAndStop()
+{
+    m_draining = true;
+    m_traffic.drain();
+    const auto latest = std::chrono::steady_clock::now() + m_options.drainTimeout;
+    auto running = m_traffic.status().load.running;
+    logEvent(Severity::Info, "drain-begun", {{"open", std::to_string(running)}});
+    while (running > 0 && std::chrono::steady_clock::now() < latest) {
+        std::this_thread::sleep_for(DrainPoll);
+        running = m_traffic.status().load.running;
+    }
+    logEvent(Severity::Info, "drain-ended", {{"open", std::to_string(running)}});
+    m_server->stop();
+    m_control.stop();
+    m_traffic.stop();
+}
+
+HttpResponse TargetServer::answer(const HttpRequest &request)
+{
+    if (request.path == "/healthz") {
+        return {.body = "ok\n"};
+    }
+    if (request.path == "/readyz") {
+        const bool ready = !m_draining && toNumber(m_control.view()->offset) > 0;
+        return {.status = ready ? 200 : 503, .body = ready ? "ready\n" : "not ready\n"};
+    }
+    if (request.path == "/metrics") {
+        return metricsAnswer(m_metrics);
+    }
+    if (request.path == "/admin/status") {
+        return status();
+    }
+    return notFoundAnswer(request.path);
+}
+
+HttpResponse TargetServer::status()
+{
+    const auto traffic = m_traffic.status();
+    return jsonAnswer({{"process", m_options.target.text()},
+                       {"role", "target"},
+                       {"zone", m_options.zone.text()},
+                       {"version", HEATHERRIDGE_VERSION},
+                       {"incarnation", hexText(toNumber(m_options.incarnation))},
+                       {"offset", toNumber(m_control.view()->offset)},
+                       {"digest", hexText(toNumber(m_control.view()->digest))},
+                       {"confirmed", m_control.view()->confirmed},
+                       {"draining", m_draining.load()},
+                       {"running", traffic.load.running},
+                       {"waiting", traffic.load.waiting},
+                       {"limit", traffic.load.limit},
+                       {"oldest_open_ms", traffic.oldestOpen.count()}});
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/target/targetserver.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "heatherridge_transport/app/controlplane.h"
+#include "heatherridge_transport/http/httpserver.h"
+#include "heatherridge_transport/target/targettraffic.h"
+
+#include <atomic>
+#include <memory>
+
+namespace Heatherridge
+{
+
+/**
+ * The whole of the process beside a target: traffic thread, control thread, and a small HTTP server for the operator.
+ */
+class TargetServer
+{
+public:
+    struct Options {
+        TargetName target{};
+        Incarnation incarnation{};
+        ZoneName zone{};
+        Endpoint listen{}; ///< for entries
+        Endpoint admin{}; ///< for the operator and for scrapes of metrics
+        Endpoint logService{};
+        std::chrono::milliseconds drainTimeout{60'000}; ///< longest wait for running requests at shutdown
+    };
+
+    /** Where it serves. */
+    struct Addresses {
+        Endpoint gate{};
+        Endpoint admin{};
+    };
+
+    explicit TargetServer(Options options);
+    ~TargetServer();
+
+    TargetServer(const TargetServer &) = delete;
+    TargetServer &operator=(const TargetServer &) = delete;
+
+    /** Starts all threads. @returns where it serves, or why not */
+    Result<Addresses> start();
+
+    /**
+     * Graceful shutdown: waiting requests are handed back as not run, running ones end, then all threads stop.
+     * Blocks until then, at most for the drain timeout.
+     */
+    void drainAndStop();
+
+private:
+    HttpResponse answer(const HttpRequest &request);
+    HttpResponse status();
+
+    Options m_options;
+    Metrics m_metrics;
+    ControlPlane m_control;
+    TargetTraffic m_traffic;
+    std::unique_ptr<HttpServer> m_server;
+    std::atomic<bool> m_draining{false};
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -0,0 +1,470 @@
+#include "heatherridge_transport/target/targettraffic.h"
+
+#include "heatherridge_transport/app/logger.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds Tick{10};
+/** A changed load is reported five times a second, an unchanged one every two seconds as a sign of life. */
+constexpr int TicksPerReport = 20;
+constexpr int TicksPerSignOfLife = 200;
+/** Requests that may wait for the configuration they rely on. */
+constexpr std::size_t MostHeld = 1024;
+
+constexpr std::array<std::string_view, 4> HopHeaders{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length"};
+
+HttpRequest backendRequest(const SubmitRequest &request)
+{
+    HttpRequest call{.method = request.method,
+                     .path = request.path,
+                     .query = request.query,
+                     .body = std::string(request.body.begin(), request.body.end())};
+    for (const auto &header : request.headers) {
+        call.headers.push_back({.name = header.name, .value = header.value});
+    }
+    call.headers.push_back({.name = "X-Request-Id", .value = request.id.text()});
+    call.headers.push_back({.name = "X-Priority", .value = std::to_string(request.priority)});
+    return call;
+}
+
+/** Whether the back end's work may be cut when nobody waits for it: it has no effect beside its answer. */
+bool mayCut(const BackendWork &work)
+{
+    return work.request.mayRepeat;
+}
+
+std::chrono::microseconds between(SteadyTime begin, SteadyTime end)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(end - begin);
+}
+
+} // namespace
+
+TargetTraffic::TargetTraffic(Options options, Metrics &metrics)
+    : m_options(std::move(options))
+    , m_metrics(metrics)
+    , m_view(std::make_shared<const ConfigView>())
+    , m_encoder(ProcessName(m_options.target.text()), m_options.incarnation, [this] { return m_view; })
+    , m_limit(std::make_unique<ConcurrencyLimit>())
+    , m_started(metrics.counter("heatherridge_started_total"))
+    , m_finished(metrics.counter("heatherridge_finished_total"))
+    , m_strayFrames(metrics.counter("heatherridge_stray_frames_total"))
+    , m_waiting(metrics.histogram("heatherridge_waiting_seconds"))
+{
+    m_queue.setLimit(m_limit->limit());
+}
+
+TargetTraffic::~TargetTraffic()
+{
+    stop();
+}
+
+Result<Endpoint> TargetTraffic::start()
+{
+    m_client = std::make_unique<HttpClient>(m_loop.context(), HttpClient::Options{});
+    m_listener = std::make_unique<PeerListener>(
+        m_loop.context(),
+        PeerSocketEvents{[this](const Socket &entry) {
+                             m_entries.insert(entry);
+                             reportLoad(true);
+                         },
+                         [this](const Socket &entry, const Bytes &frame) { receive(entry, frame); },
+                         [this](const Socket &entry) { entryGone(entry); }},
+        MaxFrameBytes);
+    int port = m_options.listen.port;
+    const auto fault = m_listener->start(m_options.listen.address, port);
+    if (!fault.empty()) {
+        return Error{.kind = ErrorKind::Internal, .detail = fault};
+    }
+    m_loop.every(Tick, [this] { tick(); });
+    m_loop.start();
+    return Endpoint{.address = m_options.listen.address, .port = port};
+}
+
+void TargetTraffic::stop()
+{
+    m_loop.stop();
+    m_works.clear();
+    m_client.reset();
+}
+
+void TargetTraffic::setView(std::shared_ptr<const ConfigView> view)
+{
+    m_loop.post([this, view = std::move(view)] {
+        const auto *before = self();
+        const int hadConcurrency = before == nullptr ? 0 : before->concurrency;
+        m_view = view;
+        const auto *target = self();
+        if (target != nullptr && target->concurrency != hadConcurrency && target->concurrency > 0) {
+            m_limit = std::make_unique<ConcurrencyLimit>(
+                ConcurrencyOptions{.most = static_cast<std::size_t>(target->concurrency),
+                                   .initial = std::min(ConcurrencyOptions{}.initial, static_cast<std::size_t>(target->concurrency))});
+            m_queue.setLimit(m_limit->limit());
+        }
+        if (target == nullptr || !m_view->takesWork(*target)) {
+            handBackWaiting(ErrorKind::TargetWithdrawn);
+        }
+        releaseHeld();
+        reportLoad(false);
+    });
+}
+
+void TargetTraffic::drain()
+{
+    m_loop.post([this] {
+        m_draining = true;
+        handBackWaiting(ErrorKind::Draining);
+        releaseHeld();
+        reportLoad(true);
+    });
+}
+
+TargetTraffic::Status TargetTraffic::status()
+{
+    Status status;
+    m_loop.run([this, &status] {
+        const auto now = std::chrono::steady_clock::now();
+        status = {.load = m_queue.load(), .draining = m_draining};
+        for (const auto &[id, work] : m_works) {
+            if (work->started) {
+                status.oldestOpen
+                    = std::max(status.oldestOpen, std::chrono::duration_cast<std::chrono::milliseconds>(now - *work->started));
+            }
+        }
+    });
+    return status;
+}
+
+const Target *TargetTraffic::self() const
+{
+    return m_view->inventory->find(m_options.target);
+}
+
+void TargetTraffic::receive(const Socket &entry, const Bytes &frame)
+{
+    const auto envelope = decodeEnvelope(frame);
+    if (errorIn(envelope) != nullptr) {
+        m_metrics.errors(ErrorKind::MalformedFrame).add();
+        return;
+    }
+    const auto &outer = std::get<Envelope>(envelope);
+    if (outer.channel == Channel::Traffic) {
+        receiveTraffic(entry, outer);
+    }
+}
+
+void TargetTraffic::receiveTraffic(const Socket &entry, const Envelope &envelope)
+{
+    const auto message = decodeTrafficMessage(envelope.payload);
+    if (errorIn(message) != nullptr) {
+        m_metrics.errors(ErrorKind::MalformedFrame).add();
+        return;
+    }
+    std::visit(Visitor{[&](const SubmitRequest &request) { submit(entry, request, envelope.offset); },
+                       [&](const CancelRequest &request) { cancel(request.id); },
+                       [&](const GrantCredit &grant) { credit(grant); },
+                       [&](const auto &) { m_strayFrames.add(); }},
+               std::get<TrafficMessage>(message));
+}
+
+void TargetTraffic::submit(const Socket &entry, const SubmitRequest &request, LogOffset needs)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (needs <= m_view->offset) {
+        admit(entry, request, now);
+        return;
+    }
+    // The entry acted on a later configuration, in which this target may be withdrawn or may have another role.
+    // Deciding by the older one would go back behind what a process has already acted on.
+    if (m_held.size() >= MostHeld) {
+        refuse(entry, request.id, Error{.kind = ErrorKind::StaleOffset, .ran = Ran::No});
+        return;
+    }
+    m_held.push_back({.request = request, .entry = entry, .needs = needs, .arrived = now});
+}
+
+void TargetTraffic::releaseHeld()
+{
+    const auto now = std::chrono::steady_clock::now();
+    auto held = std::move(m_held);
+    m_held.clear();
+    for (auto &request : held) {
+        if (request.needs <= m_view->offset) {
+            admit(request.entry, request.request, request.arrived);
+        } else if (m_draining || now - request.arrived > m_options.catchUp) {
+            refuse(request.entry, request.request.id, Error{.kind = ErrorKind::StaleOffset, .ran = Ran::No});
+        } else {
+            m_held.push_back(std::move(request));
+        }
+    }
+}
+
+std::optional<ErrorKind> TargetTraffic::refusalFor(const SubmitRequest &request) const
+{
+    if (m_draining) {
+        return ErrorKind::Draining;
+    }
+    const auto *target = self();
+    if (target == nullptr || !m_view->takesWork(*target)) {
+        return ErrorKind::TargetWithdrawn;
+    }
+    return target->service == request.service ? std::nullopt : std::optional(ErrorKind::UnknownService);
+}
+
+void TargetTraffic::admit(const Socket &entry, const SubmitRequest &request, SteadyTime arrived)
+{
+    if (m_works.contains(request.id)) {
+        m_strayFrames.add(); // doubled on the way; the first one stands
+        return;
+    }
+    if (const auto kind = refusalFor(request)) {
+        refuse(entry, request.id, Error{.kind = *kind, .ran = Ran::No});
+        return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    const auto *workspace = m_view->rules->find(request.workspace);
+    auto work = std::make_shared<BackendWork>(
+        BackendWork{.request = request, .entry = entry, .arrived = arrived, .deadline = arrived + request.timeLeft});
+    const auto offer = m_queue.offer({.id = request.id,
+                                      .workspace = request.workspace,
+                                      .weight = workspace == nullptr ? 1 : workspace->weight,
+                                      .priority = request.priority,
+                                      .cost = static_cast<double>(request.cost),
+                                      .deadline = work->deadline},
+                                     now);
+    if (const auto *error = std::get_if<Error>(&offer)) {
+        refuse(entry, request.id, *error);
+    } else {
+        m_works.emplace(request.id, work);
+        if (std::holds_alternative<Started>(offer)) {
+            start(work);
+        }
+    }
+    pump();
+}
+
+void TargetTraffic::start(const Work &work)
+{
+    const auto now = std::chrono::steady_clock::now();
+    work->started = now;
+    m_started.add();
+    m_waiting.record(between(work->arrived, now));
+    const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(work->deadline - now);
+    work->call = m_client->stream(
+        {.endpoint = self()->backend,
+         .request = backendRequest(work->request),
+         .timeout = std::max(timeout, std::chrono::milliseconds(1)),
+         .reuseConnection = work->request.mayRepeat},
+        {.head = [this, work](int status, const std::vector<HttpHeader> &headers) { takeHead(work, status, headers); },
+         .data = [this, work](std::string_view bytes) { return takeData(work, bytes); },
+         .finished = [this, work] { takeFinished(work); },
+         .failed = [this, work](const HttpClient::Failure &failure) { takeFailed(work, failure); }});
+}
+
+void TargetTraffic::takeHead(const Work &work, int status, const std::vector<HttpHeader> &headers)
+{
+    work->firstByte = std::chrono::steady_clock::now();
+    work->headSent = true;
+    AnswerHead head{.id = work->request.id, .status = status};
+    for (const auto &header : headers) {
+        const bool hop = std::find(HopHeaders.begin(), HopHeaders.end(), header.name) != HopHeaders.end();
+        if (!hop) {
+            head.headers.push_back({.name = header.name, .value = header.value});
+        }
+    }
+    send(work->entry, head);
+}
+
+bool TargetTraffic::takeData(const Work &work, std::string_view bytes)
+{
+    send(work->entry, AnswerChunk{.id = work->request.id, .sequence = work->chunks++, .bytes = Bytes(bytes.begin(), bytes.end())});
+    work->sentBytes += bytes.size();
+    // Without this bound a slow caller's answer would pile up in the entry, or here.
+    work->paused = work->entry != nullptr && work->sentBytes - work->creditedBytes >= m_options.windowBytes;
+    return !work->paused;
+}
+
+void TargetTraffic::credit(const GrantCredit &grant)
+{
+    const auto entry = m_works.find(grant.id);
+    if (entry == m_works.end()) {
+        return;
+    }
+    auto &work = *entry->second;
+    work.creditedBytes = std::min(work.sentBytes, work.creditedBytes + grant.bytes);
+    if (work.paused && work.sentBytes - work.creditedBytes < m_options.windowBytes / 2) {
+        work.paused = false;
+        m_client->resume(work.call);
+    }
+}
+
+void TargetTraffic::takeFinished(const Work &work)
+{
+    send(work->entry, AnswerEnd{.id = work->request.id, .chunks = work->chunks});
+    finish(work);
+}
+
+void TargetTraffic::takeFailed(const Work &work, const HttpClient::Failure &failure)
+{
+    AnswerError error{.id = work->request.id, .detail = failure.reason};
+    if (!failure.mayHaveArrived) {
+        error.kind = ErrorKind::TargetUnreachable;
+        error.ran = Ran::No;
+    } else {
+        error.kind = work->headSent ? ErrorKind::StreamBroken : ErrorKind::BackendFailed;
+        error.ran = work->headSent ? Ran::Yes : Ran::Unknown;
+    }
+    m_metrics.errors(error.kind).add();
+    logEvent(Severity::Warning, "backend-failed", {{"request", work->request.id.text()}, {"reason", failure.reason}});
+    send(work->entry, error);
+    finish(work);
+}
+
+void TargetTraffic::finish(const Work &work)
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (work->firstByte) {
+        LatencySample sample{.first = between(*work->started, *work->firstByte)};
+        if (work->chunks > 1) {
+            sample.between = between(*work->firstByte, now) / static_cast<std::int64_t>(work->chunks - 1);
+        }
+        m_limit->record(sample, m_queue.load().running, now);
+        m_queue.setLimit(m_limit->limit());
+    }
+    m_finished.add();
+    m_queue.finish(work->request.id, static_cast<double>(work->request.cost), now);
+    m_works.erase(work->request.id);
+    pump();
+}
+
+void TargetTraffic::cancel(const RequestId &id)
+{
+    std::erase_if(m_held, [&id](const auto &held) { return held.request.id == id; });
+    const auto entry = m_works.find(id);
+    if (entry == m_works.end()) {
+        return;
+    }
+    const auto work = entry->second;
+    if (!work->started) {
+        m_queue.cancel(id);
+        m_works.erase(id);
+        return;
+    }
+    work->entry.reset();
+    if (mayCut(*work)) {
+        m_client->cancel(work->call);
+        finish(work);
+        return;
+    }
+    // A call that may not be repeated is not cut in its middle: the service would be left half done. Its answer is
+    // read to the end and dropped.
+    if (work->paused) {
+        work->paused = false;
+        m_client->resume(work->call);
+    }
+}
+
+void TargetTraffic::entryGone(const Socket &entry)
+{
+    m_entries.erase(entry);
+    std::erase_if(m_held, [&entry](const auto &held) { return held.entry == entry; });
+    std::vector<RequestId> orphans;
+    for (const auto &[id, work] : m_works) {
+        if (work->entry == entry) {
+            orphans.push_back(id);
+        }
+    }
+    for (const auto &id : orphans) {
+        cancel(id);
+    }
+}
+
+void TargetTraffic::pump()
+{
+    const auto now = std::chrono::steady_clock::now();
+    while (const auto id = m_queue.take(now)) {
+        const auto entry = m_works.find(*id);
+        if (entry != m_works.end()) {
+            start(entry->second);
+        }
+    }
+    for (const auto &givenUp : m_queue.collectGivenUp()) {
+        const auto entry = m_works.find(givenUp.id);
+        if (entry != m_works.end()) {
+            refuse(entry->second->entry, givenUp.id, givenUp.error);
+            m_works.erase(entry);
+        }
+    }
+}
+
+void TargetTraffic::tick()
+{
+    const auto sweepDue = m_queue.nextSweep();
+    if (sweepDue && *sweepDue <= std::chrono::steady_clock::now()) {
+        pump();
+    }
+    if (!m_held.empty()) {
+        releaseHeld();
+    }
+    ++m_ticksSinceReport;
+    if (m_ticksSinceReport % TicksPerReport == 0) {
+        reportLoad(m_ticksSinceReport >= TicksPerSignOfLife);
+    }
+}
+
+void TargetTraffic::handBackWaiting(ErrorKind kind)
+{
+    std::vector<Work> waiting;
+    for (const auto &[id, work] : m_works) {
+        if (!work->started) {
+            waiting.push_back(work);
+        }
+    }
+    for (const auto &work : waiting) {
+        m_queue.cancel(work->request.id);
+        refuse(work->entry, work->request.id, Error{.kind = kind, .ran = Ran::No});
+        m_works.erase(work->request.id);
+    }
+}
+
+void TargetTraffic::reportLoad(bool always)
+{
+    const auto load = m_queue.load();
+    const auto *target = self();
+    const LoadReport report{.target = m_options.target,
+                            .running = load.running,
+                            .queued = load.waiting,
+                            .limit = load.limit,
+                            .draining = m_draining || target == nullptr || !m_view->takesWork(*target)};
+    if (!always && report == m_lastReport) {
+        return;
+    }
+    m_lastReport = report;
+    m_ticksSinceReport = 0;
+    for (const auto &entry : m_entries) {
+        send(entry, report);
+    }
+}
+
+void TargetTraffic::refuse(const Socket &entry, const RequestId &id, const Error &error)
+{
+    m_metrics.errors(error.kind).add();
+    send(entry,
+         AnswerError{.id = id, .kind = error.kind, .ran = error.ranOrDefault(), .retryAfter = error.retryAfter, .detail = error.detail});
+}
+
+void TargetTraffic::send(const Socket &entry, const TrafficMessage &message)
+{
+    if (entry) {
+        entry->send(m_encoder.frame(message));
+    }
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "heatherridge_transport/app/eventloop.h"
+#include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/link/frameencoder.h"
+#include "heatherridge_transport/target/backendwork.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/**
+ * The traffic thread of the process beside a target: the only one that gives the target work.
+ *
+ * Requests come from entries over message connections; the one queue that sees all of them decides what starts, waits
+ * or is refused. Because nobody else gives the target work, what this class calls "not run" has not run.
+ * Methods may be called from any thread unless they say otherwise.
+ *
+ * @see AdmissionQueue, ConcurrencyLimit
+ */
+class TargetTraffic
+{
+public:
+    struct Options {
+        TargetName target{};
+        Incarnation incarnation{};
+        Endpoint listen{}; ///< for entries
+        std::uint64_t windowBytes = 256UL << 10U; ///< most that is sent ahead of what the entry has passed on
+        std::chrono::milliseconds catchUp{500}; ///< longest wait for the configuration that a request relies on
+    };
+
+    /** What it is busy with. */
+    struct Status {
+        AdmissionLoad load{};
+        bool draining = false;
+        std::chrono::milliseconds oldestOpen{}; ///< how long the oldest running request has been running
+    };
+
+    /** Not started yet. @p metrics must outlive it. */
+    TargetTraffic(Options options, Metrics &metrics);
+    ~TargetTraffic();
+
+    TargetTraffic(const TargetTraffic &) = delete;
+    TargetTraffic &operator=(const TargetTraffic &) = delete;
+
+    /** Starts the thread and listens. @returns where, or why not */
+    Result<Endpoint> start();
+
+    /** Ends the thread; what runs is cut. @see drain */
+    void stop();
+
+    /** A new configuration is in force. */
+    void setView(std::shared_ptr<const ConfigView> view);
+
+    /** Takes no new work from now on and hands waiting requests back as not run; running ones go on. */
+    void drain();
+
+    /** What it is busy with. Not from its own thread. */
+    Status status();
+
+private:
+    using Work = std::shared_ptr<BackendWork>;
+    using Socket = std::shared_ptr<PeerSocket>;
+
+    /** A request that relies on a configuration that this process does not have yet. */
+    struct HeldRequest {
+        SubmitRequest request{};
+        Socket entry{};
+        LogOffset needs{};
+        SteadyTime arrived{};
+    };
+
+    void receive(const Socket &entry, const Bytes &frame);
+    void receiveTraffic(const Socket &entry, const Envelope &envelope);
+    void submit(const Socket &entry, const SubmitRequest &request, LogOffset needs);
+    void admit(const Socket &entry, const SubmitRequest &request, SteadyTime arrived);
+    std::optional<ErrorKind> refusalFor(const SubmitRequest &request) const;
+    void cancel(const RequestId &id);
+    void credit(const GrantCredit &grant);
+    void entryGone(const Socket &entry);
+    void start(const Work &work);
+    void takeHead(const Work &work, int status, const std::vector<HttpHeader> &headers);
+    bool takeData(const Work &work, std::string_view bytes);
+    void takeFinished(const Work &work);
+    void takeFailed(const Work &work, const HttpClient::Failure &failure);
+    void finish(const Work &work);
+    void pump();
+    void tick();
+    void releaseHeld();
+    void handBackWaiting(ErrorKind kind);
+    void reportLoad(bool always);
+    void refuse(const Socket &entry, const RequestId &id, const Error &error);
+    void send(const Socket &entry, const TrafficMessage &message);
+    const Target *self() const;
+
+    Options m_options;
+    Metrics &m_metrics;
+    EventLoop m_loop;
+    std::shared_ptr<const ConfigView> m_view;
+    FrameEncoder m_encoder;
+    std::unique_ptr<PeerListener> m_listener;
+    std::unique_ptr<HttpClient> m_client;
+    AdmissionQueue m_queue;
+    std::unique_ptr<ConcurrencyLimit> m_limit;
+    std::set<Socket> m_entries;
+    std::unordered_map<RequestId, Work> m_works;
+    std::vector<HeldRequest> m_held;
+    LoadReport m_lastReport;
+    int m_ticksSinceReport = 0;
+    bool m_draining = false;
+    Counter &m_started;
+    Counter &m_finished;
+    Counter &m_strayFrames;
+    DurationHistogram &m_waiting;
+};
+
+} // namespace Heatherridge
