Hold the stand-ins to their contracts with the real program

A table of steps a mode: offsets from 1, a lost reply, retention, an outage, executions before and after a close, resumed chats, prefix cache, fenced orders, the lagging host list. Besides: the long poll, a caller that leaves, a broken stream, SIGTERM. tests/support starts the programs, reads their ready line and kills them by id, and calls them with libcurl; all test programs link it.

--- /dev/null
+++ b/tests/support/childprocess.cpp
@@ -0,0 +1,120 @@
+#include "support/childprocess.h"
+
+#include <csignal>
+#include <sstream>
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr int ExecFailed = 127;
+
+std::vector<Endpoint> endpointsIn(const std::string &readyLine)
+{
+    std::vector<Endpoint> endpoints;
+    std::istringstream words(readyLine);
+    std::string word;
+    while (words >> word) {
+        if (const auto endpoint = parseEndpoint(word)) {
+            endpoints.push_back(*endpoint);
+        }
+    }
+    return endpoints;
+}
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
+{
+    const std::string path = std::string(HEATHERRIDGE_BIN_DIR) + "/" + program;
+    std::vector<char *> words{const_cast<char *>(path.c_str())};
+    for (const auto &argument : arguments) {
+        words.push_back(const_cast<char *>(argument.c_str()));
+    }
+    words.push_back(nullptr);
+    int ends[2] = {-1, -1};
+    if (::pipe2(ends, O_CLOEXEC) != 0) {
+        return;
+    }
+    m_id = ::fork();
+    if (m_id == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        ::dup2(ends[1], STDOUT_FILENO);
+        ::execv(path.c_str(), words.data());
+        ::_exit(ExecFailed);
+    }
+    ::close(ends[1]);
+    m_output = ends[0];
+    std::string line;
+    do {
+        line = readLine();
+    } while (!line.empty() && line.rfind("ready ", 0) != 0);
+    m_endpoints = endpointsIn(line);
+}
+
+ChildProcess::~ChildProcess()
+{
+    kill();
+    if (m_output >= 0) {
+        ::close(m_output);
+    }
+}
+
+const std::vector<Endpoint> &ChildProcess::endpoints() const
+{
+    return m_endpoints;
+}
+
+void ChildProcess::kill()
+{
+    if (m_id > 0) {
+        signal(SIGKILL);
+        wait();
+    }
+}
+
+void ChildProcess::signal(int signal) const
+{
+    if (m_id > 0) {
+        ::kill(m_id, signal);
+    }
+}
+
+int ChildProcess::wait()
+{
+    int status = 0;
+    ::waitpid(m_id, &status, 0);
+    m_id = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
+std::string ChildProcess::output()
+{
+    std::string text;
+    char buffer[4096];
+    for (ssize_t got = 0; (got = ::read(m_output, buffer, sizeof buffer)) > 0;) {
+        text.append(buffer, static_cast<std::size_t>(got));
+    }
+    return text;
+}
+
+std::string ChildProcess::readLine()
+{
+    std::string line;
+    for (char letter = 0; ::read(m_output, &letter, 1) == 1;) {
+        line += letter;
+        if (letter == '\n') {
+            break;
+        }
+    }
+    return line;
+}
+
+} // namespace Heatherridge
