--- a/modules/heatherridge_transport/http/httpserver.h
+++ b/modules/heatherridge_transport/http/httpserver.h
@@ -45,8 +45,8 @@
     virtual void end() = 0;
 
     /**
-     * Closes the connection so that the caller sees its answer cut off: an answer in chunks stays without its closing
-     * chunk, and where no answer was begun none is sent.
+     * Closes the connection: an answer in chunks is seen to be cut off, since its closing chunk is not sent; when no
+     * answer has begun, none is sent at all.
      */
     virtual void abort() = 0;
 
