--- a/extras/heatherridge-target/main.cpp
+++ b/extras/heatherridge-target/main.cpp
@@ -10,9 +10,20 @@
 {
 
 const SettingSpec OwnSettings[] = {
-    {.key = "listen", .type = SettingType::Address, .fallback = "127.0.0.1:7100", .help = "where entries reach it; the target's gate in the inventory"},
-    {.key = "admin", .type = SettingType::Address, .fallback = "127.0.0.1:7101", .help = "where status and metrics are served"},
-    {.key = "drain-timeout", .type = SettingType::Milliseconds, .fallback = "60000", .lowest = 0, .highest = 3600000, .help = "longest wait for running requests at shutdown"},
+    {.key = "listen",
+     .type = SettingType::Address,
+     .fallback = "127.0.0.1:7100",
+     .help = "where entries reach it; the target's gate in the inventory"},
+    {.key = "admin",
+     .type = SettingType::Address,
+     .fallback = "127.0.0.1:7101",
+     .help = "where status and metrics are served"},
+    {.key = "drain-timeout",
+     .type = SettingType::Milliseconds,
+     .fallback = "60000",
+     .lowest = 0,
+     .highest = 3600000,
+     .help = "longest wait for running requests at shutdown"},
 };
 
 TargetServer::Options optionsFrom(const Settings &settings)
--- a/modules/heatherridge_coordination/heatherridge_coordination.h
+++ b/modules/heatherridge_coordination/heatherridge_coordination.h
@@ -10,4 +10,6 @@
  * Dependencies: heatherridge_protocol, heatherridge_state.
  */
 
+#include "heatherridge_coordination/answers/answerassembler.h"
+#include "heatherridge_coordination/answers/resumepoint.h"
 #include "heatherridge_coordination/logservice.h"
--- a/modules/heatherridge_transport/app/configview.h
+++ b/modules/heatherridge_transport/app/configview.h
@@ -12,7 +12,8 @@
  *
  * The control thread publishes a new one after each record; a request uses one from its begin to its end.
  */
-struct ConfigView {
+struct ConfigView
+{
     LogOffset offset{}; ///< folded up to here
     Digest digest{}; ///< of the whole state at that offset
     bool confirmed = false; ///< whether the log itself has said, since this process started, that nothing is missing
--- a/modules/heatherridge_transport/app/controlplane.cpp
+++ b/modules/heatherridge_transport/app/controlplane.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/app/controlplane.h"
 
+#include "heatherridge_coordination/config/logfollower.h"
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/platform/httplogservice.h"
 
@@ -80,9 +81,10 @@
         std::atomic_store(&m_view, fresh);
         m_offset.set(static_cast<std::int64_t>(toNumber(fresh->offset)));
         m_confirmed.set(fresh->confirmed ? 1 : 0);
-        logEvent(Severity::Info, "config-in-force", {{"offset", std::to_string(toNumber(fresh->offset))},
-                                                     {"digest", std::to_string(toNumber(fresh->digest))},
-                                                     {"confirmed", fresh->confirmed ? "yes" : "no"}});
+        logEvent(Severity::Info, "config-in-force",
+                 {{"offset", std::to_string(toNumber(fresh->offset))},
+                  {"digest", std::to_string(toNumber(fresh->digest))},
+                  {"confirmed", fresh->confirmed ? "yes" : "no"}});
         for (const auto &listener : listeners) {
             listener(fresh);
         }
--- a/modules/heatherridge_transport/app/controlplane.h
+++ b/modules/heatherridge_transport/app/controlplane.h
@@ -19,7 +19,8 @@
 class ControlPlane
 {
 public:
-    struct Options {
+    struct Options
+    {
         ProcessName process{};
         Incarnation incarnation{};
         Endpoint logService{};
--- a/modules/heatherridge_transport/app/logger.cpp
+++ b/modules/heatherridge_transport/app/logger.cpp
@@ -28,13 +28,14 @@
     return current;
 }
 
-std::atomic<bool> s_ready{false};
+std::atomic<bool> ready{false};
 
 std::string timeStamp()
 {
     const auto now = std::chrono::system_clock::now();
     const auto seconds = std::chrono::system_clock::to_time_t(now);
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    const auto milliseconds =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
     std::tm parts{};
     gmtime_r(&seconds, &parts);
     std::array<char, 32> text{};
@@ -46,8 +47,8 @@
 
 std::string asKeyValue(std::string_view level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    std::string line = "time=" + timeStamp() + " level=" + std::string(level) + " process=" + quotedLogValue(options().process)
-        + " event=" + std::string(event);
+    std::string line = "time=" + timeStamp() + " level=" + std::string(level)
+        + " process=" + quotedLogValue(options().process) + " event=" + std::string(event);
     for (const auto &[key, value] : fields) {
         line += " " + std::string(key) + "=" + quotedLogValue(value);
     }
@@ -56,7 +57,8 @@
 
 std::string asJson(std::string_view level, std::string_view event, std::initializer_list<LogField> fields)
 {
-    nlohmann::ordered_json line{{"time", timeStamp()}, {"level", level}, {"process", options().process}, {"event", event}};
+    nlohmann::ordered_json line{
+        {"time", timeStamp()}, {"level", level}, {"process", options().process}, {"event", event}};
     for (const auto &[key, value] : fields) {
         line[std::string(key)] = value;
     }
@@ -72,17 +74,19 @@
     auto backend = boost::make_shared<sinks::text_ostream_backend>();
     backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
     backend->auto_flush(true);
-    boost::log::core::get()->add_sink(boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
-    s_ready = true;
+    boost::log::core::get()->add_sink(
+        boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
+    ready = true;
 }
 
 void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields)
 {
-    if (!s_ready || severity < options().lowest) {
+    if (!ready || severity < options().lowest) {
         return;
     }
     const auto level = LevelNames.at(static_cast<std::size_t>(severity));
-    const auto line = options().format == LogFormat::Json ? asJson(level, event, fields) : asKeyValue(level, event, fields);
+    const auto line =
+        options().format == LogFormat::Json ? asJson(level, event, fields) : asKeyValue(level, event, fields);
     static boost::log::sources::logger_mt source;
     BOOST_LOG(source) << line;
 }
--- a/modules/heatherridge_transport/app/logger.h
+++ b/modules/heatherridge_transport/app/logger.h
@@ -23,7 +23,8 @@
 };
 
 /** How the log is written. */
-struct LoggerOptions {
+struct LoggerOptions
+{
     std::string process{}; ///< name of this process, in every line
     LogFormat format = LogFormat::KeyValue;
     Severity lowest = Severity::Info;
--- a/modules/heatherridge_transport/app/metrics.cpp
+++ b/modules/heatherridge_transport/app/metrics.cpp
@@ -15,7 +15,8 @@
 namespace histogram = boost::histogram;
 
 /** Upper bounds in seconds, around the latencies that users were promised (59 ms, 360 ms). */
-const std::vector<double> BucketBounds{0.0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.059, 0.1, 0.2, 0.36, 0.5, 1, 2, 5, 10, 30, 60};
+const std::vector<double> BucketBounds{0.0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.04, 0.059, 0.1,
+                                       0.2, 0.36,  0.5,   1,     2,    5,    10,   30,    60};
 
 using SafeStorage = histogram::dense_storage<histogram::accumulators::thread_safe<std::uint64_t>>;
 using Buckets = decltype(histogram::make_histogram_with(SafeStorage(), histogram::axis::variable<>(BucketBounds)));
@@ -107,7 +108,8 @@
     : m_implementation(std::make_unique<Implementation>())
 {
     for (const auto &answer : allErrorAnswers()) {
-        m_implementation->errors.push_back(&counter("heatherridge_errors_total", "kind=\"" + std::string(answer.name) + "\""));
+        m_implementation->errors.push_back(
+            &counter("heatherridge_errors_total", "kind=\"" + std::string(answer.name) + "\""));
     }
 }
 
--- a/modules/heatherridge_transport/app/settings.cpp
+++ b/modules/heatherridge_transport/app/settings.cpp
@@ -78,8 +78,10 @@
         return parseListenAddress(value) ? "" : key + " must be an IP number, a colon and a port, not '" + value + "'";
     case SettingType::Number:
     case SettingType::Milliseconds:
-        return parseNumber(value, spec.lowest, spec.highest) ? "" : key + " must be " + std::string(typeName(spec.type)) + " from "
-                + std::to_string(spec.lowest) + " to " + std::to_string(spec.highest) + ", not '" + value + "'";
+        return parseNumber(value, spec.lowest, spec.highest)
+            ? ""
+            : key + " must be " + std::string(typeName(spec.type)) + " from " + std::to_string(spec.lowest) + " to "
+                + std::to_string(spec.highest) + ", not '" + value + "'";
     case SettingType::Switch:
         return parseSwitch(value) ? "" : key + " must be yes or no, not '" + value + "'";
     }
@@ -88,12 +90,14 @@
 
 const SettingSpec *findSpec(std::span<const SettingSpec> specs, std::string_view key)
 {
-    const auto spec = std::find_if(specs.begin(), specs.end(), [key](const auto &candidate) { return candidate.key == key; });
+    const auto spec =
+        std::find_if(specs.begin(), specs.end(), [key](const auto &candidate) { return candidate.key == key; });
     return spec == specs.end() ? nullptr : &*spec;
 }
 
 /** Reads @p file into @p values; every fault becomes one line "file:line: reason". */
-std::string readFile(const std::string &file, std::string_view section, std::span<const SettingSpec> specs, Values &values)
+std::string readFile(const std::string &file, std::string_view section, std::span<const SettingSpec> specs,
+                     Values &values)
 {
     std::ifstream stream(file);
     if (!stream) {
@@ -130,7 +134,8 @@
 {
     options::options_description flags(std::string(program) + " [options]");
     flags.add_options()("help", "print this and end")("version", "print the version and end")(
-        "sample", "print a commented settings file and end")("config", options::value<std::string>(), "settings file (INI)");
+        "sample", "print a commented settings file and end")("config", options::value<std::string>(),
+                                                             "settings file (INI)");
     for (const auto &spec : specs) {
         flags.add_options()(std::string(spec.key).c_str(), options::value<std::string>(), describe(spec).c_str());
     }
@@ -145,7 +150,8 @@
 } // namespace
 
 std::variant<Settings, Settings::Exit> Settings::load(std::string_view program, std::string_view section,
-                                                      std::span<const SettingSpec> specs, int argc, const char *const *argv)
+                                                      std::span<const SettingSpec> specs, int argc,
+                                                      const char *const *argv)
 {
     const auto flags = describeFlags(program, specs);
     options::variables_map given;
@@ -220,7 +226,7 @@
     for (const auto &spec : specs) {
         text += "\n# " + describe(spec) + "\n";
         const bool commented = spec.required || spec.fallback.empty();
-        text += (commented ? "# " : "") + std::string(spec.key) + " = " + std::string(spec.fallback) + "\n";
+        text.append(commented ? "# " : "").append(spec.key).append(" = ").append(spec.fallback).append("\n");
     }
     return text;
 }
--- a/modules/heatherridge_transport/app/settings.h
+++ b/modules/heatherridge_transport/app/settings.h
@@ -23,7 +23,8 @@
 };
 
 /** One setting of a daemon: a key of its INI file and a flag of the same name. */
-struct SettingSpec {
+struct SettingSpec
+{
     std::string_view key{};
     SettingType type = SettingType::Text;
     std::string_view fallback{}; ///< value when neither file nor flag names one; empty for none
@@ -38,7 +39,8 @@
 {
 public:
     /** The program does not go on: it printed what was asked for, or has to say what is wrong. */
-    struct Exit {
+    struct Exit
+    {
         int code = 0; ///< ExitOk or ExitUsage
         std::string text{}; ///< to standard output for code 0, to standard error otherwise
     };
--- a/modules/heatherridge_transport/entry/callerrequest.cpp
+++ b/modules/heatherridge_transport/entry/callerrequest.cpp
@@ -27,9 +27,20 @@
 constexpr std::size_t MostKeyBytes = 128;
 
 /** Headers that concern one connection or are set anew at each hop; they are not passed on. */
-constexpr std::array<std::string_view, 14> HopHeaders{
-    "Connection", "Keep-Alive",    "Proxy-Authenticate", "Proxy-Authorization", "TE",         "Trailer",   "Transfer-Encoding",
-    "Upgrade",    "Content-Length", "Host",               "Authorization",       "X-Request-Id", "Expect", "X-Priority"};
+constexpr std::array<std::string_view, 14> HopHeaders{"Connection",
+                                                      "Keep-Alive",
+                                                      "Proxy-Authenticate",
+                                                      "Proxy-Authorization",
+                                                      "TE",
+                                                      "Trailer",
+                                                      "Transfer-Encoding",
+                                                      "Upgrade",
+                                                      "Content-Length",
+                                                      "Host",
+                                                      "Authorization",
+                                                      "X-Request-Id",
+                                                      "Expect",
+                                                      "X-Priority"};
 
 Error fault(ErrorKind kind, std::string detail)
 {
@@ -63,8 +74,8 @@
 
     Outcome read()
     {
-        for (const auto step : {&Reader::readSizes, &Reader::readWorkspace, &Reader::readPriority, &Reader::readKey, &Reader::readRoute,
-                                &Reader::readDeadline}) {
+        for (const auto step : {&Reader::readSizes, &Reader::readWorkspace, &Reader::readPriority, &Reader::readKey,
+                                &Reader::readRoute, &Reader::readDeadline}) {
             auto outcome = (this->*step)();
             if (errorIn(outcome) != nullptr) {
                 return outcome;
@@ -177,7 +188,8 @@
     {
         const auto tokens = body.find("max_tokens");
         const bool given = tokens != body.end() && tokens->is_number_unsigned();
-        const auto answerTokens = std::min(given ? tokens->get<std::uint64_t>() : DefaultAnswerTokens, MostAnswerTokens);
+        const auto answerTokens =
+            std::min(given ? tokens->get<std::uint64_t>() : DefaultAnswerTokens, MostAnswerTokens);
         m_result.promptTokens = static_cast<double>(prompt.size()) / BytesPerToken;
         m_result.submit.cost = answerTokens + static_cast<std::uint64_t>(m_result.promptTokens) + 1;
         m_result.affinityKey = XXH3_64bits(prompt.data(), std::min(prompt.size(), AffinityBytes));
@@ -219,7 +231,8 @@
         const auto deadline = parseNumber(text, 1, m_limits.longestTimeout.count());
         if (!deadline) {
             return fault(ErrorKind::BadDeadline,
-                         "X-Deadline-Ms must be a whole number from 1 to " + std::to_string(m_limits.longestTimeout.count()));
+                         "X-Deadline-Ms must be a whole number from 1 to "
+                             + std::to_string(m_limits.longestTimeout.count()));
         }
         m_result.timeout = std::chrono::milliseconds(*deadline);
         return {};
--- a/modules/heatherridge_transport/entry/callerrequest.h
+++ b/modules/heatherridge_transport/entry/callerrequest.h
@@ -8,7 +8,8 @@
 {
 
 /** A caller's request that has been checked: what goes to a target, and what the entry needs to place it. */
-struct CallerRequest {
+struct CallerRequest
+{
     SubmitRequest submit{};
     ModelName model{}; ///< empty for plain services
     double weight = 1; ///< of its workspace
@@ -19,7 +20,8 @@
 };
 
 /** Bounds of what callers may send. */
-struct CallerLimits {
+struct CallerLimits
+{
     std::size_t maxBodyBytes = 1UL << 20U;
     std::size_t maxHeaderBytes = 8UL << 10U; ///< of one header's value
     std::chrono::milliseconds longestTimeout{600'000};
--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -13,7 +13,8 @@
 {
 
 /** One open request of a caller; owned by its EntryTraffic and touched on that thread alone. */
-struct EntryCall {
+struct EntryCall
+{
     CallerRequest request{};
     std::shared_ptr<HttpExchange> exchange{};
     SteadyTime arrived{};
--- a/modules/heatherridge_transport/entry/entryserver.cpp
+++ b/modules/heatherridge_transport/entry/entryserver.cpp
@@ -22,25 +22,29 @@
 
 EntryServer::EntryServer(Options options)
     : m_options(std::move(options))
-    , m_control({.process = m_options.process, .incarnation = m_options.incarnation, .logService = m_options.logService}, m_metrics)
+    , m_control(
+          {.process = m_options.process, .incarnation = m_options.incarnation, .logService = m_options.logService},
+          m_metrics)
 {
     for (int i = 0; i < m_options.trafficThreads; ++i) {
-        m_traffic.push_back(std::make_unique<EntryTraffic>(
-            EntryTraffic::Options{.process = m_options.process, .incarnation = m_options.incarnation, .zone = m_options.zone}, m_metrics,
-            m_journal));
+        m_traffic.push_back(std::make_unique<EntryTraffic>(EntryTraffic::Options{.process = m_options.process,
+                                                                                 .incarnation = m_options.incarnation,
+                                                                                 .zone = m_options.zone},
+                                                           m_metrics, m_journal));
     }
     m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) {
         for (const auto &traffic : m_traffic) {
             traffic->setView(view);
         }
     });
-    m_server = std::make_unique<HttpServer>(HttpServer::Options{.listen = m_options.listen,
-                                                                .threads = m_options.httpThreads,
-                                                                .maxBodyBytes = BackstopFactor * m_options.limits.maxBodyBytes,
-                                                                .maxHeaderBytes = BackstopFactor * m_options.limits.maxHeaderBytes,
-                                                                .readTimeout = m_options.sendTimeout,
-                                                                .writeTimeout = m_options.callerTimeout},
-                                            [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); });
+    m_server = std::make_unique<HttpServer>(
+        HttpServer::Options{.listen = m_options.listen,
+                            .threads = m_options.httpThreads,
+                            .maxBodyBytes = BackstopFactor * m_options.limits.maxBodyBytes,
+                            .maxHeaderBytes = BackstopFactor * m_options.limits.maxHeaderBytes,
+                            .readTimeout = m_options.sendTimeout,
+                            .writeTimeout = m_options.callerTimeout},
+        [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); });
 }
 
 EntryServer::~EntryServer() = default;
@@ -132,15 +136,15 @@
 {
     const auto view = m_control.view();
     return jsonAnswer({{"process", m_options.process.text()},
-                         {"role", "entry"},
-                         {"zone", m_options.zone.text()},
-                         {"version", HEATHERRIDGE_VERSION},
-                         {"incarnation", hexText(toNumber(m_options.incarnation))},
-                         {"offset", toNumber(view->offset)},
-                         {"digest", hexText(toNumber(view->digest))},
-                         {"confirmed", view->confirmed},
-                         {"draining", m_draining.load()},
-                         {"open", openCalls()}});
+                       {"role", "entry"},
+                       {"zone", m_options.zone.text()},
+                       {"version", HEATHERRIDGE_VERSION},
+                       {"incarnation", hexText(toNumber(m_options.incarnation))},
+                       {"offset", toNumber(view->offset)},
+                       {"digest", hexText(toNumber(view->digest))},
+                       {"confirmed", view->confirmed},
+                       {"draining", m_draining.load()},
+                       {"open", openCalls()}});
 }
 
 HttpResponse EntryServer::targets()
@@ -180,9 +184,13 @@
     }
     auto steps = ordered_json::array();
     for (const auto &step : entry->steps) {
-        steps.push_back({{"ms", step.since.count()}, {"event", step.event}, {"target", step.target.text()}, {"reason", step.reason}});
+        steps.push_back({{"ms", step.since.count()},
+                         {"event", step.event},
+                         {"target", step.target.text()},
+                         {"reason", step.reason}});
     }
-    return jsonAnswer({{"request", id.text()}, {"outcome", entry->outcome.empty() ? "open" : entry->outcome}, {"steps", steps}});
+    return jsonAnswer(
+        {{"request", id.text()}, {"outcome", entry->outcome.empty() ? "open" : entry->outcome}, {"steps", steps}});
 }
 
 std::size_t EntryServer::openCalls() const
--- a/modules/heatherridge_transport/entry/entryserver.h
+++ b/modules/heatherridge_transport/entry/entryserver.h
@@ -18,7 +18,8 @@
 class EntryServer
 {
 public:
-    struct Options {
+    struct Options
+    {
         ProcessName process{};
         Incarnation incarnation{};
         ZoneName zone{};
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -1,8 +1,8 @@
 #include "heatherridge_transport/entry/entrytraffic.h"
 
 #include "heatherridge_transport/app/logger.h"
-#include "heatherridge_transport/entry/entrycall.h"
 #include "heatherridge_transport/app/problem.h"
+#include "heatherridge_transport/entry/entrycall.h"
 
 #include <asio/io_context.hpp>
 
@@ -21,13 +21,15 @@
 constexpr std::chrono::milliseconds ShortestAttempt{5};
 
 /** Headers of a back end's answer that concern its own connection to the target's process. */
-constexpr std::array<std::string_view, 5> HopHeaders{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "X-Request-Id"};
+constexpr std::array<std::string_view, 5> HopHeaders{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+                                                     "X-Request-Id"};
 
 std::vector<HttpHeader> passedBackHeaders(const AnswerHead &head)
 {
     std::vector<HttpHeader> headers{{.name = std::string(RequestIdHeader), .value = head.id.text()}};
     for (const auto &header : head.headers) {
-        const bool hop = std::any_of(HopHeaders.begin(), HopHeaders.end(), [&](auto name) { return sameHeaderName(name, header.name); });
+        const bool hop = std::any_of(HopHeaders.begin(), HopHeaders.end(),
+                                     [&](auto name) { return sameHeaderName(name, header.name); });
         if (!hop) {
             headers.push_back({.name = header.name, .value = header.value});
         }
@@ -51,7 +53,8 @@
 } // namespace
 
 /** What this thread knows of one target beside the inventory. */
-struct EntryTraffic::KnownTarget {
+struct EntryTraffic::KnownTarget
+{
     LoadReport report{};
     std::optional<SteadyTime> reportedAt{};
     double ownLoad = 0;
@@ -75,10 +78,11 @@
 {
     m_links = std::make_unique<TargetLinks>(
         m_loop, m_encoder, metrics,
-        TargetLinkEvents{.received = [this](const TargetName &target, const TrafficMessage &message) { received(target, message); },
-                         .control = [](const TargetName &, const Envelope &) {},
-                         .up = [](const TargetName &) {},
-                         .down = [this](const TargetName &target) { linkDown(target); }});
+        TargetLinkEvents{
+            .received = [this](const TargetName &target, const TrafficMessage &message) { received(target, message); },
+            .control = [](const TargetName &, const Envelope &) {},
+            .up = [](const TargetName &) {},
+            .down = [this](const TargetName &target) { linkDown(target); }});
 }
 
 EntryTraffic::~EntryTraffic()
@@ -190,8 +194,9 @@
     call->timer->async_wait([this, call](const asio::error_code &error) {
         if (!error && m_calls.contains(call->id())) {
             cancelAtTarget(call);
-            fail(call, Error{.kind = call->answerBegun ? ErrorKind::StreamBroken : ErrorKind::DeadlineExceeded,
-                             .detail = "the deadline passed"});
+            fail(call,
+                 Error{.kind = call->answerBegun ? ErrorKind::StreamBroken : ErrorKind::DeadlineExceeded,
+                       .detail = "the deadline passed"});
         }
     });
     m_journal.note(call->id(), "placed", target);
@@ -204,8 +209,8 @@
     // A lock-step group is one replica to callers; its rank 0 takes the requests.
     std::erase_if(targets, [&call](const Target *target) {
         const auto &model = call.request.model;
-        const bool servesModel = model.isEmpty()
-            || std::find(target->models.begin(), target->models.end(), model) != target->models.end();
+        const bool servesModel =
+            model.isEmpty() || std::find(target->models.begin(), target->models.end(), model) != target->models.end();
         return !servesModel || (!target->group.isEmpty() && target->rank != 0);
     });
     return targets;
@@ -223,7 +228,8 @@
     const auto age = known.reportedAt ? now - *known.reportedAt : NoReportAge;
     return TargetView{.key = keyOf(target.name),
                       .zoneDelay = m_view->inventory->delayBetween(m_options.zone, target.zone),
-                      .reportedLoad = static_cast<double>((known.report.running + known.report.queued) * call.request.submit.cost),
+                      .reportedLoad =
+                          static_cast<double>((known.report.running + known.report.queued) * call.request.submit.cost),
                       .reportAge = std::chrono::duration_cast<std::chrono::microseconds>(age),
                       .ownAtReport = known.ownAtReport,
                       .ownLoad = known.ownLoad,
@@ -241,7 +247,8 @@
         known.ownAtReport = known.ownLoad;
         return;
     }
-    const auto id = std::visit(Visitor{[](const LoadReport &) { return RequestId(); }, [](const auto &other) { return other.id; }}, message);
+    const auto id = std::visit(
+        Visitor{[](const LoadReport &) { return RequestId(); }, [](const auto &other) { return other.id; }}, message);
     const auto entry = m_calls.find(id);
     // Frames of an attempt that was given up, or from a target that does not have the request, must not reach the
     // caller: they would show as a gap, a repeat, or bytes of another attempt.
@@ -290,8 +297,9 @@
 
 void EntryTraffic::takeChunk(const Call &call, const AnswerChunk &chunk)
 {
-    auto ready = call->answerBegun ? call->assembler.take(chunk.sequence, chunk.bytes)
-                                   : Result<Bytes>(Error{.kind = ErrorKind::StreamBroken, .detail = "chunk before the head"});
+    auto ready = call->answerBegun
+        ? call->assembler.take(chunk.sequence, chunk.bytes)
+        : Result<Bytes>(Error{.kind = ErrorKind::StreamBroken, .detail = "chunk before the head"});
     if (const auto *error = errorIn(ready)) {
         cancelAtTarget(call);
         fail(call, *error);
@@ -350,7 +358,7 @@
     }
 }
 
-void EntryTraffic::attemptFailed(const Call &call, Error error)
+void EntryTraffic::attemptFailed(const Call &call, const Error &error)
 {
     m_journal.note(call->id(), "attempt-failed", call->target, std::string(answerFor(error.kind).name));
     call->tried.insert(call->target);
@@ -358,14 +366,15 @@
     const auto now = std::chrono::steady_clock::now();
     leaveTarget(*call, refused ? Attempt::Succeeded : Attempt::Failed);
     const auto others = candidates(*call);
-    const FailedAttempt failed{.error = error,
-                               .idempotent = call->request.submit.mayRepeat,
-                               .answerBegun = call->answerBegun,
-                               .otherTargets = std::any_of(others.begin(), others.end(),
-                                                           [&](const Target *target) { return isUsable(*target, *call); }),
-                               .attempt = call->attempts,
-                               .deadline = call->deadline,
-                               .expectedDuration = ShortestAttempt};
+    const FailedAttempt failed{
+        .error = error,
+        .idempotent = call->request.submit.mayRepeat,
+        .answerBegun = call->answerBegun,
+        .otherTargets =
+            std::any_of(others.begin(), others.end(), [&](const Target *target) { return isUsable(*target, *call); }),
+        .attempt = call->attempts,
+        .deadline = call->deadline,
+        .expectedDuration = ShortestAttempt};
     const auto decision = m_retries.decide(failed, now, m_random);
     const std::string verdict(textFor(decision.verdict).name);
     m_metrics.counter("heatherridge_retry_verdicts_total", "verdict=\"" + verdict + "\"").add();
@@ -402,7 +411,10 @@
     m_metrics.errors(error.kind).add();
     const std::string kind(answerFor(error.kind).name);
     logEvent(Severity::Info, "request-failed",
-             {{"request", call->id().text()}, {"kind", kind}, {"ran", std::string(toString(error.ranOrDefault()))}, {"detail", error.detail}});
+             {{"request", call->id().text()},
+              {"kind", kind},
+              {"ran", std::string(toString(error.ranOrDefault()))},
+              {"detail", error.detail}});
     if (!call->answerBegun) {
         call->exchange->respond(problemResponse(error, call->id()));
     } else {
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -24,7 +24,8 @@
 class EntryTraffic
 {
 public:
-    struct Options {
+    struct Options
+    {
         ProcessName process{};
         Incarnation incarnation{};
         ZoneName zone{};
@@ -53,7 +54,8 @@
     std::size_t openCalls() const;
 
     /** What is known of every target in the inventory, for the operator. */
-    struct TargetStatus {
+    struct TargetStatus
+    {
         TargetName target{};
         bool isUp = false;
         LoadReport report{};
@@ -75,7 +77,7 @@
     void takeChunk(const Call &call, const AnswerChunk &chunk);
     void takeEnd(const Call &call, const AnswerEnd &end);
     void passOn(const Call &call, const Bytes &bytes);
-    void attemptFailed(const Call &call, Error error);
+    void attemptFailed(const Call &call, const Error &error);
     void finish(const Call &call, const std::string &outcome);
     void fail(const Call &call, const Error &error);
     void cancelAtTarget(const Call &call);
--- a/modules/heatherridge_transport/entry/requestjournal.h
+++ b/modules/heatherridge_transport/entry/requestjournal.h
@@ -12,7 +12,8 @@
 {
 
 /** One thing that happened to a request. */
-struct JournalStep {
+struct JournalStep
+{
     std::chrono::milliseconds since{}; ///< since the request arrived
     std::string event{}; ///< stable name: arrived, placed, refused, retried, answered, ...
     TargetName target{};
@@ -20,7 +21,8 @@
 };
 
 /** What is remembered of one request. */
-struct JournalEntry {
+struct JournalEntry
+{
     SteadyTime arrived{};
     std::string outcome{}; ///< empty while it is open
     std::vector<JournalStep> steps{};
--- a/modules/heatherridge_transport/entry/targetlinks.h
+++ b/modules/heatherridge_transport/entry/targetlinks.h
@@ -13,7 +13,8 @@
 {
 
 /** What the owner of the links is told; on the loop's thread. */
-struct TargetLinkEvents {
+struct TargetLinkEvents
+{
     std::function<void(const TargetName &target, TrafficMessage message)> received{};
     std::function<void(const TargetName &target, const Envelope &envelope)> control{}; ///< frames of other channels
     std::function<void(const TargetName &target)> up{};
@@ -54,7 +55,8 @@
     void close();
 
 private:
-    struct Link {
+    struct Link
+    {
         Endpoint endpoint{};
         std::shared_ptr<PeerSocket> socket{};
         bool isUp = false;
--- a/modules/heatherridge_transport/http/httpserver.cpp
+++ b/modules/heatherridge_transport/http/httpserver.cpp
@@ -197,7 +197,8 @@
 
     static restinio::http_status_line_t statusLine(int status)
     {
-        return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)), "-"};
+        // Callers go by the number; HTTP/1.1 lets the words be anything.
+        return {restinio::http_status_code_t(static_cast<std::uint16_t>(status)), status < 400 ? "OK" : "Error"};
     }
 
     template<typename Builder>
--- a/modules/heatherridge_transport/platform/httplogservice.cpp
+++ b/modules/heatherridge_transport/platform/httplogservice.cpp
@@ -56,7 +56,8 @@
         return unavailable("damaged page", Ran::No);
     }
     CborReader reader(map);
-    LogPage page{.first = static_cast<LogOffset>(reader.number("first")), .last = static_cast<LogOffset>(reader.number("last"))};
+    LogPage page{.first = static_cast<LogOffset>(reader.number("first")),
+                 .last = static_cast<LogOffset>(reader.number("last"))};
     const auto *records = reader.array("records");
     if (!reader.ok()) {
         return unavailable("damaged page", Ran::No);
@@ -85,7 +86,10 @@
     request.headers.push_back({.name = "Content-Type", .value = "application/octet-stream"});
     // A fresh connection: libcurl would repeat an append on its own when a reused one breaks, and a doubled record,
     // though folded once, costs the log's rate.
-    m_client.send({.endpoint = m_options.endpoint, .request = std::move(request), .timeout = m_options.timeout, .reuseConnection = false},
+    m_client.send({.endpoint = m_options.endpoint,
+                   .request = std::move(request),
+                   .timeout = m_options.timeout,
+                   .reuseConnection = false},
                   [done = std::move(done)](const std::variant<HttpResponse, HttpClient::Failure> &result) {
                       if (const auto *failure = std::get_if<HttpClient::Failure>(&result)) {
                           done(unavailable(failure->reason, failure->mayHaveArrived ? Ran::Unknown : Ran::No));
@@ -95,7 +99,8 @@
                   });
 }
 
-void HttpLogService::read(const StreamName &stream, LogOffset from, std::size_t most, std::chrono::milliseconds wait, ReadDone done)
+void HttpLogService::read(const StreamName &stream, LogOffset from, std::size_t most, std::chrono::milliseconds wait,
+                          ReadDone done)
 {
     HttpRequest request{.method = "GET",
                         .path = pathOf(stream),
--- a/modules/heatherridge_transport/platform/httplogservice.h
+++ b/modules/heatherridge_transport/platform/httplogservice.h
@@ -14,7 +14,8 @@
 class HttpLogService final : public LogService
 {
 public:
-    struct Options {
+    struct Options
+    {
         Endpoint endpoint{}; ///< where the platform's log listens
         std::chrono::milliseconds timeout{2000}; ///< for an append, and for a read beyond its waiting time
     };
--- a/modules/heatherridge_transport/target/backendwork.h
+++ b/modules/heatherridge_transport/target/backendwork.h
@@ -11,7 +11,8 @@
 {
 
 /** One request at a target's process, from its arrival to the end of its answer. Owned by TargetTraffic. */
-struct BackendWork {
+struct BackendWork
+{
     SubmitRequest request{};
     std::shared_ptr<PeerSocket> entry{}; ///< where the answer goes; empty once nobody waits for it
     SteadyTime arrived{};
--- a/modules/heatherridge_transport/target/targetserver.cpp
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -21,13 +21,13 @@
                  .incarnation = m_options.incarnation,
                  .logService = m_options.logService},
                 m_metrics)
-    , m_traffic({.target = m_options.target, .incarnation = m_options.incarnation, .listen = m_options.listen}, m_metrics)
+    , m_traffic({.target = m_options.target, .incarnation = m_options.incarnation, .listen = m_options.listen},
+                m_metrics)
 {
     m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) { m_traffic.setView(view); });
-    m_server = std::make_unique<HttpServer>(HttpServer::Options{.listen = m_options.admin},
-                                            [this](const std::shared_ptr<HttpExchange> &exchange) {
-                                                exchange->respond(answer(exchange->request()));
-                                            });
+    m_server = std::make_unique<HttpServer>(
+        HttpServer::Options{.listen = m_options.admin},
+        [this](const std::shared_ptr<HttpExchange> &exchange) { exchange->respond(answer(exchange->request())); });
 }
 
 TargetServer::~TargetServer() = default;
--- a/modules/heatherridge_transport/target/targetserver.h
+++ b/modules/heatherridge_transport/target/targetserver.h
@@ -16,7 +16,8 @@
 class TargetServer
 {
 public:
-    struct Options {
+    struct Options
+    {
         TargetName target{};
         Incarnation incarnation{};
         ZoneName zone{};
@@ -27,7 +28,8 @@
     };
 
     /** Where it serves. */
-    struct Addresses {
+    struct Addresses
+    {
         Endpoint gate{};
         Endpoint admin{};
     };
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -103,9 +103,9 @@
         m_view = view;
         const auto *target = self();
         if (target != nullptr && target->concurrency != hadConcurrency && target->concurrency > 0) {
-            m_limit = std::make_unique<ConcurrencyLimit>(
-                ConcurrencyOptions{.most = static_cast<std::size_t>(target->concurrency),
-                                   .initial = std::min(ConcurrencyOptions{}.initial, static_cast<std::size_t>(target->concurrency))});
+            m_limit = std::make_unique<ConcurrencyLimit>(ConcurrencyOptions{
+                .most = static_cast<std::size_t>(target->concurrency),
+                .initial = std::min(ConcurrencyOptions{}.initial, static_cast<std::size_t>(target->concurrency))});
             m_queue.setLimit(m_limit->limit());
         }
         if (target == nullptr || !m_view->takesWork(*target)) {
@@ -134,8 +134,8 @@
         status = {.load = m_queue.load(), .draining = m_draining};
         for (const auto &[id, work] : m_works) {
             if (work->started) {
-                status.oldestOpen
-                    = std::max(status.oldestOpen, std::chrono::duration_cast<std::chrono::milliseconds>(now - *work->started));
+                status.oldestOpen = std::max(
+                    status.oldestOpen, std::chrono::duration_cast<std::chrono::milliseconds>(now - *work->started));
             }
         }
     });
@@ -169,8 +169,7 @@
     }
     std::visit(Visitor{[&](const SubmitRequest &request) { submit(entry, request, envelope.offset); },
                        [&](const CancelRequest &request) { cancel(request.id); },
-                       [&](const GrantCredit &grant) { credit(grant); },
-                       [&](const auto &) { m_strayFrames.add(); }},
+                       [&](const GrantCredit &grant) { credit(grant); }, [&](const auto &) { m_strayFrames.add(); }},
                std::get<TrafficMessage>(message));
 }
 
@@ -284,7 +283,8 @@
 
 bool TargetTraffic::takeData(const Work &work, std::string_view bytes)
 {
-    send(work->entry, AnswerChunk{.id = work->request.id, .sequence = work->chunks++, .bytes = Bytes(bytes.begin(), bytes.end())});
+    send(work->entry,
+         AnswerChunk{.id = work->request.id, .sequence = work->chunks++, .bytes = Bytes(bytes.begin(), bytes.end())});
     work->sentBytes += bytes.size();
     // Without this bound a slow caller's answer would pile up in the entry, or here.
     work->paused = work->entry != nullptr && work->sentBytes - work->creditedBytes >= m_options.windowBytes;
@@ -457,7 +457,11 @@
 {
     m_metrics.errors(error.kind).add();
     send(entry,
-         AnswerError{.id = id, .kind = error.kind, .ran = error.ranOrDefault(), .retryAfter = error.retryAfter, .detail = error.detail});
+         AnswerError{.id = id,
+                     .kind = error.kind,
+                     .ran = error.ranOrDefault(),
+                     .retryAfter = error.retryAfter,
+                     .detail = error.detail});
 }
 
 void TargetTraffic::send(const Socket &entry, const TrafficMessage &message)
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -26,7 +26,8 @@
 class TargetTraffic
 {
 public:
-    struct Options {
+    struct Options
+    {
         TargetName target{};
         Incarnation incarnation{};
         Endpoint listen{}; ///< for entries
@@ -35,7 +36,8 @@
     };
 
     /** What it is busy with. */
-    struct Status {
+    struct Status
+    {
         AdmissionLoad load{};
         bool draining = false;
         std::chrono::milliseconds oldestOpen{}; ///< how long the oldest running request has been running
@@ -68,7 +70,8 @@
     using Socket = std::shared_ptr<PeerSocket>;
 
     /** A request that relies on a configuration that this process does not have yet. */
-    struct HeldRequest {
+    struct HeldRequest
+    {
         SubmitRequest request{};
         Socket entry{};
         LogOffset needs{};
