--- /dev/null
+++ b/modules/heatherridge_coordination/config/logreader.cpp
@@ -0,0 +1,75 @@
+#include "heatherridge_coordination/config/logreader.h"
+
+namespace Heatherridge
+{
+
+LogReader::LogReader(LogService &service, LogReaderClient &client, RandomSource &random, LogReaderOptions options)
+    : m_service(service)
+    , m_client(client)
+    , m_random(random)
+    , m_options(std::move(options))
+    , m_retryPause(m_options.firstBackoff, m_options.longestBackoff)
+{
+}
+
+void LogReader::setActive(bool active)
+{
+    m_active = active;
+}
+
+void LogReader::tick(SteadyTime now)
+{
+    if (m_failed) {
+        m_failed = false;
+        m_notBefore = now + m_retryPause.draw(m_random);
+    }
+    if (m_active && !m_reading && now >= m_notBefore) {
+        read();
+    }
+}
+
+void LogReader::read()
+{
+    m_reading = true;
+    // The first read, and the first after a failure, does not wait for a new record: what it tells is where the
+    // stream ends, and a process that starts or has been cut off must not stay unconfirmed for a whole long poll.
+    const auto wait = m_reachable.value_or(false) ? m_options.wait : std::chrono::milliseconds(0);
+    m_service.read(m_options.stream, m_client.wantedFrom(), m_options.pageRecords, wait,
+                   [this, alive = std::weak_ptr(m_alive)](const Result<LogPage> &result) {
+                       if (!alive.expired()) {
+                           take(result);
+                       }
+                   });
+}
+
+void LogReader::take(const Result<LogPage> &result)
+{
+    m_reading = false;
+    const auto *page = std::get_if<LogPage>(&result);
+    m_reachable = page != nullptr;
+    if (page == nullptr) {
+        ++m_counters.failures;
+        m_failed = true;
+        return;
+    }
+    ++m_counters.pages;
+    m_retryPause.reset();
+    m_client.takePage(*page);
+    // Reading on at once keeps a change from waiting for the next tick. After an empty page the tick paces the reads,
+    // so that a log that answers at once instead of waiting is not asked in a tight loop.
+    if (m_active && !page->records.empty()) {
+        read();
+    }
+}
+
+std::optional<bool> LogReader::isReachable() const
+{
+    return m_reachable;
+}
+
+const LogReaderCounters &LogReader::counters() const
+{
+    return m_counters;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_coordination/config/logreader.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "heatherridge_coordination/config/retrypause.h"
+#include "heatherridge_coordination/logservice.h"
+
+#include <memory>
+#include <optional>
+
+namespace Heatherridge
+{
+
+/** Who takes what a LogReader reads. */
+class LogReaderClient
+{
+public:
+    virtual ~LogReaderClient() = default;
+
+    /** The next offset to read from. */
+    virtual LogOffset wantedFrom() const = 0;
+
+    /** Takes a page read in answer to wantedFrom(); empty when nothing came within the waiting time. */
+    virtual void takePage(const LogPage &page) = 0;
+};
+
+/** How a LogReader reads. */
+struct LogReaderOptions
+{
+    StreamName stream = ControlStream;
+    std::size_t pageRecords = 64; ///< most records a read
+    std::chrono::milliseconds wait{5'000}; ///< how long the log may hold a read open for a new record
+    std::chrono::milliseconds firstBackoff{100}; ///< pause after the first failure
+    std::chrono::milliseconds longestBackoff{5'000}; ///< bound of the pause, and so of the delay after an outage
+};
+
+/** Reads of a LogReader, by how they ended. */
+struct LogReaderCounters
+{
+    std::uint64_t pages = 0;
+    std::uint64_t failures = 0;
+};
+
+/**
+ * Follows one stream by long polling, one read at a time, with growing pauses while the log fails.
+ *
+ * Does nothing by itself: tick() starts reads that are due. The service and the client must outlive it; answers that
+ * come after its end are dropped. One thread, the one on which the service answers.
+ */
+class LogReader
+{
+public:
+    LogReader(LogService &service, LogReaderClient &client, RandomSource &random, LogReaderOptions options = {});
+
+    /** Whether reads are started; at first they are. A read under way when this is switched off is still taken. */
+    void setActive(bool active);
+
+    /** Starts a read when one is due at @p now. */
+    void tick(SteadyTime now);
+
+    /** Whether the last read that ended was answered; nothing before the first one ended. */
+    std::optional<bool> isReachable() const;
+
+    /** Counters since the start. */
+    const LogReaderCounters &counters() const;
+
+private:
+    void read();
+    void take(const Result<LogPage> &result);
+
+    LogService &m_service;
+    LogReaderClient &m_client;
+    RandomSource &m_random;
+    LogReaderOptions m_options;
+    RetryPause m_retryPause;
+    bool m_active = true;
+    bool m_reading = false;
+    bool m_failed = false; ///< the last read failed and its pause has not been drawn yet
+    std::optional<bool> m_reachable;
+    SteadyTime m_notBefore{};
+    LogReaderCounters m_counters;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< answers hold a weak pointer to it
+};
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_coordination/config/publisher.cpp
@@ -0,0 +1,147 @@
+#include "heatherridge_coordination/config/publisher.h"
+
+#include "heatherridge_protocol/controlrecordcodec.h"
+
+namespace Heatherridge
+{
+
+Publisher::Publisher(LogService &service, RandomSource &random, PublishRequest request, const PublisherOptions &options)
+    : m_service(service)
+    , m_random(random)
+    , m_request(std::move(request))
+    , m_options(options)
+    , m_follower(service, m_replica, random, options.follower)
+    , m_retryPause(options.firstBackoff, options.longestBackoff)
+{
+}
+
+void Publisher::tick(SteadyTime now)
+{
+    if (m_result) {
+        return;
+    }
+    if (!m_deadline) {
+        m_deadline = now + m_options.timeout;
+        if (auto faults = faultsOf(m_request.text); !faults.empty()) {
+            m_result = PublishInvalid{.faults = std::move(faults)};
+            return;
+        }
+    }
+    m_follower.tick(now);
+    if (m_replica.isConfirmed() && settle()) {
+        return;
+    }
+    if (now >= *m_deadline) {
+        if (m_mayHaveEffect || m_appending) {
+            m_result = PublishUnknown{.operation = m_request.operation, .basedOn = m_record->basedOn};
+        } else {
+            m_result = PublishNotSent{.detail = "the log did not answer in time"};
+        }
+        return;
+    }
+    if (m_pause) {
+        m_pause = false;
+        m_notBefore = now + m_retryPause.draw(m_random);
+    }
+    if (m_replica.isConfirmed() && !m_appending && !m_taken && now >= m_notBefore) {
+        if (!m_record) {
+            build();
+        }
+        if (!m_result) {
+            append();
+        }
+    }
+}
+
+std::vector<ConfigFault> Publisher::faultsOf(const std::string &text) const
+{
+    const auto document = IniDocument::parse(text);
+    if (m_request.document == DocumentKind::Inventory) {
+        const auto result = Inventory::fromDocument(document);
+        const auto *faults = std::get_if<std::vector<ConfigFault>>(&result);
+        return faults != nullptr ? *faults : std::vector<ConfigFault>();
+    }
+    const auto result = RuleSet::fromDocument(document);
+    const auto *faults = std::get_if<std::vector<ConfigFault>>(&result);
+    return faults != nullptr ? *faults : std::vector<ConfigFault>();
+}
+
+bool Publisher::settle()
+{
+    const auto *outcome = m_replica.state().outcomeOf(m_request.operation);
+    if (outcome == nullptr) {
+        return false;
+    }
+    if (m_record && outcome->contentHash != contentHash(*m_record)) {
+        m_result = PublishReused{.decidedAt = outcome->decidedAt};
+    } else if (outcome->refusal) {
+        m_result = PublishRefused{.decidedAt = outcome->decidedAt, .refusal = *outcome->refusal};
+    } else {
+        m_result = PublishAccepted{.offset = outcome->decidedAt};
+    }
+    return true;
+}
+
+void Publisher::build()
+{
+    const auto &state = m_replica.state();
+    const auto &current = state.document(m_request.document);
+    Publish record{.document = m_request.document,
+                   .operation = m_request.operation,
+                   .basedOn = m_request.basedOn.value_or(state.offset())};
+    auto change = current.changeTo(m_request.text);
+    if (change && change->put.empty() && change->removed.empty()) {
+        m_result = PublishUnchanged{.offset = current.image().changedAt};
+        return;
+    }
+    if (change && change->put.size() < m_request.text.size()) {
+        record.content = *std::move(change);
+    } else {
+        record.content = WholeDocument{.text = m_request.text};
+    }
+    m_record = std::move(record);
+}
+
+void Publisher::append()
+{
+    m_appending = true;
+    ++m_counters.appends;
+    m_service.append(ControlStream, encodeControlRecord(*m_record),
+                     [this, alive = std::weak_ptr(m_alive)](const Result<LogOffset> &result) {
+                         if (!alive.expired()) {
+                             takeAppended(result);
+                         }
+                     });
+}
+
+void Publisher::takeAppended(const Result<LogOffset> &result)
+{
+    m_appending = false;
+    const auto *error = errorIn(result);
+    if (error == nullptr) {
+        m_mayHaveEffect = true;
+        m_taken = true;
+        return;
+    }
+    m_pause = true;
+    if (error->ran == Ran::No) {
+        ++m_counters.failedAppends;
+    } else {
+        // The reply was lost, perhaps after the record was taken. The pause lets the follower read it first; should it
+        // turn up only after the second append, the fold counts one of the two.
+        ++m_counters.lostReplies;
+        m_mayHaveEffect = true;
+    }
+}
+
+const std::optional<PublishResult> &Publisher::result() const
+{
+    return m_result;
+}
+
+const PublisherCounters &Publisher::counters() const
+{
+    return m_counters;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_coordination/config/snapshotwriter.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "heatherridge_coordination/config/configreplica.h"
+#include "heatherridge_coordination/config/retrypause.h"
+#include "heatherridge_coordination/logservice.h"
+
+#include <memory>
+#include <optional>
+
+namespace Heatherridge
+{
+
+/** When snapshots are written. */
+struct SnapshotWriterOptions
+{
+    std::uint64_t recordsBetween = 200; ///< a newcomer folds at most about so many records after the snapshot
+    std::chrono::milliseconds interval{std::chrono::minutes(30)}; ///< well below the log's retention time
+    std::chrono::milliseconds stagger{2'000}; ///< the process of rank N waits N times this after a snapshot is due
+    std::chrono::milliseconds firstBackoff{1'000};
+    std::chrono::milliseconds longestBackoff{30'000};
+};
+
+/** Snapshots of one process, by how they ended. */
+struct SnapshotWriterCounters
+{
+    std::uint64_t written = 0;
+    std::uint64_t abandoned = 0; ///< an append failed; the parts so far stay behind as a torn snapshot
+};
+
+/**
+ * Writes the folded state to the snapshot stream before the records that it covers expire.
+ *
+ * Nobody is chosen for it: each process that follows the log notices that a snapshot is due and writes one after a
+ * delay that grows with its rank, unless another's has been announced by then. Two at once are harmless. A process
+ * whose state is unconfirmed writes none. The service must outlive it. One thread.
+ */
+class SnapshotWriter
+{
+public:
+    SnapshotWriter(LogService &service, RandomSource &random, SnapshotWriterOptions options = {});
+
+    /** Begins a snapshot when one is due at @p now. @p rank is this process's place among those that may write. */
+    void tick(SteadyTime now, const ConfigReplica &replica, std::size_t rank);
+
+    /** Whether a snapshot is being written. */
+    bool isWriting() const;
+
+    /** Counters since the start. */
+    const SnapshotWriterCounters &counters() const;
+
+private:
+    bool isDue(SteadyTime now, const ConfigReplica &replica);
+    void begin(const ConfigState &state);
+    void appendNext();
+    void abandon();
+
+    LogService &m_service;
+    RandomSource &m_random;
+    SnapshotWriterOptions m_options;
+    RetryPause m_retryPause;
+    std::optional<LogOffset> m_lastCovers; ///< of the snapshot announced when this was last looked at
+    SteadyTime m_announcedAt{}; ///< when it was first seen here
+    std::optional<SteadyTime> m_dueSince;
+    SteadyTime m_notBefore{};
+    bool m_pause = false; ///< a pause has to be drawn before the next snapshot
+    std::vector<Bytes> m_payloads; ///< parts still to append, in reverse
+    SnapshotTaken m_announcement;
+    bool m_writing = false;
+    SnapshotWriterCounters m_counters;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+} // namespace Heatherridge
--- a/modules/heatherridge_coordination/heatherridge_coordination.h
+++ b/modules/heatherridge_coordination/heatherridge_coordination.h
@@ -10,4 +10,6 @@
  * Dependencies: heatherridge_protocol, heatherridge_state.
  */
 
+#include "heatherridge_coordination/config/publisher.h"
+#include "heatherridge_coordination/config/snapshotwriter.h"
 #include "heatherridge_coordination/logservice.h"
--- a/modules/heatherridge_state/heatherridge_state.h
+++ b/modules/heatherridge_state/heatherridge_state.h
@@ -18,7 +18,6 @@
 #include "heatherridge_state/config/inventory.h"
 #include "heatherridge_state/config/ruleset.h"
 #include "heatherridge_state/config/sectionreader.h"
-#include "heatherridge_state/fold/configstate.h"
 #include "heatherridge_state/decisions/admissionqueue.h"
 #include "heatherridge_state/decisions/backoff.h"
 #include "heatherridge_state/decisions/concurrencylimit.h"
@@ -29,3 +28,4 @@
 #include "heatherridge_state/decisions/prefixindex.h"
 #include "heatherridge_state/decisions/retrypolicy.h"
 #include "heatherridge_state/decisions/subsetselection.h"
+#include "heatherridge_state/fold/configstate.h"
