--- a/modules/heatherridge_coordination/heatherridge_coordination.h
+++ b/modules/heatherridge_coordination/heatherridge_coordination.h
@@ -10,6 +10,7 @@
  * Dependencies: heatherridge_protocol, heatherridge_state.
  */
 
+#include "heatherridge_coordination/answers/answerassembler.h"
 #include "heatherridge_coordination/config/publisher.h"
 #include "heatherridge_coordination/config/snapshotwriter.h"
 #include "heatherridge_coordination/logservice.h"
