--- a/modules/heatherridge_coordination/heatherridge_coordination.h
+++ b/modules/heatherridge_coordination/heatherridge_coordination.h
@@ -12,4 +12,6 @@
 
 #include "heatherridge_coordination/answers/answerassembler.h"
 #include "heatherridge_coordination/answers/resumepoint.h"
+#include "heatherridge_coordination/config/publisher.h"
+#include "heatherridge_coordination/config/snapshotwriter.h"
 #include "heatherridge_coordination/logservice.h"
