Run the stand-ins on the transport's event loop; let the log hang after an append

The stand-ins had a loop of their own of the same name as the transport's, which a program may not hold twice. The transport's takes delays in microseconds now, since a step of the engine is measured in them.

hang-after-append: the first append takes effect and nothing is answered any more, the case in which a publisher can know nothing.

--- a/extras/heatherridge-standin/logstandin.cpp
+++ b/extras/heatherridge-standin/logstandin.cpp
@@ -18,7 +18,10 @@
 
 LogStandIn::LogStandIn(EventLoop &loop)
     : StandIn(loop,
-              {{.name = "out", .value = 0, .meaning = "1: every request is answered 503 at once"},
+              {{.name = "hang-after-append",
+                .value = 0,
+                .meaning = "1: the first append takes effect, and from it on nothing is answered"},
+               {.name = "out", .value = 0, .meaning = "1: every request is answered 503 at once"},
                {.name = "hang", .value = 0, .meaning = "1: requests are taken and never answered"},
                {.name = "slow-ms", .value = 0, .meaning = "milliseconds before a request is looked at"},
                {.name = "lose-reply",
@@ -81,7 +84,10 @@
     const auto offset = stream.append(exchange->request().body, now);
     stream.expire(retention(), now);
     count("appends");
-    if (const auto lost = fault("lose-reply"); lost != 0) {
+    if (fault("hang-after-append") != 0) {
+        faults().set({{"hang", 1}});
+        m_held.push_back(exchange);
+    } else if (const auto lost = fault("lose-reply"); lost != 0) {
         count("replies-lost");
         exchange->abort();
         if (lost > 0) {
@@ -108,7 +114,9 @@
     }
     m_waiters[name].push_back(waiter);
     loop().after(std::chrono::milliseconds(wait), [this, name, waiter] {
-        if (waiter->exchange) {
+        if (waiter->exchange && fault("hang") != 0) {
+            m_held.push_back(waiter->exchange);
+        } else if (waiter->exchange) {
             answer(name, *waiter);
             waiter->exchange.reset();
         }
@@ -126,6 +134,9 @@
 
 void LogStandIn::wake(const std::string &name)
 {
+    if (fault("hang") != 0) {
+        return;
+    }
     for (const auto &waiter : std::exchange(m_waiters[name], {})) {
         answer(name, *waiter);
         waiter->exchange.reset();
--- a/extras/heatherridge-standin/main.cpp
+++ b/extras/heatherridge-standin/main.cpp
@@ -1,5 +1,5 @@
 #include "enginestandin.h"
-#include "eventloop.h"
+#include "heatherridge_transport/app/eventloop.h"
 #include "hoststandin.h"
 #include "logstandin.h"
 #include "plainstandin.h"
--- a/extras/heatherridge-standin/standin.h
+++ b/extras/heatherridge-standin/standin.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "eventloop.h"
 #include "faultswitches.h"
+#include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/http/httpserver.h"
 
 #include <chrono>
--- a/modules/heatherridge_transport/app/eventloop.cpp
+++ b/modules/heatherridge_transport/app/eventloop.cpp
@@ -86,7 +86,7 @@
     post([ticker] { ticker->arm(); });
 }
 
-void EventLoop::after(std::chrono::milliseconds delay, std::function<void()> task)
+void EventLoop::after(std::chrono::microseconds delay, std::function<void()> task)
 {
     auto timer = std::make_shared<asio::steady_timer>(m_implementation->context, delay);
     timer->async_wait([timer, task = std::move(task)](const asio::error_code &error) {
--- a/modules/heatherridge_transport/app/eventloop.h
+++ b/modules/heatherridge_transport/app/eventloop.h
@@ -41,7 +41,7 @@
     void every(std::chrono::milliseconds period, std::function<void()> task);
 
     /** Runs @p task on the loop's thread after @p delay, unless the loop stops before. Any thread. */
-    void after(std::chrono::milliseconds delay, std::function<void()> task);
+    void after(std::chrono::microseconds delay, std::function<void()> task);
 
     /** Runs @p task on the loop's thread and waits for it. Not from the loop's own thread. */
     void run(const std::function<void()> &task);
