--- /dev/null
+++ b/extras/heatherridge/admincommands.cpp
@@ -0,0 +1,170 @@
+#include "admincommands.h"
+
+#include "adminquery.h"
+#include "logsession.h"
+#include "texttable.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr int StatusOk = 200;
+
+/** The field @p key of @p map as text; "-" when absent. */
+std::string cell(const nlohmann::json &map, const char *key)
+{
+    const auto field = map.find(key);
+    if (field == map.end() || field->is_null()) {
+        return "-";
+    }
+    return field->is_string() ? field->get<std::string>() : field->dump();
+}
+
+std::uint64_t numberAt(const nlohmann::json &map, const char *key)
+{
+    const auto field = map.find(key);
+    return field != map.end() && field->is_number_unsigned() ? field->get<std::uint64_t>() : 0;
+}
+
+bool isUsable(const AdminAnswer &answer)
+{
+    return answer.status == StatusOk && answer.body.is_object();
+}
+
+std::string whyNot(const AdminAnswer &answer)
+{
+    return answer.status == 0 ? answer.failure : "status " + std::to_string(answer.status);
+}
+
+/** The highest offset that anyone is known to have folded. */
+std::uint64_t newestOffset(const std::optional<InForce> &log, const std::vector<AdminAnswer> &answers)
+{
+    auto newest = log ? toNumber(log->offset) : 0;
+    for (const auto &answer : answers) {
+        if (isUsable(answer)) {
+            newest = std::max(newest, numberAt(answer.body, "offset"));
+        }
+    }
+    return newest;
+}
+
+void reportLog(const std::optional<InForce> &log, Report &report)
+{
+    if (!log) {
+        report.text = "log: not reachable\n";
+        report.json["log"] = nullptr;
+        return;
+    }
+    report.text = "log: offset " + std::to_string(toNumber(log->offset)) + ", inventory in force since "
+        + std::to_string(toNumber(log->inventoryOffset)) + " (" + std::to_string(log->inventory->targets().size())
+        + " targets), rules since " + std::to_string(toNumber(log->rulesOffset)) + " ("
+        + std::to_string(log->rules->workspaces().size()) + " workspaces)\n";
+    report.json["log"] = {{"offset", toNumber(log->offset)},
+                          {"inventory_offset", toNumber(log->inventoryOffset)},
+                          {"rules_offset", toNumber(log->rulesOffset)},
+                          {"digest", toNumber(log->digest)},
+                          {"targets", log->inventory->targets().size()},
+                          {"workspaces", log->rules->workspaces().size()}};
+}
+
+std::string escaped(std::string_view text)
+{
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string result;
+    for (const unsigned char letter : text) {
+        if (std::isalnum(letter) != 0 || letter == '-' || letter == '_' || letter == '.') {
+            result += static_cast<char>(letter);
+        } else {
+            result += '%';
+            result += digits[letter >> 4U];
+            result += digits[letter & 0xFU];
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+Report runStatus(const CommandLine &line)
+{
+    std::optional<InForce> log;
+    if (line.log) {
+        log = LogSession(*line.log, line.timeout).inForce();
+    }
+    const auto answers = askAll(line.processes, "/admin/status", {}, line.timeout);
+    const auto newest = newestOffset(log, answers);
+    Report report{.code = ExitCode::Unreachable};
+    if (line.log) {
+        reportLog(log, report);
+    }
+    TextTable table({"PROCESS", "ROLE", "ZONE", "OFFSET", "LAG", "INVENTORY", "RULES", "DIGEST", "LOG", "ADDRESS"});
+    auto list = nlohmann::json::array();
+    for (const auto &answer : answers) {
+        const auto address = toString(answer.process);
+        if (!isUsable(answer)) {
+            table.add({"?", whyNot(answer), "", "", "", "", "", "", "", address});
+            list.push_back({{"address", address}, {"failure", whyNot(answer)}});
+            continue;
+        }
+        report.code = ExitCode::Done;
+        const auto lag = newest - numberAt(answer.body, "offset");
+        table.add({cell(answer.body, "process"), cell(answer.body, "role"), cell(answer.body, "zone"),
+                   cell(answer.body, "offset"), std::to_string(lag), cell(answer.body, "inventory_offset"),
+                   cell(answer.body, "rules_offset"), cell(answer.body, "digest"), cell(answer.body, "log"), address});
+        auto entry = answer.body;
+        entry["address"] = address;
+        entry["lag"] = lag;
+        list.push_back(std::move(entry));
+    }
+    report.text += table.text();
+    report.json["processes"] = std::move(list);
+    return report;
+}
+
+Report runTargets(const CommandLine &line)
+{
+    const auto answers = askAll(line.processes, "/admin/targets", {}, line.timeout);
+    const auto answer = std::find_if(answers.begin(), answers.end(), [](const AdminAnswer &candidate) {
+        return isUsable(candidate) && candidate.body.contains("targets") && candidate.body["targets"].is_array();
+    });
+    if (answer == answers.end()) {
+        return {.code = ExitCode::Unreachable,
+                .text = "no process told its targets: " + whyNot(answers.front()) + "\n",
+                .json = {{"result", "unreachable"}}};
+    }
+    TextTable table({"TARGET", "SERVICE", "ZONE", "STATE", "RUNNING", "WAITING", "LIMIT", "OFFSET"});
+    for (const auto &target : answer->body["targets"]) {
+        table.add({cell(target, "target"), cell(target, "service"), cell(target, "zone"), cell(target, "state"),
+                   cell(target, "running"), cell(target, "waiting"), cell(target, "limit"), cell(target, "offset")});
+    }
+    return {.text = table.text(), .json = answer->body};
+}
+
+Report runExplain(const ExplainCommand &command, const CommandLine &line)
+{
+    const auto &request = command.request.text();
+    const auto answers = askAll(line.processes, "/admin/explain", "request=" + escaped(request), line.timeout);
+    const auto answer = std::find_if(answers.begin(), answers.end(), isUsable);
+    if (answer == answers.end()) {
+        const bool anyAnswered = std::any_of(answers.begin(), answers.end(),
+                                             [](const AdminAnswer &candidate) { return candidate.status != 0; });
+        return {.code = anyAnswered ? ExitCode::NotFound : ExitCode::Unreachable,
+                .text = request + ": " + (anyAnswered ? "no process that was asked knows it" : whyNot(answers.front()))
+                    + "\n",
+                .json = {{"result", anyAnswered ? "not-found" : "unreachable"}, {"request", request}}};
+    }
+    TextTable table({"MS", "EVENT", "TARGET", "REASON"});
+    if (const auto steps = answer->body.find("steps"); steps != answer->body.end() && steps->is_array()) {
+        for (const auto &step : *steps) {
+            table.add({cell(step, "ms"), cell(step, "event"), cell(step, "target"), cell(step, "reason")});
+        }
+    }
+    return {.text = request + ": " + cell(answer->body, "outcome") + "\n" + table.text(), .json = answer->body};
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/extras/heatherridge/adminquery.cpp
@@ -0,0 +1,65 @@
+#include "adminquery.h"
+
+#include "heatherridge_transport/app/eventloop.h"
+#include "heatherridge_transport/http/httpclient.h"
+
+#include <future>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::size_t MostAnswerBytes = 64UL << 20U;
+
+void fill(AdminAnswer &answer, const std::variant<HttpResponse, HttpClient::Failure> &result)
+{
+    if (const auto *failure = std::get_if<HttpClient::Failure>(&result)) {
+        answer.failure = failure->reason;
+        return;
+    }
+    const auto &response = std::get<HttpResponse>(result);
+    answer.status = response.status;
+    if (auto body = nlohmann::json::parse(response.body, nullptr, false); !body.is_discarded()) {
+        answer.body = std::move(body);
+    }
+}
+
+} // namespace
+
+std::vector<AdminAnswer> askAll(const std::vector<Endpoint> &processes, const std::string &path,
+                                const std::string &query, std::chrono::milliseconds timeout)
+{
+    std::vector<AdminAnswer> answers;
+    answers.reserve(processes.size());
+    for (const auto &process : processes) {
+        answers.push_back({.process = process});
+    }
+    std::size_t left = answers.size();
+    std::promise<void> done;
+    EventLoop loop;
+    HttpClient client(loop.context(), {});
+    loop.post([&] {
+        for (auto &answer : answers) {
+            HttpClient::Call call{.endpoint = answer.process,
+                                  .request = {.method = "GET", .path = path, .query = query},
+                                  .timeout = timeout};
+            client.send(
+                std::move(call),
+                [&](const std::variant<HttpResponse, HttpClient::Failure> &result) {
+                    fill(answer, result);
+                    if (--left == 0) {
+                        done.set_value();
+                    }
+                },
+                MostAnswerBytes);
+        }
+    });
+    loop.start();
+    done.get_future().wait();
+    loop.stop();
+    return answers;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/extras/heatherridge/commandline.cpp
@@ -0,0 +1,231 @@
+#include "commandline.h"
+
+#include "heatherridge_state/config/sectionreader.h"
+#include "textfile.h"
+
+#include <boost/program_options.hpp>
+
+#include <sstream>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+namespace Options = boost::program_options;
+
+constexpr std::chrono::milliseconds ShortestTimeout{100};
+constexpr std::chrono::milliseconds LongestTimeout{600'000};
+
+constexpr const char *Usage = R"(usage: heatherridge [options] COMMAND
+
+commands:
+  publish inventory FILE   put an inventory in force
+  publish rules FILE       put a rule set in force
+  check FILE               tell all faults of a document, without publishing it
+  status                   what is in force, at which offset, in which process, and who lags
+  targets                  the state of each target
+  explain REQUEST-ID       why a request was placed, refused or repeated
+  drain TARGET             plan a stop: the target finishes its work and gets none
+
+)";
+
+constexpr const char *ExitCodes = R"(
+exit codes: 0 done, 1 refused, 2 wrong command line, 3 faults in a document,
+            4 outcome unknown (run again with --operation), 5 not reachable, 6 no such target or request
+)";
+
+/** Raised within this file for a command line that cannot be carried out. */
+struct UsageFault
+{
+    std::string reason{};
+};
+
+Options::options_description describe()
+{
+    Options::options_description description("options");
+    description.add_options()("help", "print this and exit")("version", "print the version and exit")(
+        "json", "print JSON")("settings", Options::value<std::string>()->value_name("FILE"),
+                              "INI with [operator]: log = ADDRESS:PORT, processes = list, timeout-ms")(
+        "log", Options::value<std::string>()->value_name("ADDRESS:PORT"), "the platform's log service")(
+        "process", Options::value<std::vector<std::string>>()->value_name("ADDRESS:PORT")->default_value({}, ""),
+        "administration interface of an entry or target process; may stand several times")(
+        "operation", Options::value<std::string>()->value_name("ID"), "run a publish again whose outcome was unknown")(
+        "based-on", Options::value<std::uint64_t>()->value_name("OFFSET"),
+        "refuse the publish if what it changes was changed after this offset")(
+        "timeout-ms", Options::value<long long>()->value_name("MS"), "until the command gives up; default 30000")(
+        "as", Options::value<std::string>()->value_name("KIND"), "with check: inventory or rules");
+    return description;
+}
+
+Endpoint endpointFrom(const std::string &text)
+{
+    const auto endpoint = parseEndpoint(text);
+    if (!endpoint) {
+        throw UsageFault{"'" + text + "' is not an IP number, a colon and a port"};
+    }
+    return *endpoint;
+}
+
+DocumentKind kindFrom(const std::string &word)
+{
+    for (const auto kind : {DocumentKind::Inventory, DocumentKind::Rules}) {
+        if (word == toString(kind)) {
+            return kind;
+        }
+    }
+    throw UsageFault{"'" + word + "' is neither 'inventory' nor 'rules'"};
+}
+
+Command commandFrom(const std::vector<std::string> &words, const Options::variables_map &values)
+{
+    const auto is = [&words](std::string_view name, std::size_t count) {
+        return words.size() == count && words.front() == name;
+    };
+    if (is("publish", 3)) {
+        return PublishCommand{.document = kindFrom(words[1]), .file = words[2]};
+    }
+    if (is("check", 2)) {
+        CheckCommand check{.file = words[1]};
+        if (values.count("as") != 0) {
+            check.document = kindFrom(values["as"].as<std::string>());
+        }
+        return check;
+    }
+    if (is("status", 1)) {
+        return StatusCommand{};
+    }
+    if (is("targets", 1)) {
+        return TargetsCommand{};
+    }
+    if (is("explain", 2)) {
+        return ExplainCommand{.request = RequestId(words[1])};
+    }
+    if (is("drain", 2)) {
+        return DrainCommand{.target = TargetName(words[1])};
+    }
+    throw UsageFault{words.empty() ? "no command" : "'" + words.front() + "' with these arguments is no command"};
+}
+
+/** Takes the defaults from the settings file; options on the command line go before them. */
+void readSettings(const std::string &path, CommandLine &line)
+{
+    const auto text = readTextFile(path);
+    if (!text) {
+        throw UsageFault{path + ": cannot be read"};
+    }
+    const auto document = IniDocument::parse(*text);
+    auto faults = document.faults();
+    for (const auto &section : document.sections()) {
+        if (section.kind != "operator" || !section.name.empty()) {
+            faults.push_back({.line = section.line, .reason = "the only section is [operator]"});
+            continue;
+        }
+        SectionReader reader(section, faults);
+        const auto endpoints = [&](std::string_view key) {
+            std::vector<Endpoint> found;
+            for (const auto &word : reader.list(key)) {
+                if (const auto endpoint = parseEndpoint(word)) {
+                    found.push_back(*endpoint);
+                } else {
+                    reader.fault(key, "'" + word + "' is not an IP number, a colon and a port");
+                }
+            }
+            return found;
+        };
+        if (const auto log = endpoints("log"); !log.empty()) {
+            line.log = log.front();
+        }
+        line.processes = endpoints("processes");
+        line.timeout = reader.duration("timeout-ms", line.timeout, ShortestTimeout, LongestTimeout);
+        reader.finish();
+    }
+    if (!faults.empty()) {
+        throw UsageFault{path + ":" + std::to_string(faults.front().line) + ": " + faults.front().reason};
+    }
+}
+
+CommandLine lineFrom(const Options::variables_map &values, const std::vector<std::string> &words)
+{
+    CommandLine line;
+    if (values.count("settings") != 0) {
+        readSettings(values["settings"].as<std::string>(), line);
+    }
+    line.command = commandFrom(words, values);
+    line.json = values.count("json") != 0;
+    if (values.count("log") != 0) {
+        line.log = endpointFrom(values["log"].as<std::string>());
+    }
+    if (const auto &processes = values["process"].as<std::vector<std::string>>(); !processes.empty()) {
+        line.processes.clear();
+        for (const auto &process : processes) {
+            line.processes.push_back(endpointFrom(process));
+        }
+    }
+    if (values.count("operation") != 0) {
+        line.operation = OperationId(values["operation"].as<std::string>());
+    }
+    if (values.count("based-on") != 0) {
+        line.basedOn = LogOffset{values["based-on"].as<std::uint64_t>()};
+    }
+    if (values.count("timeout-ms") != 0) {
+        line.timeout = std::chrono::milliseconds(values["timeout-ms"].as<long long>());
+        if (line.timeout < ShortestTimeout || line.timeout > LongestTimeout) {
+            throw UsageFault{"--timeout-ms must be from 100 to 600000"};
+        }
+    }
+    return line;
+}
+
+void checkAddresses(const CommandLine &line)
+{
+    const auto needsLog = [&line] {
+        if (!line.log) {
+            throw UsageFault{"this command needs --log"};
+        }
+    };
+    const auto needsProcess = [&line] {
+        if (line.processes.empty()) {
+            throw UsageFault{"this command needs --process"};
+        }
+    };
+    std::visit(Visitor{[&](const PublishCommand &) { needsLog(); }, [&](const DrainCommand &) { needsLog(); },
+                       [&](const CheckCommand &) {}, [&](const StatusCommand &) { needsProcess(); },
+                       [&](const TargetsCommand &) { needsProcess(); },
+                       [&](const ExplainCommand &) { needsProcess(); }},
+               line.command);
+}
+
+} // namespace
+
+std::variant<CommandLine, CommandLineStop> parseCommandLine(const std::vector<std::string> &arguments)
+{
+    const auto visible = describe();
+    try {
+        Options::options_description all;
+        all.add(visible).add_options()("words", Options::value<std::vector<std::string>>()->default_value({}, ""));
+        Options::positional_options_description positional;
+        positional.add("words", -1);
+        Options::variables_map values;
+        Options::store(Options::command_line_parser(arguments).options(all).positional(positional).run(), values);
+        if (values.count("help") != 0) {
+            std::ostringstream help;
+            help << Usage << visible << ExitCodes;
+            return CommandLineStop{.text = help.str()};
+        }
+        if (values.count("version") != 0) {
+            return CommandLineStop{.text = std::string("heatherridge ") + HEATHERRIDGE_VERSION + "\n"};
+        }
+        auto line = lineFrom(values, values["words"].as<std::vector<std::string>>());
+        checkAddresses(line);
+        return line;
+    } catch (const UsageFault &fault) {
+        return CommandLineStop{.isFault = true, .text = "heatherridge: " + fault.reason + "; see --help\n"};
+    } catch (const Options::error &error) {
+        return CommandLineStop{.isFault = true,
+                               .text = std::string("heatherridge: ") + error.what() + "; see --help\n"};
+    }
+}
+
+} // namespace Heatherridge
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -52,11 +52,13 @@
     }
     ::close(ends[1]);
     m_output = ends[0];
-    std::string line;
-    do {
-        line = readLine();
-    } while (!line.empty() && line.rfind("ready ", 0) != 0);
-    m_endpoints = endpointsIn(line);
+    for (auto line = readLine(); !line.empty(); line = readLine()) {
+        if (line.rfind("ready ", 0) == 0) {
+            m_endpoints = endpointsIn(line);
+            break;
+        }
+        m_early += line;
+    }
 }
 
 ChildProcess::~ChildProcess()
@@ -97,7 +99,7 @@
 
 std::string ChildProcess::output()
 {
-    std::string text;
+    auto text = m_early;
     char buffer[4096];
     for (ssize_t got = 0; (got = ::read(m_output, buffer, sizeof buffer)) > 0;) {
         text.append(buffer, static_cast<std::size_t>(got));
@@ -105,7 +107,7 @@
     return text;
 }
 
-std::string ChildProcess::readLine()
+std::string ChildProcess::readLine() const
 {
     std::string line;
     for (char letter = 0; ::read(m_output, &letter, 1) == 1;) {
@@ -117,4 +119,11 @@
     return line;
 }
 
+ProgramRun runProgram(const std::string &program, const std::vector<std::string> &arguments)
+{
+    ChildProcess process(program, arguments);
+    auto output = process.output();
+    return {.exitCode = process.wait(), .output = std::move(output)};
+}
+
 } // namespace Heatherridge
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -38,15 +38,26 @@
     /** Waits for the end of the program. @returns its exit code, or minus the signal that ended it. */
     int wait();
 
-    /** The rest of what the program writes to its standard output; returns at its end. */
+    /** What the program writes to its standard output, but for a ready line; returns at its end. */
     std::string output();
 
 private:
-    std::string readLine();
+    std::string readLine() const;
 
     pid_t m_id = 0; // 0 once waited for
     int m_output = -1;
+    std::string m_early; // lines that came before the ready line, or in its place
     std::vector<Endpoint> m_endpoints;
 };
 
+/** How a program ended and what it wrote to its standard output. */
+struct ProgramRun
+{
+    int exitCode = 0; ///< or minus the signal that ended it
+    std::string output{};
+};
+
+/** Runs the program named @p program of the build to its end. */
+ProgramRun runProgram(const std::string &program, const std::vector<std::string> &arguments);
+
 } // namespace Heatherridge
