Go on with a broken stream at another target

Cause: when the process beside an engine died, the entry ended the streams that had begun there as broken, though chat answers may be repeated and engines resume at a token.

Change: the entry splits a streamed answer into events and passes on whole ones; when its target is lost it asks another to start some tokens before the last one passed on, compares the repeated ones and goes on behind them.

--- a/modules/heatherridge_state/decisions/retrypolicy.cpp
+++ b/modules/heatherridge_state/decisions/retrypolicy.cpp
@@ -77,7 +77,9 @@
     const auto wish = failed.otherTargets ? std::nullopt : failed.error.retryAfter;
     const auto delay = m_backoff.delay(failed.attempt, wish, random);
     const auto verdict = verdictOf(failed, delay, now);
-    if (verdict == RetryVerdict::Retry && !m_budget.tryTake()) {
+    // What a resumed stream has received is not made again, so that a lost target adds no work that a budget has to
+    // bound; without this the streams of a target with more callers than the budget holds would all break at its loss.
+    if (verdict == RetryVerdict::Retry && !failed.resumes && !m_budget.tryTake()) {
         return {.verdict = RetryVerdict::BudgetSpent};
     }
     return {.verdict = verdict, .delay = verdict == RetryVerdict::Retry ? delay : std::chrono::milliseconds(0)};
@@ -86,13 +88,13 @@
 RetryVerdict RetryPolicy::verdictOf(const FailedAttempt &failed, std::chrono::milliseconds delay, SteadyTime now) const
 {
     const bool didNotRun = failed.error.ranOrDefault() == Ran::No;
-    if (failed.answerBegun || (!didNotRun && !failed.idempotent)) {
+    if ((failed.answerBegun && !failed.resumes) || (!didNotRun && !failed.idempotent)) {
         return RetryVerdict::MayHaveRun;
     }
     if (!canEndOtherwise(failed.error.kind)) {
         return RetryVerdict::NotHelpful;
     }
-    if (failed.attempt + 1 >= m_options.mostAttempts) {
+    if (failed.attempt + 1 >= (failed.resumes ? m_options.mostResumeAttempts : m_options.mostAttempts)) {
         return RetryVerdict::AttemptsSpent;
     }
     if (now + delay + failed.expectedDuration > failed.deadline) {
--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -2,11 +2,13 @@
 
 #include "heatherridge_coordination/heatherridge_coordination.h"
 #include "heatherridge_transport/entry/callerrequest.h"
+#include "heatherridge_transport/entry/streamresume.h"
 #include "heatherridge_transport/http/httpserver.h"
 
 #include <asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace Heatherridge
@@ -27,6 +29,15 @@
     bool answerBegun = false; ///< the caller has the head
     AnswerAssembler assembler{AnswerAssembler::Options{}};
 
+    std::optional<StreamResume> resume{}; ///< for an answer that another target can go on with
+
+    /** Makes ready for an attempt that goes on behind what the caller has. Only when there is a resume. */
+    void beginResume()
+    {
+        assembler = AnswerAssembler(AnswerAssembler::Options{});
+        request.submit.body = withResumeFrom(request.submit.body, resume->beginResume());
+    }
+
     const RequestId &id() const
     {
         return request.submit.id;
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -287,10 +287,16 @@
 void EntryTraffic::takeHead(const Call &call, const AnswerHead &head)
 {
     if (call->answerBegun) {
-        m_strayFrames.add();
+        if (call->resume && !isEventStream(head)) {
+            cancelAtTarget(call);
+            attemptFailed(call, Error{.kind = ErrorKind::StreamBroken, .detail = "the stream was not resumed"});
+        }
         return;
     }
     call->answerBegun = true;
+    if (call->request.streams && call->request.submit.mayRepeat && isEventStream(head)) {
+        call->resume.emplace();
+    }
     m_firstByte.record(microsecondsSince(call->arrived));
     call->exchange->beginStream(head.status, passedBackHeaders(head));
 }
@@ -305,7 +311,21 @@
         fail(call, *error);
         return;
     }
-    passOn(call, std::get<Bytes>(ready));
+    if (call->resume) {
+        auto events = call->resume->take(std::get<Bytes>(ready));
+        if (const auto *error = errorIn(events)) {
+            cancelAtTarget(call);
+            fail(call, *error);
+            return;
+        }
+        const auto &taken = std::get<StreamBytes>(events);
+        if (taken.repeated > 0) {
+            m_links->send(call->target, GrantCredit{.id = call->id(), .bytes = taken.repeated});
+        }
+        passOn(call, taken.passOn);
+    } else {
+        passOn(call, std::get<Bytes>(ready));
+    }
     if (call->assembler.isComplete()) {
         finish(call, "answered");
     }
@@ -370,6 +390,7 @@
         .error = error,
         .idempotent = call->request.submit.mayRepeat,
         .answerBegun = call->answerBegun,
+        .resumes = call->resume.has_value(),
         .otherTargets =
             std::any_of(others.begin(), others.end(), [&](const Target *target) { return isUsable(*target, *call); }),
         .attempt = call->attempts,
@@ -382,7 +403,11 @@
         fail(call, error);
         return;
     }
-    m_journal.note(call->id(), "retry", {}, verdict);
+    m_journal.note(call->id(), "retry", {}, call->resume ? "resumed" : verdict);
+    if (call->resume) {
+        m_metrics.counter("heatherridge_streams_resumed_total").add();
+        call->beginResume();
+    }
     if (!failed.otherTargets) {
         call->tried.clear();
     }
