Gather an answer's chunks while a write to the caller is under way

Cause, by perf on the entry at 50,000 tokens a second: each token cost a write of its own, two changes of thread, and a frame of credit to the target.

Change: chunks that come during a write leave together in the next; a lone one still leaves at once. An end before the head now breaks the answer instead of ending one that has not begun.

--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_coordination/heatherridge_coordination.h"
 #include "heatherridge_transport/entry/callerrequest.h"
+#include "heatherridge_transport/entry/callerstream.h"
 #include "heatherridge_transport/entry/streamresume.h"
 #include "heatherridge_transport/http/httpserver.h"
 
@@ -27,6 +28,7 @@
     std::set<TargetName> tried{}; ///< targets that have refused or failed it
     int attempts = 0;
     bool answerBegun = false; ///< the caller has the head
+    std::shared_ptr<CallerStream> stream{}; ///< the answer's body, once it has begun
     AnswerAssembler assembler{AnswerAssembler::Options{}};
 
     std::optional<StreamResume> resume{}; ///< for an answer that another target can go on with
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -299,6 +299,7 @@
     }
     m_firstByte.record(microsecondsSince(call->arrived));
     call->exchange->beginStream(head.status, passedBackHeaders(head));
+    beginBody(call);
 }
 
 void EntryTraffic::takeChunk(const Call &call, const AnswerChunk &chunk)
@@ -333,7 +334,8 @@
 
 void EntryTraffic::takeEnd(const Call &call, const AnswerEnd &end)
 {
-    auto outcome = call->assembler.end(end.chunks);
+    auto outcome = call->answerBegun ? call->assembler.end(end.chunks)
+                                     : Outcome(Error{.kind = ErrorKind::StreamBroken, .detail = "end before the head"});
     if (const auto *error = errorIn(outcome)) {
         cancelAtTarget(call);
         fail(call, *error);
@@ -344,23 +346,24 @@
     }
 }
 
-void EntryTraffic::passOn(const Call &call, const Bytes &bytes)
+void EntryTraffic::beginBody(const Call &call)
 {
-    if (bytes.empty()) {
-        return;
-    }
     // The target may send as much again only once the bytes have left: a slow caller holds back its own engine
     // stream instead of filling this process.
-    call->exchange->write(std::string(bytes.begin(), bytes.end()),
-                          [this, id = call->id(), target = call->target, count = bytes.size()](bool sent) {
-                              m_loop.post([this, id, target, count, sent] {
-                                  if (!sent) {
-                                      callerGone(id);
-                                  } else if (m_calls.contains(id)) {
-                                      m_links->send(target, GrantCredit{.id = id, .bytes = count});
-                                  }
-                              });
-                          });
+    const auto written = [this, id = call->id()](std::size_t bytes) {
+        const auto entry = m_calls.find(id);
+        if (entry != m_calls.end() && !entry->second->target.isEmpty()) {
+            m_links->send(entry->second->target, GrantCredit{.id = id, .bytes = bytes});
+        }
+    };
+    call->stream = std::make_shared<CallerStream>(
+        call->exchange, m_loop,
+        CallerStream::Events{.written = written, .gone = [this, id = call->id()] { callerGone(id); }});
+}
+
+void EntryTraffic::passOn(const Call &call, const Bytes &bytes)
+{
+    call->stream->write({reinterpret_cast<const char *>(bytes.data()), bytes.size()});
 }
 
 void EntryTraffic::leaveTarget(EntryCall &call, Attempt attempt)
@@ -422,7 +425,7 @@
 void EntryTraffic::finish(const Call &call, const std::string &outcome)
 {
     leaveTarget(*call, Attempt::Succeeded);
-    call->exchange->end();
+    call->stream->end();
     m_answers.add();
     m_whole.record(microsecondsSince(call->arrived));
     m_journal.finish(call->id(), outcome);
@@ -444,9 +447,9 @@
         call->exchange->respond(problemResponse(error, call->id()));
     } else {
         if (call->request.streams) {
-            call->exchange->write(problemEvent(error, call->id()), [](bool) {});
+            call->stream->write(problemEvent(error, call->id()));
         }
-        call->exchange->abort();
+        call->stream->abort();
     }
     m_journal.finish(call->id(), kind);
     m_calls.erase(call->id());
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -76,6 +76,7 @@
     void takeHead(const Call &call, const AnswerHead &head);
     void takeChunk(const Call &call, const AnswerChunk &chunk);
     void takeEnd(const Call &call, const AnswerEnd &end);
+    void beginBody(const Call &call);
     void passOn(const Call &call, const Bytes &bytes);
     void attemptFailed(const Call &call, const Error &error);
     void finish(const Call &call, const std::string &outcome);
