Tell attempts of one request apart, and never say "not run" of what may have run

Cause: found by reading. A retry travelled under its request's own id, so that a target which still had the first attempt would drop the second as a double, and late frames of the first could pass for the second's. And a retry that was refused as not run was answered so, although the attempt before it had been lost without proof.

Change: each attempt has an id of its own; an entry takes frames of the current one alone. Once an attempt ended without proof, a later refusal is reported as unknown.

Conclusion: the word "no" rests on every attempt, not on the last one.

--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -26,7 +26,7 @@
 
 std::vector<HttpHeader> passedBackHeaders(const AnswerHead &head)
 {
-    std::vector<HttpHeader> headers{{.name = std::string(RequestIdHeader), .value = head.id.text()}};
+    std::vector<HttpHeader> headers{{.name = std::string(RequestIdHeader), .value = requestOfAttempt(head.id).text()}};
     for (const auto &header : head.headers) {
         const bool hop = std::any_of(HopHeaders.begin(), HopHeaders.end(),
                                      [&](auto name) { return sameHeaderName(name, header.name); });
@@ -123,6 +123,7 @@
     auto call = std::make_shared<EntryCall>();
     call->arrived = std::chrono::steady_clock::now();
     call->deadline = call->arrived + request.timeout;
+    call->id = request.submit.id;
     call->request = std::move(request);
     call->exchange = std::move(exchange);
     m_loop.post([this, call] { begin(call); });
@@ -149,9 +150,9 @@
 
 void EntryTraffic::begin(const Call &call)
 {
-    m_calls.emplace(call->id(), call);
-    m_journal.note(call->id(), "arrived", {}, call->request.submit.service.text());
-    call->exchange->onClosed([this, id = call->id()] { m_loop.post([this, id] { callerGone(id); }); });
+    m_calls.emplace(call->id, call);
+    m_journal.note(call->id, "arrived", {}, call->request.submit.service.text());
+    call->exchange->onClosed([this, id = call->id] { m_loop.post([this, id] { callerGone(id); }); });
     m_retries.recordFirstAttempt();
     attempt(call);
 }
@@ -190,16 +191,17 @@
     ++known.ownInFlight;
     call->request.submit.timeLeft = left;
     call->request.submit.attempt = call->attempts;
+    call->request.submit.id = attemptId(call->id, call->attempts);
     call->timer = std::make_unique<asio::steady_timer>(m_loop.context(), call->deadline);
     call->timer->async_wait([this, call](const asio::error_code &error) {
-        if (!error && m_calls.contains(call->id())) {
+        if (!error && m_calls.contains(call->id)) {
             cancelAtTarget(call);
             fail(call,
                  Error{.kind = call->answerBegun ? ErrorKind::StreamBroken : ErrorKind::DeadlineExceeded,
                        .detail = "the deadline passed"});
         }
     });
-    m_journal.note(call->id(), "placed", target);
+    m_journal.note(call->id, "placed", target);
     m_links->send(target, call->request.submit);
 }
 
@@ -249,10 +251,10 @@
     }
     const auto id = std::visit(
         Visitor{[](const LoadReport &) { return RequestId(); }, [](const auto &other) { return other.id; }}, message);
-    const auto entry = m_calls.find(id);
+    const auto entry = m_calls.find(requestOfAttempt(id));
     // Frames of an attempt that was given up, or from a target that does not have the request, must not reach the
     // caller: they would show as a gap, a repeat, or bytes of another attempt.
-    if (entry == m_calls.end() || entry->second->target != target) {
+    if (entry == m_calls.end() || entry->second->target != target || entry->second->request.submit.id != id) {
         m_strayFrames.add();
         return;
     }
@@ -331,16 +333,17 @@
     }
     // The target may send as much again only once the bytes have left: a slow caller holds back its own engine
     // stream instead of filling this process.
-    call->exchange->write(std::string(bytes.begin(), bytes.end()),
-                          [this, id = call->id(), target = call->target, count = bytes.size()](bool sent) {
-                              m_loop.post([this, id, target, count, sent] {
-                                  if (!sent) {
-                                      callerGone(id);
-                                  } else if (m_calls.contains(id)) {
-                                      m_links->send(target, GrantCredit{.id = id, .bytes = count});
-                                  }
-                              });
-                          });
+    const GrantCredit grant{.id = call->request.submit.id, .bytes = bytes.size()};
+    const auto written = [this, id = call->id, target = call->target, grant](bool sent) {
+        m_loop.post([this, id, target, grant, sent] {
+            if (!sent) {
+                callerGone(id);
+            } else if (m_calls.contains(id)) {
+                m_links->send(target, grant);
+            }
+        });
+    };
+    call->exchange->write(std::string(bytes.begin(), bytes.end()), written);
 }
 
 void EntryTraffic::leaveTarget(EntryCall &call, Attempt attempt)
@@ -360,7 +363,8 @@
 
 void EntryTraffic::attemptFailed(const Call &call, const Error &error)
 {
-    m_journal.note(call->id(), "attempt-failed", call->target, std::string(answerFor(error.kind).name));
+    call->mayHaveRun = call->mayHaveRun || error.ranOrDefault() != Ran::No;
+    m_journal.note(call->id, "attempt-failed", call->target, std::string(answerFor(error.kind).name));
     call->tried.insert(call->target);
     const bool refused = error.ranOrDefault() == Ran::No;
     const auto now = std::chrono::steady_clock::now();
@@ -382,13 +386,13 @@
         fail(call, error);
         return;
     }
-    m_journal.note(call->id(), "retry", {}, verdict);
+    m_journal.note(call->id, "retry", {}, verdict);
     if (!failed.otherTargets) {
         call->tried.clear();
     }
     call->timer = std::make_unique<asio::steady_timer>(m_loop.context(), decision.delay);
     call->timer->async_wait([this, call](const asio::error_code &cancelled) {
-        if (!cancelled && m_calls.contains(call->id())) {
+        if (!cancelled && m_calls.contains(call->id)) {
             attempt(call);
         }
     });
@@ -400,38 +404,42 @@
     call->exchange->end();
     m_answers.add();
     m_whole.record(microsecondsSince(call->arrived));
-    m_journal.finish(call->id(), outcome);
-    m_calls.erase(call->id());
+    m_journal.finish(call->id, outcome);
+    m_calls.erase(call->id);
     m_openCalls.fetch_sub(1);
 }
 
-void EntryTraffic::fail(const Call &call, const Error &error)
+void EntryTraffic::fail(const Call &call, Error error)
 {
+    // A refusal of this attempt proves nothing about an earlier one whose answer was lost.
+    if (call->mayHaveRun && error.ranOrDefault() == Ran::No) {
+        error.ran = Ran::Unknown;
+    }
     leaveTarget(*call, Attempt::TimedOut);
     m_metrics.errors(error.kind).add();
     const std::string kind(answerFor(error.kind).name);
     logEvent(Severity::Info, "request-failed",
-             {{"request", call->id().text()},
+             {{"request", call->id.text()},
               {"kind", kind},
               {"ran", std::string(toString(error.ranOrDefault()))},
               {"detail", error.detail}});
     if (!call->answerBegun) {
-        call->exchange->respond(problemResponse(error, call->id()));
+        call->exchange->respond(problemResponse(error, call->id));
     } else {
         if (call->request.streams) {
-            call->exchange->write(problemEvent(error, call->id()), [](bool) {});
+            call->exchange->write(problemEvent(error, call->id), [](bool) {});
         }
         call->exchange->abort();
     }
-    m_journal.finish(call->id(), kind);
-    m_calls.erase(call->id());
+    m_journal.finish(call->id, kind);
+    m_calls.erase(call->id);
     m_openCalls.fetch_sub(1);
 }
 
 void EntryTraffic::cancelAtTarget(const Call &call)
 {
     if (!call->target.isEmpty()) {
-        m_links->send(call->target, CancelRequest{.id = call->id()});
+        m_links->send(call->target, CancelRequest{.id = call->request.submit.id});
     }
 }
 
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -79,7 +79,7 @@
     void passOn(const Call &call, const Bytes &bytes);
     void attemptFailed(const Call &call, const Error &error);
     void finish(const Call &call, const std::string &outcome);
-    void fail(const Call &call, const Error &error);
+    void fail(const Call &call, Error error);
     void cancelAtTarget(const Call &call);
     void callerGone(const RequestId &id);
     void leaveTarget(EntryCall &call, Attempt attempt);
