--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_coordination/heatherridge_coordination.h"
+#include "heatherridge_protocol/attemptid.h"
 #include "heatherridge_transport/entry/callerrequest.h"
 #include "heatherridge_transport/entry/callerstream.h"
 #include "heatherridge_transport/entry/streamresume.h"
@@ -18,6 +19,7 @@
 /** One open request of a caller; owned by its EntryTraffic and touched on that thread alone. */
 struct EntryCall
 {
+    RequestId id{}; ///< as the caller sees it; each attempt has one of its own, @see attemptId()
     CallerRequest request{};
     std::shared_ptr<HttpExchange> exchange{};
     SteadyTime arrived{};
@@ -28,9 +30,9 @@
     std::set<TargetName> tried{}; ///< targets that have refused or failed it
     int attempts = 0;
     bool answerBegun = false; ///< the caller has the head
+    bool mayHaveRun = false; ///< an earlier attempt ended without proof that it did not run
     std::shared_ptr<CallerStream> stream{}; ///< the answer's body, once it has begun
     AnswerAssembler assembler{AnswerAssembler::Options{}};
-
     std::optional<StreamResume> resume{}; ///< for an answer that another target can go on with
 
     /** Makes ready for an attempt that goes on behind what the caller has. Only when there is a resume. */
@@ -39,11 +41,6 @@
         assembler = AnswerAssembler(AnswerAssembler::Options{});
         request.submit.body = withResumeFrom(request.submit.body, resume->beginResume());
     }
-
-    const RequestId &id() const
-    {
-        return request.submit.id;
-    }
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/target/targettraffic.h"
 
+#include "heatherridge_protocol/attemptid.h"
 #include "heatherridge_transport/app/logger.h"
 
 #include <algorithm>
@@ -29,7 +30,9 @@
     for (const auto &header : request.headers) {
         call.headers.push_back({.name = header.name, .value = header.value});
     }
-    call.headers.push_back({.name = "X-Request-Id", .value = request.id.text()});
+    // The request's id, not the attempt's: an engine repeats it in each event, and a resumed stream goes on only where
+    // its events are the ones that the caller has.
+    call.headers.push_back({.name = "X-Request-Id", .value = requestOfAttempt(request.id).text()});
     call.headers.push_back({.name = "X-Priority", .value = std::to_string(request.priority)});
     return call;
 }
