--- a/modules/heatherridge_transport/entry/entrycall.cpp
+++ b/modules/heatherridge_protocol/attemptid.cpp
@@ -1,4 +1,4 @@
-#include "heatherridge_transport/entry/entrycall.h"
+#include "heatherridge_protocol/attemptid.h"
 
 namespace Heatherridge
 {
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -29,7 +29,8 @@
     for (const auto &header : request.headers) {
         call.headers.push_back({.name = header.name, .value = header.value});
     }
-    call.headers.push_back({.name = "X-Request-Id", .value = request.id.text()});
+    // The caller's id, not the attempt's: engines put it into each event, and a resumed answer must go on the same.
+    call.headers.push_back({.name = "X-Request-Id", .value = requestOfAttempt(request.id).text()});
     call.headers.push_back({.name = "X-Priority", .value = std::to_string(request.priority)});
     return call;
 }
