Fence orders by number, judge membership by table, keep account of drains

Cause: a holder that wakes from a pause still gives orders; host list, heartbeats and inventory disagree; a shutdown must cut nobody and say what is open. Change: FencingGate takes only the newest claim that it has folded, and nothing before it has folded up to a point the log held after its start. Membership decides from one table of signals; silence alone never takes a target out, and when half are silent the observer doubts itself. DrainTracker tells what runs and since when.

--- /dev/null
+++ b/modules/heatherridge_state/fold/fencinggate.cpp
@@ -0,0 +1,56 @@
+#include "heatherridge_state/fold/fencinggate.h"
+
+namespace Heatherridge
+{
+
+void FencingGate::learn(const RoleHolder &holder)
+{
+    if (holder.number > m_holder.number) {
+        m_holder = holder;
+    }
+}
+
+void FencingGate::open()
+{
+    m_open = true;
+}
+
+bool FencingGate::isOpen() const
+{
+    return m_open;
+}
+
+const RoleHolder &FencingGate::holder() const
+{
+    return m_holder;
+}
+
+Outcome FencingGate::check(const ProcessName &process, Incarnation incarnation, FencingNumber number)
+{
+    if (!m_open) {
+        ++m_counters.unconfirmed;
+        return Error{.kind = ErrorKind::Unconfirmed, .ran = Ran::No};
+    }
+    if (number < m_holder.number || number == FencingNumber{}) {
+        ++m_counters.old;
+        return Error{.kind = ErrorKind::FencedOff, .ran = Ran::No};
+    }
+    // A number beyond the folded ones is not taken on trust: a made-up one would lock the true holder out.
+    if (number > m_holder.number) {
+        ++m_counters.ahead;
+        return Error{.kind = ErrorKind::StaleOffset, .ran = Ran::No};
+    }
+    if (process != m_holder.holder || incarnation != m_holder.incarnation) {
+        ++m_counters.otherHolder;
+        return Error{.kind = ErrorKind::FencedOff, .ran = Ran::No};
+    }
+    ++m_counters.accepted;
+    return std::monostate();
+}
+
+const FencingCounters &FencingGate::counters() const
+{
+    return m_counters;
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_state/heatherridge_state.h
+++ b/modules/heatherridge_state/heatherridge_state.h
@@ -29,3 +29,6 @@
 #include "heatherridge_state/decisions/retrypolicy.h"
 #include "heatherridge_state/decisions/subsetselection.h"
 #include "heatherridge_state/fold/configstate.h"
+#include "heatherridge_state/fold/fencinggate.h"
+#include "heatherridge_state/membership/draintracker.h"
+#include "heatherridge_state/membership/membership.h"
--- /dev/null
+++ b/tests/agreement/membership_test.cpp
@@ -0,0 +1,219 @@
+#include "heatherridge_state/heatherridge_state.h"
+
+#include <gtest/gtest.h>
+
+using namespace Heatherridge;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+struct SignalRow
+{
+    const char *story;
+    TargetSignals signals;
+    bool observerFault;
+    Standing standing;
+    StandingReason reason;
+};
+
+constexpr milliseconds Fresh{500};
+
+const SignalRow SignalRows[] = {
+    {"listed and heard", {.isListed = true, .silentFor = Fresh}, false, Standing::Serving, StandingReason::Healthy},
+    {"live and heard, but in no inventory",
+     {.host = HostMark::Live, .silentFor = Fresh},
+     false,
+     Standing::NoNewWork,
+     StandingReason::NotListed},
+    {"withdrawn, though live and heard",
+     {.isListed = true, .isWithdrawn = true, .host = HostMark::Live, .silentFor = Fresh},
+     false,
+     Standing::NoNewWork,
+     StandingReason::Withdrawn},
+    {"planned stop",
+     {.isListed = true, .isStopping = true, .silentFor = Fresh},
+     false,
+     Standing::NoNewWork,
+     StandingReason::PlannedStop},
+    {"leaving mark, though heard and in the inventory",
+     {.isListed = true, .host = HostMark::Leaving, .ownWord = OwnWord::Takes, .silentFor = Fresh},
+     false,
+     Standing::NoNewWork,
+     StandingReason::HostLeaving},
+    {"leaving mark while the observer is at fault",
+     {.isListed = true, .host = HostMark::Leaving},
+     true,
+     Standing::NoNewWork,
+     StandingReason::HostLeaving},
+    {"live for a second after a leaving mark",
+     {.isListed = true, .host = HostMark::Live, .liveAgainFor = seconds(1), .silentFor = Fresh},
+     false,
+     Standing::NoNewWork,
+     StandingReason::HostLeaving},
+    {"live for long after a leaving mark",
+     {.isListed = true, .host = HostMark::Live, .liveAgainFor = seconds(11), .silentFor = Fresh},
+     false,
+     Standing::Serving,
+     StandingReason::Healthy},
+    {"absent from the lagging list, but heard",
+     {.isListed = true, .host = HostMark::Absent, .silentFor = Fresh},
+     false,
+     Standing::Serving,
+     StandingReason::Healthy},
+    {"its own process refuses",
+     {.isListed = true, .host = HostMark::Live, .ownWord = OwnWord::Refuses, .silentFor = Fresh},
+     false,
+     Standing::NoNewWork,
+     StandingReason::OwnRefusal},
+    {"live on the list, but silent",
+     {.isListed = true, .host = HostMark::Live, .silentFor = seconds(4)},
+     false,
+     Standing::Suspect,
+     StandingReason::Silent},
+    {"silent, as half of all are",
+     {.isListed = true, .silentFor = seconds(4)},
+     true,
+     Standing::Serving,
+     StandingReason::ObserverFault},
+    {"never heard", {.isListed = true, .watchedFor = seconds(4)}, false, Standing::Suspect, StandingReason::NeverHeard},
+    {"heard again for half a second",
+     {.isListed = true, .silentFor = Fresh, .heardAgainFor = Fresh, .recentSilences = 1},
+     false,
+     Standing::Suspect,
+     StandingReason::Returning},
+    {"heard again for two seconds after the fourth silence",
+     {.isListed = true, .silentFor = Fresh, .heardAgainFor = seconds(2), .recentSilences = 4},
+     false,
+     Standing::Suspect,
+     StandingReason::Returning},
+};
+
+class Signals : public testing::TestWithParam<SignalRow>
+{
+};
+
+TEST_P(Signals, GiveTheStandingOfTheTable)
+{
+    const auto &row = GetParam();
+    const TargetStanding expected{row.standing, row.reason};
+    const auto actual = standingFrom(row.signals, row.observerFault, {});
+    EXPECT_EQ(actual, expected) << row.story << ": " << toString(actual.reason);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, Signals, testing::ValuesIn(SignalRows));
+
+/** Six targets, three a zone, each on its host, all heard at the start. */
+struct Observer
+{
+    Observer()
+    {
+        std::string text = "[zone.a]\nregion = r\n[zone.b]\nregion = r\n";
+        for (int i = 0; i < 6; ++i) {
+            const auto number = std::to_string(i);
+            text += "[target.t" + number + "]\nhost = h" + number + "\nzone = " + (i < 3 ? "a" : "b")
+                + "\nservice = s\nkind = plain\ngate = 127.0.0.1:700" + number + "\nbackend = 127.0.0.1:1\n";
+        }
+        const auto inventory = Inventory::fromDocument(IniDocument::parse(text));
+        membership.follow(std::make_shared<Inventory>(std::get<Inventory>(inventory)), std::make_shared<RuleSet>(),
+                          now);
+        pass(seconds(5), 6);
+    }
+
+    /** Lets @p span pass, in which the first @p heard targets are heard. */
+    void pass(milliseconds span, int heard)
+    {
+        for (const auto end = now + span; now < end; now += milliseconds(500)) {
+            for (int i = 0; i < heard; ++i) {
+                membership.noteHeard(target(i), true, now);
+            }
+        }
+    }
+
+    static TargetName target(int index)
+    {
+        return TargetName("t" + std::to_string(index));
+    }
+
+    TargetStanding standing(int index) const
+    {
+        return membership.standingOf(target(index), now);
+    }
+
+    SteadyTime now{seconds(100)};
+    Membership membership;
+};
+
+TEST(Membership, OneSilentTargetIsSuspectAndServesAgainOnlyAfterAWhile)
+{
+    Observer observer;
+    observer.pass(seconds(5), 5);
+    EXPECT_EQ(observer.standing(5).standing, Standing::Suspect);
+    observer.pass(milliseconds(500), 6);
+    EXPECT_EQ(observer.standing(5).reason, StandingReason::Returning);
+    observer.pass(seconds(2), 6);
+    EXPECT_EQ(observer.standing(5).standing, Standing::Serving);
+}
+
+// A zone's switch fails, or the observer's own cable: half of all targets fall silent in one second. Were all of them
+// taken out, the other half would get twice its load and fail as well.
+TEST(Membership, WhenHalfFallSilentAtOnceTheObserverDoubtsItself)
+{
+    Observer observer;
+    observer.pass(seconds(5), 3);
+    EXPECT_TRUE(observer.membership.isObserverAtFault(observer.now));
+    for (int i = 3; i < 6; ++i) {
+        EXPECT_EQ(observer.standing(i), (TargetStanding{Standing::Serving, StandingReason::ObserverFault}));
+    }
+    observer.membership.noteRefusal(observer.target(4), observer.now);
+    EXPECT_EQ(observer.standing(4).standing, Standing::NoNewWork);
+}
+
+// While a machine is replaced its name stands in the list twice, once as leaving and once as live; later lists show it
+// as live, leave it out, and show it as leaving again.
+TEST(Membership, AHostListedTwiceOrFlappingCountsAsLeaving)
+{
+    Observer observer;
+    auto &membership = observer.membership;
+    for (const auto first : {HostMark::Leaving, HostMark::Live}) {
+        const auto second = first == HostMark::Live ? HostMark::Leaving : HostMark::Live;
+        membership.noteHostList({{HostName("h0"), first}, {HostName("h0"), second}}, observer.now);
+        EXPECT_EQ(observer.standing(0).reason, StandingReason::HostLeaving);
+    }
+    membership.noteHostList({{HostName("h0"), HostMark::Live}}, observer.now);
+    EXPECT_EQ(observer.standing(0).reason, StandingReason::HostLeaving);
+    membership.noteHostList({}, observer.now);
+    EXPECT_EQ(observer.standing(0).reason, StandingReason::HostLeaving);
+    observer.pass(seconds(11), 6);
+    EXPECT_EQ(observer.standing(0).reason, StandingReason::Healthy);
+    EXPECT_EQ(observer.standing(1).reason, StandingReason::Healthy);
+}
+
+// An operator withdraws a target, then takes it back, while a stream runs for minutes; then the process is told to
+// stop.
+TEST(Drain, TellsWhatIsOpenSinceWhenAndEndsWithItsCause)
+{
+    const SteadyTime begin{seconds(100)};
+    DrainTracker drain;
+    drain.begin(RequestId("late"), begin + seconds(5));
+    drain.begin(RequestId("early"), begin);
+    EXPECT_TRUE(drain.takesNew());
+    drain.setCause(DrainCause::Withdrawal, true, begin + seconds(10));
+    drain.setCause(DrainCause::Withdrawal, true, begin + seconds(20));
+    EXPECT_EQ(drain.phase(), DrainPhase::Draining);
+    EXPECT_EQ(drain.drainingSince(), begin + seconds(10));
+    ASSERT_EQ(drain.open(1).size(), 1U);
+    EXPECT_EQ(drain.open(1).front().id, RequestId("early"));
+    drain.setCause(DrainCause::Withdrawal, false, begin + seconds(30));
+    EXPECT_TRUE(drain.takesNew());
+    drain.setCause(DrainCause::Signal, true, begin + seconds(40));
+    drain.setCause(DrainCause::Signal, false, begin + seconds(50));
+    EXPECT_EQ(drain.cause(), DrainCause::Signal);
+    drain.end(RequestId("early"));
+    EXPECT_EQ(drain.phase(), DrainPhase::Draining);
+    drain.end(RequestId("late"));
+    EXPECT_EQ(drain.phase(), DrainPhase::Drained);
+}
+
+} // namespace
