Fill the relay's levels in order

Change: members fill the levels in the order of their places; a member that comes or goes moves one other at each border.

--- a/modules/heatherridge_coordination/config/relayplan.cpp
+++ b/modules/heatherridge_coordination/config/relayplan.cpp
@@ -3,8 +3,6 @@
 #include "heatherridge_state/fold/digestbuilder.h"
 
 #include <algorithm>
-#include <bit>
-#include <limits>
 
 namespace Heatherridge
 {
@@ -65,38 +63,22 @@
         std::sort(placed.begin(), placed.end());
         auto &plan = m_zones[zone];
         plan.region = m_members[placed.front().second].region;
-        m_sizes[zone] = placed.size();
-        for (std::size_t place = 0; place < placed.size(); ++place) {
-            const auto index = placed[place].second;
-            const auto &process = m_members[index].process;
-            const auto level = place < m_options.readersPerZone ? 0 : levelFor(process, placed.size());
-            if (plan.levels.size() <= level) {
-                plan.levels.resize(level + 1);
+        auto width = m_options.readersPerZone;
+        for (const auto &[place, index] : placed) {
+            // Whole levels, not levels drawn at random: with few members drawn for a level, each would serve many.
+            if (plan.levels.empty() || plan.levels.back().size() == width) {
+                width *= plan.levels.empty() ? 1 : m_options.fanOut;
+                plan.levels.emplace_back();
             }
-            plan.levels[level].push_back(index);
-            m_levelOf[process] = level;
-            if (level == 0) {
-                m_readers.push_back(process);
+            plan.levels.back().push_back(index);
+            m_levelOf[m_members[index].process] = plan.levels.size() - 1;
+            if (plan.levels.size() == 1) {
+                m_readers.push_back(m_members[index].process);
             }
         }
     }
 }
 
-std::size_t RelayPlan::levelFor(const ProcessName &process, std::size_t size) const
-{
-    // The size is rounded up to a power of two, so that a zone that grows by one member moves nobody.
-    const auto rounded = static_cast<double>(std::bit_ceil(std::max<std::size_t>(size, 1)));
-    const auto fraction = static_cast<double>(scoreOf("level", process.text()))
-        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    std::size_t level = 1;
-    auto width = static_cast<double>(m_options.readersPerZone * m_options.fanOut);
-    for (auto upTo = width; upTo < fraction * rounded; upTo += width) {
-        width *= static_cast<double>(m_options.fanOut);
-        ++level;
-    }
-    return level;
-}
-
 bool RelayPlan::isReader(const ProcessName &process) const
 {
     const auto level = m_levelOf.find(process);
@@ -115,8 +97,8 @@
     if (plan != m_zones.end()) {
         const auto &levels = plan->second.levels;
         const auto known = m_levelOf.find(process);
-        auto level = known != m_levelOf.end() ? known->second : levelFor(process, m_sizes.at(zone));
-        level = std::min(level, levels.size());
+        // Who is no member takes a place beside the lowest level, which may not be full yet.
+        auto level = known != m_levelOf.end() ? known->second : std::max<std::size_t>(levels.size() - 1, 1);
         if (level == 0) {
             addBest(process, levels[0], SourcesOfLevelAbove, sources);
         }
--- a/modules/heatherridge_coordination/config/relayplan.h
+++ b/modules/heatherridge_coordination/config/relayplan.h
@@ -34,10 +34,10 @@
  * Who reads the log and who asks whom for records, worked out by every process for itself from the inventory.
  *
  * Nobody is elected: rendezvous hashing gives each member of a zone a place that depends on its own name alone, so a
- * member that comes or goes moves only those that chose it. The members with the highest places of a zone read the
- * log; the others form levels below them, each about fan-out times as large as the one above. A process asks members
- * of the level above its own, and going further up is always possible. Processes whose inventories differ for a
- * moment choose differently, which is harmless: whoever is asked serves. Immutable; any thread.
+ * member that comes or goes moves only those that chose it and one member at the border of each level. The first
+ * members of a zone read the log; the others form levels below them, each fan-out times as large as the one above. A
+ * process asks members of the level above its own, and going further up is always possible. Processes whose inventories
+ * differ for a moment choose differently, which is harmless: whoever is asked serves. Immutable; any thread.
  */
 class RelayPlan
 {
@@ -70,7 +70,6 @@
         std::vector<std::vector<std::size_t>> levels{}; ///< indices of members; level 0 reads the log
     };
 
-    std::size_t levelFor(const ProcessName &process, std::size_t size) const;
     void addBest(const ProcessName &process, const std::vector<std::size_t> &level, std::size_t most,
                  std::vector<const RelayMember *> &sources) const;
     void addOtherZones(const ProcessName &process, const ZoneName &zone,
@@ -79,7 +78,6 @@
     RelayPlanOptions m_options;
     std::vector<RelayMember> m_members;
     std::map<ZoneName, ZonePlan> m_zones;
-    std::map<ZoneName, std::size_t> m_sizes;
     std::map<ProcessName, std::size_t> m_levelOf;
     std::vector<ProcessName> m_readers;
 };
