Bring the configuration to the daemons through the relay

Cause: each daemon polled the log by itself; a process replaced in an outage of the log had no configuration, and the operator could not see where it came from. Change: the control thread runs a ConfigAgent. Peers connect to targets' gates, whose traffic thread hands control frames over. The setting peers names gates to ask when there is no inventory yet. Status tells phase, source, offsets, digest and peers; a gauge counts each reason of skip, refusal and fallback.

--- a/modules/heatherridge_transport/app/adminanswers.h
+++ b/modules/heatherridge_transport/app/adminanswers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_transport/app/controlplane.h"
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/http/httpmessages.h"
 
@@ -14,6 +15,9 @@
 /** All metrics in the text exposition format. */
 HttpResponse metricsAnswer(const Metrics &metrics);
 
+/** What the operator sees of how a process gets its configuration. */
+nlohmann::ordered_json controlStatusJson(const ControlStatus &status);
+
 /** There is nothing at @p path. */
 HttpResponse notFoundAnswer(const std::string &path);
 
--- a/modules/heatherridge_transport/app/controlplane.cpp
+++ b/modules/heatherridge_transport/app/controlplane.cpp
@@ -10,12 +10,21 @@
 namespace Heatherridge
 {
 
+namespace
+{
+
+constexpr std::chrono::milliseconds CounterPeriod{1'000};
+
+} // namespace
+
 class ControlPlane::Implementation : public FollowerListener
 {
 public:
     Implementation(Options newOptions, Metrics &metrics)
         : options(std::move(newOptions))
         , m_random(toNumber(options.incarnation))
+        , m_encoder(options.process, options.incarnation, [this] { return view(); })
+        , m_metrics(metrics)
         , m_offset(metrics.gauge("heatherridge_config_offset"))
         , m_confirmed(metrics.gauge("heatherridge_config_confirmed"))
         , m_logReachable(metrics.gauge("heatherridge_log_reachable"))
@@ -27,16 +36,26 @@
     {
         m_client = std::make_unique<HttpClient>(loop.context(), HttpClient::Options{});
         m_log = std::make_unique<HttpLogService>(*m_client, HttpLogService::Options{.endpoint = options.logService});
-        m_follower = std::make_unique<LogFollower>(*m_log, m_replica, m_random);
-        m_follower->setListener(this);
+        m_links = std::make_unique<ControlLinks>(loop, m_encoder);
+        m_agent = std::make_unique<ConfigAgent>(*m_log, *m_links, m_random,
+                                                ConfigAgentOptions{.process = options.process,
+                                                                   .zone = options.zone,
+                                                                   .relay = {.seeds = seedsFrom(options.peers)}});
+        m_agent->setListener(this);
+        m_links->setRelay(&m_agent->relay());
         loop.every(options.tick, [this] { tick(); });
+        loop.every(CounterPeriod, [this] { showCounters(); });
         loop.start();
     }
 
     void stop()
     {
         loop.stop();
-        m_follower.reset();
+        if (m_links) {
+            m_links->close();
+        }
+        m_agent.reset();
+        m_links.reset();
         m_log.reset();
         m_client.reset();
     }
@@ -56,6 +75,30 @@
         publish();
     }
 
+    void takeIncoming(IncomingControl connection, Envelope envelope)
+    {
+        loop.post([this, connection = std::move(connection), envelope = std::move(envelope)] {
+            m_links->takeIncoming(connection, envelope);
+        });
+    }
+
+    void incomingGone(const std::shared_ptr<PeerSocket> &socket)
+    {
+        loop.post([this, socket] { m_links->incomingGone(socket.get()); });
+    }
+
+    void beginDrain()
+    {
+        loop.post([this] { m_agent->beginDrain(); });
+    }
+
+    ControlStatus status()
+    {
+        ControlStatus status;
+        loop.run([this, &status] { status = statusNow(); });
+        return status;
+    }
+
     Options options;
     EventLoop loop;
     std::vector<Changed> listeners;
@@ -63,19 +106,92 @@
 private:
     void tick()
     {
-        m_follower->tick(std::chrono::steady_clock::now());
-        m_logReachable.set(m_follower->isReachable().value_or(false) ? 1 : 0);
-        if (m_replica.isConfirmed() != view()->confirmed) {
+        m_agent->tick(std::chrono::steady_clock::now());
+        m_logReachable.set(m_agent->isLogReachable().value_or(false) ? 1 : 0);
+        if (m_agent->replica().isConfirmed() != view()->confirmed) {
             publish();
         }
     }
 
+    static std::vector<RelayMember> seedsFrom(const std::vector<Endpoint> &peers)
+    {
+        std::vector<RelayMember> seeds;
+        seeds.reserve(peers.size());
+        for (const auto &peer : peers) {
+            seeds.push_back({.process = ProcessName("peer " + toString(peer)), .endpoint = peer});
+        }
+        return seeds;
+    }
+
+    ControlStatus statusNow() const
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto &replica = m_agent->replica();
+        const auto &state = replica.state();
+        const auto &relay = m_agent->relay();
+        ControlStatus status{.phase = toString(m_agent->phase()),
+                             .log = relay.wantsLog() ? "following" : "relayed",
+                             .freshAge = relay.freshAge(now),
+                             .offset = state.offset(),
+                             .inventoryOffset = state.inventoryOffset(),
+                             .rulesOffset = state.rulesOffset(),
+                             .digest = state.digest(),
+                             .isCutOff = replica.isCutOff(),
+                             .diverged = relay.counters().diverged,
+                             .missingTargets = state.missingTargets()};
+        if (relay.wantsLog() && m_agent->isLogReachable() == false) {
+            status.log = "out";
+        }
+        for (const auto &[process, peer] : relay.peers()) {
+            status.peers.push_back(
+                {.process = process,
+                 .isSource = peer.isSource,
+                 .offset = peer.offset,
+                 .silentFor = std::chrono::duration_cast<std::chrono::milliseconds>(now - peer.lastHeard)});
+        }
+        return status;
+    }
+
+    /** Shows the fold's and the relay's counters, one for each reason. */
+    void showCounters()
+    {
+        const auto &state = m_agent->replica().state();
+        for (std::size_t i = 0; i < SkipReasonCount; ++i) {
+            const auto reason = static_cast<SkipReason>(i);
+            show("heatherridge_config_skipped_records", toString(reason), state.skipped(reason));
+        }
+        for (std::size_t i = 0; i < RefusalReasonCount; ++i) {
+            const auto reason = static_cast<RefusalReason>(i);
+            show("heatherridge_config_refused_records", toString(reason), state.refused(reason));
+        }
+        const auto &replica = m_agent->replica().counters();
+        show("heatherridge_config_received_records", "old", replica.old);
+        show("heatherridge_config_received_records", "early", replica.early);
+        show("heatherridge_config_received_records", "dropped", replica.dropped);
+        const auto &relay = m_agent->relay().counters();
+        show("heatherridge_relay_events", "relayed", relay.relayed);
+        show("heatherridge_relay_events", "source-lost", relay.sourcesLost);
+        show("heatherridge_relay_events", "turned-away", relay.turnedAway);
+        show("heatherridge_relay_events", "old-incarnation", relay.oldIncarnation);
+        show("heatherridge_relay_events", "fallback", relay.fallbacks);
+        show("heatherridge_relay_events", "state-served", relay.statesServed);
+        show("heatherridge_relay_events", "state-adopted", relay.statesAdopted);
+        show("heatherridge_relay_events", "diverged", relay.diverged);
+        show("heatherridge_relay_events", "malformed", m_links->malformedFrames());
+    }
+
+    void show(const std::string &name, std::string_view reason, std::uint64_t value)
+    {
+        m_metrics.gauge(name, "reason=\"" + std::string(reason) + "\"").set(static_cast<std::int64_t>(value));
+    }
+
     void publish()
     {
-        const auto &state = m_replica.state();
+        const auto &replica = m_agent->replica();
+        const auto &state = replica.state();
         const auto fresh = std::make_shared<const ConfigView>(ConfigView{.offset = state.offset(),
                                                                          .digest = state.digest(),
-                                                                         .confirmed = m_replica.isConfirmed(),
+                                                                         .confirmed = replica.isConfirmed(),
                                                                          .inventory = state.inventory(),
                                                                          .rules = state.rules()});
         std::atomic_store(&m_view, fresh);
@@ -91,10 +207,12 @@
     }
 
     SeededRandom m_random;
-    ConfigReplica m_replica;
+    FrameEncoder m_encoder;
+    Metrics &m_metrics;
     std::unique_ptr<HttpClient> m_client;
     std::unique_ptr<HttpLogService> m_log;
-    std::unique_ptr<LogFollower> m_follower;
+    std::unique_ptr<ControlLinks> m_links;
+    std::unique_ptr<ConfigAgent> m_agent;
     std::shared_ptr<const ConfigView> m_view;
     Gauge &m_offset;
     Gauge &m_confirmed;
@@ -131,6 +249,26 @@
     return m_implementation->view();
 }
 
+void ControlPlane::takeIncoming(IncomingControl connection, Envelope envelope)
+{
+    m_implementation->takeIncoming(std::move(connection), std::move(envelope));
+}
+
+void ControlPlane::incomingGone(const std::shared_ptr<PeerSocket> &socket)
+{
+    m_implementation->incomingGone(socket);
+}
+
+void ControlPlane::beginDrain()
+{
+    m_implementation->beginDrain();
+}
+
+ControlStatus ControlPlane::status()
+{
+    return m_implementation->status();
+}
+
 EventLoop &ControlPlane::loop()
 {
     return m_implementation->loop;
--- a/modules/heatherridge_transport/app/controlplane.h
+++ b/modules/heatherridge_transport/app/controlplane.h
@@ -4,6 +4,7 @@
 #include "heatherridge_transport/app/configview.h"
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/link/controllinks.h"
 
 #include <functional>
 #include <memory>
@@ -11,10 +12,35 @@
 namespace Heatherridge
 {
 
+/** How a process gets its configuration, for the operator. */
+struct ControlStatus
+{
+    /** One process that this one exchanges configuration with. */
+    struct Peer
+    {
+        ProcessName process{};
+        bool isSource = false; ///< this process gets records from it
+        LogOffset offset{};
+        std::chrono::milliseconds silentFor{};
+    };
+
+    std::string_view phase{};
+    std::string_view log{}; ///< "following": reads it itself; "relayed": its sources do; "out": it does not answer
+    std::optional<std::chrono::milliseconds> freshAge{}; ///< since nothing newer was known to exist
+    LogOffset offset{};
+    LogOffset inventoryOffset{};
+    LogOffset rulesOffset{};
+    Digest digest{};
+    bool isCutOff = false; ///< records that it needs have expired: an operator must publish a reset
+    std::uint64_t diverged = 0; ///< peers seen with another digest at the same offset
+    std::vector<Peer> peers{};
+    std::vector<TargetName> missingTargets{}; ///< named by rules, in no inventory
+};
+
 /**
  * The control thread of a process: follows the configuration and publishes what is in force.
  *
- * @see ConfigView, LogFollower
+ * @see ConfigView, ConfigAgent
  */
 class ControlPlane
 {
@@ -23,7 +49,9 @@
     {
         ProcessName process{};
         Incarnation incarnation{};
+        ZoneName zone{};
         Endpoint logService{};
+        std::vector<Endpoint> peers{}; ///< gates that are asked for a state while there is no inventory
         std::chrono::milliseconds tick{20}; ///< how often due work is looked for
     };
 
@@ -49,6 +77,18 @@
     /** The newest view; never null. Any thread. */
     std::shared_ptr<const ConfigView> view() const;
 
+    /** Takes a control frame that a peer sent over a connection which it opened. Any thread, after start(). */
+    void takeIncoming(IncomingControl connection, Envelope envelope);
+
+    /** A connection that a peer opened is gone. Any thread, after start(). */
+    void incomingGone(const std::shared_ptr<PeerSocket> &socket);
+
+    /** From now on the heartbeats tell that this process drains. Any thread. */
+    void beginDrain();
+
+    /** How the configuration comes here. Not from the control thread; after start(). */
+    ControlStatus status();
+
     /** The control thread's loop. */
     EventLoop &loop();
 
--- a/modules/heatherridge_transport/app/daemon.cpp
+++ b/modules/heatherridge_transport/app/daemon.cpp
@@ -16,6 +16,9 @@
     {.key = "name", .required = true, .help = "name of this process, unique in the deployment; a target's own name"},
     {.key = "zone", .required = true, .help = "availability zone of this host, as in the inventory"},
     {.key = "log-service", .type = SettingType::Address, .required = true, .help = "where the platform's log listens"},
+    {.key = "peers",
+     .type = SettingType::AddressList,
+     .help = "gates of some targets, asked for the configuration when the process starts while the log is out"},
     {.key = "log-format", .fallback = "key-value", .help = "form of the process's own log: key-value or json"},
     {.key = "log-level", .fallback = "info", .help = "lowest level that is written: debug, info, warning or error"},
 };
--- a/modules/heatherridge_transport/app/settings.cpp
+++ b/modules/heatherridge_transport/app/settings.cpp
@@ -24,6 +24,8 @@
         return "text";
     case SettingType::Address:
         return "IP number:port";
+    case SettingType::AddressList:
+        return "IP number:port, ...";
     case SettingType::Number:
         return "whole number";
     case SettingType::Milliseconds:
@@ -76,6 +78,13 @@
         return value.empty() && spec.required ? key + " must not be empty" : "";
     case SettingType::Address:
         return parseListenAddress(value) ? "" : key + " must be an IP number, a colon and a port, not '" + value + "'";
+    case SettingType::AddressList:
+        for (const auto &address : splitList(value)) {
+            if (!parseEndpoint(address)) {
+                return key + " must list IP numbers, each with a colon and a port, not '" + address + "'";
+            }
+        }
+        return "";
     case SettingType::Number:
     case SettingType::Milliseconds:
         return parseNumber(value, spec.lowest, spec.highest)
@@ -205,6 +214,15 @@
     return parseListenAddress(text(key)).value_or(Endpoint{});
 }
 
+std::vector<Endpoint> Settings::addresses(std::string_view key) const
+{
+    std::vector<Endpoint> endpoints;
+    for (const auto &address : splitList(text(key))) {
+        endpoints.push_back(parseEndpoint(address).value_or(Endpoint{}));
+    }
+    return endpoints;
+}
+
 long long Settings::number(std::string_view key) const
 {
     return parseNumber(text(key), INT64_MIN, INT64_MAX).value_or(0);
--- a/modules/heatherridge_transport/app/settings.h
+++ b/modules/heatherridge_transport/app/settings.h
@@ -17,6 +17,7 @@
 enum class SettingType {
     Text, ///< any text
     Address, ///< IP number, colon, port; port 0 lets the kernel choose where the program listens itself
+    AddressList, ///< addresses, separated by commas; may be empty
     Number, ///< a whole number within bounds
     Milliseconds, ///< a whole number of milliseconds within bounds
     Switch, ///< yes or no
@@ -63,6 +64,9 @@
     /** The address of @p key. */
     Endpoint address(std::string_view key) const;
 
+    /** The addresses of @p key. */
+    std::vector<Endpoint> addresses(std::string_view key) const;
+
     /** The whole number of @p key. */
     long long number(std::string_view key) const;
 
--- a/modules/heatherridge_transport/entry/entryserver.cpp
+++ b/modules/heatherridge_transport/entry/entryserver.cpp
@@ -22,9 +22,12 @@
 
 EntryServer::EntryServer(Options options)
     : m_options(std::move(options))
-    , m_control(
-          {.process = m_options.process, .incarnation = m_options.incarnation, .logService = m_options.logService},
-          m_metrics)
+    , m_control({.process = m_options.process,
+                 .incarnation = m_options.incarnation,
+                 .zone = m_options.zone,
+                 .logService = m_options.logService,
+                 .peers = m_options.peers},
+                m_metrics)
 {
     for (int i = 0; i < m_options.trafficThreads; ++i) {
         m_traffic.push_back(std::make_unique<EntryTraffic>(EntryTraffic::Options{.process = m_options.process,
@@ -61,6 +64,7 @@
 void EntryServer::drainAndStop()
 {
     m_draining = true;
+    m_control.beginDrain();
     logEvent(Severity::Info, "drain-begun", {{"open", std::to_string(openCalls())}});
     const auto latest = std::chrono::steady_clock::now() + m_options.drainTimeout;
     while (openCalls() > 0 && std::chrono::steady_clock::now() < latest) {
@@ -132,19 +136,17 @@
     return notFoundAnswer(request.path);
 }
 
-HttpResponse EntryServer::status() const
+HttpResponse EntryServer::status()
 {
-    const auto view = m_control.view();
-    return jsonAnswer({{"process", m_options.process.text()},
-                       {"role", "entry"},
-                       {"zone", m_options.zone.text()},
-                       {"version", HEATHERRIDGE_VERSION},
-                       {"incarnation", hexText(toNumber(m_options.incarnation))},
-                       {"offset", toNumber(view->offset)},
-                       {"digest", hexText(toNumber(view->digest))},
-                       {"confirmed", view->confirmed},
-                       {"draining", m_draining.load()},
-                       {"open", openCalls()}});
+    ordered_json answer{{"process", m_options.process.text()},
+                        {"role", "entry"},
+                        {"zone", m_options.zone.text()},
+                        {"version", HEATHERRIDGE_VERSION},
+                        {"incarnation", hexText(toNumber(m_options.incarnation))}};
+    answer.update(controlStatusJson(m_control.status()));
+    answer.update(ordered_json{
+        {"confirmed", m_control.view()->confirmed}, {"draining", m_draining.load()}, {"open", openCalls()}});
+    return jsonAnswer(answer);
 }
 
 HttpResponse EntryServer::targets()
--- a/modules/heatherridge_transport/entry/entryserver.h
+++ b/modules/heatherridge_transport/entry/entryserver.h
@@ -25,6 +25,7 @@
         ZoneName zone{};
         Endpoint listen{}; ///< for callers
         Endpoint logService{};
+        std::vector<Endpoint> peers{}; ///< gates that are asked for a state while there is no inventory
         int httpThreads = 2;
         int trafficThreads = 1;
         CallerLimits limits{};
@@ -52,7 +53,7 @@
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
     HttpResponse answerAdmin(const HttpRequest &request);
-    HttpResponse status() const;
+    HttpResponse status();
     HttpResponse targets();
     HttpResponse explain(const HttpRequest &request) const;
     std::size_t openCalls() const;
--- /dev/null
+++ b/modules/heatherridge_transport/link/controllinks.cpp
@@ -0,0 +1,135 @@
+#include "heatherridge_transport/link/controllinks.h"
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+SteadyTime now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+ControlLinks::ControlLinks(EventLoop &loop, const FrameEncoder &encoder)
+    : m_encoder(encoder)
+    , m_connector(loop.context(), MaxFrameBytes)
+{
+}
+
+void ControlLinks::setRelay(ConfigRelay *relay)
+{
+    m_relay = relay;
+}
+
+void ControlLinks::connect(const ProcessName &process, const Endpoint &endpoint)
+{
+    auto &link = m_outgoing[process];
+    link.isUp = false;
+    link.socket =
+        m_connector.connect(endpoint.address, endpoint.port,
+                            {.opened = [this, process](const auto &socket) { opened(process, socket.get()); },
+                             .received =
+                                 [this, process](const auto & /*socket*/, const Bytes &frame) {
+                                     const auto envelope = decodeEnvelope(frame);
+                                     const auto *outer = std::get_if<Envelope>(&envelope);
+                                     if (outer == nullptr) {
+                                         ++m_malformedFrames;
+                                     } else if (outer->channel == Channel::Control) {
+                                         takeFrame(process, *outer);
+                                     }
+                                 },
+                             .closed = [this, process](const auto &socket) { closed(process, socket.get()); }});
+}
+
+void ControlLinks::opened(const ProcessName &process, const PeerSocket *socket)
+{
+    const auto link = m_outgoing.find(process);
+    if (link == m_outgoing.end() || link->second.socket.get() != socket) {
+        return; // given up in the meantime
+    }
+    link->second.isUp = true;
+    if (!m_relay->linkUp(process, LinkDirection::Outgoing, now())) {
+        disconnect(process);
+    }
+}
+
+void ControlLinks::closed(const ProcessName &process, const PeerSocket *socket)
+{
+    const auto link = m_outgoing.find(process);
+    if (link == m_outgoing.end() || link->second.socket.get() != socket) {
+        return;
+    }
+    m_outgoing.erase(link);
+    m_relay->linkDown(process, LinkDirection::Outgoing, now());
+}
+
+void ControlLinks::disconnect(const ProcessName &process)
+{
+    auto link = m_outgoing.extract(process);
+    if (!link.empty() && link.mapped().socket) {
+        link.mapped().socket->close();
+    }
+}
+
+void ControlLinks::send(const ProcessName &process, const ControlMessage &message)
+{
+    auto frame = m_encoder.frame(Channel::Control, encodeControlMessage(message));
+    if (const auto link = m_outgoing.find(process); link != m_outgoing.end() && link->second.isUp) {
+        link->second.socket->send(frame);
+    } else if (const auto peer = m_incoming.find(process); peer != m_incoming.end()) {
+        peer->second.send(std::move(frame));
+    }
+}
+
+void ControlLinks::takeIncoming(const IncomingControl &connection, const Envelope &envelope)
+{
+    const auto known = m_incoming.find(envelope.sender);
+    if (known == m_incoming.end() || known->second.socket != connection.socket) {
+        if (!m_relay->linkUp(envelope.sender, LinkDirection::Incoming, now())) {
+            return; // not answered, the peer finds it silent and goes to another
+        }
+        m_incoming[envelope.sender] = connection;
+    }
+    takeFrame(envelope.sender, envelope);
+}
+
+void ControlLinks::incomingGone(const PeerSocket *socket)
+{
+    for (auto peer = m_incoming.begin(); peer != m_incoming.end(); ++peer) {
+        if (peer->second.socket.get() == socket) {
+            const auto process = peer->first;
+            m_incoming.erase(peer);
+            m_relay->linkDown(process, LinkDirection::Incoming, now());
+            return;
+        }
+    }
+}
+
+void ControlLinks::takeFrame(const ProcessName &from, const Envelope &envelope)
+{
+    const auto message = decodeControlMessage(envelope.payload);
+    if (const auto *typed = std::get_if<ControlMessage>(&message)) {
+        m_relay->receive(from, envelope, *typed, now());
+    } else {
+        ++m_malformedFrames;
+    }
+}
+
+std::uint64_t ControlLinks::malformedFrames() const
+{
+    return m_malformedFrames;
+}
+
+void ControlLinks::close()
+{
+    auto links = std::move(m_outgoing);
+    m_outgoing.clear();
+    for (auto &[process, link] : links) {
+        link.socket->close();
+    }
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/link/controllinks.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "heatherridge_coordination/config/configrelay.h"
+#include "heatherridge_transport/app/eventloop.h"
+#include "heatherridge_transport/cxx17/peersocket.h"
+#include "heatherridge_transport/link/frameencoder.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace Heatherridge
+{
+
+/** A connection that a peer opened to this process and that another thread owns. */
+struct IncomingControl
+{
+    std::shared_ptr<PeerSocket> socket{}; ///< tells one connection from another; not used on the control thread
+    std::function<void(Bytes)> send{}; ///< sends one frame; any thread
+};
+
+/**
+ * The connections of the configuration relay on the control thread.
+ *
+ * Opens connections to the gates that the relay names. Connections that peers open arrive at the target's only
+ * listener, on its traffic thread, which hands their control frames over. All methods on the control thread.
+ */
+class ControlLinks final : public RelayLinks
+{
+public:
+    /** Links on @p loop; @p encoder must outlive them. */
+    ControlLinks(EventLoop &loop, const FrameEncoder &encoder);
+
+    /** The relay that is told what happens; must be set before anything else is called, and outlive the links. */
+    void setRelay(ConfigRelay *relay);
+
+    void connect(const ProcessName &process, const Endpoint &endpoint) override;
+    void disconnect(const ProcessName &process) override;
+    void send(const ProcessName &process, const ControlMessage &message) override;
+
+    /** Takes a control frame that came over a connection which its sender opened. */
+    void takeIncoming(const IncomingControl &connection, const Envelope &envelope);
+
+    /** A connection that a peer opened is gone. */
+    void incomingGone(const PeerSocket *socket);
+
+    /** Frames that could not be read. */
+    std::uint64_t malformedFrames() const;
+
+    /** Closes all connections that this process opened. */
+    void close();
+
+private:
+    struct Outgoing
+    {
+        std::shared_ptr<PeerSocket> socket{};
+        bool isUp = false;
+    };
+
+    void opened(const ProcessName &process, const PeerSocket *socket);
+    void closed(const ProcessName &process, const PeerSocket *socket);
+    void takeFrame(const ProcessName &from, const Envelope &envelope);
+
+    const FrameEncoder &m_encoder;
+    PeerConnector m_connector;
+    ConfigRelay *m_relay = nullptr;
+    std::map<ProcessName, Outgoing> m_outgoing;
+    std::map<ProcessName, IncomingControl> m_incoming; ///< the newest connection of each peer
+    std::uint64_t m_malformedFrames = 0;
+};
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/target/targetserver.cpp
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -19,11 +19,22 @@
     : m_options(std::move(options))
     , m_control({.process = ProcessName(m_options.target.text()),
                  .incarnation = m_options.incarnation,
-                 .logService = m_options.logService},
+                 .zone = m_options.zone,
+                 .logService = m_options.logService,
+                 .peers = m_options.peers},
                 m_metrics)
     , m_traffic({.target = m_options.target, .incarnation = m_options.incarnation, .listen = m_options.listen},
                 m_metrics)
 {
+    m_traffic.setControlSink(
+        {.frame =
+             [this](const std::shared_ptr<PeerSocket> &peer, const Envelope &envelope) {
+                 m_control.takeIncoming(
+                     {.socket = peer,
+                      .send = [this, peer](Bytes frame) { m_traffic.sendFrame(peer, std::move(frame)); }},
+                     envelope);
+             },
+         .gone = [this](const std::shared_ptr<PeerSocket> &peer) { m_control.incomingGone(peer); }});
     m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) { m_traffic.setView(view); });
     m_server = std::make_unique<HttpServer>(
         HttpServer::Options{.listen = m_options.admin},
@@ -49,6 +60,7 @@
 void TargetServer::drainAndStop()
 {
     m_draining = true;
+    m_control.beginDrain();
     m_traffic.drain();
     const auto latest = std::chrono::steady_clock::now() + m_options.drainTimeout;
     auto running = m_traffic.status().load.running;
@@ -84,19 +96,19 @@
 HttpResponse TargetServer::status()
 {
     const auto traffic = m_traffic.status();
-    return jsonAnswer({{"process", m_options.target.text()},
-                       {"role", "target"},
-                       {"zone", m_options.zone.text()},
-                       {"version", HEATHERRIDGE_VERSION},
-                       {"incarnation", hexText(toNumber(m_options.incarnation))},
-                       {"offset", toNumber(m_control.view()->offset)},
-                       {"digest", hexText(toNumber(m_control.view()->digest))},
-                       {"confirmed", m_control.view()->confirmed},
-                       {"draining", m_draining.load()},
-                       {"running", traffic.load.running},
-                       {"waiting", traffic.load.waiting},
-                       {"limit", traffic.load.limit},
-                       {"oldest_open_ms", traffic.oldestOpen.count()}});
+    nlohmann::ordered_json answer{{"process", m_options.target.text()},
+                                  {"role", "target"},
+                                  {"zone", m_options.zone.text()},
+                                  {"version", HEATHERRIDGE_VERSION},
+                                  {"incarnation", hexText(toNumber(m_options.incarnation))}};
+    answer.update(controlStatusJson(m_control.status()));
+    answer.update(nlohmann::ordered_json{{"confirmed", m_control.view()->confirmed},
+                                         {"draining", m_draining.load()},
+                                         {"running", traffic.load.running},
+                                         {"waiting", traffic.load.waiting},
+                                         {"limit", traffic.load.limit},
+                                         {"oldest_open_ms", traffic.oldestOpen.count()}});
+    return jsonAnswer(answer);
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -157,9 +157,22 @@
     const auto &outer = std::get<Envelope>(envelope);
     if (outer.channel == Channel::Traffic) {
         receiveTraffic(entry, outer);
+    } else if (outer.channel == Channel::Control && m_controlSink.frame) {
+        m_entries.erase(entry); // a peer that relays configuration; it wants no load reports
+        m_controlSink.frame(entry, outer);
     }
 }
 
+void TargetTraffic::setControlSink(ControlSink sink)
+{
+    m_controlSink = std::move(sink);
+}
+
+void TargetTraffic::sendFrame(const std::shared_ptr<PeerSocket> &peer, Bytes frame)
+{
+    m_loop.post([peer, frame = std::move(frame)] { peer->send(frame); });
+}
+
 void TargetTraffic::receiveTraffic(const Socket &entry, const Envelope &envelope)
 {
     const auto message = decodeTrafficMessage(envelope.payload);
@@ -374,6 +387,9 @@
 void TargetTraffic::entryGone(const Socket &entry)
 {
     m_entries.erase(entry);
+    if (m_controlSink.gone) {
+        m_controlSink.gone(entry);
+    }
     std::erase_if(m_held, [&entry](const auto &held) { return held.entry == entry; });
     std::vector<RequestId> orphans;
     for (const auto &[id, work] : m_works) {
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -5,6 +5,7 @@
 #include "heatherridge_transport/link/frameencoder.h"
 #include "heatherridge_transport/target/backendwork.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -56,6 +57,19 @@
     /** Ends the thread; what runs is cut. @see drain */
     void stop();
 
+    /** Who takes the control frames that peers send to this listener; on the traffic thread. */
+    struct ControlSink
+    {
+        std::function<void(const std::shared_ptr<PeerSocket> &peer, const Envelope &envelope)> frame{};
+        std::function<void(const std::shared_ptr<PeerSocket> &peer)> gone{};
+    };
+
+    /** Sets who takes control frames. Before start(). */
+    void setControlSink(ControlSink sink);
+
+    /** Sends @p frame to @p peer, a connection that it opened. */
+    void sendFrame(const std::shared_ptr<PeerSocket> &peer, Bytes frame);
+
     /** A new configuration is in force. */
     void setView(std::shared_ptr<const ConfigView> view);
 
@@ -110,6 +124,7 @@
     std::unique_ptr<HttpClient> m_client;
     AdmissionQueue m_queue;
     std::unique_ptr<ConcurrencyLimit> m_limit;
+    ControlSink m_controlSink;
     std::set<Socket> m_entries;
     std::unordered_map<RequestId, Work> m_works;
     std::vector<HeldRequest> m_held;
--- a/tests/agreement/membership_test.cpp
+++ b/tests/agreement/membership_test.cpp
@@ -112,8 +112,9 @@
         std::string text = "[zone.a]\nregion = r\n[zone.b]\nregion = r\n";
         for (int i = 0; i < 6; ++i) {
             const auto number = std::to_string(i);
-            text += "[target.t" + number + "]\nhost = h" + number + "\nzone = " + (i < 3 ? "a" : "b")
-                + "\nservice = s\nkind = plain\ngate = 127.0.0.1:700" + number + "\nbackend = 127.0.0.1:1\n";
+            text.append("[target.t").append(number).append("]\nhost = h").append(number);
+            text.append("\nzone = ").append(i < 3 ? "a" : "b").append("\nservice = s\nkind = plain\n");
+            text.append("gate = 127.0.0.1:700").append(number).append("\nbackend = 127.0.0.1:1\n");
         }
         const auto inventory = Inventory::fromDocument(IniDocument::parse(text));
         membership.follow(std::make_shared<Inventory>(std::get<Inventory>(inventory)), std::make_shared<RuleSet>(),
