--- /dev/null
+++ b/benchmarks/configrun.cpp
@@ -0,0 +1,409 @@
+// Configuration end to end with the real programs, in one run: from an append to in force on every process, the same
+// for changes published while the log is out, from a withdrawal to the last new request, and from the start of a
+// killed process to ready. Usage: configrun [targets [entries [changes]]]
+
+#include "heatherridge_coordination/config/publisher.h"
+#include "heatherridge_transport/app/eventloop.h"
+#include "heatherridge_transport/platform/httplogservice.h"
+#include "support/childprocess.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <future>
+#include <map>
+#include <sstream>
+#include <thread>
+
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+using namespace Heatherridge;
+
+namespace
+{
+
+constexpr int ZoneCount = 3;
+constexpr std::chrono::milliseconds PublisherTick{5};
+constexpr std::chrono::seconds Outage{10};
+
+/** One "config-in-force" line of a process's log. */
+struct InForce
+{
+    std::string process{};
+    std::uint64_t offset = 0;
+    std::int64_t milliseconds = 0; ///< of the day
+    bool confirmed = false;
+};
+
+std::int64_t millisecondsOfDay(const std::string &time)
+{
+    // 2026-01-02T03:04:05.678Z
+    const auto number = [&time](std::size_t at, std::size_t length) { return std::stoll(time.substr(at, length)); };
+    return ((number(11, 2) * 60 + number(14, 2)) * 60 + number(17, 2)) * 1000 + number(20, 3);
+}
+
+std::int64_t nowOfDay()
+{
+    const auto now = SystemClock().wallNow().time_since_epoch();
+    return now.count() % std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::hours(24)).count();
+}
+
+/** The value of @p key in a key=value line. */
+std::string valueOf(const std::string &line, const std::string &key)
+{
+    const auto at = line.find(key + "=");
+    return at == std::string::npos ? "" : line.substr(at + key.size() + 1, line.find(' ', at) - at - key.size() - 1);
+}
+
+std::vector<InForce> readLog(const std::string &path)
+{
+    std::vector<InForce> found;
+    std::ifstream file(path);
+    std::stringstream whole;
+    whole << file.rdbuf();
+    const auto text = whole.str();
+    // Many processes write to one file, so a line may follow another's without a line's end between them.
+    for (auto at = text.find("time="); at != std::string::npos;) {
+        const auto after = text.find("time=", at + 1);
+        auto line = text.substr(at, after == std::string::npos ? after : after - at);
+        line = line.substr(0, line.find('\n'));
+        at = after;
+        if (valueOf(line, "event") == "config-in-force") {
+            found.push_back({.process = valueOf(line, "process"),
+                             .offset = std::stoull(valueOf(line, "offset")),
+                             .milliseconds = millisecondsOfDay(valueOf(line, "time")),
+                             .confirmed = valueOf(line, "confirmed") == "yes"});
+        }
+    }
+    return found;
+}
+
+/** The programs of one run and how they are reached. */
+class Deployment
+{
+public:
+    Deployment(int targets, int entries, std::string logFile)
+        : m_logFile(std::move(logFile))
+        , m_log("heatherridge-standin", {"log", "--listen", "127.0.0.1:0"})
+        , m_random(1)
+    {
+        m_client = std::make_unique<HttpClient>(m_loop.context(), HttpClient::Options{});
+        m_service = std::make_unique<HttpLogService>(*m_client, HttpLogService::Options{.endpoint = log()});
+        m_loop.start();
+        for (int i = 0; i < 2; ++i) {
+            m_backends.push_back(std::make_unique<ChildProcess>(
+                "heatherridge-standin", std::vector<std::string>{"plain", "--listen", "127.0.0.1:0"}));
+        }
+        for (int i = 0; i < targets; ++i) {
+            m_targets.push_back(startTarget(i, "127.0.0.1:0"));
+        }
+        for (int i = 0; i < entries; ++i) {
+            m_entries.push_back(std::make_unique<ChildProcess>(
+                "heatherridge-entry",
+                std::vector<std::string>{"--name", "entry-" + std::to_string(i), "--zone", zoneOf(i), "--log-service",
+                                         toString(log()), "--listen", "127.0.0.1:0"}));
+        }
+    }
+
+    ~Deployment()
+    {
+        m_loop.run([this] {
+            m_publisher.reset();
+            m_service.reset();
+            m_client.reset();
+        });
+        m_loop.stop();
+    }
+
+    Endpoint log() const
+    {
+        return m_log.endpoints().front();
+    }
+
+    std::size_t processes() const
+    {
+        return m_targets.size() + m_entries.size();
+    }
+
+    /** The inventory; @p withdrawn is the number of a target that is withdrawn, or -1. */
+    std::string inventory(int withdrawn) const
+    {
+        std::string text;
+        for (int zone = 0; zone < ZoneCount; ++zone) {
+            text += "[zone." + zoneOf(zone) + "]\nregion = r\n";
+        }
+        for (std::size_t i = 0; i < m_targets.size(); ++i) {
+            const auto name = "target-" + std::to_string(i);
+            // The first target has a back end of its own, so that its requests can be counted.
+            const auto &backend = m_backends[i == 0 ? 0 : 1]->endpoints().front();
+            text += "[target." + name + "]\nhost = host-" + std::to_string(i)
+                + "\nzone = " + zoneOf(static_cast<int>(i)) + "\nservice = yard\nkind = plain\ngate = "
+                + toString(m_targets[i]->endpoints().front()) + "\nbackend = " + toString(backend)
+                + (static_cast<int>(i) == withdrawn ? "\nwithdrawn = yes\n" : "\n");
+        }
+        return text;
+    }
+
+    /** Publishes @p text and waits for the outcome; @returns the offset, or 0 when it was not accepted. */
+    std::uint64_t publish(DocumentKind document, const std::string &text)
+    {
+        m_loop.run([&] {
+            m_publisher = std::make_unique<Publisher>(
+                *m_service, m_random,
+                PublishRequest{.document = document,
+                               .operation = OperationId("run-" + std::to_string(++m_operation)),
+                               .text = text},
+                PublisherOptions{.timeout = std::chrono::seconds(60)});
+        });
+        std::optional<PublishResult> result;
+        while (!result) {
+            m_loop.run([&] {
+                m_publisher->tick(std::chrono::steady_clock::now());
+                result = m_publisher->result();
+            });
+            std::this_thread::sleep_for(PublisherTick);
+        }
+        const auto *accepted = std::get_if<PublishAccepted>(&*result);
+        return accepted == nullptr ? 0 : toNumber(accepted->offset);
+    }
+
+    /** When the log took the record at @p offset, in milliseconds of the day. */
+    std::int64_t appendedAt(std::uint64_t offset)
+    {
+        std::promise<std::int64_t> time;
+        m_loop.run([&] {
+            m_service->read(ControlStream, static_cast<LogOffset>(offset), 1, std::chrono::milliseconds(0),
+                            [&time](const Result<LogPage> &page) {
+                                const auto at = std::get<LogPage>(page).records.front().appended.time_since_epoch();
+                                time.set_value(at.count() % 86'400'000);
+                            });
+        });
+        return time.get_future().get();
+    }
+
+    HttpResponse call(const Endpoint &endpoint, HttpRequest request)
+    {
+        std::promise<HttpResponse> answer;
+        m_loop.run([&] {
+            m_client->send({.endpoint = endpoint, .request = std::move(request)},
+                           [&answer](const std::variant<HttpResponse, HttpClient::Failure> &result) {
+                               const auto *response = std::get_if<HttpResponse>(&result);
+                               answer.set_value(response == nullptr ? HttpResponse{.status = 0} : *response);
+                           });
+        });
+        return answer.get_future().get();
+    }
+
+    /** Waits until every process has @p offset in force; @returns the delays from its append, sorted. */
+    std::vector<std::int64_t> delays(std::uint64_t offset)
+    {
+        const auto appended = appendedAt(offset);
+        std::map<std::string, std::int64_t> reached;
+        for (int round = 0; reached.size() < processes() && round < 600; ++round) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(50));
+            for (const auto &line : readLog(m_logFile)) {
+                if (line.offset >= offset) {
+                    reached.try_emplace(line.process, line.milliseconds);
+                }
+            }
+        }
+        std::vector<std::int64_t> delays;
+        for (const auto &[process, at] : reached) {
+            delays.push_back(at - appended);
+        }
+        std::sort(delays.begin(), delays.end());
+        return delays;
+    }
+
+    std::unique_ptr<ChildProcess> startTarget(int index, const std::string &listen) const
+    {
+        return std::make_unique<ChildProcess>(
+            "heatherridge-target",
+            std::vector<std::string>{"--name", "target-" + std::to_string(index), "--zone", zoneOf(index),
+                                     "--log-service", toString(log()), "--listen", listen, "--admin", "127.0.0.1:0"});
+    }
+
+    ChildProcess &backend(std::size_t index)
+    {
+        return *m_backends[index];
+    }
+
+    std::unique_ptr<ChildProcess> &target(std::size_t index)
+    {
+        return m_targets[index];
+    }
+
+    Endpoint entry(std::size_t index) const
+    {
+        return m_entries[index]->endpoints().front();
+    }
+
+private:
+    static std::string zoneOf(int index)
+    {
+        return "zone-" + std::to_string(index % ZoneCount);
+    }
+
+    std::string m_logFile;
+    ChildProcess m_log;
+    SeededRandom m_random;
+    EventLoop m_loop;
+    std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<HttpLogService> m_service;
+    std::unique_ptr<Publisher> m_publisher;
+    std::vector<std::unique_ptr<ChildProcess>> m_backends;
+    std::vector<std::unique_ptr<ChildProcess>> m_targets;
+    std::vector<std::unique_ptr<ChildProcess>> m_entries;
+    int m_operation = 0;
+};
+
+std::string rules(int version)
+{
+    return "[workspace.mill]\nweight = " + std::to_string(version)
+        + "\n[service.yard]\nrepeatable = GET /availability/*\n";
+}
+
+void print(const char *what, const std::vector<std::int64_t> &delays, std::size_t processes)
+{
+    if (delays.empty()) {
+        std::printf("%-44s nothing measured\n", what);
+        return;
+    }
+    std::printf("%-44s processes %zu of %zu, ms: least %lld, median %lld, 95 in 100 %lld, most %lld\n", what,
+                delays.size(), processes, static_cast<long long>(delays.front()),
+                static_cast<long long>(delays[delays.size() / 2]),
+                static_cast<long long>(delays[delays.size() * 95 / 100]), static_cast<long long>(delays.back()));
+}
+
+void measureChanges(Deployment &deployment, int changes)
+{
+    std::vector<std::int64_t> all;
+    for (int change = 0; change < changes; ++change) {
+        const auto offset = deployment.publish(DocumentKind::Rules, rules(change + 2));
+        const auto delays = deployment.delays(offset);
+        all.insert(all.end(), delays.begin(), delays.end());
+    }
+    std::sort(all.begin(), all.end());
+    print("append to in force", all, deployment.processes() * static_cast<std::size_t>(changes));
+}
+
+void measureOutage(Deployment &deployment)
+{
+    const auto setOut = [&deployment](int out) {
+        deployment.call(deployment.log(),
+                        {.method = "POST", .path = "/faults", .body = "{\"out\":" + std::to_string(out) + "}"});
+    };
+    setOut(1);
+    std::thread ends([&] {
+        std::this_thread::sleep_for(Outage);
+        setOut(0);
+    });
+    const auto offset = deployment.publish(DocumentKind::Rules, rules(1000));
+    ends.join();
+    print("append to in force after 10 s without the log", deployment.delays(offset), deployment.processes());
+}
+
+void measureWithdrawal(Deployment &deployment)
+{
+    std::atomic<bool> stop{false};
+    std::atomic<int> answered{0};
+    std::atomic<int> refused{0};
+    std::thread caller([&] {
+        while (!stop) {
+            const auto response = deployment.call(
+                deployment.entry(0),
+                {.method = "GET", .path = "/services/yard/availability/7", .headers = {{"X-Workspace", "mill"}}});
+            ++(response.status == 200 ? answered : refused);
+        }
+    });
+    const auto callsOfFirst = [&deployment] {
+        const auto body =
+            deployment.call(deployment.backend(0).endpoints().front(), {.method = "GET", .path = "/counters"}).body;
+        const auto at = body.find("\"lookups\":");
+        return at == std::string::npos ? 0LL : std::atoll(body.c_str() + at + 10);
+    };
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    const auto before = callsOfFirst();
+    const auto offset = deployment.publish(DocumentKind::Inventory, deployment.inventory(0));
+    const auto appended = deployment.appendedAt(offset);
+    auto last = callsOfFirst();
+    auto lastAt = nowOfDay();
+    for (int round = 0; round < 300; ++round) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        const auto calls = callsOfFirst();
+        if (calls != last) {
+            last = calls;
+            lastAt = nowOfDay();
+        }
+    }
+    stop = true;
+    caller.join();
+    std::printf("%-44s ms: at most %lld; its back end had %lld calls before and %lld after; answered %d, refused %d\n",
+                "withdrawal's append to last new request", static_cast<long long>(lastAt - appended), before,
+                last - before, answered.load(), refused.load());
+}
+
+void measureRecovery(Deployment &deployment, const std::string &logFile)
+{
+    std::vector<std::int64_t> delays;
+    for (std::size_t i = 1; i <= 3; ++i) {
+        const auto gate = toString(deployment.target(i)->endpoints().front());
+        deployment.target(i)->kill();
+        const auto begin = nowOfDay();
+        deployment.target(i) = deployment.startTarget(static_cast<int>(i), gate);
+        const auto name = "target-" + std::to_string(i);
+        for (std::int64_t ready = 0; ready == 0;) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            for (const auto &line : readLog(logFile)) {
+                if (line.process == name && line.milliseconds >= begin && line.confirmed && line.offset > 0) {
+                    ready = line.milliseconds;
+                    delays.push_back(ready - begin);
+                    break;
+                }
+            }
+        }
+    }
+    std::sort(delays.begin(), delays.end());
+    print("start of a killed process to confirmed state", delays, delays.size());
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const int targets = argc > 1 ? std::atoi(argv[1]) : 16;
+    const int entries = argc > 2 ? std::atoi(argv[2]) : 2;
+    const int changes = argc > 3 ? std::atoi(argv[3]) : 10;
+    char logFile[] = "/tmp/configrun-XXXXXX";
+    const int file = ::mkstemp(logFile);
+    ::dup2(file, STDERR_FILENO); // the daemons' logs, each line with its time
+    ::fcntl(STDERR_FILENO, F_SETFL, O_APPEND);
+    const auto begin = std::chrono::steady_clock::now();
+    ::setvbuf(stdout, nullptr, _IOLBF, 0);
+    std::printf("targets %d, entries %d\n", targets, entries);
+    {
+        Deployment deployment(targets, entries, logFile);
+        print("first inventory in force",
+              deployment.delays(deployment.publish(DocumentKind::Inventory, deployment.inventory(-1))),
+              deployment.processes());
+        print("first rules in force", deployment.delays(deployment.publish(DocumentKind::Rules, rules(1))),
+              deployment.processes());
+        std::this_thread::sleep_for(std::chrono::seconds(5)); // the relay finds its sources
+        measureChanges(deployment, changes);
+        measureOutage(deployment);
+        measureRecovery(deployment, logFile);
+        measureWithdrawal(deployment);
+    }
+    rusage usage{};
+    ::getrusage(RUSAGE_CHILDREN, &usage);
+    const auto seconds = std::chrono::duration<double>(std::chrono::steady_clock::now() - begin).count();
+    const auto cpu = static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
+        + static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
+    std::printf("processor time of all children %.1f s in %.1f s\n", cpu, seconds);
+    ::unlink(logFile);
+    return 0;
+}
--- a/modules/heatherridge_coordination/config/configrelay.cpp
+++ b/modules/heatherridge_coordination/config/configrelay.cpp
@@ -380,8 +380,10 @@
 
 bool ConfigRelay::needsLog(SteadyTime now)
 {
+    const bool nobodyToAsk =
+        std::none_of(m_peers.begin(), m_peers.end(), [](const auto &entry) { return entry.second.isSource; });
     const bool fetchFails = m_replica.missingFrom() && m_fetches > m_options.fetchesBeforeLog;
-    if (m_plan == nullptr || m_plan->isReader(m_self) || !m_replica.isConfirmed() || fetchFails) {
+    if (m_plan == nullptr || m_plan->isReader(m_self) || !m_replica.isConfirmed() || fetchFails || nobodyToAsk) {
         return true;
     }
     if (m_sourcelessSince) {
--- a/modules/heatherridge_coordination/config/snapshotwriter.h
+++ b/modules/heatherridge_coordination/config/snapshotwriter.h
@@ -13,7 +13,7 @@
 /** When snapshots are written. */
 struct SnapshotWriterOptions
 {
-    std::uint64_t recordsBetween = 200; ///< a newcomer folds at most about so many records after the snapshot
+    std::uint64_t recordsBetween = 64; ///< about as many records as a newcomer folds after the snapshot
     std::chrono::milliseconds interval{std::chrono::minutes(30)}; ///< well below the log's retention time
     std::chrono::milliseconds stagger{2'000}; ///< the process of rank N waits N times this after a snapshot is due
     std::chrono::milliseconds firstBackoff{1'000};
