--- a/modules/heatherridge_state/decisions/admissionqueue.cpp
+++ b/modules/heatherridge_state/decisions/admissionqueue.cpp
@@ -16,6 +16,10 @@
 constexpr std::chrono::milliseconds LongestReturn{30'000};
 /** How long after the last short request slots are kept free for the next. */
 constexpr std::chrono::seconds ShortMemory{10};
+/** Long enough for tens of requests at a target, short enough to follow a burst. */
+constexpr std::chrono::milliseconds PressureHalfLife{2000};
+/** Shortest time between two looks at a lane that waits. */
+constexpr std::chrono::milliseconds SweepStep{100};
 /** Share of the newest request in the average cost. */
 constexpr double NewestShare = 0.02;
 
@@ -32,6 +36,8 @@
     if (m_draining) {
         return Error{.kind = ErrorKind::Draining, .ran = Ran::No, .retryAfter = ShortestReturn};
     }
+    fade(now);
+    m_offered += request.cost;
     m_averageCost = m_averageCost == 0 ? request.cost : m_averageCost * (1 - NewestShare) + request.cost * NewestShare;
     const bool isLong = request.cost > m_options.longFactor * m_averageCost;
     if (!isLong) {
@@ -58,8 +64,7 @@
     }
     share.lane.add({.request = request, .arrived = now, .latestStart = latestStart, .isLong = isLong}, now);
     m_waiting.emplace(request.id, request.workspace);
-    m_nextSweep = m_nextSweep ? std::min(*m_nextSweep, latestStart) : latestStart;
-    trim(share, now);
+    scheduleSweep(share, now);
     return Queued{};
 }
 
@@ -158,9 +163,8 @@
         while (auto waiting = share.lane.popLate(now)) {
             giveUp(share, std::move(waiting), ErrorKind::DeadlineUnreachable, now);
         }
-        if (const auto latest = share.lane.earliestLatestStart()) {
-            m_nextSweep = m_nextSweep ? std::min(*m_nextSweep, *latest) : *latest;
-        }
+        giveUpStale(share, now);
+        scheduleSweep(share, now);
     }
 }
 
@@ -171,10 +175,17 @@
 
 AdmissionLoad AdmissionQueue::load() const
 {
-    AdmissionLoad load{.running = m_running.size(), .waiting = m_waiting.size(), .limit = m_limit};
+    AdmissionLoad load{.running = m_running.size(),
+                       .waiting = m_waiting.size(),
+                       .limit = m_limit,
+                       .pressure = m_started > 0 ? std::max(1.0, m_offered / m_started) : 1,
+                       .capacity = static_cast<double>(m_limit) * m_averageCost};
     for (const auto &[name, share] : m_shares) {
         load.waitingCost += share.lane.backlog();
     }
+    for (const auto &[id, running] : m_running) {
+        load.runningCost += running.cost;
+    }
     return load;
 }
 
@@ -195,10 +206,18 @@
     return static_cast<double>(m_limit) * share.weight / (share.weight + std::max(others, 0.0));
 }
 
+/**
+ * Whether @p share has waited too long on its own account. A lane in credit has received less than its share even when
+ * all that waits is added; it stands before those beyond theirs, so its waits are short, and giving up its requests
+ * would hand its share to them.
+ */
 bool AdmissionQueue::isOverloaded(const Share &share, SteadyTime now) const
 {
-    const auto since = share.lane.busySince();
-    return since && now - *since > m_options.overloadedAfter;
+    if (share.tag + share.lane.backlog() / share.weight < m_virtualTime) {
+        return false;
+    }
+    const auto prompt = share.lane.lastPrompt();
+    return prompt && now - *prompt > m_options.overloadedAfter;
 }
 
 bool AdmissionQueue::longAllowed(SteadyTime now) const
@@ -242,10 +261,15 @@
     return Error{.kind = kind, .ran = Ran::No, .retryAfter = comeBackAfter(share, cost, now)};
 }
 
-/** Over its limit is a workspace only while others wait too; alone, it is the target that has too little. */
+/**
+ * Over its limit is a workspace that has received more for its weight than those it competes with; else the target has
+ * too little for all, and another target may have more.
+ */
 ErrorKind AdmissionQueue::overloadKind(const Share &share) const
 {
-    return m_activeWeight > share.weight * 1.001 ? ErrorKind::WorkspaceOverLimit : ErrorKind::Overloaded;
+    const bool ahead = share.tag - m_virtualTime > m_averageCost / share.weight;
+    const bool alone = m_activeWeight <= share.weight * 1.001;
+    return ahead && !alone ? ErrorKind::WorkspaceOverLimit : ErrorKind::Overloaded;
 }
 
 void AdmissionQueue::giveUp(Share &share, std::optional<WorkspaceLane::Waiting> waiting, ErrorKind kind, SteadyTime now)
@@ -260,18 +284,25 @@
     }
 }
 
-/** Gives up the oldest requests of an overloaded lane beyond what it works off in time; the newest always stays. */
-void AdmissionQueue::trim(Share &share, SteadyTime now)
+/** Gives up what has waited too long in an overloaded lane. */
+void AdmissionQueue::giveUpStale(Share &share, SteadyTime now)
 {
-    if (!isOverloaded(share, now)) {
-        return;
-    }
-    while (share.lane.size() > 1
-           && m_rate.drainTime(share.lane.backlog(), slotsOf(share)) > m_options.overloadedBacklog) {
+    while (isOverloaded(share, now) && now - *share.lane.oldestArrival() >= m_options.overloadedWait) {
         giveUp(share, share.lane.popOldest(), overloadKind(share), now);
     }
 }
 
+void AdmissionQueue::scheduleSweep(const Share &share, SteadyTime now)
+{
+    if (share.lane.isEmpty()) {
+        return;
+    }
+    // A lane whose oldest has waited that long already is looked at again to see whether it has become overloaded.
+    const auto stale = std::max(*share.lane.oldestArrival() + m_options.overloadedWait, now + SweepStep);
+    const auto next = std::min(stale, *share.lane.earliestLatestStart());
+    m_nextSweep = m_nextSweep ? std::min(*m_nextSweep, next) : next;
+}
+
 /**
  * Makes a place for a request of @p share when all are taken: the lane that holds most for its weight loses its oldest.
  * Without it a workspace that fills the queue would lock the others out before shares come into play.
@@ -294,11 +325,23 @@
     return true;
 }
 
+/** Lets what was offered and started fade alike, so that their ratio is that of the last seconds. */
+void AdmissionQueue::fade(SteadyTime now)
+{
+    const std::chrono::duration<double> passed = now - m_fadedAt;
+    m_fadedAt = now;
+    const double kept = std::exp2(-(passed / PressureHalfLife));
+    m_offered *= kept;
+    m_started *= kept;
+}
+
 void AdmissionQueue::start(Share &share, const WorkRequest &request, bool isLong, SteadyTime now)
 {
     share.tag = std::max(share.tag, m_virtualTime - m_options.burst / share.weight);
     m_virtualTime = std::max(m_virtualTime, share.tag);
     share.tag += request.cost / share.weight;
+    fade(now);
+    m_started += request.cost;
     m_longRunning += isLong ? 1 : 0;
     m_running.emplace(request.id,
                       Running{.workspace = request.workspace, .cost = request.cost, .started = now, .isLong = isLong});
--- a/modules/heatherridge_state/decisions/admissionqueue.h
+++ b/modules/heatherridge_state/decisions/admissionqueue.h
@@ -20,11 +20,11 @@
     /** Cost that a workspace may receive ahead of its share after a pause: about 16 calls of 500 tokens, the burst of
      * one page that asks several questions. */
     double burst = 8'000;
-    /** A lane that has not been empty for so long is overloaded: a burst that fits the target ends within a second. */
+    /** A lane is overloaded when for so long none of its requests started promptly (WorkspaceLane::PromptWait): a burst
+     * that fits the target ends sooner. */
     std::chrono::milliseconds overloadedAfter{1000};
-    /** What an overloaded lane may hold, as time to work it off: enough to bridge the gap between two arrivals, little
-     * enough that what is served is fresh. */
-    std::chrono::milliseconds overloadedBacklog{500};
+    /** Longest wait in an overloaded lane: bridges the gap between two arrivals, and a refused caller knows soon. */
+    std::chrono::milliseconds overloadedWait{500};
     /** A request is long from this multiple of the average cost on. */
     double longFactor = 4;
     /** Slots that long requests may hold while short ones have been asking. */
@@ -58,6 +58,9 @@
     std::size_t waiting = 0;
     std::size_t limit = 0; ///< how many may run at a time
     double waitingCost = 0;
+    double runningCost = 0;
+    double pressure = 1; ///< cost offered over cost started in the last seconds; 1 while nothing is refused
+    double capacity = 0; ///< cost that runs when all slots are taken by average requests; 0 before the first request
 };
 
 /**
@@ -73,8 +76,9 @@
  *   starts sooner but its workspace's share stays the same; within a lane see WorkspaceLane.
  * - Deadlines: what cannot finish in time by the measured rate is refused at once as not run, on arrival or as soon as
  *   it becomes so while it waits (see nextSweep()).
- * - Overload of a lane: the newest viable request is served first and the oldest is given up as soon as the backlog
- *   exceeds AdmissionOptions::overloadedBacklog, so that callers get their answer or refusal within about a second.
+ * - Overload of a lane: the newest viable request is served first, and what has waited overloadedWait is given up, so
+ *   that callers get their answer or refusal within about a second. A lane is judged by its waits, not by being
+ *   occupied: one that is served promptly whenever its turn comes is within its share, however often it fills.
  * - Long requests leave half of the slots to short ones while there are any.
  *
  * After every call that may free a slot (offer, finish, setLimit, cancel) the owner calls take() until it returns
@@ -147,8 +151,10 @@
     Error refusal(ErrorKind kind, Share &share, double cost, SteadyTime now);
     ErrorKind overloadKind(const Share &share) const;
     void giveUp(Share &share, std::optional<WorkspaceLane::Waiting> waiting, ErrorKind kind, SteadyTime now);
-    void trim(Share &share, SteadyTime now);
+    void giveUpStale(Share &share, SteadyTime now);
+    void scheduleSweep(const Share &share, SteadyTime now);
     bool makePlace(Share &share, SteadyTime now);
+    void fade(SteadyTime now);
     void start(Share &share, const WorkRequest &request, bool isLong, SteadyTime now);
 
     AdmissionOptions m_options;
@@ -161,6 +167,9 @@
     std::optional<SteadyTime> m_lastShort; ///< when a short request last came
     double m_virtualTime = 0;
     double m_activeWeight = 0; ///< sum of the weights of lanes with waiting requests
+    double m_offered = 0; ///< cost offered lately, fading
+    double m_started = 0; ///< cost started lately, fading alike
+    SteadyTime m_fadedAt{};
     double m_averageCost = 0; ///< of all offered requests
     std::size_t m_limit = 1;
     std::size_t m_longRunning = 0;
--- a/modules/heatherridge_state/decisions/concurrencylimit.cpp
+++ b/modules/heatherridge_state/decisions/concurrencylimit.cpp
@@ -1,7 +1,6 @@
 #include "heatherridge_state/decisions/concurrencylimit.h"
 
 #include <algorithm>
-#include <utility>
 
 namespace Heatherridge
 {
@@ -9,9 +8,14 @@
 namespace
 {
 
-constexpr double SlowestDecrease = 0.9;
+constexpr double DecreasePerExcess = 0.1;
 constexpr double FastestDecrease = 0.5;
 constexpr double Increase = 1.0 / 16;
+/** From here on the limit that was late last time is approached by a hundredth a window. */
+constexpr double NearCeiling = 0.9;
+constexpr double CarefulIncrease = 0.01;
+/** No growth this near to late: else the limit would cross the line every few windows and be cut each time. */
+constexpr double GrowBelow = 0.9;
 constexpr double SlowStartFactor = 2;
 /** Share of the limit that must have been in use before it may grow. */
 constexpr double InUse = 0.75;
@@ -30,20 +34,20 @@
 {
 }
 
-void ConcurrencyLimit::record(const LatencySample &sample, std::size_t running, SteadyTime now)
+void ConcurrencyLimit::recordFirst(SteadyTime started, std::size_t running, SteadyTime now)
 {
-    if (!m_windowStart) {
-        m_windowStart = now;
-    }
-    m_first.record(sample.first);
-    if (sample.between) {
-        m_between.record(*sample.between);
+    if (!m_cutAt || started >= *m_cutAt) {
+        m_first.record(std::chrono::duration_cast<std::chrono::microseconds>(now - started));
     }
-    m_peak = std::max(m_peak, running);
-    if (now - *m_windowStart >= m_options.window) {
-        m_windowStart = now;
-        closeWindow();
+    notice(running, now);
+}
+
+void ConcurrencyLimit::recordBetween(std::chrono::microseconds gap, std::size_t running, SteadyTime now)
+{
+    if (running <= limit()) {
+        m_between.record(gap);
     }
+    notice(running, now);
 }
 
 void ConcurrencyLimit::restart()
@@ -64,27 +68,38 @@
     return std::min(1.0, m_limit / (WarmFactor * static_cast<double>(m_options.initial)));
 }
 
-void ConcurrencyLimit::closeWindow()
+void ConcurrencyLimit::notice(std::size_t running, SteadyTime now)
+{
+    m_windowStart = m_windowStart.value_or(now);
+    m_running = running;
+    m_peak = std::max(m_peak, running);
+    if (now - *m_windowStart >= m_options.window) {
+        m_windowStart = now;
+        closeWindow(now);
+    }
+}
+
+void ConcurrencyLimit::closeWindow(SteadyTime now)
 {
     const auto peak = static_cast<double>(m_peak);
-    const bool atFloor = limit() <= m_options.least;
-    const bool littleLoad = atFloor || peak <= LittleLoad * m_limit;
+    const bool littleLoad = limit() <= m_options.least || peak <= LittleLoad * m_limit;
     const auto first = m_first.closeWindow(littleLoad);
     const auto between = m_between.closeWindow(littleLoad);
-    if (first == LatencyVerdict::Unknown) {
+    if (first == LatencyVerdict::Unknown && between == LatencyVerdict::Unknown) {
         return; // too few samples: the window stays open
     }
-    m_peak = 0;
-    if (std::exchange(m_ignoreNext, false)) {
-        return;
-    }
-    if (first == LatencyVerdict::Late || between == LatencyVerdict::Late) {
-        const double excess = std::max(m_first.lastExcess(), m_between.lastExcess());
-        m_limit *= std::clamp(1 / excess, FastestDecrease, SlowestDecrease);
+    m_peak = m_running;
+    const double excess = std::max(first == LatencyVerdict::Unknown ? 0 : m_first.lastExcess(),
+                                   between == LatencyVerdict::Unknown ? 0 : m_between.lastExcess());
+    if (excess > 1) {
+        m_ceiling = m_limit;
+        m_limit *= std::max(FastestDecrease, 1 - DecreasePerExcess * excess);
         m_slowStart = false;
-        m_ignoreNext = true;
-    } else if (peak >= InUse * m_limit) {
-        m_limit += m_slowStart ? m_limit * (SlowStartFactor - 1) : std::max(1.0, m_limit * Increase);
+        m_cutAt = now;
+    } else if (peak >= InUse * m_limit && excess < GrowBelow) {
+        const bool nearCeiling = m_ceiling > 0 && m_limit >= NearCeiling * m_ceiling;
+        const double share = m_slowStart ? SlowStartFactor - 1 : (nearCeiling ? CarefulIncrease : Increase);
+        m_limit += std::max(m_limit * share, nearCeiling ? 0 : 1.0);
         m_slowStart = m_slowStart && m_limit < WarmFactor * static_cast<double>(m_options.initial);
     }
     m_limit = std::clamp(m_limit, static_cast<double>(m_options.least), static_cast<double>(m_options.most));
--- a/modules/heatherridge_state/decisions/costplacement.cpp
+++ b/modules/heatherridge_state/decisions/costplacement.cpp
@@ -31,23 +31,6 @@
     return home;
 }
 
-std::optional<std::size_t> bestHolder(std::span<const TargetView> targets)
-{
-    std::optional<std::size_t> best;
-    for (std::size_t index = 0; index < targets.size(); ++index) {
-        const auto &target = targets[index];
-        if (!target.usable || target.prefixTokens == 0) {
-            continue;
-        }
-        const auto *held = best ? &targets[*best] : nullptr;
-        if (held == nullptr || target.prefixTokens > held->prefixTokens
-            || (target.prefixTokens == held->prefixTokens && target.ownLoad < held->ownLoad)) {
-            best = index;
-        }
-    }
-    return best;
-}
-
 } // namespace
 
 CostPlacement::CostPlacement(CostPlacementOptions options)
@@ -75,9 +58,13 @@
         }
     };
     if (m_options.usePrefix) {
-        if (const auto holder = bestHolder(targets)) {
-            consider(*holder, false);
-        } else if (const auto home = traits.affinityKey == 0 ? std::nullopt : homeOf(targets, traits.affinityKey)) {
+        for (std::size_t index = 0; index < targets.size(); ++index) {
+            if (targets[index].prefixTokens > 0) {
+                consider(index, false);
+            }
+        }
+        const auto home = best || traits.affinityKey == 0 ? std::nullopt : homeOf(targets, traits.affinityKey);
+        if (home) {
             consider(*home, true);
         }
     }
@@ -102,12 +89,14 @@
         if (target.usable) {
             ++means.usable;
             own += target.ownLoad;
+            means.capacity += target.reportedCapacity;
             means.others += std::max(0.0, target.reportedLoad - target.ownAtReport);
         }
     }
     const double count = std::max<double>(1, static_cast<double>(means.usable));
     means.others = m_options.useReports ? means.others / count : 0;
     means.load = own / count + means.others;
+    means.capacity /= count;
     return means;
 }
 
@@ -119,7 +108,9 @@
     const std::chrono::duration<double> age = target.reportAge;
     const double trust = std::exp2(-(age / ReportHalfLife));
     const double others = std::max(0.0, target.reportedLoad - target.ownAtReport);
-    return target.ownLoad + trust * others + (1 - trust) * means.others;
+    const double load = target.ownLoad + trust * others + (1 - trust) * means.others;
+    const double full = target.reportedCapacity;
+    return full > 0 && load > full ? std::max(full, means.capacity) + (load - full) * ExcessShare : load;
 }
 
 double CostPlacement::scoreOf(const TargetView &target, const RequestTraits &traits, const Means &means,
@@ -131,7 +122,8 @@
         saved = std::min<double>(target.prefixTokens, traits.promptTokens);
         saved = isHome ? std::max(saved, traits.promptTokens * HomeShare) : saved;
     }
-    const double work = load / std::max(target.warmth, LeastWarmth) + traits.cost - saved;
+    const double refused = PressurePrice * means.capacity * std::log(std::max(1.0, target.reportedPressure));
+    const double work = refused + load / std::max(target.warmth, LeastWarmth) + traits.cost - saved * PrefixTokenValue;
     const double delay = 2 * m_options.zonePrice * static_cast<double>(target.zoneDelay.count());
     return work * target.slowness * traits.timePerUnit.count() + delay;
 }
--- a/modules/heatherridge_state/decisions/placementrules.h
+++ b/modules/heatherridge_state/decisions/placementrules.h
@@ -9,8 +9,9 @@
 /** Options of CostPlacement; each can be switched off to measure what it is worth. */
 struct CostPlacementOptions
 {
-    /** Targets drawn at random for comparison. Two lose the cheapest too often, all would herd on stale reports. */
-    std::size_t samples = 8;
+    /** Targets drawn at random for comparison beside those that hold the prefix. With more, entries herd on the target
+     * that looks best in reports that lag. */
+    std::size_t samples = 2;
     bool usePrefix = true; ///< whether cached prefixes count
     bool useReports = true; ///< whether the targets' own reports count beside this entry's in-flight work
     /** Price of a microsecond of zone delay over one of waiting: links between zones are shared, waiting is not. */
--- a/modules/heatherridge_state/decisions/prefixindex.h
+++ b/modules/heatherridge_state/decisions/prefixindex.h
@@ -26,7 +26,7 @@
 /** Bounds of a PrefixIndex. */
 struct PrefixOptions
 {
-    std::size_t entries = 1U << 15U; ///< blocks known at a time; 40 bytes each, so about 1.3 MB
+    std::size_t entries = 1U << 15U; ///< blocks known at a time; 56 bytes each, so about 1.8 MB
     std::chrono::seconds lifetime{300}; ///< an engine's cache turns over within minutes; older knowledge misleads
 };
 
@@ -36,8 +36,9 @@
  * Load pattern: prompts that share long beginnings (instructions, a conversation so far). Without it each target
  * computes each of them. Knowledge comes from this entry's own placements at once and from the engines' events late
  * and with gaps, so it is a hint: a false match costs a prompt computed anew, nothing else. A gap in a target's events
- * may hide evictions, so older knowledge of that target then counts no more. Memory is fixed: a table by hash, in which
- * a new block takes the place of the one unused for longest among Ways. One thread.
+ * is left alone for that reason: forgetting all that was known of the target costs more false misses than the gap hides
+ * evictions. Only a restart, which empties the cache, makes older knowledge void. Memory is fixed: a table by hash, in
+ * which a new block takes the place of the one unused for longest among Ways. One thread.
  */
 class PrefixIndex
 {
@@ -58,7 +59,7 @@
     /** @p target has evicted the block @p hash. */
     void erase(TargetSlot target, std::uint64_t hash);
 
-    /** Events of @p target were lost, or it was restarted: what was known of it before @p now counts no more. */
+    /** @p target was restarted or is unreachable: what was known of it before @p now counts no more. */
     void distrust(TargetSlot target, SteadyTime now);
 
     /** Every target that holds at least the first block of @p chain, the longest match first. */
@@ -66,7 +67,7 @@
 
 private:
     static constexpr std::size_t Ways = 4;
-    static constexpr std::size_t Holders = 4; ///< a hotter block than that is spread enough
+    static constexpr std::size_t Holders = 8; ///< a hotter block than that is spread enough
 
     struct Block
     {
--- a/modules/heatherridge_state/decisions/retrybudget.cpp
+++ b/modules/heatherridge_state/decisions/retrybudget.cpp
@@ -11,7 +11,7 @@
 {
 }
 
-void RetryBudget::recordFirstAttempt()
+void RetryBudget::recordSuccess()
 {
     m_balance = std::min(m_balance + m_options.share, m_options.most);
 }
--- a/modules/heatherridge_state/decisions/retrypolicy.cpp
+++ b/modules/heatherridge_state/decisions/retrypolicy.cpp
@@ -67,9 +67,9 @@
 {
 }
 
-void RetryPolicy::recordFirstAttempt()
+void RetryPolicy::recordSuccess()
 {
-    m_budget.recordFirstAttempt();
+    m_budget.recordSuccess();
 }
 
 RetryDecision RetryPolicy::decide(const FailedAttempt &failed, SteadyTime now, RandomSource &random)
--- a/modules/heatherridge_state/decisions/retrypolicy.h
+++ b/modules/heatherridge_state/decisions/retrypolicy.h
@@ -76,8 +76,8 @@
 public:
     explicit RetryPolicy(RetryOptions options = {});
 
-    /** A request is sent for the first time; it earns a share of a retry. */
-    void recordFirstAttempt();
+    /** A request has been answered well; it earns a share of a retry. */
+    void recordSuccess();
 
     /** What to do about @p failed at @p now. Takes from the budget only when the verdict is Retry. */
     RetryDecision decide(const FailedAttempt &failed, SteadyTime now, RandomSource &random);
--- a/modules/heatherridge_state/decisions/targetview.h
+++ b/modules/heatherridge_state/decisions/targetview.h
@@ -16,6 +16,8 @@
     double reportedLoad = 0; ///< what the target's last report says runs and waits there, from all entries
     std::chrono::microseconds reportAge{}; ///< how old that report is; a large value when there is none
     double ownAtReport = 0; ///< this entry's part of it
+    double reportedCapacity = 0; ///< load at which its last report calls it full; 0 when unknown
+    double reportedPressure = 1; ///< cost offered to it over cost it starts; above 1 it refuses the rest
     double ownLoad = 0; ///< what this entry has in flight there now
     std::uint32_t ownInFlight = 0; ///< the same as a number of requests
     std::uint32_t prefixTokens = 0; ///< how many tokens of the prompt its cache is thought to hold
@@ -34,8 +36,8 @@
 /** What of a request matters for its placement. */
 struct RequestTraits
 {
-    double cost = 1; ///< expected tokens, prompt and answer
-    double promptTokens = 0; ///< the part of the cost that a cached prefix can save
+    double cost = 1; ///< as requestCost() says
+    double promptTokens = 0; ///< of which a cached prefix can save a part
     std::uint64_t affinityKey = 0; ///< hash of the prompt's beginning; 0 for none
     std::chrono::duration<double, std::micro> timePerUnit{500}; ///< typical time that one unit of load ahead adds
     bool mayProbe = false; ///< it is idempotent, so that it may show whether an ejected target has recovered
--- a/modules/heatherridge_state/decisions/workspacelane.cpp
+++ b/modules/heatherridge_state/decisions/workspacelane.cpp
@@ -13,8 +13,8 @@
     if (isNew) {
         position->second.waitingSince = now;
     }
-    if (!m_busySince) {
-        m_busySince = now;
+    if (!m_lastPrompt) {
+        m_lastPrompt = now;
     }
     m_backlog += waiting.request.cost;
     ++m_size;
@@ -47,6 +47,9 @@
     if (best == m_classes.end()) {
         return std::nullopt;
     }
+    if (now - *oldestArrival() <= PromptWait) {
+        m_lastPrompt = now;
+    }
     auto &chosen = best->second;
     chosen.waitingSince = now;
     return takeOut(best, newestFirst ? std::prev(chosen.requests.end()) : chosen.requests.begin());
@@ -115,9 +118,19 @@
     return m_size;
 }
 
-std::optional<SteadyTime> WorkspaceLane::busySince() const
+std::optional<SteadyTime> WorkspaceLane::oldestArrival() const
+{
+    std::optional<SteadyTime> oldest;
+    for (const auto &[key, waitingClass] : m_classes) {
+        const auto arrived = waitingClass.requests.front().arrived;
+        oldest = oldest ? std::min(*oldest, arrived) : arrived;
+    }
+    return oldest;
+}
+
+std::optional<SteadyTime> WorkspaceLane::lastPrompt() const
 {
-    return m_busySince;
+    return m_lastPrompt;
 }
 
 WorkspaceLane::Waiting WorkspaceLane::takeOut(Classes::iterator position,
@@ -134,7 +147,7 @@
     --m_size;
     m_backlog = m_size == 0 ? 0 : m_backlog - taken.request.cost;
     if (m_size == 0) {
-        m_busySince.reset();
+        m_lastPrompt.reset();
     }
     return taken;
 }
--- a/modules/heatherridge_state/decisions/workspacelane.h
+++ b/modules/heatherridge_state/decisions/workspacelane.h
@@ -38,6 +38,10 @@
     /** A second a step: half the 20 steps from -10 to 10 pass within a third of the default deadline of 30 s. */
     static constexpr std::chrono::milliseconds AgeingStep{1000};
 
+    /** A request that starts within this wait has not met a queue worth the name: below the time to first token of
+     * 360 ms that callers are to see, with room for the prompt. */
+    static constexpr std::chrono::milliseconds PromptWait{250};
+
     /** A request in the lane and when it came. */
     struct Waiting
     {
@@ -77,8 +81,12 @@
     /** How many requests wait. */
     std::size_t size() const;
 
-    /** Since when the lane has not been empty; nothing while it is. */
-    std::optional<SteadyTime> busySince() const;
+    /** When the oldest request came; nothing when none waits. */
+    std::optional<SteadyTime> oldestArrival() const;
+
+    /** When the lane was last empty, or gave out a request while its oldest had not waited beyond PromptWait; nothing
+     * while it is empty. */
+    std::optional<SteadyTime> lastPrompt() const;
 
 private:
     struct ClassKey
@@ -102,7 +110,7 @@
     Classes m_classes;
     double m_backlog = 0;
     std::size_t m_size = 0;
-    std::optional<SteadyTime> m_busySince;
+    std::optional<SteadyTime> m_lastPrompt;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/heatherridge_state.h
+++ b/modules/heatherridge_state/heatherridge_state.h
@@ -26,5 +26,7 @@
 #include "heatherridge_state/decisions/pace.h"
 #include "heatherridge_state/decisions/placement.h"
 #include "heatherridge_state/decisions/prefixindex.h"
+#include "heatherridge_state/decisions/requestcost.h"
 #include "heatherridge_state/decisions/retrypolicy.h"
+#include "heatherridge_state/decisions/slownesstracker.h"
 #include "heatherridge_state/decisions/subsetselection.h"
--- a/tests/decisions/admission_test.cpp
+++ b/tests/decisions/admission_test.cpp
@@ -147,7 +147,7 @@
 // each request has one outcome, and no more than the limit run.
 RC_GTEST_PROP(AdmissionQueue, EveryRequestHasOneOutcome, ())
 {
-    AdmissionQueue queue({.places = 6, .overloadedAfter = 20ms, .overloadedBacklog = 10ms});
+    AdmissionQueue queue({.places = 6, .overloadedAfter = 20ms, .overloadedWait = 10ms});
     queue.setLimit(3);
     std::map<RequestId, std::string> outcomes;
     std::vector<RequestId> running;
