--- a/modules/heatherridge_state/decisions/admissionqueue.cpp
+++ b/modules/heatherridge_state/decisions/admissionqueue.cpp
@@ -189,6 +189,16 @@
     return load;
 }
 
+std::size_t AdmissionQueue::running() const
+{
+    return m_running.size();
+}
+
+std::size_t AdmissionQueue::waiting() const
+{
+    return m_waiting.size();
+}
+
 AdmissionQueue::Share &AdmissionQueue::shareOf(const WorkRequest &request)
 {
     Share &share = m_shares[request.workspace];
--- a/modules/heatherridge_state/decisions/admissionqueue.h
+++ b/modules/heatherridge_state/decisions/admissionqueue.h
@@ -124,6 +124,12 @@
     /** What runs and waits now. */
     AdmissionLoad load() const;
 
+    /** How many run now. */
+    std::size_t running() const;
+
+    /** How many wait now. */
+    std::size_t waiting() const;
+
 private:
     struct Share
     {
--- a/modules/heatherridge_state/heatherridge_state.h
+++ b/modules/heatherridge_state/heatherridge_state.h
@@ -30,3 +30,4 @@
 #include "heatherridge_state/decisions/retrypolicy.h"
 #include "heatherridge_state/decisions/slownesstracker.h"
 #include "heatherridge_state/decisions/subsetselection.h"
+#include "heatherridge_state/fold/configstate.h"
