--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -16,7 +16,6 @@
 {
 
 constexpr std::chrono::milliseconds LinkTick{10};
-constexpr std::chrono::hours NoReportAge{1};
 /** An attempt is worth making when about this much time is left for it. */
 constexpr std::chrono::milliseconds ShortestAttempt{5};
 
@@ -52,16 +51,6 @@
 
 } // namespace
 
-/** What this thread knows of one target beside the inventory. */
-struct EntryTraffic::KnownTarget
-{
-    LoadReport report{};
-    std::optional<SteadyTime> reportedAt{};
-    double ownLoad = 0;
-    double ownAtReport = 0;
-    std::uint32_t ownInFlight = 0;
-};
-
 EntryTraffic::EntryTraffic(Options options, Metrics &metrics, RequestJournal &journal)
     : m_options(std::move(options))
     , m_metrics(metrics)
@@ -109,10 +98,7 @@
         }
         m_view = view;
         m_links->follow(*view->inventory);
-        std::erase_if(m_targets, [&view](const auto &entry) { return view->inventory->find(entry.first) == nullptr; });
-        for (const auto &[name, target] : view->inventory->targets()) {
-            m_health.add(name);
-        }
+        m_book.follow(*view->inventory);
     });
 }
 
@@ -139,10 +125,7 @@
     std::vector<TargetStatus> statuses;
     m_loop.run([this, &statuses] {
         for (const auto &[name, target] : m_view->inventory->targets()) {
-            const auto known = m_targets.find(name);
-            statuses.push_back({.target = name,
-                                .isUp = m_links->isUp(name),
-                                .report = known == m_targets.end() ? LoadReport{} : known->second.report});
+            statuses.push_back({.target = name, .isUp = m_links->isUp(name), .report = m_book.reportOf(name)});
         }
     });
     return statuses;
@@ -153,7 +136,6 @@
     m_calls.emplace(call->id, call);
     m_journal.note(call->id, "arrived", {}, call->request.submit.service.text());
     call->exchange->onClosed([this, id = call->id] { m_loop.post([this, id] { callerGone(id); }); });
-    m_retries.recordFirstAttempt();
     attempt(call);
 }
 
@@ -166,11 +148,7 @@
         return;
     }
     const auto targets = candidates(*call);
-    std::vector<TargetView> views;
-    views.reserve(targets.size());
-    for (const auto *target : targets) {
-        views.push_back(viewOf(*target, *call, now));
-    }
+    const auto views = viewsOf(targets, *call, now);
     const auto &submit = call->request.submit;
     const auto choice = m_placement->choose(views,
                                             {.cost = static_cast<double>(submit.cost),
@@ -186,9 +164,7 @@
     call->target = target;
     call->sent = now;
     ++call->attempts;
-    auto &known = m_targets[target];
-    known.ownLoad += static_cast<double>(submit.cost);
-    ++known.ownInFlight;
+    m_book.recordSent(target, static_cast<double>(submit.cost), call->request.prefixChain, now);
     call->request.submit.timeLeft = left;
     call->request.submit.attempt = call->attempts;
     call->request.submit.id = attemptId(call->id, call->attempts);
@@ -223,30 +199,23 @@
     return m_view->takesWork(target) && m_links->isUp(target.name) && !call.tried.contains(target.name);
 }
 
-TargetView EntryTraffic::viewOf(const Target &target, const EntryCall &call, SteadyTime now)
+std::vector<TargetView> EntryTraffic::viewsOf(const std::vector<const Target *> &targets, const EntryCall &call,
+                                              SteadyTime now) const
 {
-    const auto &known = m_targets[target.name];
-    const auto health = m_health.healthOf(target.name, now);
-    const auto age = known.reportedAt ? now - *known.reportedAt : NoReportAge;
-    return TargetView{.key = keyOf(target.name),
-                      .zoneDelay = m_view->inventory->delayBetween(m_options.zone, target.zone),
-                      .reportedLoad =
-                          static_cast<double>((known.report.running + known.report.queued) * call.request.submit.cost),
-                      .reportAge = std::chrono::duration_cast<std::chrono::microseconds>(age),
-                      .ownAtReport = known.ownAtReport,
-                      .ownLoad = known.ownLoad,
-                      .ownInFlight = known.ownInFlight,
-                      .usable = isUsable(target, call) && !known.report.draining && health != Health::Ejected,
-                      .probe = health == Health::Probing};
+    auto views = m_book.viewsOf(targets, call.request.prefixChain, now);
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        const bool reachable = isUsable(*targets[index], call);
+        views[index].zoneDelay = m_view->inventory->delayBetween(m_options.zone, targets[index]->zone);
+        views[index].usable = views[index].usable && reachable;
+        views[index].probe = views[index].probe && reachable;
+    }
+    return views;
 }
 
 void EntryTraffic::received(const TargetName &target, const TrafficMessage &message)
 {
     if (const auto *report = std::get_if<LoadReport>(&message)) {
-        auto &known = m_targets[target];
-        known.report = *report;
-        known.reportedAt = std::chrono::steady_clock::now();
-        known.ownAtReport = known.ownLoad;
+        m_book.takeReport(*report, std::chrono::steady_clock::now());
         return;
     }
     const auto id = std::visit(
@@ -275,6 +244,7 @@
 
 void EntryTraffic::linkDown(const TargetName &target)
 {
+    m_book.recordDown(target, std::chrono::steady_clock::now());
     std::vector<Call> lost;
     for (const auto &[id, call] : m_calls) {
         if (call->target == target) {
@@ -371,10 +341,8 @@
     if (call.target.isEmpty()) {
         return;
     }
-    auto &known = m_targets[call.target];
-    known.ownLoad -= static_cast<double>(call.request.submit.cost);
-    known.ownInFlight -= known.ownInFlight > 0 ? 1 : 0;
-    m_health.record(call.target, attempt, std::chrono::steady_clock::now());
+    m_book.recordLeft(call.target, static_cast<double>(call.request.submit.cost), attempt,
+                      std::chrono::steady_clock::now());
     call.target = TargetName();
     if (call.timer) {
         call.timer->cancel();
@@ -388,7 +356,8 @@
     call->tried.insert(call->target);
     const bool refused = error.ranOrDefault() == Ran::No;
     const auto now = std::chrono::steady_clock::now();
-    leaveTarget(*call, refused ? Attempt::Succeeded : Attempt::Failed);
+    const bool unreachable = error.kind == ErrorKind::TargetUnreachable;
+    leaveTarget(*call, refused && !unreachable ? Attempt::Succeeded : Attempt::Failed);
     const auto others = candidates(*call);
     const FailedAttempt failed{
         .error = error,
@@ -397,7 +366,7 @@
         .resumes = call->resume.has_value(),
         .otherTargets =
             std::any_of(others.begin(), others.end(), [&](const Target *target) { return isUsable(*target, *call); }),
-        .attempt = call->attempts,
+        .attempt = call->attempts - 1,
         .deadline = call->deadline,
         .expectedDuration = ShortestAttempt};
     const auto decision = m_retries.decide(failed, now, m_random);
@@ -426,6 +395,7 @@
 void EntryTraffic::finish(const Call &call, const std::string &outcome)
 {
     leaveTarget(*call, Attempt::Succeeded);
+    m_retries.recordSuccess();
     call->exchange->end();
     m_answers.add();
     m_whole.record(microsecondsSince(call->arrived));
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -4,6 +4,7 @@
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/entry/callerrequest.h"
 #include "heatherridge_transport/entry/requestjournal.h"
+#include "heatherridge_transport/entry/targetbook.h"
 #include "heatherridge_transport/entry/targetlinks.h"
 #include "heatherridge_transport/http/httpserver.h"
 
@@ -63,13 +64,13 @@
     std::vector<TargetStatus> targets();
 
 private:
-    struct KnownTarget;
     using Call = std::shared_ptr<EntryCall>;
 
     void begin(const Call &call);
     void attempt(const Call &call);
     std::vector<const Target *> candidates(const EntryCall &call) const;
-    TargetView viewOf(const Target &target, const EntryCall &call, SteadyTime now);
+    std::vector<TargetView> viewsOf(const std::vector<const Target *> &targets, const EntryCall &call,
+                                    SteadyTime now) const;
     bool isUsable(const Target &target, const EntryCall &call) const;
     void received(const TargetName &target, const TrafficMessage &message);
     void linkDown(const TargetName &target);
@@ -93,9 +94,8 @@
     std::unique_ptr<TargetLinks> m_links;
     SeededRandom m_random;
     RetryPolicy m_retries;
-    HealthTracker m_health;
     std::unique_ptr<Placement> m_placement;
-    std::map<TargetName, KnownTarget> m_targets;
+    TargetBook m_book;
     std::unordered_map<RequestId, Call> m_calls;
     std::atomic<std::size_t> m_openCalls{0};
     Counter &m_requests;
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -111,6 +111,9 @@
     void releaseHeld();
     void handBackWaiting(ErrorKind kind);
     void reportLoad(bool always);
+    void applyLimit();
+    void recordPace(std::chrono::microseconds time);
+    double loadOf(const Socket &entry) const;
     void refuse(const Socket &entry, const RequestId &id, const Error &error);
     void send(const Socket &entry, const TrafficMessage &message);
     const Target *self() const;
@@ -128,7 +131,7 @@
     std::set<Socket> m_entries;
     std::unordered_map<RequestId, Work> m_works;
     std::vector<HeldRequest> m_held;
-    LoadReport m_lastReport;
+    double m_pace = 0; ///< smoothed microseconds between tokens, or of a plain call
     int m_ticksSinceReport = 0;
     bool m_draining = false;
     Counter &m_started;
