Measure rebalancing policies on generated load traces

Change: an even placement is cut anew by the alias method, staying near the one in force, and competes with the step-by-step way; changes are judged by all ranks. The estimator uses the memory that foretold the last windows best. Loading time is priced with the excess that goes on meanwhile.

--- /dev/null
+++ b/extras/heatherridge-experts/main.cpp
@@ -0,0 +1,152 @@
+#include "simulation.h"
+
+#include <boost/program_options.hpp>
+
+#include <cstdio>
+#include <future>
+#include <iostream>
+
+using namespace Heatherridge;
+
+namespace
+{
+
+/** Layers of the model that the sizes stand for; a run with fewer has experts as much larger. */
+constexpr int ModelLayers = 60;
+constexpr double ExpertMegabytes = 44;
+constexpr int RanksPerHost = 8;
+constexpr int HostsPerZone = 4;
+
+struct Deployment
+{
+    const char *name;
+    BalanceWeights weights;
+};
+
+const Deployment Deployments[] = {
+    {"Blue Mahoe", {.skew = 4, .cost = 1}},
+    {"Ferrauto", {.skew = 1, .cost = 4}},
+};
+
+struct NamedPolicy
+{
+    const char *name;
+    RebalancePolicy policy;
+};
+
+std::vector<NamedPolicy> policies()
+{
+    using std::chrono::minutes;
+    return {
+        {"ours", RegretRebalance{}},
+        {"never", NeverRebalance{}},
+        {"greedy, always", PeriodicRebalance{.method = BaselinePlacement::Greedy}},
+        {"greedy, 30 min", PeriodicRebalance{.method = BaselinePlacement::Greedy, .period = minutes(30)}},
+        {"replicated, always", PeriodicRebalance{.method = BaselinePlacement::Replicated}},
+        {"replicated, 10 min", PeriodicRebalance{.method = BaselinePlacement::Replicated, .period = minutes(10)}},
+        {"replicated, 60 min", PeriodicRebalance{.method = BaselinePlacement::Replicated, .period = minutes(60)}},
+        {"hierarchical, always", PeriodicRebalance{.method = BaselinePlacement::Hierarchical}},
+        {"hierarchical, 30 min", PeriodicRebalance{.method = BaselinePlacement::Hierarchical, .period = minutes(30)}},
+    };
+}
+
+struct Settings
+{
+    int seeds = 5;
+    double hours = 4;
+    int layers = 6;
+    int ranks = 64;
+    int slots = 2;
+    double storeMegabytes = 2000;
+    std::string trace;
+};
+
+GroupShape shapeOf(const Settings &settings)
+{
+    GroupShape shape{.layers = settings.layers,
+                     .experts = 64,
+                     .expertBytes = static_cast<std::uint64_t>(ExpertMegabytes * 1e6 * ModelLayers / settings.layers),
+                     .slots = std::vector<int>(static_cast<std::size_t>(settings.ranks), settings.slots),
+                     .places = {}};
+    for (int rank = 0; rank < settings.ranks; ++rank) {
+        shape.places.push_back({.host = rank / RanksPerHost, .zone = rank / (RanksPerHost * HostsPerZone)});
+    }
+    return shape;
+}
+
+SimulationResult meanOverSeeds(const Settings &settings, TraceKind kind, const BalanceWeights &weights,
+                               const RebalancePolicy &policy)
+{
+    std::vector<std::future<SimulationResult>> runs;
+    for (int seed = 1; seed <= settings.seeds; ++seed) {
+        const TraceOptions trace{.shape = shapeOf(settings),
+                                 .kind = kind,
+                                 .seed = static_cast<std::uint64_t>(seed),
+                                 .windows = static_cast<int>(settings.hours * 360)};
+        runs.push_back(std::async(std::launch::async, [&settings, trace, weights, policy] {
+            const SimulationOptions options{
+                .trace = trace, .weights = weights, .storeBytesPerSecond = settings.storeMegabytes * 1e6};
+            return simulate(options, policy);
+        }));
+    }
+    SimulationResult sum;
+    for (auto &run : runs) {
+        sum += run.get();
+    }
+    return sum.dividedBy(settings.seeds);
+}
+
+void printTable(const Settings &settings, TraceKind kind, const Deployment &deployment)
+{
+    std::printf("\n%s, %s (skew %g, cost %g)\n\n", std::string(toString(kind)).c_str(), deployment.name,
+                deployment.weights.skew, deployment.weights.cost);
+    std::printf("| policy | mean skew | p99 skew | bound | GB moved | switches | stalled s | score |\n");
+    std::printf("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+    for (const auto &[name, policy] : policies()) {
+        const auto mean = meanOverSeeds(settings, kind, deployment.weights, policy);
+        std::printf("| %s | %.3f | %.3f | %.3f | %.0f | %d | %.1f | %.3f |\n", name, mean.meanSkew, mean.p99Skew,
+                    mean.boundSkew, mean.bytesMoved / 1e9, mean.switches, mean.stalled.count(), mean.score);
+    }
+    std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    namespace options = boost::program_options;
+    Settings settings;
+    options::options_description described(
+        "heatherridge-experts: runs rebalancing policies on generated load traces\nOptions");
+    auto add = described.add_options();
+    add("help", "this text");
+    add("seeds", options::value(&settings.seeds)->default_value(settings.seeds), "runs of each trace");
+    add("hours", options::value(&settings.hours)->default_value(settings.hours), "length of a trace");
+    add("layers", options::value(&settings.layers)->default_value(settings.layers),
+        "layers simulated; their experts' size makes up for the model's 60");
+    add("ranks", options::value(&settings.ranks)->default_value(settings.ranks), "ranks of the group");
+    add("slots", options::value(&settings.slots)->default_value(settings.slots), "experts a layer on a rank");
+    add("store-rate", options::value(&settings.storeMegabytes)->default_value(settings.storeMegabytes),
+        "what the weight store gives the group, MB/s");
+    add("trace", options::value(&settings.trace), "only this trace: drift, season, hot-expert, slow-rank or noise");
+    options::variables_map values;
+    try {
+        options::store(options::parse_command_line(argc, argv, described), values);
+        options::notify(values);
+    } catch (const options::error &error) {
+        std::cerr << error.what() << '\n' << described;
+        return 2;
+    }
+    if (values.count("help") > 0) {
+        std::cout << described;
+        return 0;
+    }
+    for (const auto kind : allTraceKinds()) {
+        if (settings.trace.empty() || settings.trace == toString(kind)) {
+            for (const auto &deployment : Deployments) {
+                printTable(settings, kind, deployment);
+            }
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/extras/heatherridge-experts/simulation.cpp
@@ -0,0 +1,209 @@
+#include "simulation.h"
+
+#include "heatherridge_state/groups/stageplan.h"
+#include "heatherridge_state/groups/stragglerdetector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+/** Loading time of one stage. */
+constexpr std::chrono::duration<double> StageLength{30};
+/** Pause at a switch: one step of the group. */
+constexpr std::chrono::duration<double> SwitchPause{0.05};
+/** Windows by which reports lag. */
+constexpr std::size_t ReportLag = 2;
+
+/** One run in progress. */
+class Run
+{
+public:
+    Run(const SimulationOptions &options, const RebalancePolicy &policy)
+        : m_options(options)
+        , m_policy(policy)
+        , m_trace(options.trace)
+        , m_loss(options.trace.seed ^ 0x5eedU)
+        , m_estimator(options.trace.shape)
+        , m_stragglers(options.trace.shape.ranks())
+        , m_map(std::get<ExpertMap>(
+              ExpertMap::create(MapNumber{1}, options.trace.shape,
+                                std::get<std::vector<LayerPlacement>>(improvePlacement(m_trace.now(), {}, {})))))
+    {
+    }
+
+    SimulationResult finish()
+    {
+        for (int window = 1; window <= m_options.trace.windows; ++window) {
+            m_trace.advance();
+            advanceStages();
+            measure();
+            report(static_cast<std::uint64_t>(window));
+            if (m_wanted.empty()) {
+                ask();
+            }
+        }
+        return result();
+    }
+
+private:
+    void measure()
+    {
+        m_skews.push_back(stepSkew(m_trace.now(), m_map.layers()));
+        m_result.boundSkew += stepSkewBound(m_trace.now());
+        m_result.meanExcess += excessTime(m_trace.now(), m_map.layers());
+    }
+
+    void report(std::uint64_t window)
+    {
+        m_sent.push_back({m_map, m_trace.reports(m_map, window)});
+        if (m_sent.size() <= ReportLag) {
+            return;
+        }
+        auto [map, reports] = std::move(m_sent.front());
+        m_sent.pop_front();
+        std::erase_if(reports, [this](const auto &) { return m_loss.fraction() < m_options.reportLoss; });
+        for (const auto &one : reports) {
+            m_estimator.add(one, map);
+        }
+        m_stragglers.addWindow(reports);
+        m_estimator.closeWindows(window - ReportLag + PopularityEstimator::OpenWindows + 1);
+    }
+
+    GroupProblem estimate() const
+    {
+        GroupProblem problem{.shape = m_options.trace.shape, .layers = {}};
+        for (int layer = 0; layer < problem.shape.layers; ++layer) {
+            LayerProblem part{.load = m_estimator.parts(layer), .slowness = {}, .slots = problem.shape.slots};
+            for (int rank = 0; rank < problem.shape.ranks(); ++rank) {
+                part.slowness.push_back(m_stragglers.slowness(rank));
+            }
+            problem.layers.push_back(std::move(part));
+        }
+        return problem;
+    }
+
+    void ask()
+    {
+        const auto problem = estimate();
+        auto wanted = decide(m_policy,
+                             {.problem = problem,
+                              .current = m_map.layers(),
+                              .relativeError = m_estimator.relativeError(),
+                              .sinceLast = m_options.trace.windowLength + m_busy,
+                              .storeBytesPerSecond = m_options.storeBytesPerSecond,
+                              .weights = m_options.weights});
+        m_busy = {};
+        if (wanted) {
+            m_wanted = std::move(*wanted);
+            startStage();
+        }
+    }
+
+    void startStage()
+    {
+        const auto budget = static_cast<std::uint64_t>(m_options.storeBytesPerSecond * StageLength.count());
+        m_stage = nextStage(estimate(), m_map.layers(), m_wanted, budget);
+        const auto bytes = static_cast<double>(bytesToMove(m_options.trace.shape, m_map.layers(), m_stage));
+        m_result.bytesMoved += bytes;
+        m_loadLeft += std::chrono::duration<double>(bytes / m_options.storeBytesPerSecond);
+        m_result.loading += bytes / m_options.storeBytesPerSecond;
+    }
+
+    void advanceStages()
+    {
+        if (m_wanted.empty()) {
+            m_loadLeft = {};
+            return;
+        }
+        m_busy += m_options.trace.windowLength;
+        m_loadLeft -= m_options.trace.windowLength;
+        while (!m_wanted.empty() && m_loadLeft.count() <= 0) {
+            m_map = std::get<ExpertMap>(
+                ExpertMap::create(MapNumber{toNumber(m_map.number()) + 1}, m_options.trace.shape, std::move(m_stage)));
+            ++m_result.switches;
+            m_result.stalled += SwitchPause;
+            if (m_map.layers() == m_wanted) {
+                m_wanted.clear();
+            } else {
+                startStage();
+            }
+        }
+    }
+
+    SimulationResult result()
+    {
+        const int windows = m_options.trace.windows;
+        const double seconds = m_options.trace.windowLength.count() * windows;
+        auto skews = m_skews;
+        std::sort(skews.begin(), skews.end());
+        m_result.p99Skew = skews[static_cast<std::size_t>(0.99 * (windows - 1))];
+        for (const double skew : skews) {
+            m_result.meanSkew += skew / windows;
+        }
+        m_result.boundSkew /= windows;
+        m_result.meanExcess /= windows;
+        m_result.loading /= seconds;
+        m_result.score = m_options.weights.skew * m_result.meanExcess
+            + m_options.weights.cost * (m_result.loading + m_result.stalled.count() / seconds);
+        return m_result;
+    }
+
+    const SimulationOptions &m_options;
+    RebalancePolicy m_policy;
+    LoadTrace m_trace;
+    SeededRandom m_loss;
+    PopularityEstimator m_estimator;
+    StragglerDetector m_stragglers;
+    ExpertMap m_map;
+    std::vector<LayerPlacement> m_wanted; ///< empty when no change is under way
+    std::vector<LayerPlacement> m_stage;
+    std::chrono::duration<double> m_loadLeft{};
+    std::chrono::duration<double> m_busy{};
+    std::deque<std::pair<ExpertMap, std::vector<RankReport>>> m_sent;
+    std::vector<double> m_skews;
+    SimulationResult m_result;
+};
+
+} // namespace
+
+SimulationResult &SimulationResult::operator+=(const SimulationResult &other)
+{
+    meanSkew += other.meanSkew;
+    p99Skew += other.p99Skew;
+    boundSkew += other.boundSkew;
+    meanExcess += other.meanExcess;
+    bytesMoved += other.bytesMoved;
+    switches += other.switches;
+    stalled += other.stalled;
+    loading += other.loading;
+    score += other.score;
+    return *this;
+}
+
+SimulationResult SimulationResult::dividedBy(int runs) const
+{
+    SimulationResult mean = *this;
+    mean.meanSkew /= runs;
+    mean.p99Skew /= runs;
+    mean.boundSkew /= runs;
+    mean.meanExcess /= runs;
+    mean.bytesMoved /= runs;
+    mean.switches /= runs;
+    mean.stalled /= runs;
+    mean.loading /= runs;
+    mean.score /= runs;
+    return mean;
+}
+
+SimulationResult simulate(const SimulationOptions &options, const RebalancePolicy &policy)
+{
+    return Run(options, policy).finish();
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_protocol/groupmessage.cpp
@@ -0,0 +1,225 @@
+#include "heatherridge_protocol/groupmessage.h"
+
+#include "heatherridge_protocol/cborreader.h"
+#include "heatherridge_protocol/grouprecord.h"
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::size_t MostVotes = 4096;
+constexpr std::size_t MostSlotsReported = 1U << 16U;
+/** Messages by their place in GroupMessage; the place is the tag on the wire. */
+constexpr std::uint64_t LastTag = std::variant_size_v<GroupMessage> - 1;
+
+nlohmann::json fields(const LoadMap &message)
+{
+    return {{"f", toNumber(message.leader)},
+            {"e", toNumber(message.epoch)},
+            {"i", toNumber(message.addressee)},
+            {"x", toJson(message.map)}};
+}
+
+nlohmann::json fields(const MapReady &message)
+{
+    return {{"r", message.rank}, {"n", toNumber(message.map)}, {"k", message.loaded}};
+}
+
+nlohmann::json fields(const VoteRequest &message)
+{
+    return {{"f", toNumber(message.leader)}, {"e", toNumber(message.epoch)}, {"n", toNumber(message.map)}};
+}
+
+nlohmann::json fields(const CancelMap &message)
+{
+    return {{"f", toNumber(message.leader)}, {"e", toNumber(message.epoch)}, {"n", toNumber(message.map)}};
+}
+
+nlohmann::json fields(const VoteList &message)
+{
+    auto votes = nlohmann::json::array();
+    for (const auto &vote : message.votes) {
+        votes.push_back({{"r", vote.rank}, {"a", vote.agreed}, {"b", toNumber(vote.bound)}});
+    }
+    nlohmann::json json{{"e", toNumber(message.epoch)}, {"n", toNumber(message.map)}, {"v", std::move(votes)}};
+    if (message.committedAt) {
+        json["s"] = toNumber(*message.committedAt);
+    }
+    return json;
+}
+
+nlohmann::json fields(const EpochNews &message)
+{
+    return {{"p", toJson(message.epoch)}};
+}
+
+nlohmann::json fields(const RankStatus &message)
+{
+    return {{"r", message.rank},          {"i", toNumber(message.engine)}, {"e", toNumber(message.epoch)},
+            {"n", toNumber(message.map)}, {"s", toNumber(message.step)},   {"u", toNumber(message.undecided)}};
+}
+
+nlohmann::json fields(const StatusRequest &message)
+{
+    return {{"f", toNumber(message.leader)}};
+}
+
+nlohmann::json fields(const LoadReport &message)
+{
+    return {{"r", message.report.rank},
+            {"w", message.report.window},
+            {"n", toNumber(message.report.map)},
+            {"t", message.report.tokens},
+            {"b", message.report.busy.count()}};
+}
+
+int readRank(CborReader &reader)
+{
+    return static_cast<int>(reader.number("r", UINT16_MAX));
+}
+
+Result<GroupMessage> readLoadMap(CborReader &reader)
+{
+    LoadMap message{.leader = static_cast<FencingNumber>(reader.number("f")),
+                    .epoch = static_cast<EpochNumber>(reader.number("e")),
+                    .addressee = static_cast<Incarnation>(reader.number("i"))};
+    const auto *json = reader.map("x");
+    if (json == nullptr) {
+        return malformed("map to load");
+    }
+    auto map = expertMapFrom(*json);
+    if (const auto *error = errorIn(map)) {
+        return *error;
+    }
+    message.map = std::move(std::get<ExpertMap>(map));
+    return message;
+}
+
+Result<GroupMessage> readVoteList(CborReader &reader)
+{
+    VoteList list{.epoch = static_cast<EpochNumber>(reader.number("e")),
+                  .map = static_cast<MapNumber>(reader.number("n"))};
+    if (reader.has("s")) {
+        list.committedAt = static_cast<StepNumber>(reader.number("s"));
+    }
+    const auto *votes = reader.array("v");
+    if (votes == nullptr || votes->size() > MostVotes) {
+        return malformed("list of votes");
+    }
+    for (const auto &json : *votes) {
+        CborReader vote(json);
+        list.votes.push_back(
+            {.rank = readRank(vote), .agreed = vote.toggle("a"), .bound = static_cast<StepNumber>(vote.number("b"))});
+        if (!vote.ok()) {
+            return malformed("vote");
+        }
+    }
+    return list;
+}
+
+Result<GroupMessage> readEpochNews(CborReader &reader)
+{
+    const auto *json = reader.map("p");
+    if (json == nullptr) {
+        return malformed("epoch");
+    }
+    auto epoch = groupEpochFrom(*json);
+    if (const auto *error = errorIn(epoch)) {
+        return *error;
+    }
+    return EpochNews{.epoch = std::move(std::get<GroupEpoch>(epoch))};
+}
+
+Result<GroupMessage> readLoadReport(CborReader &reader)
+{
+    LoadReport message;
+    message.report.rank = readRank(reader);
+    message.report.window = reader.number("w");
+    message.report.map = static_cast<MapNumber>(reader.number("n"));
+    message.report.busy = std::chrono::microseconds(reader.integer("b", 0, INT64_MAX));
+    const auto *tokens = reader.array("t");
+    if (tokens == nullptr || tokens->size() > MostSlotsReported) {
+        return malformed("tokens of a load report");
+    }
+    for (const auto &count : *tokens) {
+        if (!count.is_number_unsigned() || count.get<std::uint64_t>() > UINT32_MAX) {
+            return malformed("tokens of a load report");
+        }
+        message.report.tokens.push_back(count.get<std::uint32_t>());
+    }
+    return message;
+}
+
+Result<GroupMessage> readRankStatus(CborReader &reader)
+{
+    return RankStatus{.rank = readRank(reader),
+                      .engine = static_cast<Incarnation>(reader.number("i")),
+                      .epoch = static_cast<EpochNumber>(reader.number("e")),
+                      .map = static_cast<MapNumber>(reader.number("n")),
+                      .step = static_cast<StepNumber>(reader.number("s")),
+                      .undecided = static_cast<MapNumber>(reader.number("u"))};
+}
+
+Result<GroupMessage> readMapReady(CborReader &reader)
+{
+    return MapReady{
+        .rank = readRank(reader), .map = static_cast<MapNumber>(reader.number("n")), .loaded = reader.toggle("k")};
+}
+
+template<typename Request>
+Result<GroupMessage> readRequest(CborReader &reader)
+{
+    return Request{.leader = static_cast<FencingNumber>(reader.number("f")),
+                   .epoch = static_cast<EpochNumber>(reader.number("e")),
+                   .map = static_cast<MapNumber>(reader.number("n"))};
+}
+
+Result<GroupMessage> readStatusRequest(CborReader &reader)
+{
+    return StatusRequest{.leader = static_cast<FencingNumber>(reader.number("f"))};
+}
+
+using ReadMessage = Result<GroupMessage> (*)(CborReader &);
+
+/** In the order of GroupMessage. */
+constexpr ReadMessage Readers[] = {readLoadMap,   readMapReady,  readRequest<VoteRequest>, readRequest<CancelMap>,
+                                   readVoteList,  readEpochNews, readRankStatus,           readStatusRequest,
+                                   readLoadReport};
+static_assert(std::size(Readers) == std::variant_size_v<GroupMessage>);
+
+} // namespace
+
+Bytes encode(const GroupFrame &frame)
+{
+    auto json = std::visit([](const auto &message) { return fields(message); }, frame.message);
+    json["g"] = frame.group.text();
+    json["k0"] = frame.message.index();
+    return toCbor(json);
+}
+
+Result<GroupFrame> decodeGroupFrame(const Bytes &payload)
+{
+    nlohmann::json json;
+    if (!CborReader::parse(payload, json)) {
+        return malformed("no CBOR map");
+    }
+    CborReader reader(json);
+    GroupFrame frame{.group = GroupName(reader.text("g"))};
+    const auto tag = reader.number("k0", LastTag);
+    if (!reader.ok()) {
+        return malformed("group message field " + reader.failedKey());
+    }
+    auto message = Readers[tag](reader);
+    if (const auto *error = errorIn(message)) {
+        return *error;
+    }
+    if (!reader.ok()) {
+        return malformed("group message field " + reader.failedKey());
+    }
+    frame.message = std::move(std::get<GroupMessage>(message));
+    return frame;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_protocol/grouprecord.cpp
@@ -0,0 +1,161 @@
+#include "heatherridge_protocol/grouprecord.h"
+
+#include "heatherridge_protocol/cborreader.h"
+
+#include <algorithm>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::size_t MostLayers = 1024;
+constexpr std::size_t MostMembers = 4096;
+constexpr std::size_t BytesPerSlot = 6;
+
+void putNumber(Bytes &bytes, std::uint16_t number)
+{
+    bytes.push_back(static_cast<std::uint8_t>(number & 0xffU));
+    bytes.push_back(static_cast<std::uint8_t>(number >> 8U));
+}
+
+std::uint16_t numberAt(const Bytes &bytes, std::size_t at)
+{
+    return static_cast<std::uint16_t>(bytes[at] | (bytes[at + 1] << 8U));
+}
+
+Bytes packed(const LayerPlacement &layer)
+{
+    Bytes bytes;
+    bytes.reserve(layer.size() * BytesPerSlot);
+    for (const auto &slot : layer) {
+        putNumber(bytes, slot.expert);
+        putNumber(bytes, slot.rank);
+        putNumber(bytes, slot.share);
+    }
+    return bytes;
+}
+
+LayerPlacement unpacked(const Bytes &bytes)
+{
+    LayerPlacement layer;
+    layer.reserve(bytes.size() / BytesPerSlot);
+    for (std::size_t at = 0; at + BytesPerSlot <= bytes.size(); at += BytesPerSlot) {
+        layer.push_back(
+            {.expert = numberAt(bytes, at), .rank = numberAt(bytes, at + 2), .share = numberAt(bytes, at + 4)});
+    }
+    return layer;
+}
+
+/** The least shape that @p layers can be a placement on. */
+GroupShape shapeAround(const std::vector<LayerPlacement> &layers)
+{
+    GroupShape shape{.layers = static_cast<int>(layers.size())};
+    int ranks = 0;
+    for (const auto &layer : layers) {
+        for (const auto &slot : layer) {
+            shape.experts = std::max(shape.experts, slot.expert + 1);
+            ranks = std::max(ranks, slot.rank + 1);
+        }
+    }
+    shape.slots.assign(static_cast<std::size_t>(ranks), shape.experts);
+    return shape;
+}
+
+} // namespace
+
+nlohmann::json toJson(const ExpertMap &map)
+{
+    auto layers = nlohmann::json::array();
+    for (const auto &layer : map.layers()) {
+        layers.push_back(binary(packed(layer)));
+    }
+    return {{"n", toNumber(map.number())}, {"l", std::move(layers)}};
+}
+
+Result<ExpertMap> expertMapFrom(const nlohmann::json &json)
+{
+    CborReader reader(json);
+    const auto number = static_cast<MapNumber>(reader.number("n"));
+    const auto *array = reader.array("l");
+    if (!reader.ok() || array->size() > MostLayers) {
+        return malformed("expert map");
+    }
+    std::vector<LayerPlacement> layers;
+    layers.reserve(array->size());
+    for (const auto &layer : *array) {
+        if (!layer.is_binary() || layer.get_binary().size() % BytesPerSlot != 0) {
+            return malformed("layer of an expert map");
+        }
+        layers.push_back(unpacked(layer.get_binary()));
+    }
+    const auto shape = shapeAround(layers);
+    auto map = ExpertMap::create(number, shape, std::move(layers));
+    if (const auto *error = errorIn(map)) {
+        return malformed(error->detail);
+    }
+    return map;
+}
+
+nlohmann::json toJson(const GroupEpoch &epoch)
+{
+    auto members = nlohmann::json::array();
+    for (const auto &member : epoch.members) {
+        members.push_back({{"r", member.rank}, {"i", toNumber(member.engine)}});
+    }
+    return {{"e", toNumber(epoch.number)},
+            {"f", toNumber(epoch.leader)},
+            {"m", std::move(members)},
+            {"x", toJson(epoch.map)}};
+}
+
+Result<GroupEpoch> groupEpochFrom(const nlohmann::json &json)
+{
+    CborReader reader(json);
+    GroupEpoch epoch{.number = static_cast<EpochNumber>(reader.number("e")),
+                     .leader = static_cast<FencingNumber>(reader.number("f"))};
+    const auto *members = reader.array("m");
+    const auto *map = reader.map("x");
+    if (!reader.ok() || members->empty() || members->size() > MostMembers) {
+        return malformed("epoch field " + reader.failedKey());
+    }
+    for (const auto &entry : *members) {
+        CborReader member(entry);
+        epoch.members.push_back({.rank = static_cast<int>(member.number("r", UINT16_MAX)),
+                                 .engine = static_cast<Incarnation>(member.number("i"))});
+        const auto count = epoch.members.size();
+        if (!member.ok() || (count > 1 && epoch.members[count - 2].rank >= epoch.members[count - 1].rank)) {
+            return malformed("members of an epoch");
+        }
+    }
+    auto read = expertMapFrom(*map);
+    if (const auto *error = errorIn(read)) {
+        return *error;
+    }
+    epoch.map = std::move(std::get<ExpertMap>(read));
+    for (const auto &layer : epoch.map.layers()) {
+        for (const auto &slot : layer) {
+            if (epoch.find(slot.rank) == nullptr) {
+                return malformed("epoch whose map uses a rank that is no member");
+            }
+        }
+    }
+    return epoch;
+}
+
+Bytes encodeRecord(const GroupEpoch &epoch)
+{
+    return toCbor(toJson(epoch));
+}
+
+Result<GroupEpoch> decodeEpochRecord(const Bytes &record)
+{
+    nlohmann::json json;
+    if (!CborReader::parse(record, json)) {
+        return malformed("no CBOR map");
+    }
+    return groupEpochFrom(json);
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_state/groups/layerbalance.cpp
+++ b/modules/heatherridge_state/groups/layerbalance.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-/** Passes over all experts when dividing. The change shrinks by a good half a pass; 24 leave less than 1e-4. */
-constexpr int SettlePasses = 24;
 /** A pass that changes no rank by more than this part of the layer's load ends the dividing: below any noise. */
 constexpr double SettledPart = 1e-6;
 /** Halvings when searching the bound: 2^-40 is far below the rounding of shares. */
@@ -130,10 +128,10 @@
     return true;
 }
 
-void LayerWork::settle()
+void LayerWork::settle(int passes)
 {
     const double settled = totalOf(m_problem->load) * SettledPart;
-    for (int pass = 0; pass < SettlePasses; ++pass) {
+    for (int pass = 0; pass < passes; ++pass) {
         const auto before = m_rankLoad;
         for (std::size_t expert = 0; expert < m_replicas.size(); ++expert) {
             divide(static_cast<int>(expert));
@@ -211,9 +209,9 @@
     return experts;
 }
 
-std::size_t LayerWork::replicasOf(int expert) const
+const std::vector<LayerWork::Replica> &LayerWork::replicasOf(int expert) const
 {
-    return m_replicas[expert].size();
+    return m_replicas[expert];
 }
 
 double LayerWork::timeOf(int rank) const
--- a/modules/heatherridge_state/groups/layerbalance.h
+++ b/modules/heatherridge_state/groups/layerbalance.h
@@ -53,6 +53,16 @@
 class LayerWork
 {
 public:
+    /** One replica and the load divided to it. */
+    struct Replica
+    {
+        int rank = 0;
+        double load = 0;
+    };
+
+    /** Passes that leave less than 1e-4 of a rank's load undivided in the sizes in use. */
+    static constexpr int SettlePasses = 24;
+
     /** Takes over @p current as far as it fits @p problem, which must outlive this object. */
     LayerWork(const LayerProblem &problem, const LayerPlacement &current);
 
@@ -60,8 +70,8 @@
      * room. */
     bool placeMissing();
 
-    /** Divides all loads anew over the replicas there are. */
-    void settle();
+    /** Divides all loads anew over the replicas there are, in at most @p passes over the experts. */
+    void settle(int passes = SettlePasses);
 
     /** Adds a replica of @p expert on @p rank and divides only its load. */
     void add(int expert, int rank);
@@ -81,8 +91,8 @@
     /** Experts on @p rank, the one with most load there first. */
     std::vector<int> heaviestOn(int rank) const;
 
-    /** How many ranks hold @p expert. */
-    std::size_t replicasOf(int expert) const;
+    /** The replicas of @p expert, in no particular order. This object keeps ownership. */
+    const std::vector<Replica> &replicasOf(int expert) const;
 
     /** Time of @p rank. */
     double timeOf(int rank) const;
@@ -97,12 +107,6 @@
     LayerPlacement placement() const;
 
 private:
-    struct Replica
-    {
-        int rank = 0;
-        double load = 0;
-    };
-
     void divide(int expert);
 
     const LayerProblem *m_problem;
--- a/modules/heatherridge_state/groups/placement.cpp
+++ b/modules/heatherridge_state/groups/placement.cpp
@@ -1,5 +1,7 @@
 #include "heatherridge_state/groups/placement.h"
 
+#include "heatherridge_state/groups/cutplacement.h"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -12,15 +14,17 @@
 
 /** A layer this near to its bound is left alone: rounding of shares alone is of this order. */
 constexpr double CloseEnough = 0.002;
-/** Experts of the slowest rank tried a round: with two to four slots a rank, that is all of them. */
-constexpr std::size_t ExpertsTried = 4;
-/** Ranks tried as receivers a round. The least busy ones are nearly equal; more than a few only cost time. */
-constexpr std::size_t ReceiversTried = 6;
-/** Rounds without a new best after which a layer is done: several ranks may have to be relieved before the slowest
- * one changes, but seldom more. */
-constexpr int PatienceRounds = 12;
-
-/** One change of who holds what: a replica for a free or spare slot, or an exchange of two sole experts. */
+/** Ranks tried as receivers a round; the least busy ones are nearly equal, more of them only cost time. */
+constexpr std::size_t ReceiversTried = 8;
+/** Changes whose effect on all ranks is worked out, of those that look best for the two ranks alone. */
+constexpr std::size_t ChangesWorkedOut = 6;
+/** Passes for working out a trial; it starts from a settled division. */
+constexpr int TrialPasses = 6;
+/** Norm by which placements on the way are compared. The plain maximum doesn't move when one of two slowest ranks is
+ * relieved, which would end the search there; this norm does and still follows the slowest rank. */
+constexpr int Norm = 8;
+
+/** One change of who holds what: a replica for a free or given up slot, or an exchange of two sole experts. */
 struct Change
 {
     int expert = 0;
@@ -28,7 +32,7 @@
     int to = 0;
     int evicted = -1; ///< expert that leaves `to`; -1 when there is room
     bool exchanged = false; ///< whether `expert` leaves `from` and `evicted` goes there
-    double peak = 0; ///< slower of the two ranks afterwards
+    double peak = 0; ///< slowest of the ranks that it touches, as estimated
 
     int loads() const
     {
@@ -55,109 +59,161 @@
 class LayerImprover
 {
 public:
-    LayerImprover(const LayerProblem &problem, double price)
+    LayerImprover(const LayerProblem &problem, const LayerPlacement &current, double price)
         : m_problem(problem)
+        , m_current(current)
         , m_price(price)
         , m_bound(slowestRankBound(problem))
     {
     }
 
-    std::optional<LayerPlacement> run(const LayerPlacement &current)
+    /** The better of: the placement in force improved step by step, and one cut anew. */
+    std::optional<LayerPlacement> run()
     {
-        LayerWork work(m_problem, current);
-        if (!work.placeMissing()) {
+        if (!m_current.empty()) {
+            improveFrom(m_current);
+        }
+        if (!m_best.empty() && m_bestScore <= 1 + CloseEnough) {
+            return m_best;
+        }
+        improveFrom(cutPlacement(m_problem, m_current));
+        if (m_best.empty()) {
             return std::nullopt;
         }
+        return m_best;
+    }
+
+private:
+    void improveFrom(const LayerPlacement &start)
+    {
+        LayerWork work(m_problem, start);
+        if (!work.placeMissing()) {
+            return;
+        }
         work.settle();
-        LayerWork best = work;
-        double bestScore = score(work, 0);
-        int loads = 0;
-        const int mostRounds = static_cast<int>(m_problem.slots.size() + m_problem.load.size());
-        for (int round = 0, idle = 0; round < mostRounds && idle < PatienceRounds; ++round, ++idle) {
-            if (work.slowest() <= m_bound * (1 + CloseEnough)) {
-                break;
+        keepIfBest(work);
+        const std::size_t mostRounds = m_problem.slots.size();
+        for (std::size_t round = 0; round < mostRounds && work.slowest() > m_bound * (1 + CloseEnough); ++round) {
+            // What the price of one more load could not bring back need not be tried.
+            if (work.slowest() / m_bound - 1 < m_price) {
+                return;
             }
-            const auto change = bestChange(work);
-            if (!change) {
-                break;
+            auto next = bestChange(work);
+            if (!next) {
+                return;
             }
-            apply(work, *change);
+            work = std::move(*next);
             work.settle();
-            loads += change->loads();
-            if (const double now = score(work, loads); now < bestScore) {
-                bestScore = now;
-                best = work;
-                idle = 0;
-            }
+            keepIfBest(work);
         }
-        return best.placement();
     }
 
-private:
-    double score(const LayerWork &work, int loads) const
+    void keepIfBest(const LayerWork &work)
     {
-        return (m_bound > 0 ? work.slowest() / m_bound : 1) + m_price * loads;
+        auto placement = work.placement();
+        const auto loads = static_cast<double>(expertsToLoad(m_current, placement));
+        const double score = (m_bound > 0 ? work.slowest() / m_bound : 1) + m_price * loads;
+        if (m_best.empty() || score < m_bestScore) {
+            m_best = std::move(placement);
+            m_bestScore = score;
+        }
     }
 
-    std::optional<Change> bestChange(const LayerWork &work) const
+    double norm(const LayerWork &work) const
+    {
+        double sum = 0;
+        for (std::size_t rank = 0; rank < m_problem.slots.size(); ++rank) {
+            sum += std::pow(work.timeOf(static_cast<int>(rank)) / m_bound, Norm);
+        }
+        return sum;
+    }
+
+    std::optional<LayerWork> bestChange(const LayerWork &work) const
     {
         const auto ranks = work.ranksBySlowness();
         if (ranks.size() < 2) {
             return std::nullopt;
         }
         const int slow = ranks.front();
-        std::optional<Change> best;
-        auto experts = work.heaviestOn(slow);
-        experts.resize(std::min(experts.size(), ExpertsTried));
+        std::vector<Change> changes;
         const std::size_t receivers = std::min(ranks.size() - 1, ReceiversTried);
-        for (const int expert : experts) {
+        for (const int expert : work.heaviestOn(slow)) {
             for (std::size_t i = 0; i < receivers; ++i) {
-                consider(work, {.expert = expert, .from = slow, .to = ranks[ranks.size() - 1 - i]}, best);
+                consider(work, {.expert = expert, .from = slow, .to = ranks[ranks.size() - 1 - i]}, changes);
             }
         }
-        // A change that leaves one of the two as slow as before would go round in circles.
-        if (best && best->peak >= work.timeOf(slow) * (1 - CloseEnough / 4)) {
-            return std::nullopt;
+        std::stable_sort(changes.begin(), changes.end(), [](const auto &a, const auto &b) { return a.peak < b.peak; });
+        changes.resize(std::min(changes.size(), ChangesWorkedOut));
+        std::optional<LayerWork> best;
+        double least = norm(work) * (1 - CloseEnough); // strictly falling, so that the search can't go in circles
+        for (const auto &change : changes) {
+            LayerWork tried = work;
+            apply(tried, change);
+            tried.settle(TrialPasses);
+            if (const double now = norm(tried); now < least) {
+                least = now;
+                best = std::move(tried);
+            }
         }
         return best;
     }
 
-    static void consider(const LayerWork &work, Change change, std::optional<Change> &best)
+    /** Adds the ways to give @p change's expert a place on its receiver, with an estimate of their effect. */
+    void consider(const LayerWork &work, Change change, std::vector<Change> &changes) const
     {
         if (work.holds(change.expert, change.to)) {
             return;
         }
+        const double together = work.timeOf(change.from) + work.timeOf(change.to);
         if (work.hasRoom(change.to)) {
-            rate(work, change, best);
+            change.peak = together / 2;
+            changes.push_back(change);
             return;
         }
-        if (const auto spare = work.spareOn(change.to)) {
-            change.evicted = *spare;
-            rate(work, change, best);
-            return;
+        for (const int evicted : work.heaviestOn(change.to)) {
+            change.evicted = evicted;
+            const double gone = loadOn(work, evicted, change.to);
+            if (work.replicasOf(evicted).size() > 1) {
+                change.exchanged = false;
+                const double moved = gone * m_problem.slowness[change.to];
+                change.peak = std::max((together - moved) / 2, leastSibling(work, evicted, change.to) + moved);
+                changes.push_back(change);
+            } else if (!work.holds(evicted, change.from)) {
+                change.exchanged = true;
+                const double swap = loadOn(work, change.expert, change.from) - gone;
+                change.peak = std::max(work.timeOf(change.from) - swap, work.timeOf(change.to) + swap);
+                changes.push_back(change);
+            }
         }
-        change.exchanged = true;
-        for (const int other : work.heaviestOn(change.to)) {
-            change.evicted = other;
-            if (!work.holds(other, change.from)) {
-                rate(work, change, best);
+    }
+
+    static double loadOn(const LayerWork &work, int expert, int rank)
+    {
+        for (const auto &replica : work.replicasOf(expert)) {
+            if (replica.rank == rank) {
+                return replica.load;
             }
         }
+        return 0;
     }
 
-    static void rate(const LayerWork &work, Change change, std::optional<Change> &best)
+    static double leastSibling(const LayerWork &work, int expert, int rank)
     {
-        LayerWork tried = work;
-        apply(tried, change);
-        change.peak = std::max(tried.timeOf(change.from), tried.timeOf(change.to));
-        if (!best || change.peak < best->peak) {
-            best = change;
+        double least = HUGE_VAL;
+        for (const auto &replica : work.replicasOf(expert)) {
+            if (replica.rank != rank) {
+                least = std::min(least, work.timeOf(replica.rank));
+            }
         }
+        return least;
     }
 
     const LayerProblem &m_problem;
+    const LayerPlacement &m_current;
     double m_price;
     double m_bound;
+    LayerPlacement m_best;
+    double m_bestScore = 0;
 };
 
 } // namespace
@@ -170,8 +226,9 @@
     std::vector<LayerPlacement> layers;
     layers.reserve(problem.layers.size());
     for (std::size_t layer = 0; layer < problem.layers.size(); ++layer) {
-        LayerImprover improver(problem.layers[layer], options.pricePerExpert);
-        auto improved = improver.run(layer < current.size() ? current[layer] : Empty);
+        LayerImprover improver(problem.layers[layer], layer < current.size() ? current[layer] : Empty,
+                               options.pricePerExpert);
+        auto improved = improver.run();
         if (!improved) {
             return Error{.kind = ErrorKind::NoTarget, .detail = "the experts don't fit on the ranks that are left"};
         }
--- a/modules/heatherridge_state/groups/placement.h
+++ b/modules/heatherridge_state/groups/placement.h
@@ -24,10 +24,11 @@
  *
  * Pattern of load: popularity drifts, so a good placement is near the present one. Computing it from nothing would
  * reshuffle nearly all weights for the same skew. First the loads are divided anew among the replicas there are, which
- * loads nothing; then the slowest rank's heaviest experts get replicas (or places) on the ranks that are done first,
- * as long as that pays. Of all placements on the way the one with the best skew plus price is kept, so among
- * near-equals the one with fewest loads. A slow rank (slowness above 1) and one that left (no slots) need no case of
- * their own: the former counts as slowest until enough work is off it, the latter's sole experts are placed first.
+ * loads nothing; then the slowest rank's experts get replicas (or places) on the ranks that are done first, as long as
+ * that pays. A second try starts from cutPlacement(), which comes out even but moves more. Of all placements on both
+ * ways the one with the best skew plus price is kept, so among near-equals the one with fewest loads. A slow rank
+ * (slowness above 1) and one that left (no slots) need no case of their own: the former counts as slowest until enough
+ * work is off it, the latter's sole experts are placed first.
  *
  * @param problem the loads, one entry a layer
  * @param current the placement in force; may be empty, or hold ranks that have left
--- a/modules/heatherridge_state/groups/popularityestimator.h
+++ b/modules/heatherridge_state/groups/popularityestimator.h
@@ -2,10 +2,10 @@
 
 #include "heatherridge_state/groups/expertmap.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <vector>
 
 namespace Heatherridge
@@ -33,21 +33,24 @@
 /**
  * Estimates how the tokens of each layer divide among its experts, from reports that lag and go missing.
  *
- * Pattern of load: popularity drifts over hours, jumps now and then, and every window carries sampling noise. Without
- * the split a placement would chase noise. Each expert has a slow average, which removes noise, and a fast one; when
- * the two are further apart than noise explains, the slow one jumps to the fast one. A missing replica's tokens are
- * inferred from its siblings' through their shares; an expert that nobody reported keeps its estimate.
+ * Pattern of load: popularity drifts over hours, sometimes fast, sometimes hardly, jumps now and then, and every window
+ * carries sampling noise. With one fixed memory a placement chases noise in calm hours and lags behind in moving ones.
+ * So each expert has averages of several memories, and the memory that foretold the last windows best, over all experts
+ * together, is used. When a single expert's fastest average leaves the one in use by more than noise explains, all its
+ * averages jump there. A missing replica's tokens are inferred from its siblings' through their shares; an expert that
+ * nobody reported keeps its estimate.
  *
  * One thread. See StragglerDetector for the other half of a report.
  */
 class PopularityEstimator
 {
 public:
-    /** Part of a new window in the slow average: with 10 s windows a memory of about 4 minutes, short against a drift
-     * of hours and long enough to cut the noise of one window to a seventh. */
-    static constexpr double SlowGain = 0.04;
-    /** Part of a new window in the fast average: about 4 windows, so a real jump shows within 40 s. */
-    static constexpr double FastGain = 0.4;
+    /** Part of a new window in each average, fastest first. With 10 s windows they remember about half a minute, a
+     * minute and a half, and five minutes; noise is cut to a half, a quarter and an eighth of one window's. */
+    static constexpr std::array<double, 3> Gains{0.4, 0.12, 0.03};
+    /** A memory replaces the one in use when its squared errors are lower by this part, so that near-equals don't
+     * alternate. */
+    static constexpr double BetterBy = 0.03;
     /** Standard errors between the averages that count as a jump. Among 60 x 64 experts, noise passes 5 less than once
      * in 400 windows, and then the only harm is a noisier estimate of one expert. */
     static constexpr double JumpErrors = 5;
@@ -81,16 +84,17 @@
     /** Reports dropped as late, doubled or not fitting their map. */
     std::uint64_t droppedReports() const;
 
-    /** How often an estimate jumped to the fast average. */
+    /** How often an estimate jumped to the fastest average. */
     std::uint64_t jumps() const;
 
+    /** The part of a new window in the averages in use. */
+    double gainInUse() const;
+
 private:
     struct Track
     {
-        double slow = 0;
-        double fast = 0;
-        double variance = 0; ///< of one window's value
-        double slowWeight = 1; ///< sum of squared weights in the slow average: 1 just after a jump
+        std::array<double, Gains.size()> averages{};
+        double variance = 0; ///< of one window's value against the average in use
     };
 
     struct Sum
@@ -106,12 +110,18 @@
     };
 
     void close(const Window &window);
-    void closeLayer(const Window &window, int layer);
-    void update(Track &track, double part);
+    void closeLayer(const Window &window, int layer, std::array<double, Gains.size()> &errors);
+    void update(Track &track, double part, std::array<double, Gains.size()> &errors);
+    void chooseMemory(const std::array<double, Gains.size()> &errors);
+    /** Variance of the averages in use relative to one window's. */
+    double varianceInUse() const;
+    bool warm() const;
 
     GroupShape m_shape;
     std::vector<Track> m_tracks; ///< layer by layer
     std::map<std::uint64_t, Window> m_open;
+    std::array<double, Gains.size()> m_squaredErrors{}; ///< of each memory's forecasts, over all experts
+    std::size_t m_inUse = Gains.size() - 1;
     std::uint64_t m_closedBefore = 0;
     std::uint64_t m_closedCount = 0;
     std::uint64_t m_dropped = 0;
--- a/modules/heatherridge_state/groups/rebalancepolicy.cpp
+++ b/modules/heatherridge_state/groups/rebalancepolicy.cpp
@@ -78,7 +78,11 @@
     const double skewWeight = std::max(input.weights.skew, LeastWeight);
     const double costWeight = std::max(input.weights.cost, LeastWeight);
     const double expertSeconds = static_cast<double>(input.problem.shape.expertBytes) / input.storeBytesPerSecond;
-    const double price = expertSeconds * costWeight * input.problem.shape.layers / (Horizon.count() * skewWeight);
+    const double excess = excessTime(input.problem, input.current);
+    // While the store loads, the present map stays and costs its excess: under a sudden hot expert a small change that
+    // is in force soon beats a perfect one that is minutes away, and the rest follows later.
+    const double loadingPrice = costWeight + skewWeight * excess;
+    const double price = expertSeconds * loadingPrice * input.problem.shape.layers / (Horizon.count() * skewWeight);
     auto improved = improvePlacement(input.problem, input.current, {.pricePerExpert = price});
     auto *layers = std::get_if<std::vector<LayerPlacement>>(&improved);
     if (layers == nullptr) {
@@ -88,8 +92,7 @@
         m_regret = 0;
         return std::move(*layers);
     }
-    const double gain = excessTime(input.problem, input.current) - excessTime(input.problem, *layers)
-        - NoiseErrors * input.relativeError;
+    const double gain = excess - excessTime(input.problem, *layers) - NoiseErrors * input.relativeError;
     m_regret = std::max(0.0, m_regret + gain * skewWeight * input.sinceLast.count());
     const auto bytes = static_cast<double>(bytesToMove(input.problem.shape, input.current, *layers));
     const double cost = costWeight * (bytes / input.storeBytesPerSecond + SwitchPrice.count());
