Switch expert maps by the votes of all ranks, without the log

Cause: a rank that steps with another map than its peers corrupts the step; messages get lost, gates and leaders die, the log has outages, and no safety may rest on time.

Change: a gate agrees only after its engine has confirmed a step that it will not start; a switch is decided by the votes of all ranks and takes effect at the latest bound, known through any peer. Epochs, which change who belongs to a group, are records on the group's stream, of which the first of a number wins.

Ruled out on the way, each found by random schedules: a limit ordered by a dead run of the gate that arrives after the next run has refused (two maps in one step; now the engine refuses orders of earlier runs, or follows them in order); a limit for a map older than the one in use, and one for weights already dropped (the group stood still).

Conclusion: an outage of the log stalls no switch; only a change of members waits for it.

--- a/modules/heatherridge_protocol/groupmessage.cpp
+++ b/modules/heatherridge_protocol/groupmessage.cpp
@@ -19,6 +19,7 @@
     return {{"f", toNumber(message.leader)},
             {"e", toNumber(message.epoch)},
             {"i", toNumber(message.addressee)},
+            {"j", message.startsEpoch},
             {"x", toJson(message.map)}};
 }
 
@@ -58,7 +59,7 @@
 nlohmann::json fields(const RankStatus &message)
 {
     return {{"r", message.rank},          {"i", toNumber(message.engine)}, {"e", toNumber(message.epoch)},
-            {"n", toNumber(message.map)}, {"s", toNumber(message.step)},   {"u", toNumber(message.undecided)}};
+            {"n", toNumber(message.map)}, {"s", toNumber(message.step)},   {"u", toNumber(message.pending)}};
 }
 
 nlohmann::json fields(const StatusRequest &message)
@@ -84,7 +85,8 @@
 {
     LoadMap message{.leader = static_cast<FencingNumber>(reader.number("f")),
                     .epoch = static_cast<EpochNumber>(reader.number("e")),
-                    .addressee = static_cast<Incarnation>(reader.number("i"))};
+                    .addressee = static_cast<Incarnation>(reader.number("i")),
+                    .startsEpoch = reader.toggle("j")};
     const auto *json = reader.map("x");
     if (json == nullptr) {
         return malformed("map to load");
@@ -159,7 +161,7 @@
                       .epoch = static_cast<EpochNumber>(reader.number("e")),
                       .map = static_cast<MapNumber>(reader.number("n")),
                       .step = static_cast<StepNumber>(reader.number("s")),
-                      .undecided = static_cast<MapNumber>(reader.number("u"))};
+                      .pending = static_cast<MapNumber>(reader.number("u"))};
 }
 
 Result<GroupMessage> readMapReady(CborReader &reader)
--- a/modules/heatherridge_protocol/groupmessage.h
+++ b/modules/heatherridge_protocol/groupmessage.h
@@ -19,6 +19,7 @@
     /** The run of the gate this is meant for. A later run must not take up a proposal that an earlier one may have
      * refused. */
     Incarnation addressee{};
+    bool startsEpoch = false; ///< for the first step of an epoch to come, not for a switch of the present one
     ExpertMap map{};
 
     bool operator==(const LoadMap &) const = default;
@@ -91,7 +92,7 @@
     EpochNumber epoch{};
     MapNumber map{}; ///< of the next step
     StepNumber step{}; ///< the next step
-    MapNumber undecided{}; ///< the switch agreed to whose outcome is unknown; 0 for none
+    MapNumber pending{}; ///< the switch that is agreed to or on the schedule but not in use; 0 for none
 
     bool operator==(const RankStatus &) const = default;
 };
--- /dev/null
+++ b/tests/groups/switchworld.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include "groups/fakeengine.h"
+
+#include "heatherridge_coordination/groups/groupleader.h"
+#include "heatherridge_state/base/randomsource.h"
+
+#include <memory>
+#include <string>
+
+namespace Heatherridge
+{
+
+/**
+ * A group under a random schedule: messages are lost, delayed, doubled and reordered; gates, engines and leaders die,
+ * pause (are not scheduled) and are replaced; the log goes out. Checks at each start of a step that all ranks that ever
+ * start this step of this epoch use the same map.
+ */
+class SwitchWorld
+{
+public:
+    /** What engines do about orders that a dead run of their gate had sent. */
+    enum class OldOrders {
+        Refused, ///< they arrive at any time and are refused
+        InOrder, ///< they arrive before any order of the next run, and are followed
+        Followed, ///< they arrive at any time and are followed: not safe
+    };
+
+    struct Options
+    {
+        int ranks = 3;
+        std::uint64_t seed = 1;
+        SwitchSafeguards safeguards{};
+        int doubled = 5; ///< percent of messages that arrive again, possibly much later
+        int leaderChanges = 1; ///< of a thousand actions
+        int epochs = 5; ///< percent of proposals that compose an epoch while the group is whole
+        OldOrders oldOrders = OldOrders::Refused;
+        bool rankFaults = true; ///< whether engines die; without, a log outage alone must stall nobody
+    };
+
+    explicit SwitchWorld(const Options &options);
+
+    /** Runs @p actions random actions; ends at the first violation. */
+    void run(int actions);
+
+    /** No faults any more, everything delivered; the latest leader takes the group whole. Whether it became whole,
+     * nothing stayed undecided and all ranks step on. */
+    bool heal();
+
+    /** After heal(): whether a switch goes through without any record on the log and takes effect on all ranks. */
+    bool switchWithoutLog();
+
+    /** What went wrong, or empty. */
+    const std::string &violation() const
+    {
+        return m_violation;
+    }
+
+    /** Switches that took effect on an engine. */
+    int switches() const
+    {
+        return m_switches;
+    }
+
+    void setLogOut(bool out)
+    {
+        m_logOut = out;
+    }
+
+    StepNumber leastStep() const;
+
+private:
+    struct Packet
+    {
+        int toRank = -1; ///< -1 for the leaders
+        int toLeader = -1;
+        int fromRank = -1;
+        Incarnation fromRun{};
+        GroupMessage message{};
+    };
+
+    struct Append
+    {
+        int slot = 0;
+        FencingNumber leader{};
+        GroupEpoch epoch{};
+    };
+
+    struct Gate
+    {
+        std::unique_ptr<RankGate> gate{};
+        Incarnation run{};
+        std::size_t read = 0;
+    };
+
+    struct Leader
+    {
+        FencingNumber fencing{};
+        std::unique_ptr<GroupLeader> leader{};
+        std::size_t read = 0;
+    };
+
+    bool chance(int percent);
+    int pick(std::size_t count);
+    Incarnation nextRun();
+    void act();
+    void actOnLeader(int slot);
+    void deliver(std::size_t index);
+    void deliverLate();
+    void append();
+    void perform(int rank, GateActions actions);
+    void perform(int slot, LeaderActions actions);
+    void followOrder(int rank, bool reliable);
+    void step(int rank);
+    void readLog(Gate &gate, int rank);
+    void readLog(Leader &leader, int slot);
+    void restartGate(int rank);
+    void replaceLeader(int slot);
+    void propose(GroupLeader &leader);
+    std::vector<LayerPlacement> drawLayers(const std::vector<int> &ranks);
+    void settleRound();
+
+    Options m_options;
+    SeededRandom m_random;
+    std::vector<FakeEngine> m_engines;
+    std::vector<Gate> m_gates;
+    std::vector<Leader> m_leaders;
+    std::vector<GroupEpoch> m_log;
+    std::vector<Packet> m_network;
+    std::vector<Append> m_appends; ///< on their way to the log
+    std::vector<Packet> m_late; ///< second copies, which arrive at any later time
+    bool m_logOut = false;
+    bool m_reliable = false;
+    std::uint64_t m_runs = 0;
+    std::uint64_t m_claims = 0;
+    std::map<std::pair<EpochNumber, StepNumber>, MapNumber> m_used;
+    std::string m_violation;
+    int m_switches = 0;
+};
+
+} // namespace Heatherridge
