--- a/modules/heatherridge_protocol/groupmessage.cpp
+++ b/modules/heatherridge_protocol/groupmessage.cpp
@@ -67,7 +67,7 @@
     return {{"f", toNumber(message.leader)}};
 }
 
-nlohmann::json fields(const LoadReport &message)
+nlohmann::json fields(const RankLoadReport &message)
 {
     return {{"r", message.report.rank},
             {"w", message.report.window},
@@ -134,9 +134,9 @@
     return EpochNews{.epoch = std::move(std::get<GroupEpoch>(epoch))};
 }
 
-Result<GroupMessage> readLoadReport(CborReader &reader)
+Result<GroupMessage> readRankLoadReport(CborReader &reader)
 {
-    LoadReport message;
+    RankLoadReport message;
     message.report.rank = readRank(reader);
     message.report.window = reader.number("w");
     message.report.map = static_cast<MapNumber>(reader.number("n"));
@@ -186,9 +186,9 @@
 using ReadMessage = Result<GroupMessage> (*)(CborReader &);
 
 /** In the order of GroupMessage. */
-constexpr ReadMessage Readers[] = {readLoadMap,   readMapReady,  readRequest<VoteRequest>, readRequest<CancelMap>,
-                                   readVoteList,  readEpochNews, readRankStatus,           readStatusRequest,
-                                   readLoadReport};
+constexpr ReadMessage Readers[] = {readLoadMap,       readMapReady,  readRequest<VoteRequest>, readRequest<CancelMap>,
+                                   readVoteList,      readEpochNews, readRankStatus,           readStatusRequest,
+                                   readRankLoadReport};
 static_assert(std::size(Readers) == std::variant_size_v<GroupMessage>);
 
 } // namespace
--- a/modules/heatherridge_protocol/groupmessage.h
+++ b/modules/heatherridge_protocol/groupmessage.h
@@ -106,16 +106,16 @@
 };
 
 /** Gate to leader: what the rank measured in one window. */
-struct LoadReport
+struct RankLoadReport
 {
     RankReport report{};
 
-    bool operator==(const LoadReport &) const = default;
+    bool operator==(const RankLoadReport &) const = default;
 };
 
 /** All messages within a group. */
-using GroupMessage =
-    std::variant<LoadMap, MapReady, VoteRequest, CancelMap, VoteList, EpochNews, RankStatus, StatusRequest, LoadReport>;
+using GroupMessage = std::variant<LoadMap, MapReady, VoteRequest, CancelMap, VoteList, EpochNews, RankStatus,
+                                  StatusRequest, RankLoadReport>;
 
 /** A message and the group it belongs to. */
 struct GroupFrame
--- a/tests/groups/message_test.cpp
+++ b/tests/groups/message_test.cpp
@@ -33,7 +33,7 @@
             EpochNews{epoch},
             RankStatus{1, Incarnation{2}, EpochNumber{7}, MapNumber{8}, StepNumber{seed}, MapNumber{9}},
             StatusRequest{FencingNumber{seed}},
-            LoadReport{{.rank = 1, .window = seed, .map = MapNumber{8}, .tokens = {1, 2, seed}}}};
+            RankLoadReport{{.rank = 1, .window = seed, .map = MapNumber{8}, .tokens = {1, 2, seed}}}};
 }
 
 RC_GTEST_PROP(GroupMessages, ComeBackAsTheyWere, (std::uint32_t seed))
