--- a/modules/heatherridge_protocol/heatherridge_protocol.h
+++ b/modules/heatherridge_protocol/heatherridge_protocol.h
@@ -9,5 +9,6 @@
  * Dependencies: heatherridge_state, nlohmann-json (CBOR codec).
  */
 
+#include "heatherridge_protocol/attemptid.h"
 #include "heatherridge_protocol/envelope.h"
 #include "heatherridge_protocol/trafficmessage.h"
--- a/modules/heatherridge_protocol/trafficmessage.h
+++ b/modules/heatherridge_protocol/trafficmessage.h
@@ -107,6 +107,12 @@
     std::uint64_t queued = 0; ///< requests waiting at the target's process
     std::uint64_t limit = 0; ///< how many may run at a time now
     bool draining = false; ///< takes no new work
+    double load = 0; ///< cost that runs and waits, from all entries
+    double ofEntry = 0; ///< the part of the entry that gets this report
+    double capacity = 0; ///< load at which the target is full; 0 while unknown
+    double pressure = 1; ///< cost offered over cost started lately
+    double warmth = 1; ///< 0 to 1: part of its share in slow start
+    std::chrono::microseconds pace{}; ///< smoothed time between tokens, or of a plain call; 0 while unknown
 
     bool operator==(const LoadReport &) const = default;
 };
--- a/modules/heatherridge_transport/target/backendwork.h
+++ b/modules/heatherridge_transport/target/backendwork.h
@@ -25,6 +25,8 @@
     std::uint64_t sentBytes = 0;
     std::uint64_t creditedBytes = 0; ///< of those sent, how many the entry has passed on
     bool paused = false;
+    bool wasPaused = false; ///< the next chunk's gap is the caller's, not the engine's
+    std::optional<SteadyTime> lastChunk{};
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -13,9 +13,10 @@
 {
 
 constexpr std::chrono::milliseconds Tick{10};
-/** A changed load is reported five times a second, an unchanged one every two seconds as a sign of life. */
-constexpr int TicksPerReport = 20;
-constexpr int TicksPerSignOfLife = 200;
+/** Entries with work here get a report twenty times a second, the others four times; measured in
+ * docs/MEASUREMENTS-policies.md. */
+constexpr int TicksPerReport = 5;
+constexpr int TicksPerSignOfLife = 25;
 /** Requests that may wait for the configuration they rely on. */
 constexpr std::size_t MostHeld = 1024;
 
@@ -160,9 +161,22 @@
     const auto &outer = std::get<Envelope>(envelope);
     if (outer.channel == Channel::Traffic) {
         receiveTraffic(entry, outer);
+    } else if (outer.channel == Channel::Control && m_controlSink.frame) {
+        m_entries.erase(entry); // a peer that relays configuration; it wants no load reports
+        m_controlSink.frame(entry, outer);
     }
 }
 
+void TargetTraffic::setControlSink(ControlSink sink)
+{
+    m_controlSink = std::move(sink);
+}
+
+void TargetTraffic::sendFrame(const std::shared_ptr<PeerSocket> &peer, Bytes frame)
+{
+    m_loop.post([peer, frame = std::move(frame)] { peer->send(frame); });
+}
+
 void TargetTraffic::receiveTraffic(const Socket &entry, const Envelope &envelope)
 {
     const auto message = decodeTrafficMessage(envelope.payload);
@@ -274,6 +288,11 @@
 {
     work->firstByte = std::chrono::steady_clock::now();
     work->headSent = true;
+    m_limit->recordFirst(*work->started, m_queue.running(), *work->firstByte);
+    applyLimit();
+    if (self() != nullptr && self()->kind == TargetKind::Plain) {
+        recordPace(between(*work->started, *work->firstByte));
+    }
     AnswerHead head{.id = work->request.id, .status = status};
     for (const auto &header : headers) {
         const bool hop = std::find(HopHeaders.begin(), HopHeaders.end(), header.name) != HopHeaders.end();
@@ -286,6 +305,15 @@
 
 bool TargetTraffic::takeData(const Work &work, std::string_view bytes)
 {
+    const auto now = std::chrono::steady_clock::now();
+    // While the answer is paused for a slow caller its gaps say nothing about the engine.
+    if (work->lastChunk && !work->wasPaused) {
+        m_limit->recordBetween(between(*work->lastChunk, now), m_queue.running(), now);
+        applyLimit();
+        recordPace(between(*work->lastChunk, now));
+    }
+    work->lastChunk = now;
+    work->wasPaused = false;
     send(work->entry,
          AnswerChunk{.id = work->request.id, .sequence = work->chunks++, .bytes = Bytes(bytes.begin(), bytes.end())});
     work->sentBytes += bytes.size();
@@ -304,6 +332,7 @@
     work.creditedBytes = std::min(work.sentBytes, work.creditedBytes + grant.bytes);
     if (work.paused && work.sentBytes - work.creditedBytes < m_options.windowBytes / 2) {
         work.paused = false;
+        work.wasPaused = true;
         m_client->resume(work.call);
     }
 }
@@ -333,14 +362,6 @@
 void TargetTraffic::finish(const Work &work)
 {
     const auto now = std::chrono::steady_clock::now();
-    if (work->firstByte) {
-        LatencySample sample{.first = between(*work->started, *work->firstByte)};
-        if (work->chunks > 1) {
-            sample.between = between(*work->firstByte, now) / static_cast<std::int64_t>(work->chunks - 1);
-        }
-        m_limit->record(sample, m_queue.load().running, now);
-        m_queue.setLimit(m_limit->limit());
-    }
     m_finished.add();
     m_queue.finish(work->request.id, static_cast<double>(work->request.cost), now);
     m_works.erase(work->request.id);
@@ -377,6 +398,9 @@
 void TargetTraffic::entryGone(const Socket &entry)
 {
     m_entries.erase(entry);
+    if (m_controlSink.gone) {
+        m_controlSink.gone(entry);
+    }
     std::erase_if(m_held, [&entry](const auto &held) { return held.entry == entry; });
     std::vector<RequestId> orphans;
     for (const auto &[id, work] : m_works) {
@@ -409,8 +433,8 @@
 
 void TargetTraffic::tick()
 {
-    const auto sweepDue = m_queue.nextSweep();
-    if (sweepDue && *sweepDue <= std::chrono::steady_clock::now()) {
+    // The limit may have grown, or what waits may have become too late.
+    if (m_queue.waiting() > 0) {
         pump();
     }
     if (!m_held.empty()) {
@@ -441,19 +465,45 @@
 {
     const auto load = m_queue.load();
     const auto *target = self();
-    const LoadReport report{.target = m_options.target,
-                            .running = load.running,
-                            .queued = load.waiting,
-                            .limit = load.limit,
-                            .draining = m_draining || target == nullptr || !m_view->takesWork(*target)};
-    if (!always && report == m_lastReport) {
-        return;
-    }
-    m_lastReport = report;
-    m_ticksSinceReport = 0;
+    LoadReport report{.target = m_options.target,
+                      .running = load.running,
+                      .queued = load.waiting,
+                      .limit = load.limit,
+                      .draining = m_draining || target == nullptr || !m_view->takesWork(*target),
+                      .load = load.runningCost + load.waitingCost,
+                      .capacity = load.capacity,
+                      .pressure = load.pressure,
+                      .warmth = m_limit->warmth(),
+                      .pace = std::chrono::microseconds(static_cast<long long>(m_pace))};
     for (const auto &entry : m_entries) {
-        send(entry, report);
+        report.ofEntry = loadOf(entry);
+        // Entries with work here decide by it soon; the others need a sign of life.
+        if (always || report.ofEntry > 0) {
+            send(entry, report);
+        }
+    }
+    m_ticksSinceReport = always ? 0 : m_ticksSinceReport;
+}
+
+void TargetTraffic::applyLimit()
+{
+    m_queue.setLimit(m_limit->limit());
+}
+
+void TargetTraffic::recordPace(std::chrono::microseconds time)
+{
+    constexpr double newestShare = 0.05;
+    const auto measured = static_cast<double>(time.count());
+    m_pace = m_pace == 0 ? measured : m_pace * (1 - newestShare) + measured * newestShare;
+}
+
+double TargetTraffic::loadOf(const Socket &entry) const
+{
+    double load = 0;
+    for (const auto &[id, work] : m_works) {
+        load += work->entry == entry ? static_cast<double>(work->request.cost) : 0;
     }
+    return load;
 }
 
 void TargetTraffic::refuse(const Socket &entry, const RequestId &id, const Error &error)
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -5,6 +5,7 @@
 #include "heatherridge_transport/link/frameencoder.h"
 #include "heatherridge_transport/target/backendwork.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -56,6 +57,19 @@
     /** Ends the thread; what runs is cut. @see drain */
     void stop();
 
+    /** Who takes the control frames that peers send to this listener; on the traffic thread. */
+    struct ControlSink
+    {
+        std::function<void(const std::shared_ptr<PeerSocket> &peer, const Envelope &envelope)> frame{};
+        std::function<void(const std::shared_ptr<PeerSocket> &peer)> gone{};
+    };
+
+    /** Sets who takes control frames. Before start(). */
+    void setControlSink(ControlSink sink);
+
+    /** Sends @p frame to @p peer, a connection that it opened. */
+    void sendFrame(const std::shared_ptr<PeerSocket> &peer, Bytes frame);
+
     /** A new configuration is in force. */
     void setView(std::shared_ptr<const ConfigView> view);
 
@@ -97,6 +111,9 @@
     void releaseHeld();
     void handBackWaiting(ErrorKind kind);
     void reportLoad(bool always);
+    void applyLimit();
+    void recordPace(std::chrono::microseconds time);
+    double loadOf(const Socket &entry) const;
     void refuse(const Socket &entry, const RequestId &id, const Error &error);
     void send(const Socket &entry, const TrafficMessage &message);
     const Target *self() const;
@@ -110,10 +127,11 @@
     std::unique_ptr<HttpClient> m_client;
     AdmissionQueue m_queue;
     std::unique_ptr<ConcurrencyLimit> m_limit;
+    ControlSink m_controlSink;
     std::set<Socket> m_entries;
     std::unordered_map<RequestId, Work> m_works;
     std::vector<HeldRequest> m_held;
-    LoadReport m_lastReport;
+    double m_pace = 0; ///< smoothed microseconds between tokens, or of a plain call
     int m_ticksSinceReport = 0;
     bool m_draining = false;
     Counter &m_started;
