--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "heatherridge_coordination/heatherridge_coordination.h"
+#include "heatherridge_protocol/attemptid.h"
 #include "heatherridge_transport/entry/callerrequest.h"
+#include "heatherridge_transport/entry/callerstream.h"
 #include "heatherridge_transport/entry/streamresume.h"
 #include "heatherridge_transport/http/httpserver.h"
 
@@ -29,8 +31,8 @@
     int attempts = 0;
     bool answerBegun = false; ///< the caller has the head
     bool mayHaveRun = false; ///< an earlier attempt ended without proof that it did not run
+    std::shared_ptr<CallerStream> stream{}; ///< the answer's body, once it has begun
     AnswerAssembler assembler{AnswerAssembler::Options{}};
-
     std::optional<StreamResume> resume{}; ///< for an answer that another target can go on with
 
     /** Makes ready for an attempt that goes on behind what the caller has. Only when there is a resume. */
