Count prompts that a target still computes when placing

Cause: a request placed behind a long prompt waits for all of it, and the load in cost does not show that. Change: reports carry the prompt tokens started on and not yet computed; each weighs as much as one to compute.

--- a/extras/heatherridge-policies/model/fakeengine.cpp
+++ b/extras/heatherridge-policies/model/fakeengine.cpp
@@ -121,7 +121,7 @@
         }
         if (current->generated == 0) {
             current->firstToken = m_loop.now();
-            m_watcher.firstToken(current->submitted);
+            m_watcher.firstToken(current->job, current->submitted);
         }
         current->generated += 1;
         if (current->generated >= current->job.answerTokens) {
--- a/extras/heatherridge-policies/model/fakeengine.h
+++ b/extras/heatherridge-policies/model/fakeengine.h
@@ -58,7 +58,7 @@
     struct Watcher
     {
         std::function<void(std::chrono::microseconds)> stepped{};
-        std::function<void(SteadyTime)> firstToken{};
+        std::function<void(const Job &, SteadyTime)> firstToken{};
     };
 
     /** Sets who watches. */
--- a/extras/heatherridge-policies/model/fakeentry.cpp
+++ b/extras/heatherridge-policies/model/fakeentry.cpp
@@ -58,6 +58,7 @@
 {
     m_links[target].report = report;
     m_links[target].reported = m_loop.now();
+    m_links[target].promptSent = 0;
     if (m_options.slowness && report.between.count() > 0) {
         m_slowness.record(target, report.between, m_loop.now());
     }
@@ -94,7 +95,9 @@
         refuse(request.job, *error);
         return;
     }
-    attempt(std::move(request), std::get<std::size_t>(chosen));
+    const auto target = std::get<std::size_t>(chosen);
+    request.job.expectedFresh = request.job.promptTokens - m_views[target].prefixTokens;
+    attempt(std::move(request), target);
 }
 
 void FakeEntry::attempt(Try request, std::size_t target)
@@ -104,6 +107,7 @@
     m_prefixes.insert(static_cast<TargetSlot>(target), chain, m_loop.now());
     m_recorder.recordAttempt(request.job, target, m_gateZones[target] == m_zone, m_loop.now());
     link.load += request.job.cost;
+    link.promptSent += request.job.expectedFresh;
     ++link.inFlight;
     m_loop.after(delayTo(target), [this, request = std::move(request), target] {
         m_gates[target]->offer(request.job, m_number, [this, request, target](const AttemptEnd &how) {
@@ -182,6 +186,7 @@
         view.reportedLoad = link.report.load;
         view.reportedCapacity = link.report.capacity;
         view.reportedPressure = m_options.usePressure ? link.report.pressure : 1;
+        view.pendingPrompt = m_options.usePending ? link.report.pendingPrompt + link.promptSent : 0;
         view.ownAtReport = link.report.ofEntry;
         view.reportAge = link.reported ? duration_cast<microseconds>(m_loop.now() - *link.reported) : NeverReported;
         view.ownLoad = link.load;
@@ -205,6 +210,7 @@
         auto &gate = *m_gates[target];
         view.usable = gate.isUp();
         view.reportedLoad = gate.reportFor(m_number).load;
+        view.pendingPrompt = m_options.usePending ? gate.reportFor(m_number).pendingPrompt : 0;
         view.reportedPressure = gate.reportFor(m_number).pressure;
         view.reportedCapacity = gate.reportFor(m_number).capacity;
         view.prefixTokens = gate.engine().holds(job.prefix) ? static_cast<std::uint32_t>(job.prefixTokens) : 0;
--- a/extras/heatherridge-policies/model/fakeentry.h
+++ b/extras/heatherridge-policies/model/fakeentry.h
@@ -19,6 +19,7 @@
     bool slowness = true;
     bool distrustGaps = false; ///< a gap in a target's cache events voids what was known of its cache
     RetryOptions retry{};
+    bool usePending = true; ///< whether prompts that targets still compute count in placement
     bool usePressure = true; ///< whether the share that targets refuse counts in placement
     int clientReturns = 0; ///< how often a refused caller comes back, at the time it was told
 };
@@ -45,6 +46,7 @@
         GateReport report{};
         std::optional<SteadyTime> reported{};
         double load = 0;
+        double promptSent = 0; ///< prompt tokens to compute, sent since the last report
         std::uint32_t inFlight = 0;
     };
 
--- a/extras/heatherridge-policies/model/fakegate.cpp
+++ b/extras/heatherridge-policies/model/fakegate.cpp
@@ -21,7 +21,9 @@
                  m_limit.recordBetween(duration, m_running, m_loop.now());
                  updateLimit();
              },
-         .firstToken = [this](SteadyTime started) { m_limit.recordFirst(started, m_running, m_loop.now()); }});
+         .firstToken = [this](const Job &job, SteadyTime started) {
+ m_pendingPrompt -= job.expectedFresh;
+m_limit.recordFirst(started, m_running, m_loop.now()); }});
 }
 
 void FakeGate::updateLimit()
@@ -66,6 +68,7 @@
     m_limit.restart();
     updateLimit();
     m_running = 0;
+    m_pendingPrompt = 0;
     while (!m_attempts.empty()) {
         const auto &[id, attempt] = *m_attempts.begin();
         end(id, {.error = Error{.kind = attempt.running ? ErrorKind::OutcomeUnknown : ErrorKind::TargetUnreachable}});
@@ -79,6 +82,7 @@
             .ofEntry = part == m_loadOfEntry.end() ? 0 : part->second,
             .capacity = m_queue.load().capacity,
             .pressure = m_queue.load().pressure,
+            .pendingPrompt = m_pendingPrompt,
             .warmth = m_options.adaptive ? m_limit.warmth() : 1,
             .between = microseconds(static_cast<long long>(m_between))};
 }
@@ -89,6 +93,7 @@
     attempt.running = true;
     attempt.started = m_loop.now();
     ++m_running;
+    m_pendingPrompt += attempt.job.expectedFresh;
     m_engine.submit(attempt.job, [this, id](const EngineDone &done) { finish(id, done); });
 }
 
--- a/extras/heatherridge-policies/model/fakegate.h
+++ b/extras/heatherridge-policies/model/fakegate.h
@@ -25,6 +25,7 @@
     double ofEntry = 0; ///< the asking entry's part
     double capacity = 0; ///< load at which the gate is full
     double pressure = 1;
+    double pendingPrompt = 0;
     double warmth = 1;
     std::chrono::microseconds between{}; ///< smoothed time between tokens
 };
@@ -105,6 +106,7 @@
     std::map<RequestId, Attempt> m_attempts;
     std::map<std::size_t, double> m_loadOfEntry;
     double m_load = 0;
+    double m_pendingPrompt = 0;
     double m_between = 0;
     std::size_t m_running = 0;
     int m_next = 0;
--- a/extras/heatherridge-policies/model/workload.h
+++ b/extras/heatherridge-policies/model/workload.h
@@ -43,6 +43,7 @@
     double prefixTokens = 0;
     double promptTokens = 0; ///< prefix included
     double answerTokens = 0; ///< true length
+    double expectedFresh = 0; ///< prompt tokens that the entry expects the chosen target to compute
     double cost = 0; ///< as estimated by the entry: the answer's length is guessed
     bool isLong = false;
     SteadyTime arrived{}; ///< when the caller first asked
--- a/modules/heatherridge_state/decisions/costplacement.cpp
+++ b/modules/heatherridge_state/decisions/costplacement.cpp
@@ -123,7 +123,8 @@
         saved = isHome ? std::max(saved, traits.promptTokens * HomeShare) : saved;
     }
     const double refused = PressurePrice * means.capacity * std::log(std::max(1.0, target.reportedPressure));
-    const double work = refused + load / std::max(target.warmth, LeastWarmth) + traits.cost - saved * PrefixTokenValue;
+    const double work = refused + load / std::max(target.warmth, LeastWarmth) + traits.cost
+        + (target.pendingPrompt - saved) * PrefixTokenValue;
     const double delay = 2 * m_options.zonePrice * static_cast<double>(target.zoneDelay.count());
     return work * target.slowness * traits.timePerUnit.count() + delay;
 }
--- a/modules/heatherridge_state/decisions/targetview.h
+++ b/modules/heatherridge_state/decisions/targetview.h
@@ -18,6 +18,7 @@
     double ownAtReport = 0; ///< this entry's part of it
     double reportedCapacity = 0; ///< load at which its last report calls it full; 0 when unknown
     double reportedPressure = 1; ///< cost offered to it over cost it starts; above 1 it refuses the rest
+    double pendingPrompt = 0; ///< prompt tokens that the target, by its report, has started on and not yet computed
     double ownLoad = 0; ///< what this entry has in flight there now
     std::uint32_t ownInFlight = 0; ///< the same as a number of requests
     std::uint32_t prefixTokens = 0; ///< how many tokens of the prompt its cache is thought to hold
