--- a/modules/heatherridge_transport/entry/entryserver.cpp
+++ b/modules/heatherridge_transport/entry/entryserver.cpp
@@ -50,7 +50,10 @@
         [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); });
 }
 
-EntryServer::~EntryServer() = default;
+EntryServer::~EntryServer()
+{
+    stopThreads();
+}
 
 Result<Endpoint> EntryServer::start()
 {
@@ -71,11 +74,23 @@
         std::this_thread::sleep_for(DrainPoll);
     }
     logEvent(Severity::Info, "drain-ended", {{"open", std::to_string(openCalls())}});
+    stopThreads();
+}
+
+void EntryServer::stopThreads()
+{
+    if (!m_server) {
+        return;
+    }
     m_server->stop();
     m_control.stop();
     for (const auto &traffic : m_traffic) {
         traffic->stop();
     }
+    // Open calls hold exchanges, and unsent bytes hold callbacks into the traffic threads. So the calls went first,
+    // while the server was there, and the server goes while the traffic threads' objects are: the other way round a
+    // shutdown with open streams reached into freed memory.
+    m_server.reset();
 }
 
 void EntryServer::handle(const std::shared_ptr<HttpExchange> &exchange)
--- a/modules/heatherridge_transport/entry/entryserver.h
+++ b/modules/heatherridge_transport/entry/entryserver.h
@@ -50,6 +50,7 @@
     void drainAndStop();
 
 private:
+    void stopThreads();
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
     HttpResponse answerAdmin(const HttpRequest &request);
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -88,6 +88,7 @@
 void EntryTraffic::stop()
 {
     m_loop.stop();
+    m_calls.clear();
 }
 
 void EntryTraffic::setView(std::shared_ptr<const ConfigView> view)
@@ -171,18 +172,30 @@
     call->request.submit.attempt = call->attempts;
     call->request.submit.id = attemptId(call->id, call->attempts);
     call->timer = std::make_unique<asio::steady_timer>(m_loop.context(), call->deadline);
-    call->timer->async_wait([this, call](const asio::error_code &error) {
-        if (!error && m_calls.contains(call->id)) {
-            cancelAtTarget(call);
-            fail(call,
-                 Error{.kind = call->answerBegun ? ErrorKind::StreamBroken : ErrorKind::DeadlineExceeded,
-                       .detail = "the deadline passed"});
+    // By id, not by pointer: a wait that never ends would keep the call, and with it the server's connection, alive
+    // beyond the server itself.
+    call->timer->async_wait([this, id = call->id](const asio::error_code &error) {
+        if (!error) {
+            deadlinePassed(id);
         }
     });
     m_journal.note(call->id, "placed", target);
     m_links->send(target, call->request.submit);
 }
 
+void EntryTraffic::deadlinePassed(const RequestId &id)
+{
+    const auto entry = m_calls.find(id);
+    if (entry == m_calls.end()) {
+        return;
+    }
+    const auto call = entry->second;
+    cancelAtTarget(call);
+    fail(call,
+         Error{.kind = call->answerBegun ? ErrorKind::StreamBroken : ErrorKind::DeadlineExceeded,
+               .detail = "the deadline passed"});
+}
+
 std::vector<const Target *> EntryTraffic::candidates(const EntryCall &call) const
 {
     auto targets = m_view->inventory->targetsOf(call.request.submit.service);
@@ -389,9 +402,10 @@
         call->tried.clear();
     }
     call->timer = std::make_unique<asio::steady_timer>(m_loop.context(), decision.delay);
-    call->timer->async_wait([this, call](const asio::error_code &cancelled) {
-        if (!cancelled && m_calls.contains(call->id)) {
-            attempt(call);
+    call->timer->async_wait([this, id = call->id](const asio::error_code &cancelled) {
+        const auto entry = m_calls.find(id);
+        if (!cancelled && entry != m_calls.end()) {
+            attempt(entry->second);
         }
     });
 }
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -68,6 +68,7 @@
 
     void begin(const Call &call);
     void attempt(const Call &call);
+    void deadlinePassed(const RequestId &id);
     std::vector<const Target *> candidates(const EntryCall &call) const;
     std::vector<TargetView> viewsOf(const std::vector<const Target *> &targets, const EntryCall &call,
                                     SteadyTime now) const;
