--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -2,11 +2,13 @@
 
 #include "heatherridge_coordination/heatherridge_coordination.h"
 #include "heatherridge_transport/entry/callerrequest.h"
+#include "heatherridge_transport/entry/streamresume.h"
 #include "heatherridge_transport/http/httpserver.h"
 
 #include <asio/steady_timer.hpp>
 
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace Heatherridge
@@ -28,17 +30,15 @@
     bool answerBegun = false; ///< the caller has the head
     bool mayHaveRun = false; ///< an earlier attempt ended without proof that it did not run
     AnswerAssembler assembler{AnswerAssembler::Options{}};
-};
 
-/**
- * The id under which attempt number @p attempt of request @p id travels.
- *
- * A retry may reach a target that still has the attempt before it. Were both to travel under one id, frames of the
- * first could be taken for the second's, or the second be dropped as a double of the first.
- */
-RequestId attemptId(const RequestId &id, int attempt);
+    std::optional<StreamResume> resume{}; ///< for an answer that another target can go on with
 
-/** The request that the attempt named @p id belongs to. */
-RequestId requestOfAttempt(const RequestId &id);
+    /** Makes ready for an attempt that goes on behind what the caller has. Only when there is a resume. */
+    void beginResume()
+    {
+        assembler = AnswerAssembler(AnswerAssembler::Options{});
+        request.submit.body = withResumeFrom(request.submit.body, resume->beginResume());
+    }
+};
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -30,7 +30,8 @@
     for (const auto &header : request.headers) {
         call.headers.push_back({.name = header.name, .value = header.value});
     }
-    call.headers.push_back({.name = "X-Request-Id", .value = request.id.text()});
+    // The caller's id, not the attempt's: engines put it into each event, and a resumed answer must go on the same.
+    call.headers.push_back({.name = "X-Request-Id", .value = requestOfAttempt(request.id).text()});
     call.headers.push_back({.name = "X-Priority", .value = std::to_string(request.priority)});
     return call;
 }
@@ -158,9 +159,22 @@
     const auto &outer = std::get<Envelope>(envelope);
     if (outer.channel == Channel::Traffic) {
         receiveTraffic(entry, outer);
+    } else if (outer.channel == Channel::Control && m_controlSink.frame) {
+        m_entries.erase(entry); // a peer that relays configuration; it wants no load reports
+        m_controlSink.frame(entry, outer);
     }
 }
 
+void TargetTraffic::setControlSink(ControlSink sink)
+{
+    m_controlSink = std::move(sink);
+}
+
+void TargetTraffic::sendFrame(const std::shared_ptr<PeerSocket> &peer, Bytes frame)
+{
+    m_loop.post([peer, frame = std::move(frame)] { peer->send(frame); });
+}
+
 void TargetTraffic::receiveTraffic(const Socket &entry, const Envelope &envelope)
 {
     const auto message = decodeTrafficMessage(envelope.payload);
@@ -382,6 +396,9 @@
 void TargetTraffic::entryGone(const Socket &entry)
 {
     m_entries.erase(entry);
+    if (m_controlSink.gone) {
+        m_controlSink.gone(entry);
+    }
     std::erase_if(m_held, [&entry](const auto &held) { return held.entry == entry; });
     std::vector<RequestId> orphans;
     for (const auto &[id, work] : m_works) {
