Count the platform's leaving marks against new work

Cause: a target whose host the owners take away kept getting work until its inventory said so, also while the log was out.

--- a/benchmarks/configrun.cpp
+++ b/benchmarks/configrun.cpp
@@ -1,6 +1,6 @@
 // Configuration end to end with the real programs, in one run: from an append to in force on every process, the same
-// for changes published while the log is out, from a withdrawal to the last new request, and from the start of a
-// killed process to ready. Usage: configrun [targets [entries [changes]]]
+// for changes published while the log is out, from a withdrawal or a leaving mark to the last new request, and from the
+// start of a killed process to ready. Usage: configrun [targets [entries [changes]]]
 
 #include "heatherridge_coordination/config/publisher.h"
 #include "heatherridge_transport/app/eventloop.h"
@@ -12,6 +12,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <future>
 #include <map>
 #include <sstream>
@@ -89,6 +90,7 @@
     Deployment(int targets, int entries, std::string logFile)
         : m_logFile(std::move(logFile))
         , m_log("heatherridge-standin", {"log", "--listen", "127.0.0.1:0"})
+        , m_hosts("heatherridge-standin", {"hosts", "--listen", "127.0.0.1:0"})
         , m_random(1)
     {
         m_client = std::make_unique<HttpClient>(m_loop.context(), HttpClient::Options{});
@@ -105,7 +107,8 @@
             m_entries.push_back(std::make_unique<ChildProcess>(
                 "heatherridge-entry",
                 std::vector<std::string>{"--name", "entry-" + std::to_string(i), "--zone", zoneOf(i), "--log-service",
-                                         toString(log()), "--listen", "127.0.0.1:0"}));
+                                         toString(log()), "--host-list", toString(hostList()), "--listen",
+                                         "127.0.0.1:0"}));
         }
     }
 
@@ -124,6 +127,17 @@
         return m_log.endpoints().front();
     }
 
+    Endpoint hostList() const
+    {
+        return m_hosts.endpoints().front();
+    }
+
+    /** Lets the log fail every call, or answer again. */
+    void setLogOut(bool out)
+    {
+        call(log(), {.method = "POST", .path = "/faults", .body = out ? "{\"out\":1}" : "{\"out\":0}"});
+    }
+
     std::size_t processes() const
     {
         return m_targets.size() + m_entries.size();
@@ -212,6 +226,7 @@
             }
         }
         std::vector<std::int64_t> delays;
+        delays.reserve(reached.size());
         for (const auto &[process, at] : reached) {
             delays.push_back(at - appended);
         }
@@ -224,7 +239,8 @@
         return std::make_unique<ChildProcess>(
             "heatherridge-target",
             std::vector<std::string>{"--name", "target-" + std::to_string(index), "--zone", zoneOf(index),
-                                     "--log-service", toString(log()), "--listen", listen, "--admin", "127.0.0.1:0"});
+                                     "--log-service", toString(log()), "--host-list", toString(hostList()), "--listen",
+                                     listen, "--admin", "127.0.0.1:0"});
     }
 
     ChildProcess &backend(std::size_t index)
@@ -232,6 +248,11 @@
         return *m_backends[index];
     }
 
+    std::size_t targetCount() const
+    {
+        return m_targets.size();
+    }
+
     std::unique_ptr<ChildProcess> &target(std::size_t index)
     {
         return m_targets[index];
@@ -250,6 +271,7 @@
 
     std::string m_logFile;
     ChildProcess m_log;
+    ChildProcess m_hosts;
     SeededRandom m_random;
     EventLoop m_loop;
     std::unique_ptr<HttpClient> m_client;
@@ -293,21 +315,18 @@
 
 void measureOutage(Deployment &deployment)
 {
-    const auto setOut = [&deployment](int out) {
-        deployment.call(deployment.log(),
-                        {.method = "POST", .path = "/faults", .body = "{\"out\":" + std::to_string(out) + "}"});
-    };
-    setOut(1);
+    deployment.setLogOut(true);
     std::thread ends([&] {
         std::this_thread::sleep_for(Outage);
-        setOut(0);
+        deployment.setLogOut(false);
     });
     const auto offset = deployment.publish(DocumentKind::Rules, rules(1000));
     ends.join();
     print("append to in force after 10 s without the log", deployment.delays(offset), deployment.processes());
 }
 
-void measureWithdrawal(Deployment &deployment)
+/** Calls the service without a pause, takes the first target away by @p takeAway, and times its last new request. */
+void measureLastRequest(const char *what, Deployment &deployment, const std::function<std::int64_t()> &takeAway)
 {
     std::atomic<bool> stop{false};
     std::atomic<int> answered{0};
@@ -326,13 +345,13 @@
         const auto at = body.find("\"lookups\":");
         return at == std::string::npos ? 0LL : std::atoll(body.c_str() + at + 10);
     };
-    std::this_thread::sleep_for(std::chrono::seconds(1));
+    const auto atStart = callsOfFirst();
+    std::this_thread::sleep_for(std::chrono::seconds(2));
     const auto before = callsOfFirst();
-    const auto offset = deployment.publish(DocumentKind::Inventory, deployment.inventory(0));
-    const auto appended = deployment.appendedAt(offset);
+    const auto begin = takeAway();
     auto last = callsOfFirst();
     auto lastAt = nowOfDay();
-    for (int round = 0; round < 300; ++round) {
+    for (int round = 0; round < 600; ++round) {
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
         const auto calls = callsOfFirst();
         if (calls != last) {
@@ -342,15 +361,39 @@
     }
     stop = true;
     caller.join();
-    std::printf("%-44s ms: at most %lld; its back end had %lld calls before and %lld after; answered %d, refused %d\n",
-                "withdrawal's append to last new request", static_cast<long long>(lastAt - appended), before,
-                last - before, answered.load(), refused.load());
+    std::printf("%-44s ms: at most %lld; %lld calls in the 2 s before, %lld after; answered %d, refused %d\n", what,
+                static_cast<long long>(lastAt - begin), before - atStart, last - before, answered.load(),
+                refused.load());
+}
+
+void measureWithdrawal(Deployment &deployment)
+{
+    measureLastRequest("withdrawal's append to last new request", deployment, [&deployment] {
+        return deployment.appendedAt(deployment.publish(DocumentKind::Inventory, deployment.inventory(0)));
+    });
+}
+
+void measureLeavingMark(Deployment &deployment)
+{
+    const auto mark = [&deployment](const std::string &state) {
+        deployment.call(
+            deployment.hostList(),
+            {.method = "PUT", .path = "/hosts", .body = R"({"hosts":[{"host":"host-0","state":")" + state + R"("}]})"});
+    };
+    deployment.setLogOut(true);
+    measureLastRequest("leaving mark to last new request, log out", deployment, [&mark] {
+        mark("leaving");
+        return nowOfDay();
+    });
+    deployment.setLogOut(false);
+    mark("live");
+    std::this_thread::sleep_for(MembershipOptions{}.hostReturn + std::chrono::seconds(2));
 }
 
 void measureRecovery(Deployment &deployment, const std::string &logFile)
 {
     std::vector<std::int64_t> delays;
-    for (std::size_t i = 1; i <= 3; ++i) {
+    for (std::size_t i = 1; i < std::min<std::size_t>(4, deployment.targetCount()); ++i) {
         const auto gate = toString(deployment.target(i)->endpoints().front());
         deployment.target(i)->kill();
         const auto begin = nowOfDay();
@@ -396,6 +439,7 @@
         measureChanges(deployment, changes);
         measureOutage(deployment);
         measureRecovery(deployment, logFile);
+        measureLeavingMark(deployment);
         measureWithdrawal(deployment);
     }
     rusage usage{};
--- a/extras/heatherridge-entry/main.cpp
+++ b/extras/heatherridge-entry/main.cpp
@@ -68,6 +68,7 @@
             .zone = ZoneName(settings.text("zone")),
             .listen = settings.address("listen"),
             .logService = settings.address("log-service"),
+            .hostList = settings.address("host-list"),
             .peers = settings.addresses("peers"),
             .httpThreads = static_cast<int>(settings.number("http-threads")),
             .trafficThreads = static_cast<int>(settings.number("traffic-threads")),
--- a/extras/heatherridge-target/main.cpp
+++ b/extras/heatherridge-target/main.cpp
@@ -34,6 +34,7 @@
             .listen = settings.address("listen"),
             .admin = settings.address("admin"),
             .logService = settings.address("log-service"),
+            .hostList = settings.address("host-list"),
             .peers = settings.addresses("peers"),
             .drainTimeout = settings.duration("drain-timeout")};
 }
--- a/modules/heatherridge_state/membership/membership.cpp
+++ b/modules/heatherridge_state/membership/membership.cpp
@@ -140,6 +140,18 @@
     return signals;
 }
 
+std::set<TargetName> Membership::targetsWith(StandingReason reason, SteadyTime now) const
+{
+    std::set<TargetName> found;
+    const bool observerFault = isObserverAtFault(now);
+    for (const auto &[name, target] : m_inventory->targets()) {
+        if (standingFrom(signalsOf(target, now), observerFault, m_options).reason == reason) {
+            found.insert(name);
+        }
+    }
+    return found;
+}
+
 std::array<std::size_t, StandingReasonCount> Membership::countByReason(SteadyTime now) const
 {
     std::array<std::size_t, StandingReasonCount> counts{};
--- a/modules/heatherridge_state/membership/membership.h
+++ b/modules/heatherridge_state/membership/membership.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Heatherridge
@@ -50,6 +51,9 @@
     /** Whether so many listed targets are silent at @p now that this observer takes the fault to be its own. */
     bool isObserverAtFault(SteadyTime now) const;
 
+    /** The listed targets that stand where they stand for @p reason. */
+    std::set<TargetName> targetsWith(StandingReason reason, SteadyTime now) const;
+
     /** How many listed targets stand for each reason, in the order of StandingReason. */
     std::array<std::size_t, StandingReasonCount> countByReason(SteadyTime now) const;
 
--- a/modules/heatherridge_transport/app/configview.h
+++ b/modules/heatherridge_transport/app/configview.h
@@ -3,6 +3,7 @@
 #include "heatherridge_state/heatherridge_state.h"
 
 #include <memory>
+#include <set>
 
 namespace Heatherridge
 {
@@ -19,11 +20,12 @@
     bool confirmed = false; ///< whether the log itself has said, since this process started, that nothing is missing
     std::shared_ptr<const Inventory> inventory = std::make_shared<Inventory>();
     std::shared_ptr<const RuleSet> rules = std::make_shared<RuleSet>();
+    std::set<TargetName> leaving{}; ///< targets whose hosts the platform's list marks as leaving; no part of the digest
 
-    /** Whether @p target may be given new work: listed, not withdrawn, and not about to stop. */
+    /** Whether @p target may be given new work: listed, not withdrawn, not about to stop, and its host not leaving. */
     bool takesWork(const Target &target) const
     {
-        return !target.withdrawn && !rules->isStopping(target.name);
+        return !target.withdrawn && !rules->isStopping(target.name) && !leaving.contains(target.name);
     }
 };
 
--- a/modules/heatherridge_transport/app/controlplane.cpp
+++ b/modules/heatherridge_transport/app/controlplane.cpp
@@ -2,6 +2,7 @@
 
 #include "heatherridge_coordination/config/logfollower.h"
 #include "heatherridge_transport/app/logger.h"
+#include "heatherridge_transport/platform/hostlistreader.h"
 #include "heatherridge_transport/platform/httplogservice.h"
 
 #include <atomic>
@@ -14,6 +15,7 @@
 {
 
 constexpr std::chrono::milliseconds CounterPeriod{1'000};
+constexpr std::chrono::milliseconds HostCheckPeriod{200};
 
 } // namespace
 
@@ -42,6 +44,11 @@
                                                                    .zone = options.zone,
                                                                    .relay = {.seeds = seedsFrom(options.peers)}});
         m_agent->setListener(this);
+        if (options.hostList.port != 0) {
+            m_hostList = std::make_unique<HostListReader>(
+                *m_client, HostListReader::Options{.endpoint = options.hostList},
+                [this](const auto &hosts) { m_membership.noteHostList(hosts, std::chrono::steady_clock::now()); });
+        }
         m_links->setRelay(&m_agent->relay());
         loop.every(options.tick, [this] { tick(); });
         loop.every(CounterPeriod, [this] { showCounters(); });
@@ -56,6 +63,7 @@
         }
         m_agent.reset();
         m_links.reset();
+        m_hostList.reset();
         m_log.reset();
         m_client.reset();
     }
@@ -106,13 +114,27 @@
 private:
     void tick()
     {
-        m_agent->tick(std::chrono::steady_clock::now());
+        const auto now = std::chrono::steady_clock::now();
+        m_agent->tick(now);
+        if (m_hostList) {
+            m_hostList->tick(now);
+        }
         m_logReachable.set(m_agent->isLogReachable().value_or(false) ? 1 : 0);
-        if (m_agent->replica().isConfirmed() != view()->confirmed) {
+        if (m_agent->replica().isConfirmed() != view()->confirmed || hostsChanged(now)) {
             publish();
         }
     }
 
+    /** Whether other targets than before stand on leaving hosts; looked at now and then, a list lags anyway. */
+    bool hostsChanged(SteadyTime now)
+    {
+        if (!m_hostList || now < m_nextHostCheck) {
+            return false;
+        }
+        m_nextHostCheck = now + HostCheckPeriod;
+        return m_membership.targetsWith(StandingReason::HostLeaving, now) != view()->leaving;
+    }
+
     static std::vector<RelayMember> seedsFrom(const std::vector<Endpoint> &peers)
     {
         std::vector<RelayMember> seeds;
@@ -178,6 +200,16 @@
         show("heatherridge_relay_events", "state-adopted", relay.statesAdopted);
         show("heatherridge_relay_events", "diverged", relay.diverged);
         show("heatherridge_relay_events", "malformed", m_links->malformedFrames());
+        if (m_hostList) {
+            show("heatherridge_host_list_events", "failed-read", m_hostList->failures());
+        }
+        const auto reasons = m_membership.countByReason(std::chrono::steady_clock::now());
+        show("heatherridge_targets", toString(StandingReason::HostLeaving),
+             reasons.at(static_cast<std::size_t>(StandingReason::HostLeaving)));
+        show("heatherridge_targets", toString(StandingReason::Withdrawn),
+             reasons.at(static_cast<std::size_t>(StandingReason::Withdrawn)));
+        show("heatherridge_targets", toString(StandingReason::PlannedStop),
+             reasons.at(static_cast<std::size_t>(StandingReason::PlannedStop)));
     }
 
     void show(const std::string &name, std::string_view reason, std::uint64_t value)
@@ -189,18 +221,23 @@
     {
         const auto &replica = m_agent->replica();
         const auto &state = replica.state();
-        const auto fresh = std::make_shared<const ConfigView>(ConfigView{.offset = state.offset(),
-                                                                         .digest = state.digest(),
-                                                                         .confirmed = replica.isConfirmed(),
-                                                                         .inventory = state.inventory(),
-                                                                         .rules = state.rules()});
+        const auto now = std::chrono::steady_clock::now();
+        m_membership.follow(state.inventory(), state.rules(), now);
+        const auto fresh = std::make_shared<const ConfigView>(
+            ConfigView{.offset = state.offset(),
+                       .digest = state.digest(),
+                       .confirmed = replica.isConfirmed(),
+                       .inventory = state.inventory(),
+                       .rules = state.rules(),
+                       .leaving = m_membership.targetsWith(StandingReason::HostLeaving, now)});
         std::atomic_store(&m_view, fresh);
         m_offset.set(static_cast<std::int64_t>(toNumber(fresh->offset)));
         m_confirmed.set(fresh->confirmed ? 1 : 0);
         logEvent(Severity::Info, "config-in-force",
                  {{"offset", std::to_string(toNumber(fresh->offset))},
                   {"digest", std::to_string(toNumber(fresh->digest))},
-                  {"confirmed", fresh->confirmed ? "yes" : "no"}});
+                  {"confirmed", fresh->confirmed ? "yes" : "no"},
+                  {"leaving", std::to_string(fresh->leaving.size())}});
         for (const auto &listener : listeners) {
             listener(fresh);
         }
@@ -211,6 +248,9 @@
     Metrics &m_metrics;
     std::unique_ptr<HttpClient> m_client;
     std::unique_ptr<HttpLogService> m_log;
+    std::unique_ptr<HostListReader> m_hostList;
+    Membership m_membership;
+    SteadyTime m_nextHostCheck{};
     std::unique_ptr<ControlLinks> m_links;
     std::unique_ptr<ConfigAgent> m_agent;
     std::shared_ptr<const ConfigView> m_view;
--- a/modules/heatherridge_transport/app/controlplane.h
+++ b/modules/heatherridge_transport/app/controlplane.h
@@ -51,6 +51,7 @@
         Incarnation incarnation{};
         ZoneName zone{};
         Endpoint logService{};
+        Endpoint hostList{}; ///< where the platform's host list listens; port 0 when it is not used
         std::vector<Endpoint> peers{}; ///< gates that are asked for a state while there is no inventory
         std::chrono::milliseconds tick{20}; ///< how often due work is looked for
     };
--- a/modules/heatherridge_transport/app/settings.cpp
+++ b/modules/heatherridge_transport/app/settings.cpp
@@ -81,7 +81,10 @@
     case SettingType::AddressList:
         for (const auto &address : splitList(value)) {
             if (!parseEndpoint(address)) {
-                return key + " must list IP numbers, each with a colon and a port, not '" + address + "'";
+                return std::string(key)
+                           .append(" must list IP numbers, each with a colon and a port, not '")
+                           .append(address)
+                    + "'";
             }
         }
         return "";
@@ -190,7 +193,9 @@
         if (given.count(key) != 0) {
             settings.m_values[key] = given[key].as<std::string>();
             const auto fault = faultIn(spec, settings.m_values[key]);
-            faults += fault.empty() ? "" : "--" + key + ": " + fault + "\n";
+            if (!fault.empty()) {
+                faults.append("--").append(key).append(": ").append(fault).append("\n");
+            }
         } else if (!settings.m_values.contains(key)) {
             faults += spec.required ? "'" + key + "' is missing\n" : "";
             settings.m_values[key] = spec.fallback;
--- a/modules/heatherridge_transport/entry/entryserver.cpp
+++ b/modules/heatherridge_transport/entry/entryserver.cpp
@@ -26,6 +26,7 @@
                  .incarnation = m_options.incarnation,
                  .zone = m_options.zone,
                  .logService = m_options.logService,
+                 .hostList = m_options.hostList,
                  .peers = m_options.peers},
                 m_metrics)
 {
--- a/modules/heatherridge_transport/entry/entryserver.h
+++ b/modules/heatherridge_transport/entry/entryserver.h
@@ -25,6 +25,7 @@
         ZoneName zone{};
         Endpoint listen{}; ///< for callers
         Endpoint logService{};
+        Endpoint hostList{}; ///< the platform's host list; port 0 when it is not used
         std::vector<Endpoint> peers{}; ///< gates that are asked for a state while there is no inventory
         int httpThreads = 2;
         int trafficThreads = 1;
--- /dev/null
+++ b/modules/heatherridge_transport/platform/hostlistreader.cpp
@@ -0,0 +1,75 @@
+#include "heatherridge_transport/platform/hostlistreader.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr int StatusOk = 200;
+constexpr std::size_t MostListBytes = 4UL << 20U;
+
+} // namespace
+
+std::optional<std::vector<ListedHost>> parseHostList(std::string_view body)
+{
+    const auto list = nlohmann::json::parse(body, nullptr, false);
+    if (!list.is_object() || !list.contains("hosts") || !list["hosts"].is_array()) {
+        return std::nullopt;
+    }
+    std::vector<ListedHost> hosts;
+    hosts.reserve(list["hosts"].size());
+    for (const auto &line : list["hosts"]) {
+        const bool readable = line.is_object() && line.contains("host") && line["host"].is_string()
+            && line.contains("state") && line["state"].is_string();
+        if (!readable) {
+            return std::nullopt;
+        }
+        // A state of a later release says nothing that may take a host away or bring it back: it is passed over.
+        const auto state = line["state"].get<std::string>();
+        if (state == "live" || state == "leaving") {
+            hosts.push_back({.host = HostName(line["host"].get<std::string>()),
+                             .mark = state == "live" ? HostMark::Live : HostMark::Leaving});
+        }
+    }
+    return hosts;
+}
+
+HostListReader::HostListReader(HttpClient &client, Options options, Taken taken)
+    : m_client(client)
+    , m_options(std::move(options))
+    , m_taken(std::move(taken))
+{
+}
+
+void HostListReader::tick(SteadyTime now)
+{
+    if (m_reading || now < m_next) {
+        return;
+    }
+    m_reading = true;
+    m_next = now + m_options.period;
+    m_client.send(
+        {.endpoint = m_options.endpoint, .request = {.method = "GET", .path = "/hosts"}, .timeout = m_options.timeout},
+        [this](const std::variant<HttpResponse, HttpClient::Failure> &result) {
+            m_reading = false;
+            const auto *response = std::get_if<HttpResponse>(&result);
+            const auto hosts =
+                response != nullptr && response->status == StatusOk ? parseHostList(response->body) : std::nullopt;
+            if (hosts) {
+                m_taken(*hosts);
+            } else {
+                ++m_failures;
+            }
+        },
+        MostListBytes);
+}
+
+std::uint64_t HostListReader::failures() const
+{
+    return m_failures;
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/target/targetserver.cpp
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -21,6 +21,7 @@
                  .incarnation = m_options.incarnation,
                  .zone = m_options.zone,
                  .logService = m_options.logService,
+                 .hostList = m_options.hostList,
                  .peers = m_options.peers},
                 m_metrics)
     , m_traffic({.target = m_options.target, .incarnation = m_options.incarnation, .listen = m_options.listen},
--- a/modules/heatherridge_transport/target/targetserver.h
+++ b/modules/heatherridge_transport/target/targetserver.h
@@ -24,6 +24,7 @@
         Endpoint listen{}; ///< for entries
         Endpoint admin{}; ///< for the operator and for scrapes of metrics
         Endpoint logService{};
+        Endpoint hostList{}; ///< the platform's host list; port 0 when it is not used
         std::vector<Endpoint> peers{}; ///< gates that are asked for a state while there is no inventory
         std::chrono::milliseconds drainTimeout{60'000}; ///< longest wait for running requests at shutdown
     };
--- /dev/null
+++ b/tests/transport/hostlist_test.cpp
@@ -0,0 +1,48 @@
+#include "heatherridge_transport/platform/hostlistreader.h"
+
+#include <gtest/gtest.h>
+
+using namespace Heatherridge;
+
+namespace
+{
+
+struct ListRow
+{
+    const char *body;
+    std::optional<std::vector<HostMark>> marks;
+};
+
+const ListRow ListRows[] = {
+    {R"({"hosts":[]})", std::vector<HostMark>{}},
+    {R"({"hosts":[{"host":"h","state":"live"},{"host":"h","state":"leaving"}]})",
+     std::vector<HostMark>{HostMark::Live, HostMark::Leaving}},
+    {R"({"hosts":[{"host":"h","state":"resting"}]})", std::vector<HostMark>{}},
+    {R"({"hosts":[{"host":7,"state":"live"}]})", std::nullopt},
+    {R"({"hosts":{}})", std::nullopt},
+    {R"({"hosts":[)", std::nullopt},
+    {"", std::nullopt},
+};
+
+class HostListBody : public testing::TestWithParam<ListRow>
+{
+};
+
+TEST_P(HostListBody, IsReadWholeOrNotAtAll)
+{
+    const auto hosts = parseHostList(GetParam().body);
+    ASSERT_EQ(hosts.has_value(), GetParam().marks.has_value()) << GetParam().body;
+    if (!hosts) {
+        return;
+    }
+    std::vector<HostMark> marks;
+    marks.reserve(hosts->size());
+    for (const auto &host : *hosts) {
+        marks.push_back(host.mark);
+    }
+    EXPECT_EQ(marks, *GetParam().marks) << GetParam().body;
+}
+
+INSTANTIATE_TEST_SUITE_P(Table, HostListBody, testing::ValuesIn(ListRows));
+
+} // namespace
