--- a/modules/heatherridge_protocol/trafficmessage.cpp
+++ b/modules/heatherridge_protocol/trafficmessage.cpp
@@ -106,11 +106,10 @@
 
 json toMap(const LoadReport &message)
 {
-    return {{"ta", message.target.text()},
-            {"u", message.running},
-            {"q", message.queued},
-            {"l", message.limit},
-            {"x", message.draining}};
+    return {{"ta", message.target.text()}, {"u", message.running},      {"q", message.queued},
+            {"l", message.limit},          {"x", message.draining},     {"lo", message.load},
+            {"oe", message.ofEntry},       {"cp", message.capacity},    {"ps", message.pressure},
+            {"wm", message.warmth},        {"pc", message.pace.count()}};
 }
 
 const RequestId &idOf(const auto &message)
@@ -162,7 +161,13 @@
                       .running = reader.number("u"),
                       .queued = reader.number("q"),
                       .limit = reader.number("l"),
-                      .draining = reader.toggle("x")};
+                      .draining = reader.toggle("x"),
+                      .load = reader.fraction("lo"),
+                      .ofEntry = reader.fraction("oe"),
+                      .capacity = reader.fraction("cp"),
+                      .pressure = reader.fraction("ps"),
+                      .warmth = reader.fraction("wm"),
+                      .pace = std::chrono::microseconds(reader.integer("pc", 0, LongestMilliseconds * 1000))};
 }
 
 TrafficMessage readBody(CborReader &reader, Type type, RequestId id)
