Tell what is open during a drain, since when and why

Cause: status named only the oldest running request's age; an operator who waits for a target to be empty could not see what holds it up, nor why it drains. Change: the target's process keeps a DrainTracker: cause (planned stop, withdrawal, signal), begin, and the running requests, the oldest first; a drain caused by the configuration ends when the configuration takes it back.

--- /dev/null
+++ b/modules/heatherridge_transport/target/drainstatus.cpp
@@ -0,0 +1,54 @@
+#include "heatherridge_transport/target/drainstatus.h"
+
+#include <array>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 3> PhaseNames{"open", "draining", "drained"};
+
+std::chrono::milliseconds since(SteadyTime begin, SteadyTime now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - begin);
+}
+
+} // namespace
+
+void followConfig(DrainTracker &drain, const ConfigView &view, const TargetName &target, SteadyTime now)
+{
+    const auto *listed = view.inventory->find(target);
+    const bool withdrawn = listed == nullptr || listed->withdrawn || view.leaving.contains(target);
+    drain.setCause(DrainCause::Withdrawal, withdrawn, now);
+    drain.setCause(DrainCause::PlannedStop, view.rules->isStopping(target), now);
+}
+
+DrainReport reportOn(const DrainTracker &drain, SteadyTime now)
+{
+    DrainReport report{.phase = drain.phase(), .cause = drain.cause(), .openCount = drain.openCount()};
+    if (const auto begin = drain.drainingSince()) {
+        report.lasting = since(*begin, now);
+    }
+    for (const auto &work : drain.open(MostOpenNamed)) {
+        report.open.emplace_back(work.id, since(work.since, now));
+    }
+    return report;
+}
+
+nlohmann::ordered_json toJson(const DrainReport &report)
+{
+    auto open = nlohmann::ordered_json::array();
+    for (const auto &[id, age] : report.open) {
+        open.push_back({{"request", id.text()}, {"age_ms", age.count()}});
+    }
+    nlohmann::ordered_json json{{"phase", PhaseNames.at(static_cast<std::size_t>(report.phase))},
+                                {"open_count", report.openCount},
+                                {"open", open}};
+    json["cause"] = report.cause ? nlohmann::ordered_json(toString(*report.cause)) : nullptr;
+    json["lasting_ms"] = report.lasting ? nlohmann::ordered_json(report.lasting->count()) : nullptr;
+    return json;
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/target/targetserver.cpp
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -108,7 +108,7 @@
                                          {"running", traffic.load.running},
                                          {"waiting", traffic.load.waiting},
                                          {"limit", traffic.load.limit},
-                                         {"oldest_open_ms", traffic.oldestOpen.count()}});
+                                         {"drain", toJson(traffic.drain)}});
     return jsonAnswer(answer);
 }
 
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -103,6 +103,7 @@
         const auto *before = self();
         const int hadConcurrency = before == nullptr ? 0 : before->concurrency;
         m_view = view;
+        followConfig(m_drain, *view, m_options.target, std::chrono::steady_clock::now());
         const auto *target = self();
         if (target != nullptr && target->concurrency != hadConcurrency && target->concurrency > 0) {
             m_limit = std::make_unique<ConcurrencyLimit>(ConcurrencyOptions{
@@ -122,6 +123,7 @@
 {
     m_loop.post([this] {
         m_draining = true;
+        m_drain.setCause(DrainCause::Signal, true, std::chrono::steady_clock::now());
         handBackWaiting(ErrorKind::Draining);
         releaseHeld();
         reportLoad(true);
@@ -133,13 +135,7 @@
     Status status;
     m_loop.run([this, &status] {
         const auto now = std::chrono::steady_clock::now();
-        status = {.load = m_queue.load(), .draining = m_draining};
-        for (const auto &[id, work] : m_works) {
-            if (work->started) {
-                status.oldestOpen = std::max(
-                    status.oldestOpen, std::chrono::duration_cast<std::chrono::milliseconds>(now - *work->started));
-            }
-        }
+        status = {.load = m_queue.load(), .draining = m_draining, .drain = reportOn(m_drain, now)};
     });
     return status;
 }
@@ -268,6 +264,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     work->started = now;
+    m_drain.begin(work->request.id, now);
     m_started.add();
     m_waiting.record(between(work->arrived, now));
     const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(work->deadline - now);
@@ -361,6 +358,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     m_finished.add();
+    m_drain.end(work->request.id);
     m_queue.finish(work->request.id, static_cast<double>(work->request.cost), now);
     m_works.erase(work->request.id);
     pump();
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -4,6 +4,7 @@
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/link/frameencoder.h"
 #include "heatherridge_transport/target/backendwork.h"
+#include "heatherridge_transport/target/drainstatus.h"
 
 #include <functional>
 #include <map>
@@ -41,7 +42,7 @@
     {
         AdmissionLoad load{};
         bool draining = false;
-        std::chrono::milliseconds oldestOpen{}; ///< how long the oldest running request has been running
+        DrainReport drain{}; ///< what runs and since when, and whether new work is taken
     };
 
     /** Not started yet. @p metrics must outlive it. */
@@ -134,6 +135,7 @@
     double m_pace = 0; ///< smoothed microseconds between tokens, or of a plain call
     int m_ticksSinceReport = 0;
     bool m_draining = false;
+    DrainTracker m_drain;
     Counter &m_started;
     Counter &m_finished;
     Counter &m_strayFrames;
