--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -164,7 +164,9 @@
     call->target = target;
     call->sent = now;
     ++call->attempts;
-    m_book.recordSent(target, static_cast<double>(submit.cost), call->request.prefixChain, now);
+    const double fresh = call->request.promptTokens - views[std::get<std::size_t>(choice)].prefixTokens;
+    call->request.submit.freshTokens = static_cast<std::uint64_t>(std::max(0.0, fresh));
+    m_book.recordSent(target, submit, call->request.prefixChain, now);
     call->request.submit.timeLeft = left;
     call->request.submit.attempt = call->attempts;
     call->request.submit.id = attemptId(call->id, call->attempts);
@@ -244,7 +246,7 @@
 
 void EntryTraffic::linkDown(const TargetName &target)
 {
-    m_book.recordDown(target, std::chrono::steady_clock::now());
+    m_book.recordDown(target);
     std::vector<Call> lost;
     for (const auto &[id, call] : m_calls) {
         if (call->target == target) {
@@ -271,6 +273,7 @@
     }
     m_firstByte.record(microsecondsSince(call->arrived));
     call->exchange->beginStream(head.status, passedBackHeaders(head));
+    beginBody(call);
 }
 
 void EntryTraffic::takeChunk(const Call &call, const AnswerChunk &chunk)
@@ -292,7 +295,7 @@
         }
         const auto &taken = std::get<StreamBytes>(events);
         if (taken.repeated > 0) {
-            m_links->send(call->target, GrantCredit{.id = call->id, .bytes = taken.repeated});
+            m_links->send(call->target, GrantCredit{.id = call->request.submit.id, .bytes = taken.repeated});
         }
         passOn(call, taken.passOn);
     } else {
@@ -305,7 +308,8 @@
 
 void EntryTraffic::takeEnd(const Call &call, const AnswerEnd &end)
 {
-    auto outcome = call->assembler.end(end.chunks);
+    auto outcome = call->answerBegun ? call->assembler.end(end.chunks)
+                                     : Outcome(Error{.kind = ErrorKind::StreamBroken, .detail = "end before the head"});
     if (const auto *error = errorIn(outcome)) {
         cancelAtTarget(call);
         fail(call, *error);
@@ -316,24 +320,24 @@
     }
 }
 
-void EntryTraffic::passOn(const Call &call, const Bytes &bytes)
+void EntryTraffic::beginBody(const Call &call)
 {
-    if (bytes.empty()) {
-        return;
-    }
     // The target may send as much again only once the bytes have left: a slow caller holds back its own engine
     // stream instead of filling this process.
-    const GrantCredit grant{.id = call->request.submit.id, .bytes = bytes.size()};
-    const auto written = [this, id = call->id, target = call->target, grant](bool sent) {
-        m_loop.post([this, id, target, grant, sent] {
-            if (!sent) {
-                callerGone(id);
-            } else if (m_calls.contains(id)) {
-                m_links->send(target, grant);
-            }
-        });
+    const auto written = [this, id = call->id](std::size_t bytes) {
+        const auto entry = m_calls.find(id);
+        if (entry != m_calls.end() && !entry->second->target.isEmpty()) {
+            m_links->send(entry->second->target, GrantCredit{.id = entry->second->request.submit.id, .bytes = bytes});
+        }
     };
-    call->exchange->write(std::string(bytes.begin(), bytes.end()), written);
+    call->stream = std::make_shared<CallerStream>(
+        call->exchange, m_loop,
+        CallerStream::Events{.written = written, .gone = [this, id = call->id] { callerGone(id); }});
+}
+
+void EntryTraffic::passOn(const Call &call, const Bytes &bytes)
+{
+    call->stream->write({reinterpret_cast<const char *>(bytes.data()), bytes.size()});
 }
 
 void EntryTraffic::leaveTarget(EntryCall &call, Attempt attempt)
@@ -396,7 +400,7 @@
 {
     leaveTarget(*call, Attempt::Succeeded);
     m_retries.recordSuccess();
-    call->exchange->end();
+    call->stream->end();
     m_answers.add();
     m_whole.record(microsecondsSince(call->arrived));
     m_journal.finish(call->id, outcome);
@@ -422,9 +426,9 @@
         call->exchange->respond(problemResponse(error, call->id));
     } else {
         if (call->request.streams) {
-            call->exchange->write(problemEvent(error, call->id), [](bool) {});
+            call->stream->write(problemEvent(error, call->id));
         }
-        call->exchange->abort();
+        call->stream->abort();
     }
     m_journal.finish(call->id, kind);
     m_calls.erase(call->id);
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/target/targettraffic.h"
 
+#include "heatherridge_protocol/attemptid.h"
 #include "heatherridge_transport/app/logger.h"
 
 #include <algorithm>
@@ -30,7 +31,8 @@
     for (const auto &header : request.headers) {
         call.headers.push_back({.name = header.name, .value = header.value});
     }
-    // The caller's id, not the attempt's: engines put it into each event, and a resumed answer must go on the same.
+    // The request's id, not the attempt's: an engine repeats it in each event, and a resumed stream goes on only where
+    // its events are the ones that the caller has.
     call.headers.push_back({.name = "X-Request-Id", .value = requestOfAttempt(request.id).text()});
     call.headers.push_back({.name = "X-Priority", .value = std::to_string(request.priority)});
     return call;
@@ -469,6 +471,7 @@
                       .load = load.runningCost + load.waitingCost,
                       .capacity = load.capacity,
                       .pressure = load.pressure,
+                      .pendingPrompt = pendingPrompt(),
                       .warmth = m_limit->warmth(),
                       .pace = std::chrono::microseconds(static_cast<long long>(m_pace))};
     for (const auto &entry : m_entries) {
@@ -493,6 +496,15 @@
     m_pace = m_pace == 0 ? measured : m_pace * (1 - newestShare) + measured * newestShare;
 }
 
+double TargetTraffic::pendingPrompt() const
+{
+    double pending = 0;
+    for (const auto &[id, work] : m_works) {
+        pending += work->started && !work->headSent ? static_cast<double>(work->request.freshTokens) : 0;
+    }
+    return pending;
+}
+
 double TargetTraffic::loadOf(const Socket &entry) const
 {
     double load = 0;
