--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -105,6 +105,7 @@
         const auto *before = self();
         const int hadConcurrency = before == nullptr ? 0 : before->concurrency;
         m_view = view;
+        followConfig(m_drain, *view, m_options.target, std::chrono::steady_clock::now());
         const auto *target = self();
         if (target != nullptr && target->concurrency != hadConcurrency && target->concurrency > 0) {
             m_limit = std::make_unique<ConcurrencyLimit>(ConcurrencyOptions{
@@ -124,6 +125,7 @@
 {
     m_loop.post([this] {
         m_draining = true;
+        m_drain.setCause(DrainCause::Signal, true, std::chrono::steady_clock::now());
         handBackWaiting(ErrorKind::Draining);
         releaseHeld();
         reportLoad(true);
@@ -135,13 +137,7 @@
     Status status;
     m_loop.run([this, &status] {
         const auto now = std::chrono::steady_clock::now();
-        status = {.load = m_queue.load(), .draining = m_draining};
-        for (const auto &[id, work] : m_works) {
-            if (work->started) {
-                status.oldestOpen = std::max(
-                    status.oldestOpen, std::chrono::duration_cast<std::chrono::milliseconds>(now - *work->started));
-            }
-        }
+        status = {.load = m_queue.load(), .draining = m_draining, .drain = reportOn(m_drain, now)};
     });
     return status;
 }
@@ -270,6 +266,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     work->started = now;
+    m_drain.begin(work->request.id, now);
     m_started.add();
     m_waiting.record(between(work->arrived, now));
     const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(work->deadline - now);
@@ -363,6 +360,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     m_finished.add();
+    m_drain.end(work->request.id);
     m_queue.finish(work->request.id, static_cast<double>(work->request.cost), now);
     m_works.erase(work->request.id);
     pump();
@@ -473,6 +471,7 @@
                       .load = load.runningCost + load.waitingCost,
                       .capacity = load.capacity,
                       .pressure = load.pressure,
+                      .pendingPrompt = pendingPrompt(),
                       .warmth = m_limit->warmth(),
                       .pace = std::chrono::microseconds(static_cast<long long>(m_pace))};
     for (const auto &entry : m_entries) {
@@ -497,6 +496,15 @@
     m_pace = m_pace == 0 ? measured : m_pace * (1 - newestShare) + measured * newestShare;
 }
 
+double TargetTraffic::pendingPrompt() const
+{
+    double pending = 0;
+    for (const auto &[id, work] : m_works) {
+        pending += work->started && !work->headSent ? static_cast<double>(work->request.freshTokens) : 0;
+    }
+    return pending;
+}
+
 double TargetTraffic::loadOf(const Socket &entry) const
 {
     double load = 0;
