--- a/tests/agreement/relay_test.cpp
+++ b/tests/agreement/relay_test.cpp
@@ -107,7 +107,7 @@
     }
 }
 
-enum class Fault { ReadersKilled, ReadersPaused, OneReaderKilled, MessagesDoubled, ZoneCutFromLog };
+enum class Fault { AllReadersKilled, ReadersKilled, ReadersPaused, OneReaderKilled, MessagesDoubled, ZoneCutFromLog };
 
 struct FaultRow
 {
@@ -119,6 +119,7 @@
 const FaultRow FaultRows[] = {
     {"one reader of zone a is killed as a change is published", Fault::OneReaderKilled, std::chrono::seconds(3)},
     {"all readers of zone a are killed", Fault::ReadersKilled, std::chrono::seconds(10)},
+    {"all readers of both zones are killed", Fault::AllReadersKilled, std::chrono::seconds(4)},
     {"all readers of zone a are paused; their connections stay open", Fault::ReadersPaused, std::chrono::seconds(20)},
     {"zone a is cut off from the log, not from zone b", Fault::ZoneCutFromLog, std::chrono::seconds(5)},
     {"every message between processes comes twice", Fault::MessagesDoubled, std::chrono::seconds(3)},
@@ -136,18 +137,20 @@
     fleet.run(Settled);
     std::vector<ProcessName> readers;
     for (const auto &[name, node] : fleet.network.nodes()) {
-        if (fleet.plan->isReader(name) && Fleet::zoneOf(std::stoi(name.text().substr(7))) == ZoneName("a")) {
+        const bool ofZoneA = Fleet::zoneOf(std::stoi(name.text().substr(7))) == ZoneName("a");
+        if (fleet.plan->isReader(name) && (ofZoneA || GetParam().fault == Fault::AllReadersKilled)) {
             readers.push_back(name);
         }
     }
-    ASSERT_EQ(readers.size(), 2U);
+    ASSERT_EQ(readers.size(), GetParam().fault == Fault::AllReadersKilled ? 4U : 2U);
     if (GetParam().fault == Fault::OneReaderKilled) {
         readers.pop_back();
     }
     for (const auto &reader : readers) {
         if (GetParam().fault == Fault::ReadersPaused) {
             fleet.network.node(reader).isPaused = true;
-        } else if (GetParam().fault == Fault::ReadersKilled || GetParam().fault == Fault::OneReaderKilled) {
+        } else if (GetParam().fault == Fault::AllReadersKilled || GetParam().fault == Fault::ReadersKilled
+                   || GetParam().fault == Fault::OneReaderKilled) {
             fleet.network.kill(reader);
         }
     }
