Take a server error of the log as no proof that nothing was appended

Any answer but 200 to an append counted as 'not appended'; a gateway's 5xx may hide an append that took effect, and a publish told as not done would then be in force. Change: 4xx proves it, 5xx leaves it unknown, to be settled by reading.

--- a/modules/heatherridge_transport/platform/httplogservice.cpp
+++ b/modules/heatherridge_transport/platform/httplogservice.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr int StatusOk = 200;
+constexpr int FirstServerError = 500;
 
 Error unavailable(const std::string &reason, Ran ran)
 {
@@ -24,8 +25,10 @@
 Result<LogOffset> offsetFrom(const HttpResponse &response)
 {
     if (response.status != StatusOk) {
-        // The log's own refusal: nothing was appended.
-        return unavailable("status " + std::to_string(response.status), Ran::No);
+        // A refusal of the request proves that nothing was appended. A server error does not: it may come from a
+        // gateway that lost the log's answer, and an append told as "not done" would then take effect.
+        const auto ran = response.status < FirstServerError ? Ran::No : Ran::Unknown;
+        return unavailable("status " + std::to_string(response.status), ran);
     }
     const auto answer = nlohmann::json::parse(response.body, nullptr, false);
     if (!answer.is_object() || !answer.contains("offset") || !answer["offset"].is_number_unsigned()) {
