Give up what has waited too long only while newer requests come

Cause: after the loss of one of eight targets its streams came to the others at once; none followed, and those that waited were given up as overloaded though slots became free a moment later (end-to-end stream test, on a busy machine). Change: a lane that nothing new comes to keeps what waits, up to its deadline.

--- a/modules/heatherridge_state/decisions/admissionqueue.cpp
+++ b/modules/heatherridge_state/decisions/admissionqueue.cpp
@@ -294,10 +294,14 @@
     }
 }
 
-/** Gives up what has waited too long in an overloaded lane. */
+/**
+ * Gives up what has waited too long in an overloaded lane, while newer requests come to take its place. When none do,
+ * as after the loss of a neighbour whose work came here at once, giving up would leave slots idle later.
+ */
 void AdmissionQueue::giveUpStale(Share &share, SteadyTime now)
 {
-    while (isOverloaded(share, now) && now - *share.lane.oldestArrival() >= m_options.overloadedWait) {
+    while (isOverloaded(share, now) && now - *share.lane.lastArrival() < m_options.overloadedWait
+           && now - *share.lane.oldestArrival() >= m_options.overloadedWait) {
         giveUp(share, share.lane.popOldest(), overloadKind(share), now);
     }
 }
--- a/modules/heatherridge_state/decisions/workspacelane.cpp
+++ b/modules/heatherridge_state/decisions/workspacelane.cpp
@@ -16,6 +16,7 @@
     if (!m_lastPrompt) {
         m_lastPrompt = now;
     }
+    m_lastArrival = now;
     m_backlog += waiting.request.cost;
     ++m_size;
     position->second.requests.push_back(std::move(waiting));
@@ -128,6 +129,11 @@
     return oldest;
 }
 
+std::optional<SteadyTime> WorkspaceLane::lastArrival() const
+{
+    return m_size == 0 ? std::nullopt : std::optional(m_lastArrival);
+}
+
 std::optional<SteadyTime> WorkspaceLane::lastPrompt() const
 {
     return m_lastPrompt;
--- a/modules/heatherridge_state/decisions/workspacelane.h
+++ b/modules/heatherridge_state/decisions/workspacelane.h
@@ -84,6 +84,9 @@
     /** When the oldest request came; nothing when none waits. */
     std::optional<SteadyTime> oldestArrival() const;
 
+    /** When the newest request came, waiting still or not; nothing while the lane is empty. */
+    std::optional<SteadyTime> lastArrival() const;
+
     /** When the lane was last empty, or gave out a request while its oldest had not waited beyond PromptWait; nothing
      * while it is empty. */
     std::optional<SteadyTime> lastPrompt() const;
@@ -111,6 +114,7 @@
     double m_backlog = 0;
     std::size_t m_size = 0;
     std::optional<SteadyTime> m_lastPrompt;
+    SteadyTime m_lastArrival{};
 };
 
 } // namespace Heatherridge
