--- a/modules/heatherridge_transport/target/targetserver.cpp
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -21,6 +21,7 @@
                  .incarnation = m_options.incarnation,
                  .zone = m_options.zone,
                  .logService = m_options.logService,
+                 .hostList = m_options.hostList,
                  .peers = m_options.peers},
                 m_metrics)
     , m_traffic({.target = m_options.target, .incarnation = m_options.incarnation, .listen = m_options.listen},
@@ -107,7 +108,7 @@
                                          {"running", traffic.load.running},
                                          {"waiting", traffic.load.waiting},
                                          {"limit", traffic.load.limit},
-                                         {"oldest_open_ms", traffic.oldestOpen.count()}});
+                                         {"drain", toJson(traffic.drain)}});
     return jsonAnswer(answer);
 }
 
