Run groups in the target's process, with a lock-step rank stand-in

Cause: the gate and the leader were state machines that no program ran.

Change: the process beside a rank runs its gate and, after a claim on the group's stream, the leader; a planner decides who belongs to the group and when the map changes. Orders travel to the engine as CBOR over HTTP. The engine's side of the contract is one class that the stand-in and the schedules share.

--- a/extras/heatherridge-standin/eventloop.cpp
+++ b/extras/heatherridge-standin/eventloop.cpp
@@ -24,6 +24,11 @@
     m_thread = std::thread([this] { m_context.run(); });
 }
 
+asio::io_context &EventLoop::context()
+{
+    return m_context;
+}
+
 void EventLoop::post(std::function<void()> task)
 {
     asio::post(m_context, std::move(task));
--- a/extras/heatherridge-standin/eventloop.h
+++ b/extras/heatherridge-standin/eventloop.h
@@ -34,6 +34,9 @@
      * thread may call. */
     void after(std::chrono::microseconds delay, std::function<void()> task);
 
+    /** The loop, for what needs to be constructed on it. */
+    asio::io_context &context();
+
     /** Ends the thread; waiting tasks are dropped. Any thread but the loop's own may call. */
     void stop();
 
--- a/extras/heatherridge-standin/main.cpp
+++ b/extras/heatherridge-standin/main.cpp
@@ -3,6 +3,7 @@
 #include "hoststandin.h"
 #include "logstandin.h"
 #include "plainstandin.h"
+#include "rankstandin.h"
 #include "weightstandin.h"
 
 #include <boost/program_options.hpp>
@@ -44,6 +45,7 @@
         {.name = "hosts", .meaning = "the platform's lagging host list", .make = make<HostStandIn>},
         {.name = "weights", .meaning = "the platform's rate-limited weight store", .make = make<WeightStandIn>},
         {.name = "engine", .meaning = "a model engine", .make = make<EngineStandIn>},
+        {.name = "rank", .meaning = "one rank's engine of a lock-step group", .make = make<RankStandIn>},
         {.name = "plain", .meaning = "a booking service", .make = make<PlainStandIn>},
     };
     return All;
--- /dev/null
+++ b/modules/heatherridge_coordination/groups/groupplanner.cpp
@@ -0,0 +1,263 @@
+#include "heatherridge_coordination/groups/groupplanner.h"
+
+#include "heatherridge_state/groups/stageplan.h"
+
+#include <algorithm>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+/** Loading time of one stage: long enough to be worth a switch, short enough to give up what is no longer wanted. */
+constexpr double StageSeconds = 30;
+/** Maps whose placement is kept; reports lag by a few switches at most. */
+constexpr std::size_t MapsKept = 8;
+
+GroupShape shapeOf(const GroupModel &model, const std::vector<PlannedRank> &ranks)
+{
+    GroupShape shape{.layers = model.layers, .experts = model.experts, .expertBytes = model.expertBytes};
+    int highest = -1;
+    for (const auto &rank : ranks) {
+        highest = std::max(highest, rank.rank);
+    }
+    shape.slots.assign(static_cast<std::size_t>(highest) + 1, 0);
+    shape.places.assign(shape.slots.size(), {});
+    for (const auto &rank : ranks) {
+        shape.slots[rank.rank] = rank.slots;
+        shape.places[rank.rank] = rank.place;
+    }
+    return shape;
+}
+
+bool uses(const ExpertMap &map, int rank)
+{
+    return map.expertsOn(rank) > 0;
+}
+
+} // namespace
+
+GroupPlanner::GroupPlanner(Options options, std::vector<PlannedRank> ranks)
+    : m_options(options)
+    , m_ranks(std::move(ranks))
+    , m_estimator(shapeOf(options.model, m_ranks))
+    , m_stragglers(shapeOf(options.model, m_ranks).ranks())
+{
+}
+
+void GroupPlanner::setRanks(std::vector<PlannedRank> ranks)
+{
+    const auto before = shapeOf(m_options.model, m_ranks);
+    m_ranks = std::move(ranks);
+    const auto after = shapeOf(m_options.model, m_ranks);
+    if (before.ranks() != after.ranks()) {
+        m_estimator = PopularityEstimator(after);
+        m_stragglers = StragglerDetector(after.ranks());
+        m_windows.clear();
+    }
+}
+
+void GroupPlanner::setWeights(const BalanceWeights &weights)
+{
+    m_weights = weights;
+}
+
+void GroupPlanner::heard(int rank)
+{
+    m_silent[rank] = {};
+}
+
+void GroupPlanner::addReport(const RankReport &report)
+{
+    if (const auto map = m_maps.find(report.map); map != m_maps.end()) {
+        m_estimator.add(report, map->second);
+        m_windows[report.window].push_back(report);
+        m_newestWindow = std::max(m_newestWindow, report.window);
+    }
+}
+
+void GroupPlanner::learnMap(const ExpertMap &map)
+{
+    m_maps.insert_or_assign(map.number(), map);
+    if (m_maps.size() > MapsKept) {
+        m_maps.erase(m_maps.begin());
+    }
+}
+
+void GroupPlanner::act(GroupLeader &leader, std::chrono::duration<double> passed)
+{
+    for (auto &[rank, silent] : m_silent) {
+        silent += passed;
+    }
+    m_sinceDecision += passed;
+    m_pause += passed;
+    takeReports();
+    const auto &epoch = leader.epoch();
+    if (epoch && epoch->number != m_lastEpoch) {
+        m_lastEpoch = epoch->number;
+        m_pause = {};
+        learnMap(epoch->map);
+    }
+    const bool free = leader.phase() == GroupLeader::Phase::Idle || leader.phase() == GroupLeader::Phase::Voting;
+    if (!free || m_pause < EpochPause) {
+        return;
+    }
+    std::vector<int> stay;
+    bool lost = !epoch;
+    bool joins = false;
+    for (const auto &rank : m_ranks) {
+        const auto *status = leader.statusOf(rank.rank);
+        const auto *member = epoch ? epoch->find(rank.rank) : nullptr;
+        const bool present = isPresent(rank.rank) && status != nullptr;
+        lost = lost || (member != nullptr && (!present || status->engine != member->engine));
+        joins = joins || (member == nullptr && present && !rank.leaves);
+        if (present && !rank.leaves) {
+            stay.push_back(rank.rank);
+        }
+    }
+    actOnMembers(leader, stay, lost, joins);
+}
+
+bool GroupPlanner::isPresent(int rank) const
+{
+    const auto found = m_silent.find(rank);
+    return found != m_silent.end() && found->second < LostAfter;
+}
+
+const PlannedRank *GroupPlanner::find(int rank) const
+{
+    const auto found = std::find_if(m_ranks.begin(), m_ranks.end(), [rank](const auto &r) { return r.rank == rank; });
+    return found == m_ranks.end() ? nullptr : &*found;
+}
+
+void GroupPlanner::actOnMembers(GroupLeader &leader, const std::vector<int> &stay, bool lost, bool joins)
+{
+    const auto &epoch = leader.epoch();
+    if (!epoch) {
+        // The first epoch waits for all listed ranks, or each late one would cost a further epoch.
+        const auto listed =
+            std::count_if(m_ranks.begin(), m_ranks.end(), [](const auto &rank) { return !rank.leaves; });
+        if (static_cast<std::ptrdiff_t>(stay.size()) == listed && listed > 0) {
+            compose(leader, stay);
+        }
+        return;
+    }
+    if (lost || joins) {
+        compose(leader, stay);
+        return;
+    }
+    const bool shrinks = std::any_of(epoch->members.begin(), epoch->members.end(), [&](const auto &member) {
+        const auto *listed = find(member.rank);
+        return listed == nullptr || listed->leaves;
+    });
+    if (shrinks) {
+        if (empty(leader, stay)) {
+            compose(leader, stay);
+        }
+        return;
+    }
+    rebalance(leader);
+}
+
+/** Proposes an epoch of @p ranks on the placement in use as far as they can keep it. */
+void GroupPlanner::compose(GroupLeader &leader, const std::vector<int> &ranks)
+{
+    if (ranks.empty()) {
+        return;
+    }
+    const auto *map = mapInUse(leader);
+    auto layers = improvePlacement(problemFor(ranks), map != nullptr ? map->layers() : Layers{}, {});
+    if (auto *found = std::get_if<Layers>(&layers)) {
+        const auto proposed = leader.proposeEpoch(ranks, std::move(*found));
+        m_pause = errorIn(proposed) == nullptr ? std::chrono::duration<double>{} : m_pause;
+    }
+}
+
+/** Whether only ranks of @p stay hold experts; proposes a switch to such a map when not. */
+bool GroupPlanner::empty(GroupLeader &leader, const std::vector<int> &stay)
+{
+    const auto *map = mapInUse(leader);
+    const bool done = map != nullptr && std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto &rank) {
+                          return !uses(*map, rank.rank) || std::find(stay.begin(), stay.end(), rank.rank) != stay.end();
+                      });
+    if (done) {
+        return true;
+    }
+    auto layers = improvePlacement(problemFor(stay), map != nullptr ? map->layers() : Layers{}, {});
+    if (auto *found = std::get_if<Layers>(&layers)) {
+        const auto proposed = leader.proposeSwitch(std::move(*found));
+        (void)proposed; // refused while another change is under way; asked again at the next call
+    }
+    return false;
+}
+
+void GroupPlanner::rebalance(GroupLeader &leader)
+{
+    const auto *map = mapInUse(leader);
+    if (map == nullptr || leader.phase() != GroupLeader::Phase::Idle || !leader.isWhole()) {
+        return;
+    }
+    std::vector<int> ranks;
+    for (const auto &member : leader.epoch()->members) {
+        ranks.push_back(member.rank);
+    }
+    const auto problem = problemFor(ranks);
+    auto wanted = m_policy.decide({.problem = problem,
+                                   .current = map->layers(),
+                                   .relativeError = m_estimator.relativeError(),
+                                   .sinceLast = std::exchange(m_sinceDecision, {}),
+                                   .storeBytesPerSecond = m_options.storeBytesPerSecond,
+                                   .weights = m_weights});
+    if (wanted) {
+        const auto budget = static_cast<std::uint64_t>(m_options.storeBytesPerSecond * StageSeconds);
+        const auto proposed = leader.proposeSwitch(nextStage(problem, map->layers(), *wanted, budget));
+        (void)proposed; // refused while another change is under way; the regret adds up again
+    }
+}
+
+void GroupPlanner::takeReports()
+{
+    m_estimator.closeWindows(m_newestWindow);
+    while (!m_windows.empty() && m_windows.begin()->first + PopularityEstimator::OpenWindows < m_newestWindow) {
+        m_stragglers.addWindow(m_windows.begin()->second);
+        m_windows.erase(m_windows.begin());
+    }
+}
+
+GroupProblem GroupPlanner::problemFor(const std::vector<int> &ranks) const
+{
+    GroupProblem problem{.shape = shapeOf(m_options.model, m_ranks), .layers = {}};
+    for (int rank = 0; rank < problem.shape.ranks(); ++rank) {
+        if (std::find(ranks.begin(), ranks.end(), rank) == ranks.end()) {
+            problem.shape.slots[rank] = 0;
+        }
+    }
+    for (int layer = 0; layer < problem.shape.layers; ++layer) {
+        LayerProblem part{.load = m_estimator.parts(layer), .slowness = {}, .slots = problem.shape.slots};
+        for (int rank = 0; rank < problem.shape.ranks(); ++rank) {
+            part.slowness.push_back(m_stragglers.slowness(rank));
+        }
+        problem.layers.push_back(std::move(part));
+    }
+    return problem;
+}
+
+/** The placement in use; nullptr when a leader before this one switched to it and it is not known here. */
+const ExpertMap *GroupPlanner::mapInUse(const GroupLeader &leader) const
+{
+    const auto &epoch = leader.epoch();
+    if (!epoch) {
+        return nullptr;
+    }
+    MapNumber number = epoch->map.number();
+    for (const auto &member : epoch->members) {
+        if (const auto *status = leader.statusOf(member.rank); status != nullptr && status->epoch == epoch->number) {
+            number = std::max(number, status->map);
+        }
+    }
+    const auto found = m_maps.find(number);
+    return found == m_maps.end() ? &epoch->map : &found->second;
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_coordination/groups/rankgate.h
+++ b/modules/heatherridge_coordination/groups/rankgate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "heatherridge_coordination/groups/ballotbox.h"
-#include "heatherridge_coordination/groups/engineorder.h"
+#include "heatherridge_protocol/engineorder.h"
 
 #include <set>
 #include <variant>
--- a/modules/heatherridge_coordination/groups/engineorder.h
+++ b/modules/heatherridge_protocol/engineorder.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "heatherridge_protocol/envelope.h"
 #include "heatherridge_state/groups/groupepoch.h"
+#include "heatherridge_state/groups/popularityestimator.h"
 
 #include <optional>
 #include <variant>
@@ -27,6 +29,16 @@
     bool operator==(const ScheduledMap &) const = default;
 };
 
+/** The sizes of the model that a group serves. */
+struct GroupModel
+{
+    int layers = 0;
+    int experts = 0; ///< in each layer
+    std::uint64_t expertBytes = 0;
+
+    bool operator==(const GroupModel &) const = default;
+};
+
 /** What a rank's engine says of itself, in reply to every order. */
 struct EngineState
 {
@@ -41,23 +53,32 @@
     std::optional<ScheduledMap> scheduled{};
     std::vector<MapNumber> loaded{}; ///< maps whose weights are all there
     MapNumber failed{}; ///< the last map whose weights could not be loaded
+    GroupModel model{};
+    std::optional<RankReport> load{}; ///< of the last whole window
+
+    bool operator==(const EngineState &) const = default;
 };
 
 /** Say how you are. */
 struct PollEngine
 {
+    bool operator==(const PollEngine &) const = default;
 };
 
 /** Load the weights of a map beside those in use. */
 struct LoadWeights
 {
     ExpertMap map{};
+
+    bool operator==(const LoadWeights &) const = default;
 };
 
 /** Forget the weights of a map that is not in use. */
 struct DropWeights
 {
     MapNumber map{};
+
+    bool operator==(const DropWeights &) const = default;
 };
 
 /**
@@ -70,6 +91,8 @@
     EpochNumber epoch{};
     MapNumber map{};
     StepNumber bound{};
+
+    bool operator==(const LimitSteps &) const = default;
 };
 
 /** Use a loaded map from a step on, and lift the limit that stands for it. Without effect in another epoch, and for a
@@ -79,12 +102,16 @@
     EpochNumber epoch{};
     MapNumber map{};
     StepNumber from{};
+
+    bool operator==(const ScheduleMap &) const = default;
 };
 
 /** Lift the limit that stands for this map, if any. */
 struct LiftLimit
 {
     MapNumber map{};
+
+    bool operator==(const LiftLimit &) const = default;
 };
 
 /** Leave the present epoch and enter this one at its step 0. Without effect for an epoch not above the present one, and
@@ -92,12 +119,16 @@
 struct EnterEpoch
 {
     GroupEpoch epoch{};
+
+    bool operator==(const EnterEpoch &) const = default;
 };
 
 /** Leave the present epoch; this rank is not in the one with this number. */
 struct LeaveEpoch
 {
     EpochNumber successor{};
+
+    bool operator==(const LeaveEpoch &) const = default;
 };
 
 /**
@@ -113,6 +144,25 @@
 using EngineOrder =
     std::variant<PollEngine, LoadWeights, DropWeights, LimitSteps, ScheduleMap, LiftLimit, EnterEpoch, LeaveEpoch>;
 
+/** An order and the run of the gate that gives it, as the body of a request to the engine. */
+struct SignedOrder
+{
+    Incarnation run{};
+    EngineOrder order{};
+};
+
+/** The CBOR of @p order. */
+Bytes encode(const SignedOrder &order);
+
+/** Reads an order. Hostile input yields MalformedFrame. */
+Result<SignedOrder> decodeSignedOrder(const Bytes &bytes);
+
+/** The CBOR of @p state. */
+Bytes encode(const EngineState &state);
+
+/** Reads a state. Hostile input yields MalformedFrame. */
+Result<EngineState> decodeEngineState(const Bytes &bytes);
+
 /** The map that @p order is about, or 0. */
 MapNumber mapOf(const EngineOrder &order);
 
--- a/modules/heatherridge_protocol/grouprecord.cpp
+++ b/modules/heatherridge_protocol/grouprecord.cpp
@@ -144,18 +144,36 @@
     return epoch;
 }
 
-Bytes encodeRecord(const GroupEpoch &epoch)
+Bytes encodeGroupRecord(const GroupRecord &record)
 {
-    return toCbor(toJson(epoch));
+    return toCbor(std::visit(
+        Visitor{
+            [](const GroupClaim &claim) {
+                return nlohmann::json{{"r", claim.rank}, {"i", toNumber(claim.run)}, {"c", toNumber(claim.replaces)}};
+            },
+            [](const GroupEpoch &epoch) { return toJson(epoch); },
+        },
+        record));
 }
 
-Result<GroupEpoch> decodeEpochRecord(const Bytes &record)
+Result<GroupRecord> decodeGroupRecord(const Bytes &payload)
 {
     nlohmann::json json;
-    if (!CborReader::parse(record, json)) {
+    if (!CborReader::parse(payload, json)) {
         return malformed("no CBOR map");
     }
-    return groupEpochFrom(json);
+    CborReader reader(json);
+    if (reader.has("c")) {
+        const GroupClaim claim{.rank = static_cast<int>(reader.number("r", UINT16_MAX)),
+                               .run = static_cast<Incarnation>(reader.number("i")),
+                               .replaces = static_cast<FencingNumber>(reader.number("c"))};
+        return reader.ok() ? Result<GroupRecord>(claim) : malformed("claim of a group");
+    }
+    auto epoch = groupEpochFrom(json);
+    if (const auto *error = errorIn(epoch)) {
+        return *error;
+    }
+    return std::move(std::get<GroupEpoch>(epoch));
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_protocol/grouprecord.h
+++ b/modules/heatherridge_protocol/grouprecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_protocol/envelope.h"
+#include "heatherridge_state/groups/groupclaim.h"
 #include "heatherridge_state/groups/groupepoch.h"
 
 #include <nlohmann/json_fwd.hpp>
@@ -8,11 +9,14 @@
 namespace Heatherridge
 {
 
-/** The record of an epoch on the stream `group-<group>`. */
-Bytes encodeRecord(const GroupEpoch &epoch);
+/** All records on the stream `group-<group>`. */
+using GroupRecord = std::variant<GroupClaim, GroupEpoch>;
 
-/** Reads a record. Hostile input yields MalformedFrame. */
-Result<GroupEpoch> decodeEpochRecord(const Bytes &record);
+/** The payload of @p record. */
+Bytes encodeGroupRecord(const GroupRecord &record);
+
+/** Reads a payload. Hostile input yields MalformedFrame. */
+Result<GroupRecord> decodeGroupRecord(const Bytes &payload);
 
 /** The CBOR map of @p map: its number, and each layer's slots packed into one byte string. */
 nlohmann::json toJson(const ExpertMap &map);
--- a/modules/heatherridge_transport/target/targetserver.cpp
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -23,8 +23,14 @@
                 m_metrics)
     , m_traffic({.target = m_options.target, .incarnation = m_options.incarnation, .listen = m_options.listen},
                 m_metrics)
+    , m_group({.target = m_options.target, .run = m_options.incarnation, .logService = m_options.logService},
+              m_control.loop(), m_metrics)
 {
-    m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) { m_traffic.setView(view); });
+    m_traffic.setGroupReceiver([this](const Envelope &envelope) { m_group.receive(envelope); });
+    m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) {
+        m_traffic.setView(view);
+        m_group.setView(view);
+    });
     m_server = std::make_unique<HttpServer>(
         HttpServer::Options{.listen = m_options.admin},
         [this](const std::shared_ptr<HttpExchange> &exchange) { exchange->respond(answer(exchange->request())); });
@@ -39,6 +45,7 @@
         return *error;
     }
     m_control.start();
+    m_group.start();
     const auto admin = m_server->start();
     if (const auto *error = errorIn(admin)) {
         return *error;
@@ -59,6 +66,7 @@
     }
     logEvent(Severity::Info, "drain-ended", {{"open", std::to_string(running)}});
     m_server->stop();
+    m_group.stop();
     m_control.stop();
     m_traffic.stop();
 }
@@ -96,7 +104,8 @@
                        {"running", traffic.load.running},
                        {"waiting", traffic.load.waiting},
                        {"limit", traffic.load.limit},
-                       {"oldest_open_ms", traffic.oldestOpen.count()}});
+                       {"oldest_open_ms", traffic.oldestOpen.count()},
+                       {"group", m_group.status()}});
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/target/targetserver.h
+++ b/modules/heatherridge_transport/target/targetserver.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_transport/app/controlplane.h"
 #include "heatherridge_transport/http/httpserver.h"
+#include "heatherridge_transport/target/groupagent.h"
 #include "heatherridge_transport/target/targettraffic.h"
 
 #include <atomic>
@@ -57,6 +58,7 @@
     Metrics m_metrics;
     ControlPlane m_control;
     TargetTraffic m_traffic;
+    GroupAgent m_group;
     std::unique_ptr<HttpServer> m_server;
     std::atomic<bool> m_draining{false};
 };
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -95,6 +95,11 @@
     m_client.reset();
 }
 
+void TargetTraffic::setGroupReceiver(std::function<void(const Envelope &)> receiver)
+{
+    m_groupReceiver = std::move(receiver);
+}
+
 void TargetTraffic::setView(std::shared_ptr<const ConfigView> view)
 {
     m_loop.post([this, view = std::move(view)] {
@@ -157,6 +162,8 @@
     const auto &outer = std::get<Envelope>(envelope);
     if (outer.channel == Channel::Traffic) {
         receiveTraffic(entry, outer);
+    } else if (outer.channel == Channel::Group && m_groupReceiver) {
+        m_groupReceiver(outer);
     }
 }
 
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -56,6 +56,9 @@
     /** Ends the thread; what runs is cut. @see drain */
     void stop();
 
+    /** Where frames of Channel::Group go; called on the traffic thread. Before start(). */
+    void setGroupReceiver(std::function<void(const Envelope &)> receiver);
+
     /** A new configuration is in force. */
     void setView(std::shared_ptr<const ConfigView> view);
 
@@ -110,6 +113,7 @@
     std::unique_ptr<HttpClient> m_client;
     AdmissionQueue m_queue;
     std::unique_ptr<ConcurrencyLimit> m_limit;
+    std::function<void(const Envelope &)> m_groupReceiver;
     std::set<Socket> m_entries;
     std::unordered_map<RequestId, Work> m_works;
     std::vector<HeldRequest> m_held;
--- a/tests/groups/message_test.cpp
+++ b/tests/groups/message_test.cpp
@@ -46,7 +46,10 @@
         RC_ASSERT(frame->message == message);
     }
     const auto epoch = drawnEpoch(seed);
-    RC_ASSERT(std::get<GroupEpoch>(decodeEpochRecord(encodeRecord(epoch))) == epoch);
+    for (const GroupRecord &record :
+         {GroupRecord(epoch), GroupRecord(GroupClaim{2, Incarnation{seed}, FencingNumber{4}})}) {
+        RC_ASSERT(std::get<GroupRecord>(decodeGroupRecord(encodeGroupRecord(record))) == record);
+    }
 }
 
 RC_GTEST_PROP(GroupMessages, HostileBytesAreRefusedAndNeverReadAsAnInvalidMap, (std::uint32_t seed))
--- a/tests/groups/switch_test.cpp
+++ b/tests/groups/switch_test.cpp
@@ -97,15 +97,15 @@
 struct DirectRank
 {
     RankGate gate;
-    FakeEngine &engine;
+    LockStepEngine &engine;
     std::vector<GroupMessage> sent{};
 
     void perform(const GateActions &actions)
     {
         for (const auto &action : actions) {
             if (const auto *order = std::get_if<OrderEngine>(&action)) {
-                engine.follow(order->order, true);
-                perform(gate.handleEngine(engine.state));
+                engine.follow(order->order);
+                perform(gate.handleEngine(engine.state()));
             } else if (const auto *message = std::get_if<SendToLeader>(&action)) {
                 sent.push_back(message->message);
             }
@@ -146,8 +146,7 @@
                            .map = mapNumbered(1)};
     const LoadMap load{.epoch = EpochNumber{1}, .addressee = Incarnation{1}, .map = mapNumbered(2)};
     const VoteRequest request{.epoch = EpochNumber{1}, .map = MapNumber{2}};
-    FakeEngine engine;
-    engine.restart(Incarnation{9});
+    LockStepEngine engine(Incarnation{9});
 
     DirectRank first{.gate = RankGate({.rank = 0, .run = Incarnation{1}, .safeguards = safeguards}), .engine = engine};
     first.perform(first.gate.tick());
--- a/tests/groups/switchworld.cpp
+++ b/tests/groups/switchworld.cpp
@@ -12,11 +12,6 @@
 constexpr std::uint64_t LeadSteps = 3;
 constexpr int Leaders = 2;
 
-StepNumber after(StepNumber step)
-{
-    return static_cast<StepNumber>(toNumber(step) + 1);
-}
-
 } // namespace
 
 SwitchWorld::SwitchWorld(const Options &options)
@@ -27,7 +22,7 @@
     , m_leaders(Leaders)
 {
     for (int rank = 0; rank < options.ranks; ++rank) {
-        m_engines[rank].restart(nextRun());
+        m_engines[rank].engine.restart(nextRun());
         restartGate(rank);
     }
     replaceLeader(0);
@@ -68,7 +63,7 @@
     const auto before = leastStep();
     settleRound();
     const bool undecided = std::any_of(m_engines.begin(), m_engines.end(),
-                                       [](const auto &engine) { return engine.state.limit.has_value(); });
+                                       [](const auto &engine) { return engine.engine.state().limit.has_value(); });
     const auto &epoch = leader.epoch();
     const bool all = epoch && epoch->members.size() == m_engines.size();
     // A smaller epoch is whole too; then only its members step.
@@ -92,9 +87,9 @@
     for (int round = 0; round < rounds; ++round) {
         settleRound();
     }
-    const auto map = m_engines[ranks.front()].state.map;
+    const auto map = m_engines[ranks.front()].engine.state().map;
     const bool same = std::all_of(ranks.begin(), ranks.end(), [&](int rank) {
-        return m_engines[rank].state.map == map && m_engines[rank].state.mapSince != StepNumber{};
+        return m_engines[rank].engine.state().map == map && m_engines[rank].engine.state().mapSince != StepNumber{};
     });
     return same && leader.counters().switchesCommitted == before + 1 && m_log.size() == records;
 }
@@ -103,7 +98,7 @@
 {
     StepNumber least{UINT64_MAX};
     for (const auto &engine : m_engines) {
-        least = std::min(least, engine.state.next);
+        least = std::min(least, engine.engine.state().next);
     }
     return least;
 }
@@ -156,7 +151,7 @@
         restartGate(rank);
     } else if (kind < 967) {
         if (m_options.rankFaults && chance(40)) {
-            m_engines[rank].restart(nextRun());
+            m_engines[rank].engine.restart(nextRun());
         }
     } else if (kind < 971) {
         m_logOut = !m_logOut;
@@ -274,12 +269,11 @@
     const auto order = std::move(*found);
     engine.orders.erase(found);
     const bool checks = m_options.oldOrders == OldOrders::Refused;
-    if (!checks || engine.admits(order.run)) {
-        engine.follow(order.order, reliable || chance(97));
+    if (!checks || engine.engine.admits(order.run)) {
+        engine.engine.follow(order.order, reliable || chance(97));
     }
-    engine.state.gateRun = checks ? engine.gateRuns.back() : Incarnation{};
     if (order.run == m_gates[rank].run && (reliable || chance(90))) {
-        perform(rank, m_gates[rank].gate->handleEngine(engine.state));
+        perform(rank, m_gates[rank].gate->handleEngine(engine.engine.state()));
         if (m_gates[rank].gate->isReplaced()) {
             restartGate(rank);
         }
@@ -288,32 +282,19 @@
 
 void SwitchWorld::step(int rank)
 {
-    auto &engine = m_engines[rank];
-    auto &state = engine.state;
-    const bool limited = state.limit && state.next >= state.limit->bound;
-    if (state.ranks.empty() || limited) {
+    auto &engine = m_engines[rank].engine;
+    const auto before = engine.state().map;
+    const auto started =
+        engine.startStep([this](int other, EpochNumber epoch) { return m_engines[other].engine.progressIn(epoch); });
+    if (!started) {
         return;
     }
-    for (const int other : state.ranks) {
-        const auto found = m_engines[other].started.find(state.epoch);
-        if (found == m_engines[other].started.end() || found->second < state.next) {
-            return; // the step before is not finished, since `other` has not taken part in it
-        }
-    }
-    if (state.scheduled && state.next >= state.scheduled->from) {
-        state.map = state.scheduled->map;
-        state.mapSince = state.scheduled->from;
-        state.scheduled.reset();
-        ++m_switches;
-    }
-    const auto [used, first] = m_used.emplace(std::pair{state.epoch, state.next}, state.map);
-    if (!first && used->second != state.map) {
-        m_violation = "epoch " + std::to_string(toNumber(state.epoch)) + " step " + std::to_string(toNumber(state.next))
-            + ": two maps";
+    m_switches += started->map == before ? 0 : 1;
+    const auto [used, first] = m_used.emplace(std::pair{started->epoch, started->step}, started->map);
+    if (!first && used->second != started->map) {
+        m_violation = "epoch " + std::to_string(toNumber(started->epoch)) + " step "
+            + std::to_string(toNumber(started->step)) + ": two maps";
     }
-    state.next = after(state.next);
-    auto &started = engine.started[state.epoch];
-    started = std::max(started, state.next);
 }
 
 void SwitchWorld::readLog(Gate &gate, int rank)
--- a/tests/groups/switchworld.h
+++ b/tests/groups/switchworld.h
@@ -1,10 +1,11 @@
 #pragma once
 
-#include "groups/fakeengine.h"
-
 #include "heatherridge_coordination/groups/groupleader.h"
+#include "heatherridge_coordination/groups/lockstepengine.h"
+#include "heatherridge_coordination/groups/rankgate.h"
 #include "heatherridge_state/base/randomsource.h"
 
+#include <deque>
 #include <memory>
 #include <string>
 
@@ -86,6 +87,12 @@
         GroupEpoch epoch{};
     };
 
+    struct Engine
+    {
+        LockStepEngine engine{};
+        std::deque<OrderEngine> orders{}; ///< given but not yet followed; survive a restart of the gate
+    };
+
     struct Gate
     {
         std::unique_ptr<RankGate> gate{};
@@ -122,7 +129,7 @@
 
     Options m_options;
     SeededRandom m_random;
-    std::vector<FakeEngine> m_engines;
+    std::vector<Engine> m_engines;
     std::vector<Gate> m_gates;
     std::vector<Leader> m_leaders;
     std::vector<GroupEpoch> m_log;
