--- a/extras/heatherridge-standin/enginestandin.cpp
+++ b/extras/heatherridge-standin/enginestandin.cpp
@@ -55,7 +55,9 @@
     if (request.path == "/v1/chat/completions" && request.method == "POST") {
         chat(exchange);
     } else if (parts.size() == 3 && parts[0] == "requests" && parts[2] == "cancel" && request.method == "POST") {
-        respondJson(*exchange, 200, {{"cancelled", cancel(parts[1])}});
+        respondJson(*exchange, 200, {{"cancelled", cancel([&id = parts[1]](const EngineRequest &candidate) {
+                                          return candidate.options().id == id;
+                                      })}});
     } else if (request.path == "/load") {
         respondJson(*exchange, 200, reportedLoad());
     } else if (request.path == "/cache-events") {
@@ -102,9 +104,11 @@
     const auto queued =
         std::make_shared<EngineRequest>(options, PromptText::fromRequest(body), exchange,
                                         [this](std::function<void()> task) { loop().post(std::move(task)); });
-    exchange->onClosed([this, id = options.id] {
-        loop().post([this, id] {
-            if (cancel(id)) {
+    exchange->onClosed([this, leaving = std::weak_ptr(queued)] {
+        loop().post([this, leaving] {
+            // This very request: another attempt under the same id may run beside it.
+            const auto request = leaving.lock();
+            if (request && cancel([&](const EngineRequest &candidate) { return &candidate == request.get(); })) {
                 count("callers-gone");
             }
         });
@@ -161,9 +165,9 @@
         HttpResponse{.headers = {{.name = "Content-Type", .value = "application/octet-stream"}}, .body = kept->second});
 }
 
-bool EngineStandIn::cancel(const std::string &id)
+bool EngineStandIn::cancel(const std::function<bool(const EngineRequest &)> &isMeant)
 {
-    const auto isNamed = [&id](const RequestPtr &request) { return request->options().id == id; };
+    const auto isNamed = [&isMeant](const RequestPtr &request) { return isMeant(*request); };
     for (auto &[priority, queue] : m_waiting) {
         if (const auto found = std::find_if(queue.begin(), queue.end(), isNamed); found != queue.end()) {
             (*found)->breakOff();
--- a/extras/heatherridge-standin/enginestandin.h
+++ b/extras/heatherridge-standin/enginestandin.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -57,7 +58,7 @@
     void chat(const std::shared_ptr<HttpExchange> &exchange);
     void order(const std::shared_ptr<HttpExchange> &exchange);
     void keyValueCache(const std::string &id, const std::shared_ptr<HttpExchange> &exchange);
-    bool cancel(const std::string &id);
+    bool cancel(const std::function<bool(const EngineRequest &)> &isMeant);
     void beginStep();
     void endStep();
     std::chrono::microseconds admit();
--- a/modules/heatherridge_transport/entry/entryserver.cpp
+++ b/modules/heatherridge_transport/entry/entryserver.cpp
@@ -22,9 +22,13 @@
 
 EntryServer::EntryServer(Options options)
     : m_options(std::move(options))
-    , m_control(
-          {.process = m_options.process, .incarnation = m_options.incarnation, .logService = m_options.logService},
-          m_metrics)
+    , m_control({.process = m_options.process,
+                 .incarnation = m_options.incarnation,
+                 .zone = m_options.zone,
+                 .logService = m_options.logService,
+                 .hostList = m_options.hostList,
+                 .peers = m_options.peers},
+                m_metrics)
 {
     for (int i = 0; i < m_options.trafficThreads; ++i) {
         m_traffic.push_back(std::make_unique<EntryTraffic>(EntryTraffic::Options{.process = m_options.process,
@@ -47,7 +51,10 @@
         [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); });
 }
 
-EntryServer::~EntryServer() = default;
+EntryServer::~EntryServer()
+{
+    stopThreads();
+}
 
 Result<Endpoint> EntryServer::start()
 {
@@ -61,17 +68,30 @@
 void EntryServer::drainAndStop()
 {
     m_draining = true;
+    m_control.beginDrain();
     logEvent(Severity::Info, "drain-begun", {{"open", std::to_string(openCalls())}});
     const auto latest = std::chrono::steady_clock::now() + m_options.drainTimeout;
     while (openCalls() > 0 && std::chrono::steady_clock::now() < latest) {
         std::this_thread::sleep_for(DrainPoll);
     }
     logEvent(Severity::Info, "drain-ended", {{"open", std::to_string(openCalls())}});
+    stopThreads();
+}
+
+void EntryServer::stopThreads()
+{
+    if (!m_server) {
+        return;
+    }
     m_server->stop();
     m_control.stop();
     for (const auto &traffic : m_traffic) {
         traffic->stop();
     }
+    // Open calls hold exchanges, and unsent bytes hold callbacks into the traffic threads. So the calls went first,
+    // while the server was there, and the server goes while the traffic threads' objects are: the other way round a
+    // shutdown with open streams reached into freed memory.
+    m_server.reset();
 }
 
 void EntryServer::handle(const std::shared_ptr<HttpExchange> &exchange)
@@ -132,19 +152,17 @@
     return notFoundAnswer(request.path);
 }
 
-HttpResponse EntryServer::status() const
+HttpResponse EntryServer::status()
 {
-    const auto view = m_control.view();
-    return jsonAnswer({{"process", m_options.process.text()},
-                       {"role", "entry"},
-                       {"zone", m_options.zone.text()},
-                       {"version", HEATHERRIDGE_VERSION},
-                       {"incarnation", hexText(toNumber(m_options.incarnation))},
-                       {"offset", toNumber(view->offset)},
-                       {"digest", hexText(toNumber(view->digest))},
-                       {"confirmed", view->confirmed},
-                       {"draining", m_draining.load()},
-                       {"open", openCalls()}});
+    ordered_json answer{{"process", m_options.process.text()},
+                        {"role", "entry"},
+                        {"zone", m_options.zone.text()},
+                        {"version", HEATHERRIDGE_VERSION},
+                        {"incarnation", hexText(toNumber(m_options.incarnation))}};
+    answer.update(controlStatusJson(m_control.status()));
+    answer.update(ordered_json{
+        {"confirmed", m_control.view()->confirmed}, {"draining", m_draining.load()}, {"open", openCalls()}});
+    return jsonAnswer(answer);
 }
 
 HttpResponse EntryServer::targets()
--- a/modules/heatherridge_transport/entry/entryserver.h
+++ b/modules/heatherridge_transport/entry/entryserver.h
@@ -25,6 +25,8 @@
         ZoneName zone{};
         Endpoint listen{}; ///< for callers
         Endpoint logService{};
+        Endpoint hostList{}; ///< the platform's host list; port 0 when it is not used
+        std::vector<Endpoint> peers{}; ///< gates that are asked for a state while there is no inventory
         int httpThreads = 2;
         int trafficThreads = 1;
         CallerLimits limits{};
@@ -49,10 +51,11 @@
     void drainAndStop();
 
 private:
+    void stopThreads();
     void handle(const std::shared_ptr<HttpExchange> &exchange);
     void handleCaller(const std::shared_ptr<HttpExchange> &exchange);
     HttpResponse answerAdmin(const HttpRequest &request);
-    HttpResponse status() const;
+    HttpResponse status();
     HttpResponse targets();
     HttpResponse explain(const HttpRequest &request) const;
     std::size_t openCalls() const;
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -4,6 +4,7 @@
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/entry/callerrequest.h"
 #include "heatherridge_transport/entry/requestjournal.h"
+#include "heatherridge_transport/entry/targetbook.h"
 #include "heatherridge_transport/entry/targetlinks.h"
 #include "heatherridge_transport/http/httpserver.h"
 
@@ -63,19 +64,21 @@
     std::vector<TargetStatus> targets();
 
 private:
-    struct KnownTarget;
     using Call = std::shared_ptr<EntryCall>;
 
     void begin(const Call &call);
     void attempt(const Call &call);
+    void deadlinePassed(const RequestId &id);
     std::vector<const Target *> candidates(const EntryCall &call) const;
-    TargetView viewOf(const Target &target, const EntryCall &call, SteadyTime now);
+    std::vector<TargetView> viewsOf(const std::vector<const Target *> &targets, const EntryCall &call,
+                                    SteadyTime now) const;
     bool isUsable(const Target &target, const EntryCall &call) const;
     void received(const TargetName &target, const TrafficMessage &message);
     void linkDown(const TargetName &target);
     void takeHead(const Call &call, const AnswerHead &head);
     void takeChunk(const Call &call, const AnswerChunk &chunk);
     void takeEnd(const Call &call, const AnswerEnd &end);
+    void beginBody(const Call &call);
     void passOn(const Call &call, const Bytes &bytes);
     void attemptFailed(const Call &call, const Error &error);
     void finish(const Call &call, const std::string &outcome);
@@ -93,9 +96,8 @@
     std::unique_ptr<TargetLinks> m_links;
     SeededRandom m_random;
     RetryPolicy m_retries;
-    HealthTracker m_health;
     std::unique_ptr<Placement> m_placement;
-    std::map<TargetName, KnownTarget> m_targets;
+    TargetBook m_book;
     std::unordered_map<RequestId, Call> m_calls;
     std::atomic<std::size_t> m_openCalls{0};
     Counter &m_requests;
--- a/modules/heatherridge_transport/target/groupagent.cpp
+++ b/modules/heatherridge_transport/target/groupagent.cpp
@@ -39,7 +39,6 @@
         , m_loop(loop)
         , m_metrics(metrics)
         , m_view(std::make_shared<ConfigView>())
-        , m_encoder(ProcessName(m_options.target.text()), m_options.run, [this] { return m_view; })
     {
     }
 
@@ -136,6 +135,12 @@
         logEvent(Severity::Info, "group-entered", {{"group", m_group.text()}, {"rank", std::to_string(m_rank)}});
     }
 
+    /** Frames carry the run of the gate: proposals are addressed to it. */
+    FrameEncoder makeEncoder()
+    {
+        return {ProcessName(m_options.target.text()), m_run, [this] { return m_view; }};
+    }
+
     void makeGate()
     {
         m_gate = std::make_unique<RankGate>(RankGate::Options{.rank = m_rank, .run = m_run});
@@ -479,6 +484,7 @@
         perform(m_gate->handleEngine(state));
         if (m_gate->isReplaced()) {
             m_run = static_cast<Incarnation>(toNumber(m_run) + 1);
+            m_encoder = makeEncoder();
             makeGate();
         }
     }
@@ -487,8 +493,8 @@
     EventLoop &m_loop;
     Metrics &m_metrics;
     std::shared_ptr<const ConfigView> m_view;
-    FrameEncoder m_encoder;
     Incarnation m_run = m_options.run;
+    FrameEncoder m_encoder = makeEncoder();
     std::unique_ptr<HttpClient> m_http;
     std::unique_ptr<HttpLogService> m_log;
     std::unique_ptr<PeerConnector> m_connector;
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/target/targettraffic.h"
 
+#include "heatherridge_protocol/attemptid.h"
 #include "heatherridge_transport/app/logger.h"
 
 #include <algorithm>
@@ -12,9 +13,10 @@
 {
 
 constexpr std::chrono::milliseconds Tick{10};
-/** A changed load is reported five times a second, an unchanged one every two seconds as a sign of life. */
-constexpr int TicksPerReport = 20;
-constexpr int TicksPerSignOfLife = 200;
+/** Entries with work here get a report twenty times a second, the others four times; measured in
+ * docs/MEASUREMENTS-policies.md. */
+constexpr int TicksPerReport = 5;
+constexpr int TicksPerSignOfLife = 25;
 /** Requests that may wait for the configuration they rely on. */
 constexpr std::size_t MostHeld = 1024;
 
@@ -29,7 +31,9 @@
     for (const auto &header : request.headers) {
         call.headers.push_back({.name = header.name, .value = header.value});
     }
-    call.headers.push_back({.name = "X-Request-Id", .value = request.id.text()});
+    // The request's id, not the attempt's: an engine repeats it in each event, and a resumed stream goes on only where
+    // its events are the ones that the caller has.
+    call.headers.push_back({.name = "X-Request-Id", .value = requestOfAttempt(request.id).text()});
     call.headers.push_back({.name = "X-Priority", .value = std::to_string(request.priority)});
     return call;
 }
@@ -106,6 +110,7 @@
         const auto *before = self();
         const int hadConcurrency = before == nullptr ? 0 : before->concurrency;
         m_view = view;
+        followConfig(m_drain, *view, m_options.target, std::chrono::steady_clock::now());
         const auto *target = self();
         if (target != nullptr && target->concurrency != hadConcurrency && target->concurrency > 0) {
             m_limit = std::make_unique<ConcurrencyLimit>(ConcurrencyOptions{
@@ -125,6 +130,7 @@
 {
     m_loop.post([this] {
         m_draining = true;
+        m_drain.setCause(DrainCause::Signal, true, std::chrono::steady_clock::now());
         handBackWaiting(ErrorKind::Draining);
         releaseHeld();
         reportLoad(true);
@@ -136,13 +142,7 @@
     Status status;
     m_loop.run([this, &status] {
         const auto now = std::chrono::steady_clock::now();
-        status = {.load = m_queue.load(), .draining = m_draining};
-        for (const auto &[id, work] : m_works) {
-            if (work->started) {
-                status.oldestOpen = std::max(
-                    status.oldestOpen, std::chrono::duration_cast<std::chrono::milliseconds>(now - *work->started));
-            }
-        }
+        status = {.load = m_queue.load(), .draining = m_draining, .drain = reportOn(m_drain, now)};
     });
     return status;
 }
@@ -163,10 +163,24 @@
     if (outer.channel == Channel::Traffic) {
         receiveTraffic(entry, outer);
     } else if (outer.channel == Channel::Group && m_groupReceiver) {
+        m_entries.erase(entry); // another rank's process; it wants no load reports
         m_groupReceiver(outer);
+    } else if (outer.channel == Channel::Control && m_controlSink.frame) {
+        m_entries.erase(entry); // a peer that relays configuration; it wants no load reports
+        m_controlSink.frame(entry, outer);
     }
 }
 
+void TargetTraffic::setControlSink(ControlSink sink)
+{
+    m_controlSink = std::move(sink);
+}
+
+void TargetTraffic::sendFrame(const std::shared_ptr<PeerSocket> &peer, Bytes frame)
+{
+    m_loop.post([peer, frame = std::move(frame)] { peer->send(frame); });
+}
+
 void TargetTraffic::receiveTraffic(const Socket &entry, const Envelope &envelope)
 {
     const auto message = decodeTrafficMessage(envelope.payload);
@@ -260,6 +274,7 @@
 {
     const auto now = std::chrono::steady_clock::now();
     work->started = now;
+    m_drain.begin(work->request.id, now);
     m_started.add();
     m_waiting.record(between(work->arrived, now));
     const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(work->deadline - now);
@@ -278,6 +293,11 @@
 {
     work->firstByte = std::chrono::steady_clock::now();
     work->headSent = true;
+    m_limit->recordFirst(*work->started, m_queue.running(), *work->firstByte);
+    applyLimit();
+    if (self() != nullptr && self()->kind == TargetKind::Plain) {
+        recordPace(between(*work->started, *work->firstByte));
+    }
     AnswerHead head{.id = work->request.id, .status = status};
     for (const auto &header : headers) {
         const bool hop = std::find(HopHeaders.begin(), HopHeaders.end(), header.name) != HopHeaders.end();
@@ -290,6 +310,15 @@
 
 bool TargetTraffic::takeData(const Work &work, std::string_view bytes)
 {
+    const auto now = std::chrono::steady_clock::now();
+    // While the answer is paused for a slow caller its gaps say nothing about the engine.
+    if (work->lastChunk && !work->wasPaused) {
+        m_limit->recordBetween(between(*work->lastChunk, now), m_queue.running(), now);
+        applyLimit();
+        recordPace(between(*work->lastChunk, now));
+    }
+    work->lastChunk = now;
+    work->wasPaused = false;
     send(work->entry,
          AnswerChunk{.id = work->request.id, .sequence = work->chunks++, .bytes = Bytes(bytes.begin(), bytes.end())});
     work->sentBytes += bytes.size();
@@ -308,6 +337,7 @@
     work.creditedBytes = std::min(work.sentBytes, work.creditedBytes + grant.bytes);
     if (work.paused && work.sentBytes - work.creditedBytes < m_options.windowBytes / 2) {
         work.paused = false;
+        work.wasPaused = true;
         m_client->resume(work.call);
     }
 }
@@ -337,15 +367,8 @@
 void TargetTraffic::finish(const Work &work)
 {
     const auto now = std::chrono::steady_clock::now();
-    if (work->firstByte) {
-        LatencySample sample{.first = between(*work->started, *work->firstByte)};
-        if (work->chunks > 1) {
-            sample.between = between(*work->firstByte, now) / static_cast<std::int64_t>(work->chunks - 1);
-        }
-        m_limit->record(sample, m_queue.load().running, now);
-        m_queue.setLimit(m_limit->limit());
-    }
     m_finished.add();
+    m_drain.end(work->request.id);
     m_queue.finish(work->request.id, static_cast<double>(work->request.cost), now);
     m_works.erase(work->request.id);
     pump();
@@ -381,6 +404,9 @@
 void TargetTraffic::entryGone(const Socket &entry)
 {
     m_entries.erase(entry);
+    if (m_controlSink.gone) {
+        m_controlSink.gone(entry);
+    }
     std::erase_if(m_held, [&entry](const auto &held) { return held.entry == entry; });
     std::vector<RequestId> orphans;
     for (const auto &[id, work] : m_works) {
@@ -413,8 +439,8 @@
 
 void TargetTraffic::tick()
 {
-    const auto sweepDue = m_queue.nextSweep();
-    if (sweepDue && *sweepDue <= std::chrono::steady_clock::now()) {
+    // The limit may have grown, or what waits may have become too late.
+    if (m_queue.waiting() > 0) {
         pump();
     }
     if (!m_held.empty()) {
@@ -445,19 +471,55 @@
 {
     const auto load = m_queue.load();
     const auto *target = self();
-    const LoadReport report{.target = m_options.target,
-                            .running = load.running,
-                            .queued = load.waiting,
-                            .limit = load.limit,
-                            .draining = m_draining || target == nullptr || !m_view->takesWork(*target)};
-    if (!always && report == m_lastReport) {
-        return;
-    }
-    m_lastReport = report;
-    m_ticksSinceReport = 0;
+    LoadReport report{.target = m_options.target,
+                      .running = load.running,
+                      .queued = load.waiting,
+                      .limit = load.limit,
+                      .draining = m_draining || target == nullptr || !m_view->takesWork(*target),
+                      .load = load.runningCost + load.waitingCost,
+                      .capacity = load.capacity,
+                      .pressure = load.pressure,
+                      .pendingPrompt = pendingPrompt(),
+                      .warmth = m_limit->warmth(),
+                      .pace = std::chrono::microseconds(static_cast<long long>(m_pace))};
     for (const auto &entry : m_entries) {
-        send(entry, report);
+        report.ofEntry = loadOf(entry);
+        // Entries with work here decide by it soon; the others need a sign of life.
+        if (always || report.ofEntry > 0) {
+            send(entry, report);
+        }
+    }
+    m_ticksSinceReport = always ? 0 : m_ticksSinceReport;
+}
+
+void TargetTraffic::applyLimit()
+{
+    m_queue.setLimit(m_limit->limit());
+}
+
+void TargetTraffic::recordPace(std::chrono::microseconds time)
+{
+    constexpr double newestShare = 0.05;
+    const auto measured = static_cast<double>(time.count());
+    m_pace = m_pace == 0 ? measured : m_pace * (1 - newestShare) + measured * newestShare;
+}
+
+double TargetTraffic::pendingPrompt() const
+{
+    double pending = 0;
+    for (const auto &[id, work] : m_works) {
+        pending += work->started && !work->headSent ? static_cast<double>(work->request.freshTokens) : 0;
+    }
+    return pending;
+}
+
+double TargetTraffic::loadOf(const Socket &entry) const
+{
+    double load = 0;
+    for (const auto &[id, work] : m_works) {
+        load += work->entry == entry ? static_cast<double>(work->request.cost) : 0;
     }
+    return load;
 }
 
 void TargetTraffic::refuse(const Socket &entry, const RequestId &id, const Error &error)
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -4,7 +4,9 @@
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/link/frameencoder.h"
 #include "heatherridge_transport/target/backendwork.h"
+#include "heatherridge_transport/target/drainstatus.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -40,7 +42,7 @@
     {
         AdmissionLoad load{};
         bool draining = false;
-        std::chrono::milliseconds oldestOpen{}; ///< how long the oldest running request has been running
+        DrainReport drain{}; ///< what runs and since when, and whether new work is taken
     };
 
     /** Not started yet. @p metrics must outlive it. */
@@ -58,6 +60,18 @@
 
     /** Where frames of Channel::Group go; called on the traffic thread. Before start(). */
     void setGroupReceiver(std::function<void(const Envelope &)> receiver);
+    /** Who takes the control frames that peers send to this listener; on the traffic thread. */
+    struct ControlSink
+    {
+        std::function<void(const std::shared_ptr<PeerSocket> &peer, const Envelope &envelope)> frame{};
+        std::function<void(const std::shared_ptr<PeerSocket> &peer)> gone{};
+    };
+
+    /** Sets who takes control frames. Before start(). */
+    void setControlSink(ControlSink sink);
+
+    /** Sends @p frame to @p peer, a connection that it opened. */
+    void sendFrame(const std::shared_ptr<PeerSocket> &peer, Bytes frame);
 
     /** A new configuration is in force. */
     void setView(std::shared_ptr<const ConfigView> view);
@@ -100,6 +114,10 @@
     void releaseHeld();
     void handBackWaiting(ErrorKind kind);
     void reportLoad(bool always);
+    void applyLimit();
+    void recordPace(std::chrono::microseconds time);
+    double loadOf(const Socket &entry) const;
+    double pendingPrompt() const;
     void refuse(const Socket &entry, const RequestId &id, const Error &error);
     void send(const Socket &entry, const TrafficMessage &message);
     const Target *self() const;
@@ -114,12 +132,14 @@
     AdmissionQueue m_queue;
     std::unique_ptr<ConcurrencyLimit> m_limit;
     std::function<void(const Envelope &)> m_groupReceiver;
+    ControlSink m_controlSink;
     std::set<Socket> m_entries;
     std::unordered_map<RequestId, Work> m_works;
     std::vector<HeldRequest> m_held;
-    LoadReport m_lastReport;
+    double m_pace = 0; ///< smoothed microseconds between tokens, or of a plain call
     int m_ticksSinceReport = 0;
     bool m_draining = false;
+    DrainTracker m_drain;
     Counter &m_started;
     Counter &m_finished;
     Counter &m_strayFrames;
--- a/tests/groupsite/groupsite.cpp
+++ b/tests/groupsite/groupsite.cpp
@@ -70,8 +70,12 @@
 void GroupSite::restartEngine(int rank)
 {
     m_engines[rank]->kill();
-    m_engines[rank] =
-        std::make_unique<ChildProcess>("heatherridge-standin", engineArguments(toString(m_engineEndpoints[rank])));
+    // Another program's outgoing connection may hold the port for a moment.
+    await([&] {
+        m_engines[rank] =
+            std::make_unique<ChildProcess>("heatherridge-standin", engineArguments(toString(m_engineEndpoints[rank])));
+        return !m_engines[rank]->endpoints().empty();
+    });
     tellRanks();
 }
 
