--- a/modules/heatherridge_transport/target/groupagent.cpp
+++ b/modules/heatherridge_transport/target/groupagent.cpp
@@ -156,6 +156,7 @@
         }
         if (m_gate) {
             perform(m_gate->tick());
+            showCounters();
             m_leaderSilent += m_options.tick;
             if (m_leader) {
                 lead();
@@ -170,6 +171,36 @@
         });
     }
 
+    /** Shows the state machines' counters as metrics; they start anew with the process, and the leader's with the role.
+     */
+    void showCounters()
+    {
+        const auto show = [this](const char *name, std::uint64_t value) {
+            m_metrics.gauge(std::string("heatherridge_group_") + name).set(static_cast<std::int64_t>(value));
+        };
+        const auto &gate = m_gate->counters();
+        show("agreed", gate.agreed);
+        show("refused_not_ready", gate.refusedNotReady);
+        show("refused_fenced", gate.refusedFenced);
+        show("refused_undecided", gate.refusedUndecided);
+        show("refused_cancelled", gate.refusedCancelled);
+        show("fenced_messages", gate.fencedMessages);
+        show("committed", gate.committed);
+        show("aborted", gate.aborted);
+        show("epochs_entered", gate.epochsEntered);
+        show("undecided_ticks", gate.undecidedTicks);
+        if (m_leader) {
+            const auto &leader = m_leader->counters();
+            show("leader_switches_committed", leader.switchesCommitted);
+            show("leader_switches_aborted", leader.switchesAborted);
+            show("leader_cancelled_restart", leader.cancelledRestart);
+            show("leader_cancelled_load", leader.cancelledLoad);
+            show("leader_epochs_composed", leader.epochsComposed);
+            show("leader_epochs_lost", leader.epochsLost);
+            show("leader_appends_repeated", leader.appendsRepeated);
+        }
+    }
+
     void lead()
     {
         for (const auto *rank : m_view->inventory->ranksOf(m_group)) {
