--- a/modules/heatherridge_transport/target/groupagent.cpp
+++ b/modules/heatherridge_transport/target/groupagent.cpp
@@ -4,9 +4,9 @@
 #include "heatherridge_coordination/groups/rankgate.h"
 #include "heatherridge_protocol/grouprecord.h"
 #include "heatherridge_transport/app/logger.h"
-#include "heatherridge_transport/cxx17/peersocket.h"
 #include "heatherridge_transport/link/frameencoder.h"
 #include "heatherridge_transport/platform/httplogservice.h"
+#include "heatherridge_transport/target/ranklinks.h"
 
 #include <deque>
 
@@ -26,8 +26,8 @@
 constexpr std::chrono::milliseconds OrderTimeout{5000};
 /** What the weight store is taken to give one group, until it says so itself. */
 constexpr double StoreBytesPerSecond = 2e9;
-/** Frames kept for a connection that is being made; older ones are dropped, since everything is repeated. */
-constexpr std::size_t FramesWaiting = 64;
+/** Maps kept that the leader had loaded, so that this process knows their placement when it comes to lead. */
+constexpr std::size_t MapsKept = 8;
 
 } // namespace
 
@@ -46,7 +46,7 @@
     {
         m_http = std::make_unique<HttpClient>(m_loop.context(), HttpClient::Options{});
         m_log = std::make_unique<HttpLogService>(*m_http, HttpLogService::Options{.endpoint = m_options.logService});
-        m_connector = std::make_unique<PeerConnector>(m_loop.context(), MaxFrameBytes);
+        m_links = std::make_unique<RankLinks>(m_loop.context());
         enterGroup();
         tick();
     }
@@ -54,12 +54,7 @@
     void stop()
     {
         m_stopped = true;
-        for (auto &[rank, link] : m_links) {
-            if (link.socket) {
-                link.socket->close();
-            }
-        }
-        m_connector.reset();
+        m_links.reset();
         m_log.reset();
         m_http.reset();
     }
@@ -114,13 +109,6 @@
     }
 
 private:
-    struct Link
-    {
-        std::shared_ptr<PeerSocket> socket{};
-        bool open = false;
-        std::deque<Bytes> waiting{};
-    };
-
     /** Takes up work once the inventory lists this target in a group. */
     void enterGroup()
     {
@@ -343,7 +331,7 @@
         }
         if (const auto *load = std::get_if<LoadMap>(&message)) {
             m_maps.insert_or_assign(load->map.number(), load->map);
-            if (m_maps.size() > FramesWaiting) {
+            if (m_maps.size() > MapsKept) {
                 m_maps.erase(m_maps.begin());
             }
         }
@@ -412,55 +400,13 @@
         }
         for (const auto *target : m_view->inventory->ranksOf(m_group)) {
             if (target->rank == rank) {
-                sendTo(*target,
-                       m_encoder.frame(Channel::Group, encode(GroupFrame{.group = m_group, .message = message})));
+                m_links->send(
+                    rank, target->gate,
+                    m_encoder.frame(Channel::Group, encode(GroupFrame{.group = m_group, .message = message})));
             }
         }
     }
 
-    void sendTo(const Target &target, const Bytes &frame)
-    {
-        auto &link = m_links[target.rank];
-        if (link.open) {
-            link.socket->send(frame);
-            return;
-        }
-        link.waiting.push_back(frame);
-        if (link.waiting.size() > FramesWaiting) {
-            link.waiting.pop_front();
-        }
-        if (link.socket) {
-            return; // being connected
-        }
-        const auto weak = weak_from_this();
-        const int rank = target.rank;
-        link.socket = m_connector->connect(target.gate.address, target.gate.port,
-                                           {.opened =
-                                                [weak, rank](const std::shared_ptr<PeerSocket> &socket) {
-                                                    if (const auto self = weak.lock()) {
-                                                        self->opened(rank, socket);
-                                                    }
-                                                },
-                                            .received = [](const std::shared_ptr<PeerSocket> &, const Bytes &) {},
-                                            .closed =
-                                                [weak, rank](const std::shared_ptr<PeerSocket> &) {
-                                                    if (const auto self = weak.lock()) {
-                                                        self->m_links[rank].open = false;
-                                                        self->m_links[rank].socket.reset();
-                                                    }
-                                                }});
-    }
-
-    void opened(int rank, const std::shared_ptr<PeerSocket> &socket)
-    {
-        auto &link = m_links[rank];
-        link.open = true;
-        for (const auto &frame : link.waiting) {
-            socket->send(frame);
-        }
-        link.waiting.clear();
-    }
-
     /** Orders go one after the other, so that the engine follows them in the order in which they were given. */
     void giveOrder(const OrderEngine &order)
     {
@@ -528,7 +474,7 @@
     FrameEncoder m_encoder = makeEncoder();
     std::unique_ptr<HttpClient> m_http;
     std::unique_ptr<HttpLogService> m_log;
-    std::unique_ptr<PeerConnector> m_connector;
+    std::unique_ptr<RankLinks> m_links;
     GroupName m_group;
     int m_rank = 0;
     std::unique_ptr<RankGate> m_gate;
@@ -537,7 +483,6 @@
     GroupClaims m_claims;
     GroupEpochs m_epochs;
     std::map<MapNumber, ExpertMap> m_maps;
-    std::map<int, Link> m_links;
     std::deque<OrderEngine> m_orders; ///< the first is under way
     std::chrono::milliseconds m_leaderSilent{};
     LogOffset m_from{1};
