--- a/modules/heatherridge_transport/target/targetserver.cpp
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -26,7 +26,14 @@
                 m_metrics)
     , m_traffic({.target = m_options.target, .incarnation = m_options.incarnation, .listen = m_options.listen},
                 m_metrics)
+    , m_group({.target = m_options.target, .run = m_options.incarnation, .logService = m_options.logService},
+              m_control.loop(), m_metrics)
 {
+    m_traffic.setGroupReceiver([this](const Envelope &envelope) { m_group.receive(envelope); });
+    m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) {
+        m_traffic.setView(view);
+        m_group.setView(view);
+    });
     m_traffic.setControlSink(
         {.frame =
              [this](const std::shared_ptr<PeerSocket> &peer, const Envelope &envelope) {
@@ -36,7 +43,6 @@
                      envelope);
              },
          .gone = [this](const std::shared_ptr<PeerSocket> &peer) { m_control.incomingGone(peer); }});
-    m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) { m_traffic.setView(view); });
     m_server = std::make_unique<HttpServer>(
         HttpServer::Options{.listen = m_options.admin},
         [this](const std::shared_ptr<HttpExchange> &exchange) { exchange->respond(answer(exchange->request())); });
@@ -51,6 +57,7 @@
         return *error;
     }
     m_control.start();
+    m_group.start();
     const auto admin = m_server->start();
     if (const auto *error = errorIn(admin)) {
         return *error;
@@ -72,6 +79,7 @@
     }
     logEvent(Severity::Info, "drain-ended", {{"open", std::to_string(running)}});
     m_server->stop();
+    m_group.stop();
     m_control.stop();
     m_traffic.stop();
 }
@@ -108,7 +116,8 @@
                                          {"running", traffic.load.running},
                                          {"waiting", traffic.load.waiting},
                                          {"limit", traffic.load.limit},
-                                         {"drain", toJson(traffic.drain)}});
+                                         {"drain", toJson(traffic.drain)},
+                                         {"group", m_group.status()}});
     return jsonAnswer(answer);
 }
 
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -58,6 +58,8 @@
     /** Ends the thread; what runs is cut. @see drain */
     void stop();
 
+    /** Where frames of Channel::Group go; called on the traffic thread. Before start(). */
+    void setGroupReceiver(std::function<void(const Envelope &)> receiver);
     /** Who takes the control frames that peers send to this listener; on the traffic thread. */
     struct ControlSink
     {
@@ -129,6 +131,7 @@
     std::unique_ptr<HttpClient> m_client;
     AdmissionQueue m_queue;
     std::unique_ptr<ConcurrencyLimit> m_limit;
+    std::function<void(const Envelope &)> m_groupReceiver;
     ControlSink m_controlSink;
     std::set<Socket> m_entries;
     std::unordered_map<RequestId, Work> m_works;
