Send calls with a key through the gates of their service

Cause: the gates stood alone; a retried booking was still placed like any call.

Change: the process beside a plain target runs one gate for each shard of its service, on the traffic thread, with its own reader of the shard's stream and paced appends, and knows the other processes of the service by their presence. Calls with a key that may not be repeated go through the gate before the admission queue, so that a refusal there is on the gate's word. Entries send them to the likely holder, follow a gate's word on who holds the shard, retry them as safe, and never let a later refusal pass for proof once one try is in doubt. Keys that are not UUIDs of version 7 are refused.

--- a/modules/heatherridge_coordination/keys/keygate.cpp
+++ b/modules/heatherridge_coordination/keys/keygate.cpp
@@ -502,6 +502,7 @@
                    [&](const RevokeReply &reply) { m_claims.take(from, reply, m_ledger); },
                    [&](const ReleaseRequest &request) { handOver(from, request); },
                    [&](const ReleaseReply &reply) { inherit(reply); },
+                   [](const GatePresence &) {},
                },
                message);
 }
--- a/modules/heatherridge_protocol/keymessage.cpp
+++ b/modules/heatherridge_protocol/keymessage.cpp
@@ -61,6 +61,10 @@
     map["k"] = recordsToJson(message.known);
 }
 
+void write(json & /*map*/, const GatePresence & /*message*/)
+{
+}
+
 ReleaseReply readRelease(CborReader &reader)
 {
     return {.claim = KeyCodec::readPlacedClaim(reader, "p"),
@@ -90,8 +94,10 @@
     }
     case 4:
         return ReleaseRequest{.claim = claim(), .withRight = reader.toggle("r")};
-    default:
+    case 5:
         return readRelease(reader);
+    default:
+        return GatePresence{};
     }
 }
 
--- a/modules/heatherridge_protocol/keymessage.h
+++ b/modules/heatherridge_protocol/keymessage.h
@@ -66,9 +66,15 @@
     bool operator==(const ReleaseReply &) const = default;
 };
 
+/** A gate tells the other gates of its service which run of its process is alive. The receiver's run is left open. */
+struct GatePresence
+{
+    bool operator==(const GatePresence &) const = default;
+};
+
 /** One message between two gates of a service. */
-using KeyMessage =
-    std::variant<ActivateRequest, ActivateReply, RevokeRequest, RevokeReply, ReleaseRequest, ReleaseReply>;
+using KeyMessage = std::variant<ActivateRequest, ActivateReply, RevokeRequest, RevokeReply, ReleaseRequest,
+                                ReleaseReply, GatePresence>;
 
 /** A message with its address: a gate drops what is meant for another run of its process. */
 struct KeyFrame
--- a/modules/heatherridge_protocol/trafficmessage.cpp
+++ b/modules/heatherridge_protocol/trafficmessage.cpp
@@ -98,6 +98,9 @@
     json map{{"e", std::string(answerFor(message.kind).name)},
              {"r", static_cast<unsigned>(message.ran)},
              {"t", message.detail}};
+    if (!message.askAt.isEmpty()) {
+        map["a"] = message.askAt.text();
+    }
     if (message.retryAfter) {
         map["d"] = message.retryAfter->count();
     }
@@ -150,6 +153,9 @@
     }
     message.kind = kind.value_or(ErrorKind::Internal);
     message.ran = static_cast<Ran>(reader.number("r", static_cast<std::uint64_t>(Ran::Unknown)));
+    if (reader.has("a")) {
+        message.askAt = TargetName(reader.text("a"));
+    }
     if (reader.has("d")) {
         message.retryAfter = std::chrono::milliseconds(reader.integer("d", 0, LongestMilliseconds));
     }
--- a/modules/heatherridge_protocol/trafficmessage.h
+++ b/modules/heatherridge_protocol/trafficmessage.h
@@ -95,6 +95,7 @@
     Ran ran = Ran::Unknown; ///< the word of the process that could have run it
     std::optional<std::chrono::milliseconds> retryAfter{};
     std::string detail{};
+    TargetName askAt{}; ///< a target whose process may know the request's key; empty for none
 
     bool operator==(const AnswerError &) const = default;
 };
--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_coordination/heatherridge_coordination.h"
+#include "heatherridge_state/keys/keyshards.h"
 #include "heatherridge_transport/entry/callerrequest.h"
 #include "heatherridge_transport/http/httpserver.h"
 
@@ -25,6 +26,10 @@
     std::set<TargetName> tried{}; ///< targets that have refused or failed it
     int attempts = 0;
     bool answerBegun = false; ///< the caller has the head
+    std::optional<Uuid7> key{}; ///< set when gates see to it that it runs at most once, however often it is tried
+    TargetName askAt{}; ///< where the last gate that was asked sent the call
+    int redirects = 0; ///< how often that happened
+    bool inDoubt = false; ///< a try with the key may have run, or another may have run it
     AnswerAssembler assembler{AnswerAssembler::Options{}};
 
     const RequestId &id() const
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::chrono::milliseconds LinkTick{10};
 constexpr std::chrono::hours NoReportAge{1};
+/** Gates of one service agree on a shard's holder within seconds; more hops than this are no way to find it. */
+constexpr int MostRedirects = 3;
 /** An attempt is worth making when about this much time is left for it. */
 constexpr std::chrono::milliseconds ShortestAttempt{5};
 
@@ -152,6 +154,10 @@
     m_calls.emplace(call->id(), call);
     m_journal.note(call->id(), "arrived", {}, call->request.submit.service.text());
     call->exchange->onClosed([this, id = call->id()] { m_loop.post([this, id] { callerGone(id); }); });
+    if (!readKey(*call)) {
+        fail(call, Error{.kind = ErrorKind::BadIdempotencyKey, .detail = "a UUID of version 7 is needed"});
+        return;
+    }
     m_retries.recordFirstAttempt();
     attempt(call);
 }
@@ -165,6 +171,10 @@
         return;
     }
     const auto targets = candidates(*call);
+    if (const auto *holder = holderFor(*call, targets)) {
+        place(call, holder->name, left);
+        return;
+    }
     std::vector<TargetView> views;
     views.reserve(targets.size());
     for (const auto *target : targets) {
@@ -181,9 +191,58 @@
         fail(call, *error);
         return;
     }
-    const auto &target = targets[std::get<std::size_t>(choice)]->name;
+    place(call, targets[std::get<std::size_t>(choice)]->name, left);
+}
+
+/** Whether @p call may go on: a call that may not be repeated has no key, or one that gates can date. */
+bool EntryTraffic::readKey(EntryCall &call) const
+{
+    const auto &submit = call.request.submit;
+    const auto targets = candidates(call);
+    const bool isPlain = !targets.empty() && targets.front()->kind == TargetKind::Plain;
+    if (!isPlain || submit.mayRepeat || submit.key.isEmpty()) {
+        return true;
+    }
+    call.key = Uuid7::parse(submit.key.text());
+    return call.key.has_value();
+}
+
+/** Where a call with a key goes: where a gate has sent it, else to the likely holder of its shard. */
+const Target *EntryTraffic::holderFor(const EntryCall &call, const std::vector<const Target *> &targets) const
+{
+    if (!call.key) {
+        return nullptr;
+    }
+    const auto *asked = m_view->inventory->find(call.askAt);
+    if (asked != nullptr && m_links->isUp(asked->name)) {
+        return asked; // withdrawn or not: it knows the key's past, and takes no new work by itself
+    }
+    const auto ranked = holdersOf(*m_view->inventory, call.request.submit.service, shardOf(*call.key));
+    const auto usable = std::find_if(ranked.begin(), ranked.end(), [&](const Target *target) {
+        return isUsable(*target, call) && std::find(targets.begin(), targets.end(), target) != targets.end();
+    });
+    return usable == ranked.end() ? nullptr : *usable;
+}
+
+/** Tries the call at once where a gate has sent it; false when that leads nowhere. */
+bool EntryTraffic::followRedirect(const Call &call, const TargetName &askAt)
+{
+    if (!call->key || askAt.isEmpty() || !m_links->isUp(askAt) || call->redirects >= MostRedirects) {
+        return false;
+    }
+    ++call->redirects;
+    m_journal.note(call->id(), "redirected", askAt);
+    leaveTarget(*call, Attempt::Succeeded);
+    call->askAt = askAt;
+    attempt(call);
+    return true;
+}
+
+void EntryTraffic::place(const Call &call, const TargetName &target, std::chrono::milliseconds left)
+{
+    const auto &submit = call->request.submit;
     call->target = target;
-    call->sent = now;
+    call->sent = std::chrono::steady_clock::now();
     ++call->attempts;
     auto &known = m_targets[target];
     known.ownLoad += static_cast<double>(submit.cost);
@@ -261,6 +320,9 @@
                        [&](const AnswerChunk &chunk) { takeChunk(call, chunk); },
                        [&](const AnswerEnd &end) { takeEnd(call, end); },
                        [&](const AnswerError &error) {
+                           if (followRedirect(call, error.askAt)) {
+                               return;
+                           }
                            attemptFailed(call,
                                          Error{.kind = error.kind,
                                                .detail = error.detail,
@@ -362,13 +424,16 @@
 {
     m_journal.note(call->id(), "attempt-failed", call->target, std::string(answerFor(error.kind).name));
     call->tried.insert(call->target);
+    call->askAt = TargetName();
+    // With a key, "not run" speaks of all tries: once one is in doubt, a later refusal doesn't settle it.
+    call->inDoubt = call->inDoubt || (call->key && error.ranOrDefault() != Ran::No);
     const bool refused = error.ranOrDefault() == Ran::No;
     const auto now = std::chrono::steady_clock::now();
     leaveTarget(*call, refused ? Attempt::Succeeded : Attempt::Failed);
     const auto others = candidates(*call);
     const FailedAttempt failed{
         .error = error,
-        .idempotent = call->request.submit.mayRepeat,
+        .idempotent = call->request.submit.mayRepeat || call->key.has_value(),
         .answerBegun = call->answerBegun,
         .otherTargets =
             std::any_of(others.begin(), others.end(), [&](const Target *target) { return isUsable(*target, *call); }),
@@ -405,8 +470,13 @@
     m_openCalls.fetch_sub(1);
 }
 
-void EntryTraffic::fail(const Call &call, const Error &error)
+void EntryTraffic::fail(const Call &call, const Error &reason)
 {
+    auto error = reason;
+    if (call->inDoubt && error.ranOrDefault() == Ran::No) {
+        error.kind = ErrorKind::KeyOutcomeUnknown;
+        error.ran = Ran::Unknown;
+    }
     leaveTarget(*call, Attempt::TimedOut);
     m_metrics.errors(error.kind).add();
     const std::string kind(answerFor(error.kind).name);
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -78,8 +78,12 @@
     void takeEnd(const Call &call, const AnswerEnd &end);
     void passOn(const Call &call, const Bytes &bytes);
     void attemptFailed(const Call &call, const Error &error);
+    bool readKey(EntryCall &call) const;
+    const Target *holderFor(const EntryCall &call, const std::vector<const Target *> &targets) const;
+    bool followRedirect(const Call &call, const TargetName &askAt);
+    void place(const Call &call, const TargetName &target, std::chrono::milliseconds left);
     void finish(const Call &call, const std::string &outcome);
-    void fail(const Call &call, const Error &error);
+    void fail(const Call &call, const Error &reason);
     void cancelAtTarget(const Call &call);
     void callerGone(const RequestId &id);
     void leaveTarget(EntryCall &call, Attempt attempt);
--- a/modules/heatherridge_transport/entry/targetlinks.cpp
+++ b/modules/heatherridge_transport/entry/targetlinks.cpp
@@ -31,10 +31,19 @@
 }
 
 void TargetLinks::follow(const Inventory &inventory)
+{
+    std::map<TargetName, Endpoint> endpoints;
+    for (const auto &[name, target] : inventory.targets()) {
+        endpoints.emplace(name, target.gate);
+    }
+    follow(endpoints);
+}
+
+void TargetLinks::follow(const std::map<TargetName, Endpoint> &endpoints)
 {
     for (auto entry = m_links.begin(); entry != m_links.end();) {
-        const auto *target = inventory.find(entry->first);
-        if (target != nullptr && target->gate == entry->second.endpoint) {
+        const auto wanted = endpoints.find(entry->first);
+        if (wanted != endpoints.end() && wanted->second == entry->second.endpoint) {
             ++entry;
             continue;
         }
@@ -44,8 +53,8 @@
             socket->close();
         }
     }
-    for (const auto &[name, target] : inventory.targets()) {
-        m_links.try_emplace(name, Link{.endpoint = target.gate});
+    for (const auto &[name, endpoint] : endpoints) {
+        m_links.try_emplace(name, Link{.endpoint = endpoint});
     }
 }
 
--- a/modules/heatherridge_transport/entry/targetlinks.h
+++ b/modules/heatherridge_transport/entry/targetlinks.h
@@ -36,6 +36,9 @@
     /** Connects to the targets of @p inventory that have no link yet, and drops links to targets it does not have. */
     void follow(const Inventory &inventory);
 
+    /** The same for @p endpoints alone, by target. */
+    void follow(const std::map<TargetName, Endpoint> &endpoints);
+
     /** Connects again where the pause is over. Called every few milliseconds. */
     void tick(SteadyTime now);
 
--- a/modules/heatherridge_transport/target/backendwork.h
+++ b/modules/heatherridge_transport/target/backendwork.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_protocol/heatherridge_protocol.h"
+#include "heatherridge_state/keys/keyrecord.h"
 #include "heatherridge_transport/cxx17/peersocket.h"
 #include "heatherridge_transport/http/httpclient.h"
 
@@ -25,6 +26,8 @@
     std::uint64_t sentBytes = 0;
     std::uint64_t creditedBytes = 0; ///< of those sent, how many the entry has passed on
     bool paused = false;
+    std::optional<Uuid7> key{}; ///< set for a call of KeyedCalls, which gets the whole answer instead of the entry
+    StoredAnswer answer{}; ///< collected for it
 };
 
 } // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/target/keyshardlink.cpp
@@ -0,0 +1,170 @@
+#include "heatherridge_transport/target/keyshardlink.h"
+
+#include "heatherridge_protocol/keyrecordcodec.h"
+#include "heatherridge_transport/app/logger.h"
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::size_t RecordsPerRead = 256;
+
+WallTime wallNow()
+{
+    return SystemClock().wallNow();
+}
+
+std::optional<KeyBatch> decoded(const LogRecord &record)
+{
+    auto batch = decodeKeyBatch(record.payload);
+    if (errorIn(batch) != nullptr) {
+        return std::nullopt;
+    }
+    return std::get<KeyBatch>(std::move(batch));
+}
+
+} // namespace
+
+KeyShardLink::KeyShardLink(EventLoop &loop, LogService &log, GateId self, Options options, Perform perform)
+    : m_loop(loop)
+    , m_log(log)
+    , m_options(std::move(options))
+    , m_perform(std::move(perform))
+    , m_gate(std::move(self), m_options.gate)
+{
+}
+
+void KeyShardLink::start()
+{
+    read();
+}
+
+KeyGate &KeyShardLink::gate()
+{
+    return m_gate;
+}
+
+void KeyShardLink::perform(const KeyActions &actions)
+{
+    for (const auto &action : actions) {
+        if (const auto *append = std::get_if<AppendBatch>(&action)) {
+            const auto batch = std::make_shared<const KeyBatch>(append->batch);
+            const auto since = std::chrono::steady_clock::now() - m_lastAppend;
+            const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.appendPause - since);
+            if (pause.count() <= 0) {
+                this->append(batch);
+            } else {
+                m_loop.after(pause, [this, batch, alive = std::weak_ptr(m_alive)] {
+                    if (!alive.expired()) {
+                        this->append(batch);
+                    }
+                });
+            }
+        } else {
+            m_perform(action);
+        }
+    }
+}
+
+bool KeyShardLink::isLogWell() const
+{
+    return m_logWell;
+}
+
+std::uint64_t KeyShardLink::appends() const
+{
+    return m_appends;
+}
+
+std::uint64_t KeyShardLink::recordsAppended() const
+{
+    return m_records;
+}
+
+void KeyShardLink::read()
+{
+    // The first read must not wait: a gate of a quiet shard would hold nothing until the wait is over.
+    const auto wait = m_logWell ? m_options.readWait : std::chrono::milliseconds(0);
+    m_log.read(m_options.stream, next(m_read), RecordsPerRead, wait,
+               [this, alive = std::weak_ptr(m_alive)](const Result<LogPage> &result) {
+                   if (alive.expired()) {
+                       return;
+                   }
+                   if (const auto *page = std::get_if<LogPage>(&result)) {
+                       takePage(*page);
+                       read();
+                       return;
+                   }
+                   setLogWell(false);
+                   m_loop.after(m_options.retryPause, [this, alive] {
+                       if (!alive.expired()) {
+                           read();
+                       }
+                   });
+               });
+}
+
+void KeyShardLink::takePage(const LogPage &page)
+{
+    if (page.first > next(m_read)) {
+        m_read = static_cast<LogOffset>(toNumber(page.first) - 1);
+        m_gate.recordsLost(m_read);
+    }
+    for (const auto &record : page.records) {
+        if (record.offset > m_read) {
+            m_read = record.offset;
+            perform(m_gate.read(record.offset, decoded(record), wallNow()));
+        }
+    }
+    // While appends fail, readable records are no sign that the log is well for this purpose.
+    setLogWell(!m_appendFailing);
+    if (m_read >= page.last) {
+        perform(m_gate.caughtUp(wallNow()));
+    }
+}
+
+void KeyShardLink::append(const std::shared_ptr<const KeyBatch> &batch)
+{
+    m_lastAppend = std::chrono::steady_clock::now();
+    ++m_appends;
+    m_records += batch->records.size();
+    m_log.append(m_options.stream, encode(*batch),
+                 [this, batch, alive = std::weak_ptr(m_alive)](const Result<LogOffset> &result) {
+                     if (!alive.expired()) {
+                         appended(batch, result);
+                     }
+                 });
+}
+
+void KeyShardLink::appended(const std::shared_ptr<const KeyBatch> &batch, const Result<LogOffset> &result)
+{
+    if (errorIn(result) == nullptr) {
+        m_appendFailing = false;
+        perform(m_gate.appended(batch->serial, true, wallNow()));
+        setLogWell(true);
+        return;
+    }
+    // It may have landed or not: the same batch is appended again, and readers skip the double by its number.
+    m_appendFailing = true;
+    setLogWell(false);
+    m_loop.after(m_options.retryPause, [this, batch, alive = std::weak_ptr(m_alive)] {
+        if (!alive.expired()) {
+            append(batch);
+        }
+    });
+}
+
+void KeyShardLink::setLogWell(bool well)
+{
+    if (well == m_logWell) {
+        return;
+    }
+    m_logWell = well;
+    logEvent(Severity::Info, well ? "key-log-well" : "key-log-out", {{"stream", m_options.stream.text()}});
+    perform(m_gate.logChanged(well, wallNow()));
+    perform(m_gate.tick(wallNow()));
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_transport/target/keyshardlink.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "heatherridge_coordination/heatherridge_coordination.h"
+#include "heatherridge_coordination/keys/keygate.h"
+#include "heatherridge_transport/app/eventloop.h"
+
+#include <functional>
+#include <memory>
+
+namespace Heatherridge
+{
+
+/**
+ * Runs one KeyGate against the platform's log: reads its stream, makes its appends, and tells it whether the log is
+ * reachable. What else the gate wants done is passed to the owner. On the loop's thread.
+ */
+class KeyShardLink
+{
+public:
+    struct Options
+    {
+        StreamName stream{};
+        std::chrono::milliseconds readWait{5000}; ///< how long a read waits for the next record
+        std::chrono::milliseconds retryPause{250}; ///< before a failed read or append is made again
+        std::chrono::milliseconds appendPause{20}; ///< least time between two appends, for the log is everyone's
+        KeyGate::Options gate{};
+    };
+
+    /** Does @p actions but for appends, which the link makes itself. */
+    using Perform = std::function<void(const KeyAction &action)>;
+
+    KeyShardLink(EventLoop &loop, LogService &log, GateId self, Options options, Perform perform);
+
+    KeyShardLink(const KeyShardLink &) = delete;
+    KeyShardLink &operator=(const KeyShardLink &) = delete;
+
+    /** Begins to read. */
+    void start();
+
+    /** The gate. Its actions go through perform(). */
+    KeyGate &gate();
+
+    /** Does what a call of the gate returned. */
+    void perform(const KeyActions &actions);
+
+    /** Whether the log is reachable, as far as seen from here. */
+    bool isLogWell() const;
+
+    /** Appends made, and records in them, so far. */
+    std::uint64_t appends() const;
+    std::uint64_t recordsAppended() const;
+
+private:
+    void read();
+    void takePage(const LogPage &page);
+    void append(const std::shared_ptr<const KeyBatch> &batch);
+    void appended(const std::shared_ptr<const KeyBatch> &batch, const Result<LogOffset> &result);
+    void setLogWell(bool well);
+
+    EventLoop &m_loop;
+    LogService &m_log;
+    Options m_options;
+    Perform m_perform;
+    KeyGate m_gate;
+    LogOffset m_read{};
+    SteadyTime m_lastAppend{};
+    std::uint64_t m_appends = 0;
+    std::uint64_t m_records = 0;
+    bool m_logWell = false;
+    bool m_appendFailing = false;
+    std::shared_ptr<bool> m_alive = std::make_shared<bool>(true); ///< lets late callbacks see that the link is gone
+};
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/target/targetserver.cpp
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::chrono::milliseconds DrainPoll{20};
+constexpr std::chrono::seconds LongestKeyWait{3};
 
 } // namespace
 
@@ -21,7 +22,10 @@
                  .incarnation = m_options.incarnation,
                  .logService = m_options.logService},
                 m_metrics)
-    , m_traffic({.target = m_options.target, .incarnation = m_options.incarnation, .listen = m_options.listen},
+    , m_traffic({.target = m_options.target,
+                 .incarnation = m_options.incarnation,
+                 .listen = m_options.listen,
+                 .logService = m_options.logService},
                 m_metrics)
 {
     m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) { m_traffic.setView(view); });
@@ -51,11 +55,19 @@
     m_draining = true;
     m_traffic.drain();
     const auto latest = std::chrono::steady_clock::now() + m_options.drainTimeout;
-    auto running = m_traffic.status().load.running;
+    // Outcomes that never get to the log leave their callers with "unknown" for good; but an outage of the log may last
+    // longer than anyone wants to wait.
+    const auto latestForKeys = std::min(latest, std::chrono::steady_clock::now() + LongestKeyWait);
+    auto status = m_traffic.status();
+    auto running = status.load.running;
     logEvent(Severity::Info, "drain-begun", {{"open", std::to_string(running)}});
-    while (running > 0 && std::chrono::steady_clock::now() < latest) {
+    const auto isOpen = [&](SteadyTime now) {
+        return (running > 0 && now < latest) || (!status.keysIdle && now < latestForKeys);
+    };
+    while (isOpen(std::chrono::steady_clock::now())) {
         std::this_thread::sleep_for(DrainPoll);
-        running = m_traffic.status().load.running;
+        status = m_traffic.status();
+        running = status.load.running;
     }
     logEvent(Severity::Info, "drain-ended", {{"open", std::to_string(running)}});
     m_server->stop();
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -15,6 +15,8 @@
 /** A changed load is reported five times a second, an unchanged one every two seconds as a sign of life. */
 constexpr int TicksPerReport = 20;
 constexpr int TicksPerSignOfLife = 200;
+/** Longest answer to a call with an idempotency key, which is passed on in one piece. */
+constexpr std::size_t MostKeyedAnswer = 4UL << 20U;
 /** Requests that may wait for the configuration they rely on. */
 constexpr std::size_t MostHeld = 1024;
 
@@ -69,6 +71,16 @@
 Result<Endpoint> TargetTraffic::start()
 {
     m_client = std::make_unique<HttpClient>(m_loop.context(), HttpClient::Options{});
+    m_keys = std::make_unique<KeyedCalls>(
+        m_loop,
+        KeyedCalls::Options{
+            .target = m_options.target, .incarnation = m_options.incarnation, .logService = m_options.logService},
+        m_encoder, m_metrics,
+        KeyedCalls::Events{
+            .run = [this](const Uuid7 &key, const SubmitRequest &request,
+                          SteadyTime deadline) { runKeyed(key, request, deadline); },
+            .answer = [this](const Socket &entry, const TrafficMessage &message) { send(entry, message); }});
+    m_keys->start();
     m_listener = std::make_unique<PeerListener>(
         m_loop.context(),
         PeerSocketEvents{[this](const Socket &entry) {
@@ -92,6 +104,7 @@
 {
     m_loop.stop();
     m_works.clear();
+    m_keys.reset();
     m_client.reset();
 }
 
@@ -111,6 +124,7 @@
         if (target == nullptr || !m_view->takesWork(*target)) {
             handBackWaiting(ErrorKind::TargetWithdrawn);
         }
+        m_keys->follow(m_view);
         releaseHeld();
         reportLoad(false);
     });
@@ -120,6 +134,7 @@
 {
     m_loop.post([this] {
         m_draining = true;
+        m_keys->drain();
         handBackWaiting(ErrorKind::Draining);
         releaseHeld();
         reportLoad(true);
@@ -131,7 +146,7 @@
     Status status;
     m_loop.run([this, &status] {
         const auto now = std::chrono::steady_clock::now();
-        status = {.load = m_queue.load(), .draining = m_draining};
+        status = {.load = m_queue.load(), .draining = m_draining, .keysIdle = m_keys->isIdle()};
         for (const auto &[id, work] : m_works) {
             if (work->started) {
                 status.oldestOpen = std::max(
@@ -157,6 +172,8 @@
     const auto &outer = std::get<Envelope>(envelope);
     if (outer.channel == Channel::Traffic) {
         receiveTraffic(entry, outer);
+    } else if (outer.channel == Channel::Keys) {
+        m_keys->receive(outer);
     }
 }
 
@@ -223,14 +240,31 @@
         m_strayFrames.add(); // doubled on the way; the first one stands
         return;
     }
+    if (m_keys->takes(request)) {
+        m_keys->submit(entry, request, arrived + request.timeLeft);
+        return;
+    }
     if (const auto kind = refusalFor(request)) {
         refuse(entry, request.id, Error{.kind = *kind, .ran = Ran::No});
         return;
     }
+    enqueue(std::make_shared<BackendWork>(
+        BackendWork{.request = request, .entry = entry, .arrived = arrived, .deadline = arrived + request.timeLeft}));
+}
+
+/** A call that its gate lets run. What refuses it from here on does so before the back end got anything of it. */
+void TargetTraffic::runKeyed(const Uuid7 &key, const SubmitRequest &request, SteadyTime deadline)
+{
+    BackendWork work{.request = request, .arrived = std::chrono::steady_clock::now(), .deadline = deadline};
+    work.key = key;
+    enqueue(std::make_shared<BackendWork>(std::move(work)));
+}
+
+void TargetTraffic::enqueue(const Work &work)
+{
+    const auto &request = work->request;
     const auto now = std::chrono::steady_clock::now();
     const auto *workspace = m_view->rules->find(request.workspace);
-    auto work = std::make_shared<BackendWork>(
-        BackendWork{.request = request, .entry = entry, .arrived = arrived, .deadline = arrived + request.timeLeft});
     const auto offer = m_queue.offer({.id = request.id,
                                       .workspace = request.workspace,
                                       .weight = workspace == nullptr ? 1 : workspace->weight,
@@ -239,7 +273,7 @@
                                       .deadline = work->deadline},
                                      now);
     if (const auto *error = std::get_if<Error>(&offer)) {
-        refuse(entry, request.id, *error);
+        refuseWork(work, *error);
     } else {
         m_works.emplace(request.id, work);
         if (std::holds_alternative<Started>(offer)) {
@@ -271,6 +305,15 @@
 {
     work->firstByte = std::chrono::steady_clock::now();
     work->headSent = true;
+    if (work->key) {
+        work->answer.status = status;
+        for (const auto &header : headers) {
+            if (sameHeaderName(header.name, "Content-Type")) {
+                work->answer.contentType = header.value;
+            }
+        }
+        return;
+    }
     AnswerHead head{.id = work->request.id, .status = status};
     for (const auto &header : headers) {
         const bool hop = std::find(HopHeaders.begin(), HopHeaders.end(), header.name) != HopHeaders.end();
@@ -283,6 +326,14 @@
 
 bool TargetTraffic::takeData(const Work &work, std::string_view bytes)
 {
+    if (work->key) {
+        work->answer.body.append(bytes);
+        if (work->answer.body.size() > MostKeyedAnswer) {
+            m_client->cancel(work->call);
+            takeFailed(work, {.reason = "the answer to a call with a key is too long"});
+        }
+        return true;
+    }
     send(work->entry,
          AnswerChunk{.id = work->request.id, .sequence = work->chunks++, .bytes = Bytes(bytes.begin(), bytes.end())});
     work->sentBytes += bytes.size();
@@ -307,8 +358,12 @@
 
 void TargetTraffic::takeFinished(const Work &work)
 {
-    send(work->entry, AnswerEnd{.id = work->request.id, .chunks = work->chunks});
     finish(work);
+    if (work->key) {
+        m_keys->served(*work->key, work->answer);
+        return;
+    }
+    send(work->entry, AnswerEnd{.id = work->request.id, .chunks = work->chunks});
 }
 
 void TargetTraffic::takeFailed(const Work &work, const HttpClient::Failure &failure)
@@ -323,8 +378,12 @@
     }
     m_metrics.errors(error.kind).add();
     logEvent(Severity::Warning, "backend-failed", {{"request", work->request.id.text()}, {"reason", failure.reason}});
-    send(work->entry, error);
     finish(work);
+    if (work->key) {
+        m_keys->served(*work->key, Error{.kind = error.kind, .detail = error.detail, .ran = error.ran});
+        return;
+    }
+    send(work->entry, error);
 }
 
 void TargetTraffic::finish(const Work &work)
@@ -346,12 +405,16 @@
 
 void TargetTraffic::cancel(const RequestId &id)
 {
+    m_keys->cancel(id);
     std::erase_if(m_held, [&id](const auto &held) { return held.request.id == id; });
     const auto entry = m_works.find(id);
     if (entry == m_works.end()) {
         return;
     }
     const auto work = entry->second;
+    if (work->key) {
+        return; // other tries may wait for it, and its outcome has to be known
+    }
     if (!work->started) {
         m_queue.cancel(id);
         m_works.erase(id);
@@ -374,6 +437,7 @@
 void TargetTraffic::entryGone(const Socket &entry)
 {
     m_entries.erase(entry);
+    m_keys->entryGone(entry);
     std::erase_if(m_held, [&entry](const auto &held) { return held.entry == entry; });
     std::vector<RequestId> orphans;
     for (const auto &[id, work] : m_works) {
@@ -398,8 +462,9 @@
     for (const auto &givenUp : m_queue.collectGivenUp()) {
         const auto entry = m_works.find(givenUp.id);
         if (entry != m_works.end()) {
-            refuse(entry->second->entry, givenUp.id, givenUp.error);
+            const auto work = entry->second;
             m_works.erase(entry);
+            refuseWork(work, givenUp.error);
         }
     }
 }
@@ -429,8 +494,8 @@
     }
     for (const auto &work : waiting) {
         m_queue.cancel(work->request.id);
-        refuse(work->entry, work->request.id, Error{.kind = kind, .ran = Ran::No});
         m_works.erase(work->request.id);
+        refuseWork(work, Error{.kind = kind, .ran = Ran::No});
     }
 }
 
@@ -453,6 +518,18 @@
     }
 }
 
+/** Refuses work that the back end has got nothing of. */
+void TargetTraffic::refuseWork(const Work &work, const Error &error)
+{
+    if (work->key) {
+        auto notRun = error;
+        notRun.ran = Ran::No;
+        m_keys->served(*work->key, notRun);
+        return;
+    }
+    refuse(work->entry, work->request.id, error);
+}
+
 void TargetTraffic::refuse(const Socket &entry, const RequestId &id, const Error &error)
 {
     m_metrics.errors(error.kind).add();
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -4,6 +4,7 @@
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/link/frameencoder.h"
 #include "heatherridge_transport/target/backendwork.h"
+#include "heatherridge_transport/target/keyedcalls.h"
 
 #include <map>
 #include <memory>
@@ -31,6 +32,7 @@
         TargetName target{};
         Incarnation incarnation{};
         Endpoint listen{}; ///< for entries
+        Endpoint logService{}; ///< the platform's log, for idempotency keys
         std::uint64_t windowBytes = 256UL << 10U; ///< most that is sent ahead of what the entry has passed on
         std::chrono::milliseconds catchUp{500}; ///< longest wait for the configuration that a request relies on
     };
@@ -41,6 +43,7 @@
         AdmissionLoad load{};
         bool draining = false;
         std::chrono::milliseconds oldestOpen{}; ///< how long the oldest running request has been running
+        bool keysIdle = true; ///< no call with a key is open, and all outcomes are in the log
     };
 
     /** Not started yet. @p metrics must outlive it. */
@@ -83,6 +86,9 @@
     void submit(const Socket &entry, const SubmitRequest &request, LogOffset needs);
     void admit(const Socket &entry, const SubmitRequest &request, SteadyTime arrived);
     std::optional<ErrorKind> refusalFor(const SubmitRequest &request) const;
+    void enqueue(const Work &work);
+    void runKeyed(const Uuid7 &key, const SubmitRequest &request, SteadyTime deadline);
+    void refuseWork(const Work &work, const Error &error);
     void cancel(const RequestId &id);
     void credit(const GrantCredit &grant);
     void entryGone(const Socket &entry);
@@ -108,6 +114,7 @@
     FrameEncoder m_encoder;
     std::unique_ptr<PeerListener> m_listener;
     std::unique_ptr<HttpClient> m_client;
+    std::unique_ptr<KeyedCalls> m_keys;
     AdmissionQueue m_queue;
     std::unique_ptr<ConcurrencyLimit> m_limit;
     std::set<Socket> m_entries;
