Wait for a take-over instead of sending callers round; let no batch wait for ever

Cause: while a shard moved, gates sent tries to each other until the entry gave up, and told callers "unknown" of bookings nobody had touched. A gate whose own batch expired unread waited for it for good, found by random schedules with a short retention.

Change: a gate that is to hold the shard, or holds it and waits for promises, parks a try for up to 1.5 s. A batch that may have expired unread is given up: its announced calls are told unknown, its outcomes are written anew. Open calls and unrecorded keys are classes of their own. An answer to a call with a key is waited for beyond its caller's deadline, since the outcome is worth knowing.

--- a/modules/heatherridge_coordination/keys/batchwriter.cpp
+++ b/modules/heatherridge_coordination/keys/batchwriter.cpp
@@ -62,6 +62,17 @@
     return true;
 }
 
+std::vector<KeyRecord> BatchWriter::abandon()
+{
+    std::vector<KeyRecord> records;
+    if (m_current) {
+        records = std::move(m_current->records);
+    }
+    m_current.reset();
+    m_state = State::Idle;
+    return records;
+}
+
 std::vector<KeyRecord> BatchWriter::unconfirmed() const
 {
     std::vector<KeyRecord> records;
--- a/modules/heatherridge_coordination/keys/batchwriter.h
+++ b/modules/heatherridge_coordination/keys/batchwriter.h
@@ -42,6 +42,9 @@
     /** The batch @p serial has been read back. Returns whether it was the one on its way. */
     bool readBack(std::uint64_t serial);
 
+    /** Gives up the batch on its way, which can't be read back any more. @returns its records */
+    std::vector<KeyRecord> abandon();
+
     /** The records on their way, then those that wait. */
     std::vector<KeyRecord> unconfirmed() const;
 
--- a/modules/heatherridge_coordination/keys/claimkeeper.h
+++ b/modules/heatherridge_coordination/keys/claimkeeper.h
@@ -42,7 +42,7 @@
     struct Options
     {
         std::chrono::milliseconds claimSpan = std::chrono::hours(2); ///< a claim's end lies this far ahead
-        std::chrono::milliseconds activationSpan = std::chrono::minutes(10); ///< so does a witness's promise
+        std::chrono::milliseconds activationSpan = std::chrono::minutes(4); ///< so does a witness's promise
         std::chrono::milliseconds tolerance = std::chrono::minutes(2); ///< how far hosts' clocks may be apart
         KeySafeguards safeguards{};
     };
--- a/modules/heatherridge_coordination/keys/keygate.cpp
+++ b/modules/heatherridge_coordination/keys/keygate.cpp
@@ -41,55 +41,33 @@
 
 KeyActions KeyGate::request(const KeyedCall &call, WallTime now)
 {
-    if (!isNew(call.attempt)) {
+    if (isNew(call.attempt)) {
+        decide(call, now);
+        flush();
+    } else {
         ++m_counters.late;
-        return takeActions();
-    }
-    const auto open = m_calls.find(call.key);
-    if (open != m_calls.end()) {
-        join(open->second, call);
-        return takeActions();
-    }
-    const auto entry = known(call.key);
-    const bool released = entry && entry->fate == KeyFate::NotRun;
-    const bool deadRun = entry && entry->fate == KeyFate::Open && !m_options.safeguards.deadRunsUnknown;
-    if (entry && !released && !deadRun) {
-        answerKnown(*entry, call);
-        return takeActions();
-    }
-    if (entry && entry->fingerprint != call.fingerprint) {
-        ++m_counters.mismatches;
-        refuse(call.attempt, ErrorKind::KeyMismatch);
-        return takeActions();
     }
-    admit(call, released, now);
-    flush();
     return takeActions();
 }
 
 KeyActions KeyGate::cancel(const AttemptId &attempt)
 {
-    const auto waiting = m_waiting.find(attempt);
-    if (waiting == m_waiting.end()) {
+    const bool parked = m_calls.unpark(attempt);
+    const auto *call = m_calls.leave(attempt);
+    if (!parked && call == nullptr) {
         return takeActions();
     }
-    const auto call = m_calls.find(waiting->second);
-    assert(call != m_calls.end());
-    std::erase(call->second.waiters, attempt);
-    m_waiting.erase(waiting);
     // Another holder may have run an earlier try of the key before the intent of this one gets to the log: that this
     // try never ran is no proof that the key did not.
-    const bool notSent = call->second.state == CallState::Announced && call->second.waiters.empty();
+    const bool notSent = parked || (call->state == CallState::Announced && call->waiters.empty());
     refuse(attempt, notSent ? ErrorKind::KeyNotDecidable : ErrorKind::KeyRunning, Ran::Unknown);
     return takeActions();
 }
 
 KeyActions KeyGate::served(const Uuid7 &key, Result<StoredAnswer> result)
 {
-    const auto found = m_calls.find(key);
-    assert(found != m_calls.end() && found->second.state == CallState::Running);
-    const auto call = std::move(found->second);
-    m_calls.erase(found);
+    assert(m_calls.find(key) != nullptr && m_calls.find(key)->state == CallState::Running);
+    const auto call = m_calls.close(key);
     std::visit(Visitor{
                    [&](const StoredAnswer &stored) {
                        auto kept = stored;
@@ -106,7 +84,6 @@
                },
                result);
     for (const auto &waiter : call.waiters) {
-        m_waiting.erase(waiter);
         std::visit([&](const auto &told) { answer(waiter, told); }, result);
     }
     flush();
@@ -121,15 +98,19 @@
         settleOwnBatch(*copy);
     }
     if (copy) {
-        forgetRecorded(*copy);
+        m_unrecorded.forgetRecorded(*copy, m_ledger);
     }
     drive(now);
     return takeActions();
 }
 
-void KeyGate::recordsLost(LogOffset through)
+KeyActions KeyGate::recordsLost(LogOffset through)
 {
     m_ledger.recordsLost(through);
+    for (const auto &record : m_writer.abandon()) {
+        settleLost(record);
+    }
+    return takeActions();
 }
 
 KeyActions KeyGate::caughtUp(WallTime now)
@@ -145,10 +126,9 @@
     if (ok && !m_options.safeguards.intentsReadBack) {
         for (const auto &record : m_writer.unconfirmed()) {
             if (const auto *intent = std::get_if<KeyIntent>(&record)) {
-                const auto call = m_calls.find(intent->key);
-                if (call != m_calls.end() && call->second.state == CallState::Announced
-                    && !call->second.waiters.empty()) {
-                    run(intent->key, call->second);
+                auto *call = m_calls.find(intent->key);
+                if (call != nullptr && call->state == CallState::Announced && !call->waiters.empty()) {
+                    run(intent->key, *call);
                 }
             }
         }
@@ -221,7 +201,7 @@
 bool KeyGate::isNew(const AttemptId &attempt)
 {
     if (!m_options.safeguards.attemptsOnce) {
-        return !m_waiting.contains(attempt);
+        return !m_calls.isWaiting(attempt);
     }
     auto &highest = m_seen[attempt.entry];
     if (attempt.number <= highest) {
@@ -234,20 +214,27 @@
     return true;
 }
 
-/** What is known of @p key, from memory where the ledger doesn't know the end yet. */
-std::optional<KeyEntry> KeyGate::known(const Uuid7 &key) const
+/** Answers @p asked from what is known, or admits it. */
+void KeyGate::decide(const KeyedCall &asked, WallTime now)
 {
-    const auto *recorded = m_ledger.find(key);
-    const auto unrecorded = m_unrecorded.find(key);
-    if (unrecorded == m_unrecorded.end()) {
-        return recorded == nullptr ? std::nullopt : std::optional(*recorded);
+    if (const auto *open = m_calls.find(asked.key)) {
+        join(*open, asked);
+        return;
+    }
+    const auto entry = m_unrecorded.known(asked.key, m_ledger);
+    const bool released = entry && entry->fate == KeyFate::NotRun;
+    const bool deadRun = entry && entry->fate == KeyFate::Open && !m_options.safeguards.deadRunsUnknown;
+    if (entry && !released && !deadRun) {
+        answerKnown(*entry, asked);
+    } else if (entry && entry->fingerprint != asked.fingerprint) {
+        ++m_counters.mismatches;
+        refuse(asked.attempt, ErrorKind::KeyMismatch);
+    } else {
+        admit(asked, released, now);
     }
-    const bool recordedKnowsMore =
-        recorded != nullptr && unrecorded->second.fate == KeyFate::Open && recorded->fate != KeyFate::NotRun;
-    return recordedKnowsMore ? *recorded : unrecorded->second;
 }
 
-void KeyGate::join(Call &call, const KeyedCall &asked)
+void KeyGate::join(const OpenCall &call, const KeyedCall &asked)
 {
     if (call.fingerprint != asked.fingerprint) {
         ++m_counters.mismatches;
@@ -259,8 +246,7 @@
         return;
     }
     ++m_counters.joined;
-    call.waiters.push_back(asked.attempt);
-    m_waiting[asked.attempt] = asked.key;
+    m_calls.join(asked);
 }
 
 void KeyGate::answerKnown(const KeyEntry &entry, const KeyedCall &asked)
@@ -284,52 +270,70 @@
     answer(asked.attempt, entry.answer);
 }
 
-/** Decides on a key that has not run as far as is known here; @p released when it is known not to have run. */
-void KeyGate::admit(const KeyedCall &asked, bool released, WallTime now)
+/** Why a key created at @p time can't be taken at @p now, if so. */
+std::optional<ErrorKind> KeyGate::datingFault(WallTime time, WallTime now)
 {
-    const auto time = asked.key.time();
     if (time > now + m_options.claims.tolerance) {
         ++m_counters.fromTheFuture;
-        refuse(asked.attempt, ErrorKind::BadIdempotencyKey);
-        return;
+        return ErrorKind::BadIdempotencyKey;
     }
     if (time < now - m_options.window) {
         ++m_counters.expired;
-        refuse(asked.attempt, ErrorKind::KeyExpired);
-        return;
+        return ErrorKind::KeyExpired;
     }
-    if (!m_claims.placement().accepting) {
+    return std::nullopt;
+}
+
+/** Decides on a key that has not run as far as is known here; @p released when it is known not to have run. */
+void KeyGate::admit(const KeyedCall &asked, bool released, WallTime now)
+{
+    const auto time = asked.key.time();
+    const bool holder = m_claims.announces(m_ledger);
+    const auto &placement = m_claims.placement();
+    if (const auto fault = datingFault(time, now)) {
+        refuse(asked.attempt, *fault);
+    } else if (!placement.accepting) {
         redirect(asked.attempt);
-        return;
-    }
-    if (m_calls.size() >= m_options.maxCalls) {
+    } else if (m_calls.size() >= m_options.maxCalls) {
         ++m_counters.full;
         refuse(asked.attempt, ErrorKind::QueueFull, Ran::Unknown);
-        return;
-    }
-    const bool holder = m_claims.announces(m_ledger);
-    if (m_logWell && holder) {
-        if (!released && !m_ledger.canDecide(time)) {
-            ++m_counters.unknown;
-            refuse(asked.attempt, ErrorKind::KeyOutcomeUnknown);
-            return;
-        }
+    } else if (m_logWell && holder && !released && !m_ledger.canDecide(time)) {
+        ++m_counters.unknown;
+        refuse(asked.attempt, ErrorKind::KeyOutcomeUnknown);
+    } else if (m_logWell && holder) {
         announce(asked);
     } else if (m_claims.mayRunWithoutLog(m_ledger, time)) {
         startWithoutLog(asked);
-    } else if (holder) {
-        // The shard may have a new holder by now that this process, cut off from the log, has not heard of.
-        ++m_counters.notDecidable;
-        refuse(asked.attempt, ErrorKind::KeyNotDecidable, Ran::Unknown);
+    } else if (holder || placement.wanted) {
+        // The witnesses' promises, or the take-over, may be there in a moment.
+        m_calls.park(asked, now);
     } else {
         redirect(asked.attempt);
     }
 }
 
+/** Decides again on the tries that wait for this gate to be able to; those that have waited too long are refused. */
+void KeyGate::decideParked(WallTime now)
+{
+    const bool holder = m_claims.announces(m_ledger);
+    for (const auto &parked : m_calls.takeParked()) {
+        if (now - parked.since <= m_options.parkTime) {
+            decide(parked.call, now);
+            continue;
+        }
+        if (holder) {
+            // The shard may have a new holder by now that this process, cut off from the log, has not heard of.
+            ++m_counters.notDecidable;
+            refuse(parked.call.attempt, ErrorKind::KeyNotDecidable, Ran::Unknown);
+        } else {
+            redirect(parked.call.attempt);
+        }
+    }
+}
+
 void KeyGate::announce(const KeyedCall &asked)
 {
-    m_calls[asked.key] = Call{.fingerprint = asked.fingerprint, .waiters = {asked.attempt}};
-    m_waiting[asked.attempt] = asked.key;
+    m_calls.open(asked);
     m_writer.add(KeyIntent{.key = asked.key, .fingerprint = asked.fingerprint, .runner = m_self});
 }
 
@@ -337,14 +341,14 @@
 {
     ++m_counters.runWithoutLog;
     announce(asked);
-    run(asked.key, m_calls.at(asked.key));
+    run(asked.key, *m_calls.find(asked.key));
 }
 
-void KeyGate::run(const Uuid7 &key, Call &call)
+void KeyGate::run(const Uuid7 &key, OpenCall &call)
 {
     assert(!call.waiters.empty());
     call.state = CallState::Running;
-    m_unrecorded.erase(key);
+    m_unrecorded.forget(key);
     ++m_counters.run;
     m_actions.push_back(RunCall{.key = key, .attempt = call.waiters.front()});
 }
@@ -352,32 +356,58 @@
 /** An intent of this process has been read back: it counts if it is the first of its key, by the holder. */
 void KeyGate::settleIntent(const KeyIntent &intent)
 {
-    const auto found = m_calls.find(intent.key);
-    if (found == m_calls.end() || found->second.state != CallState::Announced) {
+    auto *call = m_calls.find(intent.key);
+    if (call == nullptr || call->state != CallState::Announced) {
         return;
     }
     const auto *entry = m_ledger.find(intent.key);
     const bool counts = entry != nullptr && entry->fate == KeyFate::Open && entry->runner == m_self;
-    if (counts && !found->second.waiters.empty()) {
-        run(intent.key, found->second);
-        return;
-    }
-    const auto call = std::move(found->second);
-    m_calls.erase(found);
-    if (counts) {
-        conclude(intent.key, call, KeyFate::NotRun, {});
-        return;
+    if (counts && !call->waiters.empty()) {
+        run(intent.key, *call);
+    } else if (counts) {
+        conclude(intent.key, m_calls.close(intent.key), KeyFate::NotRun, {});
+    } else {
+        answerElsewhere(intent.key, entry == nullptr ? std::nullopt : std::optional(*entry));
     }
+}
+
+/** Ends an announced call that this process may not run, with what is known of its key. */
+void KeyGate::answerElsewhere(const Uuid7 &key, const std::optional<KeyEntry> &entry)
+{
+    const auto call = m_calls.close(key);
     for (const auto &waiter : call.waiters) {
-        m_waiting.erase(waiter);
-        if (entry != nullptr && entry->fate != KeyFate::NotRun) {
-            answerKnown(*entry, {.attempt = waiter, .key = intent.key, .fingerprint = call.fingerprint});
+        if (entry && entry->fate != KeyFate::NotRun) {
+            answerKnown(*entry, {.attempt = waiter, .key = key, .fingerprint = call.fingerprint});
         } else {
             redirect(waiter);
         }
     }
 }
 
+/**
+ * A record of this process may have landed among those that expired unread. Appending it again under its number is no
+ * way out: readers who saw it skip the second, while this process would take it for the first.
+ */
+void KeyGate::settleLost(const KeyRecord &record)
+{
+    std::visit(Visitor{
+                   [this](const KeyIntent &intent) {
+                       const auto *call = m_calls.find(intent.key);
+                       if (call != nullptr && call->state == CallState::Announced) {
+                           answerElsewhere(intent.key,
+                                           KeyEntry{.fingerprint = call->fingerprint, .fate = KeyFate::Unknown});
+                       }
+                   },
+                   [this](const KeyOutcome &outcome) {
+                       if (outcome.fate != KeyFate::NotRun) {
+                           m_writer.add(outcome);
+                       }
+                   },
+                   [this](const KeyClaim &) { m_claims.claimFolded(); },
+               },
+               record);
+}
+
 void KeyGate::settleOwnBatch(const KeyBatch &batch)
 {
     for (const auto &record : batch.records) {
@@ -390,30 +420,13 @@
     }
 }
 
-/** What the ledger knows by now needs no memory of its own. */
-void KeyGate::forgetRecorded(const KeyBatch &batch)
-{
-    for (const auto &record : batch.records) {
-        const auto *outcome = std::get_if<KeyOutcome>(&record);
-        if (outcome == nullptr) {
-            continue;
-        }
-        const auto unrecorded = m_unrecorded.find(outcome->key);
-        const auto *recorded = m_ledger.find(outcome->key);
-        // Of two runs the first of which was released, the ledger may know the first end only.
-        if (unrecorded != m_unrecorded.end() && recorded != nullptr && unrecorded->second.fate == recorded->fate) {
-            m_unrecorded.erase(unrecorded);
-        }
-    }
-}
-
 /** Calls that wait for their intent to be read back may run at once when the right to do without the log is there. */
 void KeyGate::runAnnouncedWithoutLog()
 {
     if (m_logWell) {
         return;
     }
-    for (auto &[key, call] : m_calls) {
+    for (auto &[key, call] : m_calls.calls()) {
         const bool waits = call.state == CallState::Announced && !call.waiters.empty();
         if (waits && m_claims.mayRunWithoutLog(m_ledger, key.time())) {
             // The intent on its way was written before the right was there, and may be void.
@@ -427,29 +440,25 @@
 /** Answers the calls that wait for their intent though another process has run them, as a hand-over has shown. */
 void KeyGate::settleInherited()
 {
-    for (auto next = m_calls.begin(); next != m_calls.end();) {
-        const auto call = next++;
-        const auto entry = known(call->first);
+    std::vector<Uuid7> runElsewhere;
+    for (const auto &[key, call] : m_calls.calls()) {
+        const auto entry = m_unrecorded.known(key, m_ledger);
         const bool ours = entry && entry->runner == m_self && entry->fate == KeyFate::Open;
-        if (call->second.state != CallState::Announced || !entry || ours || entry->fate == KeyFate::NotRun) {
-            continue;
-        }
-        const auto waiters = std::move(call->second.waiters);
-        const auto fingerprint = call->second.fingerprint;
-        const auto key = call->first;
-        m_calls.erase(call);
-        for (const auto &waiter : waiters) {
-            m_waiting.erase(waiter);
-            answerKnown(*entry, {.attempt = waiter, .key = key, .fingerprint = fingerprint});
+        if (call.state == CallState::Announced && entry && !ours && entry->fate != KeyFate::NotRun) {
+            runElsewhere.push_back(key);
         }
     }
+    for (const auto &key : runElsewhere) {
+        answerElsewhere(key, m_unrecorded.known(key, m_ledger));
+    }
 }
 
-void KeyGate::conclude(const Uuid7 &key, const Call &call, KeyFate fate, const StoredAnswer &answer)
+void KeyGate::conclude(const Uuid7 &key, const OpenCall &call, KeyFate fate, const StoredAnswer &answer)
 {
-    m_unrecorded[key] = KeyEntry{.fingerprint = call.fingerprint, .runner = m_self, .fate = fate, .answer = answer};
-    m_writer.add(
-        KeyOutcome{.key = key, .fingerprint = call.fingerprint, .runner = m_self, .fate = fate, .answer = answer});
+    const KeyOutcome outcome{
+        .key = key, .fingerprint = call.fingerprint, .runner = m_self, .fate = fate, .answer = answer};
+    m_unrecorded.note(outcome);
+    m_writer.add(outcome);
 }
 
 void KeyGate::answer(const AttemptId &attempt, KeyReply reply)
@@ -517,26 +526,7 @@
     if (!m_claims.mayRelease(to, request, m_ledger)) {
         return;
     }
-    std::vector<KeyRecord> knownRecords;
-    const auto addEntry = [&knownRecords](const Uuid7 &key, const KeyEntry &entry) {
-        if (entry.fate == KeyFate::Open) {
-            knownRecords.emplace_back(KeyIntent{.key = key, .fingerprint = entry.fingerprint, .runner = entry.runner});
-            return;
-        }
-        knownRecords.emplace_back(KeyOutcome{.key = key,
-                                             .fingerprint = entry.fingerprint,
-                                             .runner = entry.runner,
-                                             .fate = entry.fate,
-                                             .answer = entry.answer});
-    };
-    if (request.withRight) {
-        for (const auto &[key, entry] : m_ledger.entries()) {
-            addEntry(key, entry);
-        }
-        for (const auto &[key, entry] : m_unrecorded) {
-            addEntry(key, entry);
-        }
-    }
+    auto knownRecords = request.withRight ? m_unrecorded.snapshot(m_ledger) : std::vector<KeyRecord>{};
     const auto unconfirmed = m_writer.unconfirmed();
     if (knownRecords.size() > MaxHandOverRecords || unconfirmed.size() > MaxHandOverRecords) {
         return;
@@ -559,32 +549,20 @@
     }
     ++m_counters.inherited;
     for (const auto &record : reply.known) {
-        keepInherited(record);
+        m_unrecorded.note(record);
     }
     for (const auto &record : reply.unrecorded) {
-        keepInherited(record);
+        m_unrecorded.note(record);
         m_writer.add(record);
     }
     settleInherited();
 }
 
-void KeyGate::keepInherited(const KeyRecord &record)
-{
-    if (const auto *intent = std::get_if<KeyIntent>(&record)) {
-        m_unrecorded[intent->key] = KeyEntry{.fingerprint = intent->fingerprint, .runner = intent->runner};
-    }
-    if (const auto *outcome = std::get_if<KeyOutcome>(&record)) {
-        m_unrecorded[outcome->key] = KeyEntry{.fingerprint = outcome->fingerprint,
-                                              .runner = outcome->runner,
-                                              .fate = outcome->fate,
-                                              .answer = outcome->answer};
-    }
-}
-
 /** Does what has become possible by the last event. */
 void KeyGate::drive(WallTime now)
 {
     runAnnouncedWithoutLog();
+    decideParked(now);
     if (m_logWell && m_caughtUp) {
         if (const auto claim = m_claims.nextClaim(m_ledger, now)) {
             m_writer.add(*claim);
--- a/modules/heatherridge_coordination/keys/keygate.h
+++ b/modules/heatherridge_coordination/keys/keygate.h
@@ -3,6 +3,8 @@
 #include "heatherridge_coordination/keys/batchwriter.h"
 #include "heatherridge_coordination/keys/claimkeeper.h"
 #include "heatherridge_coordination/keys/keyaction.h"
+#include "heatherridge_coordination/keys/opencalls.h"
+#include "heatherridge_coordination/keys/unrecordedkeys.h"
 #include "heatherridge_coordination/keys/witnessbook.h"
 
 #include <map>
@@ -47,6 +49,7 @@
         std::chrono::milliseconds window = std::chrono::hours(24); ///< older keys are refused
         std::size_t maxCalls = 4096; ///< calls announced or running
         std::size_t maxWaiters = 8; ///< tries that wait for one run
+        std::chrono::milliseconds parkTime{1500}; ///< how long a try waits for a take-over of the shard to end
         KeySafeguards safeguards{};
     };
 
@@ -68,7 +71,7 @@
     KeyActions read(LogOffset offset, std::optional<KeyBatch> batch, WallTime now);
 
     /** The records up to @p through have expired unread. */
-    void recordsLost(LogOffset through);
+    KeyActions recordsLost(LogOffset through);
 
     /** Reading has come to the end of the stream: from here on claims may be made. */
     KeyActions caughtUp(WallTime now);
@@ -104,32 +107,23 @@
     const KeyGateCounters &counters() const;
 
 private:
-    enum class CallState {
-        Announced, ///< its intent waits or is on its way
-        Running,
-    };
-
-    struct Call
-    {
-        RequestFingerprint fingerprint{};
-        CallState state = CallState::Announced;
-        std::vector<AttemptId> waiters{};
-    };
-
     bool isNew(const AttemptId &attempt);
-    std::optional<KeyEntry> known(const Uuid7 &key) const;
-    void join(Call &call, const KeyedCall &asked);
+    void decide(const KeyedCall &asked, WallTime now);
+    void join(const OpenCall &call, const KeyedCall &asked);
     void answerKnown(const KeyEntry &entry, const KeyedCall &asked);
     void admit(const KeyedCall &asked, bool released, WallTime now);
+    std::optional<ErrorKind> datingFault(WallTime time, WallTime now);
+    void decideParked(WallTime now);
     void announce(const KeyedCall &asked);
     void startWithoutLog(const KeyedCall &asked);
-    void run(const Uuid7 &key, Call &call);
+    void run(const Uuid7 &key, OpenCall &call);
     void settleIntent(const KeyIntent &intent);
+    void settleLost(const KeyRecord &record);
     void settleOwnBatch(const KeyBatch &batch);
-    void forgetRecorded(const KeyBatch &batch);
     void runAnnouncedWithoutLog();
     void settleInherited();
-    void conclude(const Uuid7 &key, const Call &call, KeyFate fate, const StoredAnswer &answer);
+    void answerElsewhere(const Uuid7 &key, const std::optional<KeyEntry> &entry);
+    void conclude(const Uuid7 &key, const OpenCall &call, KeyFate fate, const StoredAnswer &answer);
     void answer(const AttemptId &attempt, KeyReply reply);
     void refuse(const AttemptId &attempt, ErrorKind kind, std::optional<Ran> ran = {});
     void redirect(const AttemptId &attempt);
@@ -137,7 +131,6 @@
     void handle(const GateId &from, const KeyMessage &message, WallTime now);
     void handOver(const GateId &to, const ReleaseRequest &request);
     void inherit(const ReleaseReply &reply);
-    void keepInherited(const KeyRecord &record);
     void drive(WallTime now);
     void flush();
     KeyActions takeActions();
@@ -148,9 +141,8 @@
     ClaimKeeper m_claims;
     WitnessBook m_witness;
     BatchWriter m_writer;
-    std::map<Uuid7, Call> m_calls;
-    std::map<AttemptId, Uuid7> m_waiting; ///< which call each waiting try belongs to
-    std::map<Uuid7, KeyEntry> m_unrecorded; ///< known here, perhaps not in the ledger yet
+    OpenCalls m_calls;
+    UnrecordedKeys m_unrecorded;
     std::map<GateId, std::uint64_t> m_seen; ///< highest number of each entry's run
     std::optional<std::pair<GateId, ReleaseReply>> m_handOver; ///< kept for a receiver that asks again
     KeyActions m_actions;
--- a/modules/heatherridge_transport/target/keyshardlink.cpp
+++ b/modules/heatherridge_transport/target/keyshardlink.cpp
@@ -110,7 +110,7 @@
 {
     if (page.first > next(m_read)) {
         m_read = static_cast<LogOffset>(toNumber(page.first) - 1);
-        m_gate.recordsLost(m_read);
+        perform(m_gate.recordsLost(m_read));
     }
     for (const auto &record : page.records) {
         if (record.offset > m_read) {
--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -15,6 +15,9 @@
 /** A changed load is reported five times a second, an unchanged one every two seconds as a sign of life. */
 constexpr int TicksPerReport = 20;
 constexpr int TicksPerSignOfLife = 200;
+/** A call with a key is waited for beyond its deadline: its outcome is worth knowing though its caller has left. */
+constexpr std::chrono::seconds KeyedGrace{30};
+constexpr std::chrono::seconds NoGrace{0};
 /** Longest answer to a call with an idempotency key, which is passed on in one piece. */
 constexpr std::size_t MostKeyedAnswer = 4UL << 20U;
 /** Requests that may wait for the configuration they rely on. */
@@ -293,7 +296,7 @@
     work->call = m_client->stream(
         {.endpoint = self()->backend,
          .request = backendRequest(work->request),
-         .timeout = std::max(timeout, std::chrono::milliseconds(1)),
+         .timeout = std::max(timeout, std::chrono::milliseconds(1)) + (work->key ? KeyedGrace : NoGrace),
          .reuseConnection = work->request.mayRepeat},
         {.head = [this, work](int status, const std::vector<HttpHeader> &headers) { takeHead(work, status, headers); },
          .data = [this, work](std::string_view bytes) { return takeData(work, bytes); },
--- a/tests/keymodel/keyworld.cpp
+++ b/tests/keymodel/keyworld.cpp
@@ -365,7 +365,7 @@
     const auto first = m_log.empty() ? m_lastOffset + 1 : m_log.begin()->first;
     if (first > node.readTo + 1) {
         node.readTo = first - 1;
-        node.gate->recordsLost(static_cast<LogOffset>(node.readTo));
+        act(node, node.gate->recordsLost(static_cast<LogOffset>(node.readTo)));
     }
     const auto until = std::min(m_lastOffset, node.readTo + 1 + m_random.below(4));
     while (node.readTo < until) {
--- a/tests/keymodel/keyworld_test.cpp
+++ b/tests/keymodel/keyworld_test.cpp
@@ -60,11 +60,22 @@
 {
     const char *name;
     bool KeySafeguards::*safeguard;
+    FaultProfile profile = {};
 };
 
+/** Appends that land late and unseen, by gates that have lost the shard meanwhile. */
+const FaultProfile LateAppends{.loss = 20,
+                               .doubling = 190,
+                               .lostAppends = 690,
+                               .crash = 4,
+                               .pause = 6,
+                               .outage = 16,
+                               .placement = 22,
+                               .cancel = 9};
+
 const SafeguardRow SafeguardRows[] = {
-    {"claimsCompareOffset", &KeySafeguards::claimsCompareOffset},
-    {"onlyHolderAnnounces", &KeySafeguards::onlyHolderAnnounces},
+    {"claimsCompareOffset", &KeySafeguards::claimsCompareOffset, LateAppends},
+    {"onlyHolderAnnounces", &KeySafeguards::onlyHolderAnnounces, LateAppends},
     {"intentsReadBack", &KeySafeguards::intentsReadBack},
     {"witnessesAsked", &KeySafeguards::witnessesAsked},
     {"witnessesFrozen", &KeySafeguards::witnessesFrozen},
@@ -86,7 +97,7 @@
     KeySafeguards safeguards;
     safeguards.*GetParam().safeguard = false;
     for (int schedule = 0; schedule < SchedulesPerSafeguard; ++schedule) {
-        KeyWorld world(static_cast<std::uint64_t>(schedule), {}, safeguards);
+        KeyWorld world(static_cast<std::uint64_t>(schedule), GetParam().profile, safeguards);
         world.run(StepsPerSchedule);
         if (!world.violation().empty()) {
             RecordProperty("schedules", schedule + 1);
