--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -83,7 +83,7 @@
     bool followRedirect(const Call &call, const TargetName &askAt);
     void place(const Call &call, const TargetName &target, std::chrono::milliseconds left);
     void finish(const Call &call, const std::string &outcome);
-    void fail(const Call &call, const Error &reason);
+    void fail(const Call &call, Error error);
     void cancelAtTarget(const Call &call);
     void callerGone(const RequestId &id);
     void leaveTarget(EntryCall &call, Attempt attempt);
--- a/tests/e2e_keys/bookings_test.cpp
+++ b/tests/e2e_keys/bookings_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <csignal>
 #include <functional>
 #include <iostream>
@@ -208,11 +209,16 @@
         keys.push_back(newKey(number));
         calls.push_back(bookingCall(site, 0, keys.back()));
     }
-    std::thread fault([&site] {
-        std::this_thread::sleep_for(100ms); // places the fault among the calls; the verdict holds wherever it falls
+    std::atomic<bool> allAnswered{false};
+    const auto before = executions(site).size();
+    std::thread fault([&] {
+        while (executions(site).size() < before + Bookings / 4 && !allAnswered) {
+            std::this_thread::sleep_for(5ms); // between two looks
+        }
         GetParam().middle(site);
     });
     const auto first = callAll(calls);
+    allAnswered = true;
     fault.join();
     const auto early = executions(site);
     Tally tally;
