--- a/modules/heatherridge_coordination/keys/keygate.cpp
+++ b/modules/heatherridge_coordination/keys/keygate.cpp
@@ -292,9 +292,13 @@
     const auto &placement = m_claims.placement();
     if (const auto fault = datingFault(time, now)) {
         refuse(asked.attempt, *fault);
-    } else if (!placement.accepting) {
+        return;
+    }
+    if (!placement.accepting) {
         redirect(asked.attempt);
-    } else if (m_calls.size() >= m_options.maxCalls) {
+        return;
+    }
+    if (m_calls.size() >= m_options.maxCalls) {
         ++m_counters.full;
         refuse(asked.attempt, ErrorKind::QueueFull, Ran::Unknown);
     } else if (m_logWell && holder && !released && !m_ledger.canDecide(time)) {
--- a/tests/e2e_keys/bookings_test.cpp
+++ b/tests/e2e_keys/bookings_test.cpp
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <functional>
@@ -277,4 +278,44 @@
     EXPECT_EQ(callAll({badKey}).front().status, 400);
 }
 
+struct LatencyRow
+{
+    const char *name;
+    const char *logFaults;
+    bool keyed;
+};
+
+const LatencyRow LatencyRows[] = {
+    {"no key", R"({"out":0})", false},
+    {"key, log well", R"({"out":0})", true},
+    {"key, log slow by 50 ms", R"({"slow-ms":50})", true},
+    {"key, log out", R"({"out":1,"slow-ms":0})", true},
+};
+
+// Not a verdict on time: prints what a booking costs, one after the other, in one run, and holds that each is booked.
+TEST(BookingLatency, IsMeasuredWithTheLogWellSlowAndOut)
+{
+    constexpr std::size_t count = 100;
+    TestSite site({.engines = 0, .plains = Plains, .entries = 1});
+    warmUp(site);
+    for (const auto &row : LatencyRows) {
+        setFault(site.log(), row.logFaults);
+        std::vector<std::chrono::microseconds> times;
+        for (std::size_t number = 0; number < count; ++number) {
+            auto call = bookingCall(site, 0, newKey(number));
+            if (!row.keyed) {
+                call.request.headers.pop_back();
+            }
+            const auto begin = std::chrono::steady_clock::now();
+            const auto answer = callAll({call}).front();
+            times.push_back(
+                std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::steady_clock::now() - begin));
+            EXPECT_TRUE(isBooked(answer)) << row.name << answer.body;
+        }
+        std::sort(times.begin(), times.end());
+        std::cout << row.name << ": median " << times[count / 2].count() << " us, 95% "
+                  << times[count * 95 / 100].count() << " us, longest " << times.back().count() << " us\n";
+    }
+}
+
 } // namespace
