Let a burst of appends out at once, and outcomes go with the next intent

Cause: with a fixed pause of 20 ms between a shard's appends, a lone outcome held up the next intent: the 99th percentile of added latency was 38.7 ms at 50 bookings/s.

Change: a shard may make ten appends at once and keeps to the pause in the long run; an outcome waits for the next intent or tick.

Figures (benchmarks/keycommit, virtual clock): 99th percentile at 50 bookings/s 38.7 -> 13.1 ms, at 5 bookings/s 17.7 -> 8.3 ms; 200 appends/s at most, as before.

--- a/benchmarks/keycommit.cpp
+++ b/benchmarks/keycommit.cpp
@@ -24,6 +24,8 @@
 constexpr Micros ServiceTime{10'000};
 constexpr Micros RunFor{20'000'000};
 constexpr Micros AppendPause{20'000};
+constexpr int AppendBurst = 10;
+constexpr Micros TickPeriod{50'000};
 
 struct Scenario
 {
@@ -42,7 +44,7 @@
 
     KeyGate gate;
     std::uint64_t offset = 0;
-    Micros lastAppend{-AppendPause};
+    Micros nextAppend{0};
 };
 
 class Simulation
@@ -63,6 +65,7 @@
     void run()
     {
         at(Micros(1'000'000), [this] { arrive(); });
+        at(TickPeriod, [this] { tick(); });
         while (!m_events.empty() && m_events.top().due < RunFor) {
             const auto event = m_events.top();
             m_events.pop();
@@ -95,6 +98,14 @@
         m_events.push({.due = due, .order = ++m_order, .task = std::move(task)});
     }
 
+    void tick()
+    {
+        for (const auto &shard : m_shards) {
+            perform(*shard, shard->gate.tick(wall()));
+        }
+        at(m_now + TickPeriod, [this] { tick(); });
+    }
+
     void arrive()
     {
         const auto key = Uuid7::make(wall(), m_random.draw(), m_random.draw());
@@ -125,9 +136,10 @@
         const auto appends = m_scenario.grouped ? 1 : std::max<std::size_t>(batch.records.size(), 1);
         const auto pause = m_scenario.grouped ? AppendPause : Micros(0);
         const auto price = Micros(static_cast<std::int64_t>(1e6 / LogAppendsPerSecond)) * static_cast<int>(appends);
-        const auto begin = std::max({m_now, m_logFree, shard.lastAppend + pause});
+        const auto slot = std::max(shard.nextAppend, m_now - AppendBurst * pause);
+        shard.nextAppend = slot + pause;
+        const auto begin = std::max({m_now, m_logFree, slot});
         m_logFree = begin + price;
-        shard.lastAppend = begin;
         m_appends += appends;
         m_records += batch.records.size();
         m_bytes += encode(batch).size();
--- a/modules/heatherridge_coordination/keys/keygate.cpp
+++ b/modules/heatherridge_coordination/keys/keygate.cpp
@@ -86,7 +86,7 @@
     for (const auto &waiter : call.waiters) {
         std::visit([&](const auto &told) { answer(waiter, told); }, result);
     }
-    flush();
+    // The outcome goes with the next intent, or at the next tick: an append of its own would hold that intent up.
     return takeActions();
 }
 
--- a/modules/heatherridge_transport/target/keyshardlink.cpp
+++ b/modules/heatherridge_transport/target/keyshardlink.cpp
@@ -3,6 +3,8 @@
 #include "heatherridge_protocol/keyrecordcodec.h"
 #include "heatherridge_transport/app/logger.h"
 
+#include <algorithm>
+
 namespace Heatherridge
 {
 
@@ -10,6 +12,8 @@
 {
 
 constexpr std::size_t RecordsPerRead = 256;
+/** Appends that may go out without a pause after a quiet time. */
+constexpr int AppendBurst = 10;
 
 WallTime wallNow()
 {
@@ -51,8 +55,7 @@
     for (const auto &action : actions) {
         if (const auto *append = std::get_if<AppendBatch>(&action)) {
             const auto batch = std::make_shared<const KeyBatch>(append->batch);
-            const auto since = std::chrono::steady_clock::now() - m_lastAppend;
-            const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(m_options.appendPause - since);
+            const auto pause = reserveAppend();
             if (pause.count() <= 0) {
                 this->append(batch);
             } else {
@@ -68,6 +71,15 @@
     }
 }
 
+/** How long the next append has to wait, so that a burst goes out at once but a lasting load keeps to the pause. */
+std::chrono::milliseconds KeyShardLink::reserveAppend()
+{
+    const auto now = std::chrono::steady_clock::now();
+    const auto slot = std::max(m_nextAppend, now - AppendBurst * m_options.appendPause);
+    m_nextAppend = slot + m_options.appendPause;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::max(slot - now, SteadyTime::duration::zero()));
+}
+
 bool KeyShardLink::isLogWell() const
 {
     return m_logWell;
@@ -127,7 +139,6 @@
 
 void KeyShardLink::append(const std::shared_ptr<const KeyBatch> &batch)
 {
-    m_lastAppend = std::chrono::steady_clock::now();
     ++m_appends;
     m_records += batch->records.size();
     m_log.append(m_options.stream, encode(*batch),
--- a/modules/heatherridge_transport/target/keyshardlink.h
+++ b/modules/heatherridge_transport/target/keyshardlink.h
@@ -22,7 +22,7 @@
         StreamName stream{};
         std::chrono::milliseconds readWait{5000}; ///< how long a read waits for the next record
         std::chrono::milliseconds retryPause{250}; ///< before a failed read or append is made again
-        std::chrono::milliseconds appendPause{20}; ///< least time between two appends, for the log is everyone's
+        std::chrono::milliseconds appendPause{20}; ///< mean time between appends, for the log is everyone's
         KeyGate::Options gate{};
     };
 
@@ -51,6 +51,7 @@
     std::uint64_t recordsAppended() const;
 
 private:
+    std::chrono::milliseconds reserveAppend();
     void read();
     void takePage(const LogPage &page);
     void append(const std::shared_ptr<const KeyBatch> &batch);
@@ -63,7 +64,7 @@
     Perform m_perform;
     KeyGate m_gate;
     LogOffset m_read{};
-    SteadyTime m_lastAppend{};
+    SteadyTime m_nextAppend{}; ///< may lie in the past: what was saved up for a burst
     std::uint64_t m_appends = 0;
     std::uint64_t m_records = 0;
     bool m_logWell = false;
--- a/tests/keys/keygate_test.cpp
+++ b/tests/keys/keygate_test.cpp
@@ -193,6 +193,7 @@
         bench.request(1);
         bench.landAndRead();
         bench.take(bench.gate.served(Bench::keyOf(1), Error{.kind = ErrorKind::TargetUnreachable, .ran = Ran::No}));
+        bench.take(bench.gate.tick(Now));
         const auto release = bench.lastBatch;
         bench.landAndRead();
         bench.request(1);
