--- a/modules/heatherridge_transport/entry/callerrequest.cpp
+++ b/modules/heatherridge_transport/entry/callerrequest.cpp
@@ -191,8 +191,10 @@
         const auto answerTokens =
             std::min(given ? tokens->get<std::uint64_t>() : DefaultAnswerTokens, MostAnswerTokens);
         m_result.promptTokens = static_cast<double>(prompt.size()) / BytesPerToken;
-        m_result.submit.cost = answerTokens + static_cast<std::uint64_t>(m_result.promptTokens) + 1;
+        m_result.submit.cost =
+            static_cast<std::uint64_t>(requestCost(m_result.promptTokens, static_cast<double>(answerTokens)) + 1);
         m_result.affinityKey = XXH3_64bits(prompt.data(), std::min(prompt.size(), AffinityBytes));
+        m_result.prefixChain = PrefixIndex::chainOf(prompt);
     }
 
     Outcome findService()
--- a/modules/heatherridge_transport/entry/callerrequest.h
+++ b/modules/heatherridge_transport/entry/callerrequest.h
@@ -14,6 +14,7 @@
     ModelName model{}; ///< empty for plain services
     double weight = 1; ///< of its workspace
     std::uint64_t affinityKey = 0; ///< hash of the prompt's beginning; 0 for none
+    std::vector<std::uint64_t> prefixChain{}; ///< hashes of the prompt's blocks, as PrefixIndex counts them
     double promptTokens = 0; ///< estimate
     std::chrono::milliseconds timeout{}; ///< until its deadline, from its arrival
     bool streams = false; ///< the answer is a stream of events
--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "heatherridge_coordination/heatherridge_coordination.h"
+#include "heatherridge_protocol/attemptid.h"
 #include "heatherridge_state/keys/keyshards.h"
 #include "heatherridge_transport/entry/callerrequest.h"
+#include "heatherridge_transport/entry/callerstream.h"
 #include "heatherridge_transport/entry/streamresume.h"
 #include "heatherridge_transport/http/httpserver.h"
 
@@ -33,8 +35,9 @@
     std::optional<Uuid7> key{}; ///< set when gates see to it that it runs at most once, however often it is tried
     TargetName askAt{}; ///< where the last gate that was asked sent the call
     int redirects = 0; ///< how often that happened
-    AnswerAssembler assembler{AnswerAssembler::Options{}};
 
+    std::shared_ptr<CallerStream> stream{}; ///< the answer's body, once it has begun
+    AnswerAssembler assembler{AnswerAssembler::Options{}};
     std::optional<StreamResume> resume{}; ///< for an answer that another target can go on with
 
     /** Makes ready for an attempt that goes on behind what the caller has. Only when there is a resume. */
@@ -45,15 +48,4 @@
     }
 };
 
-/**
- * The id under which attempt number @p attempt of request @p id travels.
- *
- * A retry may reach a target that still has the attempt before it. Were both to travel under one id, frames of the
- * first could be taken for the second's, or the second be dropped as a double of the first.
- */
-RequestId attemptId(const RequestId &id, int attempt);
-
-/** The request that the attempt named @p id belongs to. */
-RequestId requestOfAttempt(const RequestId &id);
-
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -16,7 +16,6 @@
 {
 
 constexpr std::chrono::milliseconds LinkTick{10};
-constexpr std::chrono::hours NoReportAge{1};
 /** Gates of one service agree on a shard's holder within seconds; more hops than this are no way to find it. */
 constexpr int MostRedirects = 3;
 /** An attempt is worth making when about this much time is left for it. */
@@ -54,16 +53,6 @@
 
 } // namespace
 
-/** What this thread knows of one target beside the inventory. */
-struct EntryTraffic::KnownTarget
-{
-    LoadReport report{};
-    std::optional<SteadyTime> reportedAt{};
-    double ownLoad = 0;
-    double ownAtReport = 0;
-    std::uint32_t ownInFlight = 0;
-};
-
 EntryTraffic::EntryTraffic(Options options, Metrics &metrics, RequestJournal &journal)
     : m_options(std::move(options))
     , m_metrics(metrics)
@@ -111,10 +100,7 @@
         }
         m_view = view;
         m_links->follow(*view->inventory);
-        std::erase_if(m_targets, [&view](const auto &entry) { return view->inventory->find(entry.first) == nullptr; });
-        for (const auto &[name, target] : view->inventory->targets()) {
-            m_health.add(name);
-        }
+        m_book.follow(*view->inventory);
     });
 }
 
@@ -141,10 +127,7 @@
     std::vector<TargetStatus> statuses;
     m_loop.run([this, &statuses] {
         for (const auto &[name, target] : m_view->inventory->targets()) {
-            const auto known = m_targets.find(name);
-            statuses.push_back({.target = name,
-                                .isUp = m_links->isUp(name),
-                                .report = known == m_targets.end() ? LoadReport{} : known->second.report});
+            statuses.push_back({.target = name, .isUp = m_links->isUp(name), .report = m_book.reportOf(name)});
         }
     });
     return statuses;
@@ -159,7 +142,6 @@
         fail(call, Error{.kind = ErrorKind::BadIdempotencyKey, .detail = "a UUID of version 7 is needed"});
         return;
     }
-    m_retries.recordFirstAttempt();
     attempt(call);
 }
 
@@ -176,11 +158,7 @@
         place(call, holder->name, left);
         return;
     }
-    std::vector<TargetView> views;
-    views.reserve(targets.size());
-    for (const auto *target : targets) {
-        views.push_back(viewOf(*target, *call, now));
-    }
+    const auto views = viewsOf(targets, *call, now);
     const auto &submit = call->request.submit;
     const auto choice = m_placement->choose(views,
                                             {.cost = static_cast<double>(submit.cost),
@@ -192,6 +170,8 @@
         fail(call, *error);
         return;
     }
+    const double fresh = call->request.promptTokens - views[std::get<std::size_t>(choice)].prefixTokens;
+    call->request.submit.freshTokens = static_cast<std::uint64_t>(std::max(0.0, fresh));
     place(call, targets[std::get<std::size_t>(choice)]->name, left);
 }
 
@@ -245,9 +225,7 @@
     call->target = target;
     call->sent = std::chrono::steady_clock::now();
     ++call->attempts;
-    auto &known = m_targets[target];
-    known.ownLoad += static_cast<double>(submit.cost);
-    ++known.ownInFlight;
+    m_book.recordSent(target, submit, call->request.prefixChain, call->sent);
     call->request.submit.timeLeft = left;
     call->request.submit.attempt = call->attempts;
     call->request.submit.id = attemptId(call->id, call->attempts);
@@ -282,30 +260,23 @@
     return m_view->takesWork(target) && m_links->isUp(target.name) && !call.tried.contains(target.name);
 }
 
-TargetView EntryTraffic::viewOf(const Target &target, const EntryCall &call, SteadyTime now)
+std::vector<TargetView> EntryTraffic::viewsOf(const std::vector<const Target *> &targets, const EntryCall &call,
+                                              SteadyTime now) const
 {
-    const auto &known = m_targets[target.name];
-    const auto health = m_health.healthOf(target.name, now);
-    const auto age = known.reportedAt ? now - *known.reportedAt : NoReportAge;
-    return TargetView{.key = keyOf(target.name),
-                      .zoneDelay = m_view->inventory->delayBetween(m_options.zone, target.zone),
-                      .reportedLoad =
-                          static_cast<double>((known.report.running + known.report.queued) * call.request.submit.cost),
-                      .reportAge = std::chrono::duration_cast<std::chrono::microseconds>(age),
-                      .ownAtReport = known.ownAtReport,
-                      .ownLoad = known.ownLoad,
-                      .ownInFlight = known.ownInFlight,
-                      .usable = isUsable(target, call) && !known.report.draining && health != Health::Ejected,
-                      .probe = health == Health::Probing};
+    auto views = m_book.viewsOf(targets, call.request.prefixChain, now);
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        const bool reachable = isUsable(*targets[index], call);
+        views[index].zoneDelay = m_view->inventory->delayBetween(m_options.zone, targets[index]->zone);
+        views[index].usable = views[index].usable && reachable;
+        views[index].probe = views[index].probe && reachable;
+    }
+    return views;
 }
 
 void EntryTraffic::received(const TargetName &target, const TrafficMessage &message)
 {
     if (const auto *report = std::get_if<LoadReport>(&message)) {
-        auto &known = m_targets[target];
-        known.report = *report;
-        known.reportedAt = std::chrono::steady_clock::now();
-        known.ownAtReport = known.ownLoad;
+        m_book.takeReport(*report, std::chrono::steady_clock::now());
         return;
     }
     const auto id = std::visit(
@@ -337,6 +308,7 @@
 
 void EntryTraffic::linkDown(const TargetName &target)
 {
+    m_book.recordDown(target);
     std::vector<Call> lost;
     for (const auto &[id, call] : m_calls) {
         if (call->target == target) {
@@ -363,6 +335,7 @@
     }
     m_firstByte.record(microsecondsSince(call->arrived));
     call->exchange->beginStream(head.status, passedBackHeaders(head));
+    beginBody(call);
 }
 
 void EntryTraffic::takeChunk(const Call &call, const AnswerChunk &chunk)
@@ -384,7 +357,7 @@
         }
         const auto &taken = std::get<StreamBytes>(events);
         if (taken.repeated > 0) {
-            m_links->send(call->target, GrantCredit{.id = call->id, .bytes = taken.repeated});
+            m_links->send(call->target, GrantCredit{.id = call->request.submit.id, .bytes = taken.repeated});
         }
         passOn(call, taken.passOn);
     } else {
@@ -397,7 +370,8 @@
 
 void EntryTraffic::takeEnd(const Call &call, const AnswerEnd &end)
 {
-    auto outcome = call->assembler.end(end.chunks);
+    auto outcome = call->answerBegun ? call->assembler.end(end.chunks)
+                                     : Outcome(Error{.kind = ErrorKind::StreamBroken, .detail = "end before the head"});
     if (const auto *error = errorIn(outcome)) {
         cancelAtTarget(call);
         fail(call, *error);
@@ -408,24 +382,24 @@
     }
 }
 
-void EntryTraffic::passOn(const Call &call, const Bytes &bytes)
+void EntryTraffic::beginBody(const Call &call)
 {
-    if (bytes.empty()) {
-        return;
-    }
     // The target may send as much again only once the bytes have left: a slow caller holds back its own engine
     // stream instead of filling this process.
-    const GrantCredit grant{.id = call->request.submit.id, .bytes = bytes.size()};
-    const auto written = [this, id = call->id, target = call->target, grant](bool sent) {
-        m_loop.post([this, id, target, grant, sent] {
-            if (!sent) {
-                callerGone(id);
-            } else if (m_calls.contains(id)) {
-                m_links->send(target, grant);
-            }
-        });
+    const auto written = [this, id = call->id](std::size_t bytes) {
+        const auto entry = m_calls.find(id);
+        if (entry != m_calls.end() && !entry->second->target.isEmpty()) {
+            m_links->send(entry->second->target, GrantCredit{.id = entry->second->request.submit.id, .bytes = bytes});
+        }
     };
-    call->exchange->write(std::string(bytes.begin(), bytes.end()), written);
+    call->stream = std::make_shared<CallerStream>(
+        call->exchange, m_loop,
+        CallerStream::Events{.written = written, .gone = [this, id = call->id] { callerGone(id); }});
+}
+
+void EntryTraffic::passOn(const Call &call, const Bytes &bytes)
+{
+    call->stream->write({reinterpret_cast<const char *>(bytes.data()), bytes.size()});
 }
 
 void EntryTraffic::leaveTarget(EntryCall &call, Attempt attempt)
@@ -433,10 +407,8 @@
     if (call.target.isEmpty()) {
         return;
     }
-    auto &known = m_targets[call.target];
-    known.ownLoad -= static_cast<double>(call.request.submit.cost);
-    known.ownInFlight -= known.ownInFlight > 0 ? 1 : 0;
-    m_health.record(call.target, attempt, std::chrono::steady_clock::now());
+    m_book.recordLeft(call.target, static_cast<double>(call.request.submit.cost), attempt,
+                      std::chrono::steady_clock::now());
     call.target = TargetName();
     if (call.timer) {
         call.timer->cancel();
@@ -451,7 +423,8 @@
     call->askAt = TargetName();
     const bool refused = error.ranOrDefault() == Ran::No;
     const auto now = std::chrono::steady_clock::now();
-    leaveTarget(*call, refused ? Attempt::Succeeded : Attempt::Failed);
+    const bool unreachable = error.kind == ErrorKind::TargetUnreachable;
+    leaveTarget(*call, refused && !unreachable ? Attempt::Succeeded : Attempt::Failed);
     const auto others = candidates(*call);
     const FailedAttempt failed{
         .error = error,
@@ -460,7 +433,7 @@
         .resumes = call->resume.has_value(),
         .otherTargets =
             std::any_of(others.begin(), others.end(), [&](const Target *target) { return isUsable(*target, *call); }),
-        .attempt = call->attempts,
+        .attempt = call->attempts - 1,
         .deadline = call->deadline,
         .expectedDuration = ShortestAttempt};
     const auto decision = m_retries.decide(failed, now, m_random);
@@ -489,7 +462,8 @@
 void EntryTraffic::finish(const Call &call, const std::string &outcome)
 {
     leaveTarget(*call, Attempt::Succeeded);
-    call->exchange->end();
+    m_retries.recordSuccess();
+    call->stream->end();
     m_answers.add();
     m_whole.record(microsecondsSince(call->arrived));
     m_journal.finish(call->id, outcome);
@@ -515,9 +489,9 @@
         call->exchange->respond(problemResponse(error, call->id));
     } else {
         if (call->request.streams) {
-            call->exchange->write(problemEvent(error, call->id), [](bool) {});
+            call->stream->write(problemEvent(error, call->id));
         }
-        call->exchange->abort();
+        call->stream->abort();
     }
     m_journal.finish(call->id, kind);
     m_calls.erase(call->id);
--- a/modules/heatherridge_transport/target/backendwork.h
+++ b/modules/heatherridge_transport/target/backendwork.h
@@ -26,6 +26,8 @@
     std::uint64_t sentBytes = 0;
     std::uint64_t creditedBytes = 0; ///< of those sent, how many the entry has passed on
     bool paused = false;
+    bool wasPaused = false; ///< the next chunk's gap is the caller's, not the engine's
+    std::optional<SteadyTime> lastChunk{};
     std::optional<Uuid7> key{}; ///< set for a call of KeyedCalls, which gets the whole answer instead of the entry
     StoredAnswer answer{}; ///< collected for it
 };
