--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_coordination/heatherridge_coordination.h"
 #include "heatherridge_protocol/attemptid.h"
+#include "heatherridge_state/keys/keyshards.h"
 #include "heatherridge_transport/entry/callerrequest.h"
 #include "heatherridge_transport/entry/callerstream.h"
 #include "heatherridge_transport/entry/streamresume.h"
@@ -31,6 +32,10 @@
     int attempts = 0;
     bool answerBegun = false; ///< the caller has the head
     bool mayHaveRun = false; ///< an earlier attempt ended without proof that it did not run
+    std::optional<Uuid7> key{}; ///< set when gates see to it that it runs at most once, however often it is tried
+    TargetName askAt{}; ///< where the last gate that was asked sent the call
+    int redirects = 0; ///< how often that happened
+
     std::shared_ptr<CallerStream> stream{}; ///< the answer's body, once it has begun
     AnswerAssembler assembler{AnswerAssembler::Options{}};
     std::optional<StreamResume> resume{}; ///< for an answer that another target can go on with
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -16,6 +16,8 @@
 {
 
 constexpr std::chrono::milliseconds LinkTick{10};
+/** Gates of one service agree on a shard's holder within seconds; more hops than this are no way to find it. */
+constexpr int MostRedirects = 3;
 /** An attempt is worth making when about this much time is left for it. */
 constexpr std::chrono::milliseconds ShortestAttempt{5};
 
@@ -137,6 +139,10 @@
     m_calls.emplace(call->id, call);
     m_journal.note(call->id, "arrived", {}, call->request.submit.service.text());
     call->exchange->onClosed([this, id = call->id] { m_loop.post([this, id] { callerGone(id); }); });
+    if (!readKey(*call)) {
+        fail(call, Error{.kind = ErrorKind::BadIdempotencyKey, .detail = "a UUID of version 7 is needed"});
+        return;
+    }
     attempt(call);
 }
 
@@ -149,6 +155,10 @@
         return;
     }
     const auto targets = candidates(*call);
+    if (const auto *holder = holderFor(*call, targets)) {
+        place(call, holder->name, left);
+        return;
+    }
     const auto views = viewsOf(targets, *call, now);
     const auto &submit = call->request.submit;
     const auto choice = m_placement->choose(views,
@@ -161,13 +171,62 @@
         fail(call, *error);
         return;
     }
-    const auto &target = targets[std::get<std::size_t>(choice)]->name;
-    call->target = target;
-    call->sent = now;
-    ++call->attempts;
     const double fresh = call->request.promptTokens - views[std::get<std::size_t>(choice)].prefixTokens;
     call->request.submit.freshTokens = static_cast<std::uint64_t>(std::max(0.0, fresh));
-    m_book.recordSent(target, submit, call->request.prefixChain, now);
+    place(call, targets[std::get<std::size_t>(choice)]->name, left);
+}
+
+/** Whether @p call may go on: a call that may not be repeated has no key, or one that gates can date. */
+bool EntryTraffic::readKey(EntryCall &call) const
+{
+    const auto &submit = call.request.submit;
+    const auto targets = candidates(call);
+    const bool isPlain = !targets.empty() && targets.front()->kind == TargetKind::Plain;
+    if (!isPlain || submit.mayRepeat || submit.key.isEmpty()) {
+        return true;
+    }
+    call.key = Uuid7::parse(submit.key.text());
+    return call.key.has_value();
+}
+
+/** Where a call with a key goes: where a gate has sent it, else to the likely holder of its shard. */
+const Target *EntryTraffic::holderFor(const EntryCall &call, const std::vector<const Target *> &targets) const
+{
+    if (!call.key) {
+        return nullptr;
+    }
+    const auto *asked = m_view->inventory->find(call.askAt);
+    if (asked != nullptr && m_links->isUp(asked->name)) {
+        return asked; // withdrawn or not: it knows the key's past, and takes no new work by itself
+    }
+    const auto ranked = holdersOf(*m_view->inventory, call.request.submit.service, shardOf(*call.key));
+    const auto usable = std::find_if(ranked.begin(), ranked.end(), [&](const Target *target) {
+        return isUsable(*target, call) && std::find(targets.begin(), targets.end(), target) != targets.end();
+    });
+    return usable == ranked.end() ? nullptr : *usable;
+}
+
+/** Tries the call at once where a gate has sent it; false when that leads nowhere. */
+bool EntryTraffic::followRedirect(const Call &call, const TargetName &askAt)
+{
+    if (!call->key || askAt.isEmpty() || !m_links->isUp(askAt) || call->redirects >= MostRedirects) {
+        return false;
+    }
+    ++call->redirects;
+    m_journal.note(call->id, "redirected", askAt);
+    leaveTarget(*call, Attempt::Succeeded);
+    call->askAt = askAt;
+    attempt(call);
+    return true;
+}
+
+void EntryTraffic::place(const Call &call, const TargetName &target, std::chrono::milliseconds left)
+{
+    const auto &submit = call->request.submit;
+    call->target = target;
+    call->sent = std::chrono::steady_clock::now();
+    ++call->attempts;
+    m_book.recordSent(target, submit, call->request.prefixChain, call->sent);
     call->request.submit.timeLeft = left;
     call->request.submit.attempt = call->attempts;
     call->request.submit.id = attemptId(call->id, call->attempts);
@@ -247,6 +306,9 @@
                        [&](const AnswerChunk &chunk) { takeChunk(call, chunk); },
                        [&](const AnswerEnd &end) { takeEnd(call, end); },
                        [&](const AnswerError &error) {
+                           if (followRedirect(call, error.askAt)) {
+                               return;
+                           }
                            attemptFailed(call,
                                          Error{.kind = error.kind,
                                                .detail = error.detail,
@@ -372,6 +434,7 @@
     m_journal.note(call->id, "attempt-failed", call->target, std::string(answerFor(error.kind).name));
     call->tried.insert(call->target);
     const bool targetLost = !m_links->isUp(call->target);
+    call->askAt = TargetName();
     const bool refused = error.ranOrDefault() == Ran::No;
     const auto now = std::chrono::steady_clock::now();
     const bool unreachable = error.kind == ErrorKind::TargetUnreachable;
@@ -379,7 +442,7 @@
     const auto others = candidates(*call);
     const FailedAttempt failed{
         .error = error,
-        .idempotent = call->request.submit.mayRepeat,
+        .idempotent = call->request.submit.mayRepeat || call->key.has_value(),
         .answerBegun = call->answerBegun,
         .targetLost = targetLost,
         .resumes = call->resume.has_value(),
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -81,6 +81,10 @@
     void beginBody(const Call &call);
     void passOn(const Call &call, const Bytes &bytes);
     void attemptFailed(const Call &call, const Error &error);
+    bool readKey(EntryCall &call) const;
+    const Target *holderFor(const EntryCall &call, const std::vector<const Target *> &targets) const;
+    bool followRedirect(const Call &call, const TargetName &askAt);
+    void place(const Call &call, const TargetName &target, std::chrono::milliseconds left);
     void finish(const Call &call, const std::string &outcome);
     void fail(const Call &call, Error error);
     void cancelAtTarget(const Call &call);
--- a/modules/heatherridge_transport/target/backendwork.h
+++ b/modules/heatherridge_transport/target/backendwork.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_protocol/heatherridge_protocol.h"
+#include "heatherridge_state/keys/keyrecord.h"
 #include "heatherridge_transport/cxx17/peersocket.h"
 #include "heatherridge_transport/http/httpclient.h"
 
@@ -27,6 +28,8 @@
     bool paused = false;
     bool wasPaused = false; ///< the next chunk's gap is the caller's, not the engine's
     std::optional<SteadyTime> lastChunk{};
+    std::optional<Uuid7> key{}; ///< set for a call of KeyedCalls, which gets the whole answer instead of the entry
+    StoredAnswer answer{}; ///< collected for it
 };
 
 } // namespace Heatherridge
