--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -85,6 +85,28 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, HttpRoundTrip, testing::ValuesIn(ExchangeRows));
 
+// A handler holds exchanges it has not answered, as the long polls of a log do, when its server is stopped and goes.
+// The program used to crash at its end, now and then, as the exchange reached for the server's loop.
+TEST(HttpServer, AnExchangeMayOutliveItsServer)
+{
+    asio::io_context loop;
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    {
+        HttpServer server({.listen = {.address = "127.0.0.1"}},
+                          [&held, &loop](const std::shared_ptr<HttpExchange> &exchange) {
+                              held.push_back(exchange);
+                              loop.stop();
+                          });
+        const auto bound = std::get<Endpoint>(server.start());
+        HttpClient client(loop, {});
+        client.send({.endpoint = bound, .request = {.method = "GET", .path = "/"}}, [](const auto &) {});
+        loop.run();
+    }
+    ASSERT_EQ(held.size(), 1U);
+    held.front()->onClosed([] {});
+    held.clear();
+}
+
 TEST(HttpClient, ARefusedConnectionProvesThatNothingArrived)
 {
     Endpoint closed;
