Split what waits for a configuration and what the back end sees out of TargetTraffic

Read on the way: a call with a key that its gate lets run after its target left the inventory would have looked up a back end that is not there.

Change: HeldRequests and backendRequest/answerHead stand alone; such a call is refused as not run, which frees its key.

Conclusion: one job less in the largest file; it wants another split.

--- a/modules/heatherridge_transport/target/targettraffic.cpp
+++ b/modules/heatherridge_transport/target/targettraffic.cpp
@@ -1,10 +1,9 @@
 #include "heatherridge_transport/target/targettraffic.h"
 
-#include "heatherridge_protocol/attemptid.h"
 #include "heatherridge_transport/app/logger.h"
+#include "heatherridge_transport/target/backendrequest.h"
 
 #include <algorithm>
-#include <array>
 
 namespace Heatherridge
 {
@@ -22,26 +21,6 @@
 constexpr std::chrono::seconds NoGrace{0};
 /** Longest answer to a call with an idempotency key, which is passed on in one piece. */
 constexpr std::size_t MostKeyedAnswer = 4UL << 20U;
-/** Requests that may wait for the configuration they rely on. */
-constexpr std::size_t MostHeld = 1024;
-
-constexpr std::array<std::string_view, 4> HopHeaders{"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length"};
-
-HttpRequest backendRequest(const SubmitRequest &request)
-{
-    HttpRequest call{.method = request.method,
-                     .path = request.path,
-                     .query = request.query,
-                     .body = std::string(request.body.begin(), request.body.end())};
-    for (const auto &header : request.headers) {
-        call.headers.push_back({.name = header.name, .value = header.value});
-    }
-    // The request's id, not the attempt's: an engine repeats it in each event, and a resumed stream goes on only where
-    // its events are the ones that the caller has.
-    call.headers.push_back({.name = "X-Request-Id", .value = requestOfAttempt(request.id).text()});
-    call.headers.push_back({.name = "X-Priority", .value = std::to_string(request.priority)});
-    return call;
-}
 
 /** Whether the back end's work may be cut when nobody waits for it: it has no effect beside its answer. */
 bool mayCut(const BackendWork &work)
@@ -225,28 +204,20 @@
         admit(entry, request, now);
         return;
     }
-    // The entry acted on a later configuration, in which this target may be withdrawn or may have another role.
-    // Deciding by the older one would go back behind what a process has already acted on.
-    if (m_held.size() >= MostHeld) {
+    if (!m_held.hold({.request = request, .entry = entry, .needs = needs, .arrived = now})) {
         refuse(entry, request.id, Error{.kind = ErrorKind::StaleOffset, .ran = Ran::No});
-        return;
     }
-    m_held.push_back({.request = request, .entry = entry, .needs = needs, .arrived = now});
 }
 
 void TargetTraffic::releaseHeld()
 {
-    const auto now = std::chrono::steady_clock::now();
-    auto held = std::move(m_held);
-    m_held.clear();
-    for (auto &request : held) {
-        if (request.needs <= m_view->offset) {
-            admit(request.entry, request.request, request.arrived);
-        } else if (m_draining || now - request.arrived > m_options.catchUp) {
-            refuse(request.entry, request.request.id, Error{.kind = ErrorKind::StaleOffset, .ran = Ran::No});
-        } else {
-            m_held.push_back(std::move(request));
-        }
+    const auto latest = m_draining ? std::chrono::milliseconds(0) : m_options.catchUp;
+    auto released = m_held.release(m_view->offset, std::chrono::steady_clock::now() - latest);
+    for (const auto &held : released.ready) {
+        admit(held.entry, held.request, held.arrived);
+    }
+    for (const auto &held : released.late) {
+        refuse(held.entry, held.request.id, Error{.kind = ErrorKind::StaleOffset, .ran = Ran::No});
     }
 }
 
@@ -291,6 +262,11 @@
 void TargetTraffic::enqueue(const Work &work)
 {
     const auto &request = work->request;
+    // A call with a key is let run some time after it came; the target may have left the inventory in between.
+    if (self() == nullptr) {
+        refuseWork(work, Error{.kind = ErrorKind::TargetWithdrawn, .ran = Ran::No});
+        return;
+    }
     const auto now = std::chrono::steady_clock::now();
     const auto *workspace = m_view->rules->find(request.workspace);
     const auto offer = m_queue.offer({.id = request.id,
@@ -348,14 +324,7 @@
         }
         return;
     }
-    AnswerHead head{.id = work->request.id, .status = status};
-    for (const auto &header : headers) {
-        const bool hop = std::find(HopHeaders.begin(), HopHeaders.end(), header.name) != HopHeaders.end();
-        if (!hop) {
-            head.headers.push_back({.name = header.name, .value = header.value});
-        }
-    }
-    send(work->entry, head);
+    send(work->entry, answerHead(work->request.id, status, headers));
 }
 
 bool TargetTraffic::takeData(const Work &work, std::string_view bytes)
@@ -443,7 +412,7 @@
 void TargetTraffic::cancel(const RequestId &id)
 {
     m_keys->cancel(id);
-    std::erase_if(m_held, [&id](const auto &held) { return held.request.id == id; });
+    m_held.forget(id);
     const auto entry = m_works.find(id);
     if (entry == m_works.end()) {
         return;
@@ -478,7 +447,7 @@
     if (m_controlSink.gone) {
         m_controlSink.gone(entry);
     }
-    std::erase_if(m_held, [&entry](const auto &held) { return held.entry == entry; });
+    m_held.forget(entry);
     std::vector<RequestId> orphans;
     for (const auto &[id, work] : m_works) {
         if (work->entry == entry) {
@@ -515,7 +484,7 @@
     if (m_queue.waiting() > 0) {
         pump();
     }
-    if (!m_held.empty()) {
+    if (!m_held.isEmpty()) {
         releaseHeld();
     }
     ++m_ticksSinceReport;
--- a/modules/heatherridge_transport/target/targettraffic.h
+++ b/modules/heatherridge_transport/target/targettraffic.h
@@ -5,6 +5,7 @@
 #include "heatherridge_transport/link/frameencoder.h"
 #include "heatherridge_transport/target/backendwork.h"
 #include "heatherridge_transport/target/drainstatus.h"
+#include "heatherridge_transport/target/heldrequests.h"
 #include "heatherridge_transport/target/keyedcalls.h"
 
 #include <functional>
@@ -89,15 +90,6 @@
     using Work = std::shared_ptr<BackendWork>;
     using Socket = std::shared_ptr<PeerSocket>;
 
-    /** A request that relies on a configuration that this process does not have yet. */
-    struct HeldRequest
-    {
-        SubmitRequest request{};
-        Socket entry{};
-        LogOffset needs{};
-        SteadyTime arrived{};
-    };
-
     void receive(const Socket &entry, const Bytes &frame);
     void receiveTraffic(const Socket &entry, const Envelope &envelope);
     void submit(const Socket &entry, const SubmitRequest &request, LogOffset needs);
@@ -142,7 +134,7 @@
     ControlSink m_controlSink;
     std::set<Socket> m_entries;
     std::unordered_map<RequestId, Work> m_works;
-    std::vector<HeldRequest> m_held;
+    HeldRequests m_held;
     double m_pace = 0; ///< smoothed microseconds between tokens, or of a plain call
     int m_ticksSinceReport = 0;
     bool m_draining = false;
--- /dev/null
+++ b/tests/transport/heldrequests_test.cpp
@@ -0,0 +1,46 @@
+#include "heatherridge_transport/target/heldrequests.h"
+
+#include <gtest/gtest.h>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+HeldRequest held(const char *id, std::uint64_t needs, SteadyTime arrived)
+{
+    return {.request = {.id = RequestId(id)}, .needs = static_cast<LogOffset>(needs), .arrived = arrived};
+}
+
+// An operator withdraws a target; an entry hears of it first and sends a request by the new configuration. The target's
+// process must not decide by the old one: the request waits until it has caught up, and is handed back if that is late.
+TEST(HeldRequests, WaitForTheirConfigurationButNotForLong)
+{
+    const SteadyTime start{};
+    HeldRequests requests;
+    ASSERT_TRUE(requests.hold(held("soon", 5, start)));
+    ASSERT_TRUE(requests.hold(held("later", 6, start + 10ms)));
+    ASSERT_TRUE(requests.hold(held("gone", 5, start)));
+    requests.forget(RequestId("gone"));
+    const auto first = requests.release(static_cast<LogOffset>(5), start - 1ms);
+    ASSERT_EQ(first.ready.size(), 1U);
+    EXPECT_EQ(first.ready.front().request.id, RequestId("soon"));
+    EXPECT_TRUE(first.late.empty());
+    EXPECT_FALSE(requests.isEmpty());
+    const auto second = requests.release(static_cast<LogOffset>(5), start + 10ms);
+    EXPECT_TRUE(second.ready.empty());
+    EXPECT_EQ(second.late.size(), 1U);
+    EXPECT_TRUE(requests.isEmpty());
+}
+
+TEST(HeldRequests, AreBounded)
+{
+    HeldRequests requests;
+    for (std::size_t i = 0; i < HeldRequests::MaxRequests; ++i) {
+        ASSERT_TRUE(requests.hold(held("x", 1, {})));
+    }
+    EXPECT_FALSE(requests.hold(held("x", 1, {})));
+}
+
+} // namespace
