--- a/extras/heatherridge-entry/main.cpp
+++ b/extras/heatherridge-entry/main.cpp
@@ -1,8 +1,7 @@
 #include "heatherridge_transport/app/daemon.h"
-#include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/entry/entryserver.h"
 
-#include <iostream>
+#include <memory>
 
 using namespace Heatherridge;
 
@@ -84,22 +83,10 @@
 
 int main(int argc, char **argv)
 {
-    blockStopSignals();
-    const auto loaded = Settings::load("heatherridge-entry", "entry", withCommonSettings(OwnSettings), argc, argv);
-    if (const auto *exit = std::get_if<Settings::Exit>(&loaded)) {
-        (exit->code == Settings::ExitOk ? std::cout : std::cerr) << exit->text;
-        return exit->code;
-    }
-    const auto &settings = std::get<Settings>(loaded);
-    setUpLoggerFrom(settings);
-    EntryServer server(optionsFrom(settings));
-    const auto started = server.start();
-    if (const auto *error = errorIn(started)) {
-        logEvent(Severity::Error, "start-failed", {{"reason", error->detail}});
-        return 1;
-    }
-    announceReady("entry", {std::get<Endpoint>(started)});
-    waitForStopSignal();
-    server.drainAndStop();
-    return 0;
+    const auto create = [](const Settings &settings) {
+        const auto server = std::make_shared<EntryServer>(optionsFrom(settings));
+        return DaemonServer{.start = [server] { return server->start(); },
+                            .drainAndStop = [server] { server->drainAndStop(); }};
+    };
+    return runDaemon({.program = "heatherridge-entry", .role = "entry", .settings = OwnSettings}, create, argc, argv);
 }
--- a/modules/heatherridge_transport/app/daemon.cpp
+++ b/modules/heatherridge_transport/app/daemon.cpp
@@ -46,13 +46,6 @@
     return name == "error" ? Severity::Error : Severity::Info;
 }
 
-} // namespace
-
-std::span<const SettingSpec> commonSettings()
-{
-    return Common;
-}
-
 std::vector<SettingSpec> withCommonSettings(std::span<const SettingSpec> own)
 {
     std::vector<SettingSpec> all(std::begin(Common), std::end(Common));
@@ -67,12 +60,6 @@
                  .lowest = severityFrom(settings.text("log-level"))});
 }
 
-Incarnation drawIncarnation()
-{
-    std::random_device entropy;
-    return static_cast<Incarnation>((static_cast<std::uint64_t>(entropy()) << 32U) | entropy());
-}
-
 void announceReady(std::string_view role, const std::vector<Endpoint> &endpoints)
 {
     std::cout << "ready " << role;
@@ -96,4 +83,41 @@
     sigwait(&signals, &received);
 }
 
+} // namespace
+
+std::span<const SettingSpec> commonSettings()
+{
+    return Common;
+}
+
+Incarnation drawIncarnation()
+{
+    std::random_device entropy;
+    return static_cast<Incarnation>((static_cast<std::uint64_t>(entropy()) << 32U) | entropy());
+}
+
+int runDaemon(const DaemonDescription &description, const std::function<DaemonServer(const Settings &)> &create,
+              int argc, const char *const *argv)
+{
+    blockStopSignals();
+    const auto specs = withCommonSettings(description.settings);
+    const auto loaded = Settings::load(description.program, description.role, specs, argc, argv);
+    if (const auto *exit = std::get_if<Settings::Exit>(&loaded)) {
+        (exit->code == Settings::ExitOk ? std::cout : std::cerr) << exit->text;
+        return exit->code;
+    }
+    const auto &settings = std::get<Settings>(loaded);
+    setUpLoggerFrom(settings);
+    const auto server = create(settings);
+    const auto started = server.start();
+    if (const auto *error = errorIn(started)) {
+        logEvent(Severity::Error, "start-failed", {{"reason", error->detail}});
+        return 1;
+    }
+    announceReady(description.role, std::get<std::vector<Endpoint>>(started));
+    waitForStopSignal();
+    server.drainAndStop();
+    return 0;
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/app/daemon.h
+++ b/modules/heatherridge_transport/app/daemon.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Heatherridge
 {
@@ -14,25 +15,35 @@
 /** Settings that all daemons share: name, zone, log service, log format and level. */
 std::span<const SettingSpec> commonSettings();
 
-/** @p common settings followed by @p own. */
-std::vector<SettingSpec> withCommonSettings(std::span<const SettingSpec> own);
-
-/** Sets up the log as the common settings say. */
-void setUpLoggerFrom(const Settings &settings);
-
 /** A number drawn from the machine's entropy, for this run of the process. */
 Incarnation drawIncarnation();
 
-/** Tells whoever started the program that it serves: one line "ready ROLE ADDRESS:PORT ..." on standard output. */
-void announceReady(std::string_view role, const std::vector<Endpoint> &endpoints);
+/** What is told apart between daemons. */
+struct DaemonDescription
+{
+    std::string_view program{}; ///< name of the program
+    std::string_view role{}; ///< section of its settings file, and the word on its ready line
+    std::span<const SettingSpec> settings{}; ///< beside the common ones
+};
+
+/** A daemon's server as its program drives it. */
+struct DaemonServer
+{
+    /** Starts to serve. @returns where, in the order of the ready line; or why not */
+    std::function<Result<std::vector<Endpoint>>()> start{};
+    /** Ends gracefully; blocks until then. */
+    std::function<void()> drainAndStop{};
+};
 
 /**
- * Blocks SIGTERM and SIGINT in this thread and in those that it starts later. Call first in main().
- * Without it a signal could end the process on any thread, in the midst of an answer.
+ * Runs a daemon from its settings to its end by SIGTERM or SIGINT. Call first in main(), on its thread: the signals are
+ * blocked for all threads, or one could end the process on any thread in the midst of an answer.
+ *
+ * Prints one line "ready ROLE ADDRESS:PORT ..." on standard output once it serves.
+ * @param create makes the server out of checked settings; called once, after the log is set up
+ * @returns the program's exit code
  */
-void blockStopSignals();
-
-/** Waits for SIGTERM or SIGINT. On the main thread. */
-void waitForStopSignal();
+int runDaemon(const DaemonDescription &description, const std::function<DaemonServer(const Settings &)> &create,
+              int argc, const char *const *argv);
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/entry/entryserver.cpp
+++ b/modules/heatherridge_transport/entry/entryserver.cpp
@@ -56,13 +56,17 @@
     stopThreads();
 }
 
-Result<Endpoint> EntryServer::start()
+Result<std::vector<Endpoint>> EntryServer::start()
 {
     for (const auto &traffic : m_traffic) {
         traffic->start();
     }
     m_control.start();
-    return m_server->start();
+    const auto bound = m_server->start();
+    if (const auto *error = errorIn(bound)) {
+        return *error;
+    }
+    return std::vector{std::get<Endpoint>(bound)};
 }
 
 void EntryServer::drainAndStop()
--- a/modules/heatherridge_transport/entry/entryserver.h
+++ b/modules/heatherridge_transport/entry/entryserver.h
@@ -42,7 +42,7 @@
     EntryServer &operator=(const EntryServer &) = delete;
 
     /** Starts all threads. @returns where callers are served, or why not */
-    Result<Endpoint> start();
+    Result<std::vector<Endpoint>> start();
 
     /**
      * Graceful shutdown: /readyz fails, new requests are refused as not run, open ones end, then all threads stop.
--- a/modules/heatherridge_transport/target/targetserver.cpp
+++ b/modules/heatherridge_transport/target/targetserver.cpp
@@ -54,7 +54,7 @@
 
 TargetServer::~TargetServer() = default;
 
-Result<TargetServer::Addresses> TargetServer::start()
+Result<std::vector<Endpoint>> TargetServer::start()
 {
     const auto gate = m_traffic.start();
     if (const auto *error = errorIn(gate)) {
@@ -66,7 +66,7 @@
     if (const auto *error = errorIn(admin)) {
         return *error;
     }
-    return Addresses{.gate = std::get<Endpoint>(gate), .admin = std::get<Endpoint>(admin)};
+    return std::vector{std::get<Endpoint>(gate), std::get<Endpoint>(admin)};
 }
 
 void TargetServer::drainAndStop()
--- a/modules/heatherridge_transport/target/targetserver.h
+++ b/modules/heatherridge_transport/target/targetserver.h
@@ -30,21 +30,14 @@
         std::chrono::milliseconds drainTimeout{60'000}; ///< longest wait for running requests at shutdown
     };
 
-    /** Where it serves. */
-    struct Addresses
-    {
-        Endpoint gate{};
-        Endpoint admin{};
-    };
-
     explicit TargetServer(Options options);
     ~TargetServer();
 
     TargetServer(const TargetServer &) = delete;
     TargetServer &operator=(const TargetServer &) = delete;
 
-    /** Starts all threads. @returns where it serves, or why not */
-    Result<Addresses> start();
+    /** Starts all threads. @returns where it serves entries, then the operator; or why not */
+    Result<std::vector<Endpoint>> start();
 
     /**
      * Graceful shutdown: waiting requests are handed back as not run, running ones end, then all threads stop.
