Let a target that leaves the inventory end what it is at work on

An entry closed its connection to a target as soon as the target's section was gone, though the header promised otherwise: a guest in the midst of a booking was told "unknown", streams were cut.

Change: a link that is no longer wanted is retired: nothing new goes over it, and it closes once nothing is open on it. Links that are up cost nothing in the tick any more.

Conclusion: a withdrawal by removal is as graceful as a marked one.

--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -51,6 +51,15 @@
                  .ran = call.answerBegun ? Ran::Yes : Ran::Unknown};
 }
 
+std::map<TargetName, Endpoint> gatesOf(const Inventory &inventory)
+{
+    std::map<TargetName, Endpoint> gates;
+    for (const auto &[name, target] : inventory.targets()) {
+        gates.emplace(name, target.gate);
+    }
+    return gates;
+}
+
 } // namespace
 
 EntryTraffic::EntryTraffic(Options options, Metrics &metrics, RequestJournal &journal)
@@ -73,7 +82,8 @@
             .received = [this](const TargetName &target, const TrafficMessage &message) { received(target, message); },
             .control = [](const TargetName &, const Envelope &) {},
             .up = [](const TargetName &) {},
-            .down = [this](const TargetName &target) { linkDown(target); }});
+            .down = [this](const TargetName &target) { linkDown(target); },
+            .isBusy = [this](const TargetName &target) { return isBusy(target); }});
 }
 
 EntryTraffic::~EntryTraffic()
@@ -100,7 +110,7 @@
             m_placement = std::make_unique<Placement>(view->rules->placement());
         }
         m_view = view;
-        m_links->follow(*view->inventory);
+        m_links->follow(gatesOf(*view->inventory));
         m_book.follow(*view->inventory);
     });
 }
@@ -196,7 +206,7 @@
         return nullptr;
     }
     const auto *asked = m_view->inventory->find(call.askAt);
-    if (asked != nullptr && m_links->isUp(asked->name)) {
+    if (asked != nullptr && m_links->takesNew(asked->name)) {
         return asked; // withdrawn or not: it knows the key's past, and takes no new work by itself
     }
     const auto ranked = holdersOf(*m_view->inventory, call.request.submit.service, shardOf(*call.key));
@@ -209,7 +219,7 @@
 /** Tries the call at once where a gate has sent it; false when that leads nowhere. */
 bool EntryTraffic::followRedirect(const Call &call, const TargetName &askAt)
 {
-    if (!call->key || askAt.isEmpty() || !m_links->isUp(askAt) || call->redirects >= MostRedirects) {
+    if (!call->key || askAt.isEmpty() || !m_links->takesNew(askAt) || call->redirects >= MostRedirects) {
         return false;
     }
     ++call->redirects;
@@ -270,7 +280,7 @@
 
 bool EntryTraffic::isUsable(const Target &target, const EntryCall &call) const
 {
-    return m_view->takesWork(target) && m_links->isUp(target.name) && !call.tried.contains(target.name);
+    return m_view->takesWork(target) && m_links->takesNew(target.name) && !call.tried.contains(target.name);
 }
 
 std::vector<TargetView> EntryTraffic::viewsOf(const std::vector<const Target *> &targets, const EntryCall &call,
@@ -319,6 +329,12 @@
                message);
 }
 
+bool EntryTraffic::isBusy(const TargetName &target) const
+{
+    return std::any_of(m_calls.begin(), m_calls.end(),
+                       [&target](const auto &entry) { return entry.second->target == target; });
+}
+
 void EntryTraffic::linkDown(const TargetName &target)
 {
     m_book.recordDown(target);
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -74,6 +74,7 @@
                                     SteadyTime now) const;
     bool isUsable(const Target &target, const EntryCall &call) const;
     void received(const TargetName &target, const TrafficMessage &message);
+    bool isBusy(const TargetName &target) const;
     void linkDown(const TargetName &target);
     void takeHead(const Call &call, const AnswerHead &head);
     void takeChunk(const Call &call, const AnswerChunk &chunk);
--- a/modules/heatherridge_transport/entry/targetlinks.cpp
+++ b/modules/heatherridge_transport/entry/targetlinks.cpp
@@ -30,39 +30,66 @@
 {
 }
 
-void TargetLinks::follow(const Inventory &inventory)
+void TargetLinks::follow(const std::map<TargetName, Endpoint> &endpoints)
 {
-    std::map<TargetName, Endpoint> endpoints;
-    for (const auto &[name, target] : inventory.targets()) {
-        endpoints.emplace(name, target.gate);
+    m_wanted = endpoints;
+    m_retired = 0;
+    for (auto &[name, link] : m_links) {
+        const auto wanted = m_wanted.find(name);
+        link.isRetired = wanted == m_wanted.end() || wanted->second != link.endpoint;
+        m_retired += link.isRetired ? 1 : 0;
     }
-    follow(endpoints);
+    closeRetired();
+    addMissing();
 }
 
-void TargetLinks::follow(const std::map<TargetName, Endpoint> &endpoints)
+void TargetLinks::tick(SteadyTime now)
+{
+    if (m_retired > 0) {
+        closeRetired();
+        addMissing();
+    }
+    std::vector<TargetName> due;
+    for (const auto &name : m_unconnected) {
+        const auto &link = m_links.at(name);
+        if (!link.isRetired && now >= link.notBefore) {
+            due.push_back(name);
+        }
+    }
+    for (const auto &name : due) {
+        connect(name, m_links.at(name));
+    }
+}
+
+bool TargetLinks::isDone(const TargetName &target, const Link &link) const
+{
+    return link.isRetired && (!link.isUp || !m_events.isBusy || !m_events.isBusy(target));
+}
+
+/** A target that leaves the inventory, or this entry's part of it, ends what it is at work on: closing its link at once
+ * would cut answers in the middle and leave calls that may not be repeated in doubt. */
+void TargetLinks::closeRetired()
 {
     for (auto entry = m_links.begin(); entry != m_links.end();) {
-        const auto wanted = endpoints.find(entry->first);
-        if (wanted != endpoints.end() && wanted->second == entry->second.endpoint) {
+        if (!isDone(entry->first, entry->second)) {
             ++entry;
             continue;
         }
         const auto socket = entry->second.socket;
+        m_unconnected.erase(entry->first);
         entry = m_links.erase(entry);
+        --m_retired;
         if (socket) {
             socket->close();
         }
     }
-    for (const auto &[name, endpoint] : endpoints) {
-        m_links.try_emplace(name, Link{.endpoint = endpoint});
-    }
 }
 
-void TargetLinks::tick(SteadyTime now)
+void TargetLinks::addMissing()
 {
-    for (auto &[name, link] : m_links) {
-        if (!link.socket && now >= link.notBefore) {
-            connect(name, link);
+    for (const auto &[name, endpoint] : m_wanted) {
+        if (m_links.try_emplace(name, Link{.endpoint = endpoint}).second) {
+            m_unconnected.insert(name);
         }
     }
 }
@@ -81,7 +108,12 @@
     };
     const auto received = [this, target](const auto & /*socket*/, const Bytes &frame) { take(target, frame); };
     const auto closed = [this, target](const std::shared_ptr<PeerSocket> &socket) { lost(target, socket); };
+    m_unconnected.erase(target);
     link.socket = m_connector.connect(link.endpoint.address, link.endpoint.port, {opened, received, closed});
+    if (!link.socket) { // no event will come for it
+        link.notBefore = std::chrono::steady_clock::now() + pauseAfter(link.failures++);
+        m_unconnected.insert(target);
+    }
 }
 
 void TargetLinks::take(const TargetName &target, const Bytes &frame)
@@ -113,6 +145,7 @@
         link.socket.reset();
         link.isUp = false;
         link.notBefore = std::chrono::steady_clock::now() + pauseAfter(link.failures++);
+        m_unconnected.insert(target);
     }
     m_lost.add();
     logEvent(Severity::Debug, "link-down", {{"target", target.text()}});
@@ -125,6 +158,12 @@
     return entry != m_links.end() && entry->second.isUp;
 }
 
+bool TargetLinks::takesNew(const TargetName &target) const
+{
+    const auto entry = m_links.find(target);
+    return entry != m_links.end() && entry->second.isUp && !entry->second.isRetired;
+}
+
 bool TargetLinks::send(const TargetName &target, const TrafficMessage &message)
 {
     return send(target, Channel::Traffic, encode(message));
@@ -150,6 +189,7 @@
 {
     const auto links = std::move(m_links);
     m_links.clear();
+    m_unconnected.clear();
     for (const auto &[name, link] : links) {
         if (link.socket) {
             link.socket->close();
--- a/modules/heatherridge_transport/entry/targetlinks.h
+++ b/modules/heatherridge_transport/entry/targetlinks.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace Heatherridge
 {
@@ -19,6 +20,8 @@
     std::function<void(const TargetName &target, const Envelope &envelope)> control{}; ///< frames of other channels
     std::function<void(const TargetName &target)> up{};
     std::function<void(const TargetName &target)> down{}; ///< whatever was sent and not answered is in doubt
+    /** Whether something is open on the link to a target that is no longer wanted; without it, nothing ever is. */
+    std::function<bool(const TargetName &target)> isBusy{};
 };
 
 /**
@@ -33,18 +36,22 @@
     /** Links on @p loop; @p encoder and @p metrics must outlive them. */
     TargetLinks(EventLoop &loop, const FrameEncoder &encoder, Metrics &metrics, TargetLinkEvents events);
 
-    /** Connects to the targets of @p inventory that have no link yet, and drops links to targets it does not have. */
-    void follow(const Inventory &inventory);
-
-    /** The same for @p endpoints alone, by target. */
+    /**
+     * Connects to the targets of @p endpoints that have no link yet, and retires links to all others: nothing new goes
+     * over a retired link, and it is closed once nothing is open on it.
+     */
     void follow(const std::map<TargetName, Endpoint> &endpoints);
 
-    /** Connects again where the pause is over. Called every few milliseconds. */
+    /** Connects again where the pause is over, and closes retired links that are done. Called every few milliseconds.
+     */
     void tick(SteadyTime now);
 
     /** Whether @p target is connected. */
     bool isUp(const TargetName &target) const;
 
+    /** Whether @p target is connected and may be sent something new. */
+    bool takesNew(const TargetName &target) const;
+
     /** Sends @p message; false when @p target is not connected, and then nothing was sent. */
     bool send(const TargetName &target, const TrafficMessage &message);
 
@@ -63,10 +70,14 @@
         Endpoint endpoint{};
         std::shared_ptr<PeerSocket> socket{};
         bool isUp = false;
+        bool isRetired = false; ///< no longer wanted; lives on for what is open on it
         int failures = 0;
         SteadyTime notBefore{};
     };
 
+    bool isDone(const TargetName &target, const Link &link) const;
+    void closeRetired();
+    void addMissing();
     void connect(const TargetName &target, Link &link);
     void take(const TargetName &target, const Bytes &frame);
     void lost(const TargetName &target, const std::shared_ptr<PeerSocket> &socket);
@@ -74,7 +85,10 @@
     const FrameEncoder &m_encoder;
     TargetLinkEvents m_events;
     PeerConnector m_connector;
+    std::map<TargetName, Endpoint> m_wanted;
     std::map<TargetName, Link> m_links;
+    std::set<TargetName> m_unconnected; ///< links without a socket, which alone need looking after
+    std::size_t m_retired = 0;
     Counter &m_malformed;
     Counter &m_lost;
 };
--- /dev/null
+++ b/tests/e2e/removal_test.cpp
@@ -0,0 +1,34 @@
+#include "support/testsite.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+using namespace Heatherridge;
+
+namespace
+{
+
+// An operator takes a target's section out of the inventory while the target is at work on a booking. The guest gets
+// the confirmation: what runs there ends. Once the entry closed its connection to a target with the section, and the
+// guest was told that the outcome is unknown.
+TEST(RemovedTarget, EndsTheBookingThatItIsAtWorkOn)
+{
+    TestSite site({.engines = 1, .plains = 1, .entries = 1});
+    call(site.plain(0), "POST", "/faults", R"({"delay-ms": 1500})");
+    auto booking = std::async(std::launch::async, [&site] {
+        return call(site.entry(0), "POST", "/services/yard-app/bookings", "load-9",
+                    {{.name = "X-Workspace", .value = "mills"}});
+    });
+    while (call(site.entry(0), "GET", "/admin/targets").body.find("\"running\":1") == std::string::npos) {
+    } // ctest's time limit fails the test if it never comes
+    site.publish("inventory", "[zone.a]\nregion = r\n");
+    const auto answer = booking.get();
+    EXPECT_EQ(answer.status, 201) << answer.body;
+    EXPECT_EQ(call(site.entry(0), "POST", "/services/yard-app/bookings", "load-10",
+                   {{.name = "X-Workspace", .value = "mills"}})
+                  .status,
+              404);
+}
+
+} // namespace
