Let an entry keep connections to a part of the targets

Cause: docs/CAPACITY.md: connections to all 4,800 targets would cost an entry 59% of a core idle, and each target a report to all 500 entries.

Change: LinkPlan takes a part of the engines of each kind, zone by zone, by the deterministic subsets that were written but not wired in; all instances of plain services; no ranks but the first. Setting targets-per-kind, default 64, which is all of today's.

--- a/modules/heatherridge_state/heatherridge_state.h
+++ b/modules/heatherridge_state/heatherridge_state.h
@@ -23,6 +23,7 @@
 #include "heatherridge_state/decisions/concurrencylimit.h"
 #include "heatherridge_state/decisions/healthtracker.h"
 #include "heatherridge_state/decisions/hedgedelay.h"
+#include "heatherridge_state/decisions/linkplan.h"
 #include "heatherridge_state/decisions/pace.h"
 #include "heatherridge_state/decisions/placement.h"
 #include "heatherridge_state/decisions/prefixindex.h"
--- a/modules/heatherridge_transport/entry/entryserver.cpp
+++ b/modules/heatherridge_transport/entry/entryserver.cpp
@@ -31,10 +31,13 @@
                 m_metrics)
 {
     for (int i = 0; i < m_options.trafficThreads; ++i) {
-        m_traffic.push_back(std::make_unique<EntryTraffic>(EntryTraffic::Options{.process = m_options.process,
-                                                                                 .incarnation = m_options.incarnation,
-                                                                                 .zone = m_options.zone},
-                                                           m_metrics, m_journal));
+        m_traffic.push_back(std::make_unique<EntryTraffic>(
+            EntryTraffic::Options{.process = m_options.process,
+                                  .incarnation = m_options.incarnation,
+                                  .zone = m_options.zone,
+                                  .links = {.entryNumber = keyOf(TargetName(m_options.process.text())),
+                                            .perKind = m_options.targetsPerKind}},
+            m_metrics, m_journal));
     }
     m_control.addListener([this](const std::shared_ptr<const ConfigView> &view) {
         for (const auto &traffic : m_traffic) {
@@ -183,6 +186,8 @@
             state = "withdrawn";
         } else if (!view->takesWork(*target) || status.report.draining) {
             state = "draining";
+        } else if (!status.isLinked) {
+            state = "not-linked";
         } else if (!status.isUp) {
             state = "unreachable";
         }
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -51,15 +51,6 @@
                  .ran = call.answerBegun ? Ran::Yes : Ran::Unknown};
 }
 
-std::map<TargetName, Endpoint> gatesOf(const Inventory &inventory)
-{
-    std::map<TargetName, Endpoint> gates;
-    for (const auto &[name, target] : inventory.targets()) {
-        gates.emplace(name, target.gate);
-    }
-    return gates;
-}
-
 } // namespace
 
 EntryTraffic::EntryTraffic(Options options, Metrics &metrics, RequestJournal &journal)
@@ -110,7 +101,7 @@
             m_placement = std::make_unique<Placement>(view->rules->placement());
         }
         m_view = view;
-        m_links->follow(gatesOf(*view->inventory));
+        m_links->follow(LinkPlan::choose(*view->inventory, m_options.links));
         m_book.follow(*view->inventory);
     });
 }
@@ -138,7 +129,10 @@
     std::vector<TargetStatus> statuses;
     m_loop.run([this, &statuses] {
         for (const auto &[name, target] : m_view->inventory->targets()) {
-            statuses.push_back({.target = name, .isUp = m_links->isUp(name), .report = m_book.reportOf(name)});
+            statuses.push_back({.target = name,
+                                .isLinked = m_links->isWanted(name),
+                                .isUp = m_links->isUp(name),
+                                .report = m_book.reportOf(name)});
         }
     });
     return statuses;
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -30,6 +30,7 @@
         ProcessName process{};
         Incarnation incarnation{};
         ZoneName zone{};
+        LinkPlanOptions links{};
     };
 
     /** Not started yet. @p metrics and @p journal must outlive it. */
@@ -58,7 +59,8 @@
     struct TargetStatus
     {
         TargetName target{};
-        bool isUp = false;
+        bool isLinked = false; ///< this entry keeps a link to it
+        bool isUp = false; ///< the link is connected
         LoadReport report{};
     };
     std::vector<TargetStatus> targets();
--- a/modules/heatherridge_transport/entry/targetlinks.cpp
+++ b/modules/heatherridge_transport/entry/targetlinks.cpp
@@ -152,6 +152,11 @@
     m_events.down(target);
 }
 
+bool TargetLinks::isWanted(const TargetName &target) const
+{
+    return m_wanted.contains(target);
+}
+
 bool TargetLinks::isUp(const TargetName &target) const
 {
     const auto entry = m_links.find(target);
--- a/modules/heatherridge_transport/entry/targetlinks.h
+++ b/modules/heatherridge_transport/entry/targetlinks.h
@@ -46,6 +46,9 @@
      */
     void tick(SteadyTime now);
 
+    /** Whether a link to @p target is kept, connected or not. */
+    bool isWanted(const TargetName &target) const;
+
     /** Whether @p target is connected. */
     bool isUp(const TargetName &target) const;
 
