Mend what the address sanitizer found at the ends of processes

An exchange that outlives its server shared the loop, but closing a connection reaches for the server's limits too (heap use after free in the limiter). A peer socket held its connection and the connection's handlers the socket, so that connections open at the loop's end were never freed (97,616 bytes in 230 allocations at one entry's end).

Change: an exchange shares the server itself; a peer socket refers to its connection weakly.

Conclusion: both were mended where they came about.

--- a/modules/heatherridge_transport/cxx17/peersocket.cpp
+++ b/modules/heatherridge_transport/cxx17/peersocket.cpp
@@ -23,39 +23,36 @@
 public:
     using Connection = typename Endpoint::connection_ptr;
 
-    explicit SocketOver(Connection connection)
-        : m_connection(std::move(connection))
+    explicit SocketOver(const Connection &connection)
+        : m_connection(connection)
     {
     }
 
     void send(const std::vector<std::uint8_t> &frame) override
     {
-        if (m_connection) {
-            m_connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
+        if (const auto connection = m_connection.lock()) {
+            connection->send(frame.data(), frame.size(), websocketpp::frame::opcode::binary);
         }
     }
 
     std::size_t bufferedBytes() const override
     {
-        return m_connection ? m_connection->get_buffered_amount() : 0;
+        const auto connection = m_connection.lock();
+        return connection ? connection->get_buffered_amount() : 0;
     }
 
     void close() override
     {
-        if (m_connection) {
+        if (const auto connection = m_connection.lock()) {
             websocketpp::lib::error_code ignored;
-            m_connection->close(websocketpp::close::status::going_away, "", ignored);
+            connection->close(websocketpp::close::status::going_away, "", ignored);
         }
     }
 
-    /** Drops the connection, which websocketpp has closed; without this the two would keep each other alive. */
-    void detach()
-    {
-        m_connection.reset();
-    }
-
 private:
-    Connection m_connection;
+    /** The connection's handlers hold this socket; holding the connection in turn would keep both for ever when the
+     * loop ends before the connection is closed. websocketpp keeps it alive while it is open. */
+    typename Connection::weak_type m_connection;
 };
 
 template<typename Endpoint>
@@ -76,10 +73,7 @@
         const auto &payload = message->get_payload();
         events.received(socket, std::vector<std::uint8_t>(payload.begin(), payload.end()));
     });
-    const auto gone = [socket, events](const Handle &) {
-        events.closed(socket);
-        socket->detach();
-    };
+    const auto gone = [socket, events](const Handle &) { events.closed(socket); };
     connection->set_close_handler(gone);
     connection->set_fail_handler(gone);
     return socket;
--- a/modules/heatherridge_transport/http/httpserver.cpp
+++ b/modules/heatherridge_transport/http/httpserver.cpp
@@ -88,9 +88,9 @@
 class RestinioExchange final : public HttpExchange, public std::enable_shared_from_this<RestinioExchange>
 {
 public:
-    RestinioExchange(std::shared_ptr<asio::io_context> context, restinio::request_handle_t handle,
+    RestinioExchange(std::shared_ptr<void> server, restinio::request_handle_t handle,
                      std::shared_ptr<ClosedConnections> closedConnections)
-        : m_context(std::move(context))
+        : m_server(std::move(server))
         , m_handle(std::move(handle))
         , m_closedConnections(std::move(closedConnections))
         , m_request(requestFrom(*m_handle))
@@ -211,9 +211,9 @@
         }
     }
 
-    /** The connection's socket needs its loop even to be closed: a handler that still held an exchange when the server
-     * was stopped, as a long poll does, reached into freed memory. Destroyed after the handle. */
-    std::shared_ptr<asio::io_context> m_context;
+    /** A connection needs its server's loop, limits and timers even to be closed: a handler that still held an exchange
+     * when the server went, as a long poll does, reached into freed memory. Destroyed after the handle. */
+    std::shared_ptr<void> m_server;
     restinio::request_handle_t m_handle;
     std::shared_ptr<ClosedConnections> m_closedConnections;
     HttpRequest m_request;
@@ -241,11 +241,11 @@
         Endpoint bound{.address = m_options.listen.address};
         auto closedConnections = std::make_shared<ClosedConnections>();
         try {
-            m_server = std::make_unique<Server>(restinio::io_context_holder_t(m_context), [&](auto &settings) {
+            m_server = std::make_shared<Server>(restinio::own_io_context(), [&](auto &settings) {
                 settings.address(m_options.listen.address)
                     .port(static_cast<std::uint16_t>(m_options.listen.port))
                     .request_handler([this, closedConnections](auto request) {
-                        m_handler(std::make_shared<RestinioExchange>(m_context, std::move(request), closedConnections));
+                        m_handler(std::make_shared<RestinioExchange>(m_server, std::move(request), closedConnections));
                         return restinio::request_accepted();
                     })
                     .connection_state_listener(closedConnections)
@@ -290,8 +290,7 @@
 private:
     Options m_options;
     Handler m_handler;
-    std::shared_ptr<asio::io_context> m_context = std::make_shared<asio::io_context>();
-    std::unique_ptr<Server> m_server;
+    std::shared_ptr<Server> m_server;
     std::unique_ptr<Runner> m_runner;
 };
 
