Ask in one place whether a header is one of a list; drop two dead methods

Cause: read-through. The same loop over a list of header names stood at the entry's door, at its answers and at the target's; two methods of TargetLinks had no caller. Change: isOneOf() beside sameHeaderName(); each place keeps its own list. Conclusion: behaviour is the same.

--- a/modules/heatherridge_transport/entry/callerrequest.cpp
+++ b/modules/heatherridge_transport/entry/callerrequest.cpp
@@ -51,9 +51,7 @@
 {
     std::vector<HeaderField> passed;
     for (const auto &header : headers) {
-        const bool hop = std::any_of(HopHeaders.begin(), HopHeaders.end(),
-                                     [&header](auto name) { return sameHeaderName(name, header.name); });
-        if (!hop) {
+        if (!isOneOf(HopHeaders, header.name)) {
             passed.push_back({.name = header.name, .value = header.value});
         }
     }
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -29,9 +29,7 @@
 {
     std::vector<HttpHeader> headers{{.name = std::string(RequestIdHeader), .value = requestOfAttempt(head.id).text()}};
     for (const auto &header : head.headers) {
-        const bool hop = std::any_of(HopHeaders.begin(), HopHeaders.end(),
-                                     [&](auto name) { return sameHeaderName(name, header.name); });
-        if (!hop) {
+        if (!isOneOf(HopHeaders, header.name)) {
             headers.push_back({.name = header.name, .value = header.value});
         }
     }
--- a/modules/heatherridge_transport/entry/targetlinks.cpp
+++ b/modules/heatherridge_transport/entry/targetlinks.cpp
@@ -184,22 +184,4 @@
     return true;
 }
 
-std::size_t TargetLinks::bufferedBytes(const TargetName &target) const
-{
-    const auto entry = m_links.find(target);
-    return entry == m_links.end() || !entry->second.socket ? 0 : entry->second.socket->bufferedBytes();
-}
-
-void TargetLinks::close()
-{
-    const auto links = std::move(m_links);
-    m_links.clear();
-    m_unconnected.clear();
-    for (const auto &[name, link] : links) {
-        if (link.socket) {
-            link.socket->close();
-        }
-    }
-}
-
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/entry/targetlinks.h
+++ b/modules/heatherridge_transport/entry/targetlinks.h
@@ -61,12 +61,6 @@
     /** Sends @p payload on @p channel; false when @p target is not connected. */
     bool send(const TargetName &target, Channel channel, Bytes payload);
 
-    /** Bytes that wait to leave for @p target. */
-    std::size_t bufferedBytes(const TargetName &target) const;
-
-    /** Closes all links. */
-    void close();
-
 private:
     struct Link
     {
--- a/modules/heatherridge_transport/http/httpmessages.cpp
+++ b/modules/heatherridge_transport/http/httpmessages.cpp
@@ -35,6 +35,11 @@
                       [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
 }
 
+bool isOneOf(std::span<const std::string_view> names, std::string_view name)
+{
+    return std::any_of(names.begin(), names.end(), [name](auto candidate) { return sameHeaderName(candidate, name); });
+}
+
 std::string_view headerValue(const std::vector<HttpHeader> &headers, std::string_view name)
 {
     const auto header = std::find_if(headers.begin(), headers.end(),
--- a/modules/heatherridge_transport/http/httpmessages.h
+++ b/modules/heatherridge_transport/http/httpmessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,9 @@
 /** Whether two header names are the same, without case. */
 bool sameHeaderName(std::string_view a, std::string_view b);
 
+/** Whether @p name is one of @p names, without case. */
+bool isOneOf(std::span<const std::string_view> names, std::string_view name);
+
 /** One HTTP request in whole. */
 struct HttpRequest
 {
--- a/modules/heatherridge_transport/target/backendrequest.cpp
+++ b/modules/heatherridge_transport/target/backendrequest.cpp
@@ -1,6 +1,5 @@
 #include "heatherridge_transport/target/backendrequest.h"
 
-#include <algorithm>
 #include <array>
 
 namespace Heatherridge
@@ -33,9 +32,7 @@
 {
     AnswerHead head{.id = id, .status = status};
     for (const auto &header : headers) {
-        const bool hop = std::any_of(HopHeaders.begin(), HopHeaders.end(),
-                                     [&header](auto name) { return sameHeaderName(name, header.name); });
-        if (!hop) {
+        if (!isOneOf(HopHeaders, header.name)) {
             head.headers.push_back({.name = header.name, .value = header.value});
         }
     }
