Place streams by groups, let requests wait a little, watch every engine through its sidecar

Cause: a group whose rank is slow or gone looked idle and drew all streams; after a loss of power callers were refused in the second that groups take to form, and came back only once.

--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -14,8 +14,6 @@
 
 /** A round of readings is closed with what has come by then. */
 constexpr milliseconds RoundPatience{400};
-/** A member that does not say which group it is in is asked again after this. */
-constexpr milliseconds AskAgain{1'000};
 /** After a switch that failed, so that a fault that lasts does not cost orders all the while. */
 constexpr milliseconds FailurePause{1'500};
 /** After a switch, until statuses show it. */
@@ -52,10 +50,15 @@
         auto &member = m_members[target.id];
         member.target = target;
     }
-    std::erase_if(m_members, [&targets](const auto &entry) {
+    const auto erased = std::erase_if(m_members, [&targets](const auto &entry) {
         return std::none_of(targets.begin(), targets.end(),
                             [&entry](const auto &target) { return target.id == entry.first; });
     });
+    if (erased > 0) {
+        for (const auto &[name, group] : m_groups) {
+            rebuildGroup(name);
+        }
+    }
 }
 
 void GroupKeeper::setActive(bool isActive)
@@ -63,26 +66,51 @@
     m_isActive = isActive;
 }
 
-void GroupKeeper::look()
-{
-    m_watchUntil = m_now + WatchTime;
-}
-
 void GroupKeeper::tick(SteadyTime now)
 {
-    m_now = now;
-    for (auto &[id, member] : m_members) {
-        const bool isUnknown = !member.status || !member.status->isOpen;
-        if (isWatching(now) && isUnknown && now - member.askedAt >= AskAgain) {
-            askStatus(member, now);
-        }
-    }
+    askStatuses(now);
     for (auto &[name, group] : m_groups) {
         followGroup(name, group, now);
     }
     if (m_isActive) {
         readCounts(now);
     }
+    tellWatched();
+}
+
+void GroupKeeper::askStatuses(SteadyTime now)
+{
+    if (now < m_statusesDue) {
+        return;
+    }
+    m_statusesDue = now + m_options.statusPeriod;
+    for (auto &[id, member] : m_members) {
+        askStatus(member, now);
+    }
+}
+
+void GroupKeeper::tellWatched()
+{
+    if (!std::exchange(m_hasNews, false) || !m_events.watched) {
+        return;
+    }
+    std::vector<EngineView> engines;
+    for (const auto &[id, member] : m_members) {
+        if (!member.status || member.status->group.isEmpty()) {
+            continue;
+        }
+        const auto &status = *member.status;
+        const auto &group = m_groups[status.group];
+        engines.push_back({.target = id,
+                           .group = status.group,
+                           .isOpen = status.isOpen && status.epoch == group.epoch,
+                           .running = status.running,
+                           .waiting = status.waiting,
+                           .pace = status.pace,
+                           .passTime = group.passTime,
+                           .at = member.askedAt});
+    }
+    m_events.watched(std::move(engines));
 }
 
 double GroupKeeper::lastSkew() const
@@ -115,6 +143,8 @@
     const bool isNew = !member.status || member.status->group != status.group || member.status->rank != status.rank
         || member.status->epoch != status.epoch || member.status->isOpen != status.isOpen;
     member.status = status;
+    member.answeredAt = now;
+    m_hasNews = true;
     if (status.group.isEmpty()) {
         return;
     }
@@ -157,16 +187,20 @@
         }
     }
     std::vector<TargetName> ranks;
-    bool isOpen = true;
     for (const auto &[id, member] : m_members) {
         if (!member.status || member.status->group != name || member.status->epoch != epoch) {
             continue;
         }
         const auto rank = static_cast<std::size_t>(std::max(member.status->rank, 0));
         ranks.resize(std::max({ranks.size(), rank + 1, static_cast<std::size_t>(member.status->size)}));
-        ranks[rank] = id;
-        isOpen = isOpen && member.status->isOpen;
+        // An engine that has started anew stands in the register beside its last run for a while.
+        if (ranks[rank].isEmpty() || m_members.at(ranks[rank]).answeredAt < member.answeredAt) {
+            ranks[rank] = id;
+        }
     }
+    const bool isOpen = std::all_of(ranks.begin(), ranks.end(), [this](const auto &id) {
+        return !id.isEmpty() && m_members.at(id).status->isOpen;
+    });
     if (ranks != group.ranks || epoch != group.epoch) {
         group.layout.reset();
         group.lastStep = 0;
@@ -188,11 +222,6 @@
                        [this](const auto &id) { return !id.isEmpty() && m_members.contains(id); });
 }
 
-bool GroupKeeper::isWatching(SteadyTime now) const
-{
-    return m_isActive || now < m_watchUntil;
-}
-
 std::vector<TargetEntry> GroupKeeper::targetsOf(const Group &group) const
 {
     std::vector<TargetEntry> targets;
@@ -204,13 +233,6 @@
 
 void GroupKeeper::followGroup(const GroupName &name, Group &group, SteadyTime now)
 {
-    const bool isDue = isWatching(now) && now >= group.statusDue;
-    if (isDue && !group.ranks.empty() && !group.ranks.front().isEmpty()) {
-        group.statusDue = now + m_options.statusPeriod;
-        if (const auto first = m_members.find(group.ranks.front()); first != m_members.end()) {
-            askStatus(first->second, now);
-        }
-    }
     if (!isWhole(group)) {
         group.mapSwitch.reset();
         group.recovery.reset();
@@ -233,8 +255,9 @@
 void GroupKeeper::watchHold(const GroupName &name, Group &group, SteadyTime now)
 {
     group.wanted.reset();
-    group.statusDue = std::min(group.statusDue, now + milliseconds(200));
-    const bool isStuck = now - group.heldSince > ForeignHoldPatience;
+    // Inactive keepers leave it to the active one for as long again, or all would recover at once.
+    const auto patience = m_isActive ? ForeignHoldPatience : ForeignHoldPatience * 2;
+    const bool isStuck = now - group.heldSince > patience;
     const bool isOwn = group.startedAt != SteadyTime{} && now - group.startedAt < ForeignHoldPatience * 3;
     if (!isStuck && !isOwn) {
         return;
@@ -266,7 +289,6 @@
     group.heldSince = now - ForeignHoldPatience + milliseconds(300 + m_drawBits() % 600);
     group.startedAt = {};
     group.heldStep.reset();
-    group.statusDue = now + HoldRecovery::StatusLag;
     group.notBefore = now + FailurePause;
     group.layout.reset();
     group.recovery.reset();
@@ -296,11 +318,9 @@
         group.layoutFrom = group.mapSwitch->heldStep();
         group.notBefore = now + SettlePause;
         group.startedAt = {};
-        group.statusDue = now + SettlePause + HoldRecovery::StatusLag;
-    } else {
+        } else {
         group.notBefore = now + FailurePause;
-        group.statusDue = now + HoldRecovery::StatusLag;
-        if (end == MapSwitch::End::Abandoned) {
+            if (end == MapSwitch::End::Abandoned) {
             group.startedAt = {};
         }
     }
@@ -418,7 +438,7 @@
     m_lastSkew = 0;
     for (auto &[name, group] : m_groups) {
         if (isWhole(group) && group.layout) {
-            m_lastSkew = std::max(m_lastSkew, layoutSkew(*group.layout, m_demand->bySet()));
+            m_lastSkew = std::max(m_lastSkew, layoutSkew(*group.layout, m_demand->bySet(), slownessOf(group)));
             considerSwitch(name, group, now);
         }
     }
@@ -431,10 +451,13 @@
         return;
     }
     const auto copies = std::min(m_options.newPerRank, static_cast<std::size_t>(std::max(m_profile.sparePlaces, 0)));
+    const auto slowness = slownessOf(group);
     auto layout = improveEvenly(*group.layout, m_demand->bySet(),
-                                {.places = static_cast<std::size_t>(m_profile.places), .newPerRank = copies});
-    group.skewBefore = layoutSkew(*group.layout, m_demand->bySet());
-    group.skewAfter = layoutSkew(layout, m_demand->bySet());
+                                {.places = static_cast<std::size_t>(m_profile.places),
+                                 .newPerRank = copies,
+                                 .slowness = slowness});
+    group.skewBefore = layoutSkew(*group.layout, m_demand->bySet(), slowness);
+    group.skewAfter = layoutSkew(layout, m_demand->bySet(), slowness);
     const auto most = mostCopies(*group.layout, layout);
     const bool isWorth = group.skewBefore - group.skewAfter >= m_options.leastGain;
     tell(isWorth ? "map-wanted" : "map-kept", name,
@@ -450,6 +473,17 @@
     gatherStatuses(group, now);
 }
 
+RankSlowness GroupKeeper::slownessOf(const Group &group) const
+{
+    RankSlowness slowness;
+    for (const auto &id : group.ranks) {
+        const auto member = m_members.find(id);
+        const bool isKnown = member != m_members.end() && member->second.status;
+        slowness.push_back(isKnown ? std::max(1.0, member->second.status->pace) : 1.0);
+    }
+    return slowness;
+}
+
 void GroupKeeper::gatherStatuses(Group &group, SteadyTime now)
 {
     group.statusesMissing = 0;
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -20,9 +20,9 @@
 {
     /** Between readings of what was chosen. Shorter follows a jump sooner; each reading is paid for and pauses its
      * group by half a millisecond a rank. */
-    std::chrono::milliseconds countPeriod{900};
-    /** Between looks at rank 0 of each group, for holds and new epochs. */
-    std::chrono::milliseconds statusPeriod{700};
+    std::chrono::milliseconds countPeriod{350};
+    /** Between looks at every rank, for holds, new epochs and load. */
+    std::chrono::milliseconds statusPeriod{400};
     /** How much of a pass's expert time a switch must save. */
     double leastGain = 0.06;
     /** Experts of a set that a rank may copy for one switch; fewer make the switch sooner. */
@@ -31,9 +31,24 @@
     double copiesPerSecond = 19.0;
 };
 
-/** What a keeper tells of its decisions, for logs and metrics. */
+/** One engine as its status tells, for whoever places requests. */
+struct EngineView
+{
+    TargetName target{};
+    GroupName group{};
+    bool isOpen = false; ///< its group works
+    int running = 0; ///< requests of all senders
+    int waiting = 0;
+    double pace = 1; ///< over 1: it takes so many times as long as usual
+    std::chrono::milliseconds passTime{}; ///< of its group, measured
+    SteadyTime at{}; ///< when it was asked
+};
+
+/** What a keeper tells. */
 struct KeeperEvents
 {
+    /** Statuses have come: all engines whose status is known. */
+    std::function<void(std::vector<EngineView> engines)> watched{};
     /** Something was decided or ended: what, at which group, and the inputs as text. */
     std::function<void(std::string_view what, const GroupName &group, const std::string &details)> decided{};
 };
@@ -42,15 +57,13 @@
  * Keeps the expert maps of one service's groups even, as their only active keeper or beside others.
  *
  * Any number of keepers may be active: each switch is safe by itself. That one is active at a time only saves orders.
- * An inactive one does nothing but let go of passes that stay held, when asked to look. One thread; tick() moves it on.
+ * An inactive one only watches, and lets go of passes that stay held. One thread; tick() moves it on.
  */
 class GroupKeeper
 {
 public:
     /** A pass that stays held for so long without a switch of this keeper is let go: whole switches take half. */
     static constexpr std::chrono::milliseconds ForeignHoldPatience{1'200};
-    /** How long groups are looked at after look(): what recovery takes, twice. */
-    static constexpr std::chrono::milliseconds WatchTime{5'000};
 
     GroupKeeper(RankControl &control, GroupKeeperOptions options, KeeperEvents events,
                 std::function<std::uint64_t()> drawBits);
@@ -61,9 +74,6 @@
     /** Whether this keeper measures and switches. */
     void setActive(bool isActive);
 
-    /** Targets seem to stand still: look for a while whether a pass is held. */
-    void look();
-
     /** Does what is due. */
     void tick(SteadyTime now);
 
@@ -76,6 +86,7 @@
         TargetEntry target{};
         std::optional<RankStatus> status{};
         SteadyTime askedAt{};
+        SteadyTime answeredAt{};
         bool isAsking = false;
         std::optional<RankCounts> counts{}; ///< of the last reading
         std::optional<RankExperts> experts{};
@@ -94,7 +105,6 @@
         std::uint64_t lastStep = 0;
         SteadyTime lastStepAt{};
         std::chrono::milliseconds passTime{50};
-        SteadyTime statusDue{};
         std::optional<std::uint64_t> heldStep{}; ///< by somebody else
         SteadyTime heldSince{};
         bool isAskingExperts = false;
@@ -108,6 +118,8 @@
         double skewAfter = 0;
     };
 
+    void askStatuses(SteadyTime now);
+    void tellWatched();
     void askStatus(Member &member, SteadyTime now);
     void takeStatus(Member &member, const RankStatus &status, SteadyTime now);
     void rebuildGroup(const GroupName &name);
@@ -120,10 +132,10 @@
     void readCounts(SteadyTime now);
     void takeRound(SteadyTime now);
     void considerSwitch(const GroupName &name, Group &group, SteadyTime now);
+    RankSlowness slownessOf(const Group &group) const;
     void gatherStatuses(Group &group, SteadyTime now);
     void startSwitch(const GroupName &name, Group &group, SteadyTime now);
     bool isWhole(const Group &group) const;
-    bool isWatching(SteadyTime now) const;
     std::vector<TargetEntry> targetsOf(const Group &group) const;
     MapNumber drawNumber(const Group &group);
     void tell(std::string_view what, const GroupName &group, const std::string &details) const;
@@ -141,8 +153,8 @@
     SteadyTime m_roundBegan{};
     SteadyTime m_countsDue{};
     bool m_isActive = false;
-    SteadyTime m_now{}; ///< of the last tick
-    SteadyTime m_watchUntil{}; ///< groups are looked at until then, also when not active
+    SteadyTime m_statusesDue{};
+    bool m_hasNews = false; ///< statuses that watched() has not been told of
     double m_lastSkew = 0;
     std::shared_ptr<int> m_alive;
 };
--- a/modules/heatherridge_protocol/rankmessage.cpp
+++ b/modules/heatherridge_protocol/rankmessage.cpp
@@ -83,7 +83,8 @@
 {
     return cborOf(json::array({status.group.text(), status.epoch, status.rank, status.size, status.isOpen, status.step,
                                toNumber(status.map), optionalNumber(status.prepared), optionalNumber(status.armed),
-                               status.heldStep ? json(*status.heldStep) : json()}));
+                               status.heldStep ? json(*status.heldStep) : json(), status.running, status.waiting,
+                               status.pace}));
 }
 
 std::string encode(const RankCounts &counts)
@@ -119,7 +120,10 @@
                           .step = fields.at(5).get<std::uint64_t>(),
                           .map = static_cast<MapNumber>(fields.at(6).get<std::uint64_t>()),
                           .prepared = mapNumberFrom(fields.at(7)),
-                          .armed = mapNumberFrom(fields.at(8))};
+                          .armed = mapNumberFrom(fields.at(8)),
+                          .running = fields.at(10).get<int>(),
+                          .waiting = fields.at(11).get<int>(),
+                          .pace = fields.at(12).get<double>()};
         if (!fields.at(9).is_null()) {
             status.heldStep = fields.at(9).get<std::uint64_t>();
         }
--- /dev/null
+++ b/modules/heatherridge_state/decisions/engineplacement.cpp
@@ -0,0 +1,96 @@
+#include "heatherridge_state/decisions/engineplacement.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+/** Most requests at one engine of each group. */
+std::vector<double> highestLoads(std::span<const EngineCandidate> engines, std::size_t groups)
+{
+    std::vector<double> highest(groups, 0);
+    for (const auto &engine : engines) {
+        highest[engine.group] = std::max(highest[engine.group], engine.target.load);
+    }
+    return highest;
+}
+
+/** Length of the group's passes with one more request at an engine that has @p load. */
+Milliseconds passWith(double load, double highest, const EngineGroup &group, const EnginePlacementRules &rules)
+{
+    const auto now = rules.step + rules.stepPerRequest * highest;
+    const auto then = rules.step + rules.stepPerRequest * std::max(highest, load + 1);
+    const double growth = now.count() > 0 ? then / now : 1;
+    return group.passTime * growth;
+}
+
+bool takesNew(const EngineCandidate &engine, const EnginePlacementRules &rules)
+{
+    return engine.isOpen && !engine.refusesNow && !engine.target.wasTried
+        && engine.target.load + 1 <= engine.target.slots * rules.mostPart;
+}
+
+bool isOnTime(const EngineCandidate &engine, Milliseconds pass, const EnginePlacementRules &rules)
+{
+    return pass <= rules.longestPass && engine.target.load + 1 <= engine.target.slots * rules.onTimePart
+        && engine.target.health != Health::Ejected;
+}
+
+/** The least loaded of the engines @p among, by the rules for any target. */
+std::optional<std::size_t> leastLoaded(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &among,
+                                       RandomSource &random)
+{
+    std::vector<DirectCandidate> targets;
+    for (const auto index : among) {
+        targets.push_back(engines[index].target);
+    }
+    const auto chosen = placeDirectly(targets, random);
+    return chosen ? std::optional(among[*chosen]) : std::nullopt;
+}
+
+/** Those of @p among that are in the group with the longest passes. */
+std::vector<std::size_t> ofSlowestGroup(std::span<const EngineCandidate> engines,
+                                        const std::vector<std::size_t> &among, std::span<const EngineGroup> groups)
+{
+    Milliseconds longest{-1};
+    for (const auto index : among) {
+        longest = std::max(longest, groups[engines[index].group].passTime);
+    }
+    std::vector<std::size_t> slowest;
+    std::copy_if(among.begin(), among.end(), std::back_inserter(slowest),
+                 [&](auto index) { return groups[engines[index].group].passTime == longest; });
+    return slowest;
+}
+
+} // namespace
+
+EngineChoice placeStream(std::span<const EngineCandidate> engines, std::span<const EngineGroup> groups,
+                         const EnginePlacementRules &rules, RandomSource &random)
+{
+    const auto highest = highestLoads(engines, groups.size());
+    std::vector<std::size_t> onTime;
+    std::vector<std::size_t> others;
+    bool anyOpen = false;
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        const auto &engine = engines[index];
+        anyOpen = anyOpen || (engine.isOpen && !engine.target.wasTried);
+        if (!takesNew(engine, rules)) {
+            continue;
+        }
+        const auto pass = passWith(engine.target.load, highest[engine.group], groups[engine.group], rules);
+        (isOnTime(engine, pass, rules) ? onTime : others).push_back(index);
+    }
+    if (!onTime.empty()) {
+        return {.index = leastLoaded(engines, onTime, random)};
+    }
+    const auto index = leastLoaded(engines, ofSlowestGroup(engines, others, groups), random);
+    return {.index = index, .isFull = !index && anyOpen};
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_state/groups/evenplacement.cpp
+++ b/modules/heatherridge_state/groups/evenplacement.cpp
@@ -21,7 +21,7 @@
         , m_layout(current)
         , m_demand(demand)
         , m_options(options)
-        , m_loads(rankLoads(current, demand))
+        , m_loads(rankTimes(current, demand, options.slowness))
         , m_holders(demand.size())
         , m_copies(current.size(), 0)
     {
@@ -30,7 +30,7 @@
                 m_holders[expert].push_back(rank);
             }
         }
-        m_mean = std::accumulate(m_loads.begin(), m_loads.end(), 0.0) / static_cast<double>(m_loads.size());
+        m_mean = evenTime(current.size(), demand, options.slowness);
     }
 
     SetLayout run()
@@ -88,6 +88,11 @@
         return std::find(held.begin(), held.end(), expert) != held.end();
     }
 
+    double slownessOf(std::size_t rank) const
+    {
+        return rank < m_options.slowness.size() ? m_options.slowness[rank] : 1;
+    }
+
     /** How much the sum of squares falls when the loads of some ranks change as @p change says. */
     double squaresSaved(const std::vector<std::pair<std::size_t, double>> &changes)
     {
@@ -105,7 +110,7 @@
         double saved = 0;
         for (const auto &[rank, delta] : m_touched) {
             const double before = m_loads[rank];
-            const double after = before + delta;
+            const double after = before + delta * slownessOf(rank);
             saved += before * before - after * after;
         }
         return saved;
@@ -201,7 +206,7 @@
         if (move.receiver) {
             add(move.expert, *move.receiver);
         }
-        m_loads = rankLoads(m_layout, m_demand);
+        m_loads = rankTimes(m_layout, m_demand, m_options.slowness);
     }
 
     void add(std::uint16_t expert, std::size_t rank)
@@ -224,12 +229,12 @@
     SetLayout m_layout;
     const SetDemand &m_demand;
     const EvenPlacementOptions &m_options;
-    std::vector<double> m_loads;
+    std::vector<double> m_loads; ///< by rank: time, so a slow rank's load counts several times
     std::vector<std::vector<std::size_t>> m_holders; ///< by expert
     std::vector<std::size_t> m_copies; ///< by rank: experts to copy
     std::vector<std::pair<std::size_t, double>> m_changes;
     std::vector<std::pair<std::size_t, double>> m_touched;
-    double m_mean = 0;
+    double m_mean = 0; ///< time of each rank if all took equally long
 };
 
 } // namespace
--- a/modules/heatherridge_state/groups/evenplacement.h
+++ b/modules/heatherridge_state/groups/evenplacement.h
@@ -13,6 +13,7 @@
     double goodSkew = 1.04; ///< a set whose most loaded rank is this near the mean is left as it is
     /** What one copy must save, as a part of a rank's mean work: below it noise in the counts pays for copies. */
     double leastGain = 0.01;
+    RankSlowness slowness{}; ///< a slow rank gets less work, down to experts that are hardly chosen
     int mostMoves = 64; ///< copies and drops in one set: bounds the time, some 20 are usual
 };
 
--- a/modules/heatherridge_state/groups/expertlayout.cpp
+++ b/modules/heatherridge_state/groups/expertlayout.cpp
@@ -31,28 +31,38 @@
 
 } // namespace
 
-std::vector<double> rankLoads(const SetLayout &layout, const SetDemand &demand)
+std::vector<double> rankTimes(const SetLayout &layout, const SetDemand &demand, const RankSlowness &slowness)
 {
     const auto counts = holderCounts(layout, demand.size());
-    std::vector<double> loads(layout.size(), 0);
+    std::vector<double> times(layout.size(), 0);
     for (std::size_t rank = 0; rank < layout.size(); ++rank) {
         for (const auto expert : layout[rank]) {
-            loads[rank] += demand[expert] / counts[expert];
+            times[rank] += demand[expert] / counts[expert];
         }
+        times[rank] *= rank < slowness.size() ? slowness[rank] : 1;
     }
-    return loads;
+    return times;
 }
 
-double layoutSkew(const ExpertLayout &layout, const std::vector<SetDemand> &demand)
+double evenTime(std::size_t ranks, const SetDemand &demand, const RankSlowness &slowness)
+{
+    double speed = 0;
+    for (std::size_t rank = 0; rank < ranks; ++rank) {
+        speed += rank < slowness.size() ? 1 / slowness[rank] : 1;
+    }
+    return std::accumulate(demand.begin(), demand.end(), 0.0) / speed;
+}
+
+double layoutSkew(const ExpertLayout &layout, const std::vector<SetDemand> &demand, const RankSlowness &slowness)
 {
     double slowest = 0;
-    double mean = 0;
+    double even = 0;
     for (std::size_t set = 0; set < layout.size(); ++set) {
-        const auto loads = rankLoads(layout[set], demand[set]);
-        slowest += *std::max_element(loads.begin(), loads.end());
-        mean += std::accumulate(loads.begin(), loads.end(), 0.0) / static_cast<double>(loads.size());
+        const auto times = rankTimes(layout[set], demand[set], slowness);
+        slowest += *std::max_element(times.begin(), times.end());
+        even += evenTime(times.size(), demand[set], {});
     }
-    return mean > 0 ? slowest / mean : 1;
+    return even > 0 ? slowest / even : 1;
 }
 
 std::size_t mostCopies(const ExpertLayout &from, const ExpertLayout &to)
--- a/modules/heatherridge_state/groups/expertlayout.h
+++ b/modules/heatherridge_state/groups/expertlayout.h
@@ -16,14 +16,20 @@
 /** How often the experts of one set are chosen, by expert, in any unit. */
 using SetDemand = std::vector<double>;
 
-/** Work of each rank of one set under @p layout. */
-std::vector<double> rankLoads(const SetLayout &layout, const SetDemand &demand);
+/** By rank: how many times as long as usual it takes for its work; empty when all are healthy. */
+using RankSlowness = std::vector<double>;
+
+/** Time that each rank takes for its experts of one set under @p layout. */
+std::vector<double> rankTimes(const SetLayout &layout, const SetDemand &demand, const RankSlowness &slowness);
+
+/** Time that each rank takes for a set of @p demand when the work is spread so that all take equally long. */
+double evenTime(std::size_t ranks, const SetDemand &demand, const RankSlowness &slowness);
 
 /**
- * How much longer the expert part of a pass takes than with all work spread evenly: the most loaded rank's work over
- * the mean, the sets being done one after the other. 1 without any demand.
+ * How much longer the expert part of a pass takes than with all work spread evenly over healthy ranks: the last rank's
+ * time over the even one, the sets being done one after the other. 1 without any demand.
  */
-double layoutSkew(const ExpertLayout &layout, const std::vector<SetDemand> &demand);
+double layoutSkew(const ExpertLayout &layout, const std::vector<SetDemand> &demand, const RankSlowness &slowness);
 
 /** The most experts that any one rank, over all sets, holds in @p to and lacks in @p from: what it has to copy. */
 std::size_t mostCopies(const ExpertLayout &from, const ExpertLayout &to);
--- a/modules/heatherridge_state/groups/rankvalues.h
+++ b/modules/heatherridge_state/groups/rankvalues.h
@@ -25,6 +25,9 @@
     std::optional<MapNumber> prepared{}; ///< copied in whole
     std::optional<MapNumber> armed{}; ///< to be used from some pass on
     std::optional<std::uint64_t> heldStep{}; ///< the group does not begin this pass
+    int running = 0; ///< requests
+    int waiting = 0; ///< requests
+    double pace = 1; ///< over 1: the rank takes so many times as long as usual
 };
 
 /** How often a rank's requests chose each expert since it started. */
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/direct/gatewaycall.h"
 
+#include "heatherridge_state/decisions/placementwait.h"
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/httptext.h"
 
@@ -16,6 +17,8 @@
 
 /** When to ask again after a refusal for want of a target: entries learn of a new one within a second. */
 constexpr milliseconds NoTargetRetryAfter{500};
+/** When to ask again after all engines were found full: a third of the time that one takes for an answer. */
+constexpr milliseconds EnginesFullRetryAfter{500};
 /** When to ask again after the targets refused: a slot of a plain service comes free within this. */
 constexpr milliseconds FullRetryAfter{300};
 
@@ -64,14 +67,40 @@
 
 void GatewayCall::attempt()
 {
-    auto *target = m_traffic.m_targets.choose(m_service, m_tried, now(), m_traffic.m_random);
-    if (target == nullptr) {
-        fail({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : ErrorKind::NoTarget,
-              .detail = "no further target for " + m_service.text(),
-              .retryAfter = NoTargetRetryAfter});
+    m_isWaiting = false;
+    const auto choice = m_traffic.m_targets.choose(m_service, m_tried, now(), m_traffic.m_random);
+    const bool isRepeat = m_tries > 0;
+    if (choice.target != nullptr && isRepeat && !m_traffic.budgetOf(m_service).tryTake(now())) {
+        m_traffic.m_counters.repeatsDenied.add();
+        awaitTarget({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
+                     .detail = "no repeat left in the budget",
+                     .retryAfter = FullRetryAfter});
+        return;
+    }
+    if (choice.target != nullptr) {
+        m_traffic.m_counters.repeats.add(isRepeat ? 1 : 0);
+        send(*choice.target);
+        return;
+    }
+    const auto kind = choice.isFull ? ErrorKind::Overloaded : ErrorKind::NoTarget;
+    awaitTarget({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : kind,
+                 .detail = choice.isFull ? "all targets are full" : "no target for " + m_service.text(),
+                 .retryAfter = choice.isFull ? EnginesFullRetryAfter : NoTargetRetryAfter});
+}
+
+void GatewayCall::awaitTarget(Error error)
+{
+    if (!m_waitsUntil) {
+        m_waitsUntil = now() + placementWait(m_route.kind, timeLeft(), m_route.objective);
+    }
+    if (now() >= *m_waitsUntil) {
+        fail(std::move(error));
         return;
     }
-    send(*target);
+    // A target that refused it a moment ago may be the one that takes it now.
+    m_tried.clear();
+    m_isWaiting = true;
+    armTimer();
 }
 
 void GatewayCall::send(GatewayTarget &target)
@@ -89,6 +118,9 @@
     if (target.load.own() == 0) {
         target.lastHeard = m_sentAt;
     }
+    m_loadAtSend = target.load.total(m_sentAt);
+    m_passAtSend = target.engine ? target.engine->passTime : milliseconds(0);
+    m_groupAtSend = target.engine ? target.engine->group.text() : std::string();
     target.load.sent();
     const auto &request = m_exchange->request();
     const auto headers = m_traffic.m_codec.forwarded(endToEndHeaders(request.headers),
@@ -243,6 +275,9 @@
 void GatewayCall::attemptEnded(AttemptEnd end, std::string_view reason)
 {
     leaveTarget(end == AttemptEnd::Answered || end == AttemptEnd::FailedAtTarget || end == AttemptEnd::RefusedAtTarget);
+    if (end == AttemptEnd::RefusedAtTarget) {
+        m_traffic.m_targets.refused(m_target, now());
+    }
     if (end == AttemptEnd::Answered) {
         m_traffic.m_targets.record(m_target, Attempt::Succeeded, now());
     } else if (end != AttemptEnd::RefusedAtTarget) {
@@ -267,25 +302,22 @@
     case NextStep::Fail:
         break;
     }
-    fail({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
-          .detail = std::string(toString(end)) + " at " + m_target.text() + " " + std::string(reason),
-          .retryAfter = FullRetryAfter});
+    Error error{.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
+                .detail = std::string(toString(end)) + " at " + m_target.text() + " " + std::string(reason),
+                .retryAfter = FullRetryAfter};
+    if (mayHaveRun(end)) {
+        fail(std::move(error));
+    } else {
+        awaitTarget(std::move(error));
+    }
 }
 
 void GatewayCall::repeat(AttemptEnd end, std::string_view reason)
 {
-    if (!m_traffic.budgetOf(m_service).tryTake(now())) {
-        m_traffic.m_counters.repeatsDenied.add();
-        if (end == AttemptEnd::FailedAtTarget) {
-            deliver();
-            return;
-        }
-        fail({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
-              .detail = "no repeat left in the budget after " + std::string(toString(end)),
-              .retryAfter = FullRetryAfter});
+    if (end == AttemptEnd::FailedAtTarget && m_traffic.budgetOf(m_service).left(now()) < 1) {
+        deliver(); // the target's own answer says more than one of this process's
         return;
     }
-    m_traffic.m_counters.repeats.add();
     logEvent(Severity::Info, "repeat",
              {{"request", m_fields.id.text()},
               {"after", std::string(toString(end))},
@@ -348,6 +380,9 @@
               {"route", m_route.name},
               {"service", m_service.text()},
               {"target", m_target.text()},
+              {"group", m_groupAtSend},
+              {"load", std::to_string(static_cast<int>(m_loadAtSend))},
+              {"pass-ms", std::to_string(m_passAtSend.count())},
               {"tries", std::to_string(m_tries)},
               {"outcome", std::string(outcome)},
               {"status", std::to_string(status)},
@@ -362,7 +397,7 @@
     if (m_isDone) {
         return;
     }
-    const auto watch = isStream() || m_route.kind == RequestKind::Idempotent ? now() + WatchPeriod : m_deadline;
+    const auto watch = m_isWaiting ? now() + WaitPeriod : isStream() || m_route.kind == RequestKind::Idempotent ? now() + WatchPeriod : m_deadline;
     m_timer.expires_at(std::min(m_deadline, watch));
     m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
@@ -382,13 +417,14 @@
         fail({.kind = ErrorKind::DeadlineExceeded, .detail = "timeout at " + m_target.text()});
         return;
     }
+    if (m_isWaiting) {
+        attempt();
+        return;
+    }
     if (!m_connection) {
         return;
     }
     const auto *target = m_traffic.m_targets.find(m_target);
-    if (isStream() && target != nullptr && GatewayTargets::isStalled(*target, now())) {
-        m_traffic.targetStalled();
-    }
     const bool isSilentStream = isStream() && m_route.isResumable
         && now() - std::max(m_sentAt, target != nullptr ? target->lastHeard : m_sentAt) > SilenceTimeout;
     const bool isSilentCall =
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -38,10 +38,13 @@
     static constexpr std::chrono::milliseconds LeastTime{60};
     /** How often a stream is looked at for silence. */
     static constexpr std::chrono::milliseconds WatchPeriod{200};
+    /** How often a request that waits for a target looks for one: half of a pass. */
+    static constexpr std::chrono::milliseconds WaitPeriod{25};
     /** A stream whose target stands still for so long goes on elsewhere; callers leave after 2 s of silence. */
     static constexpr std::chrono::milliseconds SilenceTimeout{1'100};
 
     void attempt();
+    void awaitTarget(Error error);
     void send(GatewayTarget &target);
     void headCame(const HttpMessageHead &head);
     void bodyCame(std::string_view bytes);
@@ -75,10 +78,15 @@
     SteadyTime m_deadline;
     asio::steady_timer m_timer;
     bool m_isDone = false;
+    std::optional<SteadyTime> m_waitsUntil; ///< since it first found no target
+    bool m_isWaiting = false;
 
     std::shared_ptr<TargetConnection> m_connection; ///< of the present attempt
     TargetName m_target;
     SteadyTime m_sentAt{};
+    double m_loadAtSend = 0; ///< requests that the target was thought to have, for the log
+    std::chrono::milliseconds m_passAtSend{0}; ///< of the group, for the log
+    std::string m_groupAtSend; ///< the target's expert group, for the log
     std::set<TargetName> m_tried;
     int m_tries = 0;
     int m_mayHaveRun = 0;
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <map>
 #include <random>
+#include <set>
 #include <thread>
 
 namespace Heatherridge
@@ -64,13 +65,6 @@
                      .targets = [this](auto targets) { targetsChanged(std::move(targets)); }},
                     m_metrics)
     {
-        m_traffic.onStall([this] {
-            m_controlLoop.post([this] {
-                for (const auto &[service, keeper] : m_keepers) {
-                    keeper->look();
-                }
-            });
-        });
     }
 
     Result<std::vector<Endpoint>> start()
@@ -162,7 +156,12 @@
         m_control.tick(now);
         m_workShare.tick(now);
         for (auto &[service, keeper] : m_keepers) {
-            keeper->setActive(m_workShare.isMine(service.text()));
+            const bool isMine = m_workShare.isMine(service.text());
+            if (isMine != m_activeKeepers.contains(service)) {
+                logEvent(Severity::Info, isMine ? "keeper-active" : "keeper-inactive", {{"service", service.text()}});
+                isMine ? void(m_activeKeepers.insert(service)) : void(m_activeKeepers.erase(service));
+            }
+            keeper->setActive(isMine);
             keeper->tick(now);
         }
     }
@@ -195,7 +194,11 @@
         const auto decided = [](std::string_view what, const GroupName &group, const std::string &details) {
             logEvent(Severity::Info, what, {{"group", group.text()}, {"details", details}});
         };
-        return std::make_unique<GroupKeeper>(m_ranks, m_options.groups, KeeperEvents{.decided = decided},
+        const auto watched = [this](std::vector<EngineView> engines) {
+            m_trafficLoop.post([this, engines = std::move(engines)] { m_traffic.setEngines(engines); });
+        };
+        return std::make_unique<GroupKeeper>(m_ranks, m_options.groups,
+                                             KeeperEvents{.watched = watched, .decided = decided},
                                              [this] { return static_cast<std::uint64_t>(m_entropy()); });
     }
 
@@ -232,6 +235,7 @@
     WorkShare m_workShare;
     GatewayControl m_control;
     std::map<ServiceName, std::unique_ptr<GroupKeeper>> m_keepers;
+    std::set<ServiceName> m_activeKeepers; ///< services whose groups this gateway keeps even
 };
 
 GatewayServer::GatewayServer(Options options, Adapter adapter)
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -5,6 +5,32 @@
 namespace Heatherridge
 {
 
+namespace
+{
+
+/** Nothing is sent to a target that has refused a request for as long; a slot of a plain service comes free in it. */
+constexpr std::chrono::milliseconds RefusalPause{100};
+/** Part of the promised pause between events that a pass may take: room for passes that read a long prompt, and for a
+ * first event that comes some passes after its request. */
+constexpr double UsedPartOfPause = 0.55;
+/** Taken when no route of the service promises pauses. */
+constexpr std::chrono::milliseconds AssumedPause{200};
+
+std::chrono::duration<double, std::milli> longestPassFor(const RoutingConfig &config, const ServiceName &service)
+{
+    std::chrono::milliseconds shortest{0};
+    for (const auto &route : config.routes) {
+        const bool isOf = std::any_of(route.services.begin(), route.services.end(),
+                                      [&](const auto &share) { return share.service == service; });
+        if (isOf && route.longestPause.count() > 0 && (shortest.count() == 0 || route.longestPause < shortest)) {
+            shortest = route.longestPause;
+        }
+    }
+    return (shortest.count() > 0 ? shortest : AssumedPause) * UsedPartOfPause;
+}
+
+} // namespace
+
 GatewayTargets::GatewayTargets(ZoneName zone)
     : m_zone(std::move(zone))
 {
@@ -51,27 +77,101 @@
     }));
 }
 
-GatewayTarget *GatewayTargets::choose(const ServiceName &service, const std::set<TargetName> &tried, SteadyTime now,
-                                      RandomSource &random)
+GatewayTargets::Choice GatewayTargets::choose(const ServiceName &service, const std::set<TargetName> &tried,
+                                              SteadyTime now, RandomSource &random)
 {
     std::vector<GatewayTarget *> targets;
     std::vector<DirectCandidate> candidates;
     const auto &health = m_health[service];
+    const auto rules = m_engineRules.find(service);
+    const bool isGrouped = rules != m_engineRules.end()
+        && std::any_of(m_targets.begin(), m_targets.end(), [&](const auto &entry) {
+               return entry.second.engine && isUsable(entry.second, service);
+           });
     for (auto &[id, target] : m_targets) {
-        if (!isUsable(target, service)) {
-            continue;
+        // An engine that has not said which group it is in has just come, and takes part in no pass yet.
+        if (isUsable(target, service) && (!isGrouped || target.engine)) {
+            targets.push_back(&target);
+            candidates.push_back(candidateOf(target, health, tried, now));
         }
-        targets.push_back(&target);
-        const auto state = health.healthOf(id, now);
-        candidates.push_back({.load = target.load.total(now),
-                              .slots = target.entry.slots,
-                              .isNear = target.entry.zone == m_zone,
-                              .isCold = target.entry.coldFor.count() > 0,
-                              .wasTried = tried.contains(id),
-                              .health = isStalled(target, now) ? Health::Ejected : state});
+    }
+    if (isGrouped) {
+        return chooseEngine(targets, candidates, rules->second, now, random);
     }
     const auto chosen = placeDirectly(candidates, random);
-    return chosen ? targets[*chosen] : nullptr;
+    return {.target = chosen ? targets[*chosen] : nullptr};
+}
+
+DirectCandidate GatewayTargets::candidateOf(const GatewayTarget &target, const HealthTracker &health,
+                                            const std::set<TargetName> &tried, SteadyTime now) const
+{
+    const bool isOut = isStalled(target, now) || now < target.refusedUntil;
+    return {.load = target.load.total(now),
+            .slots = target.entry.slots,
+            .isNear = target.entry.zone == m_zone,
+            .isCold = target.entry.coldFor.count() > 0,
+            .wasTried = tried.contains(target.entry.id),
+            .health = isOut ? Health::Ejected : health.healthOf(target.entry.id, now)};
+}
+
+GatewayTargets::Choice GatewayTargets::chooseEngine(const std::vector<GatewayTarget *> &targets,
+                                                    const std::vector<DirectCandidate> &candidates,
+                                                    const EnginePlacementRules &rules, SteadyTime now,
+                                                    RandomSource &random) const
+{
+    std::vector<EngineCandidate> engines;
+    std::vector<EngineGroup> groups;
+    std::map<GroupName, std::size_t> indices;
+    for (std::size_t index = 0; index < targets.size(); ++index) {
+        const auto &view = *targets[index]->engine;
+        const auto group = indices.try_emplace(view.group, groups.size()).first->second;
+        if (group == groups.size()) {
+            groups.push_back({.passTime = view.passTime});
+        }
+        groups[group].slowestPace = std::max(groups[group].slowestPace, view.pace);
+        auto candidate = candidates[index];
+        candidate.load *= std::max(1.0, view.pace); // its passes, and so its group's, grow so much with each request
+        engines.push_back({.target = candidate,
+                           .group = group,
+                           .isOpen = view.isOpen,
+                           .refusesNow = now < targets[index]->refusedUntil});
+    }
+    const auto choice = placeStream(engines, groups, rules, random);
+    return {.target = choice.index ? targets[*choice.index] : nullptr, .isFull = choice.isFull};
+}
+
+void GatewayTargets::refused(const TargetName &id, SteadyTime now)
+{
+    if (auto *target = find(id)) {
+        target->refusedUntil = now + RefusalPause;
+    }
+}
+
+void GatewayTargets::setProfiles(const RoutingConfig &config)
+{
+    m_engineRules.clear();
+    for (const auto &service : config.services) {
+        if (!service.engine || service.engine->layerSets == 0) {
+            continue;
+        }
+        EnginePlacementRules rules{.step = service.engine->step, .stepPerRequest = service.engine->stepPerRequest};
+        rules.longestPass = longestPassFor(config, service.name);
+        m_engineRules.emplace(service.name, rules);
+    }
+}
+
+void GatewayTargets::setEngines(const std::vector<EngineView> &engines)
+{
+    for (const auto &engine : engines) {
+        auto *target = find(engine.target);
+        if (target == nullptr) {
+            continue;
+        }
+        if (!target->engine || target->engine->at != engine.at) {
+            target->load.reported(engine.running + engine.waiting, engine.at);
+        }
+        target->engine = engine;
+    }
 }
 
 void GatewayTargets::record(const TargetName &id, Attempt attempt, SteadyTime now)
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "heatherridge_state/decisions/directplacement.h"
+#include "heatherridge_coordination/groups/groupkeeper.h"
+#include "heatherridge_state/decisions/engineplacement.h"
 #include "heatherridge_state/decisions/loadestimate.h"
 #include "heatherridge_state/routing/targetentry.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
@@ -18,7 +19,8 @@
     TargetEntry entry{};
     LoadEstimate load{};
     SteadyTime lastHeard{}; ///< when bytes of any answer last came from it
-    std::uint64_t reportVersion = 0; ///< how many load reports it has given
+    std::optional<EngineView> engine{}; ///< of an engine in an expert group, its own last word
+    SteadyTime refusedUntil{}; ///< it has refused a request; nothing is sent before
 };
 
 /**
@@ -37,15 +39,30 @@
     /** The register as it now is. @returns the targets that are gone */
     std::vector<TargetName> setEntries(const std::vector<TargetEntry> &entries);
 
+    /** How the engines of each service work. */
+    void setProfiles(const RoutingConfig &config);
+
+    /** What the engines of expert groups say of themselves. */
+    void setEngines(const std::vector<EngineView> &engines);
+
     /** The target @p id, or nullptr once it is gone. */
     GatewayTarget *find(const TargetName &id);
 
     /** How many targets of @p service take new requests. */
     std::size_t usableCount(const ServiceName &service) const;
 
-    /** Where to send a request for @p service that @p tried have failed or refused; nullptr for nowhere. */
-    GatewayTarget *choose(const ServiceName &service, const std::set<TargetName> &tried, SteadyTime now,
-                          RandomSource &random);
+    /** Where a request goes. */
+    struct Choice
+    {
+        GatewayTarget *target = nullptr; ///< null for nowhere
+        bool isFull = false; ///< there are targets, but all have as much as they should
+    };
+
+    /** Where to send a request for @p service that @p tried have failed or refused. */
+    Choice choose(const ServiceName &service, const std::set<TargetName> &tried, SteadyTime now, RandomSource &random);
+
+    /** @p id has refused a request. */
+    void refused(const TargetName &id, SteadyTime now);
 
     /** An attempt at @p id ended; tells of its health. */
     void record(const TargetName &id, Attempt attempt, SteadyTime now);
@@ -55,11 +72,16 @@
 
 private:
     bool isUsable(const GatewayTarget &target, const ServiceName &service) const;
+    DirectCandidate candidateOf(const GatewayTarget &target, const HealthTracker &health,
+                                const std::set<TargetName> &tried, SteadyTime now) const;
+    Choice chooseEngine(const std::vector<GatewayTarget *> &targets, const std::vector<DirectCandidate> &candidates,
+                        const EnginePlacementRules &rules, SteadyTime now, RandomSource &random) const;
 
     ZoneName m_zone;
     std::map<TargetName, GatewayTarget> m_targets;
     std::set<TargetName> m_gone; ///< left the register, with requests open
     std::map<ServiceName, HealthTracker> m_health;
+    std::map<ServiceName, EnginePlacementRules> m_engineRules; ///< of services with expert groups
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -13,8 +13,6 @@
 
 /** When to ask again while there is no configuration: one read of the log. */
 constexpr std::chrono::milliseconds UnconfiguredRetryAfter{200};
-/** How often the control thread is told that targets stand still. */
-constexpr std::chrono::milliseconds StallNoticePeriod{1'000};
 /** When to ask again at another entry while this one stops. */
 constexpr std::chrono::milliseconds StoppingRetryAfter{50};
 
@@ -47,6 +45,7 @@
 
 void GatewayTraffic::setTable(std::shared_ptr<const RouteTable> table)
 {
+    m_targets.setProfiles(table->config());
     m_table = std::move(table);
 }
 
@@ -63,18 +62,9 @@
     m_refusesStreams = true;
 }
 
-void GatewayTraffic::onStall(std::function<void()> stalled)
+void GatewayTraffic::setEngines(const std::vector<EngineView> &engines)
 {
-    m_stalled = std::move(stalled);
-}
-
-void GatewayTraffic::targetStalled()
-{
-    const auto now = std::chrono::steady_clock::now();
-    if (m_stalled && now - m_stallTold >= StallNoticePeriod) {
-        m_stallTold = now;
-        m_stalled();
-    }
+    m_targets.setEngines(engines);
 }
 
 void GatewayTraffic::handle(const std::shared_ptr<HttpExchange> &exchange)
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -7,7 +7,6 @@
 #include "heatherridge_transport/direct/targetpool.h"
 #include "heatherridge_transport/http/httpserver.h"
 
-#include <functional>
 #include <memory>
 #include <unordered_set>
 
@@ -50,8 +49,8 @@
     /** From now on nothing is taken that could outlast the process. */
     void refuseStreams();
 
-    /** Calls @p stalled, at most once a second, while a target with open requests says nothing. */
-    void onStall(std::function<void()> stalled);
+    /** What the engines of expert groups say of themselves. */
+    void setEngines(const std::vector<EngineView> &engines);
 
     /** Takes a request. */
     void handle(const std::shared_ptr<HttpExchange> &exchange);
@@ -87,7 +86,6 @@
     FleetRetryBudget &budgetOf(const ServiceName &service);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &id, const Error &error);
     Result<RouteMatch> accept(const HttpRequest &request, const CallerFields &fields) const;
-    void targetStalled();
     void finished(const std::shared_ptr<GatewayCall> &call);
 
     asio::io_context &m_loop;
@@ -101,8 +99,6 @@
     SeededRandom m_random;
     std::map<ServiceName, FleetRetryBudget> m_budgets;
     std::unordered_set<std::shared_ptr<GatewayCall>> m_calls;
-    std::function<void()> m_stalled;
-    SteadyTime m_stallTold{};
     bool m_refusesStreams = false;
     bool m_hasTargets = false;
 };
--- a/modules/heatherridge_transport/direct/sidecarranks.cpp
+++ b/modules/heatherridge_transport/direct/sidecarranks.cpp
@@ -59,10 +59,10 @@
     m_client.send(callTo(target, SidecarPaths::Order, std::move(body)),
                   [this, target, order, epoch, done = std::move(done)](std::variant<HttpResponse, HttpClient::Failure> ended) {
                       if (const auto *failure = std::get_if<HttpClient::Failure>(&ended)) {
+                          missed(target);
                           if (failure->mayHaveArrived) {
-                              done(OrderReply::NoAnswer);
+                              done(OrderReply::NoAnswer); // given again, it goes past the sidecar
                           } else {
-                              missed(target);
                               m_direct->order(target, order, epoch, done);
                           }
                           return;
@@ -85,10 +85,10 @@
     m_client.send(callTo(target, path, {}), [this, target, decode, direct = std::move(direct), done = std::move(done)](
                                                 std::variant<HttpResponse, HttpClient::Failure> ended) {
         if (const auto *failure = std::get_if<HttpClient::Failure>(&ended)) {
+            missed(target);
             if (failure->mayHaveArrived) {
                 done(Error{.kind = ErrorKind::TargetUnreachable, .detail = failure->reason});
             } else {
-                missed(target);
                 direct();
             }
             return;
