Forget engines that start anew sooner; shorter leases for keepers

Cause: after a loss of power a switch asked engines' former runs, was refused, and the groups ran with a skew of 2.9 for 3 s more; a dead keeper's share lay idle for 2.6 s.

--- a/modules/heatherridge_coordination/feed/workshare.h
+++ b/modules/heatherridge_coordination/feed/workshare.h
@@ -48,8 +48,8 @@
     {
         std::string member{}; ///< unique for this run of the process
         int parts = 1; ///< partitions of a topic of the log
-        std::chrono::milliseconds period{800}; ///< between calls; a third of the lease, so that two may get lost
-        std::chrono::milliseconds lease{2'600}; ///< how long a dead member's work lies idle at most
+        std::chrono::milliseconds period{450}; ///< between calls; a third of the lease, so that two may get lost
+        std::chrono::milliseconds lease{1'500}; ///< how long a dead member's work lies idle at most
     };
 
     /** Uses @p log, which must outlive it. */
--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -14,8 +14,12 @@
 
 /** A round of readings is closed with what has come by then. */
 constexpr milliseconds RoundPatience{400};
+/** Statuses in a row that don't come before an engine counts as gone; one may be lost. */
+constexpr int MissesToForget = 2;
 /** After a switch that failed, so that a fault that lasts does not cost orders all the while. */
 constexpr milliseconds FailurePause{1'500};
+/** A switch waits so long for the statuses of its ranks. */
+constexpr milliseconds StatusPatience{300};
 /** After a switch, until statuses show it. */
 constexpr milliseconds SettlePause{350};
 /** Low bits of a map's number that are drawn at random, so that two keepers never use one number for two maps. */
@@ -31,17 +35,20 @@
 } // namespace
 
 GroupKeeper::GroupKeeper(RankControl &control, GroupKeeperOptions options, KeeperEvents events,
-                         std::function<std::uint64_t()> drawBits)
+                         const Clock &clock, std::function<std::uint64_t()> drawBits)
     : m_control(control)
     , m_options(options)
     , m_events(std::move(events))
+    , m_clock(clock)
     , m_drawBits(std::move(drawBits))
     , m_alive(std::make_shared<int>(0))
 {
 }
 
-void GroupKeeper::setTargets(const std::vector<TargetEntry> &targets, const EngineProfile &profile)
+void GroupKeeper::setTargets(const std::vector<TargetEntry> &targets, const EngineProfile &profile,
+                             std::chrono::milliseconds longestPause)
 {
+    m_longestPause = longestPause;
     if (!m_demand || profile.layerSets != m_profile.layerSets || profile.experts != m_profile.experts) {
         m_demand = std::make_unique<ExpertDemand>(profile.layerSets, profile.experts);
     }
@@ -134,16 +141,30 @@
         found->second.isAsking = false;
         if (const auto *known = std::get_if<RankStatus>(&status)) {
             takeStatus(found->second, *known, now);
+        } else {
+            missStatus(found->second);
         }
     });
 }
 
+void GroupKeeper::missStatus(Member &member)
+{
+    if (!member.status || ++member.misses < MissesToForget) {
+        return;
+    }
+    // Gone, or another run of the engine answers in its place: its group is not whole until somebody has its rank.
+    const auto group = member.status->group;
+    member.status.reset();
+    rebuildGroup(group);
+}
+
 void GroupKeeper::takeStatus(Member &member, const RankStatus &status, SteadyTime now)
 {
     const bool isNew = !member.status || member.status->group != status.group || member.status->rank != status.rank
         || member.status->epoch != status.epoch || member.status->isOpen != status.isOpen;
     member.status = status;
     member.answeredAt = now;
+    member.misses = 0;
     m_hasNews = true;
     if (status.group.isEmpty()) {
         return;
@@ -154,9 +175,6 @@
     if (isNew) {
         rebuildGroup(status.group);
     }
-    if (group.statusesMissing > 0) {
-        --group.statusesMissing;
-    }
     if (status.rank != 0 || status.epoch != group.epoch) {
         return;
     }
@@ -245,7 +263,7 @@
         runSwitch(name, group, now);
     } else if (group.heldStep) {
         watchHold(name, group, now);
-    } else if (group.wanted && group.statusesMissing == 0) {
+    } else if (group.wanted && (hasFreshStatuses(group) || now - group.gatheredAt > StatusPatience)) {
         startSwitch(name, group, now);
     } else if (m_isActive && !group.layout) {
         readExperts(group);
@@ -415,10 +433,14 @@
             if (found != m_members.end() && errorIn(counts) == nullptr) {
                 auto &known = std::get<RankCounts>(counts);
                 auto &before = found->second.counts;
-                const bool isComparable = before && before->epoch == known.epoch
-                    && before->chosen.size() == known.chosen.size() && known.chosen.size() == m_round.size();
-                for (std::size_t index = 0; isComparable && index < m_round.size(); ++index) {
-                    m_round[index] += std::max(0.0, known.chosen[index] - before->chosen[index]);
+                const bool isComparable = before && before->epoch == known.epoch;
+                // A keeper that knows nothing yet takes what was chosen since the engine's start: better than nothing.
+                const bool isFirst = !before && m_demand->bySet().empty();
+                const bool isUsable = known.chosen.size() == m_round.size() && (isComparable || isFirst)
+                    && (isFirst || before->chosen.size() == known.chosen.size());
+                for (std::size_t index = 0; isUsable && index < m_round.size(); ++index) {
+                    const double earlier = isFirst ? 0 : before->chosen[index];
+                    m_round[index] += std::max(0.0, known.chosen[index] - earlier);
                 }
                 before = std::move(known);
             }
@@ -459,10 +481,13 @@
     group.skewBefore = layoutSkew(*group.layout, m_demand->bySet(), slowness);
     group.skewAfter = layoutSkew(layout, m_demand->bySet(), slowness);
     const auto most = mostCopies(*group.layout, layout);
-    const bool isWorth = group.skewBefore - group.skewAfter >= m_options.leastGain;
+    const bool isCalm = group.passTime <= m_longestPause * m_options.calmPart;
+    const bool isWorth =
+        group.skewBefore - group.skewAfter >= (isCalm ? m_options.leastGainWhenCalm : m_options.leastGain);
     tell(isWorth ? "map-wanted" : "map-kept", name,
          "skew " + twoDigits(group.skewBefore) + " to " + twoDigits(group.skewAfter) + " copies "
-             + std::to_string(most) + " distance " + twoDigits(m_demand->lastDistance()));
+             + std::to_string(most) + " distance " + twoDigits(m_demand->lastDistance())
+             + " pass-ms " + std::to_string(group.passTime.count()));
     if (!isWorth) {
         return;
     }
@@ -486,22 +511,29 @@
 
 void GroupKeeper::gatherStatuses(Group &group, SteadyTime now)
 {
-    group.statusesMissing = 0;
+    group.gatheredAt = now;
     for (const auto &id : group.ranks) {
-        auto &member = m_members.at(id);
-        if (!member.isAsking) {
-            ++group.statusesMissing;
-            askStatus(member, now);
-        }
+        askStatus(m_members.at(id), now);
     }
 }
 
+bool GroupKeeper::hasFreshStatuses(const Group &group) const
+{
+    return std::all_of(group.ranks.begin(), group.ranks.end(),
+                       [&](const auto &id) { return m_members.at(id).answeredAt >= group.gatheredAt; });
+}
+
 void GroupKeeper::startSwitch(const GroupName &name, Group &group, SteadyTime now)
 {
     auto plan = *std::exchange(group.wanted, {});
     for (const auto &id : group.ranks) {
         const auto &status = *m_members.at(id).status;
         const bool isSame = status.map == group.layoutMap || status.step < group.layoutFrom;
+        if (m_members.at(id).answeredAt < group.gatheredAt) {
+            tell("map-switch-put-off", name, "a rank does not answer: " + id.text());
+            group.notBefore = now + SettlePause;
+            return;
+        }
         if (status.armed || status.heldStep || status.epoch != group.epoch || !isSame) {
             tell("map-switch-put-off", name, "a rank is not as expected: " + id.text());
             group.notBefore = now + SettlePause;
@@ -520,7 +552,9 @@
 
 MapNumber GroupKeeper::drawNumber(const Group &group)
 {
-    const auto above = (toNumber(group.highest) >> RandomBits) + 1;
+    // Calendar time goes before: ranks refuse numbers below any that they had, also from keepers that are gone.
+    const auto wall = static_cast<std::uint64_t>(m_clock.wallNow().time_since_epoch().count());
+    const auto above = std::max((toNumber(group.highest) >> RandomBits) + 1, wall);
     const auto bits = m_drawBits() & ((1U << RandomBits) - 1);
     return static_cast<MapNumber>((above << RandomBits) | bits);
 }
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -25,6 +25,10 @@
     std::chrono::milliseconds statusPeriod{400};
     /** How much of a pass's expert time a switch must save. */
     double leastGain = 0.06;
+    /** The same while passes are short: copies are paid for, and callers would notice nothing. */
+    double leastGainWhenCalm = 0.4;
+    /** Passes up to this part of the promised pause between events are short. */
+    double calmPart = 0.42;
     /** Experts of a set that a rank may copy for one switch; fewer make the switch sooner. */
     std::size_t newPerRank = 2;
     /** Experts that one rank copies in a second: 92 Gbit/s over 580 MB; from the engines' own words where they differ. */
@@ -66,10 +70,14 @@
     static constexpr std::chrono::milliseconds ForeignHoldPatience{1'200};
 
     GroupKeeper(RankControl &control, GroupKeeperOptions options, KeeperEvents events,
-                std::function<std::uint64_t()> drawBits);
+                const Clock &clock, std::function<std::uint64_t()> drawBits);
 
-    /** The targets of the service and how its engines work. */
-    void setTargets(const std::vector<TargetEntry> &targets, const EngineProfile &profile);
+    /**
+     * The targets of the service and how its engines work.
+     * @param longestPause between the events of its streams, that is promised to callers
+     */
+    void setTargets(const std::vector<TargetEntry> &targets, const EngineProfile &profile,
+                    std::chrono::milliseconds longestPause);
 
     /** Whether this keeper measures and switches. */
     void setActive(bool isActive);
@@ -86,7 +94,8 @@
         TargetEntry target{};
         std::optional<RankStatus> status{};
         SteadyTime askedAt{};
-        SteadyTime answeredAt{};
+        SteadyTime answeredAt{}; ///< when the last status that came was asked for
+        int misses = 0; ///< statuses in a row that did not come
         bool isAsking = false;
         std::optional<RankCounts> counts{}; ///< of the last reading
         std::optional<RankExperts> experts{};
@@ -111,7 +120,7 @@
         std::unique_ptr<MapSwitch> mapSwitch{};
         std::unique_ptr<HoldRecovery> recovery{};
         std::optional<SwitchPlan> wanted{}; ///< a switch that waits for fresh statuses
-        std::size_t statusesMissing = 0;
+        SteadyTime gatheredAt{}; ///< when fresh statuses were asked for
         SteadyTime notBefore{}; ///< no switch before
         SteadyTime startedAt{};
         double skewBefore = 0;
@@ -122,6 +131,7 @@
     void tellWatched();
     void askStatus(Member &member, SteadyTime now);
     void takeStatus(Member &member, const RankStatus &status, SteadyTime now);
+    void missStatus(Member &member);
     void rebuildGroup(const GroupName &name);
     void followGroup(const GroupName &name, Group &group, SteadyTime now);
     void watchHold(const GroupName &name, Group &group, SteadyTime now);
@@ -134,6 +144,7 @@
     void considerSwitch(const GroupName &name, Group &group, SteadyTime now);
     RankSlowness slownessOf(const Group &group) const;
     void gatherStatuses(Group &group, SteadyTime now);
+    bool hasFreshStatuses(const Group &group) const;
     void startSwitch(const GroupName &name, Group &group, SteadyTime now);
     bool isWhole(const Group &group) const;
     std::vector<TargetEntry> targetsOf(const Group &group) const;
@@ -143,7 +154,9 @@
     RankControl &m_control;
     GroupKeeperOptions m_options;
     KeeperEvents m_events;
+    const Clock &m_clock;
     std::function<std::uint64_t()> m_drawBits;
+    std::chrono::milliseconds m_longestPause{};
     EngineProfile m_profile;
     std::map<TargetName, Member> m_members;
     std::map<GroupName, Group> m_groups;
--- a/modules/heatherridge_state/routing/routetable.cpp
+++ b/modules/heatherridge_state/routing/routetable.cpp
@@ -90,6 +90,19 @@
     return nullptr;
 }
 
+std::chrono::milliseconds longestPauseOf(const RoutingConfig &config, const ServiceName &service)
+{
+    std::chrono::milliseconds shortest{0};
+    for (const auto &route : config.routes) {
+        const bool isOf = std::any_of(route.services.begin(), route.services.end(),
+                                      [&](const auto &share) { return share.service == service; });
+        if (isOf && route.longestPause.count() > 0 && (shortest.count() == 0 || route.longestPause < shortest)) {
+            shortest = route.longestPause;
+        }
+    }
+    return shortest.count() > 0 ? shortest : AssumedLongestPause;
+}
+
 ServiceName drawService(const RouteRule &route, RandomSource &random)
 {
     int whole = 0;
--- a/modules/heatherridge_state/routing/routetable.h
+++ b/modules/heatherridge_state/routing/routetable.h
@@ -52,6 +52,12 @@
     std::unordered_map<ServiceName, std::size_t> m_services;
 };
 
+/** Taken for the longest pause where no route promises one. */
+constexpr std::chrono::milliseconds AssumedLongestPause{200};
+
+/** The shortest of the longest pauses between events that the routes to @p service promise. */
+std::chrono::milliseconds longestPauseOf(const RoutingConfig &config, const ServiceName &service);
+
 /** Draws a service of @p route by weight; the null name when no service has a weight. */
 ServiceName drawService(const RouteRule &route, RandomSource &random);
 
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -185,7 +185,8 @@
             if (!keeper) {
                 keeper = makeKeeper();
             }
-            keeper->setTargets(targets[service.name], *service.engine);
+            keeper->setTargets(targets[service.name], *service.engine,
+                               longestPauseOf(rules->config(), service.name));
         }
     }
 
@@ -199,7 +200,7 @@
         };
         return std::make_unique<GroupKeeper>(m_ranks, m_options.groups,
                                              KeeperEvents{.watched = watched, .decided = decided},
-                                             [this] { return static_cast<std::uint64_t>(m_entropy()); });
+                                             m_clock, [this] { return static_cast<std::uint64_t>(m_entropy()); });
     }
 
     void rulesChanged(std::shared_ptr<const RouteTable> table)
@@ -232,6 +233,7 @@
     std::unique_ptr<ShareLog> m_shares;
     SidecarRanks m_ranks;
     std::random_device m_entropy;
+    SystemClock m_clock;
     WorkShare m_workShare;
     GatewayControl m_control;
     std::map<ServiceName, std::unique_ptr<GroupKeeper>> m_keepers;
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -1,5 +1,7 @@
 #include "heatherridge_transport/direct/gatewaytargets.h"
 
+#include "heatherridge_state/routing/routetable.h"
+
 #include <algorithm>
 
 namespace Heatherridge
@@ -13,21 +15,6 @@
 /** Part of the promised pause between events that a pass may take: room for passes that read a long prompt, and for a
  * first event that comes some passes after its request. */
 constexpr double UsedPartOfPause = 0.55;
-/** Taken when no route of the service promises pauses. */
-constexpr std::chrono::milliseconds AssumedPause{200};
-
-std::chrono::duration<double, std::milli> longestPassFor(const RoutingConfig &config, const ServiceName &service)
-{
-    std::chrono::milliseconds shortest{0};
-    for (const auto &route : config.routes) {
-        const bool isOf = std::any_of(route.services.begin(), route.services.end(),
-                                      [&](const auto &share) { return share.service == service; });
-        if (isOf && route.longestPause.count() > 0 && (shortest.count() == 0 || route.longestPause < shortest)) {
-            shortest = route.longestPause;
-        }
-    }
-    return (shortest.count() > 0 ? shortest : AssumedPause) * UsedPartOfPause;
-}
 
 } // namespace
 
@@ -155,7 +142,7 @@
             continue;
         }
         EnginePlacementRules rules{.step = service.engine->step, .stepPerRequest = service.engine->stepPerRequest};
-        rules.longestPass = longestPassFor(config, service.name);
+        rules.longestPass = longestPauseOf(config, service.name) * UsedPartOfPause;
         m_engineRules.emplace(service.name, rules);
     }
 }
