--- a/modules/heatherridge_coordination/feed/workshare.cpp
+++ b/modules/heatherridge_coordination/feed/workshare.cpp
@@ -18,9 +18,10 @@
     }
     m_due = now + m_options.period;
     m_isCalling = true;
-    m_log.join(m_options.member, m_options.lease, m_share.generation, [this](Result<ShareAnswer> answer) {
+    m_log.join(m_options.member, m_options.lease, m_share.generation, [this, now](Result<ShareAnswer> answer) {
         m_isCalling = false;
         if (errorIn(answer) == nullptr) {
+            m_confirmedAt = now;
             m_share = std::get<ShareAnswer>(std::move(answer));
         }
     });
@@ -32,6 +33,11 @@
     return !m_hasLeft && m_share.parts.contains(static_cast<int>(part));
 }
 
+bool WorkShare::isConfirmed(SteadyTime now) const
+{
+    return m_confirmedAt && now - *m_confirmedAt < m_options.lease;
+}
+
 void WorkShare::leave()
 {
     m_hasLeft = true;
--- a/modules/heatherridge_coordination/feed/workshare.h
+++ b/modules/heatherridge_coordination/feed/workshare.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -61,6 +62,9 @@
     /** Whether @p work, any stable name, belongs to this process. */
     bool isMine(std::string_view work) const;
 
+    /** Whether the log has confirmed the share within its lease, so that nobody else can have it. */
+    bool isConfirmed(SteadyTime now) const;
+
     /** Gives everything back. */
     void leave();
 
@@ -69,6 +73,7 @@
     Options m_options;
     ShareAnswer m_share;
     SteadyTime m_due{};
+    std::optional<SteadyTime> m_confirmedAt; ///< when the last call that was answered was made
     bool m_isCalling = false;
     bool m_hasLeft = false;
 };
--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -22,6 +22,8 @@
 /** Bounds of the pause before a recovery that failed is tried again; one takes half a second by itself. */
 constexpr milliseconds FirstRecoveryPause{600};
 constexpr milliseconds LongestRecoveryPause{4'000};
+/** Own numbers that are remembered: far more than are given out while statuses are under way. */
+constexpr std::size_t RememberedNumbers = 256;
 /** A switch waits so long for the statuses of its ranks. */
 constexpr milliseconds StatusPatience{300};
 /** After a switch, until statuses show it. */
@@ -76,13 +78,23 @@
     }
 }
 
-void GroupKeeper::setActive(bool isActive)
+void GroupKeeper::setActive(bool isActive, bool isConfirmed)
 {
     m_isActive = isActive;
+    if (m_isConfirmed && !isConfirmed) {
+        m_unconfirmedSince = m_now;
+        m_sawOther = false;
+        m_highestBefore = {};
+        for (const auto &[name, group] : m_groups) {
+            m_highestBefore = std::max(m_highestBefore, group.highest);
+        }
+    }
+    m_isConfirmed = isConfirmed;
 }
 
 void GroupKeeper::tick(SteadyTime now)
 {
+    m_now = now;
     askStatuses(now);
     for (auto &[name, group] : m_groups) {
         followGroup(name, group, now);
@@ -178,6 +190,7 @@
     if (status.group.isEmpty()) {
         return;
     }
+    noticeOthers(status);
     auto &group = m_groups[status.group];
     group.highest = std::max({group.highest, status.map, status.prepared.value_or(MapNumber{}),
                               status.armed.value_or(MapNumber{})});
@@ -201,6 +214,20 @@
     }
 }
 
+void GroupKeeper::noticeOthers(const RankStatus &status)
+{
+    const auto newest = std::max(status.map, status.prepared.value_or(MapNumber{}));
+    if (!m_isConfirmed && newest > m_highestBefore && !m_ownNumbers.contains(newest)) {
+        m_sawOther = true;
+    }
+}
+
+bool GroupKeeper::givesWay(SteadyTime now) const
+{
+    // Two keepers that switch one group make each other fail, and each failure holds it for a second.
+    return !m_isConfirmed && (m_sawOther || now - m_unconfirmedSince < GivingWay);
+}
+
 void GroupKeeper::followHold(Group &group, SteadyTime now)
 {
     // Switches hold at rank 0 and recoveries at another, and either may have come late: any rank may hold.
@@ -314,6 +341,7 @@
         [this, &group](MapNumber seen) {
             group.highest = std::max(group.highest, seen);
             group.highest = drawNumber(group);
+            m_ownNumbers.insert(group.highest);
             return group.highest;
         });
 }
@@ -496,7 +524,7 @@
 void GroupKeeper::considerSwitch(const GroupName &name, Group &group, SteadyTime now)
 {
     const bool isFree = !group.mapSwitch && !group.recovery && !group.wanted && !group.heldStep;
-    if (!isFree || now < group.notBefore) {
+    if (!isFree || now < group.notBefore || givesWay(now)) {
         return;
     }
     const auto copies = std::min(m_options.newPerRank, static_cast<std::size_t>(std::max(m_profile.sparePlaces, 0)));
@@ -572,6 +600,10 @@
     plan.epoch = group.epoch;
     plan.number = drawNumber(group);
     plan.after = group.lastHeld;
+    m_ownNumbers.insert(plan.number);
+    if (m_ownNumbers.size() > RememberedNumbers) {
+        m_ownNumbers.erase(m_ownNumbers.begin());
+    }
     group.startedAt = now;
     group.mapSwitch = std::make_unique<MapSwitch>(m_control, std::move(plan));
     group.mapSwitch->tick(now);
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -69,6 +70,9 @@
     /** A pass that stays held for so long without a switch of this keeper is let go: whole switches take half. */
     static constexpr std::chrono::milliseconds ForeignHoldPatience{1'200};
 
+    /** An unconfirmed keeper waits so long for another to show before it goes on: whoever takes over begins within it. */
+    static constexpr std::chrono::milliseconds GivingWay{1'500};
+
     GroupKeeper(RankControl &control, GroupKeeperOptions options, KeeperEvents events,
                 const Clock &clock, std::function<std::uint64_t()> drawBits);
 
@@ -79,8 +83,11 @@
     void setTargets(const std::vector<TargetEntry> &targets, const EngineProfile &profile,
                     std::chrono::milliseconds longestPause);
 
-    /** Whether this keeper measures and switches. */
-    void setActive(bool isActive);
+    /**
+     * Whether this keeper measures and switches.
+     * @param isConfirmed false while it cannot know whether another has taken over; then it gives way to any that shows
+     */
+    void setActive(bool isActive, bool isConfirmed);
 
     /** Does what is due. */
     void tick(SteadyTime now);
@@ -149,6 +156,8 @@
     void gatherStatuses(Group &group, SteadyTime now);
     bool hasFreshStatuses(const Group &group) const;
     void startSwitch(const GroupName &name, Group &group, SteadyTime now);
+    void noticeOthers(const RankStatus &status);
+    bool givesWay(SteadyTime now) const;
     bool isWhole(const Group &group) const;
     std::vector<TargetEntry> targetsOf(const Group &group) const;
     MapNumber drawNumber(const Group &group);
@@ -169,6 +178,12 @@
     SteadyTime m_roundBegan{};
     SteadyTime m_countsDue{};
     bool m_isActive = false;
+    bool m_isConfirmed = true;
+    SteadyTime m_now{}; ///< of the last tick
+    SteadyTime m_unconfirmedSince{};
+    bool m_sawOther = false; ///< another keeper's map was seen since then
+    std::set<MapNumber> m_ownNumbers; ///< maps that this keeper has made ranks prepare
+    MapNumber m_highestBefore{}; ///< of all maps seen while it was confirmed
     SteadyTime m_statusesDue{};
     bool m_hasNews = false; ///< statuses that watched() has not been told of
     double m_lastSkew = 0;
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -161,7 +161,7 @@
                 logEvent(Severity::Info, isMine ? "keeper-active" : "keeper-inactive", {{"service", service.text()}});
                 isMine ? void(m_activeKeepers.insert(service)) : void(m_activeKeepers.erase(service));
             }
-            keeper->setActive(isMine);
+            keeper->setActive(isMine, m_workShare.isConfirmed(now));
             keeper->tick(now);
         }
     }
--- a/tests/heldgroups/heldworld.cpp
+++ b/tests/heldgroups/heldworld.cpp
@@ -250,7 +250,7 @@
             }},
             standingClock(), [this] { return m_random.draw(); });
         process->keeper->setTargets(targets, profile, milliseconds(120));
-        process->keeper->setActive(true);
+        process->keeper->setActive(true, true);
         m_keepers.push_back(std::move(process));
     }
     shiftDemand();
@@ -267,7 +267,7 @@
 {
     for (auto &process : m_keepers) {
         process->pausedUntil = 0;
-        process->keeper->setActive(process == m_keepers.front());
+        process->keeper->setActive(process == m_keepers.front(), true);
     }
     advance(duration, false);
 }
