Give an address to whoever registered there last; keep a hold in mind while a rank is away

Cause: after a loss of power engines start under new ids, while their last runs stay registered for 3.6 s; statuses answered for both, but orders and requests to the last runs were refused (421). Ruled out: numbers of maps that are too low; the bound on new experts (answers said 421).

--- a/modules/heatherridge_coordination/feed/registerlog.h
+++ b/modules/heatherridge_coordination/feed/registerlog.h
@@ -25,6 +25,7 @@
 {
     std::string key{};
     std::optional<std::string> value{}; ///< nothing: the key is gone
+    std::uint64_t offset = 0; ///< where it stands in the register
 };
 
 /** Some records of a register in their order. */
--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -270,11 +270,13 @@
     const bool isOpen = std::all_of(ranks.begin(), ranks.end(), [this](const auto &id) {
         return !id.isEmpty() && m_members.at(id).status->isOpen;
     });
-    if (ranks != group.ranks || epoch != group.epoch) {
-        group.layout.reset();
+    if (epoch != group.epoch) {
         group.lastStep = 0;
         group.lastHeld = 0;
         group.heldStep.reset();
+    }
+    if (ranks != group.ranks || epoch != group.epoch) {
+        group.layout.reset();
         group.mapSwitch.reset();
         group.recovery.reset();
         group.wanted.reset();
@@ -324,8 +326,8 @@
 void GroupKeeper::watchHold(const GroupName &name, Group &group, SteadyTime now)
 {
     group.wanted.reset();
-    // Inactive keepers leave it to the active one for as long again, or all would recover at once.
-    const auto patience = m_isActive ? ForeignHoldPatience : ForeignHoldPatience * 2;
+    // Inactive keepers leave it to the active one, or all would recover at once and hinder each other.
+    const auto patience = m_isActive ? ForeignHoldPatience : ForeignHoldPatience * 4;
     const bool isStuck = now - group.heldSince > patience;
     const bool isOwn = group.startedAt != SteadyTime{} && now - group.startedAt < ForeignHoldPatience * 3;
     if ((!isStuck && !isOwn) || now < group.recoveryNotBefore) {
--- a/modules/heatherridge_coordination/groups/mapswitch.cpp
+++ b/modules/heatherridge_coordination/groups/mapswitch.cpp
@@ -190,7 +190,7 @@
 void MapSwitch::watchArming(SteadyTime now)
 {
     if (now - m_phaseBegan > ArmPatience) {
-        finish(End::Stuck, "not all ranks could be armed");
+        finish(End::Stuck, "not armed: " + unarmedRanks());
         return;
     }
     for (std::size_t rank = 0; rank < m_round->size(); ++rank) {
@@ -204,6 +204,18 @@
     release(now);
 }
 
+std::string MapSwitch::unarmedRanks() const
+{
+    std::string ranks;
+    for (std::size_t rank = 0; rank < m_round->size(); ++rank) {
+        if (!m_round->isAnswered(rank) || m_round->reply(rank) == OrderReply::Refused) {
+            const auto *word = m_round->reply(rank) == OrderReply::Refused ? " refused" : " silent";
+            ranks += (ranks.empty() ? "" : ", ") + m_plan.ranks[rank].id.text() + word;
+        }
+    }
+    return ranks;
+}
+
 void MapSwitch::release(SteadyTime now)
 {
     m_phase = Phase::Releasing;
--- a/modules/heatherridge_coordination/groups/mapswitch.h
+++ b/modules/heatherridge_coordination/groups/mapswitch.h
@@ -91,6 +91,7 @@
     void held(SteadyTime now);
     void arm(SteadyTime now);
     void watchArming(SteadyTime now);
+    std::string unarmedRanks() const;
     void release(SteadyTime now);
     void released(SteadyTime now);
     void finish(End end, std::string reason);
--- a/modules/heatherridge_coordination/groups/orderround.cpp
+++ b/modules/heatherridge_coordination/groups/orderround.cpp
@@ -44,6 +44,11 @@
     return m_slots->size();
 }
 
+bool OrderRound::isAnswered(std::size_t index) const
+{
+    return (*m_slots)[index].isAnswered;
+}
+
 OrderReply OrderRound::reply(std::size_t index) const
 {
     return (*m_slots)[index].reply;
--- a/modules/heatherridge_coordination/groups/orderround.h
+++ b/modules/heatherridge_coordination/groups/orderround.h
@@ -38,6 +38,9 @@
     /** Ranks asked. */
     std::size_t size() const;
 
+    /** Whether item @p index has been answered. */
+    bool isAnswered(std::size_t index) const;
+
     /** The last word on item @p index. */
     OrderReply reply(std::size_t index) const;
 
--- a/modules/heatherridge_state/routing/targetdirectory.cpp
+++ b/modules/heatherridge_state/routing/targetdirectory.cpp
@@ -19,6 +19,10 @@
 
 void TargetDirectory::put(const TargetEntry &entry)
 {
+    // A target that starts anew takes another id; its last run stays registered until its heartbeats are missed.
+    std::erase_if(m_entries, [&entry](const auto &known) {
+        return known.second.address == entry.address && known.first != entry.id;
+    });
     m_lapsed.erase(entry.id);
     m_entries.insert_or_assign(entry.id, entry);
 }
@@ -57,7 +61,7 @@
         return false;
     }
     for (const auto &id : m_lapsed) {
-        m_entries.erase(id);
+        m_entries.erase(id); // nothing is there when its address has been taken over meanwhile
     }
     m_lapsed.clear();
     return true;
--- a/modules/heatherridge_state/routing/targetdirectory.h
+++ b/modules/heatherridge_state/routing/targetdirectory.h
@@ -32,13 +32,13 @@
     /** A call to the register failed at @p now. */
     void unreadable(SteadyTime now);
 
-    /** @p entry is registered. */
+    /** @p entry is registered, later than all before it. Whoever was registered at its address is gone. */
     void put(const TargetEntry &entry);
 
     /** The entry of @p id is gone, or names no usable target any more. */
     void remove(const TargetName &id, SteadyTime now);
 
-    /** Takes @p entries for the whole register: all others are gone. */
+    /** Takes @p entries, in the order in which they were registered, for the whole register: all others are gone. */
     void replace(const std::vector<TargetEntry> &entries, SteadyTime now);
 
     /** Lets go of lapsed entries whose grace is over. @returns whether any went */
