--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -27,9 +27,9 @@
     /** How much of a pass's expert time a switch must save. */
     double leastGain = 0.06;
     /** The same while passes are short: copies are paid for, and callers would notice nothing. */
-    double leastGainWhenCalm = 0.4;
+    double leastGainWhenCalm = 0.8;
     /** Passes up to this part of the promised pause between events are short. */
-    double calmPart = 0.42;
+    double calmPart = 0.5;
     /** Experts of a set that a rank may copy for one switch; fewer make the switch sooner. */
     std::size_t newPerRank = 2;
     /** Experts that one rank copies in a second: 92 Gbit/s over 580 MB; from the engines' own words where they differ. */
