--- a/modules/heatherridge_transport/app/daemon.cpp
+++ b/modules/heatherridge_transport/app/daemon.cpp
@@ -23,6 +23,9 @@
      .type = SettingType::AddressList,
      .help = "gates of some targets, asked for the configuration when the process starts while the log is out"},
     {.key = "log-format", .fallback = "key-value", .help = "form of the process's own log: key-value or json"},
+    {.key = "log-stream",
+     .fallback = "standard-error",
+     .help = "where the process's own log goes: standard-error, or standard-output without ever waiting for its reader"},
     {.key = "log-level", .fallback = "info", .help = "lowest level that is written: debug, info, warning or error"},
 };
 
@@ -58,7 +61,9 @@
 {
     setUpLogger({.process = settings.text("name"),
                  .format = settings.text("log-format") == "json" ? LogFormat::Json : LogFormat::KeyValue,
-                 .lowest = severityFrom(settings.text("log-level"))});
+                 .lowest = severityFrom(settings.text("log-level")),
+                 .stream = settings.text("log-stream") == "standard-output" ? LogStream::StandardOutput
+                                                                              : LogStream::StandardError});
 }
 
 void announceReady(std::string_view role, const std::vector<Endpoint> &endpoints)
@@ -119,11 +124,14 @@
     const auto started = server.start();
     if (const auto *error = errorIn(started)) {
         logEvent(Severity::Error, "start-failed", {{"reason", error->detail}});
+        stopLogger();
         return 1;
     }
     announceReady(description.role, std::get<std::vector<Endpoint>>(started));
+    logEvent(Severity::Info, "started", {{"role", std::string(description.role)}});
     waitForStopSignal();
     server.drainAndStop();
+    stopLogger();
     return 0;
 }
 
--- a/modules/heatherridge_transport/app/logger.cpp
+++ b/modules/heatherridge_transport/app/logger.cpp
@@ -1,7 +1,11 @@
 #include "heatherridge_transport/app/logger.h"
 
+#include "heatherridge_transport/app/logbudget.h"
+
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -13,6 +17,8 @@
 #include <chrono>
 #include <ctime>
 #include <iostream>
+#include <mutex>
+#include <utility>
 
 namespace Heatherridge
 {
@@ -29,6 +35,51 @@
 }
 
 std::atomic<bool> ready{false};
+std::atomic<std::uint64_t> dropped{0};
+
+/** Lines that wait for the writing thread: two seconds of a busy gateway, at some 300 bytes each. */
+constexpr std::size_t QueuedLines = 512;
+
+/** Drops the newest line when the queue is full, and counts it. */
+class CountAndDrop
+{
+public:
+    template<typename Lock>
+    static bool on_overflow(const boost::log::record_view &, Lock &)
+    {
+        dropped.fetch_add(1, std::memory_order_relaxed);
+        return false;
+    }
+
+    static void on_queue_space_available()
+    {
+    }
+
+    static void interrupt()
+    {
+    }
+};
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using QueuedSink = boost::log::sinks::asynchronous_sink<
+    Backend, boost::log::sinks::bounded_fifo_queue<QueuedLines, CountAndDrop>>;
+
+boost::shared_ptr<QueuedSink> &queuedSink()
+{
+    static boost::shared_ptr<QueuedSink> sink;
+    return sink;
+}
+
+/** The lines of each event within their budget; one thread at a time. */
+LogBudget::Verdict askBudget(std::string_view event)
+{
+    static std::mutex mutex;
+    static LogBudget budget;
+    const std::lock_guard lock(mutex);
+    return budget.ask(event, std::chrono::steady_clock::now());
+}
+
+void write(std::string_view level, std::string_view event, std::initializer_list<LogField> fields);
 
 std::string timeStamp()
 {
@@ -65,30 +116,60 @@
     return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+void write(std::string_view level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    const auto line =
+        options().format == LogFormat::Json ? asJson(level, event, fields) : asKeyValue(level, event, fields);
+    static boost::log::sources::logger_mt source;
+    BOOST_LOG(source) << line;
+}
+
 } // namespace
 
 void setUpLogger(const LoggerOptions &newOptions)
 {
     namespace sinks = boost::log::sinks;
     options() = newOptions;
-    auto backend = boost::make_shared<sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    const bool isQueued = newOptions.stream == LogStream::StandardOutput;
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(isQueued ? &std::cout : &std::clog, boost::null_deleter()));
     backend->auto_flush(true);
-    boost::log::core::get()->add_sink(
-        boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
+    if (isQueued) {
+        queuedSink() = boost::make_shared<QueuedSink>(backend);
+        boost::log::core::get()->add_sink(queuedSink());
+    } else {
+        boost::log::core::get()->add_sink(boost::make_shared<sinks::synchronous_sink<Backend>>(backend));
+    }
     ready = true;
 }
 
+void stopLogger()
+{
+    if (const auto sink = std::exchange(queuedSink(), nullptr)) {
+        boost::log::core::get()->remove_sink(sink);
+        sink->stop();
+        sink->flush();
+    }
+}
+
+std::uint64_t droppedLogLines()
+{
+    return dropped.load(std::memory_order_relaxed);
+}
+
 void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (!ready || severity < options().lowest) {
         return;
     }
-    const auto level = LevelNames.at(static_cast<std::size_t>(severity));
-    const auto line =
-        options().format == LogFormat::Json ? asJson(level, event, fields) : asKeyValue(level, event, fields);
-    static boost::log::sources::logger_mt source;
-    BOOST_LOG(source) << line;
+    const auto verdict = askBudget(event);
+    if (verdict.leftOut > 0) {
+        write(LevelNames.at(static_cast<std::size_t>(Severity::Warning)), "lines-left-out",
+              {{"of", std::string(event)}, {"count", std::to_string(verdict.leftOut)}});
+    }
+    if (verdict.isWritten) {
+        write(LevelNames.at(static_cast<std::size_t>(severity)), event, fields);
+    }
 }
 
 std::string quotedLogValue(std::string_view text)
--- a/modules/heatherridge_transport/app/logger.h
+++ b/modules/heatherridge_transport/app/logger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -22,22 +23,35 @@
     Json, ///< one JSON map a line
 };
 
+/** Where the log goes. */
+enum class LogStream {
+    StandardError, ///< written before the caller goes on
+    StandardOutput, ///< written by a thread of its own; lines are dropped and counted when the reader is too slow
+};
+
 /** How the log is written. */
 struct LoggerOptions
 {
     std::string process{}; ///< name of this process, in every line
     LogFormat format = LogFormat::KeyValue;
     Severity lowest = Severity::Info;
+    LogStream stream = LogStream::StandardError;
 };
 
 /** One field of a log line. */
 using LogField = std::pair<std::string_view, std::string>;
 
-/** Sets up the process's log on standard error. Call once, before threads start. */
+/** Sets up the process's log. Call once, before threads start. */
 void setUpLogger(const LoggerOptions &options);
 
+/** Writes what is still queued. Call last. */
+void stopLogger();
+
+/** Lines that were dropped because the reader of standard output was too slow. */
+std::uint64_t droppedLogLines();
+
 /**
- * Writes one structured line. Any thread.
+ * Writes one structured line, within the event's LogBudget. Any thread; never waits for a reader of standard output.
  * @param event stable name of what happened, in lower case with dashes
  * @param fields what belongs to it; "request" holds the request id, the same in all processes
  */
--- /dev/null
+++ b/tests/decisions/direct_test.cpp
@@ -0,0 +1,283 @@
+#include "heatherridge_state/decisions/attemptend.h"
+#include "heatherridge_state/decisions/directplacement.h"
+#include "heatherridge_state/decisions/engineplacement.h"
+#include "heatherridge_state/decisions/fleetretrybudget.h"
+#include "heatherridge_state/decisions/loadestimate.h"
+#include "heatherridge_state/decisions/placementwait.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <deque>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const SteadyTime Start{};
+
+struct StepRow
+{
+    const char *story;
+    AttemptEnd end;
+    AttemptContext context;
+    NextStep step;
+};
+
+constexpr auto Idempotent = RequestKind::Idempotent;
+constexpr auto NonIdempotent = RequestKind::NonIdempotent;
+constexpr auto EventStream = RequestKind::EventStream;
+
+const StepRow StepRows[] = {
+    {"a whole answer", AttemptEnd::Answered, {.kind = NonIdempotent, .mayHaveRun = 1}, NextStep::Deliver},
+    // A booking whose connection was reset may have been made. Sent again it is made twice.
+    {"a booking after a reset", AttemptEnd::Broken, {.kind = NonIdempotent, .mayHaveRun = 1, .maxAttempts = 3}, NextStep::Fail},
+    {"a booking after silence", AttemptEnd::Silent, {.kind = NonIdempotent, .mayHaveRun = 1, .maxAttempts = 3}, NextStep::Fail},
+    {"a booking after bytes that are no answer", AttemptEnd::Unusable, {.kind = NonIdempotent, .mayHaveRun = 1, .maxAttempts = 3}, NextStep::Fail},
+    {"a booking that its target failed", AttemptEnd::FailedAtTarget, {.kind = NonIdempotent, .mayHaveRun = 1, .maxAttempts = 3}, NextStep::Deliver},
+    {"a booking that its target refused", AttemptEnd::RefusedAtTarget, {.kind = NonIdempotent, .maxAttempts = 1}, NextStep::Repeat},
+    {"a booking that never left", AttemptEnd::NeverSent, {.kind = NonIdempotent, .maxAttempts = 1}, NextStep::Repeat},
+    {"a look-up after a reset", AttemptEnd::Broken, {.kind = Idempotent, .mayHaveRun = 1, .maxAttempts = 2}, NextStep::Repeat},
+    {"a look-up that has run on as many targets as it may", AttemptEnd::Broken, {.kind = Idempotent, .mayHaveRun = 2, .maxAttempts = 2, .tries = 2}, NextStep::Fail},
+    {"a look-up failed by the last target it may run on", AttemptEnd::FailedAtTarget, {.kind = Idempotent, .mayHaveRun = 2, .maxAttempts = 2, .tries = 2}, NextStep::Deliver},
+    {"a stream that may go on elsewhere", AttemptEnd::Broken, {.kind = EventStream, .isResumable = true, .mayHaveRun = 1, .maxAttempts = 2}, NextStep::Repeat},
+    {"a stream that may not", AttemptEnd::Broken, {.kind = EventStream, .mayHaveRun = 1, .maxAttempts = 2}, NextStep::Fail},
+    {"refused everywhere", AttemptEnd::RefusedAtTarget, {.kind = Idempotent, .maxAttempts = 2, .tries = MostTries}, NextStep::Fail},
+    {"no time for another attempt", AttemptEnd::Broken, {.kind = Idempotent, .mayHaveRun = 1, .maxAttempts = 2, .isTimeLeft = false}, NextStep::Fail},
+};
+
+class Steps : public testing::TestWithParam<StepRow>
+{
+};
+
+TEST_P(Steps, FollowFromWhatIsProved)
+{
+    EXPECT_EQ(nextStep(GetParam().end, GetParam().context), GetParam().step) << GetParam().story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Steps, testing::ValuesIn(StepRows));
+
+RC_GTEST_PROP(Steps, NeverRepeatWhatMayHaveRunAndMayNotRunTwice, (std::uint8_t endNumber, std::uint8_t ran, std::uint8_t tries))
+{
+    const auto end = static_cast<AttemptEnd>(endNumber % 7);
+    const auto step = nextStep(end, {.kind = NonIdempotent, .mayHaveRun = ran, .maxAttempts = 5, .tries = tries});
+    RC_ASSERT(!(mayHaveRun(end) && step == NextStep::Repeat));
+}
+
+// A fault makes half of all requests fail at once at every entry. The bound on repeats is one for all entries together,
+// and none sees what the others do.
+RC_GTEST_PROP(FleetRetryBudget, KeepsTheCommonBoundInEveryWindow, (std::uint32_t seed))
+{
+    constexpr int Entries = 4;
+    constexpr double Share = 0.2;
+    constexpr double Slack = 88;
+    constexpr auto Window = 10s;
+    SeededRandom random(seed);
+    std::vector<FleetRetryBudget> budgets(Entries, FleetRetryBudget({.share = Share, .slack = Slack, .window = Window}));
+    std::deque<SteadyTime> requests;
+    std::deque<SteadyTime> repeats;
+    for (int tick = 0; tick < 6'000; ++tick) {
+        const auto now = Start + std::chrono::milliseconds(tick * 10);
+        const bool isOutage = tick % 2'000 > 1'000;
+        auto &budget = budgets[random.below(Entries)];
+        if (random.below(10) < 6) {
+            budget.recordRequest(now);
+            requests.push_back(now);
+        }
+        while (isOutage && random.below(4) > 0 && budget.tryTake(now)) {
+            repeats.push_back(now);
+        }
+        while (!repeats.empty() && repeats.front() <= now - Window) {
+            repeats.pop_front();
+        }
+        while (!requests.empty() && requests.front() <= now - Window) {
+            requests.pop_front();
+        }
+        RC_ASSERT(static_cast<double>(repeats.size()) <= Share * static_cast<double>(requests.size()) + Slack);
+    }
+}
+
+TEST(LoadEstimate, CountsItsOwnAndForgetsTheOthers)
+{
+    LoadEstimate load;
+    load.sent();
+    load.sent();
+    load.reported(6, Start);
+    EXPECT_NEAR(load.total(Start), 6, 1e-9);
+    load.ended();
+    EXPECT_NEAR(load.total(Start), 5, 1e-9);
+    EXPECT_NEAR(load.total(Start + LoadEstimate::HalfLife), 1 + 2, 1e-9);
+    load.reported(0, Start + 1s);
+    EXPECT_NEAR(load.total(Start + 1s), 1, 1e-9);
+}
+
+struct PlaceRow
+{
+    const char *story;
+    std::vector<DirectCandidate> candidates;
+    std::optional<std::size_t> chosen;
+};
+
+const PlaceRow PlaceRows[] = {
+    {"the least loaded", {{.load = 3}, {.load = 1}, {.load = 2}}, 1},
+    {"one in the own zone before one that is slightly less loaded", {{.load = 1.5, .isNear = true}, {.load = 1}}, 0},
+    {"but not before one that is much less loaded", {{.load = 3, .isNear = true}, {.load = 1}}, 1},
+    {"loads count by slots", {{.load = 3, .slots = 12}, {.load = 2, .slots = 4}}, 0},
+    {"a cold one last among near-equals", {{.load = 1, .slots = 6, .isCold = true}, {.load = 2, .slots = 6}}, 1},
+    {"an ejected one only when there is no other", {{.load = 0, .health = Health::Ejected}, {.load = 9}}, 1},
+    {"an ejected one is better than none", {{.load = 0, .health = Health::Ejected}}, 0},
+    {"not where it was tried", {{.load = 0, .wasTried = true}, {.load = 9}}, 1},
+    {"nowhere", {{.load = 0, .wasTried = true}}, std::nullopt},
+};
+
+class Places : public testing::TestWithParam<PlaceRow>
+{
+};
+
+TEST_P(Places, AreTheLeastLoadedUsableOnes)
+{
+    SeededRandom random(3);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(placeDirectly(GetParam().candidates, random), GetParam().chosen) << GetParam().story;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Places, testing::ValuesIn(PlaceRows));
+
+constexpr int Batch = 12;
+
+/** Two groups of engines with even loads. */
+struct EngineWorld
+{
+    std::vector<EngineCandidate> engines{};
+    std::vector<EngineGroup> groups{};
+    EnginePlacementRules rules{.step = std::chrono::duration<double, std::milli>(5.85),
+                               .stepPerRequest = std::chrono::duration<double, std::milli>(0.355),
+                               .longestPass = std::chrono::duration<double, std::milli>(66)};
+};
+
+EngineWorld worldOf(double loadA, double passA, double loadB, double passB)
+{
+    EngineWorld world;
+    world.groups = {{.passTime = std::chrono::duration<double, std::milli>(passA)},
+                    {.passTime = std::chrono::duration<double, std::milli>(passB)}};
+    for (int rank = 0; rank < 8; ++rank) {
+        world.engines.push_back({.target = {.load = loadA, .slots = Batch}, .group = 0});
+        world.engines.push_back({.target = {.load = loadB, .slots = Batch}, .group = 1});
+    }
+    return world;
+}
+
+struct StreamRow
+{
+    const char *story;
+    EngineWorld world;
+    std::optional<std::size_t> group; ///< that takes the stream
+    bool isFull = false;
+};
+
+EngineWorld changed(EngineWorld world, void (*change)(EngineWorld &))
+{
+    change(world);
+    return world;
+}
+
+const StreamRow StreamRows[] = {
+    {"the less loaded of two groups that are on time", worldOf(4, 45, 2, 45), 1},
+    // One rank of a group takes four times as long, so all its streams are late. Spread by load alone, more and more
+    // streams go to the other group until its streams are late as well.
+    {"not to a group with slow passes while the other is on time", worldOf(4, 45, 1, 140), 0},
+    {"what is late anyway is kept together in the slow group", worldOf(6, 60, 2, 140), 1},
+    {"the other takes more once the slow one is full", worldOf(6, 60, 12, 140), 0},
+    {"full", worldOf(12, 90, 12, 140), std::nullopt, true},
+    // A group whose rank has died refuses at once and so looks idle: every stream went there first.
+    {"not to a group that is closed",
+     changed(worldOf(0, 45, 5, 45),
+             [](auto &world) {
+                 for (auto &engine : world.engines) {
+                     engine.isOpen = engine.group != 0;
+                 }
+             }),
+     1},
+    {"not to a group that stands still", changed(worldOf(0, 45, 5, 45), [](auto &world) { world.groups[0].isStalled = true; }), 1},
+    {"nowhere when all groups are closed",
+     changed(worldOf(0, 45, 0, 45),
+             [](auto &world) {
+                 for (auto &engine : world.engines) {
+                     engine.isOpen = false;
+                 }
+             }),
+     std::nullopt, false},
+};
+
+class Streams : public testing::TestWithParam<StreamRow>
+{
+};
+
+TEST_P(Streams, GoToGroupsThatStayOnTime)
+{
+    const auto &row = GetParam();
+    SeededRandom random(5);
+    const auto choice = placeStream(row.world.engines, row.world.groups, row.world.rules, random);
+    ASSERT_EQ(choice.index.has_value(), row.group.has_value()) << row.story;
+    EXPECT_EQ(choice.isFull, row.isFull) << row.story;
+    if (choice.index) {
+        EXPECT_EQ(row.world.engines[*choice.index].group, *row.group) << row.story;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Streams, testing::ValuesIn(StreamRows));
+
+// Twice what two groups can serve on time comes for a while. Spread evenly all of it is late; kept together, the streams
+// of one group stay on time, and when both are full callers are told at once.
+TEST(Streams, OfAnOverloadLeaveOneGroupOnTime)
+{
+    auto world = worldOf(0, 45, 0, 50);
+    SeededRandom random(9);
+    int full = 0;
+    int onTimeAtTheEnd = 0;
+    for (int stream = 0; stream < 16 * (Batch / 2) + 30; ++stream) {
+        const auto choice = placeStream(world.engines, world.groups, world.rules, random);
+        full += choice.isFull ? 1 : 0;
+        if (choice.index) {
+            world.engines[*choice.index].target.load += 1;
+        }
+    }
+    for (const auto &engine : world.engines) {
+        onTimeAtTheEnd += engine.group == 0 && engine.target.load <= Batch / 2 ? 1 : 0;
+    }
+    EXPECT_EQ(onTimeAtTheEnd, 8);
+    EXPECT_EQ(full, 0);
+}
+
+struct WaitRow
+{
+    const char *story;
+    RequestKind kind;
+    std::chrono::milliseconds timeLeft;
+    std::chrono::milliseconds wait;
+};
+
+const WaitRow WaitRows[] = {
+    {"a stream with all its time", EventStream, 8s, LongestStreamWait},
+    {"a stream with little time", EventStream, 1s, 250ms},
+    {"a booking", NonIdempotent, 1500ms, 150ms},
+    {"a booking with little time", NonIdempotent, 200ms, 50ms},
+    {"no time", Idempotent, 0ms, 0ms},
+};
+
+class Waits : public testing::TestWithParam<WaitRow>
+{
+};
+
+TEST_P(Waits, LeaveTimeForTheAnswer)
+{
+    EXPECT_EQ(placementWait(GetParam().kind, GetParam().timeLeft, 300ms), GetParam().wait) << GetParam().story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Waits, testing::ValuesIn(WaitRows));
+
+} // namespace
--- /dev/null
+++ b/tests/feed/workshare_test.cpp
@@ -0,0 +1,79 @@
+#include "heatherridge_coordination/feed/workshare.h"
+
+#include <gtest/gtest.h>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const SteadyTime Start{};
+
+class ManualShareLog final : public ShareLog
+{
+public:
+    void join(const std::string &, std::chrono::milliseconds, std::uint64_t generation,
+              std::function<void(Result<ShareAnswer>)> done) override
+    {
+        ++joins;
+        lastGeneration = generation;
+        answer = std::move(done);
+    }
+
+    void leave(const std::string &) override
+    {
+        ++leaves;
+    }
+
+    int joins = 0;
+    int leaves = 0;
+    std::uint64_t lastGeneration = 0;
+    std::function<void(Result<ShareAnswer>)> answer{};
+};
+
+class Shares : public testing::Test
+{
+protected:
+    ManualShareLog log;
+    WorkShare share{log, {.member = "m", .parts = 2, .period = 450ms, .lease = 1'500ms}};
+};
+
+TEST_F(Shares, DivideAllWorkAmongTheParts)
+{
+    EXPECT_FALSE(share.isMine("a"));
+    share.tick(Start);
+    log.answer(ShareAnswer{.generation = 4, .parts = {0, 1}});
+    for (const auto *work : {"a", "b", "c", "d"}) {
+        EXPECT_TRUE(share.isMine(work));
+    }
+    share.tick(Start + 450ms);
+    EXPECT_EQ(log.lastGeneration, 4U);
+    log.answer(ShareAnswer{.generation = 5, .parts = {}});
+    EXPECT_FALSE(share.isMine("a"));
+}
+
+// While the log is out nobody can take over. A keeper that stopped then would leave groups uneven for the whole outage.
+TEST_F(Shares, StandWhileTheLogIsOutButAreNotConfirmed)
+{
+    share.tick(Start);
+    log.answer(ShareAnswer{.generation = 1, .parts = {0, 1}});
+    share.tick(Start + 500ms);
+    log.answer(Error{.kind = ErrorKind::PlatformUnavailable});
+    EXPECT_TRUE(share.isMine("a"));
+    EXPECT_TRUE(share.isConfirmed(Start + 1'400ms));
+    EXPECT_FALSE(share.isConfirmed(Start + 1'600ms));
+}
+
+TEST_F(Shares, EndWhenTheyAreGivenBack)
+{
+    share.tick(Start);
+    log.answer(ShareAnswer{.generation = 1, .parts = {0, 1}});
+    share.leave();
+    share.tick(Start + 10s);
+    EXPECT_FALSE(share.isMine("a"));
+    EXPECT_EQ(log.joins, 1);
+    EXPECT_EQ(log.leaves, 1);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/gateway/gateway_test.cpp
@@ -0,0 +1,330 @@
+#include "gateway/gatewaysite.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using Acts = std::vector<TargetAct>;
+using Kind = TargetAct::Kind;
+
+TargetAct send(std::string bytes)
+{
+    return {.bytes = std::move(bytes)};
+}
+
+TargetAct pause(std::chrono::milliseconds time)
+{
+    return {.kind = Kind::Wait, .pause = time};
+}
+
+std::string event(int id)
+{
+    return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
+}
+
+std::string chunk(const std::string &bytes)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
+std::string streamHead(const std::string &request)
+{
+    return "HTTP/1.1 200 OK\r\nX-Heatherridge-Request-Id: " + headerIn(request, "X-Heatherridge-Request-Id")
+        + "\r\nX-Heatherridge-Response-Signature: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+          "chunked\r\n\r\n";
+}
+
+/** A target that always answers well. */
+Acts good(const std::string &request, int)
+{
+    return {send(answerTo(request, "good"))};
+}
+
+std::string refusalTo(const std::string &request)
+{
+    return "HTTP/1.1 503 Full\r\nX-Heatherridge-Request-Id: " + headerIn(request, "X-Heatherridge-Request-Id")
+        + "\r\nX-Heatherridge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+struct AnswerRow
+{
+    const char *story;
+    ScriptedTarget::Script first; ///< what the target does that is asked first; the next one is good
+    const char *target; ///< path that is asked for
+    int status;
+    const char *body;
+    std::size_t requests = 1; ///< that arrive at both targets together
+};
+
+const AnswerRow AnswerRows[] = {
+    {"a whole answer", good, "/look/1", 200, "good"},
+    {"a failure of the target's own, for a booking",
+     [](const auto &request, int) { return Acts{send(answerTo(request, "bad", 500))}; }, "/book/1", 500, "bad"},
+    {"an answer that ends with its connection",
+     [](const auto &request, int) {
+         return Acts{send("HTTP/1.1 200 OK\r\nX-Heatherridge-Request-Id: "
+                          + headerIn(request, "X-Heatherridge-Request-Id")
+                          + "\r\nX-Heatherridge-Response-Signature: s\r\n\r\ngood"),
+                     {.kind = Kind::Close}};
+     },
+     "/look/1", 200, "good"},
+    {"a refusal is asked elsewhere, also for a booking",
+     [](const auto &request, int) { return Acts{send(refusalTo(request))}; }, "/book/1", 200, "good", 2},
+    // The target ran the booking and its answer was lost. Asked elsewhere, it would be made twice.
+    {"a booking whose connection is reset is not asked elsewhere",
+     [](const auto &, int) { return Acts{{.kind = Kind::Reset}}; }, "/book/1", 502, nullptr},
+    {"a look-up whose connection is reset is", [](const auto &, int) { return Acts{{.kind = Kind::Reset}}; }, "/look/1",
+     200, "good", 2},
+    {"an answer that is cut off is not passed on as whole",
+     [](const auto &request, int) {
+         const auto whole = answerTo(request, "a longer answer");
+         return Acts{send(whole.substr(0, whole.size() - 4)), {.kind = Kind::Close}};
+     },
+     "/look/1", 200, "good", 2},
+    {"an answer without length that is reset is not whole",
+     [](const auto &request, int) {
+         return Acts{send("HTTP/1.1 200 OK\r\nX-Heatherridge-Request-Id: "
+                          + headerIn(request, "X-Heatherridge-Request-Id")
+                          + "\r\nX-Heatherridge-Response-Signature: s\r\n\r\ntorn"),
+                     pause(50ms),
+                     {.kind = Kind::Reset}};
+     },
+     "/look/1", 200, "good", 2},
+    {"another request's answer", [](const auto &, int) { return Acts{send(answerTo("", "stolen"))}; }, "/look/1", 200,
+     "good", 2},
+    {"bytes that are no answer", [](const auto &, int) { return Acts{send("garbage garbage\r\n\r\n")}; }, "/look/1", 200,
+     "good", 2},
+    {"an answer without a signature",
+     [](const auto &request, int) {
+         return Acts{send("HTTP/1.1 200 OK\r\nX-Heatherridge-Request-Id: "
+                          + headerIn(request, "X-Heatherridge-Request-Id") + "\r\nContent-Length: 5\r\n\r\nfalse")};
+     },
+     "/look/1", 200, "good", 2},
+    {"a body in an encoding that nobody asked for",
+     [](const auto &request, int) { return Acts{send(answerTo(request, "zip", 200, "Content-Encoding: gzip\r\n"))}; },
+     "/look/1", 200, "good", 2},
+    // The status says that the booking has not run, and its target does not say so: the caller would book again.
+    {"a status that promises without the target's word",
+     [](const auto &request, int) { return Acts{send(answerTo(request, "", 503))}; }, "/book/1", 502, nullptr},
+    {"a look-up that gets no answer is asked elsewhere within its objective",
+     [](const auto &, int) { return Acts{{.kind = Kind::AwaitClose}}; }, "/look/1", 200, "good", 2},
+    {"a booking that gets no answer is given up at its timeout",
+     [](const auto &, int) { return Acts{{.kind = Kind::AwaitClose}}; }, "/book/1", 504, nullptr},
+    {"a path without a route", good, "/none/1", 404, nullptr, 0},
+};
+
+class TargetAnswers : public testing::TestWithParam<AnswerRow>
+{
+};
+
+TEST_P(TargetAnswers, ReachTheCallerWholeOrNotAtAll)
+{
+    const auto &row = GetParam();
+    // Whichever of the two is asked first does as the row says.
+    std::atomic<int> asked = 0;
+    const auto script = [&](const std::string &request, int number) {
+        return asked++ == 0 ? row.first(request, number) : good(request, number);
+    };
+    const ScriptedTarget first(script);
+    const ScriptedTarget second(script);
+    GatewaySite site({&first, &second});
+    RawCaller caller(site.callers());
+    caller.send(requestText("GET", row.target, "r1"));
+    const auto answer = caller.receive();
+    EXPECT_EQ(answer.status, row.status) << row.story;
+    EXPECT_TRUE(answer.isWhole) << row.story;
+    if (row.body != nullptr) {
+        EXPECT_EQ(answer.body, row.body) << row.story;
+    }
+    EXPECT_EQ(first.requests().size() + second.requests().size(), row.requests) << row.story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, TargetAnswers, testing::ValuesIn(AnswerRows));
+
+// A target sends a second answer after a whole one. On a kept connection it would be taken for the answer to the next
+// request, which another caller sent.
+TEST(KeptConnections, AreNotUsedAgainAfterBytesThatNobodyAskedFor)
+{
+    const ScriptedTarget target([](const std::string &request, int) {
+        return Acts{send(answerTo(request, "own")), pause(30ms), send(answerTo(request, "stray"))};
+    });
+    GatewaySite site({&target});
+    for (int number = 0; number < 5; ++number) {
+        RawCaller caller(site.callers());
+        caller.send(requestText("GET", "/look/1", "r" + std::to_string(number)));
+        const auto answer = caller.receive();
+        EXPECT_EQ(answer.body, "own");
+        EXPECT_NE(answer.head.find("r" + std::to_string(number)), std::string::npos);
+        std::this_thread::sleep_for(number % 2 == 0 ? 0ms : 60ms);
+    }
+}
+
+TEST(KeptConnections, ServeOneRequestAfterTheOtherInOrder)
+{
+    const ScriptedTarget target([](const std::string &request, int) {
+        return Acts{send(answerTo(request, headerIn(request, "X-Heatherridge-Request-Id")))};
+    });
+    GatewaySite site({&target});
+    RawCaller caller(site.callers());
+    caller.send(requestText("GET", "/look/1", "a") + requestText("POST", "/book/1", "b", "body")
+                + requestText("GET", "/look/1", "c"));
+    for (const auto *id : {"a", "b", "c"}) {
+        EXPECT_EQ(caller.receive().body, id);
+    }
+}
+
+TEST(Requests, ReachTheTargetUnchangedButForWhatConcernsTheConnection)
+{
+    const ScriptedTarget target(good);
+    GatewaySite site({&target});
+    RawCaller caller(site.callers());
+    caller.send("POST /book/a%20b?x=1&y HTTP/1.1\r\nHost: h\r\nX-Heatherridge-Request-Id: r9\r\nX-Own: kept\r\nConnection: "
+                "X-Hop\r\nX-Hop: dropped\r\nTransfer-Encoding: chunked\r\nX-Heatherridge-Deadline-Ms: "
+                "900\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    EXPECT_EQ(caller.receive().status, 200);
+    ASSERT_EQ(target.requests().size(), 1U);
+    const auto request = target.requests().front();
+    EXPECT_TRUE(request.starts_with("POST /book/a%20b?x=1&y HTTP/1.1\r\n")) << request;
+    EXPECT_TRUE(request.ends_with("\r\n\r\nabcde")) << request;
+    EXPECT_EQ(headerIn(request, "X-Own"), "kept");
+    EXPECT_EQ(headerIn(request, "X-Hop"), "");
+    EXPECT_EQ(headerIn(request, "Transfer-Encoding"), "");
+    EXPECT_EQ(headerIn(request, "X-Heatherridge-Expect-Instance"), "t0");
+    EXPECT_LE(std::stoi(headerIn(request, "X-Heatherridge-Deadline-Ms")), 900);
+}
+
+struct BadRow
+{
+    const char *story;
+    std::string bytes;
+    int status; ///< 0: closed without an answer
+};
+
+const BadRow BadRows[] = {
+    {"not HTTP", "hello there\r\n\r\n", 400},
+    {"headers beyond the bound", "GET /look/1 HTTP/1.1\r\nHost: h\r\nX-Big: " + std::string(5'000, 'x') + "\r\n\r\n", 431},
+    {"a body beyond the bound", "POST /book/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n", 413},
+    {"a chunked body beyond the bound",
+     "POST /book/1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n" + std::string(200'000, 'x'), 413},
+    {"two lengths that differ", "POST /book/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde", 400},
+    {"a length and chunks", "POST /book/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+    {"a head that never ends", "GET /look/1 HTTP/1.1\r\nHost: h\r\n", 408},
+    {"no request id", "GET /look/1 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+    {"a deadline that is none",
+     "GET /look/1 HTTP/1.1\r\nHost: h\r\nX-Heatherridge-Request-Id: r\r\nX-Heatherridge-Deadline-Ms: soon\r\n\r\n", 400},
+    {"a tunnel", "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+};
+
+class BadRequests : public testing::TestWithParam<BadRow>
+{
+};
+
+TEST_P(BadRequests, GetAClearAnswer)
+{
+    const ScriptedTarget target(good);
+    GatewaySite site({&target});
+    RawCaller caller(site.callers());
+    caller.send(GetParam().bytes);
+    EXPECT_EQ(caller.receive().status, GetParam().status) << GetParam().story;
+    EXPECT_TRUE(target.requests().empty()) << GetParam().story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, BadRequests, testing::ValuesIn(BadRows));
+
+// A caller leaves while its look-up runs. The target works on for nobody, and a hundred such callers fill it.
+TEST(Callers, ThatLeaveEndTheWorkAtTheirTarget)
+{
+    const ScriptedTarget target([](const std::string &, int) { return Acts{{.kind = Kind::AwaitClose}}; });
+    GatewaySite site({&target});
+    RawCaller caller(site.callers());
+    caller.send(requestText("POST", "/book/1", "r1", "body"));
+    while (target.requests().empty()) {
+        std::this_thread::sleep_for(5ms);
+    }
+    caller.close();
+    constexpr int MostWaits = 400;
+    for (int waits = 0; target.closedByPeer() == 0 && waits < MostWaits; ++waits) {
+        std::this_thread::sleep_for(5ms);
+    }
+    EXPECT_GT(target.closedByPeer(), 0);
+}
+
+// A target dies in the midst of an event. The caller's answer goes on at another target behind the last whole event, and
+// neither the torn one nor a second copy of one is seen.
+TEST(EventStreams, GoOnAtAnotherTargetBehindTheLastWholeEvent)
+{
+    std::atomic<int> asked = 0;
+    const auto script = [&](const std::string &request, int) {
+        if (++asked == 1) {
+            return Acts{send(streamHead(request) + chunk(event(1)) + chunk(event(2)) + chunk("id: 3\nda")),
+                        pause(50ms),
+                        {.kind = Kind::Reset}};
+        }
+        EXPECT_EQ(headerIn(request, "Last-Event-Id"), "2");
+        return Acts{send(streamHead(request) + chunk(event(3)) + chunk(event(4)) + "0\r\n\r\n")};
+    };
+    const ScriptedTarget first(script);
+    const ScriptedTarget second(script);
+    GatewaySite site({&first, &second});
+    RawCaller caller(site.callers());
+    caller.send(requestText("POST", "/stream/1", "r1", "prompt"));
+    const auto answer = caller.receive();
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, event(1) + event(2) + event(3) + event(4));
+}
+
+TEST(EventStreams, ThatCannotGoOnEndCutOff)
+{
+    const ScriptedTarget target([](const std::string &request, int number) {
+        if (number > 0) {
+            return Acts{{.kind = Kind::Reset}};
+        }
+        return Acts{send(streamHead(request) + chunk(event(1))), pause(50ms), {.kind = Kind::Reset}};
+    });
+    GatewaySite site({&target});
+    RawCaller caller(site.callers());
+    caller.send(requestText("POST", "/stream/1", "r1", "prompt"));
+    const auto answer = caller.receive();
+    EXPECT_FALSE(answer.isWhole);
+    EXPECT_EQ(answer.body, event(1));
+}
+
+// A planned stop: requests that run get their answers, new callers are still served, kept connections end after an
+// answer, and the balancer is told at once.
+TEST(PlannedStops, CutNothing)
+{
+    const ScriptedTarget target([](const std::string &request, int) {
+        return Acts{pause(400ms), send(answerTo(request, "late but whole"))};
+    });
+    GatewaySite site({&target});
+    RawCaller running(site.callers());
+    running.send(requestText("POST", "/book/1", "r1", "body"));
+    while (target.requests().empty()) {
+        std::this_thread::sleep_for(5ms);
+    }
+    site.beginStop();
+    std::this_thread::sleep_for(50ms);
+    RawCaller balancer(site.balancer());
+    balancer.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_EQ(balancer.receive().status, 503);
+    RawCaller late(site.callers());
+    late.send(requestText("POST", "/book/1", "r2", "body"));
+    for (auto *caller : {&running, &late}) {
+        const auto answer = caller->receive();
+        EXPECT_EQ(answer.body, "late but whole");
+        EXPECT_NE(answer.head.find("Connection: close"), std::string::npos);
+    }
+    site.awaitStop();
+}
+
+} // namespace
--- /dev/null
+++ b/tests/gateway/gatewaysite.cpp
@@ -0,0 +1,281 @@
+#include "gateway/gatewaysite.h"
+
+#include <asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr auto Service = "s";
+
+/** A port that nobody listens on at the moment. */
+int freePort()
+{
+    asio::io_context loop;
+    tcp::acceptor acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return acceptor.local_endpoint().port();
+}
+
+class NoShares final : public ShareLog
+{
+public:
+    void join(const std::string &, milliseconds, std::uint64_t, std::function<void(Result<ShareAnswer>)>) override
+    {
+    }
+
+    void leave(const std::string &) override
+    {
+    }
+};
+
+class NoRanks final : public RankControl
+{
+public:
+    milliseconds statusLag(const TargetEntry &) const override
+    {
+        return {};
+    }
+
+    void status(const TargetEntry &, std::function<void(Result<RankStatus>)>) override
+    {
+    }
+
+    void counts(const TargetEntry &, std::function<void(Result<RankCounts>)>) override
+    {
+    }
+
+    void experts(const TargetEntry &, std::function<void(Result<RankExperts>)>) override
+    {
+    }
+
+    void order(const TargetEntry &, const RankOrder &, std::uint64_t, std::function<void(OrderReply)>) override
+    {
+    }
+};
+
+} // namespace
+
+/** Registers that hold still: one configuration, and the targets given. */
+class GatewaySite::Registers final : public RegisterLog
+{
+public:
+    Registers(RoutingConfig config, std::vector<TargetEntry> targets)
+        : m_config(std::move(config))
+        , m_targets(std::move(targets))
+    {
+    }
+
+    void newest(RegisterKind kind, Done done) override
+    {
+        RegisterPage page;
+        if (kind == RegisterKind::Rules) {
+            page.changes.push_back({.key = "rules"});
+        }
+        for (std::size_t index = 0; kind == RegisterKind::Targets && index < m_targets.size(); ++index) {
+            page.changes.push_back({.key = std::to_string(index), .value = "x", .offset = index});
+        }
+        done(page);
+    }
+
+    void read(RegisterKind, std::uint64_t from, milliseconds, Done done) override
+    {
+        done(RegisterPage{.end = from});
+    }
+
+    std::optional<Result<RoutingConfig>> rulesIn(const RegisterChange &) const override
+    {
+        return m_config;
+    }
+
+    Result<TargetEntry> targetIn(const RegisterChange &change) const override
+    {
+        return m_targets.at(std::stoul(change.key));
+    }
+
+private:
+    RoutingConfig m_config;
+    std::vector<TargetEntry> m_targets;
+};
+
+GatewaySite::GatewaySite(const std::vector<const ScriptedTarget *> &targets, RoutingConfig config)
+    : m_ready({.address = "127.0.0.1", .port = freePort()})
+{
+    std::vector<TargetEntry> entries;
+    for (const auto *target : targets) {
+        entries.push_back({.id = TargetName("t" + std::to_string(entries.size())),
+                           .service = ServiceName(Service),
+                           .address = target->endpoint(),
+                           .zone = ZoneName("z"),
+                           .slots = 8});
+    }
+    GatewayServer::Adapter adapter{
+        .traffic = std::make_shared<PlatformTraffic>(),
+        .registers = [config, entries](HttpClient &) { return std::make_unique<Registers>(config, entries); },
+        .shares = [](HttpClient &) { return std::make_unique<NoShares>(); },
+        .ranks = [](HttpClient &) { return std::make_unique<NoRanks>(); }};
+    m_server = std::make_unique<GatewayServer>(GatewayServer::Options{.process = ProcessName("g"),
+                                                                      .zone = ZoneName("z"),
+                                                                      .listen = {.address = "127.0.0.1"},
+                                                                      .readyListen = m_ready,
+                                                                      .readyPath = "/ready",
+                                                                      .retryBudget = {.slack = 800}},
+                                               std::move(adapter));
+    m_callers = std::get<std::vector<Endpoint>>(m_server->start()).front();
+    // The registers are read by the control thread; callers before that are told that there is no configuration.
+    constexpr int MostTries = 500;
+    for (int i = 0; i < MostTries; ++i) {
+        RawCaller caller(m_ready);
+        caller.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        if (caller.receive().status == 200) {
+            return;
+        }
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+}
+
+GatewaySite::~GatewaySite()
+{
+    if (!m_stopping.joinable()) {
+        beginStop();
+    }
+    awaitStop();
+}
+
+RoutingConfig GatewaySite::usualConfig()
+{
+    const auto route = [](const char *prefix, RequestKind kind, int attempts) {
+        return RouteRule{.name = prefix,
+                         .host = "h",
+                         .pathPrefix = prefix,
+                         .kind = kind,
+                         .timeout = milliseconds(3'000),
+                         .objective = milliseconds(400),
+                         .services = {{.service = ServiceName(Service)}},
+                         .maxAttempts = attempts,
+                         .isResumable = kind == RequestKind::EventStream};
+    };
+    RoutingConfig config{.version = 1};
+    config.routes = {route("/look/", RequestKind::Idempotent, 2), route("/book/", RequestKind::NonIdempotent, 1),
+                     route("/stream/", RequestKind::EventStream, 2)};
+    config.services = {{.name = ServiceName(Service)}};
+    config.bounds = {.maxHeaderBytes = 4'096,
+                     .maxBodyBytes = 100'000,
+                     .headerTimeout = milliseconds(500),
+                     .idleTimeout = milliseconds(5'000)};
+    return config;
+}
+
+Endpoint GatewaySite::callers() const
+{
+    return m_callers;
+}
+
+Endpoint GatewaySite::balancer() const
+{
+    return m_ready;
+}
+
+void GatewaySite::beginStop()
+{
+    m_stopping = std::thread([this] { m_server->drainAndStop(); });
+}
+
+void GatewaySite::awaitStop()
+{
+    if (m_stopping.joinable()) {
+        m_stopping.join();
+    }
+}
+
+RawCaller::RawCaller(const Endpoint &endpoint)
+    : m_socket(m_loop)
+{
+    asio::error_code error;
+    m_socket.connect({asio::ip::make_address(endpoint.address), static_cast<std::uint16_t>(endpoint.port)}, error);
+}
+
+void RawCaller::send(const std::string &bytes)
+{
+    asio::error_code ignored; // seen by the read that follows
+    asio::write(m_socket, asio::buffer(bytes), ignored);
+}
+
+std::string RawCaller::readSome()
+{
+    std::array<char, 4096> buffer{};
+    asio::error_code error;
+    const auto size = m_socket.read_some(asio::buffer(buffer), error);
+    return {buffer.data(), error ? 0 : size};
+}
+
+RawCaller::Answer RawCaller::receive(bool isHead)
+{
+    Answer answer;
+    HttpMessageReader reader(
+        HttpMessageReader::Side::Responses,
+        [&](const HttpMessageHead &head) {
+            answer.status = head.status;
+            for (const auto &header : head.headers) {
+                answer.head += header.name + ": " + header.value + "\n";
+            }
+            return !isHead;
+        },
+        [&](std::string_view bytes) { answer.body.append(bytes); });
+    while (reader.state() != HttpMessageReader::State::Complete) {
+        if (m_held.empty()) {
+            m_held = readSome();
+            if (m_held.empty()) {
+                reader.feedEnd();
+                break;
+            }
+        }
+        m_held.erase(0, reader.feed(m_held));
+        if (reader.state() == HttpMessageReader::State::Malformed) {
+            break;
+        }
+    }
+    answer.isWhole = reader.state() == HttpMessageReader::State::Complete;
+    return answer;
+}
+
+bool RawCaller::isClosedWithin(milliseconds patience)
+{
+    m_socket.non_blocking(true);
+    std::array<char, 64> buffer{};
+    for (auto waited = milliseconds(0); waited < patience; waited += milliseconds(10)) {
+        asio::error_code error;
+        m_socket.read_some(asio::buffer(buffer), error);
+        if (error && error != asio::error::would_block) {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    return false;
+}
+
+void RawCaller::close()
+{
+    asio::error_code ignored; // it is gone either way
+    m_socket.close(ignored);
+}
+
+std::string requestText(const std::string &method, const std::string &target, const std::string &id,
+                        const std::string &body, const std::string &furtherHeaders)
+{
+    std::string text = method + " " + target + " HTTP/1.1\r\nHost: h\r\nX-Heatherridge-Request-Id: " + id + "\r\n"
+        + furtherHeaders;
+    if (!body.empty()) {
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    return text + "\r\n" + body;
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/tests/gateway/scriptedtarget.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "heatherridge_state/config/inventory.h"
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/** One thing that a scripted target does on its connection. */
+struct TargetAct
+{
+    enum class Kind {
+        Send, ///< writes `bytes`
+        Wait, ///< for `pause`
+        Close, ///< in order
+        Reset, ///< so that bytes under way are lost
+        AwaitClose, ///< until the other side closes
+    };
+
+    Kind kind = Kind::Send;
+    std::string bytes{};
+    std::chrono::milliseconds pause{0};
+};
+
+/** A target on loopback that answers each request with bytes and silences as told, right or wrong. */
+class ScriptedTarget
+{
+public:
+    /** What to do about the @p number-th request (from 0) with the text @p request. */
+    using Script = std::function<std::vector<TargetAct>(const std::string &request, int number)>;
+
+    explicit ScriptedTarget(Script script);
+    ~ScriptedTarget();
+
+    ScriptedTarget(const ScriptedTarget &) = delete;
+    ScriptedTarget &operator=(const ScriptedTarget &) = delete;
+
+    /** Where it listens. */
+    Endpoint endpoint() const;
+
+    /** All requests so far, head and body. */
+    std::vector<std::string> requests() const;
+
+    /** Connections that the other side has closed. */
+    int closedByPeer() const;
+
+private:
+    void serve(asio::ip::tcp::socket socket);
+    bool perform(asio::ip::tcp::socket &socket, const TargetAct &act);
+
+    Script m_script;
+    asio::io_context m_loop;
+    asio::ip::tcp::acceptor m_acceptor;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_requests;
+    std::vector<std::shared_ptr<asio::ip::tcp::socket>> m_sockets;
+    std::vector<std::thread> m_threads;
+    std::atomic<int> m_closedByPeer{0};
+    std::atomic<bool> m_isStopping{false};
+    std::thread m_acceptThread;
+};
+
+/** The value of header @p name in the text @p request. */
+std::string headerIn(const std::string &request, const std::string &name);
+
+/** A whole signed answer to @p request. */
+std::string answerTo(const std::string &request, const std::string &body, int status = 200,
+                     const std::string &furtherHeaders = {});
+
+} // namespace Heatherridge
--- /dev/null
+++ b/tests/groups/evenplacement_test.cpp
@@ -0,0 +1,136 @@
+#include "heatherridge_state/groups/evenplacement.h"
+#include "heatherridge_state/groups/expertdemand.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+using namespace Heatherridge;
+
+namespace
+{
+
+constexpr std::size_t Ranks = 8;
+constexpr std::size_t Experts = 64;
+constexpr std::size_t Places = 11;
+
+SetLayout inTurn()
+{
+    SetLayout layout(Ranks);
+    for (std::uint16_t expert = 0; expert < Experts; ++expert) {
+        layout[expert % Ranks].push_back(expert);
+    }
+    return layout;
+}
+
+/** A demand in which a few experts have most of it. */
+SetDemand skewed(std::uint64_t seed)
+{
+    std::uint64_t state = seed * 2654435761U + 1;
+    SetDemand demand(Experts);
+    for (auto &part : demand) {
+        state = state * 6364136223846793005U + 1442695040888963407U;
+        const double drawn = static_cast<double>(state >> 40U) / static_cast<double>(1U << 24U);
+        part = 0.1 + 6 * drawn * drawn * drawn * drawn;
+    }
+    return demand;
+}
+
+std::size_t mostNew(const SetLayout &from, const SetLayout &to)
+{
+    return mostCopies({from}, {to});
+}
+
+RC_GTEST_PROP(EvenPlacement, IsCompleteAndWithinItsBounds, (std::uint32_t seed, std::uint8_t copies))
+{
+    const std::size_t newPerRank = copies % 5;
+    const auto from = inTurn();
+    const auto to = improveEvenly(from, skewed(seed), {.places = Places, .newPerRank = newPerRank});
+    RC_ASSERT(isComplete(to, Experts, Places));
+    RC_ASSERT(mostNew(from, to) <= newPerRank);
+    RC_ASSERT(layoutSkew({to}, {skewed(seed)}, {}) <= layoutSkew({from}, {skewed(seed)}, {}) + 1e-9);
+}
+
+// Every pass of a group waits for its most loaded rank: with the first layout that one has two to three times the mean,
+// and half of the streams of a busy day come late.
+TEST(EvenPlacement, BringsASkewedDemandNearTheMeanWithTwoCopiesARank)
+{
+    double before = 0;
+    double after = 0;
+    constexpr int Demands = 50;
+    for (std::uint64_t seed = 1; seed <= Demands; ++seed) {
+        const auto demand = skewed(seed);
+        const auto to = improveEvenly(inTurn(), demand, {.places = Places, .newPerRank = 2});
+        before += layoutSkew({inTurn()}, {demand}, {}) / Demands;
+        after += layoutSkew({to}, {demand}, {}) / Demands;
+    }
+    EXPECT_GT(before, 1.5);
+    EXPECT_LT(after, 1.12);
+}
+
+// A rank that takes four times as long holds up its whole group, unless it is left with hardly any work.
+TEST(EvenPlacement, TakesWorkOffASlowRank)
+{
+    RankSlowness slowness(Ranks, 1.0);
+    slowness[3] = 4;
+    const auto demand = skewed(7);
+    const auto to = improveEvenly(inTurn(), demand, {.places = Places, .newPerRank = 4, .slowness = slowness});
+    const auto unaware = improveEvenly(inTurn(), demand, {.places = Places, .newPerRank = 4});
+    EXPECT_LT(layoutSkew({to}, {demand}, slowness), 0.6 * layoutSkew({unaware}, {demand}, slowness));
+}
+
+TEST(EvenPlacement, LeavesAnEvenLayoutAlone)
+{
+    const SetDemand even(Experts, 1.0);
+    EXPECT_EQ(improveEvenly(inTurn(), even, {.places = Places, .newPerRank = 4}), inTurn());
+}
+
+TEST(LayoutAround, HoldsTheRanksOwnExpertsAndAllOthersElsewhere)
+{
+    const auto own = inTurn()[2];
+    const auto layout = layoutAround(2, own, static_cast<int>(Ranks), Experts);
+    EXPECT_EQ(layout[2], own);
+    EXPECT_TRUE(isComplete(layout, Experts, Places));
+}
+
+std::vector<double> windowOf(const SetDemand &demand, double scale)
+{
+    std::vector<double> window(demand);
+    for (auto &part : window) {
+        part = std::round(part * scale);
+    }
+    return window;
+}
+
+// What is liked jumps every few seconds. An average over both sides of a jump gives a layout for a demand that is gone.
+TEST(ExpertDemand, ForgetsWhatWasBeforeAJump)
+{
+    ExpertDemand demand(1, Experts);
+    for (int i = 0; i < 10; ++i) {
+        demand.add(windowOf(skewed(1), 1000));
+    }
+    demand.add(windowOf(skewed(2), 1000));
+    EXPECT_TRUE(demand.jumped());
+    const auto now = skewed(2);
+    const double sum = std::accumulate(now.begin(), now.end(), 0.0);
+    for (std::size_t expert = 0; expert < Experts; ++expert) {
+        EXPECT_NEAR(demand.bySet()[0][expert], now[expert] / sum, 1e-3);
+    }
+}
+
+TEST(ExpertDemand, AveragesNoiseAndIgnoresEmptyWindows)
+{
+    ExpertDemand demand(1, 4);
+    demand.add({10, 10, 10, 10});
+    demand.add({12, 8, 10, 10});
+    EXPECT_FALSE(demand.jumped());
+    EXPECT_NEAR(demand.bySet()[0][0], 0.25 + ExpertDemand::Gain * 0.05, 1e-9);
+    demand.add({0, 0, 0, 0});
+    demand.add({1, 2});
+    EXPECT_NEAR(demand.bySet()[0][0], 0.25 + ExpertDemand::Gain * 0.05, 1e-9);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,179 @@
+#include "heatherridge_platform.h"
+#include "registerdecoder.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto SampleConfig = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","pathPrefix":"/x/","kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"priority":1,
+  "trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"maxAttempts":2,"public":false,"resumable":true,"gapAimMs":120},
+ {"name":"r2","host":"a.example","pathPrefix":"/y/","kind":"unsafe","timeoutMs":800,"service":"s2","public":true}],
+ "services":[{"name":"s1","healthPath":"/h","maxConns":248,"engine":{"slots":12,"kvTokens":372000,"stride":5,"step_ms":5.85,
+  "per_seq_ms":0.355,"read_per_s":61200.0,"sets":6,"experts":64,"places":11,"spare":4,"expertShare":0.85}},
+  {"name":"s2","healthPath":"/h","maxConns":96}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"t","apiKeys":["k1","k2"],"priority":1},{"name":"u","apiKeys":[]}],"somethingNew":{}})";
+
+TEST(RoutingConfigs, AreDecodedInWhole)
+{
+    const auto decoded = decodeRoutingConfig(SampleConfig);
+    ASSERT_EQ(errorIn(decoded), nullptr) << errorIn(decoded)->detail;
+    const auto &config = std::get<RoutingConfig>(decoded);
+    EXPECT_EQ(config.version, 7U);
+    ASSERT_EQ(config.routes.size(), 2U);
+    const auto &stream = config.routes[0];
+    EXPECT_EQ(stream.kind, RequestKind::EventStream);
+    EXPECT_EQ(stream.timeout, 8s);
+    EXPECT_EQ(stream.objective, 400ms);
+    EXPECT_EQ(stream.longestPause, 120ms);
+    EXPECT_EQ(stream.maxAttempts, 2);
+    EXPECT_TRUE(stream.isResumable);
+    ASSERT_EQ(stream.services.size(), 2U);
+    EXPECT_EQ(stream.services[1].weight, 10);
+    EXPECT_EQ(config.routes[1].kind, RequestKind::NonIdempotent);
+    EXPECT_EQ(config.routes[1].maxAttempts, 1);
+    EXPECT_TRUE(config.routes[1].isPublic);
+    ASSERT_TRUE(config.services[0].engine);
+    EXPECT_EQ(config.services[0].engine->layerSets, 6);
+    EXPECT_EQ(config.services[0].engine->sparePlaces, 4);
+    EXPECT_FALSE(config.services[1].engine);
+    EXPECT_EQ(config.bounds.headerTimeout, 3s);
+    EXPECT_EQ(config.workspaces[0].apiKeys.size(), 2U);
+    EXPECT_EQ(config.workspaces[0].priority, 1);
+    EXPECT_FALSE(config.workspaces[1].priority);
+}
+
+struct EntryRow
+{
+    const char *story;
+    const char *document;
+    bool isUsable;
+    bool isDraining = false;
+};
+
+const EntryRow EntryRows[] = {
+    {"ready", R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":12,"state":"ready","coldMs":40,"sequence":4})", true},
+    {"draining", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":12,"state":"draining"})", true, true},
+    {"an unknown state", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":12,"state":"asleep"})", false},
+    {"no address", R"({"service":"s","zone":"z","slots":12,"state":"ready"})", false},
+    {"an address that is none", R"({"service":"s","address":"nowhere","zone":"z","slots":12,"state":"ready"})", false},
+    {"slots of another type", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":"many","state":"ready"})", false},
+    {"not an object", "[1,2]", false},
+    {"not JSON", "\xff\x00{", false},
+    {"nothing", "", false},
+};
+
+class TargetEntries : public testing::TestWithParam<EntryRow>
+{
+};
+
+TEST_P(TargetEntries, NameATargetOrNone)
+{
+    const auto &row = GetParam();
+    const auto entry = decodeTargetEntry("i-1", row.document);
+    EXPECT_EQ(errorIn(entry) == nullptr, row.isUsable) << row.story;
+    if (row.isUsable) {
+        EXPECT_EQ(std::get<TargetEntry>(entry).id.text(), "i-1");
+        EXPECT_EQ(std::get<TargetEntry>(entry).isDraining, row.isDraining) << row.story;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, TargetEntries, testing::ValuesIn(EntryRows));
+
+RC_GTEST_PROP(Decoders, TakeAnyBytesWithoutHarm, (const std::string &bytes))
+{
+    static_cast<void>(decodeRoutingConfig(bytes));
+    static_cast<void>(decodeTargetEntry("i", bytes));
+}
+
+TEST(CallerFields, AreReadFromTheirHeaders)
+{
+    const auto fields = PlatformTraffic().readCaller({{"x-heatherridge-request-id", "r1"},
+                                                      {"X-Heatherridge-Deadline-Ms", "1500"},
+                                                      {"Authorization", "bearer key-1"},
+                                                      {"Last-Event-Id", "12"},
+                                                      {"X-Heatherridge-Token-Usage", "1460,80"}});
+    EXPECT_EQ(fields.id.text(), "r1");
+    EXPECT_EQ(fields.patience, 1500ms);
+    EXPECT_EQ(fields.apiKey, "key-1");
+    EXPECT_EQ(fields.lastEvent, 12U);
+    EXPECT_EQ(fields.promptTokens, 1460U);
+    EXPECT_TRUE(fields.isWellFormed);
+    EXPECT_FALSE(PlatformTraffic().readCaller({{"X-Heatherridge-Deadline-Ms", "soon"}}).isWellFormed);
+}
+
+// A caller names another customer's workspace, or its key reaches a target that logs it: whoever reads there acts in the
+// caller's name. Routing and identity towards targets are this process's own words.
+TEST(ForwardedHeaders, CarryNothingThatOnlyThisProcessMaySay)
+{
+    const auto headers = PlatformTraffic().forwarded({{"Host", "a.example"},
+                                                      {"Authorization", "Bearer key-1"},
+                                                      {"x-heatherridge-tenant-id", "victim"},
+                                                      {"X-Heatherridge-Expect-Instance", "i-9"},
+                                                      {"X-Heatherridge-Request-Priority", "0"},
+                                                      {"X-Heatherridge-Model", "m"},
+                                                      {"X-Heatherridge-Deadline-Ms", "9000"}},
+                                                     {.timeLeft = 700ms,
+                                                      .target = TargetName("i-1"),
+                                                      .workspace = WorkspaceName("buyers"),
+                                                      .lastEvent = 4});
+    EXPECT_EQ(headerValue(headers, "Authorization"), "");
+    EXPECT_EQ(headerValue(headers, "X-Heatherridge-Tenant-Id"), "buyers");
+    EXPECT_EQ(headerValue(headers, "X-Heatherridge-Expect-Instance"), "i-1");
+    EXPECT_EQ(headerValue(headers, "X-Heatherridge-Request-Priority"), "");
+    EXPECT_EQ(headerValue(headers, "X-Heatherridge-Deadline-Ms"), "700");
+    EXPECT_EQ(headerValue(headers, "X-Heatherridge-Model"), "m");
+    EXPECT_EQ(headerValue(headers, "Last-Event-Id"), "4");
+    EXPECT_EQ(std::count_if(headers.begin(), headers.end(),
+                            [](const auto &header) { return sameHeaderName(header.name, "X-Heatherridge-Tenant-Id"); }),
+              1);
+}
+
+struct AnswerRow
+{
+    const char *story;
+    int status;
+    std::vector<HttpHeader> headers;
+    bool isSigned;
+    bool isNotRun;
+};
+
+const AnswerRow AnswerRows[] = {
+    {"a target's answer", 200, {{"X-Heatherridge-Response-Signature", "s"}}, true, false},
+    {"bytes from elsewhere", 200, {}, false, false},
+    {"a refusal", 503, {{"X-Heatherridge-Not-Executed", "1"}}, false, true},
+    {"another target at the address", 421, {}, false, true},
+    {"a status that promises, without the word", 503, {}, false, false},
+};
+
+class Answers : public testing::TestWithParam<AnswerRow>
+{
+};
+
+TEST_P(Answers, SayWhoAnsweredAndWhetherItRan)
+{
+    const auto &row = GetParam();
+    const auto fields = PlatformTraffic().readAnswer(row.status, row.headers);
+    EXPECT_EQ(fields.isSigned, row.isSigned) << row.story;
+    EXPECT_EQ(fields.isNotRun, row.isNotRun) << row.story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Answers, testing::ValuesIn(AnswerRows));
+
+TEST(Refusals, TellWhenToComeBack)
+{
+    const auto refusal = PlatformTraffic().refusal({.kind = ErrorKind::Overloaded, .retryAfter = 250ms}, RequestId("r"));
+    EXPECT_EQ(refusal.status, 503);
+    EXPECT_EQ(headerValue(refusal.headers, "Retry-After"), "0.250");
+    EXPECT_EQ(PlatformTraffic().refusal({.kind = ErrorKind::UnknownApiKey}, {}).status, 401);
+}
+
+} // namespace
