--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -22,6 +22,10 @@
 /** Bounds of the pause before a recovery that failed is tried again; one takes half a second by itself. */
 constexpr milliseconds FirstRecoveryPause{600};
 constexpr milliseconds LongestRecoveryPause{4'000};
+/** A switch that needed so many copies of one order tells of orders that get lost. */
+constexpr int SendsThatTellOfLoss = 3;
+/** How long that is taken to last. */
+constexpr milliseconds LossyTime{4'000};
 /** Own numbers that are remembered: far more than are given out while statuses are under way. */
 constexpr std::size_t RememberedNumbers = 256;
 /** A switch waits so long for the statuses of its ranks. */
@@ -398,6 +402,9 @@
             group.startedAt = {};
         }
     }
+    if (group.mapSwitch->mostSends() >= SendsThatTellOfLoss) {
+        group.lossyUntil = now + LossyTime;
+    }
     group.mapSwitch.reset();
 }
 
@@ -536,7 +543,8 @@
     group.skewBefore = layoutSkew(*group.layout, m_demand->bySet(), slowness);
     group.skewAfter = layoutSkew(layout, m_demand->bySet(), slowness);
     const auto most = mostCopies(*group.layout, layout);
-    const bool isCalm = group.passTime <= m_longestPause * m_options.calmPart;
+    // While orders get lost a switch holds its group for many passes, and may have to be taken back.
+    const bool isCalm = group.passTime <= m_longestPause * m_options.calmPart || now < group.lossyUntil;
     const bool isWorth =
         group.skewBefore - group.skewAfter >= (isCalm ? m_options.leastGainWhenCalm : m_options.leastGain);
     tell(isWorth ? "map-wanted" : "map-kept", name,
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -133,6 +133,7 @@
         std::optional<SwitchPlan> wanted{}; ///< a switch that waits for fresh statuses
         SteadyTime gatheredAt{}; ///< when fresh statuses were asked for
         SteadyTime notBefore{}; ///< no switch before
+        SteadyTime lossyUntil{}; ///< orders got lost; only switches with great gains until then
         SteadyTime startedAt{};
         double skewBefore = 0;
         double skewAfter = 0;
--- a/modules/heatherridge_coordination/groups/mapswitch.cpp
+++ b/modules/heatherridge_coordination/groups/mapswitch.cpp
@@ -15,7 +15,7 @@
 /** From reading the present pass to the hold's arrival, with a process that gets a fifth of a core. */
 constexpr milliseconds HoldTime{60};
 /** What each further copy of an order takes: the time that an answer is waited for. */
-constexpr milliseconds ResendTime{150};
+constexpr milliseconds ResendTime{90};
 
 } // namespace
 
@@ -81,6 +81,11 @@
     return m_reason;
 }
 
+int MapSwitch::mostSends() const
+{
+    return m_sends;
+}
+
 const SwitchPlan &MapSwitch::plan() const
 {
     return m_plan;
@@ -242,6 +247,7 @@
     m_phase = Phase::Over;
     m_end = end;
     m_reason = std::move(reason);
+    m_sends = m_round ? std::max(m_sends, m_round->mostSends()) : m_sends;
     m_round.reset();
     m_alive.reset();
 }
--- a/modules/heatherridge_coordination/groups/mapswitch.h
+++ b/modules/heatherridge_coordination/groups/mapswitch.h
@@ -70,6 +70,9 @@
     /** Why it was abandoned or got stuck. */
     const std::string &reason() const;
 
+    /** Most copies of one order that it took. */
+    int mostSends() const;
+
     /** What was asked for. */
     const SwitchPlan &plan() const;
 
--- a/modules/heatherridge_transport/direct/sidecarranks.cpp
+++ b/modules/heatherridge_transport/direct/sidecarranks.cpp
@@ -109,12 +109,13 @@
 
 HttpClient::Call SidecarRanks::callTo(const TargetEntry &target, std::string_view path, std::string body) const
 {
+    const auto timeout = body.empty() ? m_options.readTimeout : m_options.orderTimeout;
     return {.endpoint = {.address = target.address.address, .port = m_options.port},
             .request = {.method = body.empty() ? "GET" : "POST",
                         .path = std::string(path),
                         .headers = {{.name = std::string(SidecarPaths::TargetHeader), .value = target.id.text()}},
                         .body = std::move(body)},
-            .timeout = m_options.timeout};
+            .timeout = timeout};
 }
 
 bool SidecarRanks::isAbsent(const TargetEntry &target) const
--- a/modules/heatherridge_transport/direct/sidecarranks.h
+++ b/modules/heatherridge_transport/direct/sidecarranks.h
@@ -35,8 +35,8 @@
     struct Options
     {
         int port = 0; ///< at which every sidecar listens, on its engine's host
-        /** For a call: beyond what the sidecar allows itself, so that its word "no answer" arrives. */
-        std::chrono::milliseconds timeout{250};
+        std::chrono::milliseconds readTimeout{250}; ///< for a status or counts
+        std::chrono::milliseconds orderTimeout{130}; ///< beyond the sidecar's own, so that its word "no answer" arrives
         std::chrono::milliseconds absence{1'000}; ///< how long a sidecar is passed over; a restart takes about as long
         std::chrono::milliseconds longestAbsence{4'000}; ///< doubles up to this for one that stays silent
     };
@@ -55,7 +55,7 @@
     template<typename T>
     void ask(const TargetEntry &target, std::string_view path, Result<T> (*decode)(std::string_view),
              std::function<void()> direct, std::function<void(Result<T>)> done);
-    HttpClient::Call callTo(const TargetEntry &target, std::string_view path, std::string body) const;
+    HttpClient::Call callTo(const TargetEntry &target, std::string_view path, std::string body) const; ///< a body: an order
     bool isAbsent(const TargetEntry &target) const;
     void missed(const TargetEntry &target);
     void answered(const TargetEntry &target);
