--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -476,7 +476,7 @@
     }
     m_countsDue = now + m_options.countPeriod;
     m_roundBegan = now;
-    m_round.assign(static_cast<std::size_t>(m_profile.layerSets * m_profile.experts), 0);
+    m_round.assign(static_cast<std::size_t>(m_profile.layerSets) * static_cast<std::size_t>(m_profile.experts), 0);
     std::vector<TargetEntry> asked;
     for (const auto &[name, group] : m_groups) {
         if (isWhole(group)) {
--- a/modules/heatherridge_state/decisions/engineplacement.cpp
+++ b/modules/heatherridge_state/decisions/engineplacement.cpp
@@ -47,6 +47,7 @@
                                        RandomSource &random)
 {
     std::vector<DirectCandidate> targets;
+    targets.reserve(among.size());
     for (const auto index : among) {
         targets.push_back(engines[index].target);
     }
--- a/modules/heatherridge_transport/app/logger.cpp
+++ b/modules/heatherridge_transport/app/logger.cpp
@@ -45,12 +45,14 @@
 {
 public:
     template<typename Lock>
+    // NOLINTNEXTLINE(readability-identifier-naming): Boost.Log calls it by this name
     static bool on_overflow(const boost::log::record_view &, Lock &)
     {
         dropped.fetch_add(1, std::memory_order_relaxed);
         return false;
     }
 
+    // NOLINTNEXTLINE(readability-identifier-naming): as above
     static void on_queue_space_available()
     {
     }
--- a/modules/heatherridge_transport/direct/sidecarranks.h
+++ b/modules/heatherridge_transport/direct/sidecarranks.h
@@ -55,7 +55,8 @@
     template<typename T>
     void ask(const TargetEntry &target, std::string_view path, Result<T> (*decode)(std::string_view),
              std::function<void()> direct, std::function<void(Result<T>)> done);
-    HttpClient::Call callTo(const TargetEntry &target, std::string_view path, std::string body) const; ///< a body: an order
+    HttpClient::Call callTo(const TargetEntry &target, std::string_view path,
+                            std::string body) const; ///< a body: an order
     bool isAbsent(const TargetEntry &target) const;
     void missed(const TargetEntry &target);
     void answered(const TargetEntry &target);
--- a/tests/decisions/direct_test.cpp
+++ b/tests/decisions/direct_test.cpp
@@ -108,19 +108,19 @@
 // and none sees what the others do.
 RC_GTEST_PROP(FleetRetryBudget, KeepsTheCommonBoundInEveryWindow, (std::uint32_t seed))
 {
-    constexpr int Entries = 4;
-    constexpr double Share = 0.2;
-    constexpr double Slack = 88;
-    constexpr auto Window = 10s;
+    constexpr int entries = 4;
+    constexpr double share = 0.2;
+    constexpr double slack = 88;
+    constexpr auto window = 10s;
     SeededRandom random(seed);
-    std::vector<FleetRetryBudget> budgets(Entries,
-                                          FleetRetryBudget({.share = Share, .slack = Slack, .window = Window}));
+    std::vector<FleetRetryBudget> budgets(entries,
+                                          FleetRetryBudget({.share = share, .slack = slack, .window = window}));
     std::deque<SteadyTime> requests;
     std::deque<SteadyTime> repeats;
     for (int tick = 0; tick < 6'000; ++tick) {
         const auto now = Start + std::chrono::milliseconds(tick * 10);
         const bool isOutage = tick % 2'000 > 1'000;
-        auto &budget = budgets[random.below(Entries)];
+        auto &budget = budgets[random.below(entries)];
         if (random.below(10) < 6) {
             budget.recordRequest(now);
             requests.push_back(now);
@@ -128,13 +128,13 @@
         while (isOutage && random.below(4) > 0 && budget.tryTake(now)) {
             repeats.push_back(now);
         }
-        while (!repeats.empty() && repeats.front() <= now - Window) {
+        while (!repeats.empty() && repeats.front() <= now - window) {
             repeats.pop_front();
         }
-        while (!requests.empty() && requests.front() <= now - Window) {
+        while (!requests.empty() && requests.front() <= now - window) {
             requests.pop_front();
         }
-        RC_ASSERT(static_cast<double>(repeats.size()) <= Share * static_cast<double>(requests.size()) + Slack);
+        RC_ASSERT(static_cast<double>(repeats.size()) <= share * static_cast<double>(requests.size()) + slack);
     }
 }
 
@@ -286,7 +286,7 @@
         }
     }
     for (const auto &engine : world.engines) {
-        onTimeAtTheEnd += engine.group == 0 && engine.target.load <= Batch / 2 ? 1 : 0;
+        onTimeAtTheEnd += engine.group == 0 && engine.target.load * 2 <= Batch ? 1 : 0;
     }
     EXPECT_EQ(onTimeAtTheEnd, 8);
     EXPECT_EQ(full, 0);
--- a/tests/feed/workshare_test.cpp
+++ b/tests/feed/workshare_test.cpp
@@ -35,45 +35,45 @@
 class Shares : public testing::Test
 {
 protected:
-    ManualShareLog log;
-    WorkShare share{log, {.member = "m", .parts = 2, .period = 450ms, .lease = 1'500ms}};
+    ManualShareLog m_log;
+    WorkShare m_share{m_log, {.member = "m", .parts = 2, .period = 450ms, .lease = 1'500ms}};
 };
 
 TEST_F(Shares, DivideAllWorkAmongTheParts)
 {
-    EXPECT_FALSE(share.isMine("a"));
-    share.tick(Start);
-    log.answer(ShareAnswer{.generation = 4, .parts = {0, 1}});
+    EXPECT_FALSE(m_share.isMine("a"));
+    m_share.tick(Start);
+    m_log.answer(ShareAnswer{.generation = 4, .parts = {0, 1}});
     for (const auto *work : {"a", "b", "c", "d"}) {
-        EXPECT_TRUE(share.isMine(work));
+        EXPECT_TRUE(m_share.isMine(work));
     }
-    share.tick(Start + 450ms);
-    EXPECT_EQ(log.lastGeneration, 4U);
-    log.answer(ShareAnswer{.generation = 5, .parts = {}});
-    EXPECT_FALSE(share.isMine("a"));
+    m_share.tick(Start + 450ms);
+    EXPECT_EQ(m_log.lastGeneration, 4U);
+    m_log.answer(ShareAnswer{.generation = 5, .parts = {}});
+    EXPECT_FALSE(m_share.isMine("a"));
 }
 
 // While the log is out nobody can take over. A keeper that stopped then would leave groups uneven for the whole outage.
 TEST_F(Shares, StandWhileTheLogIsOutButAreNotConfirmed)
 {
-    share.tick(Start);
-    log.answer(ShareAnswer{.generation = 1, .parts = {0, 1}});
-    share.tick(Start + 500ms);
-    log.answer(Error{.kind = ErrorKind::PlatformUnavailable});
-    EXPECT_TRUE(share.isMine("a"));
-    EXPECT_TRUE(share.isConfirmed(Start + 1'400ms));
-    EXPECT_FALSE(share.isConfirmed(Start + 1'600ms));
+    m_share.tick(Start);
+    m_log.answer(ShareAnswer{.generation = 1, .parts = {0, 1}});
+    m_share.tick(Start + 500ms);
+    m_log.answer(Error{.kind = ErrorKind::PlatformUnavailable});
+    EXPECT_TRUE(m_share.isMine("a"));
+    EXPECT_TRUE(m_share.isConfirmed(Start + 1'400ms));
+    EXPECT_FALSE(m_share.isConfirmed(Start + 1'600ms));
 }
 
 TEST_F(Shares, EndWhenTheyAreGivenBack)
 {
-    share.tick(Start);
-    log.answer(ShareAnswer{.generation = 1, .parts = {0, 1}});
-    share.leave();
-    share.tick(Start + 10s);
-    EXPECT_FALSE(share.isMine("a"));
-    EXPECT_EQ(log.joins, 1);
-    EXPECT_EQ(log.leaves, 1);
+    m_share.tick(Start);
+    m_log.answer(ShareAnswer{.generation = 1, .parts = {0, 1}});
+    m_share.leave();
+    m_share.tick(Start + 10s);
+    EXPECT_FALSE(m_share.isMine("a"));
+    EXPECT_EQ(m_log.joins, 1);
+    EXPECT_EQ(m_log.leaves, 1);
 }
 
 } // namespace
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -258,8 +258,8 @@
         std::this_thread::sleep_for(5ms);
     }
     caller.close();
-    constexpr int MostWaits = 400;
-    for (int waits = 0; target.closedByPeer() == 0 && waits < MostWaits; ++waits) {
+    constexpr int mostWaits = 400;
+    for (int waits = 0; target.closedByPeer() == 0 && waits < mostWaits; ++waits) {
         std::this_thread::sleep_for(5ms);
     }
     EXPECT_GT(target.closedByPeer(), 0);
--- a/tests/gateway/gatewaysite.cpp
+++ b/tests/gateway/gatewaysite.cpp
@@ -105,10 +105,11 @@
     std::vector<TargetEntry> m_targets;
 };
 
-GatewaySite::GatewaySite(const std::vector<const ScriptedTarget *> &targets, RoutingConfig config)
+GatewaySite::GatewaySite(const std::vector<const ScriptedTarget *> &targets, const RoutingConfig &config)
     : m_ready({.address = "127.0.0.1", .port = freePort()})
 {
     std::vector<TargetEntry> entries;
+    entries.reserve(targets.size());
     for (const auto *target : targets) {
         entries.push_back({.id = TargetName("t" + std::to_string(entries.size())),
                            .service = ServiceName(Service),
@@ -131,8 +132,8 @@
                                                std::move(adapter));
     m_callers = std::get<std::vector<Endpoint>>(m_server->start()).front();
     // The registers are read by the control thread; callers before that are told that there is no configuration.
-    constexpr int MostTries = 500;
-    for (int i = 0; i < MostTries; ++i) {
+    constexpr int mostTries = 500;
+    for (int i = 0; i < mostTries; ++i) {
         RawCaller caller(m_ready);
         caller.send("GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
         if (caller.receive().status == 200) {
--- a/tests/gateway/gatewaysite.h
+++ b/tests/gateway/gatewaysite.h
@@ -18,7 +18,8 @@
 {
 public:
     /** @param targets all serve the one service; @param config its routes, or nothing for the usual ones */
-    explicit GatewaySite(const std::vector<const ScriptedTarget *> &targets, RoutingConfig config = usualConfig());
+    explicit GatewaySite(const std::vector<const ScriptedTarget *> &targets,
+                         const RoutingConfig &config = usualConfig());
     ~GatewaySite();
 
     GatewaySite(const GatewaySite &) = delete;
--- a/tests/groups/evenplacement_test.cpp
+++ b/tests/groups/evenplacement_test.cpp
@@ -60,12 +60,12 @@
 {
     double before = 0;
     double after = 0;
-    constexpr int Demands = 50;
-    for (std::uint64_t seed = 1; seed <= Demands; ++seed) {
+    constexpr int demands = 50;
+    for (std::uint64_t seed = 1; seed <= demands; ++seed) {
         const auto demand = skewed(seed);
         const auto to = improveEvenly(inTurn(), demand, {.places = Places, .newPerRank = 2});
-        before += layoutSkew({inTurn()}, {demand}, {}) / Demands;
-        after += layoutSkew({to}, {demand}, {}) / Demands;
+        before += layoutSkew({inTurn()}, {demand}, {}) / demands;
+        after += layoutSkew({to}, {demand}, {}) / demands;
     }
     EXPECT_GT(before, 1.5);
     EXPECT_LT(after, 1.12);
--- a/tests/heldgroups/heldgroups_test.cpp
+++ b/tests/heldgroups/heldgroups_test.cpp
@@ -70,9 +70,9 @@
 
 TEST_P(BrokenSafeguards, AreSeenAsTwoMapsInOnePass)
 {
-    constexpr int MostSchedules = 400;
+    constexpr int mostSchedules = 400;
     bool isSeen = false;
-    for (int number = 0; number < MostSchedules && !isSeen; ++number) {
+    for (int number = 0; number < mostSchedules && !isSeen; ++number) {
         auto options = scheduleOf(20261203, number);
         options.broken = GetParam().broken;
         options.keepers = 3;
--- a/tests/heldgroups/heldworld.cpp
+++ b/tests/heldgroups/heldworld.cpp
@@ -203,8 +203,8 @@
 
 const StandingClock &standingClock()
 {
-    static const StandingClock clock;
-    return clock;
+    static const StandingClock Standing;
+    return Standing;
 }
 
 } // namespace
--- a/tests/routing/routetable_test.cpp
+++ b/tests/routing/routetable_test.cpp
@@ -82,11 +82,11 @@
                       {.service = ServiceName("c"), .weight = 0}};
     SeededRandom random(1);
     std::map<std::string, int> drawn;
-    constexpr int Draws = 10'000;
-    for (int i = 0; i < Draws; ++i) {
+    constexpr int draws = 10'000;
+    for (int i = 0; i < draws; ++i) {
         ++drawn[drawService(route, random).text()];
     }
-    EXPECT_NEAR(drawn["a"], Draws * 0.9, Draws * 0.02);
+    EXPECT_NEAR(drawn["a"], draws * 0.9, draws * 0.02);
     EXPECT_EQ(drawn["c"], 0);
     EXPECT_TRUE(drawService(RouteRule{}, random).isEmpty());
 }
