--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -12,8 +12,6 @@
 
 using std::chrono::milliseconds;
 
-/** A round of readings is closed with what has come by then. */
-constexpr milliseconds RoundPatience{400};
 /** Statuses in a row that don't come before an engine counts as gone: two seconds' worth. Forgetting it drops a switch
  * that is under way, and what that holds stays held until it is recovered. */
 constexpr int MissesToForget = 5;
@@ -55,6 +53,7 @@
     , m_events(std::move(events))
     , m_clock(clock)
     , m_drawBits(std::move(drawBits))
+    , m_survey(control, options.countPeriod)
     , m_alive(std::make_shared<int>(0))
 {
 }
@@ -63,9 +62,7 @@
                              std::chrono::milliseconds longestPause)
 {
     m_longestPause = longestPause;
-    if (!m_demand || profile.layerSets != m_profile.layerSets || profile.experts != m_profile.experts) {
-        m_demand = std::make_unique<ExpertDemand>(profile.layerSets, profile.experts);
-    }
+    m_survey.setShape(profile.layerSets, profile.experts);
     m_profile = profile;
     for (const auto &target : targets) {
         auto &member = m_members[target.id];
@@ -103,8 +100,8 @@
     for (auto &[name, group] : m_groups) {
         followGroup(name, group, now);
     }
-    if (m_isActive) {
-        readCounts(now);
+    if (m_isActive && m_survey.tick(now, [this] { return surveyed(); })) {
+        considerSwitches(now);
     }
     tellWatched();
 }
@@ -462,68 +459,24 @@
     }
 }
 
-void GroupKeeper::readCounts(SteadyTime now)
+std::vector<TargetEntry> GroupKeeper::surveyed() const
 {
-    if (m_roundMissing > 0) {
-        if (now - m_roundBegan > RoundPatience) {
-            m_roundMissing = 0;
-            takeRound(now);
-        }
-        return;
-    }
-    if (now < m_countsDue || !m_demand) {
-        return;
-    }
-    m_countsDue = now + m_options.countPeriod;
-    m_roundBegan = now;
-    m_round.assign(static_cast<std::size_t>(m_profile.layerSets) * static_cast<std::size_t>(m_profile.experts), 0);
-    std::vector<TargetEntry> asked;
+    std::vector<TargetEntry> ranks;
     for (const auto &[name, group] : m_groups) {
         if (isWhole(group)) {
             const auto targets = targetsOf(group);
-            asked.insert(asked.end(), targets.begin(), targets.end());
+            ranks.insert(ranks.end(), targets.begin(), targets.end());
         }
     }
-    m_roundMissing = asked.size();
-    for (const auto &target : asked) {
-        m_control.counts(
-            target, [this, id = target.id, round = now, alive = std::weak_ptr(m_alive)](Result<RankCounts> counts) {
-                if (alive.expired()) {
-                    return;
-                }
-                const auto found = m_members.find(id);
-                if (found != m_members.end() && errorIn(counts) == nullptr) {
-                    auto &known = std::get<RankCounts>(counts);
-                    auto &before = found->second.counts;
-                    const bool isComparable = before && before->epoch == known.epoch;
-                    // A keeper that knows nothing yet takes what was chosen since the engine's start: better than
-                    // nothing.
-                    const bool isFirst = !before && m_demand->bySet().empty();
-                    const bool isUsable = known.chosen.size() == m_round.size() && (isComparable || isFirst)
-                        && (isFirst || before->chosen.size() == known.chosen.size());
-                    for (std::size_t index = 0; isUsable && index < m_round.size(); ++index) {
-                        const double earlier = isFirst ? 0 : before->chosen[index];
-                        m_round[index] += std::max(0.0, known.chosen[index] - earlier);
-                    }
-                    before = std::move(known);
-                }
-                if (round == m_roundBegan && m_roundMissing > 0 && --m_roundMissing == 0) {
-                    takeRound(round);
-                }
-            });
-    }
-}
-
-void GroupKeeper::takeRound(SteadyTime now)
-{
-    m_demand->add(m_round);
-    if (m_demand->bySet().empty()) {
-        return;
-    }
+    return ranks;
+}
+
+void GroupKeeper::considerSwitches(SteadyTime now)
+{
     m_lastSkew = 0;
     for (auto &[name, group] : m_groups) {
         if (isWhole(group) && group.layout) {
-            m_lastSkew = std::max(m_lastSkew, layoutSkew(*group.layout, m_demand->bySet(), slownessOf(group)));
+            m_lastSkew = std::max(m_lastSkew, layoutSkew(*group.layout, m_survey.bySet(), slownessOf(group)));
             considerSwitch(name, group, now);
         }
     }
@@ -538,10 +491,10 @@
     const auto copies = std::min(m_options.newPerRank, static_cast<std::size_t>(std::max(m_profile.sparePlaces, 0)));
     const auto slowness = slownessOf(group);
     auto layout = improveEvenly(
-        *group.layout, m_demand->bySet(),
+        *group.layout, m_survey.bySet(),
         {.places = static_cast<std::size_t>(m_profile.places), .newPerRank = copies, .slowness = slowness});
-    group.skewBefore = layoutSkew(*group.layout, m_demand->bySet(), slowness);
-    group.skewAfter = layoutSkew(layout, m_demand->bySet(), slowness);
+    group.skewBefore = layoutSkew(*group.layout, m_survey.bySet(), slowness);
+    group.skewAfter = layoutSkew(layout, m_survey.bySet(), slowness);
     const auto most = mostCopies(*group.layout, layout);
     // While orders get lost a switch holds its group for many passes, and may have to be taken back.
     const bool isCalm = group.passTime <= m_longestPause * m_options.calmPart || now < group.lossyUntil;
@@ -549,7 +502,7 @@
         group.skewBefore - group.skewAfter >= (isCalm ? m_options.leastGainWhenCalm : m_options.leastGain);
     tell(isWorth ? "map-wanted" : "map-kept", name,
          "skew " + twoDigits(group.skewBefore) + " to " + twoDigits(group.skewAfter) + " copies " + std::to_string(most)
-             + " distance " + twoDigits(m_demand->lastDistance()) + " pass-ms "
+             + " distance " + twoDigits(m_survey.lastDistance()) + " pass-ms "
              + std::to_string(group.passTime.count()));
     if (!isWorth) {
         return;
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "heatherridge_coordination/groups/demandsurvey.h"
 #include "heatherridge_coordination/groups/holdrecovery.h"
 #include "heatherridge_coordination/groups/mapswitch.h"
 #include "heatherridge_state/groups/evenplacement.h"
-#include "heatherridge_state/groups/expertdemand.h"
 #include "heatherridge_state/routing/routingconfig.h"
 
 #include <functional>
@@ -106,7 +106,6 @@
         SteadyTime answeredAt{}; ///< when the last status that came was asked for
         int misses = 0; ///< statuses in a row that did not come
         bool isAsking = false;
-        std::optional<RankCounts> counts{}; ///< of the last reading
         std::optional<RankExperts> experts{};
     };
 
@@ -152,8 +151,8 @@
     void runRecovery(const GroupName &name, Group &group, SteadyTime now);
     void readExperts(Group &group);
     void assembleLayout(Group &group);
-    void readCounts(SteadyTime now);
-    void takeRound(SteadyTime now);
+    void considerSwitches(SteadyTime now);
+    std::vector<TargetEntry> surveyed() const;
     void considerSwitch(const GroupName &name, Group &group, SteadyTime now);
     RankSlowness slownessOf(const Group &group) const;
     void gatherStatuses(Group &group, SteadyTime now);
@@ -175,11 +174,7 @@
     EngineProfile m_profile;
     std::map<TargetName, Member> m_members;
     std::map<GroupName, Group> m_groups;
-    std::unique_ptr<ExpertDemand> m_demand;
-    std::vector<double> m_round; ///< choices of the round of readings that is open
-    std::size_t m_roundMissing = 0; ///< answers that it waits for
-    SteadyTime m_roundBegan{};
-    SteadyTime m_countsDue{};
+    DemandSurvey m_survey;
     bool m_isActive = false;
     bool m_isConfirmed = true;
     SteadyTime m_now{}; ///< of the last tick
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -48,7 +48,7 @@
               [this](ErrorKind kind) { return refusal(kind); }, m_metrics)
         , m_metricsServer(
               m_trafficLoop.context(), {.listen = m_options.metricsListen},
-              [this](const auto &exchange) { exchange->respond({.body = m_metrics.exposition()}); },
+              [this](const auto &exchange) { answerMetrics(*exchange); },
               [this](ErrorKind kind) { return refusal(kind); }, m_metrics)
         , m_client(m_controlLoop.context(), {.connectTimeout = milliseconds(500)})
         , m_registers(m_adapter.registers(m_client))
@@ -138,6 +138,12 @@
         return m_adapter.traffic->refusal({.kind = kind}, {});
     }
 
+    void answerMetrics(HttpExchange &exchange)
+    {
+        m_metrics.gauge("heatherridge_log_lines_dropped").set(static_cast<std::int64_t>(droppedLogLines()));
+        exchange.respond({.body = m_metrics.exposition()});
+    }
+
     void answerReadiness(HttpExchange &exchange)
     {
         if (exchange.request().path != m_options.readyPath) {
@@ -161,6 +167,7 @@
             }
             keeper->setActive(isMine, m_workShare.isConfirmed(now));
             keeper->tick(now);
+            m_skew.set(static_cast<std::int64_t>(keeper->lastSkew() * 100));
         }
     }
 
@@ -231,6 +238,7 @@
     SidecarRanks m_ranks;
     std::random_device m_entropy;
     SystemClock m_clock;
+    Gauge &m_skew = m_metrics.gauge("heatherridge_group_skew_percent");
     WorkShare m_workShare;
     GatewayControl m_control;
     std::map<ServiceName, std::unique_ptr<GroupKeeper>> m_keepers;
