Drop fields that nothing decides by; take copy times from the engines' own figures

Cause: the time to copy an expert was a constant of the two deployments; on others a switch would have begun to arm ranks far too early or late.

--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -507,7 +507,7 @@
     if (!isWorth) {
         return;
     }
-    const std::chrono::duration<double> copyTime(static_cast<double>(most) / m_options.copiesPerSecond);
+    const auto copyTime = m_profile.expertCopy * static_cast<double>(most);
     group.wanted = SwitchPlan{.layout = std::move(layout),
                               .copyTime = std::chrono::duration_cast<milliseconds>(copyTime),
                               .passTime = group.passTime};
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -32,9 +32,6 @@
     double calmPart = 0.5;
     /** Experts of a set that a rank may copy for one switch; fewer make the switch sooner. */
     std::size_t newPerRank = 2;
-    /** Experts that one rank copies in a second: 92 Gbit/s over 580 MB; from the engines' own words where they differ.
-     */
-    double copiesPerSecond = 19.0;
 };
 
 /** One engine as its status tells, for whoever places requests. */
--- a/modules/heatherridge_state/decisions/engineplacement.h
+++ b/modules/heatherridge_state/decisions/engineplacement.h
@@ -25,7 +25,6 @@
 struct EngineGroup
 {
     std::chrono::duration<double, std::milli> passTime{}; ///< measured; 0 when unknown
-    double slowestPace = 1; ///< of its ranks
     bool isStalled = false; ///< one of its engines has open streams and says nothing: so do they all
 };
 
--- a/modules/heatherridge_state/routing/routingconfig.h
+++ b/modules/heatherridge_state/routing/routingconfig.h
@@ -46,17 +46,13 @@
 /** How a model engine of a service works, as its operator measured it. */
 struct EngineProfile
 {
-    int batch = 1; ///< requests that run at once
-    double kvTokens = 0; ///< tokens that fit into its KV cache
-    int stride = 1; ///< token steps in one pass
     std::chrono::duration<double, std::milli> step{}; ///< one token step with nothing else
     std::chrono::duration<double, std::milli> stepPerRequest{}; ///< what each writing request adds to a step
-    double readPerSecond = 0; ///< prompt tokens
     int layerSets = 0; ///< sets of layers that share one placement of experts; 0: no expert groups
     int experts = 0; ///< in each set
     int places = 0; ///< experts that fit on one rank, in each set
     int sparePlaces = 0; ///< experts that one order may add to a rank, in each set
-    double expertShare = 0; ///< part of a step that is spent in experts
+    std::chrono::duration<double, std::milli> expertCopy{50}; ///< to copy one expert of one set to a rank
 };
 
 /** A set of equal targets. */
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -79,6 +79,7 @@
     }
     if (choice.target != nullptr) {
         m_traffic.m_counters.repeats.add(isRepeat ? 1 : 0);
+        m_traffic.m_counters.resumed.add(m_streamBegun ? 1 : 0);
         send(*choice.target);
         return;
     }
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -113,7 +113,6 @@
         if (group == groups.size()) {
             groups.push_back({.passTime = view.passTime});
         }
-        groups[group].slowestPace = std::max(groups[group].slowestPace, view.pace);
         groups[group].isStalled = groups[group].isStalled || isStalled(*targets[index], now);
         auto candidate = candidates[index];
         candidate.load *= std::max(1.0, view.pace); // its passes, and so its group's, grow so much with each request
--- a/modules/heatherridge_transport/direct/trafficcodec.h
+++ b/modules/heatherridge_transport/direct/trafficcodec.h
@@ -18,8 +18,6 @@
     std::optional<std::chrono::milliseconds> patience{}; ///< how long the caller waits
     std::string apiKey{};
     std::optional<std::uint64_t> lastEvent{}; ///< it has the stream up to this event
-    std::optional<std::uint64_t> promptTokens{};
-    std::optional<std::uint64_t> mostOutputTokens{};
     bool isWellFormed = true; ///< false when one of the fields cannot be read
 };
 
