Drop what nothing calls

Found on the last reading: when a register last answered, its known end, a count of usable targets and whether a caller's connection is closed were kept or computed and never asked for. No change of behaviour.

--- a/modules/heatherridge_coordination/feed/registerfollower.cpp
+++ b/modules/heatherridge_coordination/feed/registerfollower.cpp
@@ -25,16 +25,11 @@
                [this, now](Result<RegisterPage> page) { takeRead(std::move(page), now); });
 }
 
-std::optional<SteadyTime> RegisterFollower::lastAnswer() const
-{
-    return m_lastAnswer;
-}
-
 void RegisterFollower::takeNewest(Result<RegisterPage> page, SteadyTime asked)
 {
     m_isReading = false;
     if (const auto *error = errorIn(page)) {
-        failed(*error, asked);
+        failed(*error);
         return;
     }
     const auto &whole = std::get<RegisterPage>(page);
@@ -52,7 +47,7 @@
             m_next = m_now;
             return;
         }
-        failed(*error, asked);
+        failed(*error);
         return;
     }
     const auto &news = std::get<RegisterPage>(page);
@@ -63,7 +58,7 @@
     }
 }
 
-void RegisterFollower::failed(const Error &error, SteadyTime)
+void RegisterFollower::failed(const Error &error)
 {
     m_next = m_now + m_options.retryPause;
     if (m_answers) {
@@ -75,7 +70,6 @@
 void RegisterFollower::answered(SteadyTime asked)
 {
     m_answers = true;
-    m_lastAnswer = m_now;
     m_next = asked + m_options.period;
     m_events.reachable(true, {});
 }
--- a/modules/heatherridge_coordination/feed/registerfollower.h
+++ b/modules/heatherridge_coordination/feed/registerfollower.h
@@ -41,13 +41,10 @@
     /** Starts a read when one is due. Called often. */
     void tick(SteadyTime now);
 
-    /** When the register last answered. */
-    std::optional<SteadyTime> lastAnswer() const;
-
 private:
     void takeNewest(Result<RegisterPage> page, SteadyTime asked);
     void takeRead(Result<RegisterPage> page, SteadyTime asked);
-    void failed(const Error &error, SteadyTime asked);
+    void failed(const Error &error);
     void answered(SteadyTime asked);
 
     RegisterLog &m_log;
@@ -58,7 +55,6 @@
     bool m_answers = true;
     SteadyTime m_now{}; ///< of the last tick; answers come between ticks
     SteadyTime m_next{};
-    std::optional<SteadyTime> m_lastAnswer;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_coordination/feed/registerlog.h
+++ b/modules/heatherridge_coordination/feed/registerlog.h
@@ -33,7 +33,6 @@
 {
     std::vector<RegisterChange> changes{};
     std::uint64_t end = 0; ///< where to read on
-    std::uint64_t known = 0; ///< end of the register when it answered
 };
 
 /** The platform's registers. One thread; answers come later on the same thread. */
--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -216,11 +216,6 @@
     m_socket.close(ignored);
 }
 
-bool CallerConnection::isClosed() const
-{
-    return m_phase == Phase::Closed;
-}
-
 void CallerConnection::read()
 {
     if (m_isReading || m_phase == Phase::Closed || m_pending.size() > MostPending) {
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -61,9 +61,6 @@
     /** Closes at once. */
     void close();
 
-    /** Whether the socket is closed. */
-    bool isClosed() const;
-
 private:
     friend class CallerExchange;
 
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -57,12 +57,6 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-std::size_t GatewayTargets::usableCount(const ServiceName &service) const
-{
-    return static_cast<std::size_t>(std::count_if(m_targets.begin(), m_targets.end(),
-                                                  [&](const auto &entry) { return isUsable(entry.second, service); }));
-}
-
 GatewayTargets::Choice GatewayTargets::choose(const ServiceName &service, const std::set<TargetName> &tried,
                                               SteadyTime now, RandomSource &random)
 {
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -48,9 +48,6 @@
     /** The target @p id, or nullptr once it is gone. */
     GatewayTarget *find(const TargetName &id);
 
-    /** How many targets of @p service take new requests. */
-    std::size_t usableCount(const ServiceName &service) const;
-
     /** Where a request goes. */
     struct Choice
     {
