--- a/modules/heatherridge_state/decisions/engineplacement.h
+++ b/modules/heatherridge_state/decisions/engineplacement.h
@@ -19,6 +19,7 @@
     std::size_t group = 0; ///< index of its group
     bool isOpen = true; ///< its group works
     bool refusesNow = false; ///< it has just refused a request
+    double pace = 1; ///< over 1: it takes so many times as long as usual; its group waits for it in every pass
 };
 
 /** What is known of a group as a whole. */
@@ -40,6 +41,9 @@
     double onTimePart = 0.5;
     /** Part of its batch that an engine takes at all; what waits behind a full batch makes its neighbours late. */
     double mostPart = 1.0;
+    /** Engines that take so many times as long get streams only when all others are full. A quarter of its prompts read
+     * by a rank four times as slow made passes of its whole group three times as long. */
+    double slowPace = 1.5;
 };
 
 /** What came of placing a stream. */
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -108,12 +108,11 @@
             groups.push_back({.passTime = view.passTime});
         }
         groups[group].isStalled = groups[group].isStalled || isStalled(*targets[index], now);
-        auto candidate = candidates[index];
-        candidate.load *= std::max(1.0, view.pace); // its passes, and so its group's, grow so much with each request
-        engines.push_back({.target = candidate,
+        engines.push_back({.target = candidates[index],
                            .group = group,
                            .isOpen = view.isOpen,
-                           .refusesNow = now < targets[index]->refusedUntil});
+                           .refusesNow = now < targets[index]->refusedUntil,
+                           .pace = view.pace});
     }
     const auto choice = placeStream(engines, groups, rules, random);
     return {.target = choice.index ? targets[*choice.index] : nullptr, .isFull = choice.isFull};
--- a/tests/decisions/direct_test.cpp
+++ b/tests/decisions/direct_test.cpp
@@ -215,6 +215,7 @@
     EngineWorld world;
     std::optional<std::size_t> group; ///< that takes the stream
     bool isFull = false;
+    std::optional<std::size_t> spared{}; ///< an engine that must not take it
 };
 
 EngineWorld changed(EngineWorld world, void (*change)(EngineWorld &))
@@ -242,6 +243,29 @@
      1},
     {"not to a group that stands still",
      changed(worldOf(0, 45, 5, 45), [](auto &world) { world.groups[0].isStalled = true; }), 1},
+    // One rank takes twelve times as long as it should. Without a request it looks idle, so each new stream went there
+    // first, and while it read the prompt its whole group stood still for 170 ms: every stream of the group was late.
+    {"not to a slow engine for being idle, while others of its group have room",
+     changed(worldOf(4, 45, 12, 140),
+             [](auto &world) {
+                 world.engines[0].pace = 12;
+                 world.engines[0].target.load = 0;
+             }),
+     0, false, 0},
+    {"not to an engine four times as slow, though its group is on time",
+     changed(worldOf(12, 140, 4, 45),
+             [](auto &world) {
+                 world.engines[1].pace = 4;
+                 world.engines[1].target.load = 0;
+             }),
+     1, false, 1},
+    {"to a slow engine when all others are full",
+     changed(worldOf(12, 140, 12, 140),
+             [](auto &world) {
+                 world.engines[1].pace = 4;
+                 world.engines[1].target.load = 1;
+             }),
+     1},
     {"nowhere when all groups are closed",
      changed(worldOf(0, 45, 0, 45),
              [](auto &world) {
@@ -265,6 +289,7 @@
     EXPECT_EQ(choice.isFull, row.isFull) << row.story;
     if (choice.index) {
         EXPECT_EQ(row.world.engines[*choice.index].group, *row.group) << row.story;
+        EXPECT_NE(choice.index, row.spared) << row.story;
     }
 }
 
