Read the log a third less often

Ruled out: longer waits for targets, whose heartbeats end each waiting read at once.

Change: reads for rules wait 1.8 s instead of 0.9 (a connection that hangs is given up after 2.5 s, within the 3 s of calm after which a bound holds), reads for targets come each 0.85 s instead of 0.6 (a leaving target may get work for 2 s). No new test: the follower's tests hold for any of both figures.

--- a/modules/heatherridge_transport/direct/gatewaycontrol.h
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.h
@@ -24,10 +24,10 @@
     struct Options
     {
         /** How long a read for rules waits. Longer saves calls; a register that hangs is noticed after it. */
-        std::chrono::milliseconds rulesWait{900};
+        std::chrono::milliseconds rulesWait{1'800};
         /** Between reads for targets; their heartbeats make a read that waits return at once. A leaving target must
          * get nothing new 2 s after it said so. */
-        std::chrono::milliseconds targetsPeriod{600};
+        std::chrono::milliseconds targetsPeriod{850};
     };
 
     struct Events
