Divide the slack for repeats by shares of the work; close engines that fall silent; read settings again

By the log each gateway used an eighth of the slack (there are four), and 1,066 attempts at the dead engine, which never left, had been counted: its last word was that its group works, and nothing took that back. Ruled out: the bound itself (a third used).

Change: each gateway uses the part of the slack that the log deals it of the work; an attempt that never left is no repeat; one broken rank closes its group, and an engine that falls silent is told of as closed.

Tests: FleetRetryBudget.UsesTheWholeSlack... and the property with dealt parts, WatchedEngines (two of four rows failed first, another after the second story was added to it).

--- a/modules/heatherridge_coordination/feed/workshare.cpp
+++ b/modules/heatherridge_coordination/feed/workshare.cpp
@@ -33,6 +33,14 @@
     return !m_hasLeft && m_share.parts.contains(static_cast<int>(part));
 }
 
+std::optional<double> WorkShare::part() const
+{
+    if (!m_confirmedAt || m_options.parts <= 0) {
+        return std::nullopt;
+    }
+    return m_hasLeft ? 0.0 : static_cast<double>(m_share.parts.size()) / m_options.parts;
+}
+
 bool WorkShare::isConfirmed(SteadyTime now) const
 {
     return m_confirmedAt && now - *m_confirmedAt < m_options.lease;
--- a/modules/heatherridge_coordination/feed/workshare.h
+++ b/modules/heatherridge_coordination/feed/workshare.h
@@ -62,6 +62,10 @@
     /** Whether @p work, any stable name, belongs to this process. */
     bool isMine(std::string_view work) const;
 
+    /** Part of all work that belongs to this process; those of all living processes add up to 1. Nothing before the
+     * first answer. */
+    std::optional<double> part() const;
+
     /** Whether the log has confirmed the share within its lease, so that nobody else can have it. */
     bool isConfirmed(SteadyTime now) const;
 
--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -130,14 +130,19 @@
     }
     std::vector<EngineView> engines;
     for (const auto &[id, member] : m_members) {
-        if (!member.status || member.status->group.isEmpty()) {
+        if (member.lastGroup.isEmpty()) {
+            continue;
+        }
+        if (!member.status) {
+            // Told of as closed, or its last word would stand: dead engines drew 1,066 attempts in a day.
+            engines.push_back({.target = id, .group = member.lastGroup, .at = member.askedAt});
             continue;
         }
         const auto &status = *member.status;
         const auto &group = m_groups[status.group];
         engines.push_back({.target = id,
                            .group = status.group,
-                           .isOpen = status.isOpen && status.epoch == group.epoch && isHalfKnown(group),
+                           .isOpen = status.epoch == group.epoch && takesStreams(group),
                            .running = status.running,
                            .waiting = status.waiting,
                            .pace = status.pace,
@@ -183,6 +188,7 @@
     // Gone, or another run of the engine answers in its place: its group is not whole until somebody has its rank.
     const auto group = member.status->group;
     member.status.reset();
+    m_hasNews = true;
     rebuildGroup(group);
 }
 
@@ -191,6 +197,7 @@
     const bool isNew = !member.status || member.status->group != status.group || member.status->rank != status.rank
         || member.status->epoch != status.epoch || member.status->isOpen != status.isOpen;
     member.status = status;
+    member.lastGroup = status.group;
     member.answeredAt = now;
     member.misses = 0;
     m_hasNews = true;
@@ -312,14 +319,20 @@
                        [this](const auto &id) { return !id.isEmpty() && m_members.contains(id); });
 }
 
-bool GroupKeeper::isHalfKnown(const Group &group) const
+bool GroupKeeper::takesStreams(const Group &group) const
 {
+    // One rank that says that its group does not work speaks for all: the one that died said last that it works, and
+    // looks idle. It drew 577 attempts in a day that never reached it.
+    const bool isBroken = std::any_of(group.ranks.begin(), group.ranks.end(), [this](const auto &id) {
+        const auto member = m_members.find(id);
+        return member != m_members.end() && member->second.status && !member->second.status->isOpen;
+    });
     // After a start the first few engines whose statuses have come would get all that waits: 36 streams went to four
     // engines of sixteen, and their callers left. Ranks that stay out of reach from here must not close a group,
     // though.
     const auto known =
         std::count_if(group.ranks.begin(), group.ranks.end(), [](const auto &id) { return !id.isEmpty(); });
-    return static_cast<std::size_t>(known) * 2 >= group.ranks.size();
+    return !isBroken && static_cast<std::size_t>(known) * 2 >= group.ranks.size();
 }
 
 std::vector<TargetEntry> GroupKeeper::targetsOf(const Group &group) const
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -113,6 +113,7 @@
     {
         TargetEntry target{};
         std::optional<RankStatus> status{};
+        GroupName lastGroup{}; ///< null while it has never spoken, or is in none
         SteadyTime askedAt{};
         SteadyTime answeredAt{}; ///< when the last status that came was asked for
         int misses = 0; ///< statuses in a row that did not come
@@ -178,7 +179,7 @@
     bool givesWay(SteadyTime now) const;
     bool mayBeAnothers(const Group &group, SteadyTime now) const;
     bool isWhole(const Group &group) const;
-    bool isHalfKnown(const Group &group) const;
+    bool takesStreams(const Group &group) const;
     std::vector<TargetEntry> targetsOf(const Group &group) const;
     MapNumber drawNumber(const Group &group);
     void tell(std::string_view what, const GroupName &group, const std::string &details) const;
--- a/modules/heatherridge_state/decisions/fleetretrybudget.cpp
+++ b/modules/heatherridge_state/decisions/fleetretrybudget.cpp
@@ -1,7 +1,5 @@
 #include "heatherridge_state/decisions/fleetretrybudget.h"
 
-#include <algorithm>
-
 namespace Heatherridge
 {
 
@@ -15,6 +13,16 @@
     ++current(now).requests;
 }
 
+void FleetRetryBudget::setOptions(FleetRetryBudgetOptions options)
+{
+    m_options = options;
+}
+
+void FleetRetryBudget::setPart(double part)
+{
+    m_options.part = part;
+}
+
 bool FleetRetryBudget::tryTake(SteadyTime now)
 {
     if (left(now) < 1) {
@@ -33,7 +41,7 @@
         requests += second.requests;
         repeats += second.repeats;
     }
-    const double allowed = m_options.share * requests + m_options.slack / std::max(m_options.entries, 1);
+    const double allowed = m_options.share * requests + m_options.slack * m_options.part;
     return allowed * UsedPart - repeats;
 }
 
--- a/modules/heatherridge_state/decisions/fleetretrybudget.h
+++ b/modules/heatherridge_state/decisions/fleetretrybudget.h
@@ -15,7 +15,7 @@
     double share = 0.2; ///< repeats for each request, over all entries; from the deployment's bounds
     double slack = 0; ///< repeats that all entries together may make beyond it in one window
     std::chrono::seconds window{10};
-    int entries = 8; ///< how many entries the slack is divided among; more than there are is safe
+    double part = 0.125; ///< of the slack, for this entry while it does not know its share of the work
 };
 
 /**
@@ -23,8 +23,9 @@
  *
  * Load pattern: a fault makes many requests fail at once, and each is sent again. The bound on repeats holds for the
  * sum over all entries in any window. If each entry repeats at most the share of its own requests and its part of the
- * slack, the sum keeps the bound without a word between them. The slack is divided by a number of entries that is not
- * too low; requests are counted over the window that ends now, repeats over a window as long. One thread.
+ * slack, the sum keeps the bound without a word between them. The slack is divided as the platform's log divides work
+ * among the entries: with an eighth each, four entries refused 130 streams of a broken group for want of repeats.
+ * Requests are counted over the window that ends now, repeats over a window as long. One thread.
  */
 class FleetRetryBudget
 {
@@ -37,6 +38,12 @@
     /** A request for the service has come. */
     void recordRequest(SteadyTime now);
 
+    /** Other bounds hold from now on; what was counted stays. */
+    void setOptions(FleetRetryBudgetOptions options);
+
+    /** This entry's part of the slack. All entries' parts together are at most 1. */
+    void setPart(double part);
+
     /** Takes one repeat out of the budget; false when none is left. */
     bool tryTake(SteadyTime now);
 
--- a/modules/heatherridge_transport/app/daemon.cpp
+++ b/modules/heatherridge_transport/app/daemon.cpp
@@ -3,6 +3,8 @@
 #include "heatherridge_transport/app/logger.h"
 
 #include <csignal>
+#include <ctime>
+#include <filesystem>
 #include <iostream>
 #include <random>
 
@@ -12,6 +14,9 @@
 namespace
 {
 
+/** How often the settings file is looked at: it may change without a signal. */
+constexpr std::chrono::seconds FileCheckPeriod{2};
+
 const SettingSpec Common[] = {
     {.key = "name", .required = true, .help = "name of this process, unique in the deployment; a target's own name"},
     {.key = "zone", .required = true, .help = "availability zone of this host, as in the inventory"},
@@ -83,16 +88,54 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-void waitForStopSignal()
+/** When @p file was last written; the epoch when there is none. */
+std::filesystem::file_time_type writeTimeOf(const std::string &file)
+{
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(file, error);
+    return error ? std::filesystem::file_time_type() : time;
+}
+
+/** Waits for the signal to stop, and calls @p reload for SIGHUP and whenever @p file has changed. */
+void waitForStopSignal(const std::string &file, const std::function<void()> &reload)
 {
     const auto signals = handledSignals();
-    int received = SIGHUP;
-    while (received == SIGHUP) {
-        sigwait(&signals, &received);
-        if (received == SIGHUP) {
-            // Settings are read at the start alone; without a handler the signal would end the process and cut calls.
-            logEvent(Severity::Info, "reload-ignored", {{"reason", "settings take effect at the next start"}});
+    auto written = writeTimeOf(file);
+    while (true) {
+        const timespec period{.tv_sec = FileCheckPeriod.count(), .tv_nsec = 0};
+        const int received = sigtimedwait(&signals, nullptr, &period);
+        if (received == SIGTERM || received == SIGINT) {
+            return;
         }
+        const auto now = writeTimeOf(file);
+        if (received == SIGHUP || now != written) {
+            written = now;
+            reload();
+        }
+    }
+}
+
+std::string joined(const std::vector<std::string> &words)
+{
+    std::string text;
+    for (const auto &word : words) {
+        text += (text.empty() ? "" : ",") + word;
+    }
+    return text;
+}
+
+/** Hands settings that were read again to @p server, and logs what has changed or what is wrong. */
+void takeOver(const std::variant<Settings, Settings::Exit> &loaded, Settings &present, const DaemonServer &server)
+{
+    if (const auto *exit = std::get_if<Settings::Exit>(&loaded)) {
+        logEvent(Severity::Warning, "reload-rejected", {{"reason", exit->text}});
+        return;
+    }
+    const auto &changed = std::get<Settings>(loaded);
+    logEvent(Severity::Info, "reloaded", {{"changed", joined(changed.differences(present))}});
+    present = changed;
+    if (server.reload) {
+        server.reload(present);
     }
 }
 
@@ -119,7 +162,7 @@
         (exit->code == Settings::ExitOk ? std::cout : std::cerr) << exit->text;
         return exit->code;
     }
-    const auto &settings = std::get<Settings>(loaded);
+    auto settings = std::get<Settings>(loaded);
     setUpLoggerFrom(settings);
     const auto server = create(settings);
     const auto started = server.start();
@@ -130,7 +173,9 @@
     }
     announceReady(description.role, std::get<std::vector<Endpoint>>(started));
     logEvent(Severity::Info, "started", {{"role", std::string(description.role)}});
-    waitForStopSignal();
+    waitForStopSignal(settings.file(), [&] {
+        takeOver(Settings::load(description.program, description.role, specs, argc, argv), settings, server);
+    });
     server.drainAndStop();
     stopLogger();
     return 0;
--- a/modules/heatherridge_transport/app/daemon.h
+++ b/modules/heatherridge_transport/app/daemon.h
@@ -33,12 +33,16 @@
     std::function<Result<std::vector<Endpoint>>()> start{};
     /** Ends gracefully; blocks until then. */
     std::function<void()> drainAndStop{};
+    /** Takes over what may change while it runs; without it all settings wait for the next start. */
+    std::function<void(const Settings &changed)> reload{};
 };
 
 /**
  * Runs a daemon from its settings to its end by SIGTERM or SIGINT. Call first in main(), on its thread: the signals are
  * blocked for all threads, or one could end the process on any thread in the midst of an answer.
  *
+ * Settings are read again on SIGHUP, and when their file has changed. Faulty ones are logged and change nothing.
+ *
  * Prints one line "ready ROLE ADDRESS:PORT ..." on standard output once it serves.
  * @param create makes the server out of checked settings; called once, after the log is set up
  * @returns the program's exit code
--- a/modules/heatherridge_transport/app/settings.cpp
+++ b/modules/heatherridge_transport/app/settings.cpp
@@ -30,15 +30,33 @@
         return "whole number";
     case SettingType::Milliseconds:
         return "milliseconds";
+    case SettingType::Seconds:
+        return "seconds";
+    case SettingType::Fraction:
+        return "number";
     case SettingType::Switch:
         return "yes or no";
     }
     return "";
 }
 
+bool takesFractions(SettingType type)
+{
+    return type == SettingType::Seconds || type == SettingType::Fraction;
+}
+
 bool isBounded(const SettingSpec &spec)
 {
-    return spec.type == SettingType::Number || spec.type == SettingType::Milliseconds;
+    return spec.type == SettingType::Number || spec.type == SettingType::Milliseconds || takesFractions(spec.type);
+}
+
+bool isWithinBounds(const SettingSpec &spec, const std::string &value)
+{
+    if (!takesFractions(spec.type)) {
+        return parseNumber(value, spec.lowest, spec.highest).has_value();
+    }
+    const auto number = parseFraction(value);
+    return number && *number >= static_cast<double>(spec.lowest) && *number <= static_cast<double>(spec.highest);
 }
 
 std::string describe(const SettingSpec &spec)
@@ -90,10 +108,11 @@
         return "";
     case SettingType::Number:
     case SettingType::Milliseconds:
-        return parseNumber(value, spec.lowest, spec.highest)
-            ? ""
-            : key + " must be " + std::string(typeName(spec.type)) + " from " + std::to_string(spec.lowest) + " to "
-                + std::to_string(spec.highest) + ", not '" + value + "'";
+    case SettingType::Seconds:
+    case SettingType::Fraction:
+        return isWithinBounds(spec, value) ? ""
+                                           : key + " must be " + std::string(typeName(spec.type)) + " from "
+                + std::to_string(spec.lowest) + " to " + std::to_string(spec.highest) + ", not '" + value + "'";
     case SettingType::Switch:
         return parseSwitch(value) ? "" : key + " must be yes or no, not '" + value + "'";
     }
@@ -186,10 +205,12 @@
     Settings settings;
     std::string faults;
     if (given.count("config") != 0) {
-        faults = readFile(given["config"].as<std::string>(), section, specs, settings.m_values);
+        settings.m_file = given["config"].as<std::string>();
+        faults = readFile(settings.m_file, section, specs, settings.m_values);
     }
     for (const auto &spec : specs) {
         const std::string key(spec.key);
+        settings.m_types[key] = spec.type;
         if (given.count(key) != 0) {
             settings.m_values[key] = given[key].as<std::string>();
             const auto fault = faultIn(spec, settings.m_values[key]);
@@ -207,6 +228,23 @@
     return settings;
 }
 
+const std::string &Settings::file() const
+{
+    return m_file;
+}
+
+std::vector<std::string> Settings::differences(const Settings &other) const
+{
+    std::vector<std::string> keys;
+    for (const auto &[key, value] : m_values) {
+        const auto found = other.m_values.find(key);
+        if (found == other.m_values.end() || found->second != value) {
+            keys.push_back(key);
+        }
+    }
+    return keys;
+}
+
 const std::string &Settings::text(std::string_view key) const
 {
     const auto entry = m_values.find(key);
@@ -233,8 +271,18 @@
     return parseNumber(text(key), INT64_MIN, INT64_MAX).value_or(0);
 }
 
+double Settings::fraction(std::string_view key) const
+{
+    return parseFraction(text(key)).value_or(0);
+}
+
 std::chrono::milliseconds Settings::duration(std::string_view key) const
 {
+    const auto type = m_types.find(key);
+    if (type != m_types.end() && type->second == SettingType::Seconds) {
+        const std::chrono::duration<double> seconds(fraction(key));
+        return std::chrono::duration_cast<std::chrono::milliseconds>(seconds);
+    }
     return std::chrono::milliseconds(number(key));
 }
 
--- a/modules/heatherridge_transport/app/settings.h
+++ b/modules/heatherridge_transport/app/settings.h
@@ -20,6 +20,8 @@
     AddressList, ///< addresses, separated by commas; may be empty
     Number, ///< a whole number within bounds
     Milliseconds, ///< a whole number of milliseconds within bounds
+    Seconds, ///< seconds within bounds, with or without a fraction
+    Fraction, ///< a number within bounds, with or without a fraction
     Switch, ///< yes or no
 };
 
@@ -30,7 +32,7 @@
     SettingType type = SettingType::Text;
     std::string_view fallback{}; ///< value when neither file nor flag names one; empty for none
     bool required = false; ///< whether it must be given
-    long long lowest = 0; ///< bounds of Number and Milliseconds
+    long long lowest = 0; ///< bounds of Number, Milliseconds, Seconds and Fraction
     long long highest = 0;
     std::string_view help{}; ///< one line
 };
@@ -58,6 +60,12 @@
     static std::variant<Settings, Exit> load(std::string_view program, std::string_view section,
                                              std::span<const SettingSpec> specs, int argc, const char *const *argv);
 
+    /** The file that they were read from; empty for none. */
+    const std::string &file() const;
+
+    /** The keys whose values differ from those of @p other, of the same program. */
+    std::vector<std::string> differences(const Settings &other) const;
+
     /** The text of @p key, which must be one of the specs. */
     const std::string &text(std::string_view key) const;
 
@@ -70,14 +78,19 @@
     /** The whole number of @p key. */
     long long number(std::string_view key) const;
 
-    /** The duration of @p key. */
+    /** The number of @p key, a Fraction. */
+    double fraction(std::string_view key) const;
+
+    /** The duration of @p key, Milliseconds or Seconds. */
     std::chrono::milliseconds duration(std::string_view key) const;
 
     /** The switch of @p key. */
     bool toggle(std::string_view key) const;
 
 private:
+    std::string m_file;
     std::map<std::string, std::string, std::less<>> m_values;
+    std::map<std::string, SettingType, std::less<>> m_types;
 };
 
 /** Every setting of @p specs with type, range and default, as a commented INI file. */
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -69,7 +69,8 @@
 {
     m_isWaiting = false;
     const auto choice = m_traffic.m_targets.choose(m_service, m_tried, now(), m_traffic.m_random);
-    const bool isRepeat = m_tries > 0;
+    // An attempt that never left puts no load on anybody: what follows it is the first.
+    const bool isRepeat = m_arrivals > 0;
     if (choice.target != nullptr && isRepeat && !m_traffic.budgetOf(m_service).tryTake(now())) {
         m_traffic.m_counters.repeatsDenied.add();
         awaitTarget({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
@@ -286,9 +287,8 @@
     } else if (end != AttemptEnd::RefusedAtTarget) {
         m_traffic.m_targets.record(m_target, end == AttemptEnd::Silent ? Attempt::TimedOut : Attempt::Failed, now());
     }
-    if (mayHaveRun(end)) {
-        ++m_mayHaveRun;
-    }
+    m_mayHaveRun += mayHaveRun(end) ? 1 : 0;
+    m_arrivals += end != AttemptEnd::NeverSent ? 1 : 0;
     const auto step = nextStep(end,
                                {.kind = m_route.kind,
                                 .isResumable = m_route.isResumable,
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -90,6 +90,7 @@
     std::set<TargetName> m_tried;
     int m_tries = 0;
     int m_mayHaveRun = 0;
+    int m_arrivals = 0; ///< attempts that may have reached a target
 
     int m_status = 0; ///< of the present attempt's answer; 0 before its head
     std::vector<HttpHeader> m_headers;
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -87,6 +87,11 @@
         return std::vector<Endpoint>{std::get<Endpoint>(callers)};
     }
 
+    void reload(const Options &options)
+    {
+        m_trafficLoop.post([this, budget = options.retryBudget] { m_traffic.setRetryBudget(budget); });
+    }
+
     void drainAndStop()
     {
         const auto began = std::chrono::steady_clock::now();
@@ -159,6 +164,7 @@
         const auto now = std::chrono::steady_clock::now();
         m_control.tick(now);
         m_workShare.tick(now);
+        shareBudget();
         for (auto &[service, keeper] : m_keepers) {
             const bool isMine = m_workShare.isMine(service.text());
             if (isMine != m_activeKeepers.contains(service)) {
@@ -171,6 +177,17 @@
         }
     }
 
+    /** Divides the slack for repeats among the gateways as the log divides work among them. */
+    void shareBudget()
+    {
+        const auto part = m_workShare.part();
+        if (!part || part == m_budgetPart) {
+            return;
+        }
+        m_budgetPart = part;
+        m_trafficLoop.post([this, part = *part] { m_traffic.setBudgetPart(part); });
+    }
+
     /** Tells the keepers of services with expert groups which targets there are. */
     void updateKeepers()
     {
@@ -242,6 +259,7 @@
     WorkShare m_workShare;
     GatewayControl m_control;
     std::map<ServiceName, std::unique_ptr<GroupKeeper>> m_keepers;
+    std::optional<double> m_budgetPart; ///< as the traffic thread was told
     std::set<ServiceName> m_activeKeepers; ///< services whose groups this gateway keeps even
 };
 
@@ -257,6 +275,11 @@
     return m_implementation->start();
 }
 
+void GatewayServer::reload(const Options &options)
+{
+    m_implementation->reload(options);
+}
+
 void GatewayServer::drainAndStop()
 {
     m_implementation->drainAndStop();
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -58,6 +58,9 @@
     /** Starts all threads. @returns where callers are served, or why not */
     Result<std::vector<Endpoint>> start();
 
+    /** Takes over what may change while it runs: the bounds of repeats. Any thread. */
+    void reload(const Options &options);
+
     /** Graceful shutdown: not ready, new connections still answered, open requests finish. Blocks until then. */
     void drainAndStop();
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -57,6 +57,23 @@
     }
 }
 
+void GatewayTraffic::setRetryBudget(FleetRetryBudgetOptions options)
+{
+    options.part = m_options.retryBudget.part;
+    m_options.retryBudget = options;
+    for (auto &[service, budget] : m_budgets) {
+        budget.setOptions(options);
+    }
+}
+
+void GatewayTraffic::setBudgetPart(double part)
+{
+    m_options.retryBudget.part = part;
+    for (auto &[service, budget] : m_budgets) {
+        budget.setPart(part);
+    }
+}
+
 void GatewayTraffic::refuseStreams()
 {
     m_refusesStreams = true;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -46,6 +46,12 @@
     /** The register of targets as it now is. */
     void setTargets(const std::vector<TargetEntry> &entries);
 
+    /** Bounds of repeats, from now on. Keeps this gateway's part of the slack. */
+    void setRetryBudget(FleetRetryBudgetOptions options);
+
+    /** This gateway's part of the slack that all gateways may use for repeats. */
+    void setBudgetPart(double part);
+
     /** From now on nothing is taken that could outlast the process. */
     void refuseStreams();
 
--- a/tests/decisions/direct_test.cpp
+++ b/tests/decisions/direct_test.cpp
@@ -115,11 +115,27 @@
     SeededRandom random(seed);
     std::vector<FleetRetryBudget> budgets(entries,
                                           FleetRetryBudget({.share = share, .slack = slack, .window = window}));
+    // The platform's log deals the work out to entries, all of it, and so their parts of the slack; now and then anew.
+    const auto dealParts = [&] {
+        constexpr int parts = 12;
+        std::vector<int> dealt(entries);
+        const std::size_t living = entries - random.below(2);
+        for (int part = 0; part < parts; ++part) {
+            ++dealt[static_cast<std::size_t>(part) % living];
+        }
+        for (int entry = 0; entry < entries; ++entry) {
+            budgets[static_cast<std::size_t>(entry)].setPart(static_cast<double>(dealt[static_cast<std::size_t>(entry)])
+                                                             / parts);
+        }
+    };
     std::deque<SteadyTime> requests;
     std::deque<SteadyTime> repeats;
     for (int tick = 0; tick < 6'000; ++tick) {
         const auto now = Start + std::chrono::milliseconds(tick * 10);
         const bool isOutage = tick % 2'000 > 1'000;
+        if (random.below(1'500) == 0) {
+            dealParts();
+        }
         auto &budget = budgets[random.below(entries)];
         if (random.below(10) < 6) {
             budget.recordRequest(now);
@@ -138,6 +154,23 @@
     }
 }
 
+// A rank of a group of eight dies, and 96 streams break off at once at two entries. Each used an eighth of the slack,
+// whatever the number of entries, and callers were refused although the bound was far away.
+TEST(FleetRetryBudget, UsesTheWholeSlackWhenThePartsAreKnown)
+{
+    constexpr double slack = 88;
+    int taken = 0;
+    for (int entry = 0; entry < 2; ++entry) {
+        FleetRetryBudget budget({.slack = slack});
+        budget.setPart(0.5);
+        while (budget.tryTake(Start)) {
+            ++taken;
+        }
+    }
+    EXPECT_GE(taken, slack * FleetRetryBudget::UsedPart - 2);
+    EXPECT_LE(taken, slack);
+}
+
 TEST(LoadEstimate, CountsItsOwnAndForgetsTheOthers)
 {
     LoadEstimate load;
--- /dev/null
+++ b/tests/heldgroups/watched_test.cpp
@@ -0,0 +1,133 @@
+#include "heatherridge_coordination/groups/groupkeeper.h"
+
+#include <gtest/gtest.h>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int Size = 4;
+
+/** How one rank answers in a phase. */
+enum class Word {
+    Open,
+    Broken, ///< it says that its group does not work
+    None, ///< no answer
+};
+
+/** Ranks that answer as they are told. */
+class TalkingRanks final : public RankControl
+{
+public:
+    std::chrono::milliseconds statusLag(const TargetEntry &) const override
+    {
+        return 10ms;
+    }
+
+    void status(const TargetEntry &target, std::function<void(Result<RankStatus>)> done) override
+    {
+        const int rank = std::stoi(target.id.text());
+        const auto word = words.at(static_cast<std::size_t>(rank));
+        if (word == Word::None) {
+            done(Error{.kind = ErrorKind::TargetUnreachable});
+            return;
+        }
+        done(RankStatus{
+            .group = GroupName("g"), .epoch = 1, .rank = rank, .size = Size, .isOpen = word == Word::Open, .step = 10});
+    }
+
+    void counts(const TargetEntry &, std::function<void(Result<RankCounts>)> done) override
+    {
+        done(RankCounts{.epoch = 1});
+    }
+
+    void experts(const TargetEntry &, std::function<void(Result<RankExperts>)> done) override
+    {
+        done(RankExperts{});
+    }
+
+    void order(const TargetEntry &, const RankOrder &, std::uint64_t, std::function<void(OrderReply)> done) override
+    {
+        done(OrderReply::Refused);
+    }
+
+    std::vector<Word> words;
+};
+
+class FixedClock final : public Clock
+{
+public:
+    SteadyTime steadyNow() const override
+    {
+        return {};
+    }
+
+    WallTime wallNow() const override
+    {
+        return {};
+    }
+};
+
+struct WatchRow
+{
+    const char *story;
+    std::vector<Word> before;
+    std::vector<Word> after;
+    int open; ///< engines that are told to be open afterwards
+};
+
+const WatchRow WatchRows[] = {
+    {"all open", {Word::Open, Word::Open, Word::Open, Word::Open}, {Word::Open, Word::Open, Word::Open, Word::Open}, 4},
+    // An engine dies, and the rest of its group says so. Its own last word was that it works: idle as it looks, it drew
+    // 577 attempts that never reached it, and callers were refused for want of repeats.
+    {"one has died",
+     {Word::Open, Word::Open, Word::Open, Word::Open},
+     {Word::Broken, Word::None, Word::Broken, Word::Broken},
+     0},
+    {"one is out of reach from here alone",
+     {Word::Open, Word::Open, Word::Open, Word::Open},
+     {Word::Open, Word::None, Word::Open, Word::Open},
+     3},
+    // After a loss of power the first engine that has answered would get all that waits.
+    {"too few have spoken",
+     {Word::Open, Word::None, Word::None, Word::None},
+     {Word::Open, Word::None, Word::None, Word::None},
+     0},
+};
+
+class WatchedEngines : public testing::TestWithParam<WatchRow>
+{
+};
+
+TEST_P(WatchedEngines, AreOpenAsLongAsTheirGroupWorks)
+{
+    const auto &row = GetParam();
+    TalkingRanks ranks;
+    std::vector<EngineView> views;
+    const FixedClock clock;
+    GroupKeeper keeper(ranks, {}, {.watched = [&](auto engines) { views = std::move(engines); }}, clock,
+                       [] { return 1; });
+    std::vector<TargetEntry> targets;
+    for (int rank = 0; rank < Size; ++rank) {
+        targets.push_back({.id = TargetName(std::to_string(rank))});
+    }
+    keeper.setTargets(targets, {.layerSets = 1, .experts = 4, .places = 2}, 120ms);
+    SteadyTime now(1h);
+    for (const auto &words : {row.before, row.after}) {
+        ranks.words = words;
+        for (int tick = 0; tick < 200; ++tick) { // longer than a silent engine is kept in mind
+            now += 20ms;
+            keeper.tick(now);
+        }
+    }
+    EXPECT_EQ(std::count_if(views.begin(), views.end(), [](const auto &view) { return view.isOpen; }), row.open)
+        << row.story;
+    const auto spoke = std::count_if(row.before.begin(), row.before.end(), [](auto word) { return word != Word::None; });
+    EXPECT_EQ(static_cast<std::ptrdiff_t>(views.size()), spoke) << "an engine that falls silent is told of all the same";
+}
+
+INSTANTIATE_TEST_SUITE_P(All, WatchedEngines, testing::ValuesIn(WatchRows));
+
+} // namespace
