Start slowly with groups that have just opened; bound what is let in while a queue stands

Cause: after a loss of power 285 streams came to 16 engines with 12 places each within a second: every gateway sees engines without load and sends all it has. By the log first events then took 0.9 to 1.7 s, and every engine stayed full until second 41, 4.6 s after the groups had opened, because engines are little faster than callers.

Change: for 2 s after a group opens each gateway takes its share of the room that an engine's last report left, and streams that can't be on time half of that; while no stream's first event has come within 300 ms for 400 ms, engines take half a batch, and what finds no room is refused at once with a drawn time to come back.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -19,9 +19,16 @@
 constexpr milliseconds NoTargetRetryAfter{500};
 /** When to ask again after all engines were found full: a third of the time that one takes for an answer. */
 constexpr milliseconds EnginesFullRetryAfter{500};
+/** When to ask again after a refusal because a queue stands, and the width of a draw on top: it takes a second or two
+ * to drain, and those who come back together would form it anew. */
+constexpr milliseconds QueueRetryAfter{800};
+constexpr milliseconds QueueRetrySpread{1'200};
 /** When to ask again after the targets refused: a slot of a plain service comes free within this. */
 constexpr milliseconds FullRetryAfter{300};
 
+/** From sending a stream to an engine that is not full to its first event. */
+constexpr milliseconds FirstEventTime{150};
+
 SteadyTime now()
 {
     return std::chrono::steady_clock::now();
@@ -68,7 +75,9 @@
 void GatewayCall::attempt()
 {
     m_isWaiting = false;
-    const auto choice = m_traffic.m_targets.choose(m_service, m_tried, now(), m_traffic.m_random);
+    const bool isBounded = isHeldBack();
+    const auto room = isBounded ? GatewayTargets::Room::OnTime : GatewayTargets::Room::Whole;
+    const auto choice = m_traffic.m_targets.choose(m_service, m_tried, room, isLate(), now(), m_traffic.m_random);
     // An attempt that never left puts no load on anybody: what follows it is the first.
     const bool isRepeat = m_arrivals > 0;
     if (choice.target != nullptr && isRepeat && !m_traffic.budgetOf(m_service).tryTake(now())) {
@@ -84,12 +93,31 @@
         send(*choice.target);
         return;
     }
+    if (choice.isFull && isBounded) {
+        fail({.kind = ErrorKind::Overloaded,
+              .detail = "a queue stands",
+              .retryAfter = QueueRetryAfter
+                  + milliseconds(static_cast<std::int64_t>(
+                      m_traffic.m_random.below(static_cast<std::uint64_t>(QueueRetrySpread.count()))))});
+        return;
+    }
     const auto kind = choice.isFull ? ErrorKind::Overloaded : ErrorKind::NoTarget;
     awaitTarget({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : kind,
                  .detail = choice.isFull ? "all targets are full" : "no target for " + m_service.text(),
                  .retryAfter = choice.isFull ? EnginesFullRetryAfter : NoTargetRetryAfter});
 }
 
+bool GatewayCall::isHeldBack() const
+{
+    // What has been with an engine goes on: its caller has waited, and has the beginning perhaps.
+    return isStream() && m_arrivals == 0 && !m_streamBegun && m_traffic.guardOf(m_service).isOverloaded(now());
+}
+
+void GatewayCall::recordDelay() const
+{
+    m_traffic.guardOf(m_service).record(duration_cast<milliseconds>(now() - m_sentAt), now());
+}
+
 void GatewayCall::awaitTarget(Error error)
 {
     if (!m_waitsUntil) {
@@ -238,6 +266,7 @@
     }
     m_lastEventAt = at;
     if (!m_streamBegun) {
+        recordDelay();
         m_streamBegun = true;
         m_firstEventAfter = age();
         m_traffic.m_counters.streamHead.record(m_firstEventAfter);
@@ -431,6 +460,9 @@
     if (!m_connection) {
         return;
     }
+    if (isStream() && !m_streamBegun) {
+        recordDelay();
+    }
     const auto *target = m_traffic.m_targets.find(m_target);
     const bool isSilentStream = isStream() && m_route.isResumable
         && now() - std::max(m_sentAt, target != nullptr ? target->lastHeard : m_sentAt) > SilenceTimeout;
@@ -461,6 +493,13 @@
     return std::max(milliseconds(0), duration_cast<milliseconds>(m_deadline - now()));
 }
 
+bool GatewayCall::isLate() const
+{
+    // A caller that comes again has waited before: it says how much of its patience is left.
+    const auto before = m_route.timeout - m_fields.patience.value_or(m_route.timeout);
+    return std::max(before, milliseconds(0)) + age() + FirstEventTime > m_route.objective;
+}
+
 milliseconds GatewayCall::age() const
 {
     return duration_cast<milliseconds>(now() - m_arrived);
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -45,6 +45,8 @@
 
     void attempt();
     void awaitTarget(Error error);
+    bool isHeldBack() const;
+    void recordDelay() const;
     void send(GatewayTarget &target);
     void headCame(const HttpMessageHead &head);
     void bodyCame(std::string_view bytes);
@@ -66,6 +68,7 @@
     bool isStream() const;
     std::chrono::milliseconds timeLeft() const;
     std::chrono::milliseconds age() const;
+    bool isLate() const;
 
     GatewayTraffic &m_traffic;
     std::shared_ptr<HttpExchange> m_exchange;
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/direct/gatewaytargets.h"
 
+#include "heatherridge_state/decisions/slowstart.h"
 #include "heatherridge_state/routing/routetable.h"
 
 #include <algorithm>
@@ -57,8 +58,8 @@
     return found == m_targets.end() ? nullptr : &found->second;
 }
 
-GatewayTargets::Choice GatewayTargets::choose(const ServiceName &service, const std::set<TargetName> &tried,
-                                              SteadyTime now, RandomSource &random)
+GatewayTargets::Choice GatewayTargets::choose(const ServiceName &service, const std::set<TargetName> &tried, Room room,
+                                              bool isLate, SteadyTime now, RandomSource &random)
 {
     std::vector<GatewayTarget *> targets;
     std::vector<DirectCandidate> candidates;
@@ -75,7 +76,13 @@
         }
     }
     if (isGrouped) {
-        return chooseEngine(targets, candidates, rules->second, now, random);
+        auto bounded = rules->second;
+        bounded.mostPart = room == Room::OnTime ? bounded.onTimePart : bounded.mostPart;
+        const auto choice = chooseEngine(targets, candidates, bounded, isLate, now, random);
+        if (choice.target != nullptr) {
+            ++choice.target->sentSinceReport;
+        }
+        return choice;
     }
     const auto chosen = placeDirectly(candidates, random);
     return {.target = chosen ? targets[*chosen] : nullptr};
@@ -95,7 +102,7 @@
 
 GatewayTargets::Choice GatewayTargets::chooseEngine(const std::vector<GatewayTarget *> &targets,
                                                     const std::vector<DirectCandidate> &candidates,
-                                                    const EnginePlacementRules &rules, SteadyTime now,
+                                                    const EnginePlacementRules &rules, bool isLate, SteadyTime now,
                                                     RandomSource &random) const
 {
     std::vector<EngineCandidate> engines;
@@ -111,13 +118,31 @@
         engines.push_back({.target = candidates[index],
                            .group = group,
                            .isOpen = view.isOpen,
-                           .refusesNow = now < targets[index]->refusedUntil,
+                           .refusesNow = now < targets[index]->refusedUntil
+                               || (isStarting(view.group, now) && hasUsedItsRoom(*targets[index], rules, isLate)),
                            .pace = view.pace});
     }
     const auto choice = placeStream(engines, groups, rules, random);
     return {.target = choice.index ? targets[*choice.index] : nullptr, .isFull = choice.isFull};
 }
 
+bool GatewayTargets::isStarting(const GroupName &group, SteadyTime now) const
+{
+    const auto found = m_openSince.find(group);
+    return found != m_openSince.end() && now - found->second < SlowStart;
+}
+
+bool GatewayTargets::hasUsedItsRoom(const GatewayTarget &target, const EnginePlacementRules &rules, bool isLate) const
+{
+    const double part = isLate ? rules.onTimePart : rules.mostPart;
+    return target.sentSinceReport >= startRoom(target.entry.slots * part, target.reportedLoad, m_part);
+}
+
+void GatewayTargets::setPart(double part)
+{
+    m_part = part;
+}
+
 void GatewayTargets::refused(const TargetName &id, SteadyTime now)
 {
     if (auto *target = find(id)) {
@@ -141,12 +166,19 @@
 void GatewayTargets::setEngines(const std::vector<EngineView> &engines)
 {
     for (const auto &engine : engines) {
+        if (engine.isOpen) {
+            m_openSince.try_emplace(engine.group, engine.at);
+        } else {
+            m_openSince.erase(engine.group);
+        }
         auto *target = find(engine.target);
         if (target == nullptr) {
             continue;
         }
         if (!target->engine || target->engine->at != engine.at) {
             target->load.reported(engine.running + engine.waiting, engine.at);
+            target->reportedLoad = engine.running + engine.waiting;
+            target->sentSinceReport = 0;
         }
         target->engine = engine;
     }
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -20,6 +20,8 @@
     LoadEstimate load{};
     SteadyTime lastHeard{}; ///< when bytes of any answer last came from it
     std::optional<EngineView> engine{}; ///< of an engine in an expert group, its own last word
+    int reportedLoad = 0; ///< by the engine's last word
+    int sentSinceReport = 0; ///< streams of this gateway since then
     SteadyTime refusedUntil{}; ///< it has refused a request; nothing is sent before
 };
 
@@ -48,6 +50,15 @@
     /** The target @p id, or nullptr once it is gone. */
     GatewayTarget *find(const TargetName &id);
 
+    /** How much of their batches engines may fill. */
+    enum class Room {
+        Whole,
+        OnTime, ///< what leaves first events on time: while a queue stands
+    };
+
+    /** This gateway's part of the room that engines report; what is left is for the other gateways. */
+    void setPart(double part);
+
     /** Where a request goes. */
     struct Choice
     {
@@ -56,7 +67,8 @@
     };
 
     /** Where to send a request for @p service that @p tried have failed or refused. */
-    Choice choose(const ServiceName &service, const std::set<TargetName> &tried, SteadyTime now, RandomSource &random);
+    Choice choose(const ServiceName &service, const std::set<TargetName> &tried, Room room, bool isLate, SteadyTime now,
+                  RandomSource &random);
 
     /** @p id has refused a request. */
     void refused(const TargetName &id, SteadyTime now);
@@ -68,13 +80,17 @@
     static bool isStalled(const GatewayTarget &target, SteadyTime now);
 
 private:
+    bool isStarting(const GroupName &group, SteadyTime now) const;
+    bool hasUsedItsRoom(const GatewayTarget &target, const EnginePlacementRules &rules, bool isLate) const;
     bool isUsable(const GatewayTarget &target, const ServiceName &service) const;
     DirectCandidate candidateOf(const GatewayTarget &target, const HealthTracker &health,
                                 const std::set<TargetName> &tried, SteadyTime now) const;
     Choice chooseEngine(const std::vector<GatewayTarget *> &targets, const std::vector<DirectCandidate> &candidates,
-                        const EnginePlacementRules &rules, SteadyTime now, RandomSource &random) const;
+                        const EnginePlacementRules &rules, bool isLate, SteadyTime now, RandomSource &random) const;
 
     ZoneName m_zone;
+    double m_part = 0.25;
+    std::map<GroupName, SteadyTime> m_openSince; ///< of groups that work
     std::map<TargetName, GatewayTarget> m_targets;
     std::set<TargetName> m_gone; ///< left the register, with requests open
     std::map<ServiceName, HealthTracker> m_health;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -69,6 +69,7 @@
 void GatewayTraffic::setBudgetPart(double part)
 {
     m_options.retryBudget.part = part;
+    m_targets.setPart(part);
     for (auto &[service, budget] : m_budgets) {
         budget.setPart(part);
     }
@@ -126,6 +127,11 @@
     return m_budgets.try_emplace(service, m_options.retryBudget).first->second;
 }
 
+OverloadGuard &GatewayTraffic::guardOf(const ServiceName &service)
+{
+    return m_guards.try_emplace(service).first->second;
+}
+
 void GatewayTraffic::refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &id, const Error &error)
 {
     m_metrics.errors(error.kind).add();
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_state/decisions/fleetretrybudget.h"
+#include "heatherridge_state/decisions/overloadguard.h"
 #include "heatherridge_state/routing/routetable.h"
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/direct/gatewaytargets.h"
@@ -90,6 +91,7 @@
     };
 
     FleetRetryBudget &budgetOf(const ServiceName &service);
+    OverloadGuard &guardOf(const ServiceName &service);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &id, const Error &error);
     Result<RouteMatch> accept(const HttpRequest &request, const CallerFields &fields) const;
     void finished(const std::shared_ptr<GatewayCall> &call);
@@ -104,6 +106,7 @@
     TargetPool m_pool;
     SeededRandom m_random;
     std::map<ServiceName, FleetRetryBudget> m_budgets;
+    std::map<ServiceName, OverloadGuard> m_guards;
     std::unordered_set<std::shared_ptr<GatewayCall>> m_calls;
     bool m_refusesStreams = false;
     bool m_hasTargets = false;
--- a/tests/heldgroups/watched_test.cpp
+++ b/tests/heldgroups/watched_test.cpp
@@ -124,8 +124,10 @@
     }
     EXPECT_EQ(std::count_if(views.begin(), views.end(), [](const auto &view) { return view.isOpen; }), row.open)
         << row.story;
-    const auto spoke = std::count_if(row.before.begin(), row.before.end(), [](auto word) { return word != Word::None; });
-    EXPECT_EQ(static_cast<std::ptrdiff_t>(views.size()), spoke) << "an engine that falls silent is told of all the same";
+    const auto spoke =
+        std::count_if(row.before.begin(), row.before.end(), [](auto word) { return word != Word::None; });
+    EXPECT_EQ(static_cast<std::ptrdiff_t>(views.size()), spoke)
+        << "an engine that falls silent is told of all the same";
 }
 
 INSTANTIATE_TEST_SUITE_P(All, WatchedEngines, testing::ValuesIn(WatchRows));
--- /dev/null
+++ b/tests/transport/settings_test.cpp
@@ -0,0 +1,94 @@
+#include "heatherridge_transport/app/settings.h"
+#include "support/childprocess.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const SettingSpec Specs[] = {
+    {.key = "share", .type = SettingType::Fraction, .fallback = "0.2", .lowest = 0, .highest = 10, .help = "a share"},
+    {.key = "grace", .type = SettingType::Seconds, .fallback = "8", .lowest = 1, .highest = 600, .help = "a time"},
+    {.key = "pause", .type = SettingType::Milliseconds, .fallback = "50", .lowest = 0, .highest = 99, .help = "a time"},
+};
+
+struct ValueRow
+{
+    const char *story;
+    std::vector<const char *> flags;
+    std::optional<std::pair<double, std::chrono::milliseconds>> values; ///< share and grace; nothing for a fault
+};
+
+const ValueRow ValueRows[] = {
+    {"defaults", {}, std::pair(0.2, 8'000ms)},
+    {"whole numbers", {"--share=1", "--grace=30"}, std::pair(1.0, 30'000ms)},
+    // A platform gives its bounds with or without a fraction; a gateway that took only one form would not start.
+    {"fractions", {"--share=0.35", "--grace=8.5"}, std::pair(0.35, 8'500ms)},
+    {"a fraction of zero", {"--share=88.0"}, std::nullopt},
+    {"below the bound", {"--grace=0.5"}, std::nullopt},
+    {"no number", {"--grace=8s"}, std::nullopt},
+    {"nothing", {"--share="}, std::nullopt},
+    {"a fraction of a whole number", {"--pause=1.5"}, std::nullopt},
+};
+
+class SettingValues : public testing::TestWithParam<ValueRow>
+{
+};
+
+TEST_P(SettingValues, AreReadAndChecked)
+{
+    const auto &row = GetParam();
+    std::vector<const char *> arguments{"program"};
+    arguments.insert(arguments.end(), row.flags.begin(), row.flags.end());
+    const auto loaded =
+        Settings::load("program", "section", Specs, static_cast<int>(arguments.size()), arguments.data());
+    const auto *settings = std::get_if<Settings>(&loaded);
+    ASSERT_EQ(settings != nullptr, row.values.has_value()) << row.story;
+    if (settings != nullptr) {
+        EXPECT_DOUBLE_EQ(settings->fraction("share"), row.values->first) << row.story;
+        EXPECT_EQ(settings->duration("grace"), row.values->second) << row.story;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, SettingValues, testing::ValuesIn(ValueRows));
+
+/** Writes settings of a sidecar to @p file. */
+void writeSettings(const std::filesystem::path &file, const std::string &more)
+{
+    std::ofstream(file) << "[sidecar]\nname = s\nzone = z\nlisten = 127.0.0.1:0\nengine = 127.0.0.1:1\n"
+                        << "log-service = 127.0.0.1:1\nlog-stream = standard-output\n"
+                        << more;
+}
+
+// An operator changes a setting and signals the process, then makes a typing error: the process dies, or cuts what it
+// is at work on, or goes on with half of the file.
+TEST(Reload, TakesGoodSettingsAndLeavesBadOnes)
+{
+    const auto file = std::filesystem::temp_directory_path() / ("reload-" + std::to_string(getpid()) + ".ini");
+    writeSettings(file, "");
+    ChildProcess sidecar("heatherridge-sidecar", {"--config", file.string()});
+    ASSERT_FALSE(sidecar.endpoints().empty());
+    writeSettings(file, "log-level = warning\n");
+    sidecar.signal(SIGHUP);
+    std::this_thread::sleep_for(1s);
+    writeSettings(file, "colour = red\n");
+    sidecar.signal(SIGHUP);
+    std::this_thread::sleep_for(1s);
+    sidecar.signal(SIGTERM);
+    const auto output = sidecar.output();
+    EXPECT_EQ(sidecar.wait(), 0);
+    EXPECT_NE(output.find("event=reloaded changed=log-level"), std::string::npos) << output;
+    EXPECT_NE(output.find("event=reload-rejected"), std::string::npos) << output;
+    EXPECT_NE(output.find("unknown key 'colour'"), std::string::npos) << output;
+    std::filesystem::remove(file);
+}
+
+} // namespace
