Watch ranks in a class of their own

What the ranks say and what follows from it (who makes up a group, whether it works, is held or stands still, how long its passes are) is RankWatch now; the keeper decides.

--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -12,9 +12,6 @@
 
 using std::chrono::milliseconds;
 
-/** Statuses in a row that don't come before an engine counts as gone: two seconds' worth. Forgetting it drops a switch
- * that is under way, and what that holds stays held until it is recovered. */
-constexpr int MissesToForget = 5;
 /** After a switch that failed, so that a fault that lasts does not cost orders all the while. */
 constexpr milliseconds FailurePause{1'500};
 /** Bounds of the pause before a recovery that failed is tried again; one takes half a second by itself. */
@@ -55,6 +52,9 @@
     , m_events(std::move(events))
     , m_clock(clock)
     , m_drawBits(std::move(drawBits))
+    , m_watch(control, options.statusPeriod,
+              {.composed = [this](const GroupName &name) { composed(name); },
+               .spoke = [this](const GroupName &name, const RankStatus &status) { spoke(name, status); }})
     , m_survey(control, options.countPeriod)
     , m_alive(std::make_shared<int>(0))
 {
@@ -66,19 +66,7 @@
     m_longestPause = longestPause;
     m_survey.setShape(profile.layerSets, profile.experts);
     m_profile = profile;
-    for (const auto &target : targets) {
-        auto &member = m_members[target.id];
-        member.target = target;
-    }
-    const auto erased = std::erase_if(m_members, [&targets](const auto &entry) {
-        return std::none_of(targets.begin(), targets.end(),
-                            [&entry](const auto &target) { return target.id == entry.first; });
-    });
-    if (erased > 0) {
-        for (const auto &[name, group] : m_groups) {
-            rebuildGroup(name);
-        }
-    }
+    m_watch.setTargets(targets);
 }
 
 void GroupKeeper::setActive(bool isActive, bool isConfirmed)
@@ -88,8 +76,8 @@
         m_unconfirmedSince = m_now;
         m_sawOther = false;
         m_highestBefore = {};
-        for (const auto &[name, group] : m_groups) {
-            m_highestBefore = std::max(m_highestBefore, group.highest);
+        for (const auto &[name, seen] : m_watch.groups()) {
+            m_highestBefore = std::max(m_highestBefore, seen.highest);
         }
     }
     m_isConfirmed = isConfirmed;
@@ -98,58 +86,16 @@
 void GroupKeeper::tick(SteadyTime now)
 {
     m_now = now;
-    askStatuses(now);
+    m_watch.tick(now);
     for (auto &[name, group] : m_groups) {
         followGroup(name, group, now);
     }
     if (m_isActive && m_survey.tick(now, [this] { return surveyed(); })) {
         considerSwitches(now);
     }
-    tellWatched();
-}
-
-void GroupKeeper::askStatuses(SteadyTime now)
-{
-    if (now < m_statusesDue) {
-        return;
-    }
-    // A group that forms or is held takes no streams, and each moment in which nobody knows that it goes on is lost.
-    const bool isSettled = !m_groups.empty()
-        && std::all_of(m_groups.begin(), m_groups.end(),
-                       [this](const auto &entry) { return isWhole(entry.second) && !entry.second.heldStep; });
-    m_statusesDue = now + (isSettled ? m_options.statusPeriod : m_options.statusPeriod / 2);
-    for (auto &[id, member] : m_members) {
-        askStatus(member, now);
-    }
-}
-
-void GroupKeeper::tellWatched()
-{
-    if (!std::exchange(m_hasNews, false) || !m_events.watched) {
-        return;
-    }
-    std::vector<EngineView> engines;
-    for (const auto &[id, member] : m_members) {
-        if (member.lastGroup.isEmpty()) {
-            continue;
-        }
-        if (!member.status) {
-            // Told of as closed, or its last word would stand: dead engines drew 1,066 attempts in a day.
-            engines.push_back({.target = id, .group = member.lastGroup, .at = member.askedAt});
-            continue;
-        }
-        const auto &status = *member.status;
-        const auto &group = m_groups[status.group];
-        engines.push_back({.target = id,
-                           .group = status.group,
-                           .isOpen = status.epoch == group.epoch && takesStreams(group),
-                           .running = status.running,
-                           .waiting = status.waiting,
-                           .pace = status.pace,
-                           .passTime = group.passTime,
-                           .at = member.askedAt});
+    if (auto news = m_watch.news(); news && m_events.watched) {
+        m_events.watched(std::move(*news));
     }
-    m_events.watched(std::move(engines));
 }
 
 double GroupKeeper::lastSkew() const
@@ -157,77 +103,22 @@
     return m_lastSkew;
 }
 
-void GroupKeeper::askStatus(Member &member, SteadyTime now)
-{
-    if (member.isAsking) {
-        return;
-    }
-    member.isAsking = true;
-    member.askedAt = now;
-    m_control.status(member.target,
-                     [this, id = member.target.id, now, alive = std::weak_ptr(m_alive)](Result<RankStatus> status) {
-                         const auto found = alive.expired() ? m_members.end() : m_members.find(id);
-                         if (alive.expired() || found == m_members.end()) {
-                             return;
-                         }
-                         found->second.isAsking = false;
-                         if (const auto *known = std::get_if<RankStatus>(&status)) {
-                             takeStatus(found->second, *known, now);
-                         } else {
-                             missStatus(found->second, *errorIn(status));
-                         }
-                     });
-}
-
-void GroupKeeper::missStatus(Member &member, const Error &error)
+void GroupKeeper::composed(const GroupName &name)
 {
-    const bool isOther = error.kind == ErrorKind::NotFound;
-    if (!member.status || (++member.misses < MissesToForget && !isOther)) {
-        return;
-    }
-    // Gone, or another run of the engine answers in its place: its group is not whole until somebody has its rank.
-    const auto group = member.status->group;
-    member.status.reset();
-    m_hasNews = true;
-    rebuildGroup(group);
+    auto &group = m_groups[name];
+    group.layout.reset();
+    group.mapSwitch.reset();
+    group.recovery.reset();
+    group.wanted.reset();
 }
 
-void GroupKeeper::takeStatus(Member &member, const RankStatus &status, SteadyTime now)
+void GroupKeeper::spoke(const GroupName &name, const RankStatus &status)
 {
-    const bool isNew = !member.status || member.status->group != status.group || member.status->rank != status.rank
-        || member.status->epoch != status.epoch || member.status->isOpen != status.isOpen;
-    member.status = status;
-    member.lastGroup = status.group;
-    member.answeredAt = now;
-    member.misses = 0;
-    m_hasNews = true;
-    if (status.group.isEmpty()) {
-        return;
-    }
     noticeOthers(status);
-    auto &group = m_groups[status.group];
-    group.highest = std::max(
-        {group.highest, status.map, status.prepared.value_or(MapNumber{}), status.armed.value_or(MapNumber{})});
-    if (isNew) {
-        rebuildGroup(status.group);
-    }
-    group.lastHeld = std::max(group.lastHeld, status.heldStep.value_or(0));
-    followHold(group, now);
-    if (status.rank != 0 || status.epoch != group.epoch) {
-        return;
-    }
-    if (status.step > group.lastStep && group.lastStep > 0 && group.lastStepAt != SteadyTime{}) {
-        const auto passes = static_cast<std::int64_t>(status.step - group.lastStep);
-        const auto span = std::chrono::duration_cast<milliseconds>(now - group.lastStepAt);
-        group.passTime = std::clamp(span / passes, milliseconds(10), milliseconds(300));
-    }
-    group.lastStep = status.step;
-    group.lastStepAt = now;
-    const bool standsStill = group.heldStep && status.step + 1 >= *group.heldStep;
-    if (standsStill != group.standsSince.has_value()) {
-        group.standsSince = standsStill ? std::optional(now) : std::nullopt;
-    }
-    if (group.layout && status.map != group.layoutMap && status.step >= group.layoutFrom && !group.mapSwitch) {
+    auto &group = m_groups[name];
+    const bool isLeader = status.rank == 0 && status.epoch == m_watch.group(name).epoch;
+    const bool isOther = status.map != group.layoutMap && status.step >= group.layoutFrom;
+    if (isLeader && isOther && group.layout && !group.mapSwitch) {
         group.layout.reset(); // somebody else has switched
     }
 }
@@ -253,100 +144,10 @@
     return !m_isConfirmed && now - *group.unevenSince < UnconfirmedPause;
 }
 
-void GroupKeeper::followHold(Group &group, SteadyTime now)
-{
-    // Switches hold at rank 0 and recoveries at another, and either may have come late: any rank may hold.
-    std::optional<std::uint64_t> held;
-    for (const auto &id : group.ranks) {
-        const auto member = m_members.find(id);
-        if (member == m_members.end() || !member->second.status || !member->second.status->heldStep) {
-            continue;
-        }
-        const auto step = *member->second.status->heldStep;
-        held = held ? std::min(*held, step) : step;
-    }
-    if (held != group.heldStep) {
-        group.heldStep = held;
-        group.heldSince = now;
-        group.patienceDraw = milliseconds(m_drawBits() % PatienceDraw.count());
-    }
-}
-
-void GroupKeeper::rebuildGroup(const GroupName &name)
-{
-    auto &group = m_groups[name];
-    std::uint64_t epoch = 0;
-    for (const auto &[id, member] : m_members) {
-        if (member.status && member.status->group == name) {
-            epoch = std::max(epoch, member.status->epoch);
-        }
-    }
-    std::vector<TargetName> ranks;
-    for (const auto &[id, member] : m_members) {
-        if (!member.status || member.status->group != name || member.status->epoch != epoch) {
-            continue;
-        }
-        const auto rank = static_cast<std::size_t>(std::max(member.status->rank, 0));
-        ranks.resize(std::max({ranks.size(), rank + 1, static_cast<std::size_t>(member.status->size)}));
-        // An engine that has started anew stands in the register beside its last run for a while.
-        if (ranks[rank].isEmpty() || m_members.at(ranks[rank]).answeredAt < member.answeredAt) {
-            ranks[rank] = id;
-        }
-    }
-    const bool isOpen = std::all_of(ranks.begin(), ranks.end(), [this](const auto &id) {
-        return !id.isEmpty() && m_members.at(id).status->isOpen;
-    });
-    if (epoch != group.epoch) {
-        group.lastStep = 0;
-        group.lastHeld = 0;
-        group.heldStep.reset();
-    }
-    if (ranks != group.ranks || epoch != group.epoch) {
-        group.layout.reset();
-        group.mapSwitch.reset();
-        group.recovery.reset();
-        group.wanted.reset();
-    }
-    group.ranks = std::move(ranks);
-    group.epoch = epoch;
-    group.isOpen = isOpen;
-}
-
-bool GroupKeeper::isWhole(const Group &group) const
-{
-    return group.isOpen && !group.ranks.empty()
-        && std::all_of(group.ranks.begin(), group.ranks.end(),
-                       [this](const auto &id) { return !id.isEmpty() && m_members.contains(id); });
-}
-
-bool GroupKeeper::takesStreams(const Group &group) const
-{
-    // One rank that says that its group does not work speaks for all: the one that died said last that it works, and
-    // looks idle. It drew 577 attempts in a day that never reached it.
-    const bool isBroken = std::any_of(group.ranks.begin(), group.ranks.end(), [this](const auto &id) {
-        const auto member = m_members.find(id);
-        return member != m_members.end() && member->second.status && !member->second.status->isOpen;
-    });
-    // After a start the first few engines whose statuses have come would get all that waits: 36 streams went to four
-    // engines of sixteen, and their callers left. Ranks that stay out of reach from here must not close a group,
-    // though.
-    const auto known =
-        std::count_if(group.ranks.begin(), group.ranks.end(), [](const auto &id) { return !id.isEmpty(); });
-    return !isBroken && static_cast<std::size_t>(known) * 2 >= group.ranks.size();
-}
-
-std::vector<TargetEntry> GroupKeeper::targetsOf(const Group &group) const
-{
-    std::vector<TargetEntry> targets;
-    for (const auto &id : group.ranks) {
-        targets.push_back(m_members.at(id).target);
-    }
-    return targets;
-}
-
 void GroupKeeper::followGroup(const GroupName &name, Group &group, SteadyTime now)
 {
-    if (!isWhole(group)) {
+    const auto &seen = m_watch.group(name);
+    if (!m_watch.isWhole(seen)) {
         group.mapSwitch.reset();
         group.recovery.reset();
         group.wanted.reset();
@@ -356,43 +157,46 @@
         runRecovery(name, group, now);
     } else if (group.mapSwitch) {
         runSwitch(name, group, now);
-    } else if (group.heldStep) {
+    } else if (seen.heldStep) {
         watchHold(name, group, now);
-    } else if (group.wanted && (hasFreshStatuses(group) || now - group.gatheredAt > StatusPatience)) {
+    } else if (group.wanted && (m_watch.isFresh(seen, group.gatheredAt) || now - group.gatheredAt > StatusPatience)) {
         startSwitch(name, group, now);
     } else if (m_isActive && !group.layout) {
-        readExperts(group);
+        readExperts(name, group);
     }
 }
 
 void GroupKeeper::watchHold(const GroupName &name, Group &group, SteadyTime now)
 {
+    const auto &seen = m_watch.group(name);
     group.wanted.reset();
-    const bool isStuck = isLeftHeld(group, now);
+    const bool isStuck = isLeftHeld(group, seen, now);
     const bool isOwn = group.startedAt != SteadyTime{} && now - group.startedAt < ForeignHoldPatience * 3;
     if ((!isStuck && !isOwn) || now < group.recoveryNotBefore) {
         return;
     }
-    tell("hold-recovery", name, "step " + std::to_string(*group.heldStep));
+    tell("hold-recovery", name, "step " + std::to_string(*seen.heldStep));
     group.recovery = std::make_unique<HoldRecovery>(m_control,
-                                                    RecoveryPlan{.ranks = targetsOf(group),
-                                                                 .epoch = group.epoch,
-                                                                 .heldStep = *group.heldStep,
+                                                    RecoveryPlan{.ranks = m_watch.targetsOf(seen),
+                                                                 .epoch = seen.epoch,
+                                                                 .heldStep = *seen.heldStep,
                                                                  .experts = static_cast<std::size_t>(m_profile.experts),
-                                                                 .mayJoin = now - group.heldSince > JoinPatience},
-                                                    [this, &group](MapNumber seen) {
-                                                        group.highest = std::max(group.highest, seen);
-                                                        group.highest = drawNumber(group);
-                                                        m_ownNumbers.insert(group.highest);
-                                                        return group.highest;
+                                                                 .mayJoin = now - seen.heldSince > JoinPatience},
+                                                    [this, name](MapNumber highest) {
+                                                        m_watch.noteNumber(name, highest);
+                                                        return drawNumber(name);
                                                     });
 }
 
-bool GroupKeeper::isLeftHeld(const Group &group, SteadyTime now) const
+bool GroupKeeper::isLeftHeld(Group &group, const WatchedGroup &seen, SteadyTime now)
 {
+    if (group.patienceDrawnFor != seen.heldSince) {
+        group.patienceDrawnFor = seen.heldSince;
+        group.patienceDraw = milliseconds(m_drawBits() % PatienceDraw.count());
+    }
     const auto more = m_isActive ? milliseconds(0) : InactivePatience + group.patienceDraw;
-    const bool standsStill = group.standsSince && now - *group.standsSince > StandstillPatience + more;
-    return standsStill || now - group.heldSince > ForeignHoldPatience + more;
+    const bool standsStill = seen.standsSince && now - *seen.standsSince > StandstillPatience + more;
+    return standsStill || now - seen.heldSince > ForeignHoldPatience + more;
 }
 
 void GroupKeeper::runRecovery(const GroupName &name, Group &group, SteadyTime now)
@@ -433,8 +237,7 @@
          "map " + std::to_string(toNumber(plan.number)) + " step " + std::to_string(group.mapSwitch->heldStep())
              + " ms " + std::to_string(took.count()) + " skew " + twoDigits(group.skewBefore) + " to "
              + twoDigits(group.skewAfter) + " " + group.mapSwitch->reason());
-    group.highest = std::max(group.highest, plan.number);
-    group.lastHeld = std::max(group.lastHeld, group.mapSwitch->heldStep());
+    m_watch.noteHeld(name, group.mapSwitch->heldStep());
     if (end == MapSwitch::End::Switched) {
         group.layout = plan.layout;
         group.layoutMap = plan.number;
@@ -462,42 +265,45 @@
     });
 }
 
-void GroupKeeper::readExperts(Group &group)
+void GroupKeeper::readExperts(const GroupName &name, Group &group)
 {
     if (group.isAskingExperts) {
         return;
     }
     group.isAskingExperts = true;
-    auto missing = std::make_shared<std::size_t>(group.ranks.size());
-    const auto name = m_members.at(group.ranks.front()).status->group;
-    for (const auto &id : group.ranks) {
-        m_members.at(id).experts.reset();
-        m_control.experts(m_members.at(id).target,
-                          [this, id, name, missing, alive = std::weak_ptr(m_alive)](Result<RankExperts> experts) {
+    const auto &seen = m_watch.group(name);
+    const auto targets = m_watch.targetsOf(seen);
+    const auto reading = std::make_shared<ExpertReading>();
+    reading->ranks = seen.ranks;
+    reading->experts.resize(targets.size());
+    reading->missing = targets.size();
+    for (std::size_t rank = 0; rank < targets.size(); ++rank) {
+        m_control.experts(targets[rank],
+                          [this, rank, name, reading, alive = std::weak_ptr(m_alive)](Result<RankExperts> experts) {
                               if (alive.expired()) {
                                   return;
                               }
-                              if (const auto found = m_members.find(id);
-                                  found != m_members.end() && errorIn(experts) == nullptr) {
-                                  found->second.experts = std::get<RankExperts>(std::move(experts));
+                              if (auto *known = std::get_if<RankExperts>(&experts)) {
+                                  reading->experts[rank] = std::move(*known);
                               }
-                              if (--*missing == 0) {
+                              if (--reading->missing == 0) {
                                   m_groups[name].isAskingExperts = false;
-                                  assembleLayout(m_groups[name]);
+                                  assembleLayout(name, *reading);
                               }
                           });
     }
 }
 
-void GroupKeeper::assembleLayout(Group &group)
+void GroupKeeper::assembleLayout(const GroupName &name, const ExpertReading &reading)
 {
-    if (!isWhole(group)) {
+    const auto &seen = m_watch.group(name);
+    if (!m_watch.isWhole(seen) || seen.ranks != reading.ranks) {
         return;
     }
-    ExpertLayout layout(static_cast<std::size_t>(m_profile.layerSets), SetLayout(group.ranks.size()));
+    ExpertLayout layout(static_cast<std::size_t>(m_profile.layerSets), SetLayout(reading.ranks.size()));
     std::optional<MapNumber> map;
-    for (std::size_t rank = 0; rank < group.ranks.size(); ++rank) {
-        const auto &experts = m_members.at(group.ranks[rank]).experts;
+    for (std::size_t rank = 0; rank < reading.ranks.size(); ++rank) {
+        const auto &experts = reading.experts[rank];
         if (!experts || experts->bySet.size() != layout.size() || (map && *map != experts->map)) {
             return; // a switch is on its way; read again at the next tick
         }
@@ -510,6 +316,7 @@
         return isComplete(set, static_cast<std::size_t>(m_profile.experts), static_cast<std::size_t>(m_profile.places));
     });
     if (isSound) {
+        auto &group = m_groups[name];
         group.layout = std::move(layout);
         group.layoutMap = *map;
         group.layoutFrom = 0;
@@ -519,9 +326,9 @@
 std::vector<TargetEntry> GroupKeeper::surveyed() const
 {
     std::vector<TargetEntry> ranks;
-    for (const auto &[name, group] : m_groups) {
-        if (isWhole(group)) {
-            const auto targets = targetsOf(group);
+    for (const auto &[name, seen] : m_watch.groups()) {
+        if (m_watch.isWhole(seen)) {
+            const auto targets = m_watch.targetsOf(seen);
             ranks.insert(ranks.end(), targets.begin(), targets.end());
         }
     }
@@ -532,8 +339,9 @@
 {
     m_lastSkew = 0;
     for (auto &[name, group] : m_groups) {
-        if (isWhole(group) && group.layout) {
-            m_lastSkew = std::max(m_lastSkew, layoutSkew(*group.layout, m_survey.bySet(), slownessOf(group)));
+        const auto &seen = m_watch.group(name);
+        if (m_watch.isWhole(seen) && group.layout) {
+            m_lastSkew = std::max(m_lastSkew, layoutSkew(*group.layout, m_survey.bySet(), slownessOf(seen)));
             considerSwitch(name, group, now);
         }
     }
@@ -541,13 +349,14 @@
 
 void GroupKeeper::considerSwitch(const GroupName &name, Group &group, SteadyTime now)
 {
-    const bool isFree = !group.mapSwitch && !group.recovery && !group.wanted && !group.heldStep;
+    const auto &seen = m_watch.group(name);
+    const bool isFree = !group.mapSwitch && !group.recovery && !group.wanted && !seen.heldStep;
     if (!isFree || now < group.notBefore || givesWay(now)) {
         return;
     }
     const auto copies = std::min(m_options.newPerRank, static_cast<std::size_t>(std::max(m_profile.sparePlaces, 0)));
-    const auto slowness = slownessOf(group);
-    const bool isShort = group.passTime <= m_longestPause * m_options.calmPart;
+    const auto slowness = slownessOf(seen);
+    const bool isShort = seen.passTime <= m_longestPause * m_options.calmPart;
     const auto evenness = isShort ? RoughEvenness : ThoroughEvenness;
     auto layout = improveEvenly(*group.layout, m_survey.bySet(),
                                 {.places = static_cast<std::size_t>(m_profile.places),
@@ -564,8 +373,7 @@
         group.skewBefore - group.skewAfter >= (isCalm ? m_options.leastGainWhenCalm : m_options.leastGain);
     tell(isWorth ? "map-wanted" : "map-kept", name,
          "skew " + twoDigits(group.skewBefore) + " to " + twoDigits(group.skewAfter) + " copies " + std::to_string(most)
-             + " distance " + twoDigits(m_survey.lastDistance()) + " pass-ms "
-             + std::to_string(group.passTime.count()));
+             + " distance " + twoDigits(m_survey.lastDistance()) + " pass-ms " + std::to_string(seen.passTime.count()));
     if (!isWorth) {
         group.unevenSince.reset();
         return;
@@ -580,74 +388,63 @@
     const auto copyTime = m_profile.expertCopy * static_cast<double>(most);
     group.wanted = SwitchPlan{.layout = std::move(layout),
                               .copyTime = std::chrono::duration_cast<milliseconds>(copyTime),
-                              .passTime = group.passTime};
-    gatherStatuses(group, now);
+                              .passTime = seen.passTime};
+    group.gatheredAt = now;
+    m_watch.ask(seen, now);
 }
 
-RankSlowness GroupKeeper::slownessOf(const Group &group) const
+RankSlowness GroupKeeper::slownessOf(const WatchedGroup &seen) const
 {
     RankSlowness slowness;
-    for (const auto &id : group.ranks) {
-        const auto member = m_members.find(id);
-        const bool isKnown = member != m_members.end() && member->second.status;
-        slowness.push_back(isKnown ? std::max(1.0, member->second.status->pace) : 1.0);
+    for (const auto &id : seen.ranks) {
+        const auto *status = m_watch.statusOf(id);
+        slowness.push_back(status != nullptr ? std::max(1.0, status->pace) : 1.0);
     }
     return slowness;
 }
 
-void GroupKeeper::gatherStatuses(Group &group, SteadyTime now)
-{
-    group.gatheredAt = now;
-    for (const auto &id : group.ranks) {
-        askStatus(m_members.at(id), now);
-    }
-}
-
-bool GroupKeeper::hasFreshStatuses(const Group &group) const
-{
-    return std::all_of(group.ranks.begin(), group.ranks.end(),
-                       [&](const auto &id) { return m_members.at(id).answeredAt >= group.gatheredAt; });
-}
-
 void GroupKeeper::startSwitch(const GroupName &name, Group &group, SteadyTime now)
 {
     auto plan = *std::exchange(group.wanted, {});
-    for (const auto &id : group.ranks) {
-        const auto &status = *m_members.at(id).status;
+    const auto &seen = m_watch.group(name);
+    if (!m_watch.isFresh(seen, group.gatheredAt)) {
+        tell("map-switch-put-off", name, "a rank does not answer");
+        group.notBefore = now + SettlePause;
+        return;
+    }
+    for (const auto &id : seen.ranks) {
+        const auto &status = *m_watch.statusOf(id);
         const bool isSame = status.map == group.layoutMap || status.step < group.layoutFrom;
-        if (m_members.at(id).answeredAt < group.gatheredAt) {
-            tell("map-switch-put-off", name, "a rank does not answer: " + id.text());
-            group.notBefore = now + SettlePause;
-            return;
-        }
-        if (status.armed || status.heldStep || status.epoch != group.epoch || !isSame) {
+        if (status.armed || status.heldStep || status.epoch != seen.epoch || !isSame) {
             tell("map-switch-put-off", name, "a rank is not as expected: " + id.text());
             group.notBefore = now + SettlePause;
             group.layout.reset();
             return;
         }
     }
-    plan.ranks = targetsOf(group);
-    plan.epoch = group.epoch;
-    plan.number = drawNumber(group);
-    plan.after = group.lastHeld;
-    m_ownNumbers.insert(plan.number);
-    if (m_ownNumbers.size() > RememberedNumbers) {
-        m_ownNumbers.erase(m_ownNumbers.begin());
-    }
+    plan.ranks = m_watch.targetsOf(seen);
+    plan.epoch = seen.epoch;
+    plan.number = drawNumber(name);
+    plan.after = seen.lastHeld;
     group.startedAt = now;
     group.mapSwitch = std::make_unique<MapSwitch>(m_control, std::move(plan));
     group.mapSwitch->tick(now);
 }
 
-MapNumber GroupKeeper::drawNumber(const Group &group)
+MapNumber GroupKeeper::drawNumber(const GroupName &name)
 {
     // Calendar time goes before: ranks refuse numbers below any that they had, also from keepers that are gone.
     const auto since = std::chrono::duration_cast<std::chrono::seconds>(m_clock.wallNow() - EpochStart);
     const auto seconds = static_cast<std::uint64_t>(std::max<std::int64_t>(since.count(), 0));
-    const auto above = std::max((toNumber(group.highest) >> RandomBits) + 1, seconds);
+    const auto above = std::max((toNumber(m_watch.group(name).highest) >> RandomBits) + 1, seconds);
     const auto bits = m_drawBits() & ((1U << RandomBits) - 1);
-    return static_cast<MapNumber>((above << RandomBits) | bits);
+    const auto number = static_cast<MapNumber>((above << RandomBits) | bits);
+    m_watch.noteNumber(name, number);
+    m_ownNumbers.insert(number);
+    if (m_ownNumbers.size() > RememberedNumbers) {
+        m_ownNumbers.erase(m_ownNumbers.begin());
+    }
+    return number;
 }
 
 void GroupKeeper::tell(std::string_view what, const GroupName &group, const std::string &details) const
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -3,6 +3,7 @@
 #include "heatherridge_coordination/groups/demandsurvey.h"
 #include "heatherridge_coordination/groups/holdrecovery.h"
 #include "heatherridge_coordination/groups/mapswitch.h"
+#include "heatherridge_coordination/groups/rankwatch.h"
 #include "heatherridge_state/groups/evenplacement.h"
 #include "heatherridge_state/routing/routingconfig.h"
 
@@ -34,19 +35,6 @@
     std::size_t newPerRank = 2;
 };
 
-/** One engine as its status tells, for whoever places requests. */
-struct EngineView
-{
-    TargetName target{};
-    GroupName group{};
-    bool isOpen = false; ///< its group works
-    int running = 0; ///< requests of all senders
-    int waiting = 0;
-    double pace = 1; ///< over 1: it takes so many times as long as usual
-    std::chrono::milliseconds passTime{}; ///< of its group, measured
-    SteadyTime at{}; ///< when it was asked
-};
-
 /** What a keeper tells. */
 struct KeeperEvents
 {
@@ -109,34 +97,21 @@
     double lastSkew() const;
 
 private:
-    struct Member
+    /** What one round of questions for the experts of a group's ranks has brought. */
+    struct ExpertReading
     {
-        TargetEntry target{};
-        std::optional<RankStatus> status{};
-        GroupName lastGroup{}; ///< null while it has never spoken, or is in none
-        SteadyTime askedAt{};
-        SteadyTime answeredAt{}; ///< when the last status that came was asked for
-        int misses = 0; ///< statuses in a row that did not come
-        bool isAsking = false;
-        std::optional<RankExperts> experts{};
+        std::vector<TargetName> ranks{};
+        std::vector<std::optional<RankExperts>> experts{}; ///< by rank
+        std::size_t missing = 0; ///< answers
     };
 
+    /** What this keeper does about one group. */
     struct Group
     {
-        std::vector<TargetName> ranks{}; ///< by rank; null names where nobody has spoken
-        std::uint64_t epoch = 0;
-        bool isOpen = false;
         std::optional<ExpertLayout> layout{}; ///< of the map in use
         MapNumber layoutMap{};
         std::uint64_t layoutFrom = 0; ///< the pass from which `layoutMap` is in use, where this keeper switched
-        std::uint64_t lastHeld = 0; ///< the last pass that this keeper held or saw held
-        MapNumber highest{}; ///< of all numbers seen at its ranks
-        std::uint64_t lastStep = 0;
-        SteadyTime lastStepAt{};
-        std::chrono::milliseconds passTime{50};
-        std::optional<std::uint64_t> heldStep{}; ///< by somebody else
-        SteadyTime heldSince{};
-        std::optional<SteadyTime> standsSince{}; ///< the pass before the held one is seen to be the last that was begun
+        SteadyTime patienceDrawnFor{}; ///< the beginning of the hold that `patienceDraw` is for
         std::chrono::milliseconds patienceDraw{}; ///< this time's, of an inactive keeper
         std::chrono::milliseconds recoveryPause{0}; ///< longest pause before the next try
         SteadyTime recoveryNotBefore{};
@@ -153,35 +128,25 @@
         double skewAfter = 0;
     };
 
-    void askStatuses(SteadyTime now);
-    void tellWatched();
-    void askStatus(Member &member, SteadyTime now);
-    void takeStatus(Member &member, const RankStatus &status, SteadyTime now);
-    void missStatus(Member &member, const Error &error);
-    void followHold(Group &group, SteadyTime now);
-    void rebuildGroup(const GroupName &name);
+    void composed(const GroupName &name);
+    void spoke(const GroupName &name, const RankStatus &status);
     void followGroup(const GroupName &name, Group &group, SteadyTime now);
     void watchHold(const GroupName &name, Group &group, SteadyTime now);
-    bool isLeftHeld(const Group &group, SteadyTime now) const;
+    bool isLeftHeld(Group &group, const WatchedGroup &seen, SteadyTime now);
     void runSwitch(const GroupName &name, Group &group, SteadyTime now);
     bool holdsAnother(const Group &group) const;
     void runRecovery(const GroupName &name, Group &group, SteadyTime now);
-    void readExperts(Group &group);
-    void assembleLayout(Group &group);
+    void readExperts(const GroupName &name, Group &group);
+    void assembleLayout(const GroupName &name, const ExpertReading &reading);
     void considerSwitches(SteadyTime now);
     std::vector<TargetEntry> surveyed() const;
     void considerSwitch(const GroupName &name, Group &group, SteadyTime now);
-    RankSlowness slownessOf(const Group &group) const;
-    void gatherStatuses(Group &group, SteadyTime now);
-    bool hasFreshStatuses(const Group &group) const;
+    RankSlowness slownessOf(const WatchedGroup &seen) const;
     void startSwitch(const GroupName &name, Group &group, SteadyTime now);
     void noticeOthers(const RankStatus &status);
     bool givesWay(SteadyTime now) const;
     bool mayBeAnothers(const Group &group, SteadyTime now) const;
-    bool isWhole(const Group &group) const;
-    bool takesStreams(const Group &group) const;
-    std::vector<TargetEntry> targetsOf(const Group &group) const;
-    MapNumber drawNumber(const Group &group);
+    MapNumber drawNumber(const GroupName &name);
     void tell(std::string_view what, const GroupName &group, const std::string &details) const;
 
     RankControl &m_control;
@@ -191,7 +156,7 @@
     std::function<std::uint64_t()> m_drawBits;
     std::chrono::milliseconds m_longestPause{};
     EngineProfile m_profile;
-    std::map<TargetName, Member> m_members;
+    RankWatch m_watch;
     std::map<GroupName, Group> m_groups;
     DemandSurvey m_survey;
     bool m_isActive = false;
@@ -201,8 +166,6 @@
     bool m_sawOther = false; ///< another keeper's map was seen since then
     std::set<MapNumber> m_ownNumbers; ///< maps that this keeper has made ranks prepare
     MapNumber m_highestBefore{}; ///< of all maps seen while it was confirmed
-    SteadyTime m_statusesDue{};
-    bool m_hasNews = false; ///< statuses that watched() has not been told of
     double m_lastSkew = 0;
     std::shared_ptr<int> m_alive;
 };
--- /dev/null
+++ b/modules/heatherridge_coordination/groups/rankwatch.cpp
@@ -0,0 +1,310 @@
+#include "heatherridge_coordination/groups/rankwatch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/** Statuses in a row that don't come before an engine counts as gone: two seconds' worth. Forgetting it drops a switch
+ * that is under way, and what that holds stays held until it is recovered. */
+constexpr int MissesToForget = 5;
+/** Bounds of what is believed of a pass, from an idle group to one with a stalled rank. */
+constexpr milliseconds ShortestPass{10};
+constexpr milliseconds LongestPass{300};
+
+} // namespace
+
+RankWatch::RankWatch(RankControl &control, milliseconds period, Events events)
+    : m_control(control)
+    , m_period(period)
+    , m_events(std::move(events))
+    , m_alive(std::make_shared<int>(0))
+{
+}
+
+void RankWatch::setTargets(const std::vector<TargetEntry> &targets)
+{
+    for (const auto &target : targets) {
+        m_members[target.id].target = target;
+    }
+    const auto erased = std::erase_if(m_members, [&targets](const auto &entry) {
+        return std::none_of(targets.begin(), targets.end(),
+                            [&entry](const auto &target) { return target.id == entry.first; });
+    });
+    if (erased > 0) {
+        for (const auto &[name, group] : m_groups) {
+            compose(name);
+        }
+    }
+}
+
+void RankWatch::tick(SteadyTime now)
+{
+    if (now < m_due) {
+        return;
+    }
+    // A group that forms or is held takes no streams, and each moment in which nobody knows that it goes on is lost.
+    m_due = now + (isSettled() ? m_period : m_period / 2);
+    for (auto &[id, member] : m_members) {
+        askOne(member, now);
+    }
+}
+
+bool RankWatch::isSettled() const
+{
+    return !m_groups.empty() && std::all_of(m_groups.begin(), m_groups.end(), [this](const auto &entry) {
+        return isWhole(entry.second) && !entry.second.heldStep;
+    });
+}
+
+void RankWatch::ask(const WatchedGroup &group, SteadyTime now)
+{
+    for (const auto &id : group.ranks) {
+        if (const auto found = m_members.find(id); found != m_members.end()) {
+            askOne(found->second, now);
+        }
+    }
+}
+
+const std::map<GroupName, WatchedGroup> &RankWatch::groups() const
+{
+    return m_groups;
+}
+
+const WatchedGroup &RankWatch::group(const GroupName &name) const
+{
+    static const WatchedGroup NeverSeen;
+    const auto found = m_groups.find(name);
+    return found == m_groups.end() ? NeverSeen : found->second;
+}
+
+const RankStatus *RankWatch::statusOf(const TargetName &target) const
+{
+    const auto found = m_members.find(target);
+    return found != m_members.end() && found->second.status ? &*found->second.status : nullptr;
+}
+
+bool RankWatch::isWhole(const WatchedGroup &group) const
+{
+    return group.isOpen && !group.ranks.empty()
+        && std::all_of(group.ranks.begin(), group.ranks.end(),
+                       [this](const auto &id) { return !id.isEmpty() && m_members.contains(id); });
+}
+
+bool RankWatch::isFresh(const WatchedGroup &group, SteadyTime time) const
+{
+    return std::all_of(group.ranks.begin(), group.ranks.end(), [&](const auto &id) {
+        const auto found = m_members.find(id);
+        return found != m_members.end() && found->second.answeredAt >= time;
+    });
+}
+
+std::vector<TargetEntry> RankWatch::targetsOf(const WatchedGroup &group) const
+{
+    std::vector<TargetEntry> targets;
+    for (const auto &id : group.ranks) {
+        targets.push_back(m_members.at(id).target);
+    }
+    return targets;
+}
+
+void RankWatch::noteNumber(const GroupName &name, MapNumber number)
+{
+    auto &group = m_groups[name];
+    group.highest = std::max(group.highest, number);
+}
+
+void RankWatch::noteHeld(const GroupName &name, std::uint64_t step)
+{
+    auto &group = m_groups[name];
+    group.lastHeld = std::max(group.lastHeld, step);
+}
+
+std::optional<std::vector<EngineView>> RankWatch::news()
+{
+    if (!std::exchange(m_hasNews, false)) {
+        return std::nullopt;
+    }
+    std::vector<EngineView> engines;
+    for (const auto &[id, member] : m_members) {
+        if (member.lastGroup.isEmpty()) {
+            continue;
+        }
+        if (!member.status) {
+            // Told of as closed, or its last word would stand: dead engines drew 1,066 attempts in a day.
+            engines.push_back({.target = id, .group = member.lastGroup, .at = member.askedAt});
+            continue;
+        }
+        const auto &status = *member.status;
+        const auto &seen = group(status.group);
+        engines.push_back({.target = id,
+                           .group = status.group,
+                           .isOpen = status.epoch == seen.epoch && takesStreams(seen),
+                           .running = status.running,
+                           .waiting = status.waiting,
+                           .pace = status.pace,
+                           .passTime = seen.passTime,
+                           .at = member.askedAt});
+    }
+    return engines;
+}
+
+void RankWatch::askOne(Member &member, SteadyTime now)
+{
+    if (member.isAsking) {
+        return;
+    }
+    member.isAsking = true;
+    member.askedAt = now;
+    m_control.status(member.target,
+                     [this, id = member.target.id, now, alive = std::weak_ptr(m_alive)](Result<RankStatus> status) {
+                         const auto found = alive.expired() ? m_members.end() : m_members.find(id);
+                         if (alive.expired() || found == m_members.end()) {
+                             return;
+                         }
+                         found->second.isAsking = false;
+                         if (const auto *known = std::get_if<RankStatus>(&status)) {
+                             take(found->second, *known, now);
+                         } else {
+                             miss(found->second, *errorIn(status));
+                         }
+                     });
+}
+
+void RankWatch::miss(Member &member, const Error &error)
+{
+    const bool isOther = error.kind == ErrorKind::NotFound;
+    if (!member.status || (++member.misses < MissesToForget && !isOther)) {
+        return;
+    }
+    // Gone, or another run of the engine answers in its place: its group is not whole until somebody has its rank.
+    const auto group = member.status->group;
+    member.status.reset();
+    m_hasNews = true;
+    compose(group);
+}
+
+void RankWatch::take(Member &member, const RankStatus &status, SteadyTime now)
+{
+    const bool isNew = !member.status || member.status->group != status.group || member.status->rank != status.rank
+        || member.status->epoch != status.epoch || member.status->isOpen != status.isOpen;
+    member.status = status;
+    member.lastGroup = status.group;
+    member.answeredAt = now;
+    member.misses = 0;
+    m_hasNews = true;
+    if (status.group.isEmpty()) {
+        return;
+    }
+    noteNumber(status.group,
+               std::max({status.map, status.prepared.value_or(MapNumber{}), status.armed.value_or(MapNumber{})}));
+    if (isNew) {
+        compose(status.group);
+    }
+    noteHeld(status.group, status.heldStep.value_or(0));
+    auto &group = m_groups[status.group];
+    followHold(group, now);
+    if (status.rank == 0 && status.epoch == group.epoch) {
+        followPasses(group, status, now);
+    }
+    m_events.spoke(status.group, status);
+}
+
+void RankWatch::followHold(WatchedGroup &group, SteadyTime now) const
+{
+    // Switches hold at rank 0 and recoveries at another, and either may have come late: any rank may hold.
+    std::optional<std::uint64_t> held;
+    for (const auto &id : group.ranks) {
+        const auto *status = statusOf(id);
+        if (status != nullptr && status->heldStep) {
+            held = held ? std::min(*held, *status->heldStep) : *status->heldStep;
+        }
+    }
+    if (held != group.heldStep) {
+        group.heldStep = held;
+        group.heldSince = now;
+    }
+}
+
+void RankWatch::followPasses(WatchedGroup &group, const RankStatus &status, SteadyTime now)
+{
+    if (status.step > group.lastStep && group.lastStep > 0 && group.lastStepAt != SteadyTime{}) {
+        const auto passes = static_cast<std::int64_t>(status.step - group.lastStep);
+        const auto span = std::chrono::duration_cast<milliseconds>(now - group.lastStepAt);
+        group.passTime = std::clamp(span / passes, ShortestPass, LongestPass);
+    }
+    group.lastStep = status.step;
+    group.lastStepAt = now;
+    const bool standsStill = group.heldStep && status.step + 1 >= *group.heldStep;
+    if (standsStill != group.standsSince.has_value()) {
+        group.standsSince = standsStill ? std::optional(now) : std::nullopt;
+    }
+}
+
+void RankWatch::compose(const GroupName &name)
+{
+    auto &group = m_groups[name];
+    std::uint64_t epoch = 0;
+    for (const auto &[id, member] : m_members) {
+        if (member.status && member.status->group == name) {
+            epoch = std::max(epoch, member.status->epoch);
+        }
+    }
+    auto ranks = ranksOf(name, epoch);
+    group.isOpen = std::all_of(ranks.begin(), ranks.end(), [this](const auto &id) {
+        const auto *status = statusOf(id);
+        return status != nullptr && status->isOpen;
+    });
+    if (epoch != group.epoch) {
+        group.lastStep = 0;
+        group.lastHeld = 0;
+        group.heldStep.reset();
+        group.standsSince.reset();
+    }
+    const bool isOther = ranks != group.ranks || epoch != group.epoch;
+    group.ranks = std::move(ranks);
+    group.epoch = epoch;
+    if (isOther) {
+        m_events.composed(name);
+    }
+}
+
+std::vector<TargetName> RankWatch::ranksOf(const GroupName &name, std::uint64_t epoch) const
+{
+    std::vector<TargetName> ranks;
+    for (const auto &[id, member] : m_members) {
+        if (!member.status || member.status->group != name || member.status->epoch != epoch) {
+            continue;
+        }
+        const auto rank = static_cast<std::size_t>(std::max(member.status->rank, 0));
+        ranks.resize(std::max({ranks.size(), rank + 1, static_cast<std::size_t>(member.status->size)}));
+        // An engine that has started anew stands in the register beside its last run for a while.
+        if (ranks[rank].isEmpty() || m_members.at(ranks[rank]).answeredAt < member.answeredAt) {
+            ranks[rank] = id;
+        }
+    }
+    return ranks;
+}
+
+bool RankWatch::takesStreams(const WatchedGroup &group) const
+{
+    // One rank that says that its group does not work speaks for all: the one that died said last that it works, and
+    // looks idle. It drew 577 attempts in a day that never reached it.
+    const bool isBroken = std::any_of(group.ranks.begin(), group.ranks.end(), [this](const auto &id) {
+        const auto *status = statusOf(id);
+        return status != nullptr && !status->isOpen;
+    });
+    // After a start the first few engines whose statuses have come would get all that waits: 36 streams went to four
+    // engines of sixteen, and their callers left. Ranks that stay out of reach must not close a group, though.
+    const auto known =
+        std::count_if(group.ranks.begin(), group.ranks.end(), [](const auto &id) { return !id.isEmpty(); });
+    return !isBroken && static_cast<std::size_t>(known) * 2 >= group.ranks.size();
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_coordination/groups/rankwatch.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "heatherridge_coordination/groups/rankcontrol.h"
+#include "heatherridge_state/base/clock.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/** One engine as its status tells, for whoever places requests. */
+struct EngineView
+{
+    TargetName target{};
+    GroupName group{};
+    bool isOpen = false; ///< its group works
+    int running = 0; ///< requests of all senders
+    int waiting = 0;
+    double pace = 1; ///< over 1: it takes so many times as long as usual
+    std::chrono::milliseconds passTime{}; ///< of its group, measured
+    SteadyTime at{}; ///< when it was asked
+};
+
+/** One group as its ranks' statuses tell. */
+struct WatchedGroup
+{
+    std::vector<TargetName> ranks{}; ///< by rank; null names where nobody has spoken
+    std::uint64_t epoch = 0;
+    bool isOpen = false; ///< all ranks are known and say so
+    MapNumber highest{}; ///< of all numbers seen at its ranks, or noted
+    std::uint64_t lastHeld = 0; ///< the last pass of this epoch that was seen held, or noted
+    std::uint64_t lastStep = 0; ///< the last pass that was begun
+    SteadyTime lastStepAt{};
+    std::chrono::milliseconds passTime{50};
+    std::optional<std::uint64_t> heldStep{};
+    SteadyTime heldSince{};
+    std::optional<SteadyTime> standsSince{}; ///< the pass before the held one is seen to be the last that was begun
+};
+
+/**
+ * Asks the engines of one service for their statuses again and again, and puts them together to groups.
+ *
+ * A status says what one rank is; which ranks make up a group, whether it works, how long its passes are and whether it
+ * stands still follows from all of them. An engine that stays silent is forgotten after two seconds: its rank is empty
+ * until somebody speaks for it. One thread; moved on by tick().
+ */
+class RankWatch
+{
+public:
+    struct Events
+    {
+        /** The group has other ranks, or has formed anew. */
+        std::function<void(const GroupName &group)> composed{};
+        /** A rank of the group has spoken; the group is up to date. */
+        std::function<void(const GroupName &group, const RankStatus &status)> spoke{};
+    };
+
+    /** Uses @p control, which must outlive it. @param period between statuses of a group that is at work */
+    RankWatch(RankControl &control, std::chrono::milliseconds period, Events events);
+
+    /** The engines to watch. */
+    void setTargets(const std::vector<TargetEntry> &targets);
+
+    /** Asks when it is time. */
+    void tick(SteadyTime now);
+
+    /** Asks the ranks of @p group at once. */
+    void ask(const WatchedGroup &group, SteadyTime now);
+
+    /** All groups that were ever seen. */
+    const std::map<GroupName, WatchedGroup> &groups() const;
+
+    /** The group @p name; an empty one when it was never seen. */
+    const WatchedGroup &group(const GroupName &name) const;
+
+    /** The last status of @p target; null when there is none, or not any more. */
+    const RankStatus *statusOf(const TargetName &target) const;
+
+    /** Whether all ranks of @p group are known and work. */
+    bool isWhole(const WatchedGroup &group) const;
+
+    /** Whether all statuses of @p group were asked for at @p time or later. */
+    bool isFresh(const WatchedGroup &group, SteadyTime time) const;
+
+    /** The ranks of @p group, which must be whole. */
+    std::vector<TargetEntry> targetsOf(const WatchedGroup &group) const;
+
+    /** Keeps in mind that @p number was given to a map of @p name. */
+    void noteNumber(const GroupName &name, MapNumber number);
+
+    /** Keeps in mind that pass @p step of @p name was held. */
+    void noteHeld(const GroupName &name, std::uint64_t step);
+
+    /** All engines that have ever spoken; nothing when no status has come since the last call. */
+    std::optional<std::vector<EngineView>> news();
+
+private:
+    struct Member
+    {
+        TargetEntry target{};
+        std::optional<RankStatus> status{};
+        GroupName lastGroup{}; ///< null while it has never spoken, or is in none
+        SteadyTime askedAt{};
+        SteadyTime answeredAt{}; ///< when the last status that came was asked for
+        int misses = 0; ///< statuses in a row that did not come
+        bool isAsking = false;
+    };
+
+    void askOne(Member &member, SteadyTime now);
+    void take(Member &member, const RankStatus &status, SteadyTime now);
+    void miss(Member &member, const Error &error);
+    void compose(const GroupName &name);
+    std::vector<TargetName> ranksOf(const GroupName &name, std::uint64_t epoch) const;
+    void followHold(WatchedGroup &group, SteadyTime now) const;
+    static void followPasses(WatchedGroup &group, const RankStatus &status, SteadyTime now);
+    bool isSettled() const;
+    bool takesStreams(const WatchedGroup &group) const;
+
+    RankControl &m_control;
+    std::chrono::milliseconds m_period;
+    Events m_events;
+    std::map<TargetName, Member> m_members;
+    std::map<GroupName, WatchedGroup> m_groups;
+    SteadyTime m_due{};
+    bool m_hasNews = false; ///< statuses that news() has not told of
+    std::shared_ptr<int> m_alive;
+};
+
+} // namespace Heatherridge
