--- a/modules/heatherridge_transport/target/groupagent.cpp
+++ b/modules/heatherridge_transport/target/groupagent.cpp
@@ -1,6 +1,7 @@
 #include "heatherridge_transport/target/groupagent.h"
 
 #include "heatherridge_coordination/groups/groupplanner.h"
+#include "heatherridge_coordination/groups/orderqueue.h"
 #include "heatherridge_coordination/groups/rankgate.h"
 #include "heatherridge_protocol/grouprecord.h"
 #include "heatherridge_transport/app/logger.h"
@@ -8,8 +9,6 @@
 #include "heatherridge_transport/platform/httplogservice.h"
 #include "heatherridge_transport/target/ranklinks.h"
 
-#include <deque>
-
 namespace Heatherridge
 {
 
@@ -357,7 +356,7 @@
                                }
                            },
                            [this](const SendToRank &message) { send(message.rank, message.message); },
-                           [this](const OrderEngine &order) { giveOrder(order); },
+                           [this](const OrderEngine &order) { m_orders.give(order); },
                        },
                        action);
         }
@@ -407,23 +406,13 @@
         }
     }
 
-    /** Orders go one after the other, so that the engine follows them in the order in which they were given. */
-    void giveOrder(const OrderEngine &order)
-    {
-        m_orders.push_back(order);
-        if (m_orders.size() == 1) {
-            sendOrder();
-        }
-    }
-
-    void sendOrder()
+    bool sendOrder(const OrderEngine &order)
     {
         const auto *self = m_view->inventory->find(m_options.target);
         if (self == nullptr || m_stopped) {
-            m_orders.clear();
-            return;
+            return false;
         }
-        const auto body = encode(SignedOrder{.run = m_orders.front().run, .order = m_orders.front().order});
+        const auto body = encode(SignedOrder{.run = order.run, .order = order.order});
         m_http->send({.endpoint = self->backend,
                       .request = {.method = "POST",
                                   .path = "/group/orders",
@@ -432,23 +421,21 @@
                       .timeout = OrderTimeout},
                      [weak = weak_from_this()](const std::variant<HttpResponse, HttpClient::Failure> &reply) {
                          if (const auto agent = weak.lock(); agent && !agent->m_stopped) {
-                             agent->takeReply(reply);
+                             agent->m_orders.answered([&](Incarnation run) { agent->takeReply(reply, run); });
                          }
                      });
+        return true;
     }
 
-    void takeReply(const std::variant<HttpResponse, HttpClient::Failure> &reply)
+    void takeReply(const std::variant<HttpResponse, HttpClient::Failure> &reply, Incarnation run)
     {
-        const auto run = m_orders.front().run;
-        m_orders.pop_front();
-        if (const auto *response = std::get_if<HttpResponse>(&reply); response != nullptr && run == m_run) {
-            const auto state = decodeEngineState(Bytes(response->body.begin(), response->body.end()));
-            if (const auto *known = std::get_if<EngineState>(&state)) {
-                takeState(*known);
-            }
+        const auto *response = std::get_if<HttpResponse>(&reply);
+        if (response == nullptr || run != m_run) {
+            return;
         }
-        if (!m_orders.empty()) {
-            sendOrder();
+        const auto state = decodeEngineState(Bytes(response->body.begin(), response->body.end()));
+        if (const auto *known = std::get_if<EngineState>(&state)) {
+            takeState(*known);
         }
     }
 
@@ -483,7 +470,7 @@
     GroupClaims m_claims;
     GroupEpochs m_epochs;
     std::map<MapNumber, ExpertMap> m_maps;
-    std::deque<OrderEngine> m_orders; ///< the first is under way
+    OrderQueue m_orders{[this](const OrderEngine &order) { return sendOrder(order); }};
     std::chrono::milliseconds m_leaderSilent{};
     LogOffset m_from{1};
     std::uint64_t m_lastWindow = 0;
