Tell engines the priority of a stream

Change: a stream carries its workspace's priority, else its route's, to the engine, which lets in the more urgent ones first; what the caller says of it is still left out. Test: Priorities.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -153,9 +153,13 @@
     m_groupAtSend = target.engine ? target.engine->group.text() : std::string();
     target.load.sent();
     const auto &request = m_exchange->request();
-    const auto headers = m_traffic.m_codec.forwarded(
-        endToEndHeaders(request.headers),
-        {.timeLeft = timeLeft(), .target = m_target, .workspace = m_match.workspace, .lastEvent = m_lastEvent});
+    const auto headers =
+        m_traffic.m_codec.forwarded(endToEndHeaders(request.headers),
+                                    {.timeLeft = timeLeft(),
+                                     .target = m_target,
+                                     .workspace = m_match.workspace,
+                                     .lastEvent = m_lastEvent,
+                                     .priority = isStream() ? std::optional(m_match.priority) : std::nullopt});
     m_connection = m_traffic.m_pool.take(target.entry);
     const auto self = shared_from_this();
     m_connection->exchange(requestText(request.method, request.target, headers, request.body), request.method == "HEAD",
--- a/modules/heatherridge_transport/direct/trafficcodec.h
+++ b/modules/heatherridge_transport/direct/trafficcodec.h
@@ -28,6 +28,7 @@
     TargetName target{}; ///< any other target refuses the request
     WorkspaceName workspace{}; ///< null for a public route without a known key
     std::optional<std::uint64_t> lastEvent{}; ///< a stream goes on behind this event
+    std::optional<int> priority{}; ///< 0 is the most urgent; of a stream, which an engine lets in by priority
 };
 
 /** How busy a target says it is. */
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -138,6 +138,32 @@
               1);
 }
 
+struct PriorityRow
+{
+    const char *story;
+    std::optional<int> priority;
+    const char *header;
+};
+
+// A workspace that pays for urgent answers waits behind the others at a full engine, since nobody told the engine.
+const PriorityRow PriorityRows[] = {
+    {"none for a plain service", std::nullopt, ""}, {"the most urgent", 0, "0"}, {"some rank", 3, "3"},
+    {"a rank that engines don't know", 40, "9"},    {"a negative one", -2, "0"},
+};
+
+class Priorities : public testing::TestWithParam<PriorityRow>
+{
+};
+
+TEST_P(Priorities, AreToldToEngines)
+{
+    const auto headers =
+        PlatformTraffic().forwarded({}, {.target = TargetName("i-1"), .priority = GetParam().priority});
+    EXPECT_EQ(headerValue(headers, "X-Heatherridge-Request-Priority"), GetParam().header) << GetParam().story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Priorities, testing::ValuesIn(PriorityRows));
+
 struct AnswerRow
 {
     const char *story;
