--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -94,11 +94,7 @@
         return;
     }
     if (choice.isFull && isBounded) {
-        fail({.kind = ErrorKind::Overloaded,
-              .detail = "a queue stands",
-              .retryAfter = QueueRetryAfter
-                  + milliseconds(static_cast<std::int64_t>(
-                      m_traffic.m_random.below(static_cast<std::uint64_t>(QueueRetrySpread.count()))))});
+        fail({.kind = ErrorKind::Overloaded, .detail = "a queue stands", .retryAfter = drawnQueuePause()});
         return;
     }
     const auto kind = choice.isFull ? ErrorKind::Overloaded : ErrorKind::NoTarget;
@@ -113,6 +109,12 @@
     return isStream() && m_arrivals == 0 && !m_streamBegun && m_traffic.guardOf(m_service).isOverloaded(now());
 }
 
+milliseconds GatewayCall::drawnQueuePause() const
+{
+    const auto drawn = m_traffic.m_random.below(static_cast<std::uint64_t>(QueueRetrySpread.count()));
+    return QueueRetryAfter + milliseconds(static_cast<std::int64_t>(drawn));
+}
+
 void GatewayCall::recordDelay() const
 {
     m_traffic.guardOf(m_service).record(duration_cast<milliseconds>(now() - m_sentAt), now());
@@ -152,6 +154,7 @@
     m_passAtSend = target.engine ? target.engine->passTime : milliseconds(0);
     m_groupAtSend = target.engine ? target.engine->group.text() : std::string();
     target.load.sent();
+    ++target.sentSinceReport;
     const auto &request = m_exchange->request();
     const auto headers =
         m_traffic.m_codec.forwarded(endToEndHeaders(request.headers),
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -47,6 +47,7 @@
     void awaitTarget(Error error);
     bool isHeldBack() const;
     void recordDelay() const;
+    std::chrono::milliseconds drawnQueuePause() const;
     void send(GatewayTarget &target);
     void headCame(const HttpMessageHead &head);
     void bodyCame(std::string_view bytes);
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -78,11 +78,7 @@
     if (isGrouped) {
         auto bounded = rules->second;
         bounded.mostPart = room == Room::OnTime ? bounded.onTimePart : bounded.mostPart;
-        const auto choice = chooseEngine(targets, candidates, bounded, isLate, now, random);
-        if (choice.target != nullptr) {
-            ++choice.target->sentSinceReport;
-        }
-        return choice;
+        return chooseEngine(targets, candidates, bounded, isLate, now, random);
     }
     const auto chosen = placeDirectly(candidates, random);
     return {.target = chosen ? targets[*chosen] : nullptr};
