--- a/tests/heldgroups/watched_test.cpp
+++ b/tests/heldgroups/watched_test.cpp
@@ -110,6 +110,7 @@
     GroupKeeper keeper(ranks, {}, {.watched = [&](auto engines) { views = std::move(engines); }}, clock,
                        [] { return 1; });
     std::vector<TargetEntry> targets;
+    targets.reserve(Size);
     for (int rank = 0; rank < Size; ++rank) {
         targets.push_back({.id = TargetName(std::to_string(rank))});
     }
