Derive an engine's reported load from its view

GatewayTarget held the running and waiting requests of an engine's last word a second time, beside the view that has them. The field is gone; what choose() takes and where a gateway's part begins are documented.

--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -131,7 +131,8 @@
 bool GatewayTargets::hasUsedItsRoom(const GatewayTarget &target, const EnginePlacementRules &rules, bool isLate) const
 {
     const double part = isLate ? rules.onTimePart : rules.mostPart;
-    return target.sentSinceReport >= startRoom(target.entry.slots * part, target.reportedLoad, m_part);
+    const int reported = target.engine->running + target.engine->waiting;
+    return target.sentSinceReport >= startRoom(target.entry.slots * part, reported, m_part);
 }
 
 void GatewayTargets::setPart(double part)
@@ -173,7 +174,6 @@
         }
         if (!target->engine || target->engine->at != engine.at) {
             target->load.reported(engine.running + engine.waiting, engine.at);
-            target->reportedLoad = engine.running + engine.waiting;
             target->sentSinceReport = 0;
         }
         target->engine = engine;
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -20,8 +20,7 @@
     LoadEstimate load{};
     SteadyTime lastHeard{}; ///< when bytes of any answer last came from it
     std::optional<EngineView> engine{}; ///< of an engine in an expert group, its own last word
-    int reportedLoad = 0; ///< by the engine's last word
-    int sentSinceReport = 0; ///< streams of this gateway since then
+    int sentSinceReport = 0; ///< requests of this gateway since the engine's last word
     SteadyTime refusedUntil{}; ///< it has refused a request; nothing is sent before
 };
 
@@ -66,7 +65,10 @@
         bool isFull = false; ///< there are targets, but all have as much as they should
     };
 
-    /** Where to send a request for @p service that @p tried have failed or refused. */
+    /**
+     * Where to send a request for @p service that @p tried have failed or refused.
+     * @param isLate it is a stream that can't be on time any more
+     */
     Choice choose(const ServiceName &service, const std::set<TargetName> &tried, Room room, bool isLate, SteadyTime now,
                   RandomSource &random);
 
@@ -89,7 +91,7 @@
                         const EnginePlacementRules &rules, bool isLate, SteadyTime now, RandomSource &random) const;
 
     ZoneName m_zone;
-    double m_part = 0.25;
+    double m_part = 0.25; ///< of the room that engines report, until the share of the work is known: four gateways
     std::map<GroupName, SteadyTime> m_openSince; ///< of groups that work
     std::map<TargetName, GatewayTarget> m_targets;
     std::set<TargetName> m_gone; ///< left the register, with requests open
