Switch maps in stages, the copies that gain most per second first

Cause: experts of the new customer take 0.15 s each to copy, and a switch waited for the rank that had 5 to 9 of them to copy: 0.7 to 1.5 s after each jump of demand, with passes of two to three times the usual length; then it waited for the next reading of counts and for 0.35 s of settling. While passes were long, gains of 0.06 were switched to that took 0.9 s of copies, and the next jump found the group busy with them. Ruled out: orders and statuses (0.12 s of a switch); the time to compute maps. Change: improveInStages() gives layouts with one copy more for the busiest rank each, sets that delay passes most first; quickestGain() takes the one that lowers the skew most per second; the next stage follows as soon as statuses show the last one. Copies have to save twice what they slow passes. Counts are read each 175 ms instead of 350.

--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -27,7 +27,15 @@
 constexpr std::size_t RememberedNumbers = 256;
 /** A switch waits so long for the statuses of its ranks. */
 constexpr milliseconds StatusPatience{300};
-/** After a switch, until statuses show it. */
+/** What a switch takes beside copies: statuses, the held pass and the orders for it. */
+constexpr milliseconds SwitchTime{150};
+/** Copies that a rank may be given for one switch. */
+constexpr std::size_t MostStages = 12;
+/** By how much passes are longer while experts are copied, as the engines' makers say. */
+constexpr double CopySlowdown = 0.15;
+/** Passes after a switch until the held one has begun and statuses show the new map. */
+constexpr int SettlePasses = 2;
+/** After a switch or a status that was not as expected, before the next try. */
 constexpr milliseconds SettlePause{350};
 /** Low bits of a map's number that are drawn at random, so that two keepers never use one number for two maps: with 12
  * of them a model of the protocol found two maps of one number in 3,000 schedules. With the seconds since EpochStart
@@ -91,7 +99,12 @@
         followGroup(name, group, now);
     }
     if (m_isActive && m_survey.tick(now, [this] { return surveyed(); })) {
-        considerSwitches(now);
+        noteDemand();
+    }
+    for (auto &[name, group] : m_groups) {
+        if (m_isActive && group.isDue && group.layout && m_watch.isWhole(m_watch.group(name))) {
+            considerSwitch(name, group, now);
+        }
     }
     if (auto news = m_watch.news(); news && m_events.watched) {
         m_events.watched(std::move(*news));
@@ -242,7 +255,9 @@
         group.layout = plan.layout;
         group.layoutMap = plan.number;
         group.layoutFrom = group.mapSwitch->heldStep();
-        group.notBefore = now + SettlePause;
+        // The next stage follows as soon as statuses show this one; waiting for the next reading of counts took 0.3 s.
+        group.notBefore = now + m_watch.group(name).passTime * SettlePasses;
+        group.isDue = true;
         group.startedAt = {};
     } else {
         group.notBefore = now + FailurePause;
@@ -335,14 +350,14 @@
     return ranks;
 }
 
-void GroupKeeper::considerSwitches(SteadyTime now)
+void GroupKeeper::noteDemand()
 {
     m_lastSkew = 0;
     for (auto &[name, group] : m_groups) {
         const auto &seen = m_watch.group(name);
+        group.isDue = true;
         if (m_watch.isWhole(seen) && group.layout) {
             m_lastSkew = std::max(m_lastSkew, layoutSkew(*group.layout, m_survey.bySet(), slownessOf(seen)));
-            considerSwitch(name, group, now);
         }
     }
 }
@@ -354,26 +369,33 @@
     if (!isFree || now < group.notBefore || givesWay(now)) {
         return;
     }
+    group.isDue = false;
     const auto copies = std::min(m_options.newPerRank, static_cast<std::size_t>(std::max(m_profile.sparePlaces, 0)));
     const auto slowness = slownessOf(seen);
     const bool isShort = seen.passTime <= m_longestPause * m_options.calmPart;
     const auto evenness = isShort ? RoughEvenness : ThoroughEvenness;
-    auto layout = improveEvenly(*group.layout, m_survey.bySet(),
-                                {.places = static_cast<std::size_t>(m_profile.places),
-                                 .newPerRank = copies,
-                                 .goodSkew = evenness.goodSkew,
-                                 .leastGain = evenness.leastGain,
-                                 .slowness = slowness});
+    auto stages = improveInStages(*group.layout, m_survey.bySet(),
+                                  {.places = static_cast<std::size_t>(m_profile.places),
+                                   .newPerRank = copies,
+                                   .goodSkew = evenness.goodSkew,
+                                   .leastGain = evenness.leastGain,
+                                   .slowness = slowness},
+                                  MostStages);
     group.skewBefore = layoutSkew(*group.layout, m_survey.bySet(), slowness);
-    group.skewAfter = layoutSkew(layout, m_survey.bySet(), slowness);
-    const auto most = mostCopies(*group.layout, layout);
+    auto &stage = stages[quickestGain(stages, group.skewBefore, m_profile.expertCopy, SwitchTime)];
+    group.skewAfter = stage.skew;
+    const auto most = stage.copies;
     // While orders get lost a switch holds its group for many passes, and may have to be taken back.
     const bool isCalm = isShort || now < group.lossyUntil;
-    const bool isWorth =
-        group.skewBefore - group.skewAfter >= (isCalm ? m_options.leastGainWhenCalm : m_options.leastGain);
+    const auto copyTime = m_profile.expertCopy * static_cast<double>(most);
+    const double gain = group.skewBefore - (isCalm ? stages.back().skew : stage.skew);
+    const double price = CopySlowdown * group.skewBefore * (copyTime / m_options.demandStands);
+    const bool isWorth = gain >= std::max(isCalm ? m_options.leastGainWhenCalm : m_options.leastGain, price * 2);
     tell(isWorth ? "map-wanted" : "map-kept", name,
-         "skew " + twoDigits(group.skewBefore) + " to " + twoDigits(group.skewAfter) + " copies " + std::to_string(most)
-             + " distance " + twoDigits(m_survey.lastDistance()) + " pass-ms " + std::to_string(seen.passTime.count()));
+         "skew " + twoDigits(group.skewBefore) + " to " + twoDigits(group.skewAfter) + " then "
+             + twoDigits(stages.back().skew) + " copies " + std::to_string(most) + " of "
+             + std::to_string(stages.back().copies) + " distance " + twoDigits(m_survey.lastDistance()) + " pass-ms "
+             + std::to_string(seen.passTime.count()));
     if (!isWorth) {
         group.unevenSince.reset();
         return;
@@ -385,8 +407,7 @@
         return;
     }
     group.unevenSince.reset();
-    const auto copyTime = m_profile.expertCopy * static_cast<double>(most);
-    group.wanted = SwitchPlan{.layout = std::move(layout),
+    group.wanted = SwitchPlan{.layout = std::move(stage.layout),
                               .copyTime = std::chrono::duration_cast<milliseconds>(copyTime),
                               .passTime = seen.passTime};
     group.gatheredAt = now;
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -22,15 +22,17 @@
 {
     /** Between readings of what was chosen. Shorter follows a jump sooner; each reading is paid for and pauses its
      * group by half a millisecond a rank. */
-    std::chrono::milliseconds countPeriod{350};
+    std::chrono::milliseconds countPeriod{175};
     /** Between looks at every rank, for holds, new epochs and load. */
     std::chrono::milliseconds statusPeriod{400};
     /** How much of a pass's expert time a switch must save. */
     double leastGain = 0.06;
     /** The same while passes are short: copies are paid for, and callers would notice nothing. */
-    double leastGainWhenCalm = 0.8;
+    double leastGainWhenCalm = 0.4;
     /** Passes up to this part of the promised pause between events are short. */
     double calmPart = 0.5;
+    /** How long demand usually stands still, for weighing copies against what they save. */
+    std::chrono::milliseconds demandStands{2'000};
     /** Experts of a set that a rank may copy for one switch; fewer make the switch sooner. */
     std::size_t newPerRank = 2;
 };
@@ -116,6 +118,7 @@
         std::chrono::milliseconds recoveryPause{0}; ///< longest pause before the next try
         SteadyTime recoveryNotBefore{};
         bool isAskingExperts = false;
+        bool isDue = false; ///< demand or layout have changed since a switch was last considered
         std::unique_ptr<MapSwitch> mapSwitch{};
         std::unique_ptr<HoldRecovery> recovery{};
         std::optional<SwitchPlan> wanted{}; ///< a switch that waits for fresh statuses
@@ -138,7 +141,7 @@
     void runRecovery(const GroupName &name, Group &group, SteadyTime now);
     void readExperts(const GroupName &name, Group &group);
     void assembleLayout(const GroupName &name, const ExpertReading &reading);
-    void considerSwitches(SteadyTime now);
+    void noteDemand();
     std::vector<TargetEntry> surveyed() const;
     void considerSwitch(const GroupName &name, Group &group, SteadyTime now);
     RankSlowness slownessOf(const WatchedGroup &seen) const;
--- a/modules/heatherridge_state/groups/evenplacement.cpp
+++ b/modules/heatherridge_state/groups/evenplacement.cpp
@@ -1,6 +1,7 @@
 #include "heatherridge_state/groups/evenplacement.h"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 #include <optional>
 
@@ -13,11 +14,20 @@
 /** Ranks that a copy may go to: the lightest ones, since a copy elsewhere gains less. */
 constexpr std::size_t ReceiversLookedAt = 4;
 
+/** Copies that ranks have been given over all sets, and how many each may be given. */
+struct CopyBudget
+{
+    std::vector<std::size_t> used; ///< by rank
+    std::size_t most;
+};
+
+/** Improves the layout of one set, one move at a time. */
 class Improver
 {
 public:
-    Improver(const SetLayout &current, const SetDemand &demand, const EvenPlacementOptions &options)
-        : m_current(current)
+    Improver(const SetLayout &current, const SetDemand &demand, const EvenPlacementOptions &options, CopyBudget &budget)
+        : m_budget(budget)
+        , m_current(current)
         , m_layout(current)
         , m_demand(demand)
         , m_options(options)
@@ -33,20 +43,31 @@
         m_mean = evenTime(current.size(), demand, options.slowness);
     }
 
-    SetLayout run()
+    /** Makes the best move. @returns whether there was one that pays, within all bounds */
+    bool improve()
     {
-        for (int move = 0; move < m_options.mostMoves; ++move) {
-            const auto heaviest = heaviestRank();
-            if (m_mean <= 0 || m_loads[heaviest] <= m_options.goodSkew * m_mean) {
-                break;
-            }
-            const auto best = bestMove(heaviest);
-            if (!best) {
-                break;
-            }
-            apply(*best);
+        const auto heaviest = heaviestRank();
+        if (m_moves >= m_options.mostMoves || m_mean <= 0 || m_loads[heaviest] <= m_options.goodSkew * m_mean) {
+            return false;
         }
-        return std::move(m_layout);
+        const auto best = bestMove(heaviest);
+        if (!best) {
+            return false;
+        }
+        apply(*best);
+        ++m_moves;
+        return true;
+    }
+
+    /** What passes take for this set beyond an even share. */
+    double excess() const
+    {
+        return m_loads[heaviestRank()] - m_mean;
+    }
+
+    const SetLayout &layout() const
+    {
+        return m_layout;
     }
 
 private:
@@ -174,7 +195,7 @@
             return;
         }
         const bool isCopied = !wasThere(receiver, expert);
-        if (isCopied && m_copies[receiver] >= m_options.newPerRank) {
+        if (isCopied && (m_copies[receiver] >= m_options.newPerRank || m_budget.used[receiver] >= m_budget.most)) {
             return;
         }
         if (m_layout[receiver].size() < m_options.places) {
@@ -212,7 +233,10 @@
     {
         m_layout[rank].push_back(expert);
         m_holders[expert].push_back(rank);
-        m_copies[rank] += wasThere(rank, expert) ? 0 : 1;
+        if (!wasThere(rank, expert)) {
+            ++m_copies[rank];
+            ++m_budget.used[rank];
+        }
     }
 
     void remove(std::uint16_t expert, std::size_t rank)
@@ -221,9 +245,11 @@
         std::erase(m_holders[expert], rank);
         if (!wasThere(rank, expert)) {
             --m_copies[rank];
+            --m_budget.used[rank];
         }
     }
 
+    CopyBudget &m_budget;
     const SetLayout &m_current;
     SetLayout m_layout;
     const SetDemand &m_demand;
@@ -233,25 +259,88 @@
     std::vector<std::size_t> m_copies; ///< by rank: experts to copy
     std::vector<std::pair<std::size_t, double>> m_changes;
     std::vector<std::pair<std::size_t, double>> m_touched;
+    int m_moves = 0;
     double m_mean = 0; ///< time of each rank if all took equally long
 };
 
-} // namespace
+/** Makes moves in the sets that delay passes most until none is left within the budget. */
+void improveAll(std::vector<Improver> &sets)
+{
+    std::vector<bool> isDone(sets.size(), false);
+    for (;;) {
+        std::optional<std::size_t> worst;
+        for (std::size_t set = 0; set < sets.size(); ++set) {
+            if (!isDone[set] && (!worst || sets[set].excess() > sets[*worst].excess())) {
+                worst = set;
+            }
+        }
+        if (!worst) {
+            return;
+        }
+        isDone[*worst] = !sets[*worst].improve();
+    }
+}
 
-SetLayout improveEvenly(const SetLayout &current, const SetDemand &demand, const EvenPlacementOptions &options)
+ExpertLayout layoutOf(const std::vector<Improver> &sets)
 {
-    return Improver(current, demand, options).run();
+    ExpertLayout layout;
+    layout.reserve(sets.size());
+    for (const auto &set : sets) {
+        layout.push_back(set.layout());
+    }
+    return layout;
 }
 
-ExpertLayout improveEvenly(const ExpertLayout &current, const std::vector<SetDemand> &demand,
-                           const EvenPlacementOptions &options)
+} // namespace
+
+std::vector<LayoutStage> improveInStages(const ExpertLayout &current, const std::vector<SetDemand> &demand,
+                                         const EvenPlacementOptions &options, std::size_t mostCopies)
 {
-    ExpertLayout improved;
-    improved.reserve(current.size());
+    const auto ranks = current.empty() ? 0 : current.front().size();
+    CopyBudget budget{.used = std::vector<std::size_t>(ranks, 0), .most = 0};
+    std::vector<Improver> sets;
+    sets.reserve(current.size());
     for (std::size_t set = 0; set < current.size(); ++set) {
-        improved.push_back(improveEvenly(current[set], demand[set], options));
+        sets.emplace_back(current[set], demand[set], options, budget);
+    }
+    std::vector<LayoutStage> stages;
+    for (budget.most = 0; budget.most <= mostCopies; ++budget.most) {
+        improveAll(sets);
+        const auto copies = budget.used.empty() ? 0 : *std::max_element(budget.used.begin(), budget.used.end());
+        if (!stages.empty() && copies < budget.most) {
+            break; // no more copies are wanted
+        }
+        auto layout = layoutOf(sets);
+        const double skew = layoutSkew(layout, demand, options.slowness);
+        stages.push_back({.layout = std::move(layout), .copies = copies, .skew = skew});
+    }
+    return stages;
+}
+
+std::size_t quickestGain(const std::vector<LayoutStage> &stages, double skew, std::chrono::duration<double> perCopy,
+                         std::chrono::duration<double> perSwitch)
+{
+    std::size_t best = 0;
+    double bestRate = 0;
+    for (std::size_t index = 0; index < stages.size(); ++index) {
+        const auto time = perSwitch + perCopy * static_cast<double>(stages[index].copies);
+        const double rate = (skew - stages[index].skew) / time.count();
+        if (rate > bestRate) {
+            best = index;
+            bestRate = rate;
+        }
+    }
+    return best;
+}
+
+SetLayout improveEvenly(const SetLayout &current, const SetDemand &demand, const EvenPlacementOptions &options)
+{
+    CopyBudget budget{.used = std::vector<std::size_t>(current.size(), 0),
+                      .most = std::numeric_limits<std::size_t>::max()};
+    Improver improver(current, demand, options, budget);
+    while (improver.improve()) {
     }
-    return improved;
+    return improver.layout();
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/groups/evenplacement.h
+++ b/modules/heatherridge_state/groups/evenplacement.h
@@ -2,6 +2,8 @@
 
 #include "heatherridge_state/groups/expertlayout.h"
 
+#include <chrono>
+
 namespace Heatherridge
 {
 
@@ -41,8 +43,38 @@
  */
 SetLayout improveEvenly(const SetLayout &current, const SetDemand &demand, const EvenPlacementOptions &options);
 
-/** improveEvenly() for all sets. */
-ExpertLayout improveEvenly(const ExpertLayout &current, const std::vector<SetDemand> &demand,
-                           const EvenPlacementOptions &options);
+/** A layout that can be had, and what it takes. */
+struct LayoutStage
+{
+    ExpertLayout layout{};
+    std::size_t copies = 0; ///< experts that the rank with the most of them has to copy, over all sets
+    double skew = 1; ///< @see layoutSkew()
+};
+
+/**
+ * Layouts of all sets, each better than the one before and with one copy more for the ranks with the most.
+ *
+ * Pattern of load: ranks copy side by side, each one expert after the other, so a switch waits for the rank that has
+ * the most to copy. Improved set by set, one rank is given copies of all sets while its neighbours wait; here the set
+ * that delays passes most comes first and copies are spread over ranks.
+ *
+ * @param mostCopies of any rank; the list ends sooner when no more copies pay
+ */
+std::vector<LayoutStage> improveInStages(const ExpertLayout &current, const std::vector<SetDemand> &demand,
+                                         const EvenPlacementOptions &options, std::size_t mostCopies);
+
+/**
+ * The stage that lowers the skew most for the time until it is in use, as an index of @p stages.
+ *
+ * Pattern of load: large experts take 0.15 s each to copy. With the whole way in one switch, passes took two to three
+ * times as long for 0.9 to 1.3 s after each jump; a first switch with the copies that matter most ends the worst of it
+ * in a third of that, and the rest follows.
+ *
+ * @param skew of the layout in use
+ * @param perCopy what a rank takes to copy one expert
+ * @param perSwitch what a switch takes beside copies
+ */
+std::size_t quickestGain(const std::vector<LayoutStage> &stages, double skew, std::chrono::duration<double> perCopy,
+                         std::chrono::duration<double> perSwitch);
 
 } // namespace Heatherridge
--- a/tests/groups/evenplacement_test.cpp
+++ b/tests/groups/evenplacement_test.cpp
@@ -117,6 +117,99 @@
     EXPECT_LT(layoutSkew({to}, {demand}, slowness), 0.6 * layoutSkew({unaware}, {demand}, slowness));
 }
 
+constexpr std::size_t Sets = 6;
+
+std::vector<SetDemand> skewedSets(std::uint64_t seed)
+{
+    std::vector<SetDemand> demand;
+    for (std::uint64_t set = 0; set < Sets; ++set) {
+        demand.push_back(skewed(seed * Sets + set));
+    }
+    return demand;
+}
+
+RC_GTEST_PROP(LayoutStages, AreCompleteEachBetterThanTheOneBefore, (std::uint32_t seed, std::uint8_t most))
+{
+    const ExpertLayout from(Sets, inTurn());
+    const auto demand = skewedSets(seed);
+    const auto stages = improveInStages(from, demand, {.places = Places, .newPerRank = 2}, most % 13);
+    RC_ASSERT(!stages.empty());
+    double skew = layoutSkew(from, demand, {});
+    std::size_t copies = 0;
+    for (const auto &stage : stages) {
+        for (const auto &set : stage.layout) {
+            RC_ASSERT(isComplete(set, Experts, Places));
+        }
+        RC_ASSERT(stage.copies == mostCopies(from, stage.layout));
+        RC_ASSERT(stage.copies <= most % 13U);
+        RC_ASSERT(&stage == &stages.front() || stage.copies == copies + 1);
+        RC_ASSERT(std::abs(stage.skew - layoutSkew(stage.layout, demand, {})) < 1e-9);
+        RC_ASSERT(stage.skew <= skew + 0.05); // squares are lowered, and the skew with them but for little
+        skew = stage.skew;
+        copies = stage.copies;
+    }
+}
+
+// Experts are large, and a rank takes 0.15 s to copy one. Demand jumps; with the whole way in one switch, ranks that
+// get an expert of each set keep all streams waiting for a second, with pauses of twice what was promised. Two copies a
+// rank bring more than half of it, since ranks copy side by side.
+TEST(LayoutStages, BringMostOfTheGainWithTwoCopiesARank)
+{
+    constexpr int demands = 30;
+    double before = 0;
+    double withTwo = 0;
+    double last = 0;
+    double copies = 0;
+    for (std::uint64_t seed = 1; seed <= demands; ++seed) {
+        const ExpertLayout from(Sets, inTurn());
+        const auto demand = skewedSets(seed);
+        const auto stages = improveInStages(from, demand, {.places = Places, .newPerRank = 2}, 12);
+        ASSERT_GT(stages.size(), 3U);
+        before += layoutSkew(from, demand, {}) - 1;
+        withTwo += stages[2].skew - 1;
+        last += stages.back().skew - 1;
+        copies += static_cast<double>(stages.back().copies) / demands;
+    }
+    EXPECT_LT(withTwo - last, (before - last) / 2);
+    EXPECT_GT(copies, 5);
+}
+
+struct GainRow
+{
+    const char *story;
+    std::vector<double> skews; ///< of stages with 0, 1, 2 copies and so on
+    double skew;
+    std::chrono::milliseconds perCopy;
+    std::size_t chosen;
+};
+
+const GainRow GainRows[] = {
+    {"large experts: what a single copy gains first",
+     {2.5, 1.6, 1.3, 1.2, 1.1},
+     2.5,
+     std::chrono::milliseconds(300),
+     1},
+    {"small experts: nearly the whole way at once", {2.5, 1.9, 1.5, 1.2, 1.1}, 2.5, std::chrono::milliseconds(10), 4},
+    {"what drops alone bring, for nothing", {1.3, 1.2}, 2.5, std::chrono::milliseconds(150), 0},
+    {"nothing to gain", {1.1}, 1.1, std::chrono::milliseconds(150), 0},
+};
+
+class Gains : public testing::TestWithParam<GainRow>
+{
+};
+
+TEST_P(Gains, AreWeighedByTheTimeUntilTheyShow)
+{
+    const auto &row = GetParam();
+    std::vector<LayoutStage> stages;
+    for (std::size_t copies = 0; copies < row.skews.size(); ++copies) {
+        stages.push_back({.copies = copies, .skew = row.skews[copies]});
+    }
+    EXPECT_EQ(quickestGain(stages, row.skew, row.perCopy, std::chrono::milliseconds(150)), row.chosen) << row.story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Gains, testing::ValuesIn(GainRows));
+
 TEST(EvenPlacement, LeavesAnEvenLayoutAlone)
 {
     const SetDemand even(Experts, 1.0);
