Count prompts in what a pass takes; tell callers at once when the line moves too slowly

Cause: after a loss of power every entry filled a group by itself, since none sees what the others send before the first statuses; the group then had four times what it carries, and what its passes were like (150 ms, most of it prompts) kept it half empty for 5 s after. Late streams waited for their whole 1.5 s and were refused then. Ruled out: maps (even 0.5 s after the start), batches (half empty). Change: prompts that are read count beside requests in what a pass is expected to take; entries of a group that has just opened take the others to send as much as themselves, and forget the start when it is over; GroupAdmission holds this apart from the sockets. StreamLine tells how long a stream would wait by how quickly those like it have left, and what would wait too long is refused at once.

--- /dev/null
+++ b/modules/heatherridge_state/decisions/groupadmission.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/decisions/engineplacement.h"
+#include "heatherridge_state/decisions/passbudget.h"
+
+#include <chrono>
+#include <deque>
+
+namespace Heatherridge
+{
+
+/** What is believed of a group's engines when a stream is placed. */
+struct GroupWork
+{
+    std::chrono::milliseconds reportedPass{}; ///< as the engines' statuses say
+    double requests = 0; ///< of all entries, at all its engines
+    int own = 0; ///< of them, requests of this entry
+    std::size_t engines = 0;
+    double slots = 0; ///< of all its engines
+    bool isStalled = false; ///< one of its engines has open streams and says nothing
+    bool hasSlowRank = false;
+};
+
+/**
+ * How much of one expert group's room one entry may use.
+ *
+ * Puts together what PassStretch, requestsOnTime() and streamsPerPass() say with what only the entry knows: the pauses
+ * of its own streams, which are the passes of the group; what it has sent that no status shows yet; and whether the
+ * group has just opened. In its first seconds a group works with a map that fits nothing and reads all that has waited,
+ * and no entry knows what the others send: each takes them to send as much as itself, and what passes were like is
+ * forgotten when the start is over. Without that a group was kept half empty for 5 s after each loss of power. One
+ * thread.
+ */
+class GroupAdmission
+{
+public:
+    /** Pauses tell of passes for so long; without one, statuses do. */
+    static constexpr std::chrono::milliseconds PauseMemory{400};
+    /** A longer pause is a group that stands still, not one of its passes. */
+    static constexpr std::chrono::milliseconds LongestPass{300};
+
+    /** The group works, or does not. */
+    void setOpen(bool isOpen, SteadyTime now);
+
+    /** Whether the group has just opened. */
+    bool isStarting() const;
+
+    /** This entry sends the group a stream. */
+    void sent(SteadyTime now);
+
+    /** A stream of this entry had @p pause between two events. */
+    void recordPause(std::chrono::milliseconds pause, SteadyTime now);
+
+    /**
+     * The group as it is when a stream is placed.
+     * @param share of this entry in all work, over 0 up to 1
+     */
+    EngineGroup view(const GroupWork &work, const PassBudgetRules &rules, double share, SteadyTime now);
+
+private:
+    int sentWithin(SteadyTime after, SteadyTime until) const;
+
+    PassStretch m_stretch;
+    PassBudgetRules m_rules;
+    GroupWork m_work; ///< when a stream was last placed
+    double m_share = 1; ///< then
+    std::deque<SteadyTime> m_sent; ///< when streams were sent, of late
+    SteadyTime m_openSince{};
+    bool m_isStarting = false;
+    bool m_isOpen = false;
+};
+
+} // namespace Heatherridge
--- a/modules/heatherridge_state/decisions/passbudget.cpp
+++ b/modules/heatherridge_state/decisions/passbudget.cpp
@@ -8,15 +8,20 @@
 namespace Heatherridge
 {
 
-PassBudgetRules::Milliseconds PassBudgetRules::bestPass(double requestsPerEngine) const
+PassBudgetRules::Milliseconds PassBudgetRules::bestPass(double requestsPerEngine, double promptsPerEngine) const
 {
-    return base + perRequest * requestsPerEngine;
+    return base + perRequest * requestsPerEngine + promptTime * promptsPerEngine;
 }
 
-void PassStretch::record(std::chrono::duration<double, std::milli> pass, double requestsPerEngine,
+PassBudgetRules::Milliseconds PassBudgetRules::wholeRequest() const
+{
+    return perRequest + promptTime / std::max(passesPerStream, 1.0);
+}
+
+void PassStretch::record(std::chrono::duration<double, std::milli> pass, const PassWork &work,
                          const PassBudgetRules &rules, bool isTypical, SteadyTime now)
 {
-    const auto best = rules.bestPass(requestsPerEngine);
+    const auto best = rules.bestPass(work.requests, work.prompts);
     if (best.count() <= 0) {
         return;
     }
@@ -68,10 +73,11 @@
 {
     const auto count = static_cast<double>(engines);
     const auto left = rules.longestPass / std::max(stretch, 1.0) - rules.base;
-    if (rules.perRequest.count() <= 0) {
+    const auto perRequest = rules.wholeRequest();
+    if (perRequest.count() <= 0) {
         return left.count() > 0 ? std::numeric_limits<double>::max() : 0;
     }
-    return std::max(0.0, left / rules.perRequest * count);
+    return std::max(0.0, left / perRequest * count);
 }
 
 bool isBeyondHelp(double stretch, const PassBudgetRules &rules)
@@ -85,7 +91,8 @@
         return 0;
     }
     // A prompt that is read weighs as much in a pass as so many requests that are written.
-    const double weight = rules.perRequest.count() > 0 ? std::max(1.0, rules.promptTime / rules.perRequest) : 1;
+    const auto perRequest = rules.wholeRequest();
+    const double weight = perRequest.count() > 0 ? std::max(1.0, rules.promptTime / perRequest) : 1;
     return std::max(1, static_cast<int>(std::min(room, 1e6) * share / weight));
 }
 
--- a/modules/heatherridge_state/decisions/passbudget.h
+++ b/modules/heatherridge_state/decisions/passbudget.h
@@ -16,11 +16,22 @@
 
     Milliseconds base{}; ///< a pass without any request
     Milliseconds perRequest{}; ///< what one writing request adds to a pass of its own engine
-    Milliseconds promptTime{}; ///< to read a usual prompt
+    Milliseconds promptTime{}; ///< to read a usual prompt at one engine
+    double passesPerStream = 1; ///< that a usual answer takes
     Milliseconds longestPass{}; ///< passes up to this keep the promised pauses
 
-    /** A pass of engines with so many requests each, all at their best and nothing to read. */
-    Milliseconds bestPass(double requestsPerEngine) const;
+    /** A pass of engines with so many requests each, and so many prompts to read, all at their best. */
+    Milliseconds bestPass(double requestsPerEngine, double promptsPerEngine) const;
+
+    /** What a request takes of a pass on average, its prompt included. */
+    Milliseconds wholeRequest() const;
+};
+
+/** What the engines of a group do in a pass, each on average. */
+struct PassWork
+{
+    double requests = 0; ///< that are there
+    double prompts = 0; ///< that are read
 };
 
 /**
@@ -42,11 +53,11 @@
     static constexpr std::size_t Window = 8;
 
     /**
-     * A pass took @p pass with @p requestsPerEngine at the group's engines.
+     * A pass took @p pass for @p work. Prompts count, or a group that has just read many would seem to have a bad map.
      * @param isTypical false while the group has a slow rank: it is not so again and again, and a group that was kept
      *        empty for 5 s after its work had been taken off the slow rank left the others too full
      */
-    void record(std::chrono::duration<double, std::milli> pass, double requestsPerEngine, const PassBudgetRules &rules,
+    void record(std::chrono::duration<double, std::milli> pass, const PassWork &work, const PassBudgetRules &rules,
                 bool isTypical, SteadyTime now);
 
     /** What passes seldom exceed at present: the longest but one of the last few. 1 before any. */
--- a/modules/heatherridge_state/decisions/streamline.cpp
+++ b/modules/heatherridge_state/decisions/streamline.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 namespace Heatherridge
 {
@@ -25,8 +26,12 @@
 
 } // namespace
 
-void StreamLine::put(const WaitingStream &stream)
+void StreamLine::put(const WaitingStream &stream, SteadyTime now)
 {
+    const auto kind = kindOf(stream, now);
+    if (waiting(kind, now) == 0) {
+        m_paces[kind].since = now;
+    }
     m_streams.insert_or_assign(stream.number, stream);
 }
 
@@ -35,6 +40,40 @@
     m_streams.erase(number);
 }
 
+void StreamLine::admit(std::uint64_t number, SteadyTime now)
+{
+    const auto found = m_streams.find(number);
+    if (found == m_streams.end()) {
+        return;
+    }
+    auto &pace = m_paces[kindOf(found->second, now)];
+    pace.interval.record(now - std::exchange(pace.since, now));
+    m_streams.erase(found);
+}
+
+std::chrono::milliseconds StreamLine::expectedWait(const WaitingStream &stream, SteadyTime now) const
+{
+    const auto kind = kindOf(stream, now);
+    const auto pace = m_paces.find(kind);
+    const auto interval = pace == m_paces.end() ? std::nullopt : pace->second.interval.mean();
+    const auto ahead = waiting(kind, now);
+    if (!interval || ahead == 0) {
+        return std::chrono::milliseconds(0);
+    }
+    return std::chrono::duration_cast<std::chrono::milliseconds>(*interval * static_cast<double>(ahead));
+}
+
+StreamLine::Kind StreamLine::kindOf(const WaitingStream &stream, SteadyTime now)
+{
+    return {.service = stream.service, .isLate = rankOf(stream, now) == Rank::Late};
+}
+
+std::ptrdiff_t StreamLine::waiting(const Kind &kind, SteadyTime now) const
+{
+    return std::count_if(m_streams.begin(), m_streams.end(),
+                         [&](const auto &entry) { return kindOf(entry.second, now) == kind; });
+}
+
 bool StreamLine::isEmpty() const
 {
     return m_streams.empty();
--- a/modules/heatherridge_state/decisions/streamline.h
+++ b/modules/heatherridge_state/decisions/streamline.h
@@ -2,7 +2,9 @@
 
 #include "heatherridge_state/base/clock.h"
 #include "heatherridge_state/base/ids.h"
+#include "heatherridge_state/decisions/runningestimate.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -31,14 +33,23 @@
 class StreamLine
 {
 public:
-    /** @p stream begins to wait, or goes on with other facts. */
-    void put(const WaitingStream &stream);
+    /** @p stream begins to wait at @p now, or goes on with other facts. */
+    void put(const WaitingStream &stream, SteadyTime now);
 
     /** The stream @p number waits no longer. */
     void remove(std::uint64_t number);
 
     bool isEmpty() const;
 
+    /** The stream @p number has got room at @p now, and waits no longer. */
+    void admit(std::uint64_t number, SteadyTime now);
+
+    /**
+     * How long a stream like @p stream, and behind those that wait, would wait from @p now on. Zero while nothing like
+     * it waits or none has got room yet.
+     */
+    std::chrono::milliseconds expectedWait(const WaitingStream &stream, SteadyTime now) const;
+
     /** Whether a stream of @p service waits that can be on time at @p now. */
     bool hasTimely(const ServiceName &service, SteadyTime now) const;
 
@@ -46,7 +57,27 @@
     std::vector<WaitingStream> order(SteadyTime now) const;
 
 private:
+    /** Streams that compete for the same room. */
+    struct Kind
+    {
+        ServiceName service{};
+        bool isLate = false;
+
+        auto operator<=>(const Kind &) const = default;
+    };
+
+    /** How quickly streams of one kind get room while some wait. */
+    struct Pace
+    {
+        RunningEstimate interval{};
+        SteadyTime since{}; ///< the last one got room, or the first began to wait
+    };
+
+    static Kind kindOf(const WaitingStream &stream, SteadyTime now);
+    std::ptrdiff_t waiting(const Kind &kind, SteadyTime now) const;
+
     std::map<std::uint64_t, WaitingStream> m_streams;
+    std::map<Kind, Pace> m_paces;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/routing/routingconfig.h
+++ b/modules/heatherridge_state/routing/routingconfig.h
@@ -50,6 +50,7 @@
     std::chrono::duration<double, std::milli> stepPerRequest{}; ///< what each writing request adds to a step
     int stepsPerPass = 1; ///< token steps of a pass in which something is written
     std::chrono::duration<double, std::milli> promptTime{}; ///< to read a usual prompt, alone and with an even map
+    double usualAnswer = 0; ///< tokens
     int layerSets = 0; ///< sets of layers that share one placement of experts; 0: no expert groups
     int experts = 0; ///< in each set
     int places = 0; ///< experts that fit on one rank, in each set
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -89,7 +89,6 @@
 void GatewayCall::attempt()
 {
     m_isWaiting = false;
-    m_traffic.leaveLine(m_number);
     const auto choice = m_traffic.m_targets.choose(m_service, m_tried, urgency(), now(), m_traffic.m_random);
     // An attempt that never left puts no load on anybody: what follows it is the first.
     const bool isRepeat = m_arrivals > 0;
@@ -134,12 +133,19 @@
     if (!m_waitsUntil) {
         m_waitsUntil = now() + placementWait(m_route.kind, timeLeft(), m_route.objective);
     }
+    const WaitingStream stream{
+        .number = m_number, .service = m_service, .isBegun = urgency() == Urgency::Begun, .onTimeUntil = onTimeUntil()};
+    // Asked when it joins and when it falls behind the timely ones: at other times it has moved up.
+    const bool isLate = stream.onTimeUntil < now();
+    const bool isBehind = !stream.isBegun && m_isLateInLine != isLate;
+    const auto wait = isBehind ? m_traffic.m_line.expectedWait(stream, now()) : milliseconds(0);
+    if (now() + wait > *m_waitsUntil) {
+        fail({.kind = ErrorKind::Overloaded, .detail = "the line is too long", .retryAfter = wait});
+        return;
+    }
+    m_isLateInLine = isLate;
     m_isWaiting = true;
-    m_traffic.enterLine(shared_from_this(),
-                        {.number = m_number,
-                         .service = m_service,
-                         .isBegun = urgency() == Urgency::Begun,
-                         .onTimeUntil = onTimeUntil()});
+    m_traffic.enterLine(shared_from_this(), stream);
 }
 
 void GatewayCall::awaitTarget(Error error)
@@ -179,6 +185,7 @@
     m_passAtSend = target.engine ? target.engine->passTime : milliseconds(0);
     m_group = target.engine ? target.engine->group : GroupName();
     m_waited = age();
+    m_traffic.admitted(m_number, m_sentAt);
     m_traffic.m_targets.sentTo(m_group, m_sentAt);
     target.load.sent();
     ++target.sentSinceReport;
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -90,6 +90,7 @@
     bool m_isDone = false;
     std::optional<SteadyTime> m_waitsUntil; ///< since it first found no target
     bool m_isWaiting = false;
+    std::optional<bool> m_isLateInLine; ///< it waits among late streams; nothing before it waits
 
     std::shared_ptr<TargetConnection> m_connection; ///< of the present attempt
     TargetName m_target;
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -16,11 +16,6 @@
 /** Part of the promised pause between events that a pass may take; the rest is for the ways between engine and caller.
  */
 constexpr double UsedPartOfPause = 0.9;
-/** Pauses of streams tell of the passes of a group for so long; then the keepers' statuses do. */
-constexpr std::chrono::milliseconds PauseMemory{400};
-/** A longer pause is a group that stands still, not one of its passes. */
-constexpr std::chrono::milliseconds LongestPass{300};
-
 } // namespace
 
 GatewayTargets::GatewayTargets(ZoneName zone)
@@ -103,30 +98,18 @@
                                                     const PassBudgetRules &rules, Urgency urgency, SteadyTime now,
                                                     RandomSource &random)
 {
-    struct Seen
-    {
-        GroupName name;
-        std::chrono::milliseconds pass; ///< as the engines' statuses say
-        double requests = 0;
-        std::size_t engines = 0;
-        double slots = 0;
-        bool isStalled = false;
-        bool hasSlowRank = false;
-    };
     std::vector<EngineCandidate> engines;
-    std::vector<Seen> seen;
+    std::vector<GroupName> names;
+    std::vector<GroupWork> work;
     std::map<GroupName, std::size_t> indices;
     for (std::size_t index = 0; index < targets.size(); ++index) {
         const auto &view = *targets[index]->engine;
-        const auto group = indices.try_emplace(view.group, seen.size()).first->second;
-        if (group == seen.size()) {
-            seen.push_back({.name = view.group, .pass = view.passTime});
+        const auto group = indices.try_emplace(view.group, work.size()).first->second;
+        if (group == work.size()) {
+            names.push_back(view.group);
+            work.push_back({.reportedPass = view.passTime});
         }
-        ++seen[group].engines;
-        seen[group].requests += candidates[index].load;
-        seen[group].slots += candidates[index].slots;
-        seen[group].hasSlowRank = seen[group].hasSlowRank || view.pace >= SlowPace;
-        seen[group].isStalled = seen[group].isStalled || isStalled(*targets[index], now);
+        addTo(work[group], *targets[index], candidates[index].load, now);
         engines.push_back({.target = candidates[index],
                            .group = group,
                            .isOpen = view.isOpen,
@@ -134,69 +117,49 @@
                            .pace = view.pace});
     }
     std::vector<EngineGroup> groups;
-    for (const auto &one : seen) {
-        auto &group = m_groups[one.name];
-        group.rules = rules;
-        if (group.isStarting && now - group.openSince >= SlowStart) {
-            group.isStarting = false;
-            group.stretch = {};
-        }
-        group.isTypical = !one.hasSlowRank;
-        group.requestsPerEngine = one.requests / static_cast<double>(one.engines);
-        if (now - group.stretch.recordedAt() > PauseMemory) {
-            group.stretch.record(one.pass, group.requestsPerEngine, rules, group.isTypical, now);
-        }
-        groups.push_back(groupView(group, one.requests, one.engines, one.slots, now));
-        groups.back().isStalled = one.isStalled;
+    for (std::size_t group = 0; group < work.size(); ++group) {
+        groups.push_back(m_groups[names[group]].view(work[group], rules, m_part, now));
     }
     const auto choice = placeStream(engines, groups, urgency, random);
     return {.target = choice.index ? targets[*choice.index] : nullptr, .isFull = choice.isFull};
 }
 
-EngineGroup GatewayTargets::groupView(GatewayGroup &group, double requests, std::size_t engines, double slots,
-                                      SteadyTime now) const
+void GatewayTargets::addTo(GroupWork &work, const GatewayTarget &target, double load, SteadyTime now)
 {
-    const double stretch = group.stretch.present();
-    const auto pass = group.rules.bestPass(group.requestsPerEngine) * stretch;
-    while (!group.sent.empty() && now - group.sent.front() > pass) {
-        group.sent.pop_front();
-    }
-    // A group that has just opened works with a map that fits nothing and reads all that has waited: that passes soon.
-    const double room =
-        requestsOnTime(group.isStarting ? stretch : group.stretch.usual(), engines, group.rules) - requests;
-    return {.hasRoom = static_cast<int>(group.sent.size()) < streamsPerPass(room, group.rules, m_part),
-            .room = std::min(room, slots - requests),
-            .isBeyondHelp = Heatherridge::isBeyondHelp(stretch, group.rules)};
+    ++work.engines;
+    work.requests += load;
+    work.own += target.load.own();
+    work.slots += target.entry.slots;
+    work.hasSlowRank = work.hasSlowRank || target.engine->pace >= SlowPace;
+    work.isStalled = work.isStalled || isStalled(target, now);
 }
 
 void GatewayTargets::sentTo(const GroupName &group, SteadyTime now)
 {
     if (!group.isEmpty()) {
-        m_groups[group].sent.push_back(now);
+        m_groups[group].sent(now);
     }
 }
 
-void GatewayTargets::recordPause(const GroupName &name, std::chrono::milliseconds pause, SteadyTime now)
+void GatewayTargets::recordPause(const GroupName &group, std::chrono::milliseconds pause, SteadyTime now)
 {
-    // All streams of a group have an event in each pass; one sample a pass is enough.
-    auto &group = m_groups[name];
-    if (name.isEmpty() || now - group.stretch.recordedAt() < pause / 2) {
-        return;
+    if (!group.isEmpty()) {
+        m_groups[group].recordPause(pause, now);
     }
-    group.stretch.record(std::min(pause, LongestPass), group.requestsPerEngine, group.rules, group.isTypical, now);
 }
 
 bool GatewayTargets::hasUsedItsRoom(const GatewayTarget &target) const
 {
     const auto found = m_groups.find(target.engine->group);
-    const bool isStarting = found != m_groups.end() && found->second.isOpen && found->second.isStarting;
     const int reported = target.engine->running + target.engine->waiting;
-    return isStarting && target.sentSinceReport >= startRoom(target.entry.slots, reported, m_part);
+    return found != m_groups.end() && found->second.isStarting()
+        && target.sentSinceReport >= startRoom(target.entry.slots, reported, m_part);
 }
 
 void GatewayTargets::setPart(double part)
 {
-    m_part = part;
+    // Without a share this process has lost the log for a while; the last one says better how many others there are.
+    m_part = part > 0 ? part : m_part;
 }
 
 void GatewayTargets::refused(const TargetName &id, SteadyTime now)
@@ -218,6 +181,7 @@
                               PassBudgetRules{.base = engine.step * engine.stepsPerPass,
                                               .perRequest = engine.stepPerRequest * engine.stepsPerPass,
                                               .promptTime = engine.promptTime,
+                                              .passesPerStream = engine.usualAnswer / std::max(engine.stepsPerPass, 1),
                                               .longestPass = longestPauseOf(config, service.name) * UsedPartOfPause});
     }
 }
@@ -225,11 +189,7 @@
 void GatewayTargets::setEngines(const std::vector<EngineView> &engines)
 {
     for (const auto &engine : engines) {
-        auto &group = m_groups[engine.group];
-        if (engine.isOpen && !group.isOpen) {
-            group = {.openSince = engine.at, .isStarting = true}; // its passes are others than before
-        }
-        group.isOpen = engine.isOpen;
+        m_groups[engine.group].setOpen(engine.isOpen, engine.at);
         auto *target = find(engine.target);
         if (target == nullptr) {
             continue;
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -2,12 +2,11 @@
 
 #include "heatherridge_coordination/groups/groupkeeper.h"
 #include "heatherridge_state/decisions/engineplacement.h"
+#include "heatherridge_state/decisions/groupadmission.h"
 #include "heatherridge_state/decisions/loadestimate.h"
-#include "heatherridge_state/decisions/passbudget.h"
 #include "heatherridge_state/routing/targetentry.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 
-#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -26,19 +25,6 @@
     SteadyTime refusedUntil{}; ///< it has refused a request; nothing is sent before
 };
 
-/** What one gateway sees of an expert group. */
-struct GatewayGroup
-{
-    PassStretch stretch{}; ///< of its passes, from the pauses of its own streams there
-    PassBudgetRules rules{};
-    double requestsPerEngine = 0; ///< when a stream was last placed
-    bool isTypical = true; ///< no engine of it is slow
-    std::deque<SteadyTime> sent{}; ///< streams of this gateway within the last pass
-    SteadyTime openSince{};
-    bool isStarting = false; ///< it has opened less than SlowStart ago
-    bool isOpen = false;
-};
-
 /**
  * The targets of a gateway with load and health. On the traffic thread alone.
  *
@@ -98,8 +84,7 @@
 
 private:
     bool hasUsedItsRoom(const GatewayTarget &target) const;
-    EngineGroup groupView(GatewayGroup &group, double requests, std::size_t engines, double slots,
-                          SteadyTime now) const;
+    static void addTo(GroupWork &work, const GatewayTarget &target, double load, SteadyTime now);
     bool isUsable(const GatewayTarget &target, const ServiceName &service) const;
     DirectCandidate candidateOf(const GatewayTarget &target, const HealthTracker &health,
                                 const std::set<TargetName> &tried, SteadyTime now) const;
@@ -108,7 +93,7 @@
 
     ZoneName m_zone;
     double m_part = 0.25; ///< of the room that engines report, until the share of the work is known: four gateways
-    std::map<GroupName, GatewayGroup> m_groups;
+    std::map<GroupName, GroupAdmission> m_groups;
     std::map<TargetName, GatewayTarget> m_targets;
     std::set<TargetName> m_gone; ///< left the register, with requests open
     std::map<ServiceName, HealthTracker> m_health;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -138,7 +138,7 @@
 
 void GatewayTraffic::enterLine(const std::shared_ptr<GatewayCall> &call, const WaitingStream &stream)
 {
-    m_line.put(stream);
+    m_line.put(stream, std::chrono::steady_clock::now());
     m_waiting.insert_or_assign(stream.number, call);
     armLine();
 }
@@ -149,6 +149,12 @@
     m_waiting.erase(number);
 }
 
+void GatewayTraffic::admitted(std::uint64_t number, SteadyTime now)
+{
+    m_line.admit(number, now);
+    m_waiting.erase(number);
+}
+
 void GatewayTraffic::armLine()
 {
     if (m_isLineArmed || m_line.isEmpty()) {
@@ -180,7 +186,8 @@
             continue;
         }
         call->tryAgain();
-        if (!stream.isBegun && m_waiting.contains(stream.number)) {
+        const bool isStillWaiting = m_waiting.contains(stream.number);
+        if (!stream.isBegun && isStillWaiting) {
             full.insert(stream.service);
         }
     }
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -96,6 +96,7 @@
     FleetRetryBudget &budgetOf(const ServiceName &service);
     RunningEstimate &firstEventsOf(const ServiceName &service);
     void enterLine(const std::shared_ptr<GatewayCall> &call, const WaitingStream &stream);
+    void admitted(std::uint64_t number, SteadyTime now);
     void leaveLine(std::uint64_t number);
     void armLine();
     void advanceLine();
--- /dev/null
+++ b/tests/decisions/groupadmission_test.cpp
@@ -0,0 +1,129 @@
+#include "heatherridge_state/decisions/groupadmission.h"
+#include "heatherridge_state/decisions/slowstart.h"
+
+#include <gtest/gtest.h>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const SteadyTime Start(1h);
+constexpr double Share = 0.25;
+constexpr std::size_t Engines = 8;
+
+const PassBudgetRules Rules{
+    .base = 18.2ms, .perRequest = 3.62ms, .promptTime = 13.6ms, .passesPerStream = 24, .longestPass = 108ms};
+
+GroupWork workOf(double requestsPerEngine)
+{
+    return {.reportedPass = 40ms, .requests = requestsPerEngine * Engines, .engines = Engines, .slots = 12 * Engines};
+}
+
+/** A group that has been open for long. */
+GroupAdmission established()
+{
+    GroupAdmission group;
+    group.setOpen(true, Start - 1h);
+    group.view(workOf(1), Rules, Share, Start - 1min);
+    return group;
+}
+
+struct ViewRow
+{
+    const char *story;
+    std::chrono::milliseconds pause; ///< of all passes of the last seconds, with four requests an engine
+    double requestsPerEngine; ///< now
+    bool hasRoom;
+    bool isBeyondHelp;
+};
+
+const ViewRow ViewRows[] = {
+    {"short passes, some requests", 45ms, 6, true, false},
+    {"short passes, as many as are on time", 45ms, 15, false, false},
+    {"long passes, some requests", 90ms, 6, false, false},
+    {"long passes, few requests", 90ms, 3, true, false},
+    {"passes that keep no promise with a single request", 290ms, 1, false, true},
+};
+
+class Views : public testing::TestWithParam<ViewRow>
+{
+};
+
+TEST_P(Views, FollowFromPauses)
+{
+    const auto &row = GetParam();
+    auto group = established();
+    auto now = Start;
+    for (int pass = 0; pass < 20; ++pass) {
+        group.view(workOf(4), Rules, Share, now);
+        now += row.pause;
+        group.recordPause(row.pause, now);
+    }
+    const auto view = group.view(workOf(row.requestsPerEngine), Rules, Share, now);
+    EXPECT_EQ(view.hasRoom, row.hasRoom) << row.story;
+    EXPECT_EQ(view.isBeyondHelp, row.isBeyondHelp) << row.story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Views, testing::ValuesIn(ViewRows));
+
+// Four entries hold streams when a group opens, and none sees what the others send. Each filled the group by itself:
+// it had four times as much as it can carry, and all of it was late for two seconds.
+TEST(GroupAdmission, OfFourEntriesFillsAStartingGroupOnce)
+{
+    GroupAdmission group;
+    group.setOpen(true, Start);
+    int sent = 0;
+    for (auto now = Start; now < Start + 500ms; now += 20ms) {
+        auto work = workOf(0);
+        work.requests = sent; // no status yet
+        work.own = sent;
+        while (group.view(work, Rules, Share, now).hasRoom) {
+            group.sent(now);
+            work.own = ++sent;
+            work.requests = sent;
+        }
+    }
+    const double most = requestsOnTime(1, Engines, Rules);
+    EXPECT_TRUE(group.isStarting());
+    EXPECT_LE(sent, most * Share);
+    EXPECT_GT(sent, most * Share / 4);
+}
+
+// All engines lose power. When they are back they read all that has waited with a map that fits nothing, in passes of
+// 150 ms; half a second later passes are short. The group was kept half empty for five seconds for these first passes.
+TEST(GroupAdmission, ForgetsHowTheGroupStarted)
+{
+    GroupAdmission group;
+    group.setOpen(true, Start);
+    auto now = Start;
+    for (int pass = 0; pass < 5; ++pass) {
+        group.view(workOf(4), Rules, Share, now);
+        now += 150ms;
+        group.recordPause(150ms, now);
+    }
+    EXPECT_FALSE(group.view(workOf(4), Rules, Share, now).hasRoom);
+    while (now < Start + SlowStart + 500ms) {
+        now += 45ms;
+        group.recordPause(45ms, now);
+        group.view(workOf(4), Rules, Share, now);
+    }
+    EXPECT_FALSE(group.isStarting());
+    EXPECT_TRUE(group.view(workOf(8), Rules, Share, now).hasRoom);
+}
+
+TEST(GroupAdmission, SendsNoMoreThanItsShareWithinAPass)
+{
+    auto group = established();
+    int sent = 0;
+    while (group.view(workOf(1), Rules, Share, Start).hasRoom) {
+        group.sent(Start);
+        ++sent;
+        ASSERT_LT(sent, 100);
+    }
+    EXPECT_GE(sent, 1);
+    EXPECT_TRUE(group.view(workOf(1), Rules, Share, Start + GroupAdmission::LongestPass).hasRoom);
+}
+
+} // namespace
