Drop the spread of RunningEstimate, which nothing asks for

Cause: passes are judged by PassStretch since its first trials; high() and the deviation behind it were left over and called by nothing. Only the mean, for first events and the line, is used.

--- a/modules/heatherridge_state/decisions/runningestimate.cpp
+++ b/modules/heatherridge_state/decisions/runningestimate.cpp
@@ -9,9 +9,7 @@
         m_mean = sample;
         return;
     }
-    const auto distance = sample - *m_mean;
-    *m_mean += distance * Gain;
-    m_deviation += (std::chrono::abs(distance) - m_deviation) * Gain;
+    *m_mean += (sample - *m_mean) * Gain;
 }
 
 std::optional<RunningEstimate::Milliseconds> RunningEstimate::mean() const
@@ -19,9 +17,4 @@
     return m_mean;
 }
 
-std::optional<RunningEstimate::Milliseconds> RunningEstimate::high() const
-{
-    return m_mean ? std::optional(*m_mean + m_deviation * HighDeviations) : std::nullopt;
-}
-
 } // namespace Heatherridge
--- a/modules/heatherridge_state/decisions/runningestimate.h
+++ b/modules/heatherridge_state/decisions/runningestimate.h
@@ -17,10 +17,8 @@
 public:
     using Milliseconds = std::chrono::duration<double, std::milli>;
 
-    /** Part of a new sample in the estimates: the last four have two thirds of the weight. */
+    /** Part of a new sample in the mean: the last four have two thirds of the weight. */
     static constexpr double Gain = 0.25;
-    /** Deviations above the mean that high() adds: one sample in some twenty is above it. */
-    static constexpr double HighDeviations = 2;
 
     /** Takes a sample. */
     void record(Milliseconds sample);
@@ -28,12 +26,8 @@
     /** The mean of late; nothing before the first sample. */
     std::optional<Milliseconds> mean() const;
 
-    /** What samples seldom exceed; nothing before the first sample. */
-    std::optional<Milliseconds> high() const;
-
 private:
     std::optional<Milliseconds> m_mean;
-    Milliseconds m_deviation{0}; ///< mean distance from the mean
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -16,6 +16,7 @@
 /** Part of the promised pause between events that a pass may take; the rest is for the ways between engine and caller.
  */
 constexpr double UsedPartOfPause = 0.9;
+
 } // namespace
 
 GatewayTargets::GatewayTargets(ZoneName zone)
