Let go of a socket as soon as libcurl does: calls hung and processes ended

Cause: a WatchedSocket lived on in ready() while libcurl, in one step, closed its socket and opened another with the same number. Ruled out: a call begun while another's answer waits in its socket, tried as a test first: libcurl begins it on a connection of its own. Change: the descriptor is released when libcurl says so, not when the last holder is gone. The number of idle connections that a client keeps can now follow what it talks to.

--- a/modules/heatherridge_transport/http/httpclient.cpp
+++ b/modules/heatherridge_transport/http/httpclient.cpp
@@ -185,6 +185,14 @@
         return m_transfers.size();
     }
 
+    void setKeptConnections(long keptConnections)
+    {
+        if (keptConnections != m_options.keptConnections) {
+            m_options.keptConnections = keptConnections;
+            curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, keptConnections);
+        }
+    }
+
 private:
     void configure(Transfer &transfer)
     {
@@ -262,7 +270,10 @@
 
         ~WatchedSocket()
         {
-            descriptor.release(); // libcurl owns the socket and closes it
+            // libcurl owns the socket and closes it
+            if (descriptor.is_open()) {
+                descriptor.release();
+            }
         }
 
         WatchedSocket(const WatchedSocket &) = delete;
@@ -278,7 +289,7 @@
     void watch(curl_socket_t socket, int what)
     {
         if (what == CURL_POLL_REMOVE) {
-            m_sockets.erase(socket);
+            stopWatching(socket);
             return;
         }
         auto &watched = m_sockets[socket];
@@ -290,6 +301,17 @@
         arm(socket, watched);
     }
 
+    /** Lets go of @p socket at once, though ready() may still hold what watched it: libcurl may take the same socket
+     * for another call before ready() has returned, and the loop refuses a second watcher by an exception. */
+    void stopWatching(curl_socket_t socket)
+    {
+        const auto entry = m_sockets.find(socket);
+        if (entry != m_sockets.end()) {
+            entry->second->descriptor.release();
+            m_sockets.erase(entry);
+        }
+    }
+
     void arm(curl_socket_t socket, const std::shared_ptr<WatchedSocket> &watched)
     {
         if (watched->wantRead && !watched->readPending) {
@@ -466,4 +488,9 @@
     return m_implementation->running();
 }
 
+void HttpClient::setKeptConnections(long keptConnections)
+{
+    m_implementation->setKeptConnections(keptConnections);
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/http/httpclient.h
+++ b/modules/heatherridge_transport/http/httpclient.h
@@ -92,6 +92,9 @@
     /** How many calls are running. */
     std::size_t running() const;
 
+    /** Idle connections that are kept from now on. @see Options::keptConnections */
+    void setKeptConnections(long keptConnections);
+
 private:
     class Implementation;
     std::shared_ptr<Implementation> m_implementation;
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -5,6 +5,8 @@
 #include <asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
+
 using namespace Heatherridge;
 
 namespace
@@ -126,4 +128,33 @@
     EXPECT_FALSE(mayHaveArrived);
 }
 
+// Calls to engines get no answer until their time is over, or a gateway ends by itself, "assign: File exists", and cuts
+// the streams of all its callers. A server closes a kept connection as the next request arrives on it: libcurl closes
+// the socket, opens another for the repeat and gets the same number, all in one step, while the loop still watches that
+// number for the closed one.
+TEST(HttpClient, ASocketMayGetTheNumberOfTheOneThatWasJustClosed)
+{
+    std::atomic<bool> hangsUp{false};
+    HttpServer server({.listen = {.address = "127.0.0.1"}}, [&hangsUp](const std::shared_ptr<HttpExchange> &exchange) {
+        hangsUp.exchange(false) ? exchange->abort() : exchange->respond({.status = 200});
+    });
+    const auto bound = std::get<Endpoint>(server.start());
+    asio::io_context loop;
+    HttpClient client(loop, {});
+    constexpr int calls = 10;
+    int answered = 0;
+    for (int call = 0; call < calls; ++call) {
+        hangsUp = call > 0;
+        client.send(
+            {.endpoint = bound, .request = {.method = "GET", .path = "/"}, .timeout = std::chrono::milliseconds(2'000)},
+            [&](const std::variant<HttpResponse, HttpClient::Failure> &result) {
+                answered += std::holds_alternative<HttpResponse>(result) ? 1 : 0;
+                loop.stop();
+            });
+        loop.run();
+        loop.restart();
+    }
+    EXPECT_EQ(answered, calls);
+}
+
 } // namespace
