Bound what gateways ask of engines by their link; tell counts as growth

Cause, large site: the keeper read 3,072 counts of each of 192 ranks in whole each 175 ms, 20 MB/s on a link of 93 Mbit/s; reads ran out of time, were made again from afar and paused whole groups (7 to 12 s of 30), and callers' streams waited in the same link. 14 gateways asked all ranks each 0.4 s, mostly across zones, and each question that met another at a sidecar opened a connection to the engine. Change: CountsTeller tells growth since the asker's last reading, a byte a count; ControlBudget bounds ranks asked for counts to a tenth of the link (near ones first) and how often far ranks are asked for their status; counts are never read past a sidecar; SharedRead asks the engine once for all who wait; idle connections kept follow the targets.

--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -68,6 +68,13 @@
      .lowest = 1,
      .highest = 1000,
      .help = "experts of a set of layers that a rank copies for one new map at most; fewer are done sooner"},
+    {.key = "link-mbps",
+     .type = SettingType::Fraction,
+     .fallback = "0",
+     .lowest = 0,
+     .highest = 1000000,
+     .help =
+         "what this host's link carries, in millions of bits a second; bounds what is asked of engines; 0: unknown"},
     {.key = "sidecar-port",
      .type = SettingType::Number,
      .fallback = "0",
@@ -82,6 +89,9 @@
      .help = "partitions of a topic of the platform's log"},
 };
 
+/** Bytes a second in a million of bits a second. */
+constexpr double BytesPerMegabit = 1e6 / 8;
+
 GatewayServer::Options optionsFrom(const Settings &settings)
 {
     const auto window = std::chrono::duration_cast<std::chrono::seconds>(settings.duration("retry-window"));
@@ -96,7 +106,9 @@
                             .window = window},
             .groups = {.countPeriod = settings.duration("group-count-period"),
                        .leastGain = static_cast<double>(settings.number("group-least-gain-percent")) / 100,
-                       .newPerRank = static_cast<std::size_t>(settings.number("group-copies"))},
+                       .newPerRank = static_cast<std::size_t>(settings.number("group-copies")),
+                       .budget = ControlBudget(ZoneName(settings.text("zone")),
+                                               settings.fraction("link-mbps") * BytesPerMegabit)},
             .sidecarPort = static_cast<int>(settings.number("sidecar-port")),
             .logPartitions = static_cast<int>(settings.number("log-partitions")),
             .maxConnections = static_cast<std::size_t>(settings.number("max-connections")),
--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -56,14 +56,14 @@
 GroupKeeper::GroupKeeper(RankControl &control, GroupKeeperOptions options, KeeperEvents events, const Clock &clock,
                          std::function<std::uint64_t()> drawBits)
     : m_control(control)
-    , m_options(options)
+    , m_options(std::move(options))
     , m_events(std::move(events))
     , m_clock(clock)
     , m_drawBits(std::move(drawBits))
-    , m_watch(control, options.statusPeriod,
+    , m_watch(control, {.period = m_options.statusPeriod, .budget = m_options.budget},
               {.composed = [this](const GroupName &name) { composed(name); },
                .spoke = [this](const GroupName &name, const RankStatus &status) { spoke(name, status); }})
-    , m_survey(control, options.countPeriod)
+    , m_survey(control, m_options.countPeriod)
     , m_alive(std::make_shared<int>(0))
 {
 }
@@ -80,6 +80,7 @@
 void GroupKeeper::setActive(bool isActive, bool isConfirmed)
 {
     m_isActive = isActive;
+    m_watch.setThorough(isActive);
     if (m_isConfirmed && !isConfirmed) {
         m_unconfirmedSince = m_now;
         m_sawOther = false;
@@ -347,7 +348,8 @@
             ranks.insert(ranks.end(), targets.begin(), targets.end());
         }
     }
-    return ranks;
+    const auto counts = static_cast<std::size_t>(m_profile.layerSets) * static_cast<std::size_t>(m_profile.experts);
+    return m_options.budget.surveyed(std::move(ranks), counts, m_options.countPeriod);
 }
 
 void GroupKeeper::noteDemand()
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -4,6 +4,7 @@
 #include "heatherridge_coordination/groups/holdrecovery.h"
 #include "heatherridge_coordination/groups/mapswitch.h"
 #include "heatherridge_coordination/groups/rankwatch.h"
+#include "heatherridge_state/groups/controlbudget.h"
 #include "heatherridge_state/groups/evenplacement.h"
 #include "heatherridge_state/routing/routingconfig.h"
 
@@ -35,6 +36,8 @@
     std::chrono::milliseconds demandStands{2'000};
     /** Experts of a set that a rank may copy for one switch; fewer make the switch sooner. */
     std::size_t newPerRank = 2;
+    /** What asking ranks may cost, and which of them are near. */
+    ControlBudget budget{{}, 0};
 };
 
 /** What a keeper tells. */
--- a/modules/heatherridge_coordination/groups/rankwatch.cpp
+++ b/modules/heatherridge_coordination/groups/rankwatch.cpp
@@ -14,16 +14,21 @@
 /** Statuses in a row that don't come before an engine counts as gone: two seconds' worth. Forgetting it drops a switch
  * that is under way, and what that holds stays held until it is recovered. */
 constexpr int MissesToForget = 5;
+/** The same where questions are further apart. */
+constexpr int LeastMissesToForget = 2;
+/** Switches hold passes at rank 0, recoveries mostly at rank 1: what they say of holds is news for every keeper. */
+constexpr int LastHoldingRank = 1;
 /** Bounds of what is believed of a pass, from an idle group to one with a stalled rank. */
 constexpr milliseconds ShortestPass{10};
 constexpr milliseconds LongestPass{300};
 
 } // namespace
 
-RankWatch::RankWatch(RankControl &control, milliseconds period, Events events)
+RankWatch::RankWatch(RankControl &control, Options options, Events events)
     : m_control(control)
-    , m_period(period)
+    , m_options(std::move(options))
     , m_events(std::move(events))
+    , m_farPeriod(m_options.period)
     , m_alive(std::make_shared<int>(0))
 {
 }
@@ -42,20 +47,43 @@
             compose(name);
         }
     }
+    const auto far = std::count_if(targets.begin(), targets.end(),
+                                   [this](const auto &target) { return !m_options.budget.isNear(target); });
+    m_farPeriod = m_options.budget.farPeriod(static_cast<std::size_t>(far), m_options.period);
+}
+
+void RankWatch::setThorough(bool isThorough)
+{
+    m_isThorough = isThorough;
 }
 
 void RankWatch::tick(SteadyTime now)
 {
-    if (now < m_due) {
-        return;
-    }
     // A group that forms or is held takes no streams, and each moment in which nobody knows that it goes on is lost.
-    m_due = now + (isSettled() ? m_period : m_period / 2);
+    const int hurry = isSettled() ? 1 : 2;
     for (auto &[id, member] : m_members) {
-        askOne(member, now);
+        if (now - member.askedAt >= periodOf(member) / hurry) {
+            askOne(member, now);
+        }
     }
 }
 
+bool RankWatch::isWatchedClosely(const Member &member) const
+{
+    const bool mayHold = member.status && member.status->rank <= LastHoldingRank;
+    return m_isThorough || mayHold || m_options.budget.isNear(member.target);
+}
+
+milliseconds RankWatch::periodOf(const Member &member) const
+{
+    return isWatchedClosely(member) ? m_options.period : m_farPeriod;
+}
+
+int RankWatch::missesToForget(const Member &member) const
+{
+    return std::max(LeastMissesToForget, static_cast<int>(MissesToForget * m_options.period / periodOf(member)));
+}
+
 bool RankWatch::isSettled() const
 {
     return !m_groups.empty() && std::all_of(m_groups.begin(), m_groups.end(), [this](const auto &entry) {
@@ -180,7 +208,7 @@
 void RankWatch::miss(Member &member, const Error &error)
 {
     const bool isOther = error.kind == ErrorKind::NotFound;
-    if (!member.status || (++member.misses < MissesToForget && !isOther)) {
+    if (!member.status || (++member.misses < missesToForget(member) && !isOther)) {
         return;
     }
     // Gone, or another run of the engine answers in its place: its group is not whole until somebody has its rank.
--- a/modules/heatherridge_coordination/groups/rankwatch.h
+++ b/modules/heatherridge_coordination/groups/rankwatch.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_coordination/groups/rankcontrol.h"
 #include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/groups/controlbudget.h"
 
 #include <functional>
 #include <map>
@@ -45,8 +46,9 @@
  * Asks the engines of one service for their statuses again and again, and puts them together to groups.
  *
  * A status says what one rank is; which ranks make up a group, whether it works, how long its passes are and whether it
- * stands still follows from all of them. An engine that stays silent is forgotten after two seconds: its rank is empty
- * until somebody speaks for it. One thread; moved on by tick().
+ * stands still follows from all of them. An engine that stays silent is forgotten after two seconds, or after two
+ * questions if these are further apart: its rank is empty until somebody speaks for it. Ranks of other zones are asked
+ * as seldom as the budget has it, but for those at which passes are held. One thread; moved on by tick().
  */
 class RankWatch
 {
@@ -59,12 +61,21 @@
         std::function<void(const GroupName &group, const RankStatus &status)> spoke{};
     };
 
-    /** Uses @p control, which must outlive it. @param period between statuses of a group that is at work */
-    RankWatch(RankControl &control, std::chrono::milliseconds period, Events events);
+    struct Options
+    {
+        std::chrono::milliseconds period{400}; ///< between statuses of a near rank of a group that is at work
+        ControlBudget budget{{}, 0};
+    };
+
+    /** Uses @p control, which must outlive it. */
+    RankWatch(RankControl &control, Options options, Events events);
 
     /** The engines to watch. */
     void setTargets(const std::vector<TargetEntry> &targets);
 
+    /** Whether all ranks are asked like near ones: who switches maps has to know each. */
+    void setThorough(bool isThorough);
+
     /** Asks when it is time. */
     void tick(SteadyTime now);
 
@@ -118,14 +129,18 @@
     void followHold(WatchedGroup &group, SteadyTime now) const;
     static void followPasses(WatchedGroup &group, const RankStatus &status, SteadyTime now);
     bool isSettled() const;
+    bool isWatchedClosely(const Member &member) const;
+    std::chrono::milliseconds periodOf(const Member &member) const;
+    int missesToForget(const Member &member) const;
     bool takesStreams(const WatchedGroup &group) const;
 
     RankControl &m_control;
-    std::chrono::milliseconds m_period;
+    Options m_options;
     Events m_events;
     std::map<TargetName, Member> m_members;
     std::map<GroupName, WatchedGroup> m_groups;
-    SteadyTime m_due{};
+    std::chrono::milliseconds m_farPeriod{};
+    bool m_isThorough = false;
     bool m_hasNews = false; ///< statuses that news() has not told of
     std::shared_ptr<int> m_alive;
 };
--- a/modules/heatherridge_protocol/rankmessage.cpp
+++ b/modules/heatherridge_protocol/rankmessage.cpp
@@ -1,6 +1,6 @@
 #include "heatherridge_protocol/rankmessage.h"
 
-#include <nlohmann/json.hpp>
+#include "heatherridge_protocol/cborvalue.h"
 
 namespace Heatherridge
 {
@@ -10,24 +10,6 @@
 
 using nlohmann::json;
 
-std::string cborOf(const json &value)
-{
-    std::string bytes;
-    json::to_cbor(value, bytes);
-    return bytes;
-}
-
-/** Runs @p read on the value in @p bytes; whatever does not fit makes the message malformed. */
-template<typename Read>
-auto decoded(std::string_view bytes, Read read) -> Result<decltype(read(json{}))>
-{
-    try {
-        return read(json::from_cbor(bytes));
-    } catch (const json::exception &broken) {
-        return Error{.kind = ErrorKind::MalformedFrame, .detail = broken.what()};
-    }
-}
-
 json optionalNumber(const std::optional<MapNumber> &number)
 {
     return number ? json(toNumber(*number)) : json();
@@ -87,13 +69,6 @@
                      status.heldStep ? json(*status.heldStep) : json(), status.running, status.waiting, status.pace}));
 }
 
-std::string encode(const RankCounts &counts)
-{
-    // Whole numbers: CBOR spells small ones in one to five bytes where a fraction takes nine.
-    std::vector<std::uint64_t> chosen(counts.chosen.begin(), counts.chosen.end());
-    return cborOf(json::array({counts.epoch, chosen}));
-}
-
 std::string encode(const RankExperts &experts)
 {
     return cborOf(json::array({toNumber(experts.map), experts.bySet}));
@@ -111,7 +86,7 @@
 
 Result<RankStatus> decodeRankStatus(std::string_view bytes)
 {
-    return decoded(bytes, [](const json &fields) {
+    return decodedCbor(bytes, [](const json &fields) {
         RankStatus status{.group = GroupName(fields.at(0).get<std::string>()),
                           .epoch = fields.at(1).get<std::uint64_t>(),
                           .rank = fields.at(2).get<int>(),
@@ -131,17 +106,9 @@
     });
 }
 
-Result<RankCounts> decodeRankCounts(std::string_view bytes)
-{
-    return decoded(bytes, [](const json &fields) {
-        return RankCounts{.epoch = fields.at(0).get<std::uint64_t>(),
-                          .chosen = fields.at(1).get<std::vector<double>>()};
-    });
-}
-
 Result<RankExperts> decodeRankExperts(std::string_view bytes)
 {
-    return decoded(bytes, [](const json &fields) {
+    return decodedCbor(bytes, [](const json &fields) {
         return RankExperts{.map = static_cast<MapNumber>(fields.at(0).get<std::uint64_t>()),
                            .bySet = fields.at(1).get<std::vector<std::vector<std::uint16_t>>>()};
     });
@@ -149,7 +116,7 @@
 
 Result<RankOrderMessage> decodeRankOrder(std::string_view bytes)
 {
-    return decoded(bytes, [](const json &fields) {
+    return decodedCbor(bytes, [](const json &fields) {
         return RankOrderMessage{.target = TargetName(fields.at(0).get<std::string>()),
                                 .epoch = fields.at(1).get<std::uint64_t>(),
                                 .order = orderFrom(fields.at(2))};
@@ -158,7 +125,7 @@
 
 Result<OrderReply> decodeOrderReply(std::string_view bytes)
 {
-    return decoded(bytes, [](const json &value) {
+    return decodedCbor(bytes, [](const json &value) {
         const auto number = value.get<int>();
         // A word of a later version is as good as none.
         return number == static_cast<int>(OrderReply::Accepted) || number == static_cast<int>(OrderReply::Refused)
--- a/modules/heatherridge_protocol/rankmessage.h
+++ b/modules/heatherridge_protocol/rankmessage.h
@@ -20,14 +20,12 @@
 
 /** The CBOR of each message between a keeper of groups and the process beside a rank. */
 std::string encode(const RankStatus &status);
-std::string encode(const RankCounts &counts);
 std::string encode(const RankExperts &experts);
 std::string encode(const RankOrderMessage &message);
 std::string encode(OrderReply reply);
 
 /** Reads a message. Anything else yields MalformedFrame. */
 Result<RankStatus> decodeRankStatus(std::string_view bytes);
-Result<RankCounts> decodeRankCounts(std::string_view bytes);
 Result<RankExperts> decodeRankExperts(std::string_view bytes);
 Result<RankOrderMessage> decodeRankOrder(std::string_view bytes);
 Result<OrderReply> decodeOrderReply(std::string_view bytes);
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -25,6 +25,11 @@
 constexpr milliseconds TrafficTick{1'000};
 /** How often a stopping gateway looks whether it is done. */
 constexpr milliseconds DrainTick{50};
+/** Idle connections to engines and the processes beside them that are kept, for each target: a status or counts and an
+ * order to either. One that is closed is opened again at the next round, and handshakes are paid for. */
+constexpr long KeptConnectionsPerTarget = 4;
+/** The same beside them, for the platform's log and targets that come and go. */
+constexpr long KeptConnectionsBeside = 64;
 /** Before the grace is over the process ends by itself, so that its log says what was cut. */
 constexpr milliseconds GraceMargin{250};
 
@@ -196,9 +201,11 @@
             return;
         }
         std::map<ServiceName, std::vector<TargetEntry>> targets;
-        for (const auto &target : m_control.targets()) {
+        const auto all = m_control.targets();
+        for (const auto &target : all) {
             targets[target.service].push_back(target);
         }
+        m_client.setKeptConnections(KeptConnectionsBeside + KeptConnectionsPerTarget * static_cast<long>(all.size()));
         for (const auto &service : rules->config().services) {
             if (!service.engine || service.engine->layerSets == 0) {
                 continue;
--- a/modules/heatherridge_transport/direct/sidecarranks.cpp
+++ b/modules/heatherridge_transport/direct/sidecarranks.cpp
@@ -38,21 +38,50 @@
         done(std::move(status));
     };
     ask<RankStatus>(
-        target, SidecarPaths::Status, decodeRankStatus, [this, target, done] { m_direct->status(target, done); },
-        std::function<void(Result<RankStatus>)>(fresh));
+        target, callTo(target, SidecarPaths::Status, {}), decodeRankStatus,
+        [this, target, done] { m_direct->status(target, done); }, fresh);
 }
 
 void SidecarRanks::counts(const TargetEntry &target, std::function<void(Result<RankCounts>)> done)
 {
+    if (m_options.port == 0) {
+        m_direct->counts(target, std::move(done));
+        return;
+    }
+    auto &heard = m_counts[target.address.address];
+    if (heard.target != target.id) {
+        heard = {.target = target.id};
+    }
+    auto call = callTo(target, SidecarPaths::Counts, {});
+    call.request.query = std::string(SidecarPaths::SinceParameter) + "=" + std::to_string(heard.listener.mark());
+    const auto absent = [done] {
+        done(Error{.kind = ErrorKind::TargetUnreachable, .detail = "the process beside the rank does not answer"});
+    };
     ask<RankCounts>(
-        target, SidecarPaths::Counts, decodeRankCounts, [this, target, done] { m_direct->counts(target, done); }, done);
+        target, std::move(call), [this, target](std::string_view bytes) { return listen(target, bytes); }, absent,
+        std::move(done));
+}
+
+Result<RankCounts> SidecarRanks::listen(const TargetEntry &target, std::string_view bytes)
+{
+    const auto reading = decodeCountsReading(bytes);
+    if (const auto *error = errorIn(reading)) {
+        return *error;
+    }
+    auto &heard = m_counts[target.address.address];
+    const auto counts =
+        heard.target == target.id ? heard.listener.take(std::get<CountsReading>(reading)) : std::nullopt;
+    if (!counts) {
+        return Error{.kind = ErrorKind::BackendFailed, .detail = "counts since another reading"};
+    }
+    return *counts;
 }
 
 void SidecarRanks::experts(const TargetEntry &target, std::function<void(Result<RankExperts>)> done)
 {
     ask<RankExperts>(
-        target, SidecarPaths::Experts, decodeRankExperts, [this, target, done] { m_direct->experts(target, done); },
-        done);
+        target, callTo(target, SidecarPaths::Experts, {}), decodeRankExperts,
+        [this, target, done] { m_direct->experts(target, done); }, done);
 }
 
 void SidecarRanks::order(const TargetEntry &target, const RankOrder &order, std::uint64_t epoch,
@@ -88,16 +117,17 @@
 }
 
 template<typename T>
-void SidecarRanks::ask(const TargetEntry &target, std::string_view path, Result<T> (*decode)(std::string_view),
-                       std::function<void()> direct, std::function<void(Result<T>)> done)
+void SidecarRanks::ask(const TargetEntry &target, HttpClient::Call call,
+                       std::function<Result<T>(std::string_view)> decode, std::function<void()> direct,
+                       std::function<void(Result<T>)> done)
 {
     if (isAbsent(target)) {
         direct();
         return;
     }
     m_client.send(
-        callTo(target, path, {}),
-        [this, target, decode, direct = std::move(direct),
+        std::move(call),
+        [this, target, decode = std::move(decode), direct = std::move(direct),
          done = std::move(done)](std::variant<HttpResponse, HttpClient::Failure> ended) {
             if (std::holds_alternative<HttpClient::Failure>(ended)) {
                 missed(target);
--- a/modules/heatherridge_transport/direct/sidecarranks.h
+++ b/modules/heatherridge_transport/direct/sidecarranks.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_coordination/groups/rankcontrol.h"
+#include "heatherridge_protocol/countsreading.h"
 #include "heatherridge_state/base/clock.h"
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/http/httpclient.h"
@@ -20,6 +21,8 @@
 constexpr std::string_view Order = "/rank/order";
 /** Names the run of the engine that is meant. */
 constexpr std::string_view TargetHeader = "Rank-Target";
+/** Of a question for counts: the mark of the reading that they are to be told since. */
+constexpr std::string_view SinceParameter = "since";
 } // namespace SidecarPaths
 
 /**
@@ -27,7 +30,8 @@
  *
  * What a sidecar reads is fresh and does not pause the group, and costs nothing beside the sidecar itself. One that
  * does not answer is passed over for a while: it may be frozen while its engine works. Orders to hold, arm, disarm and
- * release go straight to the engine. On the thread of the client's loop.
+ * release go straight to the engine. Counts are never read past a sidecar: that pauses the whole group, the longer the
+ * larger the model, and the other ranks' counts tell the same. On the thread of the client's loop.
  */
 class SidecarRanks final : public RankControl
 {
@@ -53,10 +57,11 @@
 
 private:
     template<typename T>
-    void ask(const TargetEntry &target, std::string_view path, Result<T> (*decode)(std::string_view),
+    void ask(const TargetEntry &target, HttpClient::Call call, std::function<Result<T>(std::string_view)> decode,
              std::function<void()> direct, std::function<void(Result<T>)> done);
     HttpClient::Call callTo(const TargetEntry &target, std::string_view path,
                             std::string body) const; ///< a body: an order
+    Result<RankCounts> listen(const TargetEntry &target, std::string_view bytes);
     bool isAbsent(const TargetEntry &target) const;
     void missed(const TargetEntry &target);
     void answered(const TargetEntry &target);
@@ -72,7 +77,15 @@
     Options m_options;
     std::unique_ptr<RankControl> m_direct;
     Counter &m_passedOver;
+    /** What the sidecar at an address has told of its rank's counts. */
+    struct HeardCounts
+    {
+        TargetName target{};
+        CountsListener listener{};
+    };
+
     std::map<std::string, Absence> m_absences; ///< by address
+    std::map<std::string, HeardCounts> m_counts; ///< by address
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/sidecarserver.cpp
+++ b/modules/heatherridge_transport/direct/sidecarserver.cpp
@@ -4,10 +4,14 @@
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/callerserver.h"
+#include "heatherridge_transport/direct/sharedread.h"
 #include "heatherridge_transport/direct/sidecarranks.h"
 
 #include <asio/io_context.hpp>
 
+#include <charconv>
+#include <map>
+#include <random>
 #include <thread>
 
 namespace Heatherridge
@@ -19,6 +23,24 @@
 /** Open exchanges with the engine end within this, or their keepers have given up. */
 constexpr std::chrono::milliseconds StopTime{300};
 
+/** Marks of readings are drawn below this, so that they stay whole numbers wherever they are read as fractions. */
+constexpr std::uint64_t MarkBound = std::uint64_t{1} << 52U;
+
+std::uint64_t drawnMark()
+{
+    std::random_device entropy;
+    return std::uniform_int_distribution<std::uint64_t>(1, MarkBound)(entropy);
+}
+
+/** The number in @p text; 0 for anything else. */
+std::uint64_t numberIn(const std::string &text)
+{
+    std::uint64_t number = 0;
+    const auto *end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, number);
+    return read.ec == std::errc() && read.ptr == end ? number : 0;
+}
+
 HttpResponse failureOf(const Error &error)
 {
     return {.status = answerFor(error.kind).httpStatus, .body = error.detail};
@@ -66,9 +88,9 @@
         const TargetEntry target{.id = TargetName(std::string(request.header(SidecarPaths::TargetHeader))),
                                  .address = m_options.engine};
         if (request.path == SidecarPaths::Status) {
-            m_ranks->status(target, answerWith<RankStatus>(exchange));
+            statusOf(target).ask(answerWith<RankStatus>(exchange));
         } else if (request.path == SidecarPaths::Counts) {
-            m_ranks->counts(target, answerWith<RankCounts>(exchange));
+            tellCounts(exchange, target);
         } else if (request.path == SidecarPaths::Experts) {
             m_ranks->experts(target, answerWith<RankExperts>(exchange));
         } else if (request.path == SidecarPaths::Order) {
@@ -78,6 +100,27 @@
         }
     }
 
+    SharedRead<RankStatus> &statusOf(const TargetEntry &target)
+    {
+        std::erase_if(m_statuses,
+                      [&target](const auto &entry) { return entry.first != target.id && entry.second.isIdle(); });
+        return m_statuses
+            .try_emplace(target.id, [this, target](auto done) { m_ranks->status(target, std::move(done)); })
+            .first->second;
+    }
+
+    void tellCounts(const std::shared_ptr<HttpExchange> &exchange, const TargetEntry &target)
+    {
+        const auto since = numberIn(exchange->request().queryParameter(SidecarPaths::SinceParameter));
+        m_ranks->counts(target, [this, exchange, target, since](const Result<RankCounts> &counts) {
+            if (const auto *error = errorIn(counts)) {
+                exchange->respond(failureOf(*error));
+                return;
+            }
+            exchange->respond({.body = encode(m_countsTeller.tell(target.id, std::get<RankCounts>(counts), since))});
+        });
+    }
+
     void handOver(const std::shared_ptr<HttpExchange> &exchange)
     {
         const auto read = decodeRankOrder(exchange->request().body);
@@ -92,9 +135,9 @@
     }
 
     template<typename T>
-    static std::function<void(Result<T>)> answerWith(const std::shared_ptr<HttpExchange> &exchange)
+    static std::function<void(const Result<T> &)> answerWith(const std::shared_ptr<HttpExchange> &exchange)
     {
-        return [exchange](Result<T> result) {
+        return [exchange](const Result<T> &result) {
             const auto *error = errorIn(result);
             exchange->respond(error != nullptr ? failureOf(*error) : HttpResponse{.body = encode(std::get<T>(result))});
         };
@@ -105,6 +148,8 @@
     EventLoop m_loop;
     HttpClient m_client;
     std::unique_ptr<RankControl> m_ranks;
+    std::map<TargetName, SharedRead<RankStatus>> m_statuses; ///< by the run of the engine that is meant
+    CountsTeller m_countsTeller{drawnMark()};
     CallerServer m_server;
 };
 
--- a/tests/gateway/sidecarranks_test.cpp
+++ b/tests/gateway/sidecarranks_test.cpp
@@ -13,8 +13,9 @@
 class CountingRanks final : public RankControl
 {
 public:
-    explicit CountingRanks(int &orders)
+    explicit CountingRanks(int &orders, int *counts = nullptr)
         : m_orders(orders)
+        , m_counts(counts)
     {
     }
 
@@ -29,6 +30,9 @@
 
     void counts(const TargetEntry &, std::function<void(Result<RankCounts>)>) override
     {
+        if (m_counts != nullptr) {
+            ++*m_counts;
+        }
     }
 
     void experts(const TargetEntry &, std::function<void(Result<RankExperts>)>) override
@@ -42,6 +46,7 @@
 
 private:
     int &m_orders;
+    int *m_counts;
 };
 
 struct WayRow
@@ -79,4 +84,44 @@
 
 INSTANTIATE_TEST_SUITE_P(All, WaysOfOrders, testing::ValuesIn(WayRows));
 
+struct AbsenceRow
+{
+    const char *story;
+    int port; ///< of the sidecars
+    int fromAfar; ///< readings of counts that pause the engine's group
+};
+
+// All streams of a site stand still for a third of the time: links are full, sidecars answer too late, and each reading
+// of counts that is then made from afar pauses its whole group for 4 ms, 192 of them several times a second.
+const AbsenceRow AbsenceRows[] = {
+    {"a sidecar that does not answer is no reason to pause its group", 1, 0},
+    {"where there are none there is no other way", 0, 2},
+};
+
+class CountsOfAbsentSidecars : public testing::TestWithParam<AbsenceRow>
+{
+};
+
+TEST_P(CountsOfAbsentSidecars, AreNotReadFromAfar)
+{
+    asio::io_context loop;
+    HttpClient client(loop, {});
+    Metrics metrics;
+    int orders = 0;
+    int fromAfar = 0;
+    SidecarRanks ranks(client, {.port = GetParam().port}, std::make_unique<CountingRanks>(orders, &fromAfar), metrics);
+    const TargetEntry target{.id = TargetName("r"), .address = {.address = "127.0.0.1", .port = 2}};
+    int errors = 0;
+    const auto count = [&errors](const Result<RankCounts> &counts) { errors += errorIn(counts) != nullptr ? 1 : 0; };
+    ranks.counts(target, count);
+    loop.run(); // nobody listens there
+    loop.restart();
+    ranks.counts(target, count);
+    loop.run();
+    EXPECT_EQ(fromAfar, GetParam().fromAfar) << GetParam().story;
+    EXPECT_EQ(errors, 2 - GetParam().fromAfar) << GetParam().story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, CountsOfAbsentSidecars, testing::ValuesIn(AbsenceRows));
+
 } // namespace
--- a/tests/heldgroups/watched_test.cpp
+++ b/tests/heldgroups/watched_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 using namespace Heatherridge;
 using namespace std::chrono_literals;
 
@@ -29,6 +31,7 @@
     void status(const TargetEntry &target, std::function<void(Result<RankStatus>)> done) override
     {
         const int rank = std::stoi(target.id.text());
+        ++asked[target.id];
         const auto word = words.at(static_cast<std::size_t>(rank));
         if (word == Word::None) {
             done(Error{.kind = ErrorKind::TargetUnreachable});
@@ -54,6 +57,7 @@
     }
 
     std::vector<Word> words;
+    std::map<TargetName, int> asked{}; ///< for their status
 };
 
 class FixedClock final : public Clock
@@ -133,4 +137,53 @@
 
 INSTANTIATE_TEST_SUITE_P(All, WatchedEngines, testing::ValuesIn(WatchRows));
 
+struct FarRow
+{
+    const char *story;
+    bool isActive; ///< the keeper switches maps
+    int rank;
+    bool isSeldom; ///< it is asked less often than a near one
+};
+
+// Fourteen gateways ask 192 engines each 0.4 s: 7,000 questions a second, most of them to other zones.
+const FarRow FarRows[] = {
+    {"a far rank", false, 2, true},
+    {"a far rank at which switches hold passes", false, 0, false},
+    {"a far rank at which recoveries hold passes", false, 1, false},
+    {"a near rank", false, 3, false},
+    {"a far rank while this keeper switches maps", true, 2, false},
+};
+
+class FarRanks : public testing::TestWithParam<FarRow>
+{
+};
+
+TEST_P(FarRanks, AreAskedAsOftenAsTheyMatter)
+{
+    const auto &row = GetParam();
+    TalkingRanks ranks;
+    ranks.words.assign(Size, Word::Open);
+    std::vector<TargetEntry> targets;
+    for (int rank = 0; rank < Size; ++rank) {
+        targets.push_back({.id = TargetName(std::to_string(rank)), .zone = ZoneName(rank == 3 ? "near" : "far")});
+    }
+    const FixedClock clock;
+    constexpr double thinLink = 100; // bytes a second
+    GroupKeeper keeper(ranks, {.budget = ControlBudget(ZoneName("near"), thinLink)}, {}, clock, [] { return 1; });
+    keeper.setTargets(targets, {.layerSets = 1, .experts = 4, .places = 2}, 120ms);
+    keeper.setActive(row.isActive, true);
+    SteadyTime now(1h);
+    constexpr int ticks = 600;
+    for (int tick = 0; tick < ticks; ++tick) {
+        now += 20ms;
+        keeper.tick(now);
+    }
+    const int asked = ranks.asked[targets[static_cast<std::size_t>(row.rank)].id];
+    constexpr int asNear = ticks * 20 / 400;
+    EXPECT_LE(asked, row.isSeldom ? asNear / 4 : ticks) << row.story;
+    EXPECT_GE(asked, row.isSeldom ? 1 : asNear - 2) << row.story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, FarRanks, testing::ValuesIn(FarRows));
+
 } // namespace
