Take others' load from what is usual where news is old; draw the engines that a stream is compared for

Cause: what others have at an engine faded to nothing within a second, so that engines of old news looked idle, and each of 14 entries sent all that came between two statuses to the same few engines (streams were sent at a believed load of 0). Change: the part of others fades into their mean at like engines; the least loaded is taken of some engines drawn at random, fewer the more entries there are.

--- a/modules/heatherridge_state/decisions/engineplacement.cpp
+++ b/modules/heatherridge_state/decisions/engineplacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iterator>
 #include <limits>
 #include <numeric>
@@ -38,6 +39,10 @@
 
 constexpr std::size_t PlaceKinds = 6;
 
+/** Engines that one stream is compared for: so many times this entry's part of them, and two at the least. */
+constexpr double ComparedParts = 0.5;
+constexpr std::size_t LeastCompared = 2;
+
 /** The pace of each group's quickest engine. */
 std::vector<double> quickestPaces(std::span<const EngineCandidate> engines, std::size_t groups)
 {
@@ -91,6 +96,18 @@
     return chosen ? std::optional(among[*chosen]) : std::nullopt;
 }
 
+/** Some of @p among, drawn at random. */
+std::vector<std::size_t> drawnFew(std::vector<std::size_t> among, double share, RandomSource &random)
+{
+    const auto part = static_cast<std::size_t>(std::ceil(static_cast<double>(among.size()) * share * ComparedParts));
+    const auto count = std::min(std::max(part, LeastCompared), among.size());
+    for (std::size_t index = 0; index < count; ++index) {
+        std::swap(among[index], among[index + random.below(among.size() - index)]);
+    }
+    among.resize(count);
+    return among;
+}
+
 /** Those of @p among that are in one group, drawn by the room that groups have left. */
 std::vector<std::size_t> ofDrawnGroup(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &among,
                                       std::span<const EngineGroup> groups, RandomSource &random)
@@ -118,8 +135,8 @@
 
 } // namespace
 
-EngineChoice placeStream(std::span<const EngineCandidate> engines, std::span<const EngineGroup> groups, Urgency urgency,
-                         RandomSource &random)
+EngineChoice placeStream(std::span<const EngineCandidate> engines, std::span<const EngineGroup> groups,
+                         const StreamNeed &need, RandomSource &random)
 {
     std::array<std::vector<std::size_t>, PlaceKinds> byPlace;
     const auto quickest = quickestPaces(engines, groups.size());
@@ -132,13 +149,13 @@
             byPlace[static_cast<std::size_t>(placeAt(engine, group, quickest[engine.group]))].push_back(index);
         }
     }
-    for (const auto place : placesFor(urgency)) {
+    for (const auto place : placesFor(need.urgency)) {
         const auto &among = byPlace[static_cast<std::size_t>(place)];
         if (among.empty()) {
             continue;
         }
-        const bool isByRoom = place == Place::Good;
-        return {.index = leastLoaded(engines, isByRoom ? ofDrawnGroup(engines, among, groups, random) : among, random)};
+        auto alike = place == Place::Good ? ofDrawnGroup(engines, among, groups, random) : among;
+        return {.index = leastLoaded(engines, drawnFew(std::move(alike), need.share, random), random)};
     }
     return {.isFull = anyOpen};
 }
--- a/modules/heatherridge_state/decisions/engineplacement.h
+++ b/modules/heatherridge_state/decisions/engineplacement.h
@@ -41,6 +41,13 @@
  * quarter of its prompts read by a rank four times as slow made passes of its whole group three times as long. */
 constexpr double SlowPace = 1.5;
 
+/** What is asked for when a stream is placed. */
+struct StreamNeed
+{
+    Urgency urgency = Urgency::Timely;
+    double share = 1; ///< of this entry in all work, over 0 up to 1
+};
+
 /** What came of placing a stream. */
 struct EngineChoice
 {
@@ -58,8 +65,12 @@
  * it goes is kept in groups that nothing can be on time in, and takes room elsewhere only where there is any. A stream
  * whose caller has a part of it goes to any engine with a place. With the least loaded engine alone, a rank four times
  * as slow made 70 in 100 streams of both its own and the other group late.
+ *
+ * Within a group the least loaded of a few engines drawn at random is chosen, the fewer the more entries there are.
+ * All entries see the same statuses, and what was sent since then only of their own streams: with the least loaded of
+ * all engines, 14 entries sent all that came between two statuses to the few that had looked idle.
  */
-EngineChoice placeStream(std::span<const EngineCandidate> engines, std::span<const EngineGroup> groups, Urgency urgency,
-                         RandomSource &random);
+EngineChoice placeStream(std::span<const EngineCandidate> engines, std::span<const EngineGroup> groups,
+                         const StreamNeed &need, RandomSource &random);
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/decisions/loadestimate.cpp
+++ b/modules/heatherridge_state/decisions/loadestimate.cpp
@@ -27,14 +27,25 @@
     return m_own;
 }
 
-double LoadEstimate::total(SteadyTime now) const
+double LoadEstimate::freshness(SteadyTime now) const
 {
     if (!m_reportedAt) {
-        return m_own;
+        return 0;
     }
     const std::chrono::duration<double> age = now - *m_reportedAt;
     const std::chrono::duration<double> halfLife = HalfLife;
-    return m_own + m_others * std::exp2(-age / halfLife);
+    return std::exp2(-age / halfLife);
+}
+
+double LoadEstimate::others() const
+{
+    return m_others;
+}
+
+double LoadEstimate::total(SteadyTime now, double usualOthers) const
+{
+    const double fresh = freshness(now);
+    return m_own + m_others * fresh + usualOthers * (1 - fresh);
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/decisions/loadestimate.h
+++ b/modules/heatherridge_state/decisions/loadestimate.h
@@ -13,8 +13,9 @@
  *
  * Load pattern: several entries feed the same targets, and a target's own word comes only with its answers. Own
  * requests alone leave out what the others send; the target's word alone is old, and all entries would run to the same
- * seemingly idle target. So the others' part is taken from the last answer and forgotten as it ages, and the own part
- * is counted. One thread.
+ * seemingly idle target. So the others' part is taken from the last answer and, as it ages, fades into what others have
+ * at such targets on average; the own part is counted. Faded into nothing it made every target look idle whose word was
+ * older than a second, and all entries sent there. One thread.
  */
 class LoadEstimate
 {
@@ -34,8 +35,17 @@
     /** Own requests that have not ended. */
     int own() const;
 
-    /** Requests of all entries, as far as known. */
-    double total(SteadyTime now) const;
+    /** How much the others' part still says: 1 when the target has just told it, halving with HalfLife; 0 before. */
+    double freshness(SteadyTime now) const;
+
+    /** The others' part as the target last told it. */
+    double others() const;
+
+    /**
+     * Requests of all entries, as far as known.
+     * @param usualOthers that others have at such a target on average
+     */
+    double total(SteadyTime now, double usualOthers) const;
 
 private:
     int m_own = 0;
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -102,7 +102,7 @@
     if (choice.target != nullptr) {
         m_traffic.m_counters.repeats.add(isRepeat ? 1 : 0);
         m_traffic.m_counters.resumed.add(m_streamBegun ? 1 : 0);
-        send(*choice.target);
+        send(*choice.target, choice.load);
         return;
     }
     const auto kind = choice.isFull ? ErrorKind::Overloaded : ErrorKind::NoTarget;
@@ -166,7 +166,7 @@
     armTimer();
 }
 
-void GatewayCall::send(GatewayTarget &target)
+void GatewayCall::send(GatewayTarget &target, double load)
 {
     m_target = target.entry.id;
     m_tried.insert(m_target);
@@ -181,7 +181,7 @@
     if (target.load.own() == 0) {
         target.lastHeard = m_sentAt;
     }
-    m_loadAtSend = target.load.total(m_sentAt);
+    m_loadAtSend = load;
     m_passAtSend = target.engine ? target.engine->passTime : milliseconds(0);
     m_group = target.engine ? target.engine->group : GroupName();
     m_waited = age();
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -54,7 +54,7 @@
     Urgency urgency() const;
     SteadyTime onTimeUntil() const;
     void enterLine();
-    void send(GatewayTarget &target);
+    void send(GatewayTarget &target, double load);
     void headCame(const HttpMessageHead &head);
     void bodyCame(std::string_view bytes);
     void answerEnded();
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -17,6 +17,19 @@
  */
 constexpr double UsedPartOfPause = 0.9;
 
+/** What other entries have at each of @p targets on average, by what these told of late. */
+double usualOthers(const std::vector<GatewayTarget *> &targets, SteadyTime now)
+{
+    double sum = 0;
+    double weight = 0;
+    for (const auto *target : targets) {
+        const double fresh = target->load.freshness(now);
+        sum += target->load.others() * fresh;
+        weight += fresh;
+    }
+    return weight > 0 ? sum / weight : 0;
+}
+
 } // namespace
 
 GatewayTargets::GatewayTargets(ZoneName zone)
@@ -72,21 +85,27 @@
         // An engine that has not said which group it is in has just come, and takes part in no pass yet.
         if (isUsable(target, service) && (!isGrouped || target.engine)) {
             targets.push_back(&target);
-            candidates.push_back(candidateOf(target, health, tried, now));
         }
     }
+    // Plain services tell their load with each answer; one that has not answered for long is idle.
+    const double usual = isGrouped ? usualOthers(targets, now) : 0;
+    candidates.reserve(targets.size());
+    for (const auto *target : targets) {
+        candidates.push_back(candidateOf(*target, usual, health, tried, now));
+    }
     if (isGrouped) {
         return chooseEngine(targets, candidates, rules->second, urgency, now, random);
     }
     const auto chosen = placeDirectly(candidates, random);
-    return {.target = chosen ? targets[*chosen] : nullptr};
+    return {.target = chosen ? targets[*chosen] : nullptr, .load = chosen ? candidates[*chosen].load : 0};
 }
 
-DirectCandidate GatewayTargets::candidateOf(const GatewayTarget &target, const HealthTracker &health,
-                                            const std::set<TargetName> &tried, SteadyTime now) const
+DirectCandidate GatewayTargets::candidateOf(const GatewayTarget &target, double usualOthers,
+                                            const HealthTracker &health, const std::set<TargetName> &tried,
+                                            SteadyTime now) const
 {
     const bool isOut = isStalled(target, now) || now < target.refusedUntil;
-    return {.load = target.load.total(now),
+    return {.load = target.load.total(now, usualOthers),
             .slots = target.entry.slots,
             .isNear = target.entry.zone == m_zone,
             .isCold = target.entry.coldFor.count() > 0,
@@ -121,8 +140,10 @@
     for (std::size_t group = 0; group < work.size(); ++group) {
         groups.push_back(m_groups[names[group]].view(work[group], rules, m_part, now));
     }
-    const auto choice = placeStream(engines, groups, urgency, random);
-    return {.target = choice.index ? targets[*choice.index] : nullptr, .isFull = choice.isFull};
+    const auto choice = placeStream(engines, groups, {.urgency = urgency, .share = m_part}, random);
+    return {.target = choice.index ? targets[*choice.index] : nullptr,
+            .load = choice.index ? candidates[*choice.index].load : 0,
+            .isFull = choice.isFull};
 }
 
 void GatewayTargets::addTo(GroupWork &work, const GatewayTarget &target, double load, SteadyTime now)
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -57,6 +57,7 @@
     struct Choice
     {
         GatewayTarget *target = nullptr; ///< null for nowhere
+        double load = 0; ///< that the target is believed to have
         bool isFull = false; ///< there are targets, but all have as much as they should
     };
 
@@ -86,7 +87,7 @@
     bool hasUsedItsRoom(const GatewayTarget &target) const;
     static void addTo(GroupWork &work, const GatewayTarget &target, double load, SteadyTime now);
     bool isUsable(const GatewayTarget &target, const ServiceName &service) const;
-    DirectCandidate candidateOf(const GatewayTarget &target, const HealthTracker &health,
+    DirectCandidate candidateOf(const GatewayTarget &target, double usualOthers, const HealthTracker &health,
                                 const std::set<TargetName> &tried, SteadyTime now) const;
     Choice chooseEngine(const std::vector<GatewayTarget *> &targets, const std::vector<DirectCandidate> &candidates,
                         const PassBudgetRules &rules, Urgency urgency, SteadyTime now, RandomSource &random);
--- a/tests/decisions/direct_test.cpp
+++ b/tests/decisions/direct_test.cpp
@@ -176,12 +176,25 @@
     load.sent();
     load.sent();
     load.reported(6, Start);
-    EXPECT_NEAR(load.total(Start), 6, 1e-9);
+    EXPECT_NEAR(load.total(Start, 0), 6, 1e-9);
     load.ended();
-    EXPECT_NEAR(load.total(Start), 5, 1e-9);
-    EXPECT_NEAR(load.total(Start + LoadEstimate::HalfLife), 1 + 2, 1e-9);
+    EXPECT_NEAR(load.total(Start, 0), 5, 1e-9);
+    EXPECT_NEAR(load.total(Start + LoadEstimate::HalfLife, 0), 1 + 2, 1e-9);
     load.reported(0, Start + 1s);
-    EXPECT_NEAR(load.total(Start + 1s), 1, 1e-9);
+    EXPECT_NEAR(load.total(Start + 1s, 0), 1, 1e-9);
+}
+
+// Entries of a large site send nearly all streams to the few targets whose word is oldest: it had faded into "nothing
+// there", while others had three requests at each.
+TEST(LoadEstimate, TakesOthersToHaveTheUsualWhereItsWordIsOld)
+{
+    LoadEstimate load;
+    EXPECT_NEAR(load.total(Start, 3), 3, 1e-9);
+    load.sent();
+    load.reported(6, Start);
+    EXPECT_NEAR(load.total(Start, 3), 6, 1e-9);
+    EXPECT_NEAR(load.total(Start + LoadEstimate::HalfLife, 3), 1 + 2.5 + 1.5, 1e-9);
+    EXPECT_NEAR(load.total(Start + LoadEstimate::HalfLife * 20, 3), 1 + 3, 1e-4);
 }
 
 struct PlaceRow
--- a/tests/decisions/engineplacement_test.cpp
+++ b/tests/decisions/engineplacement_test.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <deque>
+
 #include <optional>
 #include <vector>
 
@@ -131,7 +134,7 @@
     const auto &row = GetParam();
     SeededRandom random(5);
     for (int draw = 0; draw < 20; ++draw) {
-        const auto choice = placeStream(row.world.engines, row.world.groups, row.urgency, random);
+        const auto choice = placeStream(row.world.engines, row.world.groups, {.urgency = row.urgency}, random);
         ASSERT_EQ(choice.index.has_value(), row.group.has_value()) << row.story;
         EXPECT_EQ(choice.isFull, row.isFull) << row.story;
         if (choice.index) {
@@ -152,11 +155,88 @@
     int small = 0;
     constexpr int draws = 1'000;
     for (int draw = 0; draw < draws; ++draw) {
-        const auto choice = placeStream(world.engines, world.groups, Urgency::Timely, random);
+        const auto choice = placeStream(world.engines, world.groups, {}, random);
         ASSERT_TRUE(choice.index);
         small += world.engines[*choice.index].group == 0 ? 1 : 0;
     }
     EXPECT_NEAR(small, 0.1 * draws, 0.03 * draws);
 }
 
+/** One group of engines, to which entries send streams that last for a while, each knowing what it has sent itself and
+ * what all engines said a moment ago. */
+class ManyEntries
+{
+public:
+    static constexpr int Engines = 96;
+    static constexpr int Entries = 14;
+    static constexpr int Slots = 24; ///< more than ever needed: what is looked at is who gets too much
+
+    /** Lets @p rounds pass between two statuses with @p perRound streams from each entry. */
+    void run(int rounds, int perRound)
+    {
+        for (int round = 0; round < rounds; ++round) {
+            m_told = m_running;
+            for (auto &own : m_sent) {
+                own.assign(Engines, 0);
+            }
+            for (int stream = 0; stream < perRound; ++stream) {
+                for (auto &own : m_sent) {
+                    send(own);
+                }
+            }
+            m_most = std::max(m_most, *std::max_element(m_running.begin(), m_running.end()));
+            endOldest(static_cast<std::size_t>(perRound) * Entries, round);
+        }
+    }
+
+    /** The most streams that an engine had at a time. */
+    int most() const
+    {
+        return m_most;
+    }
+
+private:
+    void send(std::vector<int> &own)
+    {
+        std::vector<EngineCandidate> engines;
+        for (std::size_t engine = 0; engine < Engines; ++engine) {
+            const double load = m_told[engine] + own[engine];
+            engines.push_back({.target = {.load = load, .slots = Slots}});
+        }
+        const std::vector<EngineGroup> groups{{.room = 1'000}};
+        const auto choice = placeStream(engines, groups, {.share = 1.0 / Entries}, m_random);
+        ASSERT_TRUE(choice.index);
+        ++own[*choice.index];
+        ++m_running[*choice.index];
+        m_open.push_back(*choice.index);
+    }
+
+    void endOldest(std::size_t count, int round)
+    {
+        constexpr int RoundsOfAStream = 3;
+        for (std::size_t ended = 0; round >= RoundsOfAStream && ended < count; ++ended) {
+            --m_running[m_open.front()];
+            m_open.pop_front();
+        }
+    }
+
+    SeededRandom m_random{11};
+    std::vector<int> m_running = std::vector<int>(Engines, 0);
+    std::vector<int> m_told;
+    std::vector<std::vector<int>> m_sent{Entries};
+    std::deque<std::size_t> m_open;
+    int m_most = 0;
+};
+
+// Callers' streams stand in line at some engines while others are idle, and each pass of the group takes as long as the
+// fullest needs: all entries send what comes between two statuses to the engines that said last that they were idle.
+TEST(Streams, DontAllGoToTheEnginesThatLookedIdle)
+{
+    constexpr int perRound = 7; // of 14 entries: one for each engine
+    ManyEntries entries;
+    entries.run(40, perRound);
+    // Four rounds' streams are open at a time, four an engine; six is a batch of such engines.
+    EXPECT_LE(entries.most(), 10);
+}
+
 } // namespace
