Compare near and far engines alike; spell layouts in bytes; read the log as often as promises need

Change: near and far engines are drawn apart; layouts take a byte or two an expert (96 ranks: 6.2 kB); far statuses get a quarter of a hundredth of the link; reads for targets and rules follow the promised times (those of the first sites stay as they are: 0.85 and 1.8 s).

--- a/modules/heatherridge_protocol/rankmessage.cpp
+++ b/modules/heatherridge_protocol/rankmessage.cpp
@@ -2,6 +2,10 @@
 
 #include "heatherridge_protocol/cborvalue.h"
 
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
 namespace Heatherridge
 {
 
@@ -20,13 +24,102 @@
     return value.is_null() ? std::nullopt : std::optional(static_cast<MapNumber>(value.get<std::uint64_t>()));
 }
 
+/** Bytes that spell the number of an expert. */
+constexpr unsigned NarrowExpert = 1;
+constexpr unsigned WideExpert = 2;
+/** The number that the JSON library's errors want; of no meaning here. */
+constexpr int LayoutCutShort = 600;
+
+/** The bytes of @p set: for each rank how many experts it holds, and these. */
+std::vector<std::uint8_t> bytesOf(const SetLayout &set, unsigned width)
+{
+    std::vector<std::uint8_t> bytes;
+    for (const auto &experts : set) {
+        bytes.push_back(static_cast<std::uint8_t>(experts.size()));
+        for (const auto expert : experts) {
+            bytes.push_back(static_cast<std::uint8_t>(expert & 0xFFU));
+            if (width == WideExpert) {
+                bytes.push_back(static_cast<std::uint8_t>(expert >> 8U));
+            }
+        }
+    }
+    return bytes;
+}
+
+/** Whether each rank's experts can be counted in one byte. */
+bool isCompact(const ExpertLayout &layout)
+{
+    return std::all_of(layout.begin(), layout.end(), [](const auto &set) {
+        return std::all_of(set.begin(), set.end(), [](const auto &experts) {
+            return experts.size() <= std::numeric_limits<std::uint8_t>::max();
+        });
+    });
+}
+
+unsigned widthFor(const ExpertLayout &layout)
+{
+    std::uint16_t highest = 0;
+    for (const auto &set : layout) {
+        for (const auto &experts : set) {
+            highest = std::accumulate(experts.begin(), experts.end(), highest,
+                                      [](auto most, auto expert) { return std::max(most, expert); });
+        }
+    }
+    return highest <= std::numeric_limits<std::uint8_t>::max() ? NarrowExpert : WideExpert;
+}
+
+/** Layouts go to every rank of a group at each switch: a byte or two an expert. */
+json spelled(const ExpertLayout &layout)
+{
+    if (!isCompact(layout)) {
+        return layout;
+    }
+    const auto width = widthFor(layout);
+    json sets = json::array();
+    for (const auto &set : layout) {
+        sets.push_back(json::binary(bytesOf(set, width)));
+    }
+    return json::array({width, std::move(sets)});
+}
+
+/** Reads the bytes of a set. Bytes that end within a rank throw as a missing field does. */
+SetLayout setFrom(const std::vector<std::uint8_t> &bytes, unsigned width)
+{
+    SetLayout set;
+    for (std::size_t at = 0; at < bytes.size();) {
+        const std::size_t count = bytes[at++];
+        if (bytes.size() - at < count * width) {
+            throw json::other_error::create(LayoutCutShort, "a layout ends within a rank", nullptr);
+        }
+        auto &experts = set.emplace_back();
+        for (std::size_t index = 0; index < count; ++index, at += width) {
+            const unsigned high = width == WideExpert ? bytes[at + 1] : 0U;
+            experts.push_back(static_cast<std::uint16_t>(bytes[at] | (high << 8U)));
+        }
+    }
+    return set;
+}
+
+ExpertLayout layoutFrom(const json &value)
+{
+    if (value.empty() || !value.front().is_number()) {
+        return value.get<ExpertLayout>();
+    }
+    const auto width = value.at(0).get<unsigned>() == NarrowExpert ? NarrowExpert : WideExpert;
+    ExpertLayout layout;
+    for (const auto &set : value.at(1)) {
+        layout.push_back(setFrom(set.get_binary(), width));
+    }
+    return layout;
+}
+
 RankOrder orderFrom(const json &fields)
 {
     const auto kind = fields.at(0).get<std::size_t>();
     const auto map = [&] { return static_cast<MapNumber>(fields.at(1).get<std::uint64_t>()); };
     switch (kind) {
     case 0:
-        return PrepareMap{.map = map(), .layout = fields.at(2).get<ExpertLayout>()};
+        return PrepareMap{.map = map(), .layout = layoutFrom(fields.at(2))};
     case 1:
         return ArmMap{.map = map(), .step = fields.at(2).get<std::uint64_t>()};
     case 2:
@@ -42,7 +135,7 @@
 {
     const auto kind = order.index();
     return std::visit(Visitor{[kind](const PrepareMap &prepare) {
-                                  return json::array({kind, toNumber(prepare.map), prepare.layout});
+                                  return json::array({kind, toNumber(prepare.map), spelled(prepare.layout)});
                               },
                               [kind](const ArmMap &arm) {
                                   return json::array({kind, toNumber(arm.map), arm.step});
--- a/modules/heatherridge_state/decisions/engineplacement.cpp
+++ b/modules/heatherridge_state/decisions/engineplacement.cpp
@@ -96,11 +96,11 @@
     return chosen ? std::optional(among[*chosen]) : std::nullopt;
 }
 
-/** Some of @p among, drawn at random. */
-std::vector<std::size_t> drawnFew(std::vector<std::size_t> among, double share, RandomSource &random)
+/** Some of @p among, drawn at random: @p part of them, and LeastCompared at the least. */
+std::vector<std::size_t> drawnFew(std::vector<std::size_t> among, double part, RandomSource &random)
 {
-    const auto part = static_cast<std::size_t>(std::ceil(static_cast<double>(among.size()) * share * ComparedParts));
-    const auto count = std::min(std::max(part, LeastCompared), among.size());
+    const auto wanted = static_cast<std::size_t>(std::ceil(static_cast<double>(among.size()) * part));
+    const auto count = std::min(std::max(wanted, LeastCompared), among.size());
     for (std::size_t index = 0; index < count; ++index) {
         std::swap(among[index], among[index + random.below(among.size() - index)]);
     }
@@ -108,6 +108,20 @@
     return among;
 }
 
+/** Some near and some far ones of @p among. Near ones are a small part of many zones' engines, and hardly any would be
+ * drawn beside the others. */
+std::vector<std::size_t> comparedOf(std::span<const EngineCandidate> engines, std::vector<std::size_t> among,
+                                    double share, RandomSource &random)
+{
+    const auto far = std::stable_partition(among.begin(), among.end(),
+                                           [&engines](auto index) { return engines[index].target.isNear; });
+    const double part = share * ComparedParts;
+    auto compared = drawnFew({among.begin(), far}, part, random);
+    const auto others = drawnFew({far, among.end()}, part, random);
+    compared.insert(compared.end(), others.begin(), others.end());
+    return compared;
+}
+
 /** Those of @p among that are in one group, drawn by the room that groups have left. */
 std::vector<std::size_t> ofDrawnGroup(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &among,
                                       std::span<const EngineGroup> groups, RandomSource &random)
@@ -155,7 +169,7 @@
             continue;
         }
         auto alike = place == Place::Good ? ofDrawnGroup(engines, among, groups, random) : among;
-        return {.index = leastLoaded(engines, drawnFew(std::move(alike), need.share, random), random)};
+        return {.index = leastLoaded(engines, comparedOf(engines, std::move(alike), need.share, random), random)};
     }
     return {.isFull = anyOpen};
 }
--- a/modules/heatherridge_state/groups/controlbudget.h
+++ b/modules/heatherridge_state/groups/controlbudget.h
@@ -25,7 +25,7 @@
     /** Part of the link for counts: with a tenth a whole round of the largest models' near ranks fits a period. */
     static constexpr double CountsPart = 0.1;
     /** Part of the link for statuses of ranks in other zones. */
-    static constexpr double FarStatusPart = 0.005;
+    static constexpr double FarStatusPart = 0.0025;
     /** One question for a status and its answer, with their headers. */
     static constexpr double StatusBytes = 600;
     /** What headers add to the counts of one rank, a byte a count. */
--- a/modules/heatherridge_transport/direct/gatewaycontrol.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.cpp
@@ -5,6 +5,16 @@
 namespace Heatherridge
 {
 
+namespace
+{
+
+std::chrono::milliseconds partOf(std::chrono::milliseconds time, double part)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time * part);
+}
+
+} // namespace
+
 GatewayControl::GatewayControl(RegisterLog &log, Options options, Events events, Metrics &metrics)
     : m_log(log)
     , m_events(std::move(events))
@@ -14,7 +24,7 @@
     , m_malformed(metrics.counter("heatherridge_register_malformed_total"))
     , m_outages(metrics.counter("heatherridge_register_outages_total"))
     , m_stale(metrics.counter("heatherridge_config_stale_total"))
-    , m_rulesFollower(log, {.kind = RegisterKind::Rules, .wait = options.rulesWait},
+    , m_rulesFollower(log, {.kind = RegisterKind::Rules, .wait = partOf(options.silenceTime, RulesWaitPart)},
                       {.replaced = [this](const auto &changes) { takeRules(changes); },
                        .changed = [this](const auto &changes) { takeRules(changes); },
                        .reachable =
@@ -24,7 +34,8 @@
                                    registerAnswers("rules", answers, reason);
                                }
                            }})
-    , m_targetsFollower(log, {.kind = RegisterKind::Targets, .period = options.targetsPeriod},
+    , m_targetsFollower(log,
+                        {.kind = RegisterKind::Targets, .period = partOf(options.withdrawalTime, TargetsPeriodPart)},
                         {.replaced = [this](const auto &changes) { replaceTargets(changes); },
                          .changed = [this](const auto &changes) { changeTargets(changes); },
                          .reachable =
--- a/modules/heatherridge_transport/direct/gatewaycontrol.h
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.h
@@ -21,15 +21,22 @@
 class GatewayControl
 {
 public:
+    /** What is promised of changes; how often the registers are read follows from it. */
     struct Options
     {
-        /** How long a read for rules waits. Longer saves calls; a register that hangs is noticed after it. */
-        std::chrono::milliseconds rulesWait{1'800};
-        /** Between reads for targets; their heartbeats make a read that waits return at once. A leaving target must
-         * get nothing new 2 s after it said so. */
-        std::chrono::milliseconds targetsPeriod{850};
+        /** A target that has said that it leaves gets nothing new after so long. */
+        std::chrono::milliseconds withdrawalTime{2'000};
+        /** Connections that have gone silent are noticed within this. */
+        std::chrono::milliseconds silenceTime{3'000};
     };
 
+    /** Part of the time for a withdrawal from one read for targets to the next; a read, its repeat after a failure and
+     * the way to the traffic thread take the rest. Targets' heartbeats make a read that waits return at once. */
+    static constexpr double TargetsPeriodPart = 0.425;
+    /** Part of the time for silence that a read for rules waits. Longer saves calls; a log that hangs is noticed after
+     * it. */
+    static constexpr double RulesWaitPart = 0.6;
+
     struct Events
     {
         std::function<void(std::shared_ptr<const RouteTable>)> rules{};
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -62,7 +62,7 @@
         , m_workShare(*m_shares,
                       {.member = m_options.process.text() + "-" + std::to_string(m_entropy()),
                        .parts = m_options.logPartitions})
-        , m_control(*m_registers, {},
+        , m_control(*m_registers, m_options.control,
                     {.rules = [this](auto table) { rulesChanged(std::move(table)); },
                      .targets = [this](auto targets) { targetsChanged(std::move(targets)); }},
                     m_metrics)
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -32,6 +32,7 @@
         FleetRetryBudgetOptions retryBudget{};
         GroupKeeperOptions groups{};
         int sidecarPort = 0; ///< where the processes beside model engines listen; 0: there are none
+        GatewayControl::Options control{};
         int logPartitions = 1; ///< partitions of a topic of the platform's log
         std::size_t maxConnections = 1'000; ///< of callers
         std::chrono::milliseconds grace{8'000}; ///< from the signal to stop until the process is killed
--- a/tests/protocol/countsreading_test.cpp
+++ b/tests/protocol/countsreading_test.cpp
@@ -61,7 +61,8 @@
 RC_GTEST_PROP(CountsReadings, HostileBytesAreRefused, (std::string bytes))
 {
     const auto reading = decodeCountsReading(bytes);
-    RC_ASSERT(errorIn(reading) == nullptr || errorIn(reading)->kind == ErrorKind::MalformedFrame);
+    const bool isReadOrRefused = errorIn(reading) == nullptr || errorIn(reading)->kind == ErrorKind::MalformedFrame;
+    RC_ASSERT(isReadOrRefused);
 }
 
 struct GrowthRow
