--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -513,11 +513,19 @@
     const bool isSilentCall =
         m_route.kind == RequestKind::Idempotent && m_status == 0 && now() - m_sentAt > m_route.objective;
     const bool mayRepeat = m_mayHaveRun + 1 < m_route.maxAttempts && timeLeft() > LeastTime * 2;
-    if ((isSilentStream || isSilentCall) && mayRepeat) {
+    if ((isSilentStream || isSilentCall) && mayRepeat && couldGoOnElsewhere()) {
         attemptEnded(AttemptEnd::Silent, "no sign of life");
     }
 }
 
+bool GatewayCall::couldGoOnElsewhere()
+{
+    // A group that stands still goes on mostly. Its streams were given up all at once, few of them found a repeat in
+    // the budget or another engine with room, and the others were cut off though their target would have finished them.
+    return m_traffic.budgetOf(m_service).left(now()) >= 1
+        && m_traffic.m_targets.choose(m_service, m_tried, urgency(), now(), m_traffic.m_random).target != nullptr;
+}
+
 void GatewayCall::callerLeft()
 {
     if (m_isDone) {
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -71,6 +71,7 @@
     void finish(std::string_view outcome, int status);
     void armTimer();
     void timerFired();
+    bool couldGoOnElsewhere();
     void callerLeft();
     bool isStream() const;
     std::chrono::milliseconds timeLeft() const;
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -290,6 +290,22 @@
     EXPECT_EQ(answer.body, event(1) + event(2) + event(3) + event(4));
 }
 
+// A group of engines stands still for a second and a half and goes on. Its callers' answers are cut off in the middle:
+// their gateway has given them up at the silent engine, and no other takes them.
+TEST(EventStreams, StayAtASilentTargetWhenNoOtherTakesThem)
+{
+    const ScriptedTarget target([](const std::string &request, int) {
+        return Acts{send(streamHead(request) + chunk(event(1))), pause(1'600ms), send(chunk(event(2)) + "0\r\n\r\n")};
+    });
+    GatewaySite site({&target});
+    RawCaller caller(site.callers());
+    caller.send(requestText("POST", "/stream/1", "r1", "prompt"));
+    const auto answer = caller.receive();
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, event(1) + event(2));
+    EXPECT_EQ(target.requests().size(), 1U);
+}
+
 TEST(EventStreams, ThatCannotGoOnEndCutOff)
 {
     const ScriptedTarget target([](const std::string &request, int number) {
