Stand in for a keeper that is gone while the log is out; never take a part of nothing for a quarter

Change 1: the process beside a rank tells with each status how long ago a keeper asked it for counts. A keeper that the log does not answer stands in when nobody has asked for 1.5 to 3 s (drawn), and stops when the log answers. Two of them give way to each other as unconfirmed keepers did before. Switches are safe with any number of keepers, so nothing else changes. Cause 2: with 14 gateways before 12 parts two have none, and went on with the first guess of a quarter of all room. Change 2: WorkShare::evenPart(), at most one in parts + 1 for a member without any; repeats still use the exact part.

--- a/modules/heatherridge_coordination/feed/workshare.cpp
+++ b/modules/heatherridge_coordination/feed/workshare.cpp
@@ -41,6 +41,12 @@
     return m_hasLeft ? 0.0 : static_cast<double>(m_share.parts.size()) / m_options.parts;
 }
 
+std::optional<double> WorkShare::evenPart() const
+{
+    const auto own = part();
+    return own && *own <= 0 && !m_hasLeft ? 1.0 / (m_options.parts + 1) : own;
+}
+
 bool WorkShare::isConfirmed(SteadyTime now) const
 {
     return m_confirmedAt && now - *m_confirmedAt < m_options.lease;
--- a/modules/heatherridge_coordination/feed/workshare.h
+++ b/modules/heatherridge_coordination/feed/workshare.h
@@ -66,6 +66,12 @@
      * first answer. */
     std::optional<double> part() const;
 
+    /**
+     * The same for what all members do alike, whether or not the log has pieces of work enough for each: never 0. A
+     * member that has none is one of more members than there are parts.
+     */
+    std::optional<double> evenPart() const;
+
     /** Whether the log has confirmed the share within its lease, so that nobody else can have it. */
     bool isConfirmed(SteadyTime now) const;
 
--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -80,30 +80,65 @@
 void GroupKeeper::setActive(bool isActive, bool isConfirmed)
 {
     m_isActive = isActive;
-    m_watch.setThorough(isActive);
     if (m_isConfirmed && !isConfirmed) {
         m_unconfirmedSince = m_now;
-        m_sawOther = false;
-        m_highestBefore = {};
-        for (const auto &[name, seen] : m_watch.groups()) {
-            m_highestBefore = std::max(m_highestBefore, seen.highest);
-        }
+        m_orphanDraw = milliseconds(m_drawBits() % OrphanDraw.count());
+        rememberHighest();
     }
     m_isConfirmed = isConfirmed;
+    m_standsIn = m_standsIn && !isActive && !isConfirmed;
+    m_watch.setThorough(isKeeping());
+}
+
+void GroupKeeper::rememberHighest()
+{
+    m_sawOther = false;
+    m_highestBefore = {};
+    for (const auto &[name, seen] : m_watch.groups()) {
+        m_highestBefore = std::max(m_highestBefore, seen.highest);
+    }
+}
+
+bool GroupKeeper::isKeeping() const
+{
+    return m_isActive || m_standsIn;
+}
+
+bool GroupKeeper::isOrphaned(SteadyTime now) const
+{
+    std::optional<SteadyTime::duration> least;
+    for (const auto &[name, seen] : m_watch.groups()) {
+        if (seen.surveyedAgo && now - seen.surveyToldAt <= OrphanNews) {
+            least = least ? std::min(*least, SteadyTime::duration(*seen.surveyedAgo)) : *seen.surveyedAgo;
+        }
+    }
+    return least && *least > OrphanPatience + m_orphanDraw;
+}
+
+void GroupKeeper::considerStandingIn(SteadyTime now)
+{
+    if (m_isActive || m_isConfirmed || m_standsIn || !isOrphaned(now)) {
+        return;
+    }
+    m_standsIn = true;
+    m_watch.setThorough(true);
+    rememberHighest(); // what the keeper that is gone has made ranks prepare is not another's at work
+    tell("keeper-stands-in", {}, "no keeper has asked for counts and the log gives its share to nobody");
 }
 
 void GroupKeeper::tick(SteadyTime now)
 {
     m_now = now;
     m_watch.tick(now);
+    considerStandingIn(now);
     for (auto &[name, group] : m_groups) {
         followGroup(name, group, now);
     }
-    if (m_isActive && m_survey.tick(now, [this] { return surveyed(); })) {
+    if (isKeeping() && m_survey.tick(now, [this] { return surveyed(); })) {
         noteDemand();
     }
     for (auto &[name, group] : m_groups) {
-        if (m_isActive && group.isDue && group.layout && m_watch.isWhole(m_watch.group(name))) {
+        if (isKeeping() && group.isDue && group.layout && m_watch.isWhole(m_watch.group(name))) {
             considerSwitch(name, group, now);
         }
     }
@@ -175,7 +210,7 @@
         watchHold(name, group, now);
     } else if (group.wanted && (m_watch.isFresh(seen, group.gatheredAt) || now - group.gatheredAt > StatusPatience)) {
         startSwitch(name, group, now);
-    } else if (m_isActive && !group.layout) {
+    } else if (isKeeping() && !group.layout) {
         readExperts(name, group);
     }
 }
@@ -208,7 +243,7 @@
         group.patienceDrawnFor = seen.heldSince;
         group.patienceDraw = milliseconds(m_drawBits() % PatienceDraw.count());
     }
-    const auto more = m_isActive ? milliseconds(0) : InactivePatience + group.patienceDraw;
+    const auto more = isKeeping() ? milliseconds(0) : InactivePatience + group.patienceDraw;
     const bool standsStill = seen.standsSince && now - *seen.standsSince > StandstillPatience + more;
     return standsStill || now - seen.heldSince > ForeignHoldPatience + more;
 }
@@ -349,7 +384,24 @@
         }
     }
     const auto counts = static_cast<std::size_t>(m_profile.layerSets) * static_cast<std::size_t>(m_profile.experts);
-    return m_options.budget.surveyed(std::move(ranks), counts, m_options.countPeriod);
+    auto asked = m_options.budget.surveyed(std::move(ranks), counts, m_options.countPeriod);
+    addLeaders(asked); // by their word other keepers know that there is one
+    return asked;
+}
+
+void GroupKeeper::addLeaders(std::vector<TargetEntry> &asked) const
+{
+    for (const auto &[name, seen] : m_watch.groups()) {
+        if (!m_watch.isWhole(seen)) {
+            continue;
+        }
+        const auto leader = m_watch.targetsOf(seen).front();
+        const bool isAsked =
+            std::any_of(asked.begin(), asked.end(), [&leader](const auto &rank) { return rank.id == leader.id; });
+        if (!isAsked) {
+            asked.push_back(leader);
+        }
+    }
 }
 
 void GroupKeeper::noteDemand()
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -53,7 +53,9 @@
  * Keeps the expert maps of one service's groups even, as their only active keeper or beside others.
  *
  * Any number of keepers may be active: each switch is safe by itself. That one is active at a time only saves orders.
- * An inactive one only watches, and lets go of passes that stay held. One thread; tick() moves it on.
+ * An inactive one only watches, lets go of passes that stay held, and stands in for the active one when that is gone
+ * while the log can't give its share to another: for as long as that lasted each jump of demand left passes two to
+ * three times as long. One thread; tick() moves it on.
  */
 class GroupKeeper
 {
@@ -79,6 +81,15 @@
      * same demand within a period of counts, and what it prepares is seen within a period of statuses. */
     static constexpr std::chrono::milliseconds UnconfirmedPause{900};
 
+    /** An inactive keeper that the log does not answer stands in for the active one when no keeper has asked for counts
+     * for so long, and a draw of the width below: the active one asks several times a second, and a restart of it, or
+     * the log's word on who has its share now, takes a second. */
+    static constexpr std::chrono::milliseconds OrphanPatience{1'500};
+    static constexpr std::chrono::milliseconds OrphanDraw{1'500};
+
+    /** What ranks say of that is worth nothing when it is older. */
+    static constexpr std::chrono::milliseconds OrphanNews{1'000};
+
     GroupKeeper(RankControl &control, GroupKeeperOptions options, KeeperEvents events, const Clock &clock,
                 std::function<std::uint64_t()> drawBits);
 
@@ -146,9 +157,14 @@
     void assembleLayout(const GroupName &name, const ExpertReading &reading);
     void noteDemand();
     std::vector<TargetEntry> surveyed() const;
+    void addLeaders(std::vector<TargetEntry> &asked) const;
     void considerSwitch(const GroupName &name, Group &group, SteadyTime now);
     RankSlowness slownessOf(const WatchedGroup &seen) const;
     void startSwitch(const GroupName &name, Group &group, SteadyTime now);
+    void considerStandingIn(SteadyTime now);
+    bool isOrphaned(SteadyTime now) const;
+    bool isKeeping() const;
+    void rememberHighest();
     void noticeOthers(const RankStatus &status);
     bool givesWay(SteadyTime now) const;
     bool mayBeAnothers(const Group &group, SteadyTime now) const;
@@ -167,6 +183,8 @@
     DemandSurvey m_survey;
     bool m_isActive = false;
     bool m_isConfirmed = true;
+    bool m_standsIn = false; ///< acts for a keeper that is gone
+    std::chrono::milliseconds m_orphanDraw{}; ///< this time's
     SteadyTime m_now{}; ///< of the last tick
     SteadyTime m_unconfirmedSince{};
     bool m_sawOther = false; ///< another keeper's map was seen since then
--- a/modules/heatherridge_coordination/groups/rankwatch.cpp
+++ b/modules/heatherridge_coordination/groups/rankwatch.cpp
@@ -240,6 +240,7 @@
     followHold(group, now);
     if (status.rank == 0 && status.epoch == group.epoch) {
         followPasses(group, status, now);
+        followSurvey(group, status, now);
     }
     m_events.spoke(status.group, status);
 }
@@ -275,6 +276,14 @@
     }
 }
 
+void RankWatch::followSurvey(WatchedGroup &group, const RankStatus &status, SteadyTime now)
+{
+    if (status.countsAskedAgo) {
+        group.surveyedAgo = *status.countsAskedAgo;
+        group.surveyToldAt = now;
+    }
+}
+
 void RankWatch::compose(const GroupName &name)
 {
     auto &group = m_groups[name];
--- a/modules/heatherridge_coordination/groups/rankwatch.h
+++ b/modules/heatherridge_coordination/groups/rankwatch.h
@@ -37,6 +37,8 @@
     std::uint64_t lastStep = 0; ///< the last pass that was begun
     SteadyTime lastStepAt{};
     std::chrono::milliseconds passTime{50};
+    std::optional<std::chrono::milliseconds> surveyedAgo{}; ///< a keeper last asked rank 0 for its counts, as it told
+    SteadyTime surveyToldAt{}; ///< when rank 0 told that
     std::optional<std::uint64_t> heldStep{};
     SteadyTime heldSince{};
     std::optional<SteadyTime> standsSince{}; ///< the pass before the held one is seen to be the last that was begun
@@ -128,6 +130,7 @@
     std::vector<TargetName> ranksOf(const GroupName &name, std::uint64_t epoch) const;
     void followHold(WatchedGroup &group, SteadyTime now) const;
     static void followPasses(WatchedGroup &group, const RankStatus &status, SteadyTime now);
+    static void followSurvey(WatchedGroup &group, const RankStatus &status, SteadyTime now);
     bool isSettled() const;
     bool isWatchedClosely(const Member &member) const;
     std::chrono::milliseconds periodOf(const Member &member) const;
--- a/modules/heatherridge_state/groups/rankvalues.h
+++ b/modules/heatherridge_state/groups/rankvalues.h
@@ -29,6 +29,8 @@
     int running = 0; ///< requests
     int waiting = 0; ///< requests
     double pace = 1; ///< over 1: the rank takes so many times as long as usual
+    /** How long ago a keeper last asked the process beside the rank for its counts; nothing when nobody can tell. */
+    std::optional<std::chrono::milliseconds> countsAskedAgo{};
     /** How old it may be at most when it was asked for; engines answer from afar with a report of 200 ms ago. */
     std::chrono::milliseconds lag{250};
 };
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -190,7 +190,8 @@
             return;
         }
         m_budgetPart = part;
-        m_trafficLoop.post([this, part = *part] { m_traffic.setBudgetPart(part); });
+        const auto evenPart = m_workShare.evenPart().value_or(*part);
+        m_trafficLoop.post([this, part = *part, evenPart] { m_traffic.setParts(part, evenPart); });
     }
 
     /** Tells the keepers of services with expert groups which targets there are. */
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -70,12 +70,12 @@
     }
 }
 
-void GatewayTraffic::setBudgetPart(double part)
+void GatewayTraffic::setParts(double budgetPart, double evenPart)
 {
-    m_options.retryBudget.part = part;
-    m_targets.setPart(part);
+    m_options.retryBudget.part = budgetPart;
+    m_targets.setPart(evenPart);
     for (auto &[service, budget] : m_budgets) {
-        budget.setPart(part);
+        budget.setPart(budgetPart);
     }
 }
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -53,8 +53,12 @@
     /** Bounds of repeats, from now on. Keeps this gateway's part of the slack. */
     void setRetryBudget(FleetRetryBudgetOptions options);
 
-    /** This gateway's part of the slack that all gateways may use for repeats. */
-    void setBudgetPart(double part);
+    /**
+     * This gateway's part of what all gateways do.
+     * @param budgetPart of the slack for repeats, which must not add up to more than the slack
+     * @param evenPart of the streams, as if all had alike
+     */
+    void setParts(double budgetPart, double evenPart);
 
     /** From now on nothing is taken that could outlast the process. */
     void refuseStreams();
--- a/modules/heatherridge_transport/direct/sidecarserver.cpp
+++ b/modules/heatherridge_transport/direct/sidecarserver.cpp
@@ -88,7 +88,7 @@
         const TargetEntry target{.id = TargetName(std::string(request.header(SidecarPaths::TargetHeader))),
                                  .address = m_options.engine};
         if (request.path == SidecarPaths::Status) {
-            statusOf(target).ask(answerWith<RankStatus>(exchange));
+            tellStatus(exchange, target);
         } else if (request.path == SidecarPaths::Counts) {
             tellCounts(exchange, target);
         } else if (request.path == SidecarPaths::Experts) {
@@ -100,6 +100,18 @@
         }
     }
 
+    void tellStatus(const std::shared_ptr<HttpExchange> &exchange, const TargetEntry &target)
+    {
+        statusOf(target).ask([this, exchange](Result<RankStatus> result) {
+            auto *status = std::get_if<RankStatus>(&result);
+            if (status != nullptr) {
+                const auto ago = std::chrono::steady_clock::now() - m_countsAskedAt;
+                status->countsAskedAgo = std::chrono::duration_cast<std::chrono::milliseconds>(ago);
+            }
+            answerWith<RankStatus>(exchange)(result);
+        });
+    }
+
     SharedRead<RankStatus> &statusOf(const TargetEntry &target)
     {
         std::erase_if(m_statuses,
@@ -111,6 +123,7 @@
 
     void tellCounts(const std::shared_ptr<HttpExchange> &exchange, const TargetEntry &target)
     {
+        m_countsAskedAt = std::chrono::steady_clock::now();
         const auto since = numberIn(exchange->request().queryParameter(SidecarPaths::SinceParameter));
         m_ranks->counts(target, [this, exchange, target, since](const Result<RankCounts> &counts) {
             if (const auto *error = errorIn(counts)) {
@@ -150,6 +163,7 @@
     std::unique_ptr<RankControl> m_ranks;
     std::map<TargetName, SharedRead<RankStatus>> m_statuses; ///< by the run of the engine that is meant
     CountsTeller m_countsTeller{drawnMark()};
+    SteadyTime m_countsAskedAt = std::chrono::steady_clock::now(); ///< by a keeper; before that, when this was made
     CallerServer m_server;
 };
 
--- a/tests/feed/workshare_test.cpp
+++ b/tests/feed/workshare_test.cpp
@@ -65,6 +65,40 @@
     EXPECT_FALSE(m_share.isConfirmed(Start + 1'600ms));
 }
 
+struct PartRow
+{
+    const char *story;
+    std::set<int> parts;
+    double part;
+    double evenPart;
+};
+
+const PartRow PartRows[] = {
+    {"one of two members", {1}, 0.5, 0.5},
+    {"the only member", {0, 1}, 1, 1},
+    // Two gateways of fourteen before twelve parts take a quarter of the room that engines have: with no part, each
+    // goes on to believe that it is one of four.
+    {"one of more members than there are parts", {}, 0, 1.0 / 3},
+};
+
+class Parts : public testing::TestWithParam<PartRow>
+{
+};
+
+TEST_P(Parts, AddUpAndAreNeverNothingWhereAllWorkAlike)
+{
+    ManualShareLog log;
+    WorkShare share(log, {.member = "m", .parts = 2});
+    EXPECT_FALSE(share.part());
+    EXPECT_FALSE(share.evenPart());
+    share.tick(Start);
+    log.answer(ShareAnswer{.generation = 1, .parts = GetParam().parts});
+    EXPECT_DOUBLE_EQ(*share.part(), GetParam().part) << GetParam().story;
+    EXPECT_DOUBLE_EQ(*share.evenPart(), GetParam().evenPart) << GetParam().story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Parts, testing::ValuesIn(PartRows));
+
 TEST_F(Shares, EndWhenTheyAreGivenBack)
 {
     m_share.tick(Start);
--- a/tests/heldgroups/watched_test.cpp
+++ b/tests/heldgroups/watched_test.cpp
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
+#include <string>
 
 using namespace Heatherridge;
 using namespace std::chrono_literals;
@@ -37,12 +39,18 @@
             done(Error{.kind = ErrorKind::TargetUnreachable});
             return;
         }
-        done(RankStatus{
-            .group = GroupName("g"), .epoch = 1, .rank = rank, .size = Size, .isOpen = word == Word::Open, .step = 10});
+        done(RankStatus{.group = GroupName("g"),
+                        .epoch = 1,
+                        .rank = rank,
+                        .size = Size,
+                        .isOpen = word == Word::Open,
+                        .step = 10,
+                        .countsAskedAgo = countsAskedAgo});
     }
 
     void counts(const TargetEntry &, std::function<void(Result<RankCounts>)> done) override
     {
+        ++countsAsked;
         done(RankCounts{.epoch = 1});
     }
 
@@ -57,6 +65,8 @@
     }
 
     std::vector<Word> words;
+    std::optional<std::chrono::milliseconds> countsAskedAgo{}; ///< as each rank says
+    int countsAsked = 0;
     std::map<TargetName, int> asked{}; ///< for their status
 };
 
@@ -186,4 +196,66 @@
 
 INSTANTIATE_TEST_SUITE_P(All, FarRanks, testing::ValuesIn(FarRows));
 
+struct OrphanRow
+{
+    const char *story;
+    bool isConfirmed; ///< the log answers this keeper
+    std::optional<std::chrono::milliseconds> countsAskedAgo;
+    bool isSilentLater; ///< ranks fall silent after their first word
+    bool standsIn;
+};
+
+// Passes take two to three times as long for nine seconds: the machine that keeps maps is stopped while the log is
+// down. The others ask the log in vain who keeps them now, and nobody follows what is liked until it is back.
+const OrphanRow OrphanRows[] = {
+    {"nobody has asked for counts for long, and the log can't say who should", false, 10s, false, true},
+    {"somebody asks", false, 100ms, false, false},
+    {"the log answers, and gives the share to another", true, 10s, false, false},
+    {"ranks can't tell", false, std::nullopt, false, false},
+    {"what ranks have told is old", false, 1'400ms, true, false},
+};
+
+class OrphanedGroups : public testing::TestWithParam<OrphanRow>
+{
+};
+
+TEST_P(OrphanedGroups, FindAKeeperWhileTheLogIsOut)
+{
+    const auto &row = GetParam();
+    TalkingRanks ranks;
+    ranks.words.assign(Size, Word::Open);
+    ranks.countsAskedAgo = row.countsAskedAgo;
+    std::vector<std::string> told;
+    const FixedClock clock;
+    GroupKeeper keeper(ranks, {},
+                       {.decided = [&told](auto what, const auto &, const auto &) { told.emplace_back(what); }}, clock,
+                       [] { return 700; });
+    std::vector<TargetEntry> targets;
+    for (int rank = 0; rank < Size; ++rank) {
+        targets.push_back({.id = TargetName(std::to_string(rank))});
+    }
+    keeper.setTargets(targets, {.layerSets = 1, .experts = 4, .places = 2}, 120ms);
+    SteadyTime now(1h);
+    for (int tick = 0; tick < 200; ++tick) {
+        now += 20ms;
+        keeper.setActive(false, row.isConfirmed);
+        keeper.tick(now);
+        if (row.isSilentLater && tick == 30) {
+            ranks.words.assign(Size, Word::None);
+        }
+    }
+    EXPECT_EQ(std::count(told.begin(), told.end(), "keeper-stands-in"), row.standsIn ? 1 : 0) << row.story;
+    EXPECT_EQ(ranks.countsAsked > 0, row.standsIn) << row.story;
+    // The log answers again and says whose the share is.
+    keeper.setActive(false, true);
+    const int asked = ranks.countsAsked;
+    for (int tick = 0; tick < 100; ++tick) {
+        now += 20ms;
+        keeper.tick(now);
+    }
+    EXPECT_EQ(ranks.countsAsked, asked) << row.story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, OrphanedGroups, testing::ValuesIn(OrphanRows));
+
 } // namespace
