Give orders to prepare a map some at a time; wait for a pass that is pending

Ruled out: a rank that is odd for good (all ranks of the group showed the old map). Change: 32 orders to prepare wait for an answer at a time, the next follows an answer at once; a pending pass is waited for.

--- a/modules/heatherridge_coordination/groups/groupkeeper.cpp
+++ b/modules/heatherridge_coordination/groups/groupkeeper.cpp
@@ -487,6 +487,11 @@
         group.notBefore = now + SettlePause;
         return;
     }
+    if (isPassPending(group, seen)) {
+        group.notBefore = now + seen.passTime;
+        group.isDue = true;
+        return;
+    }
     for (const auto &id : seen.ranks) {
         const auto &status = *m_watch.statusOf(id);
         const bool isSame = status.map == group.layoutMap || status.step < group.layoutFrom;
@@ -506,6 +511,16 @@
     group.mapSwitch->tick(now);
 }
 
+bool GroupKeeper::isPassPending(const Group &group, const WatchedGroup &seen) const
+{
+    // A switch ends when its pass is let go, and the pass may be several passes ahead. Taken for a rank that is not as
+    // expected, it put the next switch off by half a second, three times in a row.
+    return std::any_of(seen.ranks.begin(), seen.ranks.end(), [&](const auto &id) {
+        const auto &status = *m_watch.statusOf(id);
+        return status.armed == group.layoutMap && status.epoch == seen.epoch && status.step < group.layoutFrom;
+    });
+}
+
 MapNumber GroupKeeper::drawNumber(const GroupName &name)
 {
     // Calendar time goes before: ranks refuse numbers below any that they had, also from keepers that are gone.
--- a/modules/heatherridge_coordination/groups/groupkeeper.h
+++ b/modules/heatherridge_coordination/groups/groupkeeper.h
@@ -159,6 +159,7 @@
     std::vector<TargetEntry> surveyed() const;
     void addLeaders(std::vector<TargetEntry> &asked) const;
     void considerSwitch(const GroupName &name, Group &group, SteadyTime now);
+    bool isPassPending(const Group &group, const WatchedGroup &seen) const;
     RankSlowness slownessOf(const WatchedGroup &seen) const;
     void startSwitch(const GroupName &name, Group &group, SteadyTime now);
     void considerStandingIn(SteadyTime now);
--- a/modules/heatherridge_coordination/groups/mapswitch.cpp
+++ b/modules/heatherridge_coordination/groups/mapswitch.cpp
@@ -15,6 +15,9 @@
 constexpr std::uint64_t SparePasses = 1;
 /** From reading the present pass to the hold's arrival, with a process that gets a fifth of a core. */
 constexpr milliseconds HoldTime{60};
+/** Orders to prepare a map that wait for an answer at a time: each carries the whole map, and as many take a part of
+ * the time that an answer is waited for on links of a hundred megabits a second. */
+constexpr std::size_t PreparesAtOnce = 32;
 /** What each further copy of an order takes: the time that an answer is waited for. */
 constexpr milliseconds ResendTime{90};
 
@@ -107,7 +110,7 @@
         items.push_back(
             {.target = m_plan.ranks[rank], .order = PrepareMap{.map = m_plan.number, .layout = m_plan.layout}});
     }
-    m_round = std::make_unique<OrderRound>(m_control, m_plan.epoch, std::move(items));
+    m_round = std::make_unique<OrderRound>(m_control, m_plan.epoch, std::move(items), PreparesAtOnce);
 }
 
 void MapSwitch::prepared(SteadyTime now)
--- a/modules/heatherridge_coordination/groups/orderround.cpp
+++ b/modules/heatherridge_coordination/groups/orderround.cpp
@@ -5,64 +5,90 @@
 namespace Heatherridge
 {
 
-OrderRound::OrderRound(RankControl &control, std::uint64_t epoch, std::vector<RoundItem> items)
-    : m_control(control)
-    , m_epoch(epoch)
-    , m_slots(std::make_shared<std::vector<Slot>>())
+OrderRound::OrderRound(RankControl &control, std::uint64_t epoch, std::vector<RoundItem> items, std::size_t mostOpen)
+    : m_state(std::make_shared<State>(State{.control = control, .epoch = epoch, .mostOpen = mostOpen}))
 {
     for (auto &item : items) {
-        m_slots->push_back({.item = std::move(item)});
+        m_state->slots.push_back({.item = std::move(item)});
     }
 }
 
+OrderRound::~OrderRound()
+{
+    m_state->isOver = true;
+}
+
 void OrderRound::tick(SteadyTime now)
 {
-    for (std::size_t index = 0; index < m_slots->size(); ++index) {
-        auto &slot = (*m_slots)[index];
-        if (slot.isWaiting || slot.isAnswered || now < slot.notBefore) {
-            continue;
+    m_state->now = now;
+    sendDue(m_state);
+}
+
+void OrderRound::sendDue(const std::shared_ptr<State> &state)
+{
+    if (state->isSending) {
+        return; // an answer came at once; whoever sends goes on
+    }
+    state->isSending = true;
+    for (std::size_t index = 0; index < state->slots.size() && state->open < state->mostOpen; ++index) {
+        const auto &slot = state->slots[index];
+        if (!slot.isWaiting && !slot.isAnswered && state->now >= slot.notBefore) {
+            send(state, index);
         }
-        slot.isWaiting = true;
-        ++slot.sends;
-        m_control.order(slot.item.target, slot.item.order, m_epoch, [slots = m_slots, index](OrderReply reply) {
-            auto &answered = (*slots)[index];
-            answered.isWaiting = false;
-            answered.reply = reply;
-            answered.isAnswered = reply != OrderReply::NoAnswer;
-            answered.lostAnswer = answered.lostAnswer || reply == OrderReply::NoAnswer;
-        });
     }
+    state->isSending = false;
+}
+
+void OrderRound::send(const std::shared_ptr<State> &state, std::size_t index)
+{
+    auto &slot = state->slots[index];
+    slot.isWaiting = true;
+    ++slot.sends;
+    ++state->open;
+    state->control.order(slot.item.target, slot.item.order, state->epoch, [state, index](OrderReply reply) {
+        auto &answered = state->slots[index];
+        answered.isWaiting = false;
+        answered.reply = reply;
+        answered.isAnswered = reply != OrderReply::NoAnswer;
+        answered.lostAnswer = answered.lostAnswer || reply == OrderReply::NoAnswer;
+        // Not before the next tick: an answer that fails at once would be asked for without end.
+        answered.notBefore = state->now + std::chrono::milliseconds(1);
+        --state->open;
+        if (!state->isOver && state->mostOpen != AllAtOnce) {
+            sendDue(state);
+        }
+    });
 }
 
 bool OrderRound::isDone() const
 {
-    return std::all_of(m_slots->begin(), m_slots->end(), [](const auto &slot) { return slot.isAnswered; });
+    return std::all_of(m_state->slots.begin(), m_state->slots.end(), [](const auto &slot) { return slot.isAnswered; });
 }
 
 std::size_t OrderRound::size() const
 {
-    return m_slots->size();
+    return m_state->slots.size();
 }
 
 bool OrderRound::isAnswered(std::size_t index) const
 {
-    return (*m_slots)[index].isAnswered;
+    return m_state->slots[index].isAnswered;
 }
 
 OrderReply OrderRound::reply(std::size_t index) const
 {
-    return (*m_slots)[index].reply;
+    return m_state->slots[index].reply;
 }
 
 bool OrderRound::isAmbiguous(std::size_t index) const
 {
-    const auto &slot = (*m_slots)[index];
+    const auto &slot = m_state->slots[index];
     return slot.isAnswered && slot.reply == OrderReply::Refused && slot.lostAnswer;
 }
 
 void OrderRound::again(std::size_t index, SteadyTime notBefore)
 {
-    auto &slot = (*m_slots)[index];
+    auto &slot = m_state->slots[index];
     slot.isAnswered = false;
     slot.notBefore = notBefore;
 }
@@ -70,7 +96,7 @@
 int OrderRound::mostSends() const
 {
     int most = 0;
-    for (const auto &slot : *m_slots) {
+    for (const auto &slot : m_state->slots) {
         most = std::max(most, slot.sends);
     }
     return most;
--- a/modules/heatherridge_coordination/groups/orderround.h
+++ b/modules/heatherridge_coordination/groups/orderround.h
@@ -3,6 +3,7 @@
 #include "heatherridge_coordination/groups/rankcontrol.h"
 #include "heatherridge_state/base/clock.h"
 
+#include <limits>
 #include <memory>
 #include <vector>
 
@@ -19,6 +20,9 @@
 /**
  * Gives orders to several ranks at once, each again until its rank has answered.
  *
+ * Large orders are given to some ranks at a time, the next as soon as one has answered: a hundred of them at once fill
+ * the link for longer than an answer is waited for, and are all given again.
+ *
  * An order without an answer may be carried out seconds later, after others. All orders are such that a second copy
  * changes nothing, but an answer "refused" after an answer was lost does not tell whether an earlier copy was carried
  * out; see isAmbiguous(). One thread.
@@ -26,8 +30,12 @@
 class OrderRound
 {
 public:
-    /** @param epoch in which alone the orders hold */
-    OrderRound(RankControl &control, std::uint64_t epoch, std::vector<RoundItem> items);
+    /** No bound on orders without an answer. */
+    static constexpr std::size_t AllAtOnce = std::numeric_limits<std::size_t>::max();
+
+    /** @param epoch in which alone the orders hold @param mostOpen orders that wait for an answer at a time */
+    OrderRound(RankControl &control, std::uint64_t epoch, std::vector<RoundItem> items,
+               std::size_t mostOpen = AllAtOnce);
 
     /** Sends what has had no answer yet. */
     void tick(SteadyTime now);
@@ -53,6 +61,11 @@
     /** Most copies that any rank was sent. */
     int mostSends() const;
 
+    ~OrderRound();
+
+    OrderRound(const OrderRound &) = delete;
+    OrderRound &operator=(const OrderRound &) = delete;
+
 private:
     struct Slot
     {
@@ -65,9 +78,23 @@
         SteadyTime notBefore{};
     };
 
-    RankControl &m_control;
-    std::uint64_t m_epoch;
-    std::shared_ptr<std::vector<Slot>> m_slots; ///< outlives this object in answers that come late
+    /** What answers that come late need of this object, which may be gone. */
+    struct State
+    {
+        RankControl &control;
+        std::uint64_t epoch = 0;
+        std::size_t mostOpen = AllAtOnce;
+        std::vector<Slot> slots{};
+        std::size_t open = 0; ///< orders that wait for an answer
+        SteadyTime now{}; ///< of the last tick
+        bool isSending = false;
+        bool isOver = false; ///< nothing more is sent
+    };
+
+    static void sendDue(const std::shared_ptr<State> &state);
+    static void send(const std::shared_ptr<State> &state, std::size_t index);
+
+    std::shared_ptr<State> m_state;
 };
 
 } // namespace Heatherridge
--- /dev/null
+++ b/tests/heldgroups/pending_test.cpp
@@ -0,0 +1,144 @@
+#include "heatherridge_coordination/groups/groupkeeper.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int Ranks = 2;
+constexpr int Experts = 4;
+
+class FixedClock final : public Clock
+{
+public:
+    SteadyTime steadyNow() const override
+    {
+        return {};
+    }
+
+    WallTime wallNow() const override
+    {
+        return WallTime(std::chrono::sys_days(std::chrono::year(2026) / 1 / 1));
+    }
+};
+
+/** A group that does what it is told, and begins a pass when the test says so. Another expert is liked in every
+ * reading of counts. */
+class SlowGroup final : public RankControl
+{
+public:
+    std::chrono::milliseconds statusLag(const TargetEntry &) const override
+    {
+        return 10ms;
+    }
+
+    void status(const TargetEntry &target, std::function<void(Result<RankStatus>)> done) override
+    {
+        done(RankStatus{.group = GroupName("g"),
+                        .epoch = 1,
+                        .rank = rankOf(target),
+                        .size = Ranks,
+                        .isOpen = true,
+                        .step = step,
+                        .map = m_map,
+                        .prepared = m_prepared,
+                        .armed = m_armed});
+    }
+
+    void counts(const TargetEntry &target, std::function<void(Result<RankCounts>)> done) override
+    {
+        if (rankOf(target) == 0) {
+            m_chosen[static_cast<std::size_t>(m_readings++ / 4 % Experts)] += 10'000;
+        }
+        for (auto &count : m_chosen) {
+            count += 100;
+        }
+        done(RankCounts{.epoch = 1, .chosen = m_chosen});
+    }
+
+    void experts(const TargetEntry &target, std::function<void(Result<RankExperts>)> done) override
+    {
+        done(RankExperts{.map = m_map, .bySet = {m_layout[0][static_cast<std::size_t>(rankOf(target))]}});
+    }
+
+    void order(const TargetEntry &, const RankOrder &order, std::uint64_t,
+               std::function<void(OrderReply)> done) override
+    {
+        if (const auto *prepare = std::get_if<PrepareMap>(&order)) {
+            m_prepared = prepare->map;
+            m_next = prepare->layout;
+        } else if (const auto *arm = std::get_if<ArmMap>(&order)) {
+            m_armed = arm->map;
+            m_armedStep = arm->step;
+        }
+        done(OrderReply::Accepted);
+    }
+
+    /** Begins the next pass. */
+    void pass()
+    {
+        ++step;
+        if (m_armed && step >= m_armedStep) {
+            m_map = *m_armed;
+            m_layout = m_next;
+            m_armed.reset();
+            m_prepared.reset();
+        }
+    }
+
+    std::uint64_t step = 100;
+
+private:
+    static int rankOf(const TargetEntry &target)
+    {
+        return std::stoi(target.id.text());
+    }
+
+    MapNumber m_map{};
+    std::optional<MapNumber> m_prepared;
+    std::optional<MapNumber> m_armed;
+    std::uint64_t m_armedStep = 0;
+    ExpertLayout m_layout{{{0, 1}, {2, 3}}};
+    ExpertLayout m_next;
+    std::vector<double> m_chosen = std::vector<double>(Experts, 0);
+    int m_readings = 0;
+};
+
+// Passes are two to three times as long for a second and a half: a map is switched, its pass is some passes ahead when
+// the next map is wanted, and the ranks that wait for it are taken for ranks on which somebody else has been at work.
+TEST(PendingPasses, AreNoReasonToPutTheNextSwitchOff)
+{
+    SlowGroup group;
+    std::vector<std::string> told;
+    const FixedClock clock;
+    GroupKeeper keeper(group, {.leastGainWhenCalm = 0.06},
+                       {.decided = [&told](auto what, const auto &, const auto &) { told.emplace_back(what); }}, clock,
+                       [] { return 1; });
+    std::vector<TargetEntry> targets;
+    for (int rank = 0; rank < Ranks; ++rank) {
+        targets.push_back({.id = TargetName(std::to_string(rank))});
+    }
+    keeper.setTargets(targets, {.layerSets = 1, .experts = Experts, .places = 3, .sparePlaces = 1, .expertCopy = 1ms},
+                      120ms);
+    keeper.setActive(true, true);
+    const auto count = [&told](std::string_view what) { return std::count(told.begin(), told.end(), what); };
+    SteadyTime now(1h);
+    for (int tick = 0; tick < 1'000; ++tick) {
+        now += 20ms;
+        keeper.tick(now);
+        // Passes take longer than the keeper thinks that any does.
+        if (tick % 40 == 0) {
+            group.pass();
+        }
+    }
+    EXPECT_GE(count("map-switched"), 4);
+    EXPECT_EQ(count("map-switch-put-off"), 0);
+}
+
+} // namespace
--- a/tests/heldgroups/switches_test.cpp
+++ b/tests/heldgroups/switches_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <deque>
+#include <memory>
 
 using namespace Heatherridge;
 using namespace std::chrono_literals;
@@ -102,4 +104,84 @@
 
 INSTANTIATE_TEST_SUITE_P(All, Switches, testing::ValuesIn(SwitchRows));
 
+/** Ranks that answer when the test says so. */
+class PatientRanks final : public RankControl
+{
+public:
+    std::chrono::milliseconds statusLag(const TargetEntry &) const override
+    {
+        return 10ms;
+    }
+
+    void status(const TargetEntry &, std::function<void(Result<RankStatus>)>) override
+    {
+    }
+
+    void counts(const TargetEntry &, std::function<void(Result<RankCounts>)>) override
+    {
+    }
+
+    void experts(const TargetEntry &, std::function<void(Result<RankExperts>)>) override
+    {
+    }
+
+    void order(const TargetEntry &, const RankOrder &, std::uint64_t, std::function<void(OrderReply)> done) override
+    {
+        ++orders;
+        m_open.push_back(std::move(done));
+    }
+
+    void answer(OrderReply reply)
+    {
+        const auto done = m_open.front();
+        m_open.pop_front();
+        done(reply);
+    }
+
+    std::size_t open() const
+    {
+        return m_open.size();
+    }
+
+    int orders = 0;
+
+private:
+    std::deque<std::function<void(OrderReply)>> m_open;
+};
+
+// A map is in use 1.7 s after it was wanted, and passes are three times as long until then: the orders to prepare it on
+// 192 ranks fill the keeper's link, answers come too late, and every order is given again.
+TEST(OrderRounds, GiveLargeOrdersSomeAtATime)
+{
+    constexpr int ranks = 96;
+    constexpr std::size_t mostOpen = 32;
+    PatientRanks control;
+    OrderRound round(control, Epoch, std::vector<RoundItem>(ranks), mostOpen);
+    SteadyTime now(1h);
+    round.tick(now);
+    EXPECT_EQ(control.open(), mostOpen);
+    control.answer(OrderReply::NoAnswer);
+    EXPECT_EQ(control.open(), mostOpen) << "the next goes out at once";
+    while (control.open() > 0) {
+        EXPECT_LE(control.open(), mostOpen);
+        control.answer(OrderReply::Accepted);
+    }
+    EXPECT_EQ(control.orders, ranks) << "the one without an answer waits for the next tick";
+    EXPECT_FALSE(round.isDone());
+    round.tick(now + 20ms);
+    control.answer(OrderReply::Accepted);
+    EXPECT_TRUE(round.isDone());
+    EXPECT_EQ(control.orders, ranks + 1);
+}
+
+TEST(OrderRounds, SendNothingOnceTheyAreGone)
+{
+    PatientRanks control;
+    auto round = std::make_unique<OrderRound>(control, Epoch, std::vector<RoundItem>(3), 1);
+    round->tick(SteadyTime(1h));
+    round.reset();
+    control.answer(OrderReply::Accepted);
+    EXPECT_EQ(control.orders, 1);
+}
+
 } // namespace
