--- a/modules/heatherridge_transport/direct/sidecarranks.cpp
+++ b/modules/heatherridge_transport/direct/sidecarranks.cpp
@@ -58,7 +58,7 @@
         done(Error{.kind = ErrorKind::TargetUnreachable, .detail = "the process beside the rank does not answer"});
     };
     ask<RankCounts>(
-        target, std::move(call), [this, target](std::string_view bytes) { return listen(target, bytes); }, absent,
+        target, call, [this, target](std::string_view bytes) { return listen(target, bytes); }, absent,
         std::move(done));
 }
 
@@ -117,7 +117,7 @@
 }
 
 template<typename T>
-void SidecarRanks::ask(const TargetEntry &target, HttpClient::Call call,
+void SidecarRanks::ask(const TargetEntry &target, const HttpClient::Call &call,
                        std::function<Result<T>(std::string_view)> decode, std::function<void()> direct,
                        std::function<void(Result<T>)> done)
 {
@@ -126,7 +126,7 @@
         return;
     }
     m_client.send(
-        std::move(call),
+        call,
         [this, target, decode = std::move(decode), direct = std::move(direct),
          done = std::move(done)](std::variant<HttpResponse, HttpClient::Failure> ended) {
             if (std::holds_alternative<HttpClient::Failure>(ended)) {
--- a/modules/heatherridge_transport/direct/sidecarranks.h
+++ b/modules/heatherridge_transport/direct/sidecarranks.h
@@ -57,7 +57,7 @@
 
 private:
     template<typename T>
-    void ask(const TargetEntry &target, HttpClient::Call call, std::function<Result<T>(std::string_view)> decode,
+    void ask(const TargetEntry &target, const HttpClient::Call &call, std::function<Result<T>(std::string_view)> decode,
              std::function<void()> direct, std::function<void(Result<T>)> done);
     HttpClient::Call callTo(const TargetEntry &target, std::string_view path,
                             std::string body) const; ///< a body: an order
--- a/tests/decisions/engineplacement_test.cpp
+++ b/tests/decisions/engineplacement_test.cpp
@@ -217,8 +217,8 @@
 
     void endOldest(std::size_t count, int round)
     {
-        constexpr int RoundsOfAStream = 3;
-        for (std::size_t ended = 0; round >= RoundsOfAStream && ended < count; ++ended) {
+        constexpr int roundsOfAStream = 3;
+        for (std::size_t ended = 0; round >= roundsOfAStream && ended < count; ++ended) {
             --m_running[m_open.front()];
             m_open.pop_front();
         }
--- a/tests/heldgroups/pending_test.cpp
+++ b/tests/heldgroups/pending_test.cpp
@@ -121,6 +121,7 @@
                        {.decided = [&told](auto what, const auto &, const auto &) { told.emplace_back(what); }}, clock,
                        [] { return 1; });
     std::vector<TargetEntry> targets;
+    targets.reserve(Ranks);
     for (int rank = 0; rank < Ranks; ++rank) {
         targets.push_back({.id = TargetName(std::to_string(rank))});
     }
--- a/tests/heldgroups/watched_test.cpp
+++ b/tests/heldgroups/watched_test.cpp
@@ -174,6 +174,7 @@
     TalkingRanks ranks;
     ranks.words.assign(Size, Word::Open);
     std::vector<TargetEntry> targets;
+    targets.reserve(Size);
     for (int rank = 0; rank < Size; ++rank) {
         targets.push_back({.id = TargetName(std::to_string(rank)), .zone = ZoneName(rank == 3 ? "near" : "far")});
     }
@@ -231,6 +232,7 @@
                        {.decided = [&told](auto what, const auto &, const auto &) { told.emplace_back(what); }}, clock,
                        [] { return 700; });
     std::vector<TargetEntry> targets;
+    targets.reserve(Size);
     for (int rank = 0; rank < Size; ++rank) {
         targets.push_back({.id = TargetName(std::to_string(rank))});
     }
--- a/tests/protocol/countsreading_test.cpp
+++ b/tests/protocol/countsreading_test.cpp
@@ -58,7 +58,7 @@
     RC_ASSERT(overTheWire(whole) == whole);
 }
 
-RC_GTEST_PROP(CountsReadings, HostileBytesAreRefused, (std::string bytes))
+RC_GTEST_PROP(CountsReadings, HostileBytesAreRefused, (const std::string &bytes))
 {
     const auto reading = decodeCountsReading(bytes);
     const bool isReadOrRefused = errorIn(reading) == nullptr || errorIn(reading)->kind == ErrorKind::MalformedFrame;
