Log which target died under a request, and which requests are the same

The logs of a gateway could not tell a dead engine from one whose streams were cut off with its group, nor that two requests with different ids are the same. A break before the first byte of an answer is now followed by opening one connection to the target, and a line says whether its host refuses it, with a hash over caller, method, path and body. Nothing is decided by it yet.

--- a/modules/heatherridge_state/keys/requestfingerprint.cpp
+++ b/modules/heatherridge_state/keys/requestfingerprint.cpp
@@ -1,5 +1,8 @@
 #include "heatherridge_state/keys/requestfingerprint.h"
 
+#include <array>
+#include <cinttypes>
+#include <cstdio>
 #include <memory>
 #include <xxhash.h>
 
@@ -39,4 +42,11 @@
     return {.high = hash.high64, .low = hash.low64};
 }
 
+std::string toString(const RequestFingerprint &fingerprint)
+{
+    std::array<char, 33> text{};
+    std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64, fingerprint.high, fingerprint.low);
+    return text.data();
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_state/keys/requestfingerprint.h
+++ b/modules/heatherridge_state/keys/requestfingerprint.h
@@ -4,12 +4,13 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace Heatherridge
 {
 
-/** 128-bit hash over what must be the same in each use of one idempotency key. */
+/** 128-bit hash over what makes two calls the same: caller, method, path and body. */
 struct RequestFingerprint
 {
     std::uint64_t high = 0;
@@ -26,4 +27,7 @@
 RequestFingerprint fingerprintOf(const WorkspaceName &workspace, std::string_view method, std::string_view path,
                                  std::string_view body);
 
+/** @p fingerprint as 32 hexadecimal digits. */
+std::string toString(const RequestFingerprint &fingerprint);
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -178,6 +178,7 @@
     m_answer = {};
     m_body.clear();
     m_isUnusable = false;
+    m_hasBegun = false;
     m_splitter = {};
     if (target.load.own() == 0) {
         target.lastHeard = m_sentAt;
@@ -232,6 +233,7 @@
     if (m_isUnusable) {
         return;
     }
+    m_hasBegun = true;
     if (isStream() && m_status == 200) {
         streamEvents(bytes);
         return;
@@ -273,9 +275,39 @@
 
 void GatewayCall::exchangeFailed(const ExchangeFailure &failure)
 {
-    if (!m_isDone) {
-        attemptEnded(failure.isSent ? AttemptEnd::Broken : AttemptEnd::NeverSent, failure.reason);
+    if (m_isDone) {
+        return;
+    }
+    if (failure.isSent && !m_hasBegun) {
+        brokeUnanswered();
+    }
+    attemptEnded(failure.isSent ? AttemptEnd::Broken : AttemptEnd::NeverSent, failure.reason);
+}
+
+void GatewayCall::brokeUnanswered()
+{
+    const auto *target = m_traffic.m_targets.find(m_target);
+    if (target == nullptr) {
+        return;
+    }
+    const auto log = [request = m_fields.id, print = fingerprint(), id = m_target](Presence presence) {
+        logEvent(Severity::Info, "broken-unanswered",
+                 {{"request", request.text()},
+                  {"fingerprint", toString(print)},
+                  {"target", id.text()},
+                  {"target-is", std::string(toString(presence))}});
+    };
+    m_traffic.m_probe.ask(target->entry, log);
+}
+
+const RequestFingerprint &GatewayCall::fingerprint()
+{
+    if (!m_fingerprint) {
+        const auto &request = m_exchange->request();
+        const auto place = std::string(request.header("Host")) + request.target;
+        m_fingerprint = fingerprintOf(m_match.workspace, request.method, place, request.body);
     }
+    return *m_fingerprint;
 }
 
 void GatewayCall::streamEvents(std::string_view bytes)
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_coordination/answers/eventstreamsplitter.h"
 #include "heatherridge_state/decisions/attemptend.h"
+#include "heatherridge_state/keys/requestfingerprint.h"
 #include "heatherridge_transport/direct/gatewaytraffic.h"
 
 #include <asio/steady_timer.hpp>
@@ -64,6 +65,8 @@
     void passOn(const StreamEvent &event);
     void streamEnded();
     void attemptEnded(AttemptEnd end, std::string_view reason);
+    void brokeUnanswered();
+    const RequestFingerprint &fingerprint();
     void leaveTarget(bool keepConnection);
     void repeat(AttemptEnd end, std::string_view reason);
     void deliver();
@@ -109,6 +112,8 @@
     TargetAnswerFields m_answer;
     std::string m_body;
     bool m_isUnusable = false; ///< what has come is not an answer to this request
+    bool m_hasBegun = false; ///< the present attempt's target has answered with a part of a body
+    std::optional<RequestFingerprint> m_fingerprint; ///< once it was asked for
 
     EventStreamSplitter m_splitter;
     std::optional<std::uint64_t> m_lastEvent; ///< the caller has the stream up to here
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -40,6 +40,7 @@
     , m_counters(metrics)
     , m_targets(m_options.zone)
     , m_pool(loop, metrics)
+    , m_probe(loop, m_options.connectTimeout, metrics)
     , m_random(std::random_device{}())
     , m_queueTimer(loop)
 {
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -7,6 +7,7 @@
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/direct/gatewaytargets.h"
 #include "heatherridge_transport/direct/targetpool.h"
+#include "heatherridge_transport/direct/targetprobe.h"
 #include "heatherridge_transport/http/httpserver.h"
 
 #include <asio/steady_timer.hpp>
@@ -116,6 +117,7 @@
     std::shared_ptr<const RouteTable> m_table;
     GatewayTargets m_targets;
     TargetPool m_pool;
+    TargetProbe m_probe;
     SeededRandom m_random;
     std::map<ServiceName, FleetRetryBudget> m_budgets;
     std::map<ServiceName, RunningEstimate> m_firstEvents; ///< from sending a stream to its first event
