--- a/tests/gateway/scriptedtarget.cpp
+++ b/tests/gateway/scriptedtarget.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 
+#include <sys/socket.h>
+
 namespace Heatherridge
 {
 
@@ -24,7 +26,7 @@
                 return;
             }
             const std::lock_guard lock(m_mutex);
-            m_sockets.push_back(socket);
+            m_open.insert(socket->native_handle());
             m_threads.emplace_back([this, socket] { serve(std::move(*socket)); });
         }
     })
@@ -65,6 +67,14 @@
 }
 
 void ScriptedTarget::serve(tcp::socket socket)
+{
+    const int handle = socket.native_handle();
+    converse(socket);
+    const std::lock_guard lock(m_mutex);
+    m_open.erase(handle);
+}
+
+void ScriptedTarget::converse(tcp::socket &socket)
 {
     asio::streambuf buffer;
     while (!m_isStopping) {
@@ -121,10 +131,29 @@
         ++m_closedByPeer;
         return false;
     }
+    case TargetAct::Kind::Crash:
+        crash();
+        return false;
     }
     return false;
 }
 
+void ScriptedTarget::crash()
+{
+    const std::lock_guard lock(m_mutex);
+    m_hasCrashed = true;
+    m_isStopping = true;
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    for (const int connection : m_open) {
+        ::shutdown(connection, SHUT_RDWR);
+    }
+}
+
+bool ScriptedTarget::hasCrashed() const
+{
+    return m_hasCrashed;
+}
+
 std::string headerIn(const std::string &request, const std::string &name)
 {
     const auto at = request.find("\r\n" + name + ": ");
--- a/tests/gateway/scriptedtarget.h
+++ b/tests/gateway/scriptedtarget.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -26,6 +27,7 @@
         Close, ///< in order
         Reset, ///< so that bytes under way are lost
         AwaitClose, ///< until the other side closes
+        Crash, ///< cuts off all connections and listens no more
     };
 
     Kind kind = Kind::Send;
@@ -52,6 +54,9 @@
     /** All requests so far, head and body. */
     std::vector<std::string> requests() const;
 
+    /** Whether it has crashed. */
+    bool hasCrashed() const;
+
     /** Connections that the other side has closed. */
     int closedByPeer() const;
 
@@ -60,18 +65,21 @@
 
 private:
     void serve(asio::ip::tcp::socket socket);
+    void converse(asio::ip::tcp::socket &socket);
     bool perform(asio::ip::tcp::socket &socket, const TargetAct &act);
+    void crash();
 
     Script m_script;
     asio::io_context m_loop;
     asio::ip::tcp::acceptor m_acceptor;
     mutable std::mutex m_mutex;
     std::vector<std::string> m_requests;
-    std::vector<std::shared_ptr<asio::ip::tcp::socket>> m_sockets;
+    std::set<int> m_open; ///< native handles of connections
     std::vector<std::thread> m_threads;
     std::atomic<int> m_closedByPeer{0};
     std::atomic<int> m_resetByPeer{0};
     std::atomic<bool> m_isStopping{false};
+    std::atomic<bool> m_hasCrashed{false};
     std::thread m_acceptThread;
 };
 
