Send a request no more once two targets have died under it, at any gateway

What callers saw: over a tenth of all streams unserved for seconds on end, while engines died one after the other. One request ended each engine that began to run it, its caller sent it again and again, and each death stopped a group of eight engines for 1.5 s and longer.

Cause: a gateway knew nothing of a request beyond its own answer. Each of two attempts of a call went to a sound engine, each call began from nothing, and each gateway for itself. The class of fault: repeats are bounded by call and by load, not by what the request does to its targets.

Ruled out: that the breaks were streams cut off with their group.

Change: a break before the first byte of an answer is followed by opening one connection to the target. Refused, the target has died, and the request is a suspect. Gateways tell each other through a topic of the platform's log (CrashFeed); each takes the same reports and comes to the same verdict (CrashSuspects): with two dead targets and no answer since, the request is refused as not run, copies that wait or have not begun are ended, and it stays refused while it keeps coming. A new gateway reads the reports first. An answer from any target clears a suspect, so a common look-up that was at two targets when these died is not refused. Suspects of one death are sent on to different targets, so that only the one among them that ends targets is blocked.

--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -141,6 +141,11 @@
                 return std::make_unique<PlatformShare>(
                     client, PlatformShare::Options{.endpoint = log, .name = "group-keepers"});
             },
+        .reports =
+            [log = settings.address("log-service")](HttpClient &client) {
+                return std::make_unique<PlatformReports>(
+                    client, PlatformReports::Options{.endpoint = log, .name = "heatherridge-crashes"});
+            },
         .ranks =
             [](HttpClient &client) { return std::make_unique<PlatformEngines>(client, PlatformEngines::Options{}); }};
 }
--- /dev/null
+++ b/modules/heatherridge_coordination/feed/crashfeed.cpp
@@ -0,0 +1,124 @@
+#include "heatherridge_coordination/feed/crashfeed.h"
+
+#include "heatherridge_protocol/crashreportcodec.h"
+
+namespace Heatherridge
+{
+
+CrashFeed::CrashFeed(ReportLog &log, Options options, Events events)
+    : m_log(log)
+    , m_options(options)
+    , m_events(std::move(events))
+    , m_alive(std::make_shared<int>(0))
+{
+}
+
+void CrashFeed::report(CrashReport report)
+{
+    if (m_pending.size() - m_appending >= m_options.mostPending) {
+        m_pending.erase(m_pending.begin() + static_cast<std::ptrdiff_t>(m_appending));
+        m_events.lost("the log takes no reports, and too many wait");
+    }
+    m_pending.push_back(std::move(report));
+    m_lastReport = m_now;
+    if (m_readWait > m_options.busyWait) {
+        restartRead();
+    }
+}
+
+void CrashFeed::restartRead()
+{
+    m_isReading = false;
+    m_nextRead = m_now;
+}
+
+void CrashFeed::tick(SteadyTime now)
+{
+    m_now = now;
+    if (m_appending == 0 && !m_pending.empty() && now >= m_nextAppend) {
+        append();
+    }
+    if (!m_isReading && now >= m_nextRead) {
+        read();
+    }
+}
+
+void CrashFeed::append()
+{
+    std::vector<std::string> records;
+    records.reserve(m_pending.size());
+    for (const auto &report : m_pending) {
+        records.push_back(encode(report));
+    }
+    m_appending = records.size();
+    m_log.append(records, [this, alive = std::weak_ptr(m_alive)](const Outcome &appended) {
+        if (alive.expired()) {
+            return;
+        }
+        const auto count = std::exchange(m_appending, 0);
+        if (const auto *error = errorIn(appended)) {
+            failed("append", *error, m_isAppendFailing, m_nextAppend);
+            return;
+        }
+        m_isAppendFailing = false;
+        m_pending.erase(m_pending.begin(), m_pending.begin() + static_cast<std::ptrdiff_t>(count));
+    });
+}
+
+void CrashFeed::read()
+{
+    m_isReading = true;
+    m_readWait = isBusy() ? m_options.busyWait : m_options.idleWait;
+    m_log.read(m_position, m_readWait,
+               [this, number = ++m_readNumber, alive = std::weak_ptr(m_alive)](Result<ReportPage> page) {
+                   if (!alive.expired()) {
+                       takePage(number, std::move(page));
+                   }
+               });
+}
+
+void CrashFeed::takePage(std::uint64_t number, Result<ReportPage> page)
+{
+    if (number != m_readNumber) {
+        return;
+    }
+    m_isReading = false;
+    if (const auto *error = errorIn(page)) {
+        failed("read", *error, m_isReadFailing, m_nextRead);
+        return;
+    }
+    m_isReadFailing = false;
+    auto &[records, end] = std::get<ReportPage>(page);
+    if (records.empty() && end != m_position) {
+        m_nextRead = m_now + m_options.retryPause; // the log no longer holds what this process asked for
+    }
+    m_position = end;
+    std::vector<CrashReport> reports;
+    for (const auto &record : records) {
+        auto report = decodeCrashReport(record);
+        if (const auto *error = errorIn(report)) {
+            m_events.lost(error->detail);
+            continue;
+        }
+        reports.push_back(std::move(std::get<CrashReport>(report)));
+    }
+    if (!reports.empty()) {
+        m_lastReport = m_now;
+        m_events.learnt(std::move(reports));
+    }
+}
+
+bool CrashFeed::isBusy() const
+{
+    return m_lastReport && m_now - *m_lastReport < m_options.busyTime;
+}
+
+void CrashFeed::failed(std::string_view what, const Error &error, bool &isFailing, SteadyTime &next)
+{
+    next = m_now + m_options.retryPause;
+    if (!std::exchange(isFailing, true)) {
+        m_events.failed(what, error);
+    }
+}
+
+} // namespace Heatherridge
--- /dev/null
+++ b/modules/heatherridge_coordination/feed/crashfeed.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "heatherridge_coordination/feed/reportlog.h"
+#include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/decisions/crashsuspects.h"
+
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/**
+ * Tells the other entries, through the platform's log, which requests targets have died under, and hears it from them.
+ *
+ * A report that the log does not take is offered again until it does, or until too many wait. Reports told twice do no
+ * harm, so neither do reads from an earlier offset. One thread; moved on by tick().
+ */
+class CrashFeed
+{
+public:
+    struct Options
+    {
+        std::chrono::milliseconds idleWait{15'000}; ///< of a read while nothing has been reported of late
+        std::chrono::milliseconds busyWait{1'800}; ///< of a read after a report, so that a silent log is noticed
+        std::chrono::milliseconds busyTime{60'000}; ///< after the last report
+        std::chrono::milliseconds retryPause{250}; ///< after a call that failed
+        std::size_t mostPending = 1'000; ///< reports that the log has not taken; beyond it the oldest are dropped
+    };
+
+    struct Events
+    {
+        /** The log holds @p reports, this process's own among them. */
+        std::function<void(std::vector<CrashReport> reports)> learnt{};
+        /** A call to @p what, "read" or "append", has failed, and is made again. Told once until one succeeds. */
+        std::function<void(std::string_view what, const Error &error)> failed{};
+        /** A record cannot be read, or a report was dropped. */
+        std::function<void(std::string_view what)> lost{};
+    };
+
+    /** Uses @p log, which must outlive it. */
+    CrashFeed(ReportLog &log, Options options, Events events);
+
+    /** Tells @p report to all. */
+    void report(CrashReport report);
+
+    /** The log has failed elsewhere or answers again: a read that waits may wait on a dead connection. */
+    void restartRead();
+
+    /** Starts the calls that are due. Called often. */
+    void tick(SteadyTime now);
+
+private:
+    void append();
+    void read();
+    void takePage(std::uint64_t number, Result<ReportPage> page);
+    bool isBusy() const;
+    void failed(std::string_view what, const Error &error, bool &isFailing, SteadyTime &next);
+
+    ReportLog &m_log;
+    Options m_options;
+    Events m_events;
+    std::deque<CrashReport> m_pending; ///< not yet taken by the log
+    std::size_t m_appending = 0; ///< the first of them, under way
+    std::uint64_t m_position = 0; ///< read up to here
+    std::uint64_t m_readNumber = 0; ///< of the last read; answers to earlier ones are not taken
+    std::chrono::milliseconds m_readWait{0};
+    bool m_isReading = false;
+    bool m_isReadFailing = false;
+    bool m_isAppendFailing = false;
+    SteadyTime m_now{}; ///< of the last tick; answers come between ticks
+    SteadyTime m_nextRead{};
+    SteadyTime m_nextAppend{};
+    std::optional<SteadyTime> m_lastReport;
+    std::shared_ptr<int> m_alive;
+};
+
+} // namespace Heatherridge
--- a/modules/heatherridge_state/base/errorkind.cpp
+++ b/modules/heatherridge_state/base/errorkind.cpp
@@ -36,6 +36,7 @@
     ErrorAnswer{NoTarget, "no-target", 503, Ran::No, true, "No target can take the request now."},
     ErrorAnswer{TargetUnreachable, "target-unreachable", 503, Ran::No, true, "The target could not be reached."},
     ErrorAnswer{TargetWithdrawn, "target-withdrawn", 503, Ran::No, true, "The target takes no new work."},
+    ErrorAnswer{EndsTargets, "ends-targets", 503, Ran::No, false, "The targets that ran this request have ended."},
     ErrorAnswer{Draining, "draining", 503, Ran::No, true, "The process is shutting down."},
     ErrorAnswer{StaleOffset, "stale-offset", 503, Ran::No, true, "The configuration of one side is too old."},
     ErrorAnswer{Unconfirmed, "unconfirmed", 503, Ran::No, true, "The configuration is not confirmed yet."},
--- a/modules/heatherridge_state/base/errorkind.h
+++ b/modules/heatherridge_state/base/errorkind.h
@@ -39,6 +39,7 @@
     NoTarget,
     TargetUnreachable,
     TargetWithdrawn,
+    EndsTargets,
     Draining,
     StaleOffset,
     Unconfirmed,
--- /dev/null
+++ b/modules/heatherridge_state/decisions/crashsuspects.cpp
@@ -0,0 +1,97 @@
+#include "heatherridge_state/decisions/crashsuspects.h"
+
+#include <algorithm>
+
+namespace Heatherridge
+{
+
+CrashSuspects::CrashSuspects(Options options)
+    : m_options(options)
+{
+}
+
+bool CrashSuspects::take(const CrashReport &report, SteadyTime now)
+{
+    if (report.kind == CrashReport::Kind::Answered) {
+        m_suspects.erase(report.request);
+        return false;
+    }
+    auto &suspect = m_suspects[report.request];
+    const bool wasBlocked = isBlocked(suspect);
+    suspect.died.insert(report.target);
+    suspect.reportedAt = now;
+    suspect.heardAt = now;
+    const bool isNewlyBlocked = !wasBlocked && isBlocked(suspect);
+    if (m_suspects.size() > m_options.mostRequests) {
+        dropOldest();
+    }
+    return isNewlyBlocked;
+}
+
+bool CrashSuspects::isSuspect(const RequestFingerprint &request) const
+{
+    return m_suspects.contains(request);
+}
+
+bool CrashSuspects::isBlocked(const RequestFingerprint &request) const
+{
+    const auto found = m_suspects.find(request);
+    return found != m_suspects.end() && isBlocked(found->second);
+}
+
+bool CrashSuspects::isBlocked(const Suspect &suspect) const
+{
+    return suspect.died.size() >= m_options.deathsToBlock;
+}
+
+bool CrashSuspects::isEmpty() const
+{
+    return m_suspects.empty();
+}
+
+std::optional<CrashReport> CrashSuspects::refused(const RequestFingerprint &request, SteadyTime now)
+{
+    const auto found = m_suspects.find(request);
+    if (found == m_suspects.end()) {
+        return std::nullopt;
+    }
+    auto &suspect = found->second;
+    suspect.heardAt = now;
+    if (now - suspect.reportedAt < m_options.memory / 2) {
+        return std::nullopt;
+    }
+    suspect.reportedAt = now;
+    return CrashReport{.kind = CrashReport::Kind::TargetDied, .request = request, .target = *suspect.died.begin()};
+}
+
+void CrashSuspects::tick(SteadyTime now)
+{
+    std::erase_if(m_suspects, [&](const auto &entry) { return now - entry.second.heardAt > m_options.memory; });
+}
+
+void CrashSuspects::dropOldest()
+{
+    m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(), [](const auto &a, const auto &b) {
+        return a.second.heardAt < b.second.heardAt;
+    }));
+}
+
+void SuspectPlaces::put(const TargetName &target)
+{
+    m_targets.insert(target);
+}
+
+void SuspectPlaces::remove(const TargetName &target)
+{
+    if (const auto found = m_targets.find(target); found != m_targets.end()) {
+        m_targets.erase(found);
+    }
+}
+
+std::set<TargetName> SuspectPlaces::avoided(std::set<TargetName> tried) const
+{
+    tried.insert(m_targets.begin(), m_targets.end());
+    return tried;
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -57,6 +57,9 @@
             self->callerLeft();
         }
     });
+    if (refuseIfBlocked()) {
+        return;
+    }
     if (isStream() && m_traffic.m_queue.hasTimely(m_service, m_arrived)) {
         enqueue(); // behind those that came before it
     } else {
@@ -89,7 +92,10 @@
 void GatewayCall::attempt()
 {
     m_isWaiting = false;
-    const auto choice = m_traffic.m_targets.choose(m_service, m_tried, urgency(), now(), m_traffic.m_random);
+    if (refuseIfBlocked()) {
+        return;
+    }
+    const auto choice = chooseTarget();
     // An attempt that never left puts no load on anybody: what follows it is the first.
     const bool isRepeat = m_arrivals > 0;
     if (choice.target != nullptr && isRepeat && !m_traffic.budgetOf(m_service).tryTake(now())) {
@@ -111,6 +117,19 @@
                  .retryAfter = choice.isFull ? EnginesFullRetryAfter : NoTargetRetryAfter});
 }
 
+GatewayTargets::Choice GatewayCall::chooseTarget()
+{
+    auto &targets = m_traffic.m_targets;
+    if (isSuspect()) {
+        const auto avoided = m_traffic.m_suspectPlaces.avoided(m_tried);
+        const auto apart = targets.choose(m_service, avoided, urgency(), now(), m_traffic.m_random);
+        if (apart.target != nullptr) {
+            return apart;
+        }
+    }
+    return targets.choose(m_service, m_tried, urgency(), now(), m_traffic.m_random);
+}
+
 Urgency GatewayCall::urgency() const
 {
     // What an engine has worked on goes on: its caller may have the beginning. What was refused unread has lost
@@ -179,6 +198,7 @@
     m_body.clear();
     m_isUnusable = false;
     m_hasBegun = false;
+    markSuspectAt(m_target);
     m_splitter = {};
     if (target.load.own() == 0) {
         target.lastHeard = m_sentAt;
@@ -234,6 +254,7 @@
         return;
     }
     m_hasBegun = true;
+    unmarkSuspect();
     if (isStream() && m_status == 200) {
         streamEvents(bytes);
         return;
@@ -279,25 +300,32 @@
         return;
     }
     if (failure.isSent && !m_hasBegun) {
-        brokeUnanswered();
+        brokeUnanswered(failure.reason);
+        return;
     }
     attemptEnded(failure.isSent ? AttemptEnd::Broken : AttemptEnd::NeverSent, failure.reason);
 }
 
-void GatewayCall::brokeUnanswered()
+void GatewayCall::brokeUnanswered(const std::string &reason)
 {
+    leaveTarget(false);
     const auto *target = m_traffic.m_targets.find(m_target);
     if (target == nullptr) {
+        attemptEnded(AttemptEnd::Broken, reason);
         return;
     }
-    const auto log = [request = m_fields.id, print = fingerprint(), id = m_target](Presence presence) {
-        logEvent(Severity::Info, "broken-unanswered",
-                 {{"request", request.text()},
-                  {"fingerprint", toString(print)},
-                  {"target", id.text()},
-                  {"target-is", std::string(toString(presence))}});
-    };
-    m_traffic.m_probe.ask(target->entry, log);
+    m_isExamined = true;
+    m_traffic.m_probe.ask(target->entry, [weak = weak_from_this(), reason](Presence presence) {
+        const auto self = weak.lock();
+        if (!self || self->m_isDone) {
+            return;
+        }
+        self->m_isExamined = false;
+        if (presence == Presence::Gone) {
+            self->m_traffic.targetDied(self->m_fields.id, self->fingerprint(), self->m_target);
+        }
+        self->attemptEnded(AttemptEnd::Broken, reason);
+    });
 }
 
 const RequestFingerprint &GatewayCall::fingerprint()
@@ -310,6 +338,54 @@
     return *m_fingerprint;
 }
 
+bool GatewayCall::isSuspect()
+{
+    return !m_traffic.m_suspects.isEmpty() && m_traffic.m_suspects.isSuspect(fingerprint());
+}
+
+bool GatewayCall::refuseIfBlocked()
+{
+    auto &suspects = m_traffic.m_suspects;
+    if (suspects.isEmpty() || !suspects.isBlocked(fingerprint())) {
+        return false;
+    }
+    const auto again = suspects.refused(fingerprint(), now());
+    if (again && m_traffic.m_options.reportCrash) {
+        m_traffic.m_options.reportCrash(*again);
+    }
+    fail({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : ErrorKind::EndsTargets,
+          .detail = "fingerprint " + toString(fingerprint())});
+    return true;
+}
+
+void GatewayCall::blocked(const RequestFingerprint &request)
+{
+    const bool isUnderWay = m_connection != nullptr || m_isWaiting;
+    if (m_isDone || m_hasBegun || !isUnderWay || fingerprint() != request) {
+        return;
+    }
+    m_mayHaveRun += m_connection != nullptr ? 1 : 0;
+    leaveTarget(false);
+    refuseIfBlocked();
+}
+
+void GatewayCall::markSuspectAt(const TargetName &target)
+{
+    if (isSuspect()) {
+        m_suspectAt = target;
+        m_traffic.m_suspectPlaces.put(target);
+    }
+}
+
+void GatewayCall::unmarkSuspect()
+{
+    if (!m_suspectAt) {
+        return;
+    }
+    m_traffic.m_suspectPlaces.remove(*m_suspectAt);
+    m_suspectAt.reset();
+}
+
 void GatewayCall::streamEvents(std::string_view bytes)
 {
     for (const auto &event : m_splitter.feed(bytes)) {
@@ -376,6 +452,9 @@
     }
     leaveTarget(true);
     m_traffic.m_targets.record(m_target, Attempt::Succeeded, now());
+    if (isSuspect()) {
+        m_traffic.targetAnswered(fingerprint());
+    }
     if (!m_streamBegun) {
         m_exchange->beginStream(m_status, m_headers);
     }
@@ -394,6 +473,10 @@
     } else if (end != AttemptEnd::RefusedAtTarget) {
         m_traffic.m_targets.record(m_target, end == AttemptEnd::Silent ? Attempt::TimedOut : Attempt::Failed, now());
     }
+    const bool hasRunToAnEnd = end == AttemptEnd::Answered || end == AttemptEnd::FailedAtTarget;
+    if (hasRunToAnEnd && isSuspect()) {
+        m_traffic.targetAnswered(fingerprint());
+    }
     m_mayHaveRun += mayHaveRun(end) ? 1 : 0;
     m_arrivals += end != AttemptEnd::NeverSent ? 1 : 0;
     const auto step = nextStep(end,
@@ -441,6 +524,7 @@
 
 void GatewayCall::leaveTarget(bool keepConnection)
 {
+    unmarkSuspect();
     if (!m_connection) {
         return;
     }
@@ -527,7 +611,7 @@
 void GatewayCall::timerFired()
 {
     if (now() >= m_deadline) {
-        const auto wasSent = m_connection != nullptr;
+        const auto wasSent = m_connection != nullptr || m_isExamined;
         leaveTarget(false);
         m_mayHaveRun += wasSent ? 1 : 0;
         fail({.kind = ErrorKind::DeadlineExceeded, .detail = "timeout at " + m_target.text()});
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -33,6 +33,9 @@
 
     std::uint64_t number() const;
 
+    /** @p request is not to be sent to targets any more: ends this call if it is one of these and has not begun. */
+    void blocked(const RequestFingerprint &request);
+
     /** Drops it without an answer. */
     void drop();
 
@@ -65,8 +68,13 @@
     void passOn(const StreamEvent &event);
     void streamEnded();
     void attemptEnded(AttemptEnd end, std::string_view reason);
-    void brokeUnanswered();
+    void brokeUnanswered(const std::string &reason);
     const RequestFingerprint &fingerprint();
+    bool isSuspect();
+    bool refuseIfBlocked();
+    GatewayTargets::Choice chooseTarget();
+    void markSuspectAt(const TargetName &target);
+    void unmarkSuspect();
     void leaveTarget(bool keepConnection);
     void repeat(AttemptEnd end, std::string_view reason);
     void deliver();
@@ -113,6 +121,8 @@
     std::string m_body;
     bool m_isUnusable = false; ///< what has come is not an answer to this request
     bool m_hasBegun = false; ///< the present attempt's target has answered with a part of a body
+    bool m_isExamined = false; ///< the present attempt broke off, and its target is asked whether it lives
+    std::optional<TargetName> m_suspectAt; ///< the target that has this call as a suspect
     std::optional<RequestFingerprint> m_fingerprint; ///< once it was asked for
 
     EventStreamSplitter m_splitter;
--- a/modules/heatherridge_transport/direct/gatewaycontrol.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.cpp
@@ -25,7 +25,7 @@
     , m_outages(metrics.counter("heatherridge_register_outages_total"))
     , m_stale(metrics.counter("heatherridge_config_stale_total"))
     , m_copyFailures(metrics.counter("heatherridge_rules_copy_failures_total"))
-    , m_rulesFollower(log, {.kind = RegisterKind::Rules, .wait = partOf(options.silenceTime, RulesWaitPart)},
+    , m_rulesFollower(log, {.kind = RegisterKind::Rules, .wait = rulesWait(options)},
                       {.replaced = [this](const auto &changes) { takeRules(changes, Source::Register); },
                        .changed = [this](const auto &changes) { takeRules(changes, Source::Register); },
                        .reachable =
@@ -62,6 +62,11 @@
 {
 }
 
+std::chrono::milliseconds GatewayControl::rulesWait(const Options &options)
+{
+    return partOf(options.silenceTime, RulesWaitPart);
+}
+
 void GatewayControl::tick(SteadyTime now, bool keepsCopies)
 {
     m_now = now;
@@ -175,6 +180,7 @@
     }
     logEvent(answers ? Severity::Info : Severity::Warning, answers ? "register-regained" : "register-lost",
              {{"register", std::string(which)}, {"reason", std::string(reason)}});
+    m_events.logAnswers(answers);
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycontrol.h
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.h
@@ -43,8 +43,12 @@
     {
         std::function<void(std::shared_ptr<const RouteTable>)> rules{};
         std::function<void(std::vector<TargetEntry>)> targets{};
+        std::function<void(bool answers)> logAnswers{}; ///< a register has been lost or regained
     };
 
+    /** How long a read that waits for rules waits at most. */
+    static std::chrono::milliseconds rulesWait(const Options &options);
+
     /** @p log and @p metrics must outlive it. */
     GatewayControl(RegisterLog &log, Options options, Events events, Metrics &metrics);
 
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/direct/gatewayserver.h"
 
+#include "heatherridge_coordination/feed/crashfeed.h"
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/callerserver.h"
@@ -53,8 +54,13 @@
     Implementation(Options options, Adapter adapter)
         : m_options(std::move(options))
         , m_adapter(std::move(adapter))
-        , m_traffic(m_trafficLoop.context(), {.zone = m_options.zone, .retryBudget = m_options.retryBudget},
-                    *m_adapter.traffic, m_metrics)
+        , m_traffic(
+              m_trafficLoop.context(),
+              {.zone = m_options.zone,
+               .retryBudget = m_options.retryBudget,
+               .reportCrash =
+                   [this](const auto &report) { m_controlLoop.post([this, report] { m_crashFeed.report(report); }); }},
+              *m_adapter.traffic, m_metrics)
         , m_callers(
               m_trafficLoop.context(), {.listen = m_options.listen, .maxConnections = m_options.maxConnections},
               [this](const auto &exchange) { m_traffic.handle(exchange); },
@@ -70,13 +76,19 @@
         , m_client(m_controlLoop.context(), {.connectTimeout = milliseconds(500)})
         , m_registers(m_adapter.registers(m_client))
         , m_shares(m_adapter.shares(m_client))
+        , m_reports(m_adapter.reports(m_client))
         , m_ranks(m_client, {.port = m_options.sidecarPort}, m_adapter.ranks(m_client), m_metrics)
         , m_workShare(*m_shares,
                       {.member = m_options.process.text() + "-" + std::to_string(m_entropy()),
                        .parts = m_options.logPartitions})
+        , m_crashFeed(*m_reports, {.busyWait = GatewayControl::rulesWait(m_options.control)},
+                      {.learnt = [this](auto reports) { crashesLearnt(std::move(reports)); },
+                       .failed = [this](auto call, const auto &error) { crashFeedFailed(call, error); },
+                       .lost = [this](auto what) { crashReportLost(what); }})
         , m_control(*m_registers, controlOptions(m_options),
                     {.rules = [this](auto table) { rulesChanged(std::move(table)); },
-                     .targets = [this](auto targets) { targetsChanged(std::move(targets)); }},
+                     .targets = [this](auto targets) { targetsChanged(std::move(targets)); },
+                     .logAnswers = [this](bool) { m_crashFeed.restartRead(); }},
                     m_metrics)
     {
     }
@@ -181,6 +193,7 @@
         const auto now = std::chrono::steady_clock::now();
         m_control.tick(now, m_workShare.isMine(CopiesWork));
         m_workShare.tick(now);
+        m_crashFeed.tick(now);
         shareBudget();
         for (auto &[service, keeper] : m_keepers) {
             const bool isMine = m_workShare.isMine(service.text());
@@ -259,6 +272,23 @@
         m_trafficLoop.post([this, targets = std::move(targets)] { m_traffic.setTargets(targets); });
     }
 
+    void crashesLearnt(std::vector<CrashReport> reports)
+    {
+        m_trafficLoop.post([this, reports = std::move(reports)] { m_traffic.learnCrashes(reports); });
+    }
+
+    void crashFeedFailed(std::string_view call, const Error &error)
+    {
+        m_crashFeedFailures.add();
+        logEvent(Severity::Warning, "crash-reports-failed", {{"call", std::string(call)}, {"reason", error.detail}});
+    }
+
+    void crashReportLost(std::string_view reason)
+    {
+        m_crashReportsLost.add();
+        logEvent(Severity::Warning, "crash-report-lost", {{"reason", std::string(reason)}});
+    }
+
     Options m_options;
     Adapter m_adapter;
     Metrics m_metrics;
@@ -272,11 +302,15 @@
     HttpClient m_client; ///< on the control thread, as what follows
     std::unique_ptr<RegisterLog> m_registers;
     std::unique_ptr<ShareLog> m_shares;
+    std::unique_ptr<ReportLog> m_reports;
     SidecarRanks m_ranks;
     std::random_device m_entropy;
     SystemClock m_clock;
     Gauge &m_skew = m_metrics.gauge("heatherridge_group_skew_percent");
+    Counter &m_crashFeedFailures = m_metrics.counter("heatherridge_crash_report_failures_total");
+    Counter &m_crashReportsLost = m_metrics.counter("heatherridge_crash_reports_lost_total");
     WorkShare m_workShare;
+    CrashFeed m_crashFeed;
     GatewayControl m_control;
     std::map<ServiceName, std::unique_ptr<GroupKeeper>> m_keepers;
     std::optional<double> m_budgetPart; ///< as the traffic thread was told
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_coordination/feed/reportlog.h"
 #include "heatherridge_coordination/feed/workshare.h"
 #include "heatherridge_coordination/groups/groupkeeper.h"
 #include "heatherridge_transport/direct/gatewaycontrol.h"
@@ -47,6 +48,7 @@
         std::shared_ptr<const TrafficCodec> traffic{};
         std::function<std::unique_ptr<RegisterLog>(HttpClient &client)> registers{};
         std::function<std::unique_ptr<ShareLog>(HttpClient &client)> shares{};
+        std::function<std::unique_ptr<ReportLog>(HttpClient &client)> reports{}; ///< on requests that end targets
         std::function<std::unique_ptr<RankControl>(HttpClient &client)> ranks{};
     };
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -27,6 +27,8 @@
     , repeats(metrics.counter("heatherridge_repeats_total"))
     , repeatsDenied(metrics.counter("heatherridge_repeats_denied_total"))
     , resumed(metrics.counter("heatherridge_streams_resumed_total"))
+    , targetDeaths(metrics.counter("heatherridge_deaths_under_requests_total"))
+    , requestsBlocked(metrics.counter("heatherridge_requests_blocked_total"))
     , streamHead(metrics.histogram("heatherridge_stream_first_event_seconds"))
     , plainAnswer(metrics.histogram("heatherridge_plain_answer_seconds"))
 {
@@ -108,6 +110,7 @@
 void GatewayTraffic::tick(SteadyTime now)
 {
     m_pool.tick(now);
+    m_suspects.tick(now);
 }
 
 bool GatewayTraffic::isReady() const
@@ -194,6 +197,48 @@
     }
 }
 
+void GatewayTraffic::targetDied(const RequestId &id, const RequestFingerprint &request, const TargetName &target)
+{
+    m_counters.targetDeaths.add();
+    logEvent(Severity::Warning, "target-died",
+             {{"request", id.text()}, {"fingerprint", toString(request)}, {"target", target.text()}});
+    const CrashReport report{.kind = CrashReport::Kind::TargetDied, .request = request, .target = target};
+    takeCrash(report);
+    if (m_options.reportCrash) {
+        m_options.reportCrash(report);
+    }
+}
+
+void GatewayTraffic::targetAnswered(const RequestFingerprint &request)
+{
+    const CrashReport report{.kind = CrashReport::Kind::Answered, .request = request};
+    takeCrash(report);
+    if (m_options.reportCrash) {
+        m_options.reportCrash(report);
+    }
+}
+
+void GatewayTraffic::learnCrashes(const std::vector<CrashReport> &reports)
+{
+    for (const auto &report : reports) {
+        takeCrash(report);
+    }
+}
+
+void GatewayTraffic::takeCrash(const CrashReport &report)
+{
+    if (!m_suspects.take(report, std::chrono::steady_clock::now())) {
+        return;
+    }
+    m_counters.requestsBlocked.add();
+    logEvent(Severity::Warning, "request-blocked",
+             {{"fingerprint", toString(report.request)}, {"target", report.target.text()}});
+    const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
+    for (const auto &call : calls) {
+        call->blocked(report.request);
+    }
+}
+
 void GatewayTraffic::refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &id, const Error &error)
 {
     m_metrics.errors(error.kind).add();
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_state/decisions/crashsuspects.h"
 #include "heatherridge_state/decisions/fleetretrybudget.h"
 #include "heatherridge_state/decisions/runningestimate.h"
 #include "heatherridge_state/decisions/streamqueue.h"
@@ -12,6 +13,7 @@
 
 #include <asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <unordered_set>
 
@@ -36,6 +38,8 @@
         ZoneName zone{};
         FleetRetryBudgetOptions retryBudget{};
         std::chrono::milliseconds connectTimeout{300}; ///< 100 round trips; a lost opening packet is sent after 1 s
+        /** Told what this gateway has seen of requests that end targets, for the other gateways. */
+        std::function<void(const CrashReport &)> reportCrash{};
     };
 
     /** @p codec and @p metrics must outlive it. */
@@ -67,6 +71,9 @@
     /** What the engines of expert groups say of themselves. */
     void setEngines(const std::vector<EngineView> &engines);
 
+    /** What gateways, this one among them, have seen of requests that end targets. */
+    void learnCrashes(const std::vector<CrashReport> &reports);
+
     /** Takes a request. */
     void handle(const std::shared_ptr<HttpExchange> &exchange);
 
@@ -94,6 +101,8 @@
         Counter &repeats;
         Counter &repeatsDenied;
         Counter &resumed;
+        Counter &targetDeaths;
+        Counter &requestsBlocked;
         DurationHistogram &streamHead;
         DurationHistogram &plainAnswer;
     };
@@ -105,6 +114,9 @@
     void dequeue(std::uint64_t number);
     void armQueueTimer();
     void advanceQueue();
+    void targetDied(const RequestId &id, const RequestFingerprint &request, const TargetName &target);
+    void targetAnswered(const RequestFingerprint &request);
+    void takeCrash(const CrashReport &report);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &id, const Error &error);
     Result<RouteMatch> accept(const HttpRequest &request, const CallerFields &fields) const;
     void finished(const std::shared_ptr<GatewayCall> &call);
@@ -118,6 +130,8 @@
     GatewayTargets m_targets;
     TargetPool m_pool;
     TargetProbe m_probe;
+    CrashSuspects m_suspects;
+    SuspectPlaces m_suspectPlaces;
     SeededRandom m_random;
     std::map<ServiceName, FleetRetryBudget> m_budgets;
     std::map<ServiceName, RunningEstimate> m_firstEvents; ///< from sending a stream to its first event
--- a/tests/gateway/crashing_test.cpp
+++ b/tests/gateway/crashing_test.cpp
@@ -30,17 +30,17 @@
     if (request.ends_with(BrokenBody)) {
         return {{.kind = Kind::Reset}};
     }
-    return {{.bytes = answerTo(request, "good")}};
+    return {{.bytes = answerTo(request, "id: 1\ndata: good\n\n")}};
 }
 
 /** A group of targets, each of its own port. */
 class FragileTargets
 {
 public:
-    explicit FragileTargets(std::size_t count)
+    explicit FragileTargets(std::size_t count, const ScriptedTarget::Script &script = fragile)
     {
         while (m_targets.size() < count) {
-            m_targets.push_back(std::make_unique<ScriptedTarget>(fragile));
+            m_targets.push_back(std::make_unique<ScriptedTarget>(script));
         }
     }
 
@@ -104,9 +104,10 @@
 {
     const auto &row = GetParam();
     const FragileTargets targets(12);
+    const auto reports = std::make_shared<SharedRecords>();
     std::vector<std::unique_ptr<GatewaySite>> sites;
     while (sites.size() < row.gateways) {
-        sites.push_back(std::make_unique<GatewaySite>(targets.all()));
+        sites.push_back(std::make_unique<GatewaySite>(targets.all(), GatewaySite::usualConfig(), reports));
     }
     constexpr int times = 8;
     for (int time = 0; time < times; ++time) {
@@ -123,19 +124,41 @@
 TEST(LaterGateways, SendNothingThatIsKnownToEndTargets)
 {
     const FragileTargets targets(12);
+    const auto reports = std::make_shared<SharedRecords>();
     {
-        GatewaySite site(targets.all());
+        GatewaySite site(targets.all(), GatewaySite::usualConfig(), reports);
         for (int time = 0; time < 3; ++time) {
             call(site, "/stream/1", "r" + std::to_string(time), CrashingBody);
         }
     }
     const auto before = targets.arrivals();
-    GatewaySite later(targets.all());
+    GatewaySite later(targets.all(), GatewaySite::usualConfig(), reports);
     std::this_thread::sleep_for(TimeToSpread);
     EXPECT_EQ(call(later, "/stream/1", "again", CrashingBody), 503);
     EXPECT_EQ(targets.arrivals(), before);
 }
 
+// Guards against a copy that waits in a target's queue, and ends that target too once its turn comes.
+TEST(WaitingCopies, AreEndedOnceTheyAreBlocked)
+{
+    const auto script = [](const std::string &request, int number) {
+        return headerIn(request, "X-Heatherridge-Request-Id") == "waits" ? Acts{{.kind = Kind::AwaitClose}}
+                                                                         : fragile(request, number);
+    };
+    FragileTargets targets(8, script);
+    GatewaySite site(targets.all());
+    RawCaller waiting(site.callers());
+    waiting.send(requestText("POST", "/book/1", "waits", CrashingBody));
+    while (targets.arrivals() == 0) {
+        std::this_thread::sleep_for(5ms);
+    }
+    for (int time = 0; time < 3; ++time) {
+        call(site, "/book/1", "r" + std::to_string(time), CrashingBody);
+    }
+    EXPECT_EQ(waiting.receive().status, 502);
+    EXPECT_LE(targets.crashed(), MostCrashes);
+}
+
 // Guards against refusing a request whose connections broke while the targets lived on.
 TEST(BrokenRequests, AreStillSentToTargetsThatLive)
 {
--- a/tests/gateway/gatewaysite.cpp
+++ b/tests/gateway/gatewaysite.cpp
@@ -83,7 +83,8 @@
     std::vector<TargetEntry> m_targets;
 };
 
-GatewaySite::GatewaySite(const std::vector<const ScriptedTarget *> &targets, const RoutingConfig &config)
+GatewaySite::GatewaySite(const std::vector<const ScriptedTarget *> &targets, const RoutingConfig &config,
+                         std::shared_ptr<SharedRecords> reports)
     : m_ready({.address = "127.0.0.1", .port = freePort()})
 {
     std::vector<TargetEntry> entries;
@@ -99,6 +100,7 @@
         .traffic = std::make_shared<PlatformTraffic>(),
         .registers = [config, entries](HttpClient &) { return std::make_unique<Registers>(config, entries); },
         .shares = [](HttpClient &) { return std::make_unique<NoShares>(); },
+        .reports = [reports](HttpClient &) { return std::make_unique<SharedReports>(reports); },
         .ranks = [](HttpClient &) { return std::make_unique<SilentRanks>(); }};
     m_server = std::make_unique<GatewayServer>(GatewayServer::Options{.process = ProcessName("g"),
                                                                       .zone = ZoneName("z"),
--- a/tests/gateway/gatewaysite.h
+++ b/tests/gateway/gatewaysite.h
@@ -3,6 +3,7 @@
 #include "gateway/scriptedtarget.h"
 #include "heatherridge_platform.h"
 #include "heatherridge_transport/direct/gatewayserver.h"
+#include "support/sharedreports.h"
 
 #include <atomic>
 #include <functional>
@@ -17,9 +18,14 @@
 class GatewaySite
 {
 public:
-    /** @param targets all serve the one service; @param config its routes, or nothing for the usual ones */
+    /**
+     * @param targets all serve the one service
+     * @param config its routes, or nothing for the usual ones
+     * @param reports that it shares with other gateways
+     */
     explicit GatewaySite(const std::vector<const ScriptedTarget *> &targets,
-                         const RoutingConfig &config = usualConfig());
+                         const RoutingConfig &config = usualConfig(),
+                         std::shared_ptr<SharedRecords> reports = std::make_shared<SharedRecords>());
     ~GatewaySite();
 
     GatewaySite(const GatewaySite &) = delete;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -112,7 +112,7 @@
     for (std::size_t index = 0; index < values.size(); ++index) {
         records += encodeKeyedRecord(std::to_string(index), values[index]);
     }
-    const auto page = decodeRecords(readAnswer(records), 5);
+    const auto page = decodeKeyedRecords(readAnswer(records), 5);
     RC_ASSERT(errorIn(page) == nullptr);
     const auto &read = std::get<RegisterPage>(page);
     RC_ASSERT(read.changes.size() == values.size());
@@ -126,8 +126,8 @@
 
 RC_GTEST_PROP(LogRecords, TakeAnyBytesWithoutHarm, (const std::string &bytes))
 {
-    static_cast<void>(decodeRecords(bytes, 0));
-    static_cast<void>(decodeRecords(readAnswer(bytes), 0));
+    static_cast<void>(decodeKeyedRecords(bytes, 0));
+    static_cast<void>(decodeKeyedRecords(readAnswer(bytes), 0));
 }
 
 struct CopyRow
@@ -172,7 +172,7 @@
 TEST(LogRecords, LeaveWhatIsCutOffToTheNextRead)
 {
     const auto records = encodeKeyedRecord("a", "first") + encodeKeyedRecord("b", "second");
-    const auto page = decodeRecords(readAnswer(records.substr(0, records.size() - 1)), 0);
+    const auto page = decodeKeyedRecords(readAnswer(records.substr(0, records.size() - 1)), 0);
     ASSERT_EQ(errorIn(page), nullptr);
     EXPECT_EQ(std::get<RegisterPage>(page).changes.size(), 1U);
     EXPECT_EQ(std::get<RegisterPage>(page).end, 1U);
