Read the limit that a target names and log who heard it

It is decoded from answers and written down when it changes; nothing is decided by it yet. The users write the header without the prefix of the others; both spellings are read.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -239,12 +239,26 @@
         if (m_answer.load) {
             target->load.reported(m_answer.load->running + m_answer.load->waiting, target->lastHeard);
         }
+        takeLimit(*target);
     }
     const bool isOther = m_answer.id != m_fields.id;
     const bool isForged = !m_answer.isSigned && !m_answer.isNotRun;
     m_isUnusable = isOther || isForged || m_answer.isEncoded;
 }
 
+void GatewayCall::takeLimit(GatewayTarget &target)
+{
+    // A refusal may name a limit, but does not end one by naming none.
+    const bool says = m_answer.id == m_fields.id && (m_answer.isSigned || m_answer.requestsPerSecond);
+    if (!says || m_answer.requestsPerSecond == target.requestsPerSecond) {
+        return;
+    }
+    target.requestsPerSecond = m_answer.requestsPerSecond;
+    const auto limit = target.requestsPerSecond ? std::to_string(*target.requestsPerSecond) : std::string("none");
+    logEvent(Severity::Info, "target-limit",
+             {{"target", target.entry.id.text()}, {"requests-per-second", limit}, {"request", m_fields.id.text()}});
+}
+
 void GatewayCall::bodyCame(std::string_view bytes)
 {
     if (auto *target = m_traffic.m_targets.find(m_target)) {
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -60,6 +60,7 @@
     void enqueue();
     void send(GatewayTarget &target, double load);
     void headCame(const HttpMessageHead &head);
+    void takeLimit(GatewayTarget &target);
     void bodyCame(std::string_view bytes);
     void answerEnded();
     void exchangeFailed(const ExchangeFailure &failure);
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -8,6 +8,7 @@
 #include "heatherridge_transport/direct/trafficcodec.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -23,6 +24,7 @@
     std::optional<EngineView> engine{}; ///< of an engine in an expert group, its own last word
     int sentSinceReport = 0; ///< requests of this gateway since the engine's last word
     SteadyTime refusedUntil{}; ///< it has refused a request; nothing is sent before
+    std::optional<double> requestsPerSecond{}; ///< that it takes from all entries together, by its last answer
 };
 
 /**
--- a/modules/heatherridge_transport/direct/trafficcodec.h
+++ b/modules/heatherridge_transport/direct/trafficcodec.h
@@ -46,6 +46,7 @@
     bool isSigned = false; ///< it bears the target's own signature
     bool isNotRun = false; ///< the target says that it did not run the request and will not
     std::optional<TargetLoad> load{};
+    std::optional<double> requestsPerSecond{}; ///< that the target takes from all entries together, while it says so
     std::optional<std::chrono::seconds> idleTimeout{}; ///< when the target closes this connection
     bool isEncoded = false; ///< the body is not the target's own
 };
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -275,6 +275,38 @@
 
 INSTANTIATE_TEST_SUITE_P(All, Answers, testing::ValuesIn(AnswerRows));
 
+struct LimitRow
+{
+    const char *story;
+    HttpHeader header;
+    std::optional<double> limit;
+};
+
+const LimitRow LimitRows[] = {
+    {"a whole number", {"Server-Limit", "4"}, 4.0},
+    {"a fraction", {"Server-Limit", "1.25"}, 1.25},
+    {"nothing at all", {"Server-Limit", "0"}, 0.0},
+    {"with the prefix of the other headers", {"X-Heatherridge-Server-Limit", "2.5"}, 2.5},
+    {"in small letters", {"server-limit", "3"}, 3.0},
+    {"another header", {"X-Heatherridge-Server-Load", "3,0,8"}, std::nullopt},
+    {"less than nothing", {"Server-Limit", "-1"}, std::nullopt},
+    {"no number", {"Server-Limit", "few"}, std::nullopt},
+    {"without an end", {"Server-Limit", "inf"}, std::nullopt},
+    {"with something behind it", {"Server-Limit", "4/s"}, std::nullopt},
+};
+
+class Limits : public testing::TestWithParam<LimitRow>
+{
+};
+
+TEST_P(Limits, AreReadFromAnswers)
+{
+    const auto &row = GetParam();
+    EXPECT_EQ(PlatformTraffic().readAnswer(200, {row.header}).requestsPerSecond, row.limit) << row.story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Limits, testing::ValuesIn(LimitRows));
+
 TEST(Refusals, TellWhenToComeBack)
 {
     const auto refusal =
