--- a/tests/gateway/crashing_test.cpp
+++ b/tests/gateway/crashing_test.cpp
@@ -107,7 +107,7 @@
     const auto reports = std::make_shared<SharedRecords>();
     std::vector<std::unique_ptr<GatewaySite>> sites;
     while (sites.size() < row.gateways) {
-        sites.push_back(std::make_unique<GatewaySite>(targets.all(), GatewaySite::usualConfig(), reports));
+        sites.push_back(std::make_unique<GatewaySite>(targets.all(), GatewaySite::Options{.reports = reports}));
     }
     constexpr int times = 8;
     for (int time = 0; time < times; ++time) {
@@ -126,13 +126,13 @@
     const FragileTargets targets(12);
     const auto reports = std::make_shared<SharedRecords>();
     {
-        GatewaySite site(targets.all(), GatewaySite::usualConfig(), reports);
+        GatewaySite site(targets.all(), {.reports = reports});
         for (int time = 0; time < 3; ++time) {
             call(site, "/stream/1", "r" + std::to_string(time), CrashingBody);
         }
     }
     const auto before = targets.arrivals();
-    GatewaySite later(targets.all(), GatewaySite::usualConfig(), reports);
+    GatewaySite later(targets.all(), {.reports = reports});
     std::this_thread::sleep_for(TimeToSpread);
     EXPECT_EQ(call(later, "/stream/1", "again", CrashingBody), 503);
     EXPECT_EQ(targets.arrivals(), before);
--- a/tests/gateway/gatewaysite.cpp
+++ b/tests/gateway/gatewaysite.cpp
@@ -27,16 +27,28 @@
     return acceptor.local_endpoint().port();
 }
 
-class NoShares final : public ShareLog
+/** A division of work that stays as it is, or that nobody tells. */
+class FixedShares final : public ShareLog
 {
 public:
-    void join(const std::string &, milliseconds, std::uint64_t, std::function<void(Result<ShareAnswer>)>) override
+    explicit FixedShares(std::set<int> parts)
+        : m_parts(std::move(parts))
     {
     }
 
+    void join(const std::string &, milliseconds, std::uint64_t, std::function<void(Result<ShareAnswer>)> done) override
+    {
+        if (!m_parts.empty()) {
+            done(ShareAnswer{.generation = 1, .parts = m_parts});
+        }
+    }
+
     void leave(const std::string &) override
     {
     }
+
+private:
+    std::set<int> m_parts;
 };
 
 } // namespace
@@ -83,8 +95,7 @@
     std::vector<TargetEntry> m_targets;
 };
 
-GatewaySite::GatewaySite(const std::vector<const ScriptedTarget *> &targets, const RoutingConfig &config,
-                         std::shared_ptr<SharedRecords> reports)
+GatewaySite::GatewaySite(const std::vector<const ScriptedTarget *> &targets, const Options &options)
     : m_ready({.address = "127.0.0.1", .port = freePort()})
 {
     std::vector<TargetEntry> entries;
@@ -98,9 +109,9 @@
     }
     GatewayServer::Adapter adapter{
         .traffic = std::make_shared<PlatformTraffic>(),
-        .registers = [config, entries](HttpClient &) { return std::make_unique<Registers>(config, entries); },
-        .shares = [](HttpClient &) { return std::make_unique<NoShares>(); },
-        .reports = [reports](HttpClient &) { return std::make_unique<SharedReports>(reports); },
+        .registers = [entries](HttpClient &) { return std::make_unique<Registers>(usualConfig(), entries); },
+        .shares = [parts = options.parts](HttpClient &) { return std::make_unique<FixedShares>(parts); },
+        .reports = [records = options.reports](HttpClient &) { return std::make_unique<SharedReports>(records); },
         .ranks = [](HttpClient &) { return std::make_unique<SilentRanks>(); }};
     m_server = std::make_unique<GatewayServer>(GatewayServer::Options{.process = ProcessName("g"),
                                                                       .zone = ZoneName("z"),
@@ -108,6 +119,7 @@
                                                                       .readyListen = m_ready,
                                                                       .readyPath = "/ready",
                                                                       .retryBudget = {.slack = 800},
+                                                                      .logPartitions = options.logPartitions,
                                                                       .balancerNotices = milliseconds(200)},
                                                std::move(adapter));
     m_callers = std::get<std::vector<Endpoint>>(m_server->start()).front();
--- a/tests/gateway/gatewaysite.h
+++ b/tests/gateway/gatewaysite.h
@@ -8,6 +8,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,14 +19,19 @@
 class GatewaySite
 {
 public:
-    /**
-     * @param targets all serve the one service
-     * @param config its routes, or nothing for the usual ones
-     * @param reports that it shares with other gateways
-     */
-    explicit GatewaySite(const std::vector<const ScriptedTarget *> &targets,
-                         const RoutingConfig &config = usualConfig(),
-                         std::shared_ptr<SharedRecords> reports = std::make_shared<SharedRecords>());
+    struct Options
+    {
+        std::shared_ptr<SharedRecords> reports = std::make_shared<SharedRecords>(); ///< shared with other gateways
+        std::set<int> parts{}; ///< of the log's partitions that belong to this gateway; none: the log does not say
+        int logPartitions = 1;
+    };
+
+    /** @param targets all serve the one service */
+    explicit GatewaySite(const std::vector<const ScriptedTarget *> &targets)
+        : GatewaySite(targets, Options{})
+    {
+    }
+    GatewaySite(const std::vector<const ScriptedTarget *> &targets, const Options &options);
     ~GatewaySite();
 
     GatewaySite(const GatewaySite &) = delete;
--- /dev/null
+++ b/tests/gateway/limit_test.cpp
@@ -0,0 +1,93 @@
+#include "gateway/gatewaysite.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <mutex>
+#include <numeric>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using Acts = std::vector<TargetAct>;
+
+/** What the users promise of a target that names a limit. */
+constexpr auto LimitWindow = 4s;
+constexpr auto TimeToKeepLimit = 3s;
+constexpr double LimitTolerance = 1.5;
+constexpr double LimitSlack = 5;
+
+/** A target that names a limit in its answers, and when it got requests. */
+class LimitedTarget
+{
+public:
+    explicit LimitedTarget(double limit)
+        : m_limit(limit)
+        , m_target([this](const std::string &request, int) { return answer(request); })
+    {
+    }
+
+    const ScriptedTarget &target() const
+    {
+        return m_target;
+    }
+
+    /** The most requests in any LimitWindow that begins TimeToKeepLimit after the first answer. */
+    std::ptrdiff_t mostInAWindow() const
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto first = std::lower_bound(m_times.begin(), m_times.end(), m_times.front() + TimeToKeepLimit);
+        std::ptrdiff_t most = 0;
+        for (auto begin = first; begin != m_times.end(); ++begin) {
+            most = std::max(most, std::lower_bound(begin, m_times.end(), *begin + LimitWindow) - begin);
+        }
+        return most;
+    }
+
+private:
+    Acts answer(const std::string &request)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_times.push_back(std::chrono::steady_clock::now());
+        return {{.bytes = answerTo(request, "good", 200, "Server-Limit: " + std::to_string(m_limit) + "\r\n")}};
+    }
+
+    double m_limit;
+    mutable std::mutex m_mutex;
+    std::vector<SteadyTime> m_times;
+    ScriptedTarget m_target;
+};
+
+// Guards against a target in need that names its limit and gets as much as before, from each gateway for itself.
+TEST(Limits, AreKeptByAllGatewaysTogether)
+{
+    constexpr double limit = 1;
+    constexpr int gateways = 4;
+    const LimitedTarget limited(limit);
+    const ScriptedTarget other([](const auto &request, int) { return Acts{{.bytes = answerTo(request, "good")}}; });
+    std::vector<std::unique_ptr<GatewaySite>> sites;
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int gateway = 0; gateway < gateways; ++gateway) {
+        const GatewaySite::Options options{.parts = {gateway}, .logPartitions = gateways};
+        sites.push_back(std::make_unique<GatewaySite>(std::vector{&limited.target(), &other}, options));
+        callers.push_back(std::make_unique<RawCaller>(sites.back()->callers()));
+    }
+    constexpr int rounds = 90;
+    int served = 0;
+    for (int round = 0; round < rounds; ++round) {
+        for (const auto &caller : callers) {
+            caller->send(requestText("GET", "/look/1", "r" + std::to_string(round)));
+        }
+        served += std::accumulate(callers.begin(), callers.end(), 0, [](int sum, const auto &caller) {
+            return sum + (caller->receive().status == 200 ? 1 : 0);
+        });
+        std::this_thread::sleep_for(100ms);
+    }
+    EXPECT_LE(limited.mostInAWindow(), LimitTolerance * limit * LimitWindow / 1s + LimitSlack);
+    EXPECT_EQ(served, rounds * gateways) << "the other target takes what is left";
+}
+
+} // namespace
