Keep the limit that a target names, by all gateways together

What callers saw: nothing, but a target in need that asked for 1 request a second went on getting 3 to 4, as every other.

Cause: no gateway read the limit, so placement went by load alone.

Ruled out: requests under way or repeated on top; each gateway sent the two engines up to 2 a second as first attempts.

Change: TargetLimit spaces a gateway's requests to such a target evenly, at its part of the limit. Parts are the log's division of work, which add up to 1 whatever the number of gateways. The first request after the limit was named goes at a random time, since all gateways hear of it at once. Targets that are held back are passed over like those that were tried; where all are, the caller is told when the next request may go. Every send counts, also repeats.

--- a/modules/heatherridge_state/decisions/directplacement.h
+++ b/modules/heatherridge_state/decisions/directplacement.h
@@ -18,6 +18,7 @@
     bool isNear = false; ///< in the entry's own availability zone
     bool isCold = false; ///< slow after its start
     bool wasTried = false; ///< the request has failed or been refused there
+    bool isHeldBack = false; ///< gets nothing now, by the limit that it names
     Health health = Health::Healthy;
 };
 
--- a/modules/heatherridge_state/decisions/engineplacement.cpp
+++ b/modules/heatherridge_state/decisions/engineplacement.cpp
@@ -24,7 +24,7 @@
 bool takesNew(const EngineCandidate &engine, const EngineGroup &group)
 {
     return engine.isOpen && !group.isStalled && !engine.refusesNow && !engine.target.wasTried
-        && loadWith(engine, 1) <= engine.target.slots;
+        && !engine.target.isHeldBack && loadWith(engine, 1) <= engine.target.slots;
 }
 
 /** What kind of place a stream finds at an engine. */
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -114,7 +114,7 @@
     const auto kind = choice.isFull ? ErrorKind::Overloaded : ErrorKind::NoTarget;
     awaitTarget({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : kind,
                  .detail = choice.isFull ? "all targets are full" : "no target for " + m_service.text(),
-                 .retryAfter = choice.isFull ? EnginesFullRetryAfter : NoTargetRetryAfter});
+                 .retryAfter = choice.heldFor.value_or(choice.isFull ? EnginesFullRetryAfter : NoTargetRetryAfter)});
 }
 
 GatewayTargets::Choice GatewayCall::chooseTarget()
@@ -210,6 +210,7 @@
     m_traffic.admitted(m_number, m_sentAt);
     m_traffic.m_targets.sentTo(m_group, m_sentAt);
     target.load.sent();
+    target.limit.sent(m_sentAt);
     ++target.sentSinceReport;
     const auto &request = m_exchange->request();
     const auto headers =
@@ -250,13 +251,14 @@
 {
     // A refusal may name a limit, but does not end one by naming none.
     const bool says = m_answer.id == m_fields.id && (m_answer.isSigned || m_answer.requestsPerSecond);
-    if (!says || m_answer.requestsPerSecond == target.requestsPerSecond) {
+    const auto limit = m_answer.requestsPerSecond;
+    if (!says || !m_traffic.m_targets.takeLimit(target, limit, now(), m_traffic.m_random)) {
         return;
     }
-    target.requestsPerSecond = m_answer.requestsPerSecond;
-    const auto limit = target.requestsPerSecond ? std::to_string(*target.requestsPerSecond) : std::string("none");
     logEvent(Severity::Info, "target-limit",
-             {{"target", target.entry.id.text()}, {"requests-per-second", limit}, {"request", m_fields.id.text()}});
+             {{"target", target.entry.id.text()},
+              {"requests-per-second", limit ? std::to_string(*limit) : std::string("none")},
+              {"request", m_fields.id.text()}});
 }
 
 void GatewayCall::bodyCame(std::string_view bytes)
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -97,7 +97,24 @@
         return chooseEngine(targets, candidates, rules->second, urgency, now, random);
     }
     const auto chosen = placeDirectly(candidates, random);
-    return {.target = chosen ? targets[*chosen] : nullptr, .load = chosen ? candidates[*chosen].load : 0};
+    if (chosen) {
+        return {.target = targets[*chosen], .load = candidates[*chosen].load};
+    }
+    const auto heldFor = shortestHold(targets, now);
+    return {.isFull = heldFor.has_value(), .heldFor = heldFor};
+}
+
+std::optional<std::chrono::milliseconds> GatewayTargets::shortestHold(const std::vector<GatewayTarget *> &targets,
+                                                                      SteadyTime now) const
+{
+    std::optional<std::chrono::milliseconds> shortest;
+    for (const auto *target : targets) {
+        const auto wait = target->limit.wait(m_limitPart, now);
+        if (wait.count() > 0) {
+            shortest = std::min(shortest.value_or(wait), wait);
+        }
+    }
+    return shortest;
 }
 
 DirectCandidate GatewayTargets::candidateOf(const GatewayTarget &target, double usualOthers,
@@ -110,6 +127,7 @@
             .isNear = target.entry.zone == m_zone,
             .isCold = target.entry.coldFor.count() > 0,
             .wasTried = tried.contains(target.entry.id),
+            .isHeldBack = target.limit.wait(m_limitPart, now).count() > 0,
             .health = isOut ? Health::Ejected : health.healthOf(target.entry.id, now)};
 }
 
@@ -141,9 +159,10 @@
         groups.push_back(m_groups[names[group]].view(work[group], rules, m_part, now));
     }
     const auto choice = placeStream(engines, groups, {.urgency = urgency, .share = m_part}, random);
-    return {.target = choice.index ? targets[*choice.index] : nullptr,
-            .load = choice.index ? candidates[*choice.index].load : 0,
-            .isFull = choice.isFull};
+    if (choice.index) {
+        return {.target = targets[*choice.index], .load = candidates[*choice.index].load};
+    }
+    return {.isFull = choice.isFull};
 }
 
 void GatewayTargets::addTo(GroupWork &work, const GatewayTarget &target, double load, SteadyTime now)
@@ -179,10 +198,19 @@
         && target.sentSinceReport >= startRoom(target.entry.slots, reported, m_part);
 }
 
-void GatewayTargets::setPart(double part)
+void GatewayTargets::setParts(double limitPart, double roomPart)
 {
+    m_limitPart = limitPart;
     // Without a share this process has lost the log for a while; the last one says better how many others there are.
-    m_part = part > 0 ? part : m_part;
+    m_part = roomPart > 0 ? roomPart : m_part;
+}
+
+bool GatewayTargets::takeLimit(GatewayTarget &target, std::optional<double> requestsPerSecond, SteadyTime now,
+                               RandomSource &random) const
+{
+    const bool isOther = target.limit.requestsPerSecond() != requestsPerSecond;
+    target.limit.named(requestsPerSecond, m_limitPart, now, random);
+    return isOther;
 }
 
 void GatewayTargets::refused(const TargetName &id, SteadyTime now)
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -4,6 +4,7 @@
 #include "heatherridge_state/decisions/engineplacement.h"
 #include "heatherridge_state/decisions/groupadmission.h"
 #include "heatherridge_state/decisions/loadestimate.h"
+#include "heatherridge_state/decisions/targetlimit.h"
 #include "heatherridge_state/routing/targetentry.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 
@@ -24,7 +25,7 @@
     std::optional<EngineView> engine{}; ///< of an engine in an expert group, its own last word
     int sentSinceReport = 0; ///< requests of this gateway since the engine's last word
     SteadyTime refusedUntil{}; ///< it has refused a request; nothing is sent before
-    std::optional<double> requestsPerSecond{}; ///< that it takes from all entries together, by its last answer
+    TargetLimit limit{}; ///< of the requests that it takes from all entries together
 };
 
 /**
@@ -52,8 +53,12 @@
     /** The target @p id, or nullptr once it is gone. */
     GatewayTarget *find(const TargetName &id);
 
-    /** This gateway's part of the room that engines report; what is left is for the other gateways. */
-    void setPart(double part);
+    /**
+     * This gateway's part of what all gateways do.
+     * @param limitPart of the limits that targets name; those of all gateways add up to 1
+     * @param roomPart of the room that engines report, over 0; what is left is for the other gateways
+     */
+    void setParts(double limitPart, double roomPart);
 
     /** Where a request goes. */
     struct Choice
@@ -61,6 +66,7 @@
         GatewayTarget *target = nullptr; ///< null for nowhere
         double load = 0; ///< that the target is believed to have
         bool isFull = false; ///< there are targets, but all have as much as they should
+        std::optional<std::chrono::milliseconds> heldFor{}; ///< until a target may get more by the limit that it names
     };
 
     /**
@@ -76,6 +82,10 @@
     /** A stream of @p group had @p pause between two events: a pass of the group took as long. */
     void recordPause(const GroupName &group, std::chrono::milliseconds pause, SteadyTime now);
 
+    /** What an answer of @p target says of its limit. @returns whether it is another one than before */
+    bool takeLimit(GatewayTarget &target, std::optional<double> requestsPerSecond, SteadyTime now,
+                   RandomSource &random) const;
+
     /** @p id has refused a request. */
     void refused(const TargetName &id, SteadyTime now);
 
@@ -91,10 +101,13 @@
     bool isUsable(const GatewayTarget &target, const ServiceName &service) const;
     DirectCandidate candidateOf(const GatewayTarget &target, double usualOthers, const HealthTracker &health,
                                 const std::set<TargetName> &tried, SteadyTime now) const;
+    std::optional<std::chrono::milliseconds> shortestHold(const std::vector<GatewayTarget *> &targets,
+                                                          SteadyTime now) const;
     Choice chooseEngine(const std::vector<GatewayTarget *> &targets, const std::vector<DirectCandidate> &candidates,
                         const PassBudgetRules &rules, Urgency urgency, SteadyTime now, RandomSource &random);
 
     ZoneName m_zone;
+    double m_limitPart = 0;
     double m_part = 0.25; ///< of the room that engines report, until the share of the work is known: four gateways
     std::map<GroupName, GroupAdmission> m_groups;
     std::map<TargetName, GatewayTarget> m_targets;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -76,7 +76,7 @@
 void GatewayTraffic::setParts(double budgetPart, double evenPart)
 {
     m_options.retryBudget.part = budgetPart;
-    m_targets.setPart(evenPart);
+    m_targets.setParts(budgetPart, evenPart);
     for (auto &[service, budget] : m_budgets) {
         budget.setPart(budgetPart);
     }
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -60,7 +60,7 @@
 
     /**
      * This gateway's part of what all gateways do.
-     * @param budgetPart of the slack for repeats, which must not add up to more than the slack
+     * @param budgetPart of the slack for repeats and of targets' limits, which must not add up to more than these
      * @param evenPart of the streams, as if all had alike
      */
     void setParts(double budgetPart, double evenPart);
--- /dev/null
+++ b/tests/decisions/targetlimit_test.cpp
@@ -0,0 +1,92 @@
+#include "heatherridge_state/decisions/targetlimit.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/** The most of @p times in any window of @p length that begins at or after @p from. */
+std::ptrdiff_t mostWithin(const std::vector<SteadyTime> &times, std::chrono::milliseconds length, SteadyTime from)
+{
+    std::ptrdiff_t most = 0;
+    for (auto begin = std::lower_bound(times.begin(), times.end(), from); begin != times.end(); ++begin) {
+        most = std::max(most, std::lower_bound(begin, times.end(), *begin + length) - begin);
+    }
+    return most;
+}
+
+struct FleetRow
+{
+    const char *name;
+    std::size_t entries;
+    int partitions; ///< of the log, dealt out among the entries
+    double limit;
+    double arrivals; ///< requests a second at each entry that would go to the target
+};
+
+const FleetRow FleetRows[] = {
+    {"OneEntry", 1, 12, 1, 40},    {"FourEntries", 4, 12, 1, 10},         {"AFraction", 4, 12, 1.1, 10},
+    {"NineEntries", 9, 12, 1, 10}, {"AsManyAsPartitions", 12, 12, 2, 10}, {"MoreThanPartitions", 40, 12, 1, 5},
+    {"AHighLimit", 9, 12, 30, 10}, {"NothingAllowed", 4, 12, 0, 10},
+};
+
+class Fleets : public testing::TestWithParam<FleetRow>
+{
+};
+
+// Guards against a target in need that gets its limit from each entry, or a request of all entries at once when all
+// hear of the limit.
+TEST_P(Fleets, KeepALimitTogether)
+{
+    const auto &row = GetParam();
+    SeededRandom random(11);
+    std::vector<TargetLimit> limits(row.entries);
+    std::vector<double> parts(row.entries, 0);
+    for (int partition = 0; partition < row.partitions; ++partition) {
+        parts[static_cast<std::size_t>(partition) % row.entries] += 1.0 / row.partitions;
+    }
+    std::vector<SteadyTime> times;
+    constexpr auto step = 10ms;
+    constexpr auto day = 120s;
+    const double chance = row.arrivals * std::chrono::duration<double>(step).count();
+    for (auto now = SteadyTime{} + 1h; now < SteadyTime{} + 1h + day; now += step) {
+        for (std::size_t entry = 0; entry < row.entries; ++entry) {
+            if (random.fraction() >= chance || limits[entry].wait(parts[entry], now).count() > 0) {
+                continue;
+            }
+            limits[entry].sent(now);
+            limits[entry].named(row.limit, parts[entry], now, random); // by the answer
+            times.push_back(now);
+        }
+    }
+    const auto kept = SteadyTime{} + 1h + 3s;
+    EXPECT_LE(mostWithin(times, 4s, kept), 1.5 * row.limit * 4 + 5);
+    // Callers get most of what the target takes.
+    EXPECT_GE(static_cast<double>(times.size()), 0.7 * row.limit * day / 1s);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, Fleets, testing::ValuesIn(FleetRows), [](const auto &row) { return row.param.name; });
+
+// Guards against a target that goes on getting little after it has recovered.
+TEST(Limits, EndWithTheFirstAnswerThatNamesNone)
+{
+    SeededRandom random(3);
+    TargetLimit limit;
+    EXPECT_EQ(limit.wait(0.25, SteadyTime{}), 0ms);
+    limit.named(1, 0.25, SteadyTime{}, random);
+    limit.sent(SteadyTime{});
+    EXPECT_EQ(limit.wait(0.25, SteadyTime{} + 1s), 3s);
+    EXPECT_EQ(limit.wait(0.5, SteadyTime{} + 1s), 1s) << "another gateway has left";
+    EXPECT_EQ(limit.wait(0, SteadyTime{} + 1s), TargetLimit::TrialPeriod - 1s);
+    limit.named({}, 0.25, SteadyTime{} + 1s, random);
+    EXPECT_EQ(limit.wait(0.25, SteadyTime{} + 1s), 0ms);
+}
+
+} // namespace
