Keep what is in force when the platform's log comes back from an older copy

The log may lose what it acknowledged last, and gives out its offsets again.

One place in platform/ judges every answer by its era (LogEra, LogClient); the parts hear a typed event and read anew, tell again, or wait for confirmation. Targets' records are compared by run and revision for some seconds. Registers are read at a time drawn by their size.

--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -132,19 +132,14 @@
 {
     return {
         .traffic = std::make_shared<PlatformTraffic>(),
-        .registers =
-            [log = settings.address("log-service")](HttpClient &client) {
-                return std::make_unique<PlatformLog>(client, PlatformLog::Options{.endpoint = log});
-            },
-        .shares =
-            [log = settings.address("log-service")](HttpClient &client) {
-                return std::make_unique<PlatformShare>(
-                    client, PlatformShare::Options{.endpoint = log, .name = "group-keepers"});
-            },
-        .reports =
-            [log = settings.address("log-service")](HttpClient &client) {
-                return std::make_unique<PlatformReports>(
-                    client, PlatformReports::Options{.endpoint = log, .name = "heatherridge-crashes"});
+        .log =
+            [log = settings.address("log-service")](HttpClient &client, LogEvents events) {
+                const auto calls =
+                    std::make_shared<LogClient>(client, LogClient::Options{.endpoint = log}, std::move(events));
+                return GatewayServer::LogParts{.registers = std::make_unique<PlatformLog>(calls),
+                                               .shares = std::make_unique<PlatformShare>(calls, "group-keepers"),
+                                               .reports =
+                                                   std::make_unique<PlatformReports>(calls, "heatherridge-crashes")};
             },
         .ranks =
             [](HttpClient &client) { return std::make_unique<PlatformEngines>(client, PlatformEngines::Options{}); }};
--- a/modules/heatherridge_coordination/feed/crashfeed.cpp
+++ b/modules/heatherridge_coordination/feed/crashfeed.cpp
@@ -32,6 +32,21 @@
     m_nextRead = m_now;
 }
 
+void CrashFeed::logRestored()
+{
+    ++m_appendNumber;
+    m_appending = 0;
+    for (auto told = m_told.rbegin(); told != m_told.rend(); ++told) {
+        if (m_now - told->first < m_options.toldMemory) {
+            m_pending.push_front(std::move(told->second));
+        }
+    }
+    m_told.clear();
+    m_position = 0;
+    ++m_readNumber;
+    restartRead();
+}
+
 void CrashFeed::tick(SteadyTime now)
 {
     m_now = now;
@@ -51,20 +66,31 @@
         records.push_back(encode(report));
     }
     m_appending = records.size();
-    m_log.append(records, [this, alive = std::weak_ptr(m_alive)](const Outcome &appended) {
-        if (alive.expired()) {
+    m_log.append(records, [this, number = ++m_appendNumber, alive = std::weak_ptr(m_alive)](const Outcome &outcome) {
+        if (alive.expired() || number != m_appendNumber) {
             return;
         }
         const auto count = std::exchange(m_appending, 0);
-        if (const auto *error = errorIn(appended)) {
+        if (const auto *error = errorIn(outcome)) {
             failed("append", *error, m_isAppendFailing, m_nextAppend);
             return;
         }
         m_isAppendFailing = false;
-        m_pending.erase(m_pending.begin(), m_pending.begin() + static_cast<std::ptrdiff_t>(count));
+        appended(count);
     });
 }
 
+void CrashFeed::appended(std::size_t count)
+{
+    for (std::size_t taken = 0; taken < count; ++taken) {
+        m_told.emplace_back(m_now, std::move(m_pending.front()));
+        m_pending.pop_front();
+    }
+    while (m_told.size() > m_options.mostTold) {
+        m_told.pop_front();
+    }
+}
+
 void CrashFeed::read()
 {
     m_isReading = true;
--- a/modules/heatherridge_coordination/feed/crashfeed.h
+++ b/modules/heatherridge_coordination/feed/crashfeed.h
@@ -30,6 +30,8 @@
         std::chrono::milliseconds busyTime{60'000}; ///< after the last report
         std::chrono::milliseconds retryPause{250}; ///< after a call that failed
         std::size_t mostPending = 1'000; ///< reports that the log has not taken; beyond it the oldest are dropped
+        std::size_t mostTold = 1'000; ///< reports that are told again when the log comes back from an older copy
+        std::chrono::milliseconds toldMemory{300'000}; ///< how long after they were told
     };
 
     struct Events
@@ -51,11 +53,15 @@
     /** The log has failed elsewhere or answers again: a read that waits may wait on a dead connection. */
     void restartRead();
 
+    /** The log has come back from an older copy: reads from the beginning, and tells again what it told of late. */
+    void logRestored();
+
     /** Starts the calls that are due. Called often. */
     void tick(SteadyTime now);
 
 private:
     void append();
+    void appended(std::size_t count);
     void read();
     void takePage(std::uint64_t number, Result<ReportPage> page);
     bool isBusy() const;
@@ -66,6 +72,8 @@
     Events m_events;
     std::deque<CrashReport> m_pending; ///< not yet taken by the log
     std::size_t m_appending = 0; ///< the first of them, under way
+    std::uint64_t m_appendNumber = 0; ///< of the last call; answers to earlier ones are not taken
+    std::deque<std::pair<SteadyTime, CrashReport>> m_told; ///< taken by the log, the oldest first
     std::uint64_t m_position = 0; ///< read up to here
     std::uint64_t m_readNumber = 0; ///< of the last read; answers to earlier ones are not taken
     std::chrono::milliseconds m_readWait{0};
--- a/modules/heatherridge_coordination/feed/registerfollower.cpp
+++ b/modules/heatherridge_coordination/feed/registerfollower.cpp
@@ -18,11 +18,28 @@
     }
     m_isReading = true;
     if (!m_position) {
-        m_log.newest(m_options.kind, [this, now](Result<RegisterPage> page) { takeNewest(std::move(page), now); });
+        m_log.newest(m_options.kind, whenCurrent(&RegisterFollower::takeNewest, now));
         return;
     }
-    m_log.read(m_options.kind, *m_position, m_options.wait,
-               [this, now](Result<RegisterPage> page) { takeRead(std::move(page), now); });
+    m_log.read(m_options.kind, *m_position, m_options.wait, whenCurrent(&RegisterFollower::takeRead, now));
+}
+
+void RegisterFollower::restart(std::chrono::milliseconds delay)
+{
+    ++m_restarts;
+    m_isReading = false;
+    m_position.reset();
+    m_next = m_now + delay;
+}
+
+RegisterLog::Done RegisterFollower::whenCurrent(void (RegisterFollower::*take)(Result<RegisterPage>, SteadyTime),
+                                                SteadyTime asked)
+{
+    return [this, take, asked, restarts = m_restarts](Result<RegisterPage> page) {
+        if (restarts == m_restarts) {
+            (this->*take)(std::move(page), asked);
+        }
+    };
 }
 
 void RegisterFollower::takeNewest(Result<RegisterPage> page, SteadyTime asked)
--- a/modules/heatherridge_coordination/feed/registerfollower.h
+++ b/modules/heatherridge_coordination/feed/registerfollower.h
@@ -41,7 +41,11 @@
     /** Starts a read when one is due. Called often. */
     void tick(SteadyTime now);
 
+    /** Reads the whole register anew after @p delay; what is under way is not taken. */
+    void restart(std::chrono::milliseconds delay);
+
 private:
+    RegisterLog::Done whenCurrent(void (RegisterFollower::*take)(Result<RegisterPage>, SteadyTime), SteadyTime asked);
     void takeNewest(Result<RegisterPage> page, SteadyTime asked);
     void takeRead(Result<RegisterPage> page, SteadyTime asked);
     void failed(const Error &error);
@@ -51,6 +55,7 @@
     Options m_options;
     RegisterEvents m_events;
     std::optional<std::uint64_t> m_position; ///< nothing: only newest() can tell what holds
+    std::uint64_t m_restarts = 0; ///< answers to calls from before the last are not taken
     bool m_isReading = false;
     bool m_answers = true;
     SteadyTime m_now{}; ///< of the last tick; answers come between ticks
--- a/modules/heatherridge_coordination/feed/registerlog.h
+++ b/modules/heatherridge_coordination/feed/registerlog.h
@@ -76,7 +76,7 @@
     virtual std::optional<Result<RoutingConfig>> rulesIn(const RegisterChange &change) const = 0;
 
     /** The target in @p change, or an error of kind BadRequest when it names no usable one. */
-    virtual Result<TargetEntry> targetIn(const RegisterChange &change) const = 0;
+    virtual Result<TargetRecord> targetIn(const RegisterChange &change) const = 0;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_coordination/feed/rulescopies.cpp
+++ b/modules/heatherridge_coordination/feed/rulescopies.cpp
@@ -18,6 +18,16 @@
     m_version = version;
 }
 
+void RulesCopies::logRestored()
+{
+    for (auto &copy : m_copies) {
+        ++copy.restores;
+        copy.versions.reset();
+        copy.isCalling = false;
+        copy.next = m_now;
+    }
+}
+
 void RulesCopies::tick(Duty duty, SteadyTime now)
 {
     m_now = now;
@@ -40,23 +50,25 @@
 void RulesCopies::read(int index, bool restores)
 {
     m_copies[index].isCalling = true;
-    m_log.copies(index, [this, index, restores, alive = std::weak_ptr(m_alive)](Result<RulesCopy> read) {
-        if (alive.expired()) {
-            return;
-        }
-        auto &copy = m_copies[index];
-        copy.isCalling = false;
-        if (const auto *error = errorIn(read)) {
-            failed(copy, "read", *error, restores ? m_options.restorePause : m_options.pause);
-            return;
-        }
-        const auto &records = std::get<RulesCopy>(read);
-        copy.versions = records.versions;
-        if (restores) {
-            copy.next = m_now + m_options.pause;
-            m_events.restored(records.changes);
-        }
-    });
+    m_log.copies(index,
+                 [this, index, restores, made = m_copies[index].restores,
+                  alive = std::weak_ptr(m_alive)](Result<RulesCopy> read) {
+                     if (alive.expired() || made != m_copies[index].restores) {
+                         return;
+                     }
+                     auto &copy = m_copies[index];
+                     copy.isCalling = false;
+                     if (const auto *error = errorIn(read)) {
+                         failed(copy, "read", *error, restores ? m_options.restorePause : m_options.pause);
+                         return;
+                     }
+                     const auto &records = std::get<RulesCopy>(read);
+                     copy.versions = records.versions;
+                     if (restores) {
+                         copy.next = m_now + m_options.pause;
+                         m_events.restored(records.changes);
+                     }
+                 });
 }
 
 void RulesCopies::write(int index)
@@ -64,23 +76,23 @@
     auto &copy = m_copies[index];
     copy.isCalling = true;
     const std::map<std::uint64_t, std::size_t> dropped(copy.versions->begin(), copy.versions->lower_bound(m_version));
-    m_log.keepCopy(
-        index, *m_rules, m_version, dropped,
-        [this, index, dropped, version = m_version, alive = std::weak_ptr(m_alive)](const Result<std::size_t> &kept) {
-            if (alive.expired()) {
-                return;
-            }
-            auto &written = m_copies[index];
-            written.isCalling = false;
-            if (const auto *error = errorIn(kept)) {
-                failed(written, "write", *error, m_options.pause);
-                return;
-            }
-            for (const auto &[old, records] : dropped) {
-                written.versions->erase(old);
-            }
-            written.versions->insert_or_assign(version, std::get<std::size_t>(kept));
-        });
+    m_log.keepCopy(index, *m_rules, m_version, dropped,
+                   [this, index, dropped, version = m_version, made = copy.restores,
+                    alive = std::weak_ptr(m_alive)](const Result<std::size_t> &kept) {
+                       if (alive.expired() || made != m_copies[index].restores) {
+                           return;
+                       }
+                       auto &written = m_copies[index];
+                       written.isCalling = false;
+                       if (const auto *error = errorIn(kept)) {
+                           failed(written, "write", *error, m_options.pause);
+                           return;
+                       }
+                       for (const auto &[old, records] : dropped) {
+                           written.versions->erase(old);
+                       }
+                       written.versions->insert_or_assign(version, std::get<std::size_t>(kept));
+                   });
 }
 
 void RulesCopies::failed(Copy &copy, std::string_view what, const Error &error, std::chrono::milliseconds pause)
--- a/modules/heatherridge_coordination/feed/rulescopies.h
+++ b/modules/heatherridge_coordination/feed/rulescopies.h
@@ -52,6 +52,9 @@
     /** @p rules, read from the register itself, is the newest record, of @p version. */
     void setRules(const RegisterChange &rules, std::uint64_t version);
 
+    /** The log has come back from an older copy: what the copies hold has to be read again. */
+    void logRestored();
+
     /** Starts the calls that are due. Called often. */
     void tick(Duty duty, SteadyTime now);
 
@@ -60,6 +63,7 @@
     {
         /** That it holds, and in how many records; nothing before it was read. */
         std::optional<std::map<std::uint64_t, std::size_t>> versions{};
+        std::uint64_t restores = 0; ///< of the log; answers to calls from before the last say nothing of this copy
         bool isCalling = false;
         SteadyTime next{}; ///< no call before
     };
--- a/modules/heatherridge_coordination/feed/workshare.cpp
+++ b/modules/heatherridge_coordination/feed/workshare.cpp
@@ -18,13 +18,17 @@
     }
     m_due = now + m_options.period;
     m_isCalling = true;
-    m_log.join(m_options.member, m_options.lease, m_share.generation, [this, now](Result<ShareAnswer> answer) {
-        m_isCalling = false;
-        if (errorIn(answer) == nullptr) {
-            m_confirmedAt = now;
-            m_share = std::get<ShareAnswer>(std::move(answer));
-        }
-    });
+    m_log.join(m_options.member, m_options.lease, m_share.generation,
+               [this, now, restores = m_restores](Result<ShareAnswer> answer) {
+                   if (restores != m_restores) {
+                       return;
+                   }
+                   m_isCalling = false;
+                   if (errorIn(answer) == nullptr) {
+                       m_confirmedAt = now;
+                       m_share = std::get<ShareAnswer>(std::move(answer));
+                   }
+               });
 }
 
 bool WorkShare::isMine(std::string_view work) const
@@ -52,6 +56,15 @@
     return m_confirmedAt && now - *m_confirmedAt < m_options.lease;
 }
 
+void WorkShare::logRestored()
+{
+    ++m_restores;
+    m_share.generation = 0; // the log counts on from an older one
+    m_confirmedAt.reset();
+    m_isCalling = false;
+    m_due = {};
+}
+
 void WorkShare::leave()
 {
     m_hasLeft = true;
--- a/modules/heatherridge_coordination/feed/workshare.h
+++ b/modules/heatherridge_coordination/feed/workshare.h
@@ -75,6 +75,9 @@
     /** Whether the log has confirmed the share within its lease, so that nobody else can have it. */
     bool isConfirmed(SteadyTime now) const;
 
+    /** The log has come back from an older copy: its division holds once it has confirmed it anew. */
+    void logRestored();
+
     /** Gives everything back. */
     void leave();
 
@@ -84,6 +87,7 @@
     ShareAnswer m_share;
     SteadyTime m_due{};
     std::optional<SteadyTime> m_confirmedAt; ///< when the last call that was answered was made
+    std::uint64_t m_restores = 0; ///< of the log; answers to calls from before the last are not taken
     bool m_isCalling = false;
     bool m_hasLeft = false;
 };
--- a/modules/heatherridge_state/routing/targetdirectory.cpp
+++ b/modules/heatherridge_state/routing/targetdirectory.cpp
@@ -3,6 +3,16 @@
 namespace Heatherridge
 {
 
+namespace
+{
+
+bool isSameRun(const TargetRecord &a, const TargetRecord &b)
+{
+    return a.startedAt == b.startedAt;
+}
+
+} // namespace
+
 void TargetDirectory::readable(SteadyTime now)
 {
     if (!m_readable) {
@@ -17,14 +27,31 @@
     m_readable = false;
 }
 
-void TargetDirectory::put(const TargetEntry &entry)
+void TargetDirectory::restored(SteadyTime now)
 {
+    m_restoredAt = now;
+    // Targets that registered since the copy was made are missing until they write again.
+    m_hadOutage = true;
+    m_readableSince = now;
+}
+
+void TargetDirectory::put(const TargetRecord &record, SteadyTime now)
+{
+    if (isOutdated(record, now)) {
+        return;
+    }
+    const auto &entry = record.entry;
     // A target that starts anew takes another id; its last run stays registered until its heartbeats are missed.
-    std::erase_if(m_entries, [&entry](const auto &known) {
-        return known.second.address == entry.address && known.first != entry.id;
-    });
+    for (auto known = m_entries.begin(); known != m_entries.end();) {
+        const auto next = std::next(known);
+        if (known->second.entry.address == entry.address && known->first != entry.id) {
+            depart(known, now);
+        }
+        known = next;
+    }
     m_lapsed.erase(entry.id);
-    m_entries.insert_or_assign(entry.id, entry);
+    m_departed.erase(entry.id);
+    m_entries.insert_or_assign(entry.id, record);
 }
 
 void TargetDirectory::remove(const TargetName &id, SteadyTime now)
@@ -33,20 +60,19 @@
     if (found == m_entries.end()) {
         return;
     }
-    if (isCalm(now) || found->second.isDraining) {
-        m_entries.erase(found);
-        m_lapsed.erase(id);
+    if (isCalm(now) || found->second.entry.isDraining) {
+        depart(found, now);
         return;
     }
     m_lapsed.insert(id);
 }
 
-void TargetDirectory::replace(const std::vector<TargetEntry> &entries, SteadyTime now)
+void TargetDirectory::replace(const std::vector<TargetRecord> &records, SteadyTime now)
 {
     std::set<TargetName> listed;
-    for (const auto &entry : entries) {
-        listed.insert(entry.id);
-        put(entry);
+    for (const auto &record : records) {
+        listed.insert(record.entry.id);
+        put(record, now);
     }
     for (const auto &entry : targets()) {
         if (!listed.contains(entry.id)) {
@@ -57,13 +83,16 @@
 
 bool TargetDirectory::tick(SteadyTime now)
 {
+    std::erase_if(m_departed, [now](const auto &entry) { return now - entry.second.at > DepartureMemory; });
     if (m_lapsed.empty() || !isCalm(now)) {
         return false;
     }
-    for (const auto &id : m_lapsed) {
-        m_entries.erase(id); // nothing is there when its address has been taken over meanwhile
+    for (const auto &id : std::exchange(m_lapsed, {})) {
+        // Nothing is there when its address has been taken over meanwhile.
+        if (const auto found = m_entries.find(id); found != m_entries.end()) {
+            depart(found, now);
+        }
     }
-    m_lapsed.clear();
     return true;
 }
 
@@ -71,8 +100,8 @@
 {
     std::vector<TargetEntry> all;
     all.reserve(m_entries.size());
-    for (const auto &[id, entry] : m_entries) {
-        all.push_back(entry);
+    for (const auto &[id, record] : m_entries) {
+        all.push_back(record.entry);
     }
     return all;
 }
@@ -87,4 +116,24 @@
     return m_readable && m_readableSince && (!m_hadOutage || now - *m_readableSince >= LapseGrace);
 }
 
+bool TargetDirectory::isOutdated(const TargetRecord &record, SteadyTime now) const
+{
+    if (!m_restoredAt || now - *m_restoredAt >= RestoreGrace) {
+        return false;
+    }
+    if (const auto known = m_entries.find(record.entry.id); known != m_entries.end()) {
+        return isSameRun(record, known->second) && record.revision < known->second.revision;
+    }
+    const auto departed = m_departed.find(record.entry.id);
+    return departed != m_departed.end() && isSameRun(record, departed->second.record)
+        && record.revision <= departed->second.record.revision;
+}
+
+void TargetDirectory::depart(std::map<TargetName, TargetRecord>::iterator entry, SteadyTime now)
+{
+    m_lapsed.erase(entry->first);
+    m_departed.insert_or_assign(entry->first, Departure{.record = std::move(entry->second), .at = now});
+    m_entries.erase(entry);
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_state/routing/targetentry.h
+++ b/modules/heatherridge_state/routing/targetentry.h
@@ -4,6 +4,7 @@
 #include "heatherridge_state/config/inventory.h"
 
 #include <chrono>
+#include <cstdint>
 
 namespace Heatherridge
 {
@@ -22,4 +23,12 @@
     bool operator==(const TargetEntry &) const = default;
 };
 
+/** A target's entry as it stands in the register. */
+struct TargetRecord
+{
+    TargetEntry entry{};
+    std::chrono::sys_time<std::chrono::milliseconds> startedAt{}; ///< of this run by its own clock; null when not told
+    std::uint64_t revision = 0; ///< rises each time that this run writes the entry
+};
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycontrol.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.cpp
@@ -78,6 +78,18 @@
     }
 }
 
+void GatewayControl::logRestored(RandomSource &random)
+{
+    const auto spread = RereadSpreadPerTarget * m_directory.targets().size();
+    const auto drawn = [&] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(spread * random.fraction());
+    };
+    m_directory.restored(m_now);
+    m_rulesFollower.restart(drawn());
+    m_targetsFollower.restart(drawn());
+    m_copies.logRestored();
+}
+
 std::vector<TargetEntry> GatewayControl::targets() const
 {
     return m_directory.targets();
@@ -128,25 +140,25 @@
 
 void GatewayControl::replaceTargets(const std::vector<RegisterChange> &changes)
 {
-    std::vector<TargetEntry> entries;
+    std::vector<TargetRecord> records;
     for (const auto &change : changes) {
-        const auto entry = m_log.targetIn(change);
-        if (const auto *error = errorIn(entry)) {
+        const auto record = m_log.targetIn(change);
+        if (const auto *error = errorIn(record)) {
             m_malformed.add();
             logEvent(Severity::Warning, "target-malformed", {{"target", change.key}, {"reason", error->detail}});
             continue;
         }
-        entries.push_back(std::get<TargetEntry>(entry));
+        records.push_back(std::get<TargetRecord>(record));
     }
-    m_directory.replace(entries, m_now);
+    m_directory.replace(records, m_now);
     publishTargets();
 }
 
 void GatewayControl::changeTargets(const std::vector<RegisterChange> &changes)
 {
     for (const auto &change : changes) {
-        const auto entry = m_log.targetIn(change);
-        if (const auto *error = errorIn(entry)) {
+        const auto record = m_log.targetIn(change);
+        if (const auto *error = errorIn(record)) {
             if (change.value) {
                 m_malformed.add();
                 logEvent(Severity::Warning, "target-malformed", {{"target", change.key}, {"reason", error->detail}});
@@ -154,7 +166,7 @@
             m_directory.remove(TargetName(change.key), m_now);
             continue;
         }
-        m_directory.put(std::get<TargetEntry>(entry));
+        m_directory.put(std::get<TargetRecord>(record), m_now);
     }
     publishTargets();
 }
--- a/modules/heatherridge_transport/direct/gatewaycontrol.h
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_coordination/feed/registerfollower.h"
 #include "heatherridge_coordination/feed/rulescopies.h"
+#include "heatherridge_state/base/randomsource.h"
 #include "heatherridge_state/routing/routetable.h"
 #include "heatherridge_state/routing/targetdirectory.h"
 #include "heatherridge_transport/app/metrics.h"
@@ -35,6 +36,9 @@
     /** Part of the time for a withdrawal from one read for targets to the next; a read, its repeat after a failure and
      * the way to the traffic thread take the rest. Targets' heartbeats make a read that waits return at once. */
     static constexpr double TargetsPeriodPart = 0.425;
+    /** Time over which all gateways read the registers anew, for each target in it: larger registers take longer to
+     * read, and belong to deployments with more gateways. */
+    static constexpr std::chrono::microseconds RereadSpreadPerTarget{1'250};
     /** Part of the time for silence that a read for rules waits. Longer saves calls; a log that hangs is noticed after
      * it. */
     static constexpr double RulesWaitPart = 0.6;
@@ -55,6 +59,12 @@
     /** Does what is due. Called every few tens of milliseconds. @param keepsCopies of the rules, for all gateways */
     void tick(SteadyTime now, bool keepsCopies);
 
+    /**
+     * The log has come back from an older copy. What is in force stays; the registers are read anew, each at a time
+     * drawn from @p random, since all gateways notice at once.
+     */
+    void logRestored(RandomSource &random);
+
     /** All targets as they are believed to be. */
     std::vector<TargetEntry> targets() const;
 
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -74,18 +74,18 @@
               [this](const auto &exchange) { answerMetrics(*exchange); },
               [this](ErrorKind kind) { return refusal(kind); }, m_metrics)
         , m_client(m_controlLoop.context(), {.connectTimeout = milliseconds(500)})
-        , m_registers(m_adapter.registers(m_client))
-        , m_shares(m_adapter.shares(m_client))
-        , m_reports(m_adapter.reports(m_client))
+        , m_log(m_adapter.log(m_client,
+                              {.restored = [this](const auto &restored) { logRestored(restored); },
+                               .malformed = [this](auto answer) { logAnswerMalformed(answer); }}))
         , m_ranks(m_client, {.port = m_options.sidecarPort}, m_adapter.ranks(m_client), m_metrics)
-        , m_workShare(*m_shares,
+        , m_workShare(*m_log.shares,
                       {.member = m_options.process.text() + "-" + std::to_string(m_entropy()),
                        .parts = m_options.logPartitions})
-        , m_crashFeed(*m_reports, {.busyWait = GatewayControl::rulesWait(m_options.control)},
+        , m_crashFeed(*m_log.reports, {.busyWait = GatewayControl::rulesWait(m_options.control)},
                       {.learnt = [this](auto reports) { crashesLearnt(std::move(reports)); },
                        .failed = [this](auto call, const auto &error) { crashFeedFailed(call, error); },
                        .lost = [this](auto what) { crashReportLost(what); }})
-        , m_control(*m_registers, controlOptions(m_options),
+        , m_control(*m_log.registers, controlOptions(m_options),
                     {.rules = [this](auto table) { rulesChanged(std::move(table)); },
                      .targets = [this](auto targets) { targetsChanged(std::move(targets)); },
                      .logAnswers = [this](bool) { m_crashFeed.restartRead(); }},
@@ -272,6 +272,26 @@
         m_trafficLoop.post([this, targets = std::move(targets)] { m_traffic.setTargets(targets); });
     }
 
+    void logRestored(const LogRestored &restored)
+    {
+        m_logRestores.add();
+        logEvent(Severity::Warning, "log-restored",
+                 {{"before", std::to_string(restored.before)},
+                  {"after", std::to_string(restored.after)},
+                  {"read-again", "rules targets copies-of-rules crash-reports"},
+                  {"unconfirmed", "share-of-work"}});
+        SeededRandom random(m_entropy());
+        m_control.logRestored(random);
+        m_workShare.logRestored();
+        m_crashFeed.logRestored();
+    }
+
+    void logAnswerMalformed(std::string_view answer)
+    {
+        m_logAnswersMalformed.add();
+        logEvent(Severity::Warning, "log-answer-malformed", {{"era", std::string(answer)}});
+    }
+
     void crashesLearnt(std::vector<CrashReport> reports)
     {
         m_trafficLoop.post([this, reports = std::move(reports)] { m_traffic.learnCrashes(reports); });
@@ -300,13 +320,13 @@
     CallerServer m_readiness;
     CallerServer m_metricsServer;
     HttpClient m_client; ///< on the control thread, as what follows
-    std::unique_ptr<RegisterLog> m_registers;
-    std::unique_ptr<ShareLog> m_shares;
-    std::unique_ptr<ReportLog> m_reports;
+    LogParts m_log;
     SidecarRanks m_ranks;
     std::random_device m_entropy;
     SystemClock m_clock;
     Gauge &m_skew = m_metrics.gauge("heatherridge_group_skew_percent");
+    Counter &m_logRestores = m_metrics.counter("heatherridge_log_restores_total");
+    Counter &m_logAnswersMalformed = m_metrics.counter("heatherridge_log_answers_malformed_total");
     Counter &m_crashFeedFailures = m_metrics.counter("heatherridge_crash_report_failures_total");
     Counter &m_crashReportsLost = m_metrics.counter("heatherridge_crash_reports_lost_total");
     WorkShare m_workShare;
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_coordination/feed/logrestore.h"
 #include "heatherridge_coordination/feed/reportlog.h"
 #include "heatherridge_coordination/feed/workshare.h"
 #include "heatherridge_coordination/groups/groupkeeper.h"
@@ -42,13 +43,19 @@
         std::chrono::milliseconds balancerNotices{3'000};
     };
 
+    /** What a gateway uses of the platform's log. */
+    struct LogParts
+    {
+        std::unique_ptr<RegisterLog> registers{};
+        std::unique_ptr<ShareLog> shares{};
+        std::unique_ptr<ReportLog> reports{}; ///< on requests that end targets
+    };
+
     /** Makes what is spelled by the platform. Called on construction. */
     struct Adapter
     {
         std::shared_ptr<const TrafficCodec> traffic{};
-        std::function<std::unique_ptr<RegisterLog>(HttpClient &client)> registers{};
-        std::function<std::unique_ptr<ShareLog>(HttpClient &client)> shares{};
-        std::function<std::unique_ptr<ReportLog>(HttpClient &client)> reports{}; ///< on requests that end targets
+        std::function<LogParts(HttpClient &client, LogEvents events)> log{};
         std::function<std::unique_ptr<RankControl>(HttpClient &client)> ranks{};
     };
 
--- a/tests/feed/crashfeed_test.cpp
+++ b/tests/feed/crashfeed_test.cpp
@@ -143,6 +143,24 @@
     EXPECT_EQ(log.reads.size(), 3U);
 }
 
+// Guards against reports that are gone with what the log had acknowledged last.
+TEST_F(CrashFeeds, AreToldAgainOnceTheLogHasComeBackOlder)
+{
+    tick(20ms);
+    feed.report(report(1));
+    feed.report(report(2));
+    tick(20ms);
+    log.appends[0]({});
+    feed.report(report(3));
+    tick(20ms);
+    feed.logRestored();
+    log.appends[1]({}); // of the log before
+    tick(20ms);
+    ASSERT_EQ(log.appended.size(), 3U);
+    EXPECT_EQ(log.appended[2], (std::vector{encode(report(1)), encode(report(2)), encode(report(3))}));
+    EXPECT_EQ(log.reads.back().from, 0U);
+}
+
 RC_GTEST_PROP(CrashReports, AreReadAsTheyWereWritten,
               (bool hasAnswered, std::uint64_t high, std::uint64_t low, const std::string &target))
 {
--- a/tests/feed/registerfollower_test.cpp
+++ b/tests/feed/registerfollower_test.cpp
@@ -124,4 +124,22 @@
     EXPECT_EQ(m_log.calls.size(), 1U);
 }
 
+// Guards against records that are never read, since the log has given out again the offsets that were read before.
+TEST_F(Followers, ReadTheWholeRegisterAnewAfterARestart)
+{
+    m_follower.tick(Start);
+    answerNewest(5);
+    m_follower.tick(Start + 600ms);
+    const auto late = m_log.take();
+    m_follower.restart(100ms);
+    late.done(RegisterPage{.changes = {RegisterChange{.key = "old"}}, .end = 9});
+    EXPECT_TRUE(m_changed.empty()) << "an answer from before the restart";
+    m_follower.tick(Start + 680ms);
+    EXPECT_TRUE(m_log.calls.empty()) << "before the delay is over";
+    m_follower.tick(Start + 700ms);
+    EXPECT_TRUE(m_log.calls.at(0).isNewest);
+    answerNewest(3);
+    EXPECT_EQ(m_replaced.size(), 2U);
+}
+
 } // namespace
--- a/tests/feed/rulescopies_test.cpp
+++ b/tests/feed/rulescopies_test.cpp
@@ -79,6 +79,11 @@
         }
     }
 
+    void logRestored()
+    {
+        m_copies.logRestored();
+    }
+
     void setRules(std::uint64_t version)
     {
         m_copies.setRules({.key = std::to_string(version), .value = "rules"}, version);
@@ -190,4 +195,23 @@
     EXPECT_LE(reader.failures, Copies * 5);
 }
 
+// Guards against copies that stay at an old version, since their writer takes for granted what the log has lost.
+TEST(RulesCopies, AreWrittenAgainOnceTheLogHasComeBackOlder)
+{
+    CopiesLog log;
+    Process writer(log);
+    writer.setRules(6);
+    writer.run({.writes = true}, 500ms);
+    const auto older = RegisterChange{.key = "5", .value = "rules"};
+    log.records.fill({{5, older}});
+    writer.run({.writes = true}, 500ms);
+    EXPECT_FALSE(log.records[0].contains(6)) << "before it is told";
+    writer.logRestored();
+    writer.run({.writes = true}, 500ms);
+    for (const auto &copy : log.records) {
+        EXPECT_TRUE(copy.contains(6));
+        EXPECT_FALSE(copy.contains(5));
+    }
+}
+
 } // namespace
--- a/tests/feed/workshare_test.cpp
+++ b/tests/feed/workshare_test.cpp
@@ -110,4 +110,24 @@
     EXPECT_EQ(m_log.leaves, 1);
 }
 
+// Guards against a keeper that goes on as confirmed by a log that no longer knows its share, and against a generation
+// of the lost time, which a log that has come back would take for the answer to one that it has not given out yet.
+TEST_F(Shares, AreConfirmedAnewOnceTheLogHasComeBackOlder)
+{
+    m_share.tick(Start);
+    m_log.answer(ShareAnswer{.generation = 7, .parts = {0, 1}});
+    m_share.tick(Start + 450ms);
+    const auto late = m_log.answer;
+    m_share.logRestored();
+    late(ShareAnswer{.generation = 8, .parts = {0, 1}});
+    EXPECT_FALSE(m_share.isConfirmed(Start + 460ms));
+    EXPECT_TRUE(m_share.isMine("a")) << "work that nobody does is worse than work that two do";
+    m_share.tick(Start + 470ms);
+    EXPECT_EQ(m_log.joins, 3);
+    EXPECT_EQ(m_log.lastGeneration, 0U);
+    m_log.answer(ShareAnswer{.generation = 5, .parts = {}});
+    EXPECT_FALSE(m_share.isMine("a"));
+    EXPECT_TRUE(m_share.isConfirmed(Start + 480ms));
+}
+
 } // namespace
--- a/tests/gateway/gatewaysite.cpp
+++ b/tests/gateway/gatewaysite.cpp
@@ -85,9 +85,9 @@
         return m_config;
     }
 
-    Result<TargetEntry> targetIn(const RegisterChange &change) const override
+    Result<TargetRecord> targetIn(const RegisterChange &change) const override
     {
-        return m_targets.at(std::stoul(change.key));
+        return TargetRecord{.entry = m_targets.at(std::stoul(change.key))};
     }
 
 private:
@@ -107,12 +107,15 @@
                            .zone = ZoneName("z"),
                            .slots = 8});
     }
-    GatewayServer::Adapter adapter{
-        .traffic = std::make_shared<PlatformTraffic>(),
-        .registers = [entries](HttpClient &) { return std::make_unique<Registers>(usualConfig(), entries); },
-        .shares = [parts = options.parts](HttpClient &) { return std::make_unique<FixedShares>(parts); },
-        .reports = [records = options.reports](HttpClient &) { return std::make_unique<SharedReports>(records); },
-        .ranks = [](HttpClient &) { return std::make_unique<SilentRanks>(); }};
+    GatewayServer::Adapter adapter{.traffic = std::make_shared<PlatformTraffic>(),
+                                   .log =
+                                       [entries, options](HttpClient &, const LogEvents &) {
+                                           return GatewayServer::LogParts{
+                                               .registers = std::make_unique<Registers>(usualConfig(), entries),
+                                               .shares = std::make_unique<FixedShares>(options.parts),
+                                               .reports = std::make_unique<SharedReports>(options.reports)};
+                                       },
+                                   .ranks = [](HttpClient &) { return std::make_unique<SilentRanks>(); }};
     m_server = std::make_unique<GatewayServer>(GatewayServer::Options{.process = ProcessName("g"),
                                                                       .zone = ZoneName("z"),
                                                                       .listen = {.address = "127.0.0.1"},
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -83,11 +83,11 @@
 TEST_P(TargetEntries, NameATargetOrNone)
 {
     const auto &row = GetParam();
-    const auto entry = decodeTargetEntry("i-1", row.document);
+    const auto entry = decodeTargetRecord("i-1", row.document);
     EXPECT_EQ(errorIn(entry) == nullptr, row.isUsable) << row.story;
     if (row.isUsable) {
-        EXPECT_EQ(std::get<TargetEntry>(entry).id.text(), "i-1");
-        EXPECT_EQ(std::get<TargetEntry>(entry).isDraining, row.isDraining) << row.story;
+        EXPECT_EQ(std::get<TargetRecord>(entry).entry.id.text(), "i-1");
+        EXPECT_EQ(std::get<TargetRecord>(entry).entry.isDraining, row.isDraining) << row.story;
     }
 }
 
@@ -96,7 +96,7 @@
 RC_GTEST_PROP(Decoders, TakeAnyBytesWithoutHarm, (const std::string &bytes))
 {
     static_cast<void>(decodeRoutingConfig(bytes));
-    static_cast<void>(decodeTargetEntry("i", bytes));
+    static_cast<void>(decodeTargetRecord("i", bytes));
 }
 
 /** The answer to a read of @p records from the first on. */
--- a/tests/routing/targetdirectory_test.cpp
+++ b/tests/routing/targetdirectory_test.cpp
@@ -12,9 +12,10 @@
 
 const SteadyTime Start{};
 
-TargetEntry entryOf(const char *id, int port, bool isDraining = false)
+TargetRecord recordOf(const char *id, int port, bool isDraining = false)
 {
-    return {.id = TargetName(id), .address = {.address = "10.0.0.1", .port = port}, .isDraining = isDraining};
+    return {
+        .entry = {.id = TargetName(id), .address = {.address = "10.0.0.1", .port = port}, .isDraining = isDraining}};
 }
 
 std::string idsOf(const TargetDirectory &directory)
@@ -48,7 +49,7 @@
      [](auto &directory) {
          directory.unreadable(Start + 1s);
          directory.readable(Start + 5s);
-         directory.replace({entryOf("b", 2)}, Start + 5s);
+         directory.replace({recordOf("b", 2)}, Start + 5s);
          directory.tick(Start + 6s);
      },
      "a b "},
@@ -56,7 +57,7 @@
      [](auto &directory) {
          directory.unreadable(Start + 1s);
          directory.readable(Start + 5s);
-         directory.replace({entryOf("b", 2)}, Start + 5s);
+         directory.replace({recordOf("b", 2)}, Start + 5s);
          directory.tick(Start + 5s + TargetDirectory::LapseGrace);
      },
      "b "},
@@ -64,25 +65,25 @@
      [](auto &directory) {
          directory.unreadable(Start + 1s);
          directory.readable(Start + 5s);
-         directory.replace({entryOf("b", 2)}, Start + 5s);
-         directory.put(entryOf("a", 1));
+         directory.replace({recordOf("b", 2)}, Start + 5s);
+         directory.put(recordOf("a", 1), Start + 2s);
          directory.tick(Start + 20s);
      },
      "a b "},
     {"one that drains goes at once, outage or not",
      [](auto &directory) {
          directory.unreadable(Start + 1s);
-         directory.put(entryOf("a", 1, true));
+         directory.put(recordOf("a", 1, true), Start + 2s);
          directory.remove(TargetName("a"), Start + 2s);
      },
      "b "},
     // A target that lost its power comes back under another id while its last run is still registered. Requests and
     // orders to the last run are refused, a third of all after a loss of power.
-    {"an address belongs to who registered there last", [](auto &directory) { directory.put(entryOf("c", 1)); },
-     "b c "},
+    {"an address belongs to who registered there last",
+     [](auto &directory) { directory.put(recordOf("c", 1), Start + 2s); }, "b c "},
     {"also in the order of a whole register",
      [](auto &directory) {
-         directory.replace({entryOf("d", 2), entryOf("a", 1), entryOf("b", 2)}, Start + 1s);
+         directory.replace({recordOf("d", 2), recordOf("a", 1), recordOf("b", 2)}, Start + 1s);
      },
      "a b "},
 };
@@ -95,11 +96,88 @@
 {
     TargetDirectory directory;
     directory.readable(Start);
-    directory.replace({entryOf("a", 1), entryOf("b", 2)}, Start);
+    directory.replace({recordOf("a", 1), recordOf("b", 2)}, Start);
     GetParam().happens(directory);
     EXPECT_EQ(idsOf(directory), GetParam().left) << GetParam().story;
 }
 
 INSTANTIATE_TEST_SUITE_P(All, Directory, testing::ValuesIn(DirectoryRows));
 
+TargetRecord written(TargetRecord record, std::uint64_t revision, std::chrono::milliseconds startedAt = 0ms)
+{
+    record.revision = revision;
+    record.startedAt = std::chrono::sys_time<std::chrono::milliseconds>(startedAt);
+    return record;
+}
+
+const DirectoryRow RestoredRows[] = {
+    // Guards against new work for a target that has left, since a copy of the register still shows it as ready.
+    {"one that has left stays away",
+     [](auto &directory) {
+         directory.remove(TargetName("a"), Start + 1s);
+         directory.restored(Start + 2s);
+         directory.replace({written(recordOf("a", 1), 8), written(recordOf("b", 2), 9)}, Start + 3s);
+     },
+     "b "},
+    {"one that drains goes on draining",
+     [](auto &directory) {
+         directory.put(written(recordOf("a", 1, true), 10), Start + 1s);
+         directory.restored(Start + 2s);
+         directory.put(written(recordOf("a", 1), 9), Start + 3s);
+         directory.remove(TargetName("a"), Start + 3s); // only one that drains goes at once
+     },
+     "b "},
+    {"one that writes again is back",
+     [](auto &directory) {
+         directory.remove(TargetName("a"), Start + 1s);
+         directory.restored(Start + 2s);
+         directory.put(written(recordOf("a", 1), 11), Start + 3s);
+     },
+     "a b "},
+    {"so is another run under the same id",
+     [](auto &directory) {
+         directory.remove(TargetName("a"), Start + 1s);
+         directory.restored(Start + 2s);
+         directory.put(written(recordOf("a", 1), 1, 5'000ms), Start + 3s);
+     },
+     "a b "},
+    // Guards against losing the targets that registered after the copy was made.
+    {"one that the copy does not know stays until it has had time to write",
+     [](auto &directory) {
+         directory.restored(Start + 2s);
+         directory.replace({written(recordOf("b", 2), 9)}, Start + 3s);
+         directory.tick(Start + 4s);
+     },
+     "a b "},
+    {"an earlier run at its address does not take its place",
+     [](auto &directory) {
+         directory.put(written(recordOf("c", 1), 1), Start + 1s); // takes the address of a
+         directory.restored(Start + 2s);
+         directory.put(written(recordOf("a", 1), 9), Start + 3s);
+     },
+     "b c "},
+    {"later the register is believed again",
+     [](auto &directory) {
+         directory.remove(TargetName("a"), Start + 1s);
+         directory.restored(Start + 2s);
+         directory.put(written(recordOf("a", 1), 9), Start + 2s + TargetDirectory::RestoreGrace);
+     },
+     "a b "},
+};
+
+class RestoredDirectory : public testing::TestWithParam<DirectoryRow>
+{
+};
+
+TEST_P(RestoredDirectory, KeepsWhatItKnew)
+{
+    TargetDirectory directory;
+    directory.readable(Start);
+    directory.replace({written(recordOf("a", 1), 10), written(recordOf("b", 2), 10)}, Start);
+    GetParam().happens(directory);
+    EXPECT_EQ(idsOf(directory), GetParam().left) << GetParam().story;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, RestoredDirectory, testing::ValuesIn(RestoredRows));
+
 } // namespace
--- a/tests/support/silentregisters.h
+++ b/tests/support/silentregisters.h
@@ -31,7 +31,7 @@
         return std::nullopt;
     }
 
-    Result<TargetEntry> targetIn(const RegisterChange &) const override
+    Result<TargetRecord> targetIn(const RegisterChange &) const override
     {
         return Error{};
     }
