--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -44,7 +44,7 @@
     , m_arrived(now())
     , m_deadline(m_arrived + std::min(m_route.timeout, m_fields.patience.value_or(m_route.timeout)))
     , m_timer(traffic.m_loop)
-    , m_lastEvent(m_fields.lastEvent)
+    , m_stream(m_fields.lastEvent)
 {
 }
 
@@ -107,7 +107,7 @@
     }
     if (choice.target != nullptr) {
         m_traffic.m_counters.repeats.add(isRepeat ? 1 : 0);
-        m_traffic.m_counters.resumed.add(m_streamBegun ? 1 : 0);
+        m_traffic.m_counters.resumed.add(m_stream.hasBegun() ? 1 : 0);
         send(*choice.target, choice.load);
         return;
     }
@@ -121,7 +121,7 @@
 {
     auto &targets = m_traffic.m_targets;
     if (isSuspect()) {
-        const auto avoided = m_traffic.m_suspectPlaces.avoided(m_tried);
+        const auto avoided = m_traffic.m_crashGuard.places().avoided(m_tried);
         const auto apart = targets.choose(m_service, avoided, urgency(), now(), m_traffic.m_random);
         if (apart.target != nullptr) {
             return apart;
@@ -134,7 +134,7 @@
 {
     // What an engine has worked on goes on: its caller may have the beginning. What was refused unread has lost
     // nothing.
-    if (m_mayHaveRun > 0 || m_streamBegun) {
+    if (m_mayHaveRun > 0 || m_stream.hasBegun()) {
         return Urgency::Begun;
     }
     return now() <= onTimeUntil() ? Urgency::Timely : Urgency::Late;
@@ -199,7 +199,7 @@
     m_isUnusable = false;
     m_hasBegun = false;
     markSuspectAt(m_target);
-    m_splitter = {};
+    m_stream.beginAttempt();
     if (target.load.own() == 0) {
         target.lastHeard = m_sentAt;
     }
@@ -218,7 +218,7 @@
                                     {.timeLeft = timeLeft(),
                                      .target = m_target,
                                      .workspace = m_match.workspace,
-                                     .lastEvent = m_lastEvent,
+                                     .lastEvent = m_stream.lastEvent(),
                                      .priority = isStream() ? std::optional(m_match.priority) : std::nullopt});
     m_connection = m_traffic.m_pool.take(target.entry);
     const auto self = shared_from_this();
@@ -338,7 +338,7 @@
         }
         self->m_isExamined = false;
         if (presence == Presence::Gone) {
-            self->m_traffic.targetDied(self->m_fields.id, self->fingerprint(), self->m_target);
+            self->m_traffic.m_crashGuard.targetDied(self->m_fields.id, self->fingerprint(), self->m_target);
         }
         self->attemptEnded(AttemptEnd::Broken, reason);
     });
@@ -356,19 +356,16 @@
 
 bool GatewayCall::isSuspect()
 {
-    return !m_traffic.m_suspects.isEmpty() && m_traffic.m_suspects.isSuspect(fingerprint());
+    return !m_traffic.m_crashGuard.isIdle() && m_traffic.m_crashGuard.isSuspect(fingerprint());
 }
 
 bool GatewayCall::refuseIfBlocked()
 {
-    auto &suspects = m_traffic.m_suspects;
-    if (suspects.isEmpty() || !suspects.isBlocked(fingerprint())) {
+    auto &guard = m_traffic.m_crashGuard;
+    if (guard.isIdle() || !guard.isBlocked(fingerprint())) {
         return false;
     }
-    const auto again = suspects.refused(fingerprint(), now());
-    if (again && m_traffic.m_options.reportCrash) {
-        m_traffic.m_options.reportCrash(*again);
-    }
+    guard.refused(fingerprint());
     fail({.kind = m_mayHaveRun > 0 ? ErrorKind::BackendFailed : ErrorKind::EndsTargets,
           .detail = "fingerprint " + toString(fingerprint())});
     return true;
@@ -389,7 +386,7 @@
 {
     if (isSuspect()) {
         m_suspectAt = target;
-        m_traffic.m_suspectPlaces.put(target);
+        m_traffic.m_crashGuard.places().put(target);
     }
 }
 
@@ -398,56 +395,42 @@
     if (!m_suspectAt) {
         return;
     }
-    m_traffic.m_suspectPlaces.remove(*m_suspectAt);
+    m_traffic.m_crashGuard.places().remove(*m_suspectAt);
     m_suspectAt.reset();
 }
 
 void GatewayCall::streamEvents(std::string_view bytes)
 {
-    for (const auto &event : m_splitter.feed(bytes)) {
-        if (!event.id) {
+    for (const auto &event : m_stream.take(bytes)) {
+        if (!m_isDone) {
             passOn(event);
-            continue;
-        }
-        if (m_lastEvent && *event.id <= *m_lastEvent) {
-            continue; // the caller has it from an earlier target
-        }
-        if (m_lastEvent && m_streamBegun && *event.id != *m_lastEvent + 1) {
-            m_streamBroken = true;
-            return;
         }
-        m_lastEvent = event.id;
-        passOn(event);
     }
 }
 
 void GatewayCall::passOn(const StreamEvent &event)
 {
-    if (m_streamBroken || m_isDone) {
-        return;
-    }
     const auto at = now();
-    if (m_streamBegun) {
-        const auto pause = duration_cast<milliseconds>(at - m_lastEventAt);
-        m_longestPause = std::max(m_longestPause, pause);
-        if (m_lastEventAt > m_sentAt) {
-            m_traffic.m_targets.recordPause(m_group, pause, at);
-        }
-    }
-    m_lastEventAt = at;
-    if (!m_streamBegun) {
+    const bool isFirstOfAttempt = m_stream.lastEventAt() <= m_sentAt;
+    const auto pause = m_stream.passedOn(at, age());
+    if (!pause) {
         m_traffic.firstEventsOf(m_service).record(at - m_sentAt);
-        m_streamBegun = true;
-        m_firstEventAfter = age();
-        m_traffic.m_counters.streamHead.record(m_firstEventAfter);
+        m_traffic.m_counters.streamHead.record(m_stream.firstEventAfter());
         m_exchange->beginStream(m_status, m_headers);
+    } else if (!isFirstOfAttempt) {
+        m_traffic.m_targets.recordPause(m_group, *pause, at);
     }
-    const auto size = event.text.size();
+    write(event.text);
+}
+
+void GatewayCall::write(const std::string &text)
+{
+    const auto size = text.size();
     m_unsent += size;
     if (m_unsent > MostUnsent) {
         m_connection->pauseReading();
     }
-    m_exchange->write(event.text, [weak = weak_from_this(), size](bool) {
+    m_exchange->write(text, [weak = weak_from_this(), size](bool) {
         const auto self = weak.lock();
         if (!self) {
             return;
@@ -462,16 +445,16 @@
 
 void GatewayCall::streamEnded()
 {
-    if (m_streamBroken || m_splitter.isMidEvent()) {
+    if (m_stream.isBroken()) {
         attemptEnded(AttemptEnd::Broken, "the stream ended within an event");
         return;
     }
     leaveTarget(true);
     m_traffic.m_targets.record(m_target, Attempt::Succeeded, now());
     if (isSuspect()) {
-        m_traffic.targetAnswered(fingerprint());
+        m_traffic.m_crashGuard.answered(fingerprint());
     }
-    if (!m_streamBegun) {
+    if (!m_stream.hasBegun()) {
         m_exchange->beginStream(m_status, m_headers);
     }
     m_exchange->end();
@@ -491,7 +474,7 @@
     }
     const bool hasRunToAnEnd = end == AttemptEnd::Answered || end == AttemptEnd::FailedAtTarget;
     if (hasRunToAnEnd && isSuspect()) {
-        m_traffic.targetAnswered(fingerprint());
+        m_traffic.m_crashGuard.answered(fingerprint());
     }
     m_mayHaveRun += mayHaveRun(end) ? 1 : 0;
     m_arrivals += end != AttemptEnd::NeverSent ? 1 : 0;
@@ -566,7 +549,7 @@
 
 void GatewayCall::fail(Error error)
 {
-    if (m_streamBegun) {
+    if (m_stream.hasBegun()) {
         m_exchange->abort(); // the head has left: only a cut says that the rest does not come
         finish("stream-broken", 200);
         return;
@@ -599,8 +582,8 @@
               {"outcome", std::string(outcome)},
               {"status", std::to_string(status)},
               {"ms", std::to_string(age().count())},
-              {"first-event-ms", std::to_string(m_firstEventAfter.count())},
-              {"longest-pause-ms", std::to_string(m_longestPause.count())},
+              {"first-event-ms", std::to_string(m_stream.firstEventAfter().count())},
+              {"longest-pause-ms", std::to_string(m_stream.longestPause().count())},
               {"config", std::to_string(m_table->config().version)}});
     m_traffic.finished(shared_from_this());
 }
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "heatherridge_coordination/answers/eventstreamsplitter.h"
 #include "heatherridge_state/decisions/attemptend.h"
 #include "heatherridge_state/keys/requestfingerprint.h"
 #include "heatherridge_transport/direct/gatewaytraffic.h"
+#include "heatherridge_transport/direct/streamprogress.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -67,6 +67,7 @@
     AttemptEnd plainEnd() const;
     void streamEvents(std::string_view bytes);
     void passOn(const StreamEvent &event);
+    void write(const std::string &text);
     void streamEnded();
     void attemptEnded(AttemptEnd end, std::string_view reason);
     void brokeUnanswered(const std::string &reason);
@@ -126,15 +127,9 @@
     std::optional<TargetName> m_suspectAt; ///< the target that has this call as a suspect
     std::optional<RequestFingerprint> m_fingerprint; ///< once it was asked for
 
-    EventStreamSplitter m_splitter;
-    std::optional<std::uint64_t> m_lastEvent; ///< the caller has the stream up to here
-    bool m_streamBegun = false; ///< the caller has the head
-    bool m_streamBroken = false; ///< an event is missing
+    StreamProgress m_stream;
     std::size_t m_unsent = 0;
     std::chrono::milliseconds m_waited{0}; ///< for a target, up to the last attempt, for the log
-    std::chrono::milliseconds m_firstEventAfter{0};
-    std::chrono::milliseconds m_longestPause{0}; ///< between two events, for the log
-    SteadyTime m_lastEventAt{};
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -27,8 +27,6 @@
     , repeats(metrics.counter("heatherridge_repeats_total"))
     , repeatsDenied(metrics.counter("heatherridge_repeats_denied_total"))
     , resumed(metrics.counter("heatherridge_streams_resumed_total"))
-    , targetDeaths(metrics.counter("heatherridge_deaths_under_requests_total"))
-    , requestsBlocked(metrics.counter("heatherridge_requests_blocked_total"))
     , streamHead(metrics.histogram("heatherridge_stream_first_event_seconds"))
     , plainAnswer(metrics.histogram("heatherridge_plain_answer_seconds"))
 {
@@ -43,6 +41,8 @@
     , m_targets(m_options.zone)
     , m_pool(loop, metrics)
     , m_probe(loop, m_options.connectTimeout, metrics)
+    , m_crashGuard({.report = m_options.reportCrash, .blocked = [this](const auto &request) { endBlocked(request); }},
+                   metrics)
     , m_random(std::random_device{}())
     , m_queueTimer(loop)
 {
@@ -110,7 +110,7 @@
 void GatewayTraffic::tick(SteadyTime now)
 {
     m_pool.tick(now);
-    m_suspects.tick(now);
+    m_crashGuard.tick(now);
 }
 
 bool GatewayTraffic::isReady() const
@@ -197,45 +197,16 @@
     }
 }
 
-void GatewayTraffic::targetDied(const RequestId &id, const RequestFingerprint &request, const TargetName &target)
-{
-    m_counters.targetDeaths.add();
-    logEvent(Severity::Warning, "target-died",
-             {{"request", id.text()}, {"fingerprint", toString(request)}, {"target", target.text()}});
-    const CrashReport report{.kind = CrashReport::Kind::TargetDied, .request = request, .target = target};
-    takeCrash(report);
-    if (m_options.reportCrash) {
-        m_options.reportCrash(report);
-    }
-}
-
-void GatewayTraffic::targetAnswered(const RequestFingerprint &request)
-{
-    const CrashReport report{.kind = CrashReport::Kind::Answered, .request = request};
-    takeCrash(report);
-    if (m_options.reportCrash) {
-        m_options.reportCrash(report);
-    }
-}
-
 void GatewayTraffic::learnCrashes(const std::vector<CrashReport> &reports)
 {
-    for (const auto &report : reports) {
-        takeCrash(report);
-    }
+    m_crashGuard.learn(reports);
 }
 
-void GatewayTraffic::takeCrash(const CrashReport &report)
+void GatewayTraffic::endBlocked(const RequestFingerprint &request)
 {
-    if (!m_suspects.take(report, std::chrono::steady_clock::now())) {
-        return;
-    }
-    m_counters.requestsBlocked.add();
-    logEvent(Severity::Warning, "request-blocked",
-             {{"fingerprint", toString(report.request)}, {"target", report.target.text()}});
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
     for (const auto &call : calls) {
-        call->blocked(report.request);
+        call->blocked(request);
     }
 }
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "heatherridge_state/decisions/crashsuspects.h"
 #include "heatherridge_state/decisions/fleetretrybudget.h"
 #include "heatherridge_state/decisions/runningestimate.h"
 #include "heatherridge_state/decisions/streamqueue.h"
 #include "heatherridge_state/routing/routetable.h"
 #include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/direct/crashguard.h"
 #include "heatherridge_transport/direct/gatewaytargets.h"
 #include "heatherridge_transport/direct/targetpool.h"
 #include "heatherridge_transport/direct/targetprobe.h"
@@ -101,8 +101,6 @@
         Counter &repeats;
         Counter &repeatsDenied;
         Counter &resumed;
-        Counter &targetDeaths;
-        Counter &requestsBlocked;
         DurationHistogram &streamHead;
         DurationHistogram &plainAnswer;
     };
@@ -114,9 +112,7 @@
     void dequeue(std::uint64_t number);
     void armQueueTimer();
     void advanceQueue();
-    void targetDied(const RequestId &id, const RequestFingerprint &request, const TargetName &target);
-    void targetAnswered(const RequestFingerprint &request);
-    void takeCrash(const CrashReport &report);
+    void endBlocked(const RequestFingerprint &request);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &id, const Error &error);
     Result<RouteMatch> accept(const HttpRequest &request, const CallerFields &fields) const;
     void finished(const std::shared_ptr<GatewayCall> &call);
@@ -130,8 +126,7 @@
     GatewayTargets m_targets;
     TargetPool m_pool;
     TargetProbe m_probe;
-    CrashSuspects m_suspects;
-    SuspectPlaces m_suspectPlaces;
+    CrashGuard m_crashGuard;
     SeededRandom m_random;
     std::map<ServiceName, FleetRetryBudget> m_budgets;
     std::map<ServiceName, RunningEstimate> m_firstEvents; ///< from sending a stream to its first event
