Ask the log for crash reports ever more seldom while it does not answer

Each call is paid for, also one that is refused. A gateway that the log turned away read four times a second; now the pause doubles to a second. A register that is regained restarts the read at once, as before.

--- a/modules/heatherridge_coordination/feed/crashfeed.cpp
+++ b/modules/heatherridge_coordination/feed/crashfeed.cpp
@@ -2,6 +2,9 @@
 
 #include "heatherridge_protocol/crashreportcodec.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace Heatherridge
 {
 
@@ -29,7 +32,7 @@
 void CrashFeed::restartRead()
 {
     m_isReading = false;
-    m_nextRead = m_now;
+    m_readRetry.next = m_now;
 }
 
 void CrashFeed::logRestored()
@@ -50,10 +53,10 @@
 void CrashFeed::tick(SteadyTime now)
 {
     m_now = now;
-    if (m_appending == 0 && !m_pending.empty() && now >= m_nextAppend) {
+    if (m_appending == 0 && !m_pending.empty() && now >= m_appendRetry.next) {
         append();
     }
-    if (!m_isReading && now >= m_nextRead) {
+    if (!m_isReading && now >= m_readRetry.next) {
         read();
     }
 }
@@ -72,10 +75,10 @@
         }
         const auto count = std::exchange(m_appending, 0);
         if (const auto *error = errorIn(outcome)) {
-            failed("append", *error, m_isAppendFailing, m_nextAppend);
+            failed("append", *error, m_appendRetry);
             return;
         }
-        m_isAppendFailing = false;
+        succeeded(m_appendRetry);
         appended(count);
     });
 }
@@ -110,13 +113,13 @@
     }
     m_isReading = false;
     if (const auto *error = errorIn(page)) {
-        failed("read", *error, m_isReadFailing, m_nextRead);
+        failed("read", *error, m_readRetry);
         return;
     }
-    m_isReadFailing = false;
+    succeeded(m_readRetry);
     auto &[records, end] = std::get<ReportPage>(page);
     if (records.empty() && end != m_position) {
-        m_nextRead = m_now + m_options.retryPause; // the log no longer holds what this process asked for
+        m_readRetry.next = m_now + m_options.retryPause; // the log no longer holds what this process asked for
     }
     m_position = end;
     std::vector<CrashReport> reports;
@@ -139,12 +142,20 @@
     return m_lastReport && m_now - *m_lastReport < m_options.busyTime;
 }
 
-void CrashFeed::failed(std::string_view what, const Error &error, bool &isFailing, SteadyTime &next)
+void CrashFeed::failed(std::string_view what, const Error &error, Retry &retry)
 {
-    next = m_now + m_options.retryPause;
-    if (!std::exchange(isFailing, true)) {
+    const auto pause = std::max(retry.pause, m_options.retryPause);
+    retry.next = m_now + pause;
+    retry.pause = std::min(pause * 2, m_options.longestRetryPause);
+    if (!std::exchange(retry.isFailing, true)) {
         m_events.failed(what, error);
     }
 }
 
+void CrashFeed::succeeded(Retry &retry) const
+{
+    retry.isFailing = false;
+    retry.pause = m_options.retryPause;
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_coordination/feed/crashfeed.h
+++ b/modules/heatherridge_coordination/feed/crashfeed.h
@@ -28,7 +28,8 @@
         std::chrono::milliseconds idleWait{15'000}; ///< of a read while nothing has been reported of late
         std::chrono::milliseconds busyWait{1'800}; ///< of a read after a report, so that a silent log is noticed
         std::chrono::milliseconds busyTime{60'000}; ///< after the last report
-        std::chrono::milliseconds retryPause{250}; ///< after a call that failed
+        std::chrono::milliseconds retryPause{250}; ///< after a call that failed; doubles up to longestRetryPause
+        std::chrono::milliseconds longestRetryPause{1'000};
         std::size_t mostPending = 1'000; ///< reports that the log has not taken; beyond it the oldest are dropped
         std::size_t mostTold = 1'000; ///< reports that are told again when the log comes back from an older copy
         std::chrono::milliseconds toldMemory{300'000}; ///< how long after they were told
@@ -65,7 +66,16 @@
     void read();
     void takePage(std::uint64_t number, Result<ReportPage> page);
     bool isBusy() const;
-    void failed(std::string_view what, const Error &error, bool &isFailing, SteadyTime &next);
+    /** When a call may be made again that has failed. */
+    struct Retry
+    {
+        bool isFailing = false; ///< the last call has failed
+        std::chrono::milliseconds pause{0}; ///< after the next failure
+        SteadyTime next{};
+    };
+
+    void failed(std::string_view what, const Error &error, Retry &retry);
+    void succeeded(Retry &retry) const;
 
     ReportLog &m_log;
     Options m_options;
@@ -78,11 +88,9 @@
     std::uint64_t m_readNumber = 0; ///< of the last read; answers to earlier ones are not taken
     std::chrono::milliseconds m_readWait{0};
     bool m_isReading = false;
-    bool m_isReadFailing = false;
-    bool m_isAppendFailing = false;
     SteadyTime m_now{}; ///< of the last tick; answers come between ticks
-    SteadyTime m_nextRead{};
-    SteadyTime m_nextAppend{};
+    Retry m_readRetry;
+    Retry m_appendRetry;
     std::optional<SteadyTime> m_lastReport;
     std::shared_ptr<int> m_alive;
 };
--- a/tests/feed/crashfeed_test.cpp
+++ b/tests/feed/crashfeed_test.cpp
@@ -55,6 +55,7 @@
     std::vector<CrashReport> learnt;
     std::vector<std::string> failures;
     int lost = 0;
+    int m_reads = 0;
     CrashFeed feed{log,
                    {.idleWait = 15s, .busyWait = 2s, .busyTime = 60s, .retryPause = 250ms, .mostPending = 3},
                    {.learnt = [this](auto reports) { learnt.insert(learnt.end(), reports.begin(), reports.end()); },
@@ -113,6 +114,23 @@
     EXPECT_EQ(failures, std::vector<std::string>{"append"});
 }
 
+// Guards against calls by the hundred, which are paid for, while the log refuses one gateway for long.
+TEST_F(CrashFeeds, ReadSeldomWhileTheLogIsOutAndAtOnceWhenItIsBack)
+{
+    for (auto time = 0ms; time < 10s; time += 20ms) {
+        tick(20ms);
+        if (!log.reads.empty()) {
+            log.reads.back().done(Out);
+            log.reads.pop_back();
+            ++m_reads;
+        }
+    }
+    EXPECT_LE(m_reads, 13);
+    feed.restartRead();
+    tick(20ms);
+    EXPECT_EQ(log.reads.size(), 1U);
+}
+
 // Guards against memory that grows without bound while the log is out.
 TEST_F(CrashFeeds, DropTheOldestReportsWhenTooManyWait)
 {
