--- a/tests/feed/crashfeed_test.cpp
+++ b/tests/feed/crashfeed_test.cpp
@@ -48,19 +48,20 @@
     void tick(std::chrono::milliseconds time)
     {
         m_now += time;
-        feed.tick(m_now);
+        m_feed.tick(m_now);
     }
 
-    SlowReports log;
-    std::vector<CrashReport> learnt;
-    std::vector<std::string> failures;
-    int lost = 0;
+    SlowReports m_log;
+    std::vector<CrashReport> m_learnt;
+    std::vector<std::string> m_failures;
+    int m_lost = 0;
     int m_reads = 0;
-    CrashFeed feed{log,
-                   {.idleWait = 15s, .busyWait = 2s, .busyTime = 60s, .retryPause = 250ms, .mostPending = 3},
-                   {.learnt = [this](auto reports) { learnt.insert(learnt.end(), reports.begin(), reports.end()); },
-                    .failed = [this](auto what, const auto &) { failures.emplace_back(what); },
-                    .lost = [this](auto) { ++lost; }}};
+    CrashFeed m_feed{
+        m_log,
+        {.idleWait = 15s, .busyWait = 2s, .busyTime = 60s, .retryPause = 250ms, .mostPending = 3},
+        {.learnt = [this](auto reports) { m_learnt.insert(m_learnt.end(), reports.begin(), reports.end()); },
+         .failed = [this](auto what, const auto &) { m_failures.emplace_back(what); },
+         .lost = [this](auto) { ++m_lost; }}};
 
 private:
     SteadyTime m_now{};
@@ -72,46 +73,46 @@
 TEST_F(CrashFeeds, ReadFromTheFirstRecordAndOnFromWhereTheyAre)
 {
     tick(20ms);
-    ASSERT_EQ(log.reads.size(), 1U);
-    EXPECT_EQ(log.reads[0].from, 0U);
-    log.reads[0].done(ReportPage{.records = {encode(report(1)), "not a report", encode(report(2))}, .end = 3});
-    EXPECT_EQ(learnt, (std::vector{report(1), report(2)}));
-    EXPECT_EQ(lost, 1);
+    ASSERT_EQ(m_log.reads.size(), 1U);
+    EXPECT_EQ(m_log.reads[0].from, 0U);
+    m_log.reads[0].done(ReportPage{.records = {encode(report(1)), "not a report", encode(report(2))}, .end = 3});
+    EXPECT_EQ(m_learnt, (std::vector{report(1), report(2)}));
+    EXPECT_EQ(m_lost, 1);
     tick(20ms);
-    ASSERT_EQ(log.reads.size(), 2U);
-    EXPECT_EQ(log.reads[1].from, 3U);
+    ASSERT_EQ(m_log.reads.size(), 2U);
+    EXPECT_EQ(m_log.reads[1].from, 3U);
 }
 
 // Guards against asking for ever for records that the log has dropped, or had given out before it came back older.
 TEST_F(CrashFeeds, GoOnWhereTheLogBeginsWhenItDoesNotHoldTheirPlace)
 {
     tick(20ms);
-    log.reads[0].done(ReportPage{.end = 40});
+    m_log.reads[0].done(ReportPage{.end = 40});
     tick(20ms);
-    EXPECT_EQ(log.reads.size(), 1U);
+    EXPECT_EQ(m_log.reads.size(), 1U);
     tick(250ms);
-    ASSERT_EQ(log.reads.size(), 2U);
-    EXPECT_EQ(log.reads[1].from, 40U);
+    ASSERT_EQ(m_log.reads.size(), 2U);
+    EXPECT_EQ(m_log.reads[1].from, 40U);
 }
 
 // Guards against a report that is lost with a call that failed.
 TEST_F(CrashFeeds, OfferAReportAgainUntilTheLogHasTakenIt)
 {
     tick(20ms);
-    feed.report(report(1));
+    m_feed.report(report(1));
     tick(20ms);
-    ASSERT_EQ(log.appended.size(), 1U);
-    feed.report(report(2));
-    log.appends[0](Out);
+    ASSERT_EQ(m_log.appended.size(), 1U);
+    m_feed.report(report(2));
+    m_log.appends[0](Out);
     tick(20ms);
-    EXPECT_EQ(log.appended.size(), 1U) << "before the pause is over";
+    EXPECT_EQ(m_log.appended.size(), 1U) << "before the pause is over";
     tick(250ms);
-    ASSERT_EQ(log.appended.size(), 2U);
-    EXPECT_EQ(log.appended[1], (std::vector{encode(report(1)), encode(report(2))}));
-    log.appends[1]({});
+    ASSERT_EQ(m_log.appended.size(), 2U);
+    EXPECT_EQ(m_log.appended[1], (std::vector{encode(report(1)), encode(report(2))}));
+    m_log.appends[1]({});
     tick(250ms);
-    EXPECT_EQ(log.appended.size(), 2U);
-    EXPECT_EQ(failures, std::vector<std::string>{"append"});
+    EXPECT_EQ(m_log.appended.size(), 2U);
+    EXPECT_EQ(m_failures, std::vector<std::string>{"append"});
 }
 
 // Guards against calls by the hundred, which are paid for, while the log refuses one gateway for long.
@@ -119,64 +120,64 @@
 {
     for (auto time = 0ms; time < 10s; time += 20ms) {
         tick(20ms);
-        if (!log.reads.empty()) {
-            log.reads.back().done(Out);
-            log.reads.pop_back();
+        if (!m_log.reads.empty()) {
+            m_log.reads.back().done(Out);
+            m_log.reads.pop_back();
             ++m_reads;
         }
     }
     EXPECT_LE(m_reads, 13);
-    feed.restartRead();
+    m_feed.restartRead();
     tick(20ms);
-    EXPECT_EQ(log.reads.size(), 1U);
+    EXPECT_EQ(m_log.reads.size(), 1U);
 }
 
 // Guards against memory that grows without bound while the log is out.
 TEST_F(CrashFeeds, DropTheOldestReportsWhenTooManyWait)
 {
     for (std::uint64_t number = 0; number < 5; ++number) {
-        feed.report(report(number));
+        m_feed.report(report(number));
     }
     tick(20ms);
-    EXPECT_EQ(log.appended.at(0), (std::vector{encode(report(2)), encode(report(3)), encode(report(4))}));
-    EXPECT_EQ(lost, 2);
+    EXPECT_EQ(m_log.appended.at(0), (std::vector{encode(report(2)), encode(report(3)), encode(report(4))}));
+    EXPECT_EQ(m_lost, 2);
 }
 
 // Guards against a connection that has gone silent while a read waits on it: reports of others would come too late.
 TEST_F(CrashFeeds, ReadAnewAndWaitShorterOnceThereIsAReport)
 {
     tick(20ms);
-    EXPECT_EQ(log.reads.at(0).wait, 15s);
-    feed.report(report(1));
+    EXPECT_EQ(m_log.reads.at(0).wait, 15s);
+    m_feed.report(report(1));
     tick(20ms);
-    ASSERT_EQ(log.reads.size(), 2U);
-    EXPECT_EQ(log.reads[1].wait, 2s);
-    log.reads[0].done(ReportPage{.records = {encode(report(9))}, .end = 1});
-    EXPECT_TRUE(learnt.empty()) << "the answer to a read that was given up";
-    feed.report(report(2));
+    ASSERT_EQ(m_log.reads.size(), 2U);
+    EXPECT_EQ(m_log.reads[1].wait, 2s);
+    m_log.reads[0].done(ReportPage{.records = {encode(report(9))}, .end = 1});
+    EXPECT_TRUE(m_learnt.empty()) << "the answer to a read that was given up";
+    m_feed.report(report(2));
     tick(20ms);
-    EXPECT_EQ(log.reads.size(), 2U);
-    feed.restartRead();
+    EXPECT_EQ(m_log.reads.size(), 2U);
+    m_feed.restartRead();
     tick(20ms);
-    EXPECT_EQ(log.reads.size(), 3U);
+    EXPECT_EQ(m_log.reads.size(), 3U);
 }
 
 // Guards against reports that are gone with what the log had acknowledged last.
 TEST_F(CrashFeeds, AreToldAgainOnceTheLogHasComeBackOlder)
 {
     tick(20ms);
-    feed.report(report(1));
-    feed.report(report(2));
+    m_feed.report(report(1));
+    m_feed.report(report(2));
     tick(20ms);
-    log.appends[0]({});
-    feed.report(report(3));
+    m_log.appends[0]({});
+    m_feed.report(report(3));
     tick(20ms);
-    feed.logRestored();
-    log.appends[1]({}); // of the log before
+    m_feed.logRestored();
+    m_log.appends[1]({}); // of the m_log before
     tick(20ms);
-    ASSERT_EQ(log.appended.size(), 3U);
-    EXPECT_EQ(log.appended[2], (std::vector{encode(report(1)), encode(report(2)), encode(report(3))}));
-    EXPECT_EQ(log.reads.back().from, 0U);
+    ASSERT_EQ(m_log.appended.size(), 3U);
+    EXPECT_EQ(m_log.appended[2], (std::vector{encode(report(1)), encode(report(2)), encode(report(3))}));
+    EXPECT_EQ(m_log.reads.back().from, 0U);
 }
 
 RC_GTEST_PROP(CrashReports, AreReadAsTheyWereWritten,
--- a/tests/gateway/logclient_test.cpp
+++ b/tests/gateway/logclient_test.cpp
@@ -24,7 +24,7 @@
 class LogClients : public testing::Test
 {
 protected:
-    LogClients()
+    void SetUp() override
     {
         m_loop.start();
         m_loop.run([this] {
@@ -36,7 +36,7 @@
         });
     }
 
-    ~LogClients() override
+    void TearDown() override
     {
         m_loop.run([this] {
             m_client.reset();
--- a/tests/restoredlog/restoredworld.cpp
+++ b/tests/restoredlog/restoredworld.cpp
@@ -541,7 +541,8 @@
 
 milliseconds RestoredWorld::drawn(int least, int most)
 {
-    return milliseconds(least + static_cast<int>(m_random.below(static_cast<std::uint64_t>(most - least + 1))));
+    const auto width = static_cast<std::uint64_t>(most) - static_cast<std::uint64_t>(least) + 1;
+    return milliseconds(least + static_cast<int>(m_random.below(width)));
 }
 
 bool RestoredWorld::happensOnceIn(milliseconds time)
--- a/tests/routing/targetdirectory_test.cpp
+++ b/tests/routing/targetdirectory_test.cpp
@@ -27,6 +27,13 @@
     return ids;
 }
 
+TargetRecord written(TargetRecord record, std::uint64_t revision, std::chrono::milliseconds startedAt = 0ms)
+{
+    record.revision = revision;
+    record.startedAt = std::chrono::sys_time<std::chrono::milliseconds>(startedAt);
+    return record;
+}
+
 struct DirectoryRow
 {
     const char *story;
@@ -86,31 +93,6 @@
          directory.replace({recordOf("d", 2), recordOf("a", 1), recordOf("b", 2)}, Start + 1s);
      },
      "a b "},
-};
-
-class Directory : public testing::TestWithParam<DirectoryRow>
-{
-};
-
-TEST_P(Directory, KeepsTheTargetsThatServe)
-{
-    TargetDirectory directory;
-    directory.readable(Start);
-    directory.replace({recordOf("a", 1), recordOf("b", 2)}, Start);
-    GetParam().happens(directory);
-    EXPECT_EQ(idsOf(directory), GetParam().left) << GetParam().story;
-}
-
-INSTANTIATE_TEST_SUITE_P(All, Directory, testing::ValuesIn(DirectoryRows));
-
-TargetRecord written(TargetRecord record, std::uint64_t revision, std::chrono::milliseconds startedAt = 0ms)
-{
-    record.revision = revision;
-    record.startedAt = std::chrono::sys_time<std::chrono::milliseconds>(startedAt);
-    return record;
-}
-
-const DirectoryRow RestoredRows[] = {
     // Guards against new work for a target that has left, since a copy of the register still shows it as ready.
     {"one that has left stays away",
      [](auto &directory) {
@@ -165,11 +147,11 @@
      "a b "},
 };
 
-class RestoredDirectory : public testing::TestWithParam<DirectoryRow>
+class Directory : public testing::TestWithParam<DirectoryRow>
 {
 };
 
-TEST_P(RestoredDirectory, KeepsWhatItKnew)
+TEST_P(Directory, KeepsTheTargetsThatServe)
 {
     TargetDirectory directory;
     directory.readable(Start);
@@ -178,6 +160,6 @@
     EXPECT_EQ(idsOf(directory), GetParam().left) << GetParam().story;
 }
 
-INSTANTIATE_TEST_SUITE_P(All, RestoredDirectory, testing::ValuesIn(RestoredRows));
+INSTANTIATE_TEST_SUITE_P(All, Directory, testing::ValuesIn(DirectoryRows));
 
 } // namespace
