Drop outdated answers of the log by one token instead of counters beside it

CrashFeed and RulesCopies already held a pointer by which answers that come after their end are dropped. Renewing it when the log has come back from a copy drops answers to earlier calls as well, so the counters beside it go. TargetLimit's interval needs no smallest rate any more.

--- a/modules/heatherridge_coordination/feed/crashfeed.cpp
+++ b/modules/heatherridge_coordination/feed/crashfeed.cpp
@@ -12,7 +12,7 @@
     : m_log(log)
     , m_options(options)
     , m_events(std::move(events))
-    , m_alive(std::make_shared<int>(0))
+    , m_callToken(std::make_shared<int>(0))
 {
 }
 
@@ -37,7 +37,7 @@
 
 void CrashFeed::logRestored()
 {
-    ++m_appendNumber;
+    m_callToken = std::make_shared<int>(0);
     m_appending = 0;
     for (auto told = m_told.rbegin(); told != m_told.rend(); ++told) {
         if (m_now - told->first < m_options.toldMemory) {
@@ -46,7 +46,6 @@
     }
     m_told.clear();
     m_position = 0;
-    ++m_readNumber;
     restartRead();
 }
 
@@ -69,8 +68,8 @@
         records.push_back(encode(report));
     }
     m_appending = records.size();
-    m_log.append(records, [this, number = ++m_appendNumber, alive = std::weak_ptr(m_alive)](const Outcome &outcome) {
-        if (alive.expired() || number != m_appendNumber) {
+    m_log.append(records, [this, token = std::weak_ptr(m_callToken)](const Outcome &outcome) {
+        if (token.expired()) {
             return;
         }
         const auto count = std::exchange(m_appending, 0);
@@ -99,8 +98,8 @@
     m_isReading = true;
     m_readWait = isBusy() ? m_options.busyWait : m_options.idleWait;
     m_log.read(m_position, m_readWait,
-               [this, number = ++m_readNumber, alive = std::weak_ptr(m_alive)](Result<ReportPage> page) {
-                   if (!alive.expired()) {
+               [this, number = ++m_readNumber, token = std::weak_ptr(m_callToken)](Result<ReportPage> page) {
+                   if (!token.expired()) {
                        takePage(number, std::move(page));
                    }
                });
--- a/modules/heatherridge_coordination/feed/crashfeed.h
+++ b/modules/heatherridge_coordination/feed/crashfeed.h
@@ -82,7 +82,6 @@
     Events m_events;
     std::deque<CrashReport> m_pending; ///< not yet taken by the log
     std::size_t m_appending = 0; ///< the first of them, under way
-    std::uint64_t m_appendNumber = 0; ///< of the last call; answers to earlier ones are not taken
     std::deque<std::pair<SteadyTime, CrashReport>> m_told; ///< taken by the log, the oldest first
     std::uint64_t m_position = 0; ///< read up to here
     std::uint64_t m_readNumber = 0; ///< of the last read; answers to earlier ones are not taken
@@ -92,7 +91,7 @@
     Retry m_readRetry;
     Retry m_appendRetry;
     std::optional<SteadyTime> m_lastReport;
-    std::shared_ptr<int> m_alive;
+    std::shared_ptr<int> m_callToken; ///< answers to calls that were made before it was renewed are dropped
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_coordination/feed/rulescopies.cpp
+++ b/modules/heatherridge_coordination/feed/rulescopies.cpp
@@ -8,7 +8,7 @@
     , m_options(options)
     , m_events(std::move(events))
     , m_copies(static_cast<std::size_t>(options.count))
-    , m_alive(std::make_shared<int>(0))
+    , m_callToken(std::make_shared<int>(0))
 {
 }
 
@@ -20,8 +20,8 @@
 
 void RulesCopies::logRestored()
 {
+    m_callToken = std::make_shared<int>(0);
     for (auto &copy : m_copies) {
-        ++copy.restores;
         copy.versions.reset();
         copy.isCalling = false;
         copy.next = m_now;
@@ -50,25 +50,23 @@
 void RulesCopies::read(int index, bool restores)
 {
     m_copies[index].isCalling = true;
-    m_log.copies(index,
-                 [this, index, restores, made = m_copies[index].restores,
-                  alive = std::weak_ptr(m_alive)](Result<RulesCopy> read) {
-                     if (alive.expired() || made != m_copies[index].restores) {
-                         return;
-                     }
-                     auto &copy = m_copies[index];
-                     copy.isCalling = false;
-                     if (const auto *error = errorIn(read)) {
-                         failed(copy, "read", *error, restores ? m_options.restorePause : m_options.pause);
-                         return;
-                     }
-                     const auto &records = std::get<RulesCopy>(read);
-                     copy.versions = records.versions;
-                     if (restores) {
-                         copy.next = m_now + m_options.pause;
-                         m_events.restored(records.changes);
-                     }
-                 });
+    m_log.copies(index, [this, index, restores, token = std::weak_ptr(m_callToken)](Result<RulesCopy> read) {
+        if (token.expired()) {
+            return;
+        }
+        auto &copy = m_copies[index];
+        copy.isCalling = false;
+        if (const auto *error = errorIn(read)) {
+            failed(copy, "read", *error, restores ? m_options.restorePause : m_options.pause);
+            return;
+        }
+        const auto &records = std::get<RulesCopy>(read);
+        copy.versions = records.versions;
+        if (restores) {
+            copy.next = m_now + m_options.pause;
+            m_events.restored(records.changes);
+        }
+    });
 }
 
 void RulesCopies::write(int index)
@@ -77,9 +75,9 @@
     copy.isCalling = true;
     const std::map<std::uint64_t, std::size_t> dropped(copy.versions->begin(), copy.versions->lower_bound(m_version));
     m_log.keepCopy(index, *m_rules, m_version, dropped,
-                   [this, index, dropped, version = m_version, made = copy.restores,
-                    alive = std::weak_ptr(m_alive)](const Result<std::size_t> &kept) {
-                       if (alive.expired() || made != m_copies[index].restores) {
+                   [this, index, dropped, version = m_version,
+                    token = std::weak_ptr(m_callToken)](const Result<std::size_t> &kept) {
+                       if (token.expired()) {
                            return;
                        }
                        auto &written = m_copies[index];
--- a/modules/heatherridge_coordination/feed/rulescopies.h
+++ b/modules/heatherridge_coordination/feed/rulescopies.h
@@ -63,7 +63,6 @@
     {
         /** That it holds, and in how many records; nothing before it was read. */
         std::optional<std::map<std::uint64_t, std::size_t>> versions{};
-        std::uint64_t restores = 0; ///< of the log; answers to calls from before the last say nothing of this copy
         bool isCalling = false;
         SteadyTime next{}; ///< no call before
     };
@@ -79,7 +78,7 @@
     std::optional<RegisterChange> m_rules;
     std::uint64_t m_version = 0; ///< of `m_rules`
     SteadyTime m_now{}; ///< of the last tick; answers come between ticks
-    std::shared_ptr<int> m_alive;
+    std::shared_ptr<int> m_callToken; ///< answers to calls that were made before it was renewed are dropped
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/decisions/targetlimit.cpp
+++ b/modules/heatherridge_state/decisions/targetlimit.cpp
@@ -37,8 +37,9 @@
 
 milliseconds TargetLimit::interval(double part) const
 {
-    const std::chrono::duration<double> spaced(1 / std::max(*m_requestsPerSecond * part, 1e-9));
-    return spaced < TrialPeriod ? duration_cast<milliseconds>(spaced) : TrialPeriod;
+    const double perSecond = *m_requestsPerSecond * part;
+    const bool isTooSeldom = perSecond * std::chrono::duration<double>(TrialPeriod).count() <= 1;
+    return isTooSeldom ? TrialPeriod : duration_cast<milliseconds>(std::chrono::duration<double>(1 / perSecond));
 }
 
 } // namespace Heatherridge
