Log what a target states in its answers about the requests that it accepts

Cause: the log told of a refusal only as 'repeat after=refused-at-target', not whether the target had asked for a rest, and the third refusal of a request left no line. Change: a target's answer is read at the boundary into statements (limit, rest, leaving), a closed variant. New ones are logged (target-limit as before, target-rest, target-leaving), unreadable ones are logged and counted, a request that waits after its third refusal leaves a line (repeat-put-off). Where an answer names two limits or rests, the stricter one counts; an unreadable limit no longer lifts the one named before. Nothing decides by rest and leaving yet.

--- /dev/null
+++ b/modules/heatherridge_state/decisions/targetstatement.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <variant>
+
+namespace Heatherridge
+{
+
+/** The rate of requests that the target accepts from all entries together. */
+struct RateLimitStatement
+{
+    std::optional<double> requestsPerSecond{}; ///< finite and not negative; nothing if the target sets no limit
+};
+
+/** The target wants no requests from this entry for some time. */
+struct RestStatement
+{
+    std::chrono::milliseconds duration{0};
+};
+
+/** The target is shutting down: it finishes what it has and wants no new requests. */
+struct LeavingStatement
+{
+};
+
+/** What a target states in an answer about the requests that it accepts. */
+using TargetStatement = std::variant<RateLimitStatement, RestStatement, LeavingStatement>;
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -30,6 +30,28 @@
     return std::chrono::steady_clock::now();
 }
 
+void logStatement(const TargetName &target, const RateLimitStatement &statement, const RequestId &request)
+{
+    const auto &limit = statement.requestsPerSecond;
+    logEvent(Severity::Info, "target-limit",
+             {{"target", target.text()},
+              {"requests-per-second", limit ? std::to_string(*limit) : std::string("none")},
+              {"request", request.text()}});
+}
+
+void logStatement(const TargetName &target, const RestStatement &statement, const RequestId &request)
+{
+    logEvent(Severity::Info, "target-rest",
+             {{"target", target.text()},
+              {"rest-ms", std::to_string(statement.duration.count())},
+              {"request", request.text()}});
+}
+
+void logStatement(const TargetName &target, const LeavingStatement &, const RequestId &request)
+{
+    logEvent(Severity::Info, "target-leaving", {{"target", target.text()}, {"request", request.text()}});
+}
+
 } // namespace
 
 GatewayCall::GatewayCall(GatewayTraffic &traffic, std::uint64_t number, std::shared_ptr<HttpExchange> exchange,
@@ -246,26 +268,29 @@
             target->load.recordReport(m_responseFields.load->running + m_responseFields.load->waiting,
                                       target->lastReceivedAt);
         }
-        updateTargetLimit(*target);
+        applyTargetStatements(*target);
     }
     const bool isOtherRequest = m_responseFields.id != m_callerFields.id;
     const bool isUnsigned = !m_responseFields.isSigned && !m_responseFields.isNotExecuted;
     m_isResponseUnusable = isOtherRequest || isUnsigned || m_responseFields.isEncoded;
 }
 
-void GatewayCall::updateTargetLimit(GatewayTarget &target)
+void GatewayCall::applyTargetStatements(GatewayTarget &target)
 {
-    // An unsigned response, such as a refusal, may set a limit, but does not lift one by naming none.
-    const bool isAuthoritative =
-        m_responseFields.id == m_callerFields.id && (m_responseFields.isSigned || m_responseFields.requestsPerSecond);
-    const auto limit = m_responseFields.requestsPerSecond;
-    if (!isAuthoritative || !m_traffic.m_targets.updateLimit(target, limit, now(), m_traffic.m_random)) {
+    if (m_responseFields.id != m_callerFields.id) {
         return;
     }
-    logEvent(Severity::Info, "target-limit",
-             {{"target", target.entry.id.text()},
-              {"requests-per-second", limit ? std::to_string(*limit) : std::string("none")},
-              {"request", m_callerFields.id.text()}});
+    if (m_responseFields.hasMalformedStatement) {
+        m_traffic.m_counters.malformedStatements.add();
+        logEvent(Severity::Warning, "target-statement-malformed",
+                 {{"target", target.entry.id.text()}, {"request", m_callerFields.id.text()}});
+    }
+    for (const auto &statement : m_responseFields.statements) {
+        if (m_traffic.m_targets.applyStatement(target, statement, now(), m_traffic.m_random)) {
+            std::visit([&](const auto &stated) { logStatement(target.entry.id, stated, m_callerFields.id); },
+                       statement);
+        }
+    }
 }
 
 void GatewayCall::onResponseBody(std::string_view bytes)
@@ -512,9 +537,10 @@
                 .retryAfter = TargetsFullRetryAfter};
     if (mayHaveRun(result)) {
         fail(std::move(error));
-    } else {
-        waitForTarget(std::move(error));
+        return;
     }
+    logAttempt("repeat-put-off", result, reason);
+    waitForTarget(std::move(error));
 }
 
 void GatewayCall::retry(AttemptResult result, std::string_view reason)
@@ -523,14 +549,19 @@
         deliver(); // the target's own error is more useful to the caller than one made here
         return;
     }
-    logEvent(Severity::Info, "repeat",
+    logAttempt("repeat", result, reason);
+    startAttempt();
+}
+
+void GatewayCall::logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const
+{
+    logEvent(Severity::Info, event,
              {{"request", m_callerFields.id.text()},
               {"after", std::string(toString(result))},
               {"target", m_target.text()},
               {"reason", std::string(reason)},
               {"tries", std::to_string(m_attempts)},
               {"age-ms", std::to_string(age().count())}});
-    startAttempt();
 }
 
 void GatewayCall::releaseTarget(bool keepConnection)
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -64,7 +64,7 @@
     void enqueue();
     void send(GatewayTarget &target, double load);
     void onResponseHead(const HttpMessageHead &head);
-    void updateTargetLimit(GatewayTarget &target);
+    void applyTargetStatements(GatewayTarget &target);
     void onResponseBody(std::string_view bytes);
     void onResponseComplete();
     void onExchangeFailed(const ExchangeFailure &failure);
@@ -83,6 +83,7 @@
     void unmarkSuspect();
     void releaseTarget(bool keepConnection);
     void retry(AttemptResult result, std::string_view reason);
+    void logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const;
     void deliver();
     void fail(Error error);
     void finish(std::string_view outcome, int status);
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -206,11 +206,15 @@
     m_capacityShare = capacityShare > 0 ? capacityShare : m_capacityShare;
 }
 
-bool GatewayTargets::updateLimit(GatewayTarget &target, std::optional<double> requestsPerSecond, SteadyTime now,
-                                 RandomSource &random) const
+bool GatewayTargets::applyStatement(GatewayTarget &target, const TargetStatement &statement, SteadyTime now,
+                                    RandomSource &random) const
 {
-    const bool isChanged = target.limit.requestsPerSecond() != requestsPerSecond;
-    target.limit.update(requestsPerSecond, m_limitShare, now, random);
+    const auto *limit = std::get_if<RateLimitStatement>(&statement);
+    if (limit == nullptr) {
+        return true;
+    }
+    const bool isChanged = target.limit.requestsPerSecond() != limit->requestsPerSecond;
+    target.limit.update(limit->requestsPerSecond, m_limitShare, now, random);
     return isChanged;
 }
 
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -5,6 +5,7 @@
 #include "heatherridge_state/decisions/groupadmission.h"
 #include "heatherridge_state/decisions/loadestimate.h"
 #include "heatherridge_state/decisions/targetratelimit.h"
+#include "heatherridge_state/decisions/targetstatement.h"
 #include "heatherridge_state/routing/targetentry.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 
@@ -84,9 +85,9 @@
     /** Records the @p pause between two events of a stream of @p group: the time of one pass of the group. */
     void recordPause(const GroupName &group, std::chrono::milliseconds pause, SteadyTime now);
 
-    /** Sets the limit that a response of @p target names, or none. @returns whether the limit has changed */
-    bool updateLimit(GatewayTarget &target, std::optional<double> requestsPerSecond, SteadyTime now,
-                     RandomSource &random) const;
+    /** Applies what an answer of @p target states. @returns whether it states something new */
+    bool applyStatement(GatewayTarget &target, const TargetStatement &statement, SteadyTime now,
+                        RandomSource &random) const;
 
     /** Records that the target @p id refused a request. */
     void recordRefusal(const TargetName &id, SteadyTime now);
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -27,6 +27,7 @@
     , retries(metrics.counter("heatherridge_repeats_total"))
     , retriesDenied(metrics.counter("heatherridge_repeats_denied_total"))
     , resumedStreams(metrics.counter("heatherridge_streams_resumed_total"))
+    , malformedStatements(metrics.counter("heatherridge_target_statements_malformed_total"))
     , streamFirstEvent(metrics.histogram("heatherridge_stream_first_event_seconds"))
     , plainAnswer(metrics.histogram("heatherridge_plain_answer_seconds"))
 {
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -102,6 +102,7 @@
         Counter &retries;
         Counter &retriesDenied;
         Counter &resumedStreams;
+        Counter &malformedStatements;
         DurationHistogram &streamFirstEvent;
         DurationHistogram &plainAnswer;
     };
--- a/modules/heatherridge_transport/direct/trafficcodec.h
+++ b/modules/heatherridge_transport/direct/trafficcodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_state/decisions/targetstatement.h"
 #include "heatherridge_state/routing/routetable.h"
 #include "heatherridge_transport/http/httpmessages.h"
 
@@ -46,8 +47,8 @@
     bool isSigned = false; ///< the response carries the target's own signature
     bool isNotExecuted = false; ///< the target states that it did not execute the request and will not
     std::optional<TargetLoad> load{};
-    std::optional<double>
-        requestsPerSecond{}; ///< rate that the target accepts from all entries together, if it states one
+    std::vector<TargetStatement> statements{}; ///< on the requests that the target accepts
+    bool hasMalformedStatement = false; ///< a header on them has a value that cannot be used
     std::optional<std::chrono::seconds> idleTimeout{}; ///< idle time after which the target closes this connection
     bool isEncoded = false; ///< the body has a content encoding, so it is not the target's own
 };
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -299,6 +299,17 @@
     {"with trailing characters", {"Server-Limit", "4/s"}, std::nullopt},
 };
 
+/** Returns the first statement on the limit in @p statements. */
+std::optional<RateLimitStatement> statedLimit(const std::vector<TargetStatement> &statements)
+{
+    for (const auto &statement : statements) {
+        if (const auto *limit = std::get_if<RateLimitStatement>(&statement)) {
+            return *limit;
+        }
+    }
+    return std::nullopt;
+}
+
 class RequestLimits : public testing::TestWithParam<LimitRow>
 {
 };
@@ -306,11 +317,76 @@
 TEST_P(RequestLimits, AreReadFromTargetAnswers)
 {
     const auto &row = GetParam();
-    EXPECT_EQ(PlatformTraffic().readResponseFields(200, {row.header}).requestsPerSecond, row.limit) << row.description;
+    const auto fields = PlatformTraffic().readResponseFields(200, {row.header});
+    const auto limit = statedLimit(fields.statements);
+    EXPECT_EQ(limit ? limit->requestsPerSecond : std::nullopt, row.limit) << row.description;
+    EXPECT_EQ(limit.has_value(), row.limit.has_value()) << "an unsigned answer lifts no limit";
 }
 
 INSTANTIATE_TEST_SUITE_P(All, RequestLimits, testing::ValuesIn(LimitRows));
 
+struct StatementRow
+{
+    const char *description;
+    int status;
+    std::vector<HttpHeader> headers;
+    std::optional<std::chrono::milliseconds> rest;
+    bool isLeaving;
+    bool isMalformed;
+};
+
+const StatementRow StatementRows[] = {
+    {"a rest", 503, {{"Retry-After", "3"}}, 3000ms, false, false},
+    {"a rest of a fraction of a second", 503, {{"retry-after", "0.25"}}, 250ms, false, false},
+    {"the longer of two rests", 503, {{"Retry-After", "1"}, {"Retry-After", "2"}}, 2000ms, false, false},
+    {"a rest that no clock can hold", 503, {{"Retry-After", "1e300"}}, 1'000'000s, false, false},
+    {"a date", 503, {{"Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT"}}, std::nullopt, false, true},
+    {"a negative rest", 503, {{"Retry-After", "-1"}}, std::nullopt, false, true},
+    {"not a number", 503, {{"Retry-After", "nan"}}, std::nullopt, false, true},
+    {"a readable value beside an unreadable one",
+     503,
+     {{"Retry-After", "soon"}, {"Retry-After", "1"}},
+     1000ms,
+     false,
+     true},
+    {"a delay for callers in another answer", 200, {{"Retry-After", "3"}}, std::nullopt, false, false},
+    {"a target that leaves", 200, {{"Server-Leaving", "1"}}, std::nullopt, true, false},
+    {"with the common header prefix", 200, {{"X-Heatherridge-Server-Leaving", "1"}}, std::nullopt, true, false},
+    {"a target that leaves and refuses", 503, {{"Server-Leaving", "1"}, {"Retry-After", "2"}}, 2000ms, true, false},
+    {"a target that does not leave", 200, {{"Server-Leaving", "0"}}, std::nullopt, false, false},
+    {"neither", 200, {{"Server-Leaving", "soon"}}, std::nullopt, false, true},
+    {"a different target at the address",
+     421,
+     {{"Server-Leaving", "1"}, {"Server-Limit", "1"}},
+     std::nullopt,
+     false,
+     false},
+};
+
+class TargetStatements : public testing::TestWithParam<StatementRow>
+{
+};
+
+TEST_P(TargetStatements, AreReadFromAnswers)
+{
+    const auto &row = GetParam();
+    const auto fields = PlatformTraffic().readResponseFields(row.status, row.headers);
+    std::optional<std::chrono::milliseconds> rest;
+    bool isLeaving = false;
+    for (const auto &statement : fields.statements) {
+        if (const auto *stated = std::get_if<RestStatement>(&statement)) {
+            rest = stated->duration;
+        }
+        isLeaving = isLeaving || std::holds_alternative<LeavingStatement>(statement);
+    }
+    EXPECT_EQ(rest, row.rest) << row.description;
+    EXPECT_EQ(isLeaving, row.isLeaving) << row.description;
+    EXPECT_EQ(fields.hasMalformedStatement, row.isMalformed) << row.description;
+    EXPECT_FALSE(statedLimit(fields.statements).has_value()) << row.description;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, TargetStatements, testing::ValuesIn(StatementRows));
+
 TEST(Refusals, CarryARetryDelay)
 {
     const auto refusal =
