Send nothing to a target during the rest that it asked for

Cause: nothing read Retry-After in a target's 503. What held the target back was a fixed back-off of 100 ms, of an engine hard, of a plain service as a last resort only, so the requests of all callers went on to it every 100 ms. Change: TargetAdmission, a decision of its own, applies what a target states: its limit as before, and its rest. It excludes the target for first attempts, repeats and all callers alike, with no last resort. Where all targets are held back, a request is refused at once with the time until the first of them accepts requests, unless it may wait that long for a target. A caller is no longer told the wait of one limited target while others are only full.

--- a/modules/heatherridge_state/decisions/directplacement.cpp
+++ b/modules/heatherridge_state/decisions/directplacement.cpp
@@ -41,7 +41,7 @@
     std::optional<std::size_t> best;
     double bestScore = 0;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
-        if (candidates[index].wasTried || candidates[index].isAtLimit) {
+        if (candidates[index].wasTried || candidates[index].isHeldBack) {
             continue;
         }
         const double score = scoreOf(candidates[index], meanSlots, random);
--- a/modules/heatherridge_state/decisions/directplacement.h
+++ b/modules/heatherridge_state/decisions/directplacement.h
@@ -18,7 +18,7 @@
     bool isInOwnZone = false; ///< in the same availability zone as the entry
     bool isCold = false; ///< slow because it has just started
     bool wasTried = false; ///< the request has failed or been refused there
-    bool isAtLimit = false; ///< receives nothing at present because of the rate limit that it announced
+    bool isHeldBack = false; ///< accepts nothing at present by its own statements, @see TargetAdmission
     Health health = Health::Healthy;
 };
 
--- a/modules/heatherridge_state/decisions/engineplacement.cpp
+++ b/modules/heatherridge_state/decisions/engineplacement.cpp
@@ -26,7 +26,7 @@
 bool acceptsStream(const EngineCandidate &engine, const EngineGroup &group)
 {
     return engine.isOpen && !group.isStalled && !engine.isRefusing && !engine.target.wasTried
-        && !engine.target.isAtLimit && loadWithAdded(engine, 1) <= engine.target.slots;
+        && !engine.target.isHeldBack && loadWithAdded(engine, 1) <= engine.target.slots;
 }
 
 /** How suitable an engine is for a stream. */
--- a/modules/heatherridge_state/routing/targetdirectory.cpp
+++ b/modules/heatherridge_state/routing/targetdirectory.cpp
@@ -8,7 +8,7 @@
 
 bool isSameRun(const TargetRecord &a, const TargetRecord &b)
 {
-    return a.startedAt == b.startedAt;
+    return a.entry.startedAt == b.entry.startedAt;
 }
 
 } // namespace
--- a/modules/heatherridge_state/routing/targetentry.h
+++ b/modules/heatherridge_state/routing/targetentry.h
@@ -19,6 +19,7 @@
     int slots = 1; ///< number of requests that it executes concurrently
     bool isDraining = false; ///< whether it accepts no new requests
     std::chrono::milliseconds remainingWarmUp{0}; ///< how much longer it is slow after its start
+    std::chrono::sys_time<std::chrono::milliseconds> startedAt{}; ///< of this run by its own clock; zero: unknown
 
     bool operator==(const TargetEntry &) const = default;
 };
@@ -27,7 +28,6 @@
 struct TargetRecord
 {
     TargetEntry entry{};
-    std::chrono::sys_time<std::chrono::milliseconds> startedAt{}; ///< of this run by its own clock; zero: unknown
     std::uint64_t revision = 0; ///< increases each time this run writes the entry
 };
 
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -133,11 +133,17 @@
         send(*choice.target, choice.load);
         return;
     }
+    if (choice.heldFor && now() + *choice.heldFor >= waitDeadline()) {
+        m_traffic.m_counters.heldBackRequests.add();
+        fail({.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
+              .detail = "all targets are at their limit or at rest",
+              .retryAfter = choice.heldFor});
+        return;
+    }
     const auto kind = choice.isFull ? ErrorKind::Overloaded : ErrorKind::NoTarget;
-    waitForTarget(
-        {.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : kind,
-         .detail = choice.isFull ? "all targets are full" : "no target for " + m_service.text(),
-         .retryAfter = choice.limitWait.value_or(choice.isFull ? EnginesFullRetryAfter : NoTargetRetryAfter)});
+    waitForTarget({.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : kind,
+                   .detail = choice.isFull ? "all targets are full" : "no target for " + m_service.text(),
+                   .retryAfter = choice.isFull ? EnginesFullRetryAfter : NoTargetRetryAfter});
 }
 
 GatewayTargets::Choice GatewayCall::chooseTarget()
@@ -172,11 +178,16 @@
     return m_arrivedAt + m_route.objective - timeWaitedBefore - duration_cast<milliseconds>(firstEventDelay);
 }
 
-void GatewayCall::enqueue()
+SteadyTime GatewayCall::waitDeadline()
 {
     if (!m_waitDeadline) {
         m_waitDeadline = now() + placementWait(m_route.kind, timeLeft(), m_route.objective);
     }
+    return *m_waitDeadline;
+}
+
+void GatewayCall::enqueue()
+{
     const WaitingStream stream{.number = m_number,
                                .service = m_service,
                                .hasStarted = urgency() == Urgency::InProgress,
@@ -186,7 +197,7 @@
     const bool isLate = stream.onTimeUntil < now();
     const bool needsWaitEstimate = !stream.hasStarted && m_isQueuedAsLate != isLate;
     const auto expectedWait = needsWaitEstimate ? m_traffic.m_queue.expectedWait(stream, now()) : milliseconds(0);
-    if (now() + expectedWait > *m_waitDeadline) {
+    if (now() + expectedWait > waitDeadline()) {
         fail({.kind = ErrorKind::Overloaded, .detail = "the queue is too long", .retryAfter = expectedWait});
         return;
     }
@@ -197,10 +208,7 @@
 
 void GatewayCall::waitForTarget(Error error)
 {
-    if (!m_waitDeadline) {
-        m_waitDeadline = now() + placementWait(m_route.kind, timeLeft(), m_route.objective);
-    }
-    if (now() >= *m_waitDeadline) {
+    if (now() >= waitDeadline()) {
         fail(std::move(error));
         return;
     }
@@ -237,7 +245,7 @@
     m_traffic.admit(m_number, m_sentAt);
     m_traffic.m_targets.recordSend(m_group, m_sentAt);
     target.load.recordSent();
-    target.limit.recordSent(m_sentAt);
+    target.admission.recordSent(m_sentAt);
     ++target.sentSinceReport;
     const auto &request = m_exchange->request();
     const auto headers =
@@ -636,7 +644,7 @@
     if (m_isDone) {
         return;
     }
-    const auto nextCheck = m_isWaiting && isStream()            ? *m_waitDeadline
+    const auto nextCheck = m_isWaiting && isStream()            ? waitDeadline()
         : m_isWaiting                                           ? now() + PlacementRetryPeriod
         : isStream() || m_route.kind == RequestKind::Idempotent ? now() + SilenceCheckPeriod
                                                                 : m_deadline;
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -61,6 +61,7 @@
     void waitForTarget(Error error);
     Urgency urgency() const;
     SteadyTime onTimeUntil() const;
+    SteadyTime waitDeadline();
     void enqueue();
     void send(GatewayTarget &target, double load);
     void onResponseHead(const HttpMessageHead &head);
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -100,19 +100,20 @@
     if (chosen) {
         return {.target = targets[*chosen], .load = candidates[*chosen].load};
     }
-    const auto heldFor = shortestLimitWait(targets, now);
-    return {.isFull = heldFor.has_value(), .limitWait = heldFor};
+    const auto heldFor = timeUntilAnyAllowed(targets, now);
+    return {.isFull = heldFor.has_value(), .heldFor = heldFor};
 }
 
-std::optional<std::chrono::milliseconds> GatewayTargets::shortestLimitWait(const std::vector<GatewayTarget *> &targets,
-                                                                           SteadyTime now) const
+std::optional<std::chrono::milliseconds>
+GatewayTargets::timeUntilAnyAllowed(const std::vector<GatewayTarget *> &targets, SteadyTime now) const
 {
     std::optional<std::chrono::milliseconds> shortest;
     for (const auto *target : targets) {
-        const auto wait = target->limit.timeUntilAllowed(m_limitShare, now);
-        if (wait.count() > 0) {
-            shortest = std::min(shortest.value_or(wait), wait);
+        const auto wait = target->admission.timeUntilAllowed(m_limitShare, now);
+        if (wait.count() == 0) {
+            return std::nullopt;
         }
+        shortest = std::min(shortest.value_or(wait), wait);
     }
     return shortest;
 }
@@ -127,7 +128,7 @@
             .isInOwnZone = target.entry.zone == m_zone,
             .isCold = target.entry.remainingWarmUp.count() > 0,
             .wasTried = tried.contains(target.entry.id),
-            .isAtLimit = target.limit.timeUntilAllowed(m_limitShare, now).count() > 0,
+            .isHeldBack = target.admission.timeUntilAllowed(m_limitShare, now).count() > 0,
             .health = isExcluded ? Health::Ejected : health.healthOf(target.entry.id, now)};
 }
 
@@ -162,7 +163,7 @@
     if (choice.index) {
         return {.target = targets[*choice.index], .load = candidates[*choice.index].load};
     }
-    return {.isFull = choice.isFull};
+    return {.isFull = choice.isFull, .heldFor = timeUntilAnyAllowed(targets, now)};
 }
 
 void GatewayTargets::addToGroup(GroupLoad &work, const GatewayTarget &target, double load, SteadyTime now)
@@ -209,13 +210,7 @@
 bool GatewayTargets::applyStatement(GatewayTarget &target, const TargetStatement &statement, SteadyTime now,
                                     RandomSource &random) const
 {
-    const auto *limit = std::get_if<RateLimitStatement>(&statement);
-    if (limit == nullptr) {
-        return true;
-    }
-    const bool isChanged = target.limit.requestsPerSecond() != limit->requestsPerSecond;
-    target.limit.update(limit->requestsPerSecond, m_limitShare, now, random);
-    return isChanged;
+    return target.admission.apply(statement, m_limitShare, now, random);
 }
 
 void GatewayTargets::recordRefusal(const TargetName &id, SteadyTime now)
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -4,8 +4,7 @@
 #include "heatherridge_state/decisions/engineplacement.h"
 #include "heatherridge_state/decisions/groupadmission.h"
 #include "heatherridge_state/decisions/loadestimate.h"
-#include "heatherridge_state/decisions/targetratelimit.h"
-#include "heatherridge_state/decisions/targetstatement.h"
+#include "heatherridge_state/decisions/targetadmission.h"
 #include "heatherridge_state/routing/targetentry.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 
@@ -26,7 +25,7 @@
     std::optional<EngineView> engine{}; ///< last report of an engine in an expert group
     int sentSinceReport = 0; ///< requests sent by this gateway since the engine's last report
     SteadyTime refusedUntil{}; ///< set when it refused a request; nothing is sent before this time
-    TargetRateLimit limit{}; ///< on the requests that it accepts from all entries together
+    TargetAdmission admission{}; ///< by its own statements
 };
 
 /**
@@ -68,7 +67,8 @@
         GatewayTarget *target = nullptr; ///< null if no target can take the request
         double load = 0; ///< estimated load of the target
         bool isFull = false; ///< there are targets, but all are at capacity
-        std::optional<std::chrono::milliseconds> limitWait{}; ///< until a limit allows another request
+        /** Until the first target accepts a request again, if all are held back by their own statements. */
+        std::optional<std::chrono::milliseconds> heldFor{};
     };
 
     /**
@@ -104,8 +104,8 @@
     bool isUsable(const GatewayTarget &target, const ServiceName &service) const;
     DirectCandidate makeCandidate(const GatewayTarget &target, double averageOthers, const HealthTracker &health,
                                   const std::set<TargetName> &tried, SteadyTime now) const;
-    std::optional<std::chrono::milliseconds> shortestLimitWait(const std::vector<GatewayTarget *> &targets,
-                                                               SteadyTime now) const;
+    std::optional<std::chrono::milliseconds> timeUntilAnyAllowed(const std::vector<GatewayTarget *> &targets,
+                                                                 SteadyTime now) const;
     Choice chooseEngine(const std::vector<GatewayTarget *> &targets, const std::vector<DirectCandidate> &candidates,
                         const PassTimeModel &passTimeModel, Urgency urgency, SteadyTime now, RandomSource &random);
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -28,6 +28,7 @@
     , retriesDenied(metrics.counter("heatherridge_repeats_denied_total"))
     , resumedStreams(metrics.counter("heatherridge_streams_resumed_total"))
     , malformedStatements(metrics.counter("heatherridge_target_statements_malformed_total"))
+    , heldBackRequests(metrics.counter("heatherridge_requests_held_back_total"))
     , streamFirstEvent(metrics.histogram("heatherridge_stream_first_event_seconds"))
     , plainAnswer(metrics.histogram("heatherridge_plain_answer_seconds"))
 {
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -103,6 +103,7 @@
         Counter &retriesDenied;
         Counter &resumedStreams;
         Counter &malformedStatements;
+        Counter &heldBackRequests;
         DurationHistogram &streamFirstEvent;
         DurationHistogram &plainAnswer;
     };
--- a/tests/routing/targetdirectory_test.cpp
+++ b/tests/routing/targetdirectory_test.cpp
@@ -30,7 +30,7 @@
 TargetRecord withRevision(TargetRecord record, std::uint64_t revision, std::chrono::milliseconds startedAt = 0ms)
 {
     record.revision = revision;
-    record.startedAt = std::chrono::sys_time<std::chrono::milliseconds>(startedAt);
+    record.entry.startedAt = std::chrono::sys_time<std::chrono::milliseconds>(startedAt);
     return record;
 }
 
