Send nothing new to a target that says in an answer that it is leaving

Cause: nothing read Server-Leaving. Change: such a target is left out like one whose entry is draining, from the answer's head on, for all callers; what it has is not touched.

--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -80,10 +80,10 @@
     const auto passTimeModel = m_passTimeModels.find(service);
     const bool hasEngineGroups = passTimeModel != m_passTimeModels.end()
         && std::any_of(m_targets.begin(), m_targets.end(),
-                       [&](const auto &entry) { return entry.second.engine && isUsable(entry.second, service); });
+                       [&](const auto &entry) { return entry.second.engine && isUsable(entry.second, service, now); });
     for (auto &[id, target] : m_targets) {
         // An engine that has not reported its group has just started and takes part in no pass yet.
-        if (isUsable(target, service) && (!hasEngineGroups || target.engine)) {
+        if (isUsable(target, service, now) && (!hasEngineGroups || target.engine)) {
             targets.push_back(&target);
         }
     }
@@ -267,9 +267,10 @@
     return target.load.ownRequests() > 0 && now - target.lastReceivedAt > StallTimeout;
 }
 
-bool GatewayTargets::isUsable(const GatewayTarget &target, const ServiceName &service) const
+bool GatewayTargets::isUsable(const GatewayTarget &target, const ServiceName &service, SteadyTime now) const
 {
-    return target.entry.service == service && !target.entry.isDraining && !m_unregistered.contains(target.entry.id);
+    return target.entry.service == service && !target.entry.isDraining && !target.admission.isLeaving(now)
+        && !m_unregistered.contains(target.entry.id);
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -101,7 +101,7 @@
 private:
     bool hasUsedCapacityShare(const GatewayTarget &target) const;
     static void addToGroup(GroupLoad &work, const GatewayTarget &target, double load, SteadyTime now);
-    bool isUsable(const GatewayTarget &target, const ServiceName &service) const;
+    bool isUsable(const GatewayTarget &target, const ServiceName &service, SteadyTime now) const;
     DirectCandidate makeCandidate(const GatewayTarget &target, double averageOthers, const HealthTracker &health,
                                   const std::set<TargetName> &tried, SteadyTime now) const;
     std::optional<std::chrono::milliseconds> timeUntilAnyAllowed(const std::vector<GatewayTarget *> &targets,
