Keep what a target stated while the register has lost its entry

Cause: limit, rest and leaving stood in the record of a registered target, which went with its entry. The register drops entries of targets that serve on (an outage of the log, a missed heartbeat), and a copy of the log may list a departed target as ready; the entry's return brought the target back without what it had stated. Change: a target without an entry is remembered as long as a statement of its is in force.

--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -42,7 +42,7 @@
     std::set<TargetName> registered;
     for (const auto &entry : entries) {
         registered.insert(entry.id);
-        m_targets[entry.id].entry = entry;
+        addEntry(entry).entry = entry;
         m_health[entry.service].add(entry.id);
     }
     std::vector<TargetName> removed;
@@ -59,12 +59,31 @@
             ++it;
         } else {
             m_unregistered.erase(it->first);
+            m_withoutEntry.insert_or_assign(it->first, std::move(it->second));
             it = m_targets.erase(it);
         }
     }
     return removed;
 }
 
+GatewayTarget &GatewayTargets::addEntry(const TargetEntry &entry)
+{
+    auto &target = m_targets[entry.id];
+    if (auto known = m_withoutEntry.extract(entry.id)) {
+        target.entry.startedAt = known.mapped().entry.startedAt;
+        target.admission = known.mapped().admission;
+    }
+    if (entry.startedAt > target.entry.startedAt) {
+        target.admission = {}; // the statements were made by an earlier run
+    }
+    return target;
+}
+
+void GatewayTargets::tick(SteadyTime now)
+{
+    std::erase_if(m_withoutEntry, [now](const auto &target) { return target.second.admission.isIdle(now); });
+}
+
 GatewayTarget *GatewayTargets::find(const TargetName &id)
 {
     const auto found = m_targets.find(id);
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -89,6 +89,9 @@
     bool applyStatement(GatewayTarget &target, const TargetStatement &statement, SteadyTime now,
                         RandomSource &random) const;
 
+    /** Forgets the statements of unregistered targets that are no longer in force. Called about once a second. */
+    void tick(SteadyTime now);
+
     /** Records that the target @p id refused a request. */
     void recordRefusal(const TargetName &id, SteadyTime now);
 
@@ -102,6 +105,7 @@
     bool hasUsedCapacityShare(const GatewayTarget &target) const;
     static void addToGroup(GroupLoad &work, const GatewayTarget &target, double load, SteadyTime now);
     bool isUsable(const GatewayTarget &target, const ServiceName &service, SteadyTime now) const;
+    GatewayTarget &addEntry(const TargetEntry &entry);
     DirectCandidate makeCandidate(const GatewayTarget &target, double averageOthers, const HealthTracker &health,
                                   const std::set<TargetName> &tried, SteadyTime now) const;
     std::optional<std::chrono::milliseconds> timeUntilAnyAllowed(const std::vector<GatewayTarget *> &targets,
@@ -115,6 +119,8 @@
     std::map<GroupName, GroupAdmission> m_groups;
     std::map<TargetName, GatewayTarget> m_targets;
     std::set<TargetName> m_unregistered; ///< targets that left the register with requests open
+    /** Targets without an entry whose statements are in force: an entry may be missing although its target serves. */
+    std::map<TargetName, GatewayTarget> m_withoutEntry;
     std::map<ServiceName, HealthTracker> m_health;
     std::map<ServiceName, PassTimeModel> m_passTimeModels; ///< of services with expert groups
 };
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -114,6 +114,7 @@
 {
     m_pool.tick(now);
     m_crashGuard.tick(now);
+    m_targets.tick(now);
 }
 
 bool GatewayTraffic::isReady() const
