--- a/modules/heatherridge_state/decisions/targetadmission.cpp
+++ b/modules/heatherridge_state/decisions/targetadmission.cpp
@@ -17,29 +17,29 @@
                                   m_limit.update(limit.requestsPerSecond, share, now, random);
                                   return isNew;
                               },
-                              [&](const RestStatement &rest) {
-                                  const auto end = now + std::min<milliseconds>(rest.duration, MaxRest);
-                                  const bool isLonger = end > std::max(m_restUntil, now);
-                                  m_restUntil = std::max(m_restUntil, end);
+                              [&](const BackoffStatement &backoff) {
+                                  const auto end = now + std::min<milliseconds>(backoff.duration, MaxBackoff);
+                                  const bool isLonger = end > std::max(m_backoffUntil, now);
+                                  m_backoffUntil = std::max(m_backoffUntil, end);
                                   return isLonger;
                               },
-                              [&](const LeavingStatement &) {
-                                  const bool isNew = !isLeaving(now);
-                                  m_leavingUntil = now + LeavingRetention;
+                              [&](const DrainingStatement &) {
+                                  const bool isNew = !isDraining(now);
+                                  m_drainingUntil = now + DrainingRetention;
                                   return isNew;
                               }},
                       statement);
 }
 
-bool TargetAdmission::isLeaving(SteadyTime now) const
+bool TargetAdmission::isDraining(SteadyTime now) const
 {
-    return now < m_leavingUntil;
+    return now < m_drainingUntil;
 }
 
 milliseconds TargetAdmission::timeUntilAllowed(double share, SteadyTime now) const
 {
-    const auto rest = std::max(milliseconds(0), std::chrono::ceil<milliseconds>(m_restUntil - now));
-    return std::max(rest, m_limit.timeUntilAllowed(share, now));
+    const auto backoff = std::max(milliseconds(0), std::chrono::ceil<milliseconds>(m_backoffUntil - now));
+    return std::max(backoff, m_limit.timeUntilAllowed(share, now));
 }
 
 void TargetAdmission::recordSent(SteadyTime now)
@@ -49,7 +49,7 @@
 
 bool TargetAdmission::isIdle(SteadyTime now) const
 {
-    return !m_limit.requestsPerSecond() && now >= m_restUntil && !isLeaving(now);
+    return !m_limit.requestsPerSecond() && now >= m_backoffUntil && !isDraining(now);
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/decisions/targetadmission.h
+++ b/modules/heatherridge_state/decisions/targetadmission.h
@@ -13,18 +13,18 @@
 /**
  * Whether one target accepts requests from this entry, according to its own statements.
  *
- * Load pattern: an overloaded target refuses requests and asks for a rest, but looks idle and therefore attracts the
- * requests of all callers; a target that shuts down answers faster the fewer requests it has left. Each statement holds
- * on its own: a short rest does not end a longer one, and no answer takes back that the target is leaving.
- * Single-threaded.
+ * Load pattern: an overloaded target refuses requests and asks entries to back off, but looks idle and therefore
+ * attracts the requests of all callers; a target that shuts down answers faster the fewer requests it has left. Each
+ * statement holds on its own: a short back-off does not end a longer one, and no answer takes back that the target is
+ * draining. Single-threaded.
  */
 class TargetAdmission
 {
 public:
-    /** Longer rests are shortened to this, so that a wrong value does not exclude a target for good. */
-    static constexpr std::chrono::minutes MaxRest{5};
-    /** How long a target counts as leaving after it last said so; afterwards only the register decides. */
-    static constexpr std::chrono::minutes LeavingRetention{5};
+    /** Longer back-offs are shortened to this, so that a wrong value does not exclude a target for good. */
+    static constexpr std::chrono::minutes MaxBackoff{5};
+    /** How long a target counts as draining after it last said so; afterwards only the register decides. */
+    static constexpr std::chrono::minutes DrainingRetention{5};
 
     /**
      * Applies a statement that arrived at @p now.
@@ -34,9 +34,9 @@
     bool apply(const TargetStatement &statement, double share, SteadyTime now, RandomSource &random);
 
     /** Returns whether the target is shutting down. */
-    bool isLeaving(SteadyTime now) const;
+    bool isDraining(SteadyTime now) const;
 
-    /** Returns the time until the limit and the rest allow a request: 0 when it may be sent now. */
+    /** Returns the time until the limit and the back-off allow a request: 0 when it may be sent now. */
     std::chrono::milliseconds timeUntilAllowed(double share, SteadyTime now) const;
 
     /** Records that a request is sent. */
@@ -47,8 +47,8 @@
 
 private:
     TargetRateLimit m_limit;
-    SteadyTime m_restUntil{};
-    SteadyTime m_leavingUntil{};
+    SteadyTime m_backoffUntil{};
+    SteadyTime m_drainingUntil{};
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/decisions/targetstatement.h
+++ b/modules/heatherridge_state/decisions/targetstatement.h
@@ -14,17 +14,17 @@
 };
 
 /** The target wants no requests from this entry for some time. */
-struct RestStatement
+struct BackoffStatement
 {
     std::chrono::milliseconds duration{0};
 };
 
 /** The target is shutting down: it finishes what it has and wants no new requests. */
-struct LeavingStatement
+struct DrainingStatement
 {
 };
 
 /** What a target states in an answer about the requests that it accepts. */
-using TargetStatement = std::variant<RateLimitStatement, RestStatement, LeavingStatement>;
+using TargetStatement = std::variant<RateLimitStatement, BackoffStatement, DrainingStatement>;
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -30,28 +30,6 @@
     return std::chrono::steady_clock::now();
 }
 
-void logStatement(const TargetName &target, const RateLimitStatement &statement, const RequestId &request)
-{
-    const auto &limit = statement.requestsPerSecond;
-    logEvent(Severity::Info, "target-limit",
-             {{"target", target.text()},
-              {"requests-per-second", limit ? std::to_string(*limit) : std::string("none")},
-              {"request", request.text()}});
-}
-
-void logStatement(const TargetName &target, const RestStatement &statement, const RequestId &request)
-{
-    logEvent(Severity::Info, "target-rest",
-             {{"target", target.text()},
-              {"rest-ms", std::to_string(statement.duration.count())},
-              {"request", request.text()}});
-}
-
-void logStatement(const TargetName &target, const LeavingStatement &, const RequestId &request)
-{
-    logEvent(Severity::Info, "target-leaving", {{"target", target.text()}, {"request", request.text()}});
-}
-
 } // namespace
 
 GatewayCall::GatewayCall(GatewayTraffic &traffic, std::uint64_t number, std::shared_ptr<HttpExchange> exchange,
@@ -136,7 +114,7 @@
     if (choice.heldFor && now() + *choice.heldFor >= waitDeadline()) {
         m_traffic.m_counters.heldBackRequests.add();
         fail({.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
-              .detail = "all targets are at their limit or at rest",
+              .detail = "all targets are at their limit or in back-off",
               .retryAfter = choice.heldFor});
         return;
     }
@@ -295,12 +273,34 @@
     }
     for (const auto &statement : m_responseFields.statements) {
         if (m_traffic.m_targets.applyStatement(target, statement, now(), m_traffic.m_random)) {
-            std::visit([&](const auto &stated) { logStatement(target.entry.id, stated, m_callerFields.id); },
-                       statement);
+            reportStatement(statement);
         }
     }
 }
 
+void GatewayCall::reportStatement(const TargetStatement &statement) const
+{
+    auto &counters = m_traffic.m_counters;
+    const auto log = [this](std::string_view event, std::string_view name, std::string value) {
+        logEvent(Severity::Info, event,
+                 {{"target", m_target.text()}, {name, std::move(value)}, {"request", m_callerFields.id.text()}});
+    };
+    std::visit(Visitor{[&](const RateLimitStatement &limit) {
+                           const auto &rate = limit.requestsPerSecond;
+                           counters.limitStatements.add();
+                           log("target-limit", "requests-per-second", rate ? std::to_string(*rate) : "none");
+                       },
+                       [&](const BackoffStatement &backoff) {
+                           counters.backoffStatements.add();
+                           log("target-backoff", "backoff-ms", std::to_string(backoff.duration.count()));
+                       },
+                       [&](const DrainingStatement &) {
+                           counters.drainingStatements.add();
+                           log("target-draining", "service", m_service.text());
+                       }},
+               statement);
+}
+
 void GatewayCall::onResponseBody(std::string_view bytes)
 {
     if (auto *target = m_traffic.m_targets.find(m_target)) {
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -66,6 +66,7 @@
     void send(GatewayTarget &target, double load);
     void onResponseHead(const HttpMessageHead &head);
     void applyTargetStatements(GatewayTarget &target);
+    void reportStatement(const TargetStatement &statement) const;
     void onResponseBody(std::string_view bytes);
     void onResponseComplete();
     void onExchangeFailed(const ExchangeFailure &failure);
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -288,7 +288,7 @@
 
 bool GatewayTargets::isUsable(const GatewayTarget &target, const ServiceName &service, SteadyTime now) const
 {
-    return target.entry.service == service && !target.entry.isDraining && !target.admission.isLeaving(now)
+    return target.entry.service == service && !target.entry.isDraining && !target.admission.isDraining(now)
         && !m_unregistered.contains(target.entry.id);
 }
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -102,6 +102,9 @@
         Counter &retries;
         Counter &retriesDenied;
         Counter &resumedStreams;
+        Counter &limitStatements;
+        Counter &backoffStatements;
+        Counter &drainingStatements;
         Counter &malformedStatements;
         Counter &heldBackRequests;
         DurationHistogram &streamFirstEvent;
--- a/tests/decisions/targetadmission_test.cpp
+++ b/tests/decisions/targetadmission_test.cpp
@@ -23,22 +23,26 @@
     std::vector<TargetStatement> statements; ///< one a second from Start on
     milliseconds queriedAfter; ///< after Start
     milliseconds timeUntilAllowed;
-    bool isLeaving;
+    bool isDraining;
 };
 
 const HoldRow HoldRows[] = {
     {"NothingStated", {}, 0s, 0s, false},
-    {"ARest", {RestStatement{3s}}, 1s, 2s, false},
-    {"ARestThatIsOver", {RestStatement{3s}}, 3s, 0s, false},
-    {"ALongerRestAfterAShortOne", {RestStatement{2s}, RestStatement{4s}}, 1s, 4s, false},
-    {"AShortRestAfterALongOne", {RestStatement{4s}, RestStatement{1s}}, 1s, 3s, false},
-    {"ARestBeyondTheMaximum", {RestStatement{24h}}, 0s, TargetAdmission::MaxRest, false},
-    {"ALimitWithinARest", {RestStatement{3s}, RateLimitStatement{1000}}, 1s, 2s, false},
-    {"ARestWithinALimit", {RateLimitStatement{0}, RestStatement{1s}}, 1s, TargetRateLimit::ProbePeriod - 1s, false},
-    {"NoLimitEndsNoRest", {RestStatement{3s}, RateLimitStatement{}}, 1s, 2s, false},
-    {"Leaving", {LeavingStatement{}}, 10s, 0s, true},
-    {"LeavingIsNotTakenBack", {LeavingStatement{}, RateLimitStatement{}}, 1s, 0s, true},
-    {"LeavingLongAgo", {LeavingStatement{}}, TargetAdmission::LeavingRetention, 0s, false},
+    {"ABackoff", {BackoffStatement{3s}}, 1s, 2s, false},
+    {"ABackoffThatIsOver", {BackoffStatement{3s}}, 3s, 0s, false},
+    {"ALongerBackoffAfterAShortOne", {BackoffStatement{2s}, BackoffStatement{4s}}, 1s, 4s, false},
+    {"AShortBackoffAfterALongOne", {BackoffStatement{4s}, BackoffStatement{1s}}, 1s, 3s, false},
+    {"ABackoffBeyondTheMaximum", {BackoffStatement{24h}}, 0s, TargetAdmission::MaxBackoff, false},
+    {"ALimitWithinABackoff", {BackoffStatement{3s}, RateLimitStatement{1000}}, 1s, 2s, false},
+    {"ABackoffWithinALimit",
+     {RateLimitStatement{0}, BackoffStatement{1s}},
+     1s,
+     TargetRateLimit::ProbePeriod - 1s,
+     false},
+    {"NoLimitEndsNoBackoff", {BackoffStatement{3s}, RateLimitStatement{}}, 1s, 2s, false},
+    {"Draining", {DrainingStatement{}}, 10s, 0s, true},
+    {"DrainingIsNotTakenBack", {DrainingStatement{}, RateLimitStatement{}}, 1s, 0s, true},
+    {"DrainingLongAgo", {DrainingStatement{}}, TargetAdmission::DrainingRetention, 0s, false},
 };
 
 class StatementsInForce : public testing::TestWithParam<HoldRow>
@@ -59,7 +63,7 @@
     }
     const auto now = Start + row.queriedAfter;
     EXPECT_EQ(admission.timeUntilAllowed(1, now), row.timeUntilAllowed);
-    EXPECT_EQ(admission.isLeaving(now), row.isLeaving);
+    EXPECT_EQ(admission.isDraining(now), row.isDraining);
 }
 
 INSTANTIATE_TEST_SUITE_P(All, StatementsInForce, testing::ValuesIn(HoldRows),
@@ -73,10 +77,10 @@
     EXPECT_FALSE(admission.apply(RateLimitStatement{}, 1, Start, random));
     EXPECT_TRUE(admission.apply(RateLimitStatement{2}, 1, Start, random));
     EXPECT_FALSE(admission.apply(RateLimitStatement{2}, 1, Start, random));
-    EXPECT_TRUE(admission.apply(RestStatement{2s}, 1, Start, random));
-    EXPECT_FALSE(admission.apply(RestStatement{1s}, 1, Start + 1s, random));
-    EXPECT_TRUE(admission.apply(LeavingStatement{}, 1, Start, random));
-    EXPECT_FALSE(admission.apply(LeavingStatement{}, 1, Start + 1s, random));
+    EXPECT_TRUE(admission.apply(BackoffStatement{2s}, 1, Start, random));
+    EXPECT_FALSE(admission.apply(BackoffStatement{1s}, 1, Start + 1s, random));
+    EXPECT_TRUE(admission.apply(DrainingStatement{}, 1, Start, random));
+    EXPECT_FALSE(admission.apply(DrainingStatement{}, 1, Start + 1s, random));
     EXPECT_FALSE(admission.isIdle(Start + 5s));
 }
 
@@ -85,17 +89,17 @@
 {
     double arrivalsPerSecond = 20; ///< of all callers of this entry
     milliseconds roundTrip = 10ms; ///< from sending a request to its answer
-    milliseconds minRest = 200ms;
-    milliseconds maxRest = 4s;
-    bool ignoresRests = false; ///< the entry sends in spite of the target's statements
+    milliseconds minBackoff = 200ms;
+    milliseconds maxBackoff = 4s;
+    bool ignoresBackoffs = false; ///< the entry sends in spite of the target's statements
 };
 
-/** A request and, if it was refused, the rest that its answer asked for. */
+/** A request and, if it was refused, the back-off that its answer asked for. */
 struct SentRequest
 {
     SteadyTime sentAt{};
     SteadyTime answeredAt{};
-    std::optional<milliseconds> rest{};
+    std::optional<milliseconds> backoff{};
 };
 
 std::vector<SentRequest> replay(const RefusalLoad &load, std::uint64_t seed)
@@ -110,12 +114,12 @@
     bool isOverloaded = false;
     for (auto now = Start; now < Start + duration; now += step) {
         for (; answered < sent.size() && sent[answered].answeredAt <= now; ++answered) {
-            if (sent[answered].rest) {
-                admission.apply(RestStatement{*sent[answered].rest}, 1, now, random);
+            if (sent[answered].backoff) {
+                admission.apply(BackoffStatement{*sent[answered].backoff}, 1, now, random);
             }
         }
         isOverloaded = isOverloaded != (random.fraction() < chanceOfChange);
-        const bool isAllowed = load.ignoresRests || admission.timeUntilAllowed(1, now).count() == 0;
+        const bool isAllowed = load.ignoresBackoffs || admission.timeUntilAllowed(1, now).count() == 0;
         const bool hasArrived =
             random.fraction() < load.arrivalsPerSecond * std::chrono::duration<double>(step).count();
         if (!hasArrived || !isAllowed) {
@@ -123,8 +127,8 @@
         }
         SentRequest request{.sentAt = now, .answeredAt = now + load.roundTrip};
         if (isOverloaded) {
-            const auto spread = static_cast<std::uint64_t>((load.maxRest - load.minRest).count());
-            request.rest = load.minRest + milliseconds(random.below(spread + 1));
+            const auto spread = static_cast<std::uint64_t>((load.maxBackoff - load.minBackoff).count());
+            request.backoff = load.minBackoff + milliseconds(random.below(spread + 1));
         }
         admission.recordSent(now);
         sent.push_back(request);
@@ -132,15 +136,15 @@
     return sent;
 }
 
-/** Returns the largest number of requests that arrive in one rest, later than @p settlingTime after its request. */
-std::ptrdiff_t maxArrivalsInRest(const std::vector<SentRequest> &sent, milliseconds settlingTime)
+/** Returns the largest number of requests that arrive in one back-off, later than @p settlingTime after its request. */
+std::ptrdiff_t maxArrivalsInBackoff(const std::vector<SentRequest> &sent, milliseconds settlingTime)
 {
     std::ptrdiff_t maxArrivals = 0;
     for (const auto &refused : sent) {
-        if (refused.rest) {
+        if (refused.backoff) {
             const auto isInRest = [&](const SentRequest &request) {
                 return request.sentAt >= refused.answeredAt + settlingTime
-                    && request.sentAt < refused.answeredAt + *refused.rest;
+                    && request.sentAt < refused.answeredAt + *refused.backoff;
             };
             maxArrivals = std::max(maxArrivals, std::count_if(sent.begin(), sent.end(), isInRest));
         }
@@ -148,18 +152,18 @@
     return maxArrivals;
 }
 
-/** Returns the longest time from the end of all rests asked for so far to the next request. */
-milliseconds longestIdleAfterRest(const std::vector<SentRequest> &sent)
+/** Returns the longest time from the end of all back-offs asked for so far to the next request. */
+milliseconds longestIdleAfterBackoff(const std::vector<SentRequest> &sent)
 {
     milliseconds longest{0};
-    SteadyTime restUntil{};
+    SteadyTime backoffUntil{};
     for (const auto &request : sent) {
-        if (restUntil != SteadyTime{} && request.sentAt > restUntil) {
-            longest = std::max(longest, std::chrono::duration_cast<milliseconds>(request.sentAt - restUntil));
-            restUntil = {};
+        if (backoffUntil != SteadyTime{} && request.sentAt > backoffUntil) {
+            longest = std::max(longest, std::chrono::duration_cast<milliseconds>(request.sentAt - backoffUntil));
+            backoffUntil = {};
         }
-        if (request.rest) {
-            restUntil = std::max(restUntil, request.answeredAt + *request.rest);
+        if (request.backoff) {
+            backoffUntil = std::max(backoffUntil, request.answeredAt + *request.backoff);
         }
     }
     return longest;
@@ -167,23 +171,23 @@
 
 constexpr auto SettlingTime = 500ms;
 
-// Guards against requests to a target at rest, in any order of requests and refusals, and against a target that gets no
-// work after its rest.
-RC_GTEST_PROP(TargetsAtRest, AreLeftAloneForTheirRestOnly, ())
+// Guards against requests to a target in back-off, in any order of requests and refusals, and against a target that
+// gets no work after its back-off.
+RC_GTEST_PROP(TargetsInBackoff, GetNoRequestsUntilItEndsOnly, ())
 {
     const RefusalLoad load{.arrivalsPerSecond = static_cast<double>(*rc::gen::inRange(2, 150)),
                            .roundTrip = milliseconds(*rc::gen::inRange(1, 400))};
     const auto sent = replay(load, *rc::gen::arbitrary<std::uint64_t>());
-    RC_ASSERT(maxArrivalsInRest(sent, SettlingTime) <= 2);
+    RC_ASSERT(maxArrivalsInBackoff(sent, SettlingTime) <= 2);
     // Longer than any random gap between two arrivals.
-    RC_ASSERT(longestIdleAfterRest(sent) < milliseconds(static_cast<int>(30'000 / load.arrivalsPerSecond)));
+    RC_ASSERT(longestIdleAfterBackoff(sent) < milliseconds(static_cast<int>(30'000 / load.arrivalsPerSecond)));
 }
 
 // Shows that the check above notices an entry that does not apply the statements.
-TEST(TargetsAtRest, GetRequestsIfTheStatementsAreIgnored)
+TEST(TargetsInBackoff, GetRequestsIfTheStatementsAreIgnored)
 {
-    const auto sent = replay({.ignoresRests = true}, 7);
-    EXPECT_GT(maxArrivalsInRest(sent, SettlingTime), 2);
+    const auto sent = replay({.ignoresBackoffs = true}, 7);
+    EXPECT_GT(maxArrivalsInBackoff(sent, SettlingTime), 2);
 }
 
 } // namespace
--- a/tests/gateway/gatewaytargets_test.cpp
+++ b/tests/gateway/gatewaytargets_test.cpp
@@ -31,13 +31,13 @@
 };
 
 const ReturnRow ReturnRows[] = {
-    {"Resting", RestStatement{3s}, 5s, 5s, 1s, false},
-    {"Rested", RestStatement{3s}, 5s, 5s, 3s, true},
+    {"InBackoff", BackoffStatement{3s}, 5s, 5s, 1s, false},
+    {"AfterTheBackoff", BackoffStatement{3s}, 5s, 5s, 3s, true},
     {"Limited", RateLimitStatement{0}, 5s, 5s, 1s, false},
-    {"Leaving", LeavingStatement{}, 5s, 5s, 60s, false},
-    {"LeavingOfUnknownStart", LeavingStatement{}, 0s, 0s, 60s, false},
-    {"LeavingOfAnOlderRun", LeavingStatement{}, 5s, 9s, 60s, true},
-    {"LeavingWithAnEntryOfAnOlderRun", LeavingStatement{}, 5s, 3s, 60s, false},
+    {"Draining", DrainingStatement{}, 5s, 5s, 60s, false},
+    {"DrainingOfUnknownStart", DrainingStatement{}, 0s, 0s, 60s, false},
+    {"DrainingOfAnOlderRun", DrainingStatement{}, 5s, 9s, 60s, true},
+    {"DrainingWithAnEntryOfAnOlderRun", DrainingStatement{}, 5s, 3s, 60s, false},
 };
 
 class ReturningEntries : public testing::TestWithParam<ReturnRow>
@@ -73,10 +73,10 @@
 };
 
 const RefusalRow RefusalRows[] = {
-    {"AllRest", {RestStatement{5s}, RestStatement{3s}}, {}, 2s},
-    {"OneRestsAndOneRefused", {RestStatement{5s}, std::nullopt}, {TargetName("1")}, std::nullopt},
-    {"OneRestsAndOneLeaves", {RestStatement{5s}, LeavingStatement{}}, {}, 4s},
-    {"AllLeave", {LeavingStatement{}, LeavingStatement{}}, {}, std::nullopt},
+    {"AllInBackoff", {BackoffStatement{5s}, BackoffStatement{3s}}, {}, 2s},
+    {"OneInBackoffAndOneRefused", {BackoffStatement{5s}, std::nullopt}, {TargetName("1")}, std::nullopt},
+    {"OneInBackoffAndOneDraining", {BackoffStatement{5s}, DrainingStatement{}}, {}, 4s},
+    {"AllDraining", {DrainingStatement{}, DrainingStatement{}}, {}, std::nullopt},
     {"NoTargets", {}, {}, std::nullopt},
 };
 
@@ -84,8 +84,8 @@
 {
 };
 
-// Guards against callers that are told to come back after the rest of one target although another serves earlier.
-TEST_P(RefusedRequests, AreToldTheFirstEndOfARest)
+// Guards against callers that are told to come back after the back-off of one target although another serves earlier.
+TEST_P(RefusedRequests, AreToldWhenTheFirstTargetAcceptsAgain)
 {
     const auto &row = GetParam();
     SeededRandom random(3);
--- a/tests/gateway/statements_test.cpp
+++ b/tests/gateway/statements_test.cpp
@@ -14,11 +14,11 @@
 
 using Actions = std::vector<TargetAction>;
 
-constexpr auto RestTime = 2s;
-/** What the users require of a gateway that a target has asked for a rest. */
-constexpr auto RestSettlingTime = 500ms;
-constexpr std::ptrdiff_t MaxRequestsInRest = 2;
-/** What the users require of a gateway that has passed on an answer of a target that leaves. */
+constexpr auto BackoffTime = 2s;
+/** What the users require of a gateway that a target has asked to back off. */
+constexpr auto BackoffSettlingTime = 500ms;
+constexpr std::ptrdiff_t MaxRequestsInBackoff = 2;
+/** What the users require of a gateway that has passed on an answer of a target that drains. */
 constexpr auto DrainTime = 2s;
 
 /** Returns a refusal of @p request with the headers @p statement. */
@@ -72,14 +72,14 @@
     ScriptedTarget m_target;
 };
 
-/** Returns the largest number of arrivals between RestSettlingTime and RestTime after any one of @p arrivals, each of
- * which was answered with the request for a rest. */
-std::ptrdiff_t maxArrivalsInRest(const std::vector<SteadyTime> &arrivals)
+/** Returns the largest number of arrivals between BackoffSettlingTime and BackoffTime after any one of @p arrivals,
+ * each of which was answered with the request to back off. */
+std::ptrdiff_t maxArrivalsInBackoff(const std::vector<SteadyTime> &arrivals)
 {
     std::ptrdiff_t maxArrivals = 0;
     for (const auto refusedAt : arrivals) {
-        const auto first = std::lower_bound(arrivals.begin(), arrivals.end(), refusedAt + RestSettlingTime);
-        const auto last = std::lower_bound(arrivals.begin(), arrivals.end(), refusedAt + RestTime);
+        const auto first = std::lower_bound(arrivals.begin(), arrivals.end(), refusedAt + BackoffSettlingTime);
+        const auto last = std::lower_bound(arrivals.begin(), arrivals.end(), refusedAt + BackoffTime);
         maxArrivals = std::max(maxArrivals, last - first);
     }
     return maxArrivals;
@@ -104,13 +104,13 @@
     {"Streams", "POST", "/stream/1", streamResponse},
 };
 
-class TargetsAtRest : public testing::TestWithParam<RequestRow>
+class TargetsInBackoff : public testing::TestWithParam<RequestRow>
 {
 };
 
-std::string restRequest(const std::string &request)
+std::string backoffRefusal(const std::string &request)
 {
-    return refusal(request, "Retry-After: " + std::to_string(RestTime.count()) + "\r\n");
+    return refusal(request, "Retry-After: " + std::to_string(BackoffTime.count()) + "\r\n");
 }
 
 /** Sends requests of several callers through a gateway in front of @p targets for @p duration; returns the answers. */
@@ -143,55 +143,55 @@
                          [status](const auto &answer) { return answer.status == status; });
 }
 
-// Guards against a target that asked for a rest and keeps getting the requests of other callers.
-TEST_P(TargetsAtRest, GetNoRequests)
+// Guards against a target that asked to back off and keeps getting the requests of other callers.
+TEST_P(TargetsInBackoff, GetNoRequests)
 {
-    const RecordingTarget resting(restRequest);
+    const RecordingTarget refusing(backoffRefusal);
     const RecordingTarget other(GetParam().answer);
-    const auto answers = callFor(4s, GetParam(), {&resting.target(), &other.target()});
-    EXPECT_LE(maxArrivalsInRest(resting.arrivals()), MaxRequestsInRest);
+    const auto answers = callFor(4s, GetParam(), {&refusing.target(), &other.target()});
+    EXPECT_LE(maxArrivalsInBackoff(refusing.arrivals()), MaxRequestsInBackoff);
     EXPECT_EQ(countStatus(answers, 200), static_cast<std::ptrdiff_t>(answers.size())) << "the other target serves all";
-    EXPECT_GT(resting.arrivals().size(), 1U) << "it gets work again after its rest";
+    EXPECT_GT(refusing.arrivals().size(), 1U) << "it gets work again after its back-off";
 }
 
-// Guards against requests that are sent to a target at rest because there is no other.
-TEST_P(TargetsAtRest, GetNoRequestsWhenAllRest)
+// Guards against requests that are sent to a target in back-off because there is no other.
+TEST_P(TargetsInBackoff, GetNoRequestsWhenAllAreInBackoff)
 {
-    const RecordingTarget first(restRequest);
-    const RecordingTarget second(restRequest);
+    const RecordingTarget first(backoffRefusal);
+    const RecordingTarget second(backoffRefusal);
     const auto answers = callFor(3s, GetParam(), {&first.target(), &second.target()});
-    EXPECT_LE(maxArrivalsInRest(first.arrivals()), MaxRequestsInRest);
-    EXPECT_LE(maxArrivalsInRest(second.arrivals()), MaxRequestsInRest);
+    EXPECT_LE(maxArrivalsInBackoff(first.arrivals()), MaxRequestsInBackoff);
+    EXPECT_LE(maxArrivalsInBackoff(second.arrivals()), MaxRequestsInBackoff);
     EXPECT_EQ(countStatus(answers, 503), static_cast<std::ptrdiff_t>(answers.size()));
     for (const auto &answer : answers) {
         EXPECT_NE(answer.head.find("Retry-After"), std::string::npos) << "each caller is told when to come back";
     }
 }
 
-INSTANTIATE_TEST_SUITE_P(All, TargetsAtRest, testing::ValuesIn(RequestRows),
+INSTANTIATE_TEST_SUITE_P(All, TargetsInBackoff, testing::ValuesIn(RequestRows),
                          [](const auto &row) { return row.param.name; });
 
-class LeavingTargets : public testing::TestWithParam<RequestRow>
+class DrainingTargets : public testing::TestWithParam<RequestRow>
 {
 };
 
 // Guards against new requests to a target that has said in an answer that it is shutting down.
-TEST_P(LeavingTargets, GetNoRequestsAfterTheDrainTime)
+TEST_P(DrainingTargets, GetNoRequestsAfterTheDrainTime)
 {
-    const RecordingTarget leaving([answer = GetParam().answer](const std::string &request) {
+    const RecordingTarget draining([answer = GetParam().answer](const std::string &request) {
         auto response = answer(request);
         const std::string statement = "Server-Leaving: 1\r\n";
         return response.insert(response.find("\r\n") + 2, statement);
     });
     const RecordingTarget staying(GetParam().answer);
-    const auto answers = callFor(3s, GetParam(), {&leaving.target(), &staying.target()});
-    const auto arrivals = leaving.arrivals();
+    const auto answers = callFor(3s, GetParam(), {&draining.target(), &staying.target()});
+    const auto arrivals = draining.arrivals();
     ASSERT_FALSE(arrivals.empty());
     EXPECT_LE(arrivals.back(), arrivals.front() + DrainTime);
     EXPECT_EQ(countStatus(answers, 200), static_cast<std::ptrdiff_t>(answers.size()));
 }
 
-INSTANTIATE_TEST_SUITE_P(All, LeavingTargets, testing::ValuesIn(RequestRows),
+INSTANTIATE_TEST_SUITE_P(All, DrainingTargets, testing::ValuesIn(RequestRows),
                          [](const auto &row) { return row.param.name; });
 
 } // namespace
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -330,18 +330,18 @@
     const char *description;
     int status;
     std::vector<HttpHeader> headers;
-    std::optional<std::chrono::milliseconds> rest;
-    bool isLeaving;
+    std::optional<std::chrono::milliseconds> backoff;
+    bool isDraining;
     bool isMalformed;
 };
 
 const StatementRow StatementRows[] = {
-    {"a rest", 503, {{"Retry-After", "3"}}, 3000ms, false, false},
-    {"a rest of a fraction of a second", 503, {{"retry-after", "0.25"}}, 250ms, false, false},
-    {"the longer of two rests", 503, {{"Retry-After", "1"}, {"Retry-After", "2"}}, 2000ms, false, false},
-    {"a rest that no clock can hold", 503, {{"Retry-After", "1e300"}}, 1'000'000s, false, false},
+    {"a back-off", 503, {{"Retry-After", "3"}}, 3000ms, false, false},
+    {"a back-off of a fraction of a second", 503, {{"retry-after", "0.25"}}, 250ms, false, false},
+    {"the longer of two back-offs", 503, {{"Retry-After", "1"}, {"Retry-After", "2"}}, 2000ms, false, false},
+    {"a back-off that no clock can hold", 503, {{"Retry-After", "1e300"}}, 1'000'000s, false, false},
     {"a date", 503, {{"Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT"}}, std::nullopt, false, true},
-    {"a negative rest", 503, {{"Retry-After", "-1"}}, std::nullopt, false, true},
+    {"a negative back-off", 503, {{"Retry-After", "-1"}}, std::nullopt, false, true},
     {"not a number", 503, {{"Retry-After", "nan"}}, std::nullopt, false, true},
     {"a readable value beside an unreadable one",
      503,
@@ -350,10 +350,10 @@
      false,
      true},
     {"a delay for callers in another answer", 200, {{"Retry-After", "3"}}, std::nullopt, false, false},
-    {"a target that leaves", 200, {{"Server-Leaving", "1"}}, std::nullopt, true, false},
+    {"a target that drains", 200, {{"Server-Leaving", "1"}}, std::nullopt, true, false},
     {"with the common header prefix", 200, {{"X-Heatherridge-Server-Leaving", "1"}}, std::nullopt, true, false},
-    {"a target that leaves and refuses", 503, {{"Server-Leaving", "1"}, {"Retry-After", "2"}}, 2000ms, true, false},
-    {"a target that does not leave", 200, {{"Server-Leaving", "0"}}, std::nullopt, false, false},
+    {"a target that drains and refuses", 503, {{"Server-Leaving", "1"}, {"Retry-After", "2"}}, 2000ms, true, false},
+    {"a target that does not drain", 200, {{"Server-Leaving", "0"}}, std::nullopt, false, false},
     {"neither", 200, {{"Server-Leaving", "soon"}}, std::nullopt, false, true},
     {"a different target at the address",
      421,
@@ -371,16 +371,16 @@
 {
     const auto &row = GetParam();
     const auto fields = PlatformTraffic().readResponseFields(row.status, row.headers);
-    std::optional<std::chrono::milliseconds> rest;
-    bool isLeaving = false;
+    std::optional<std::chrono::milliseconds> backoff;
+    bool isDraining = false;
     for (const auto &statement : fields.statements) {
-        if (const auto *stated = std::get_if<RestStatement>(&statement)) {
-            rest = stated->duration;
+        if (const auto *stated = std::get_if<BackoffStatement>(&statement)) {
+            backoff = stated->duration;
         }
-        isLeaving = isLeaving || std::holds_alternative<LeavingStatement>(statement);
+        isDraining = isDraining || std::holds_alternative<DrainingStatement>(statement);
     }
-    EXPECT_EQ(rest, row.rest) << row.description;
-    EXPECT_EQ(isLeaving, row.isLeaving) << row.description;
+    EXPECT_EQ(backoff, row.backoff) << row.description;
+    EXPECT_EQ(isDraining, row.isDraining) << row.description;
     EXPECT_EQ(fields.hasMalformedStatement, row.isMalformed) << row.description;
     EXPECT_FALSE(statedLimit(fields.statements).has_value()) << row.description;
 }
