--- a/tests/gateway/statements_test.cpp
+++ b/tests/gateway/statements_test.cpp
@@ -121,6 +121,7 @@
     constexpr auto period = 50ms;
     const GatewayFixture gateway(targets);
     std::vector<std::unique_ptr<RawCaller>> callers;
+    callers.reserve(callerCount);
     for (int caller = 0; caller < callerCount; ++caller) {
         callers.push_back(std::make_unique<RawCaller>(gateway.callerEndpoint()));
     }
