Forget what a target without an entry stated five minutes after its last answer

Cause: a limit has no end of its own, so a target that was replaced while it was limited stayed in the gateway's memory for good, and an entry of its name would have come back with the old limit, whenever. Measured: tests/gateway ReturningEntries, row LimitedLongAgo: failed before, passes now.

--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -81,7 +81,9 @@
 
 void GatewayTargets::tick(SteadyTime now)
 {
-    std::erase_if(m_withoutEntry, [now](const auto &target) { return target.second.admission.isIdle(now); });
+    std::erase_if(m_withoutEntry, [now](const auto &target) {
+        return target.second.admission.isIdle(now) || now - target.second.lastReceivedAt > StatementRetention;
+    });
 }
 
 GatewayTarget *GatewayTargets::find(const TargetName &id)
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -38,6 +38,8 @@
 public:
     /** A target with open requests that sends nothing for longer is stalled, and its whole group with it. */
     static constexpr std::chrono::milliseconds StallTimeout{700};
+    /** How long the statements of a target without an entry are kept after its last answer. */
+    static constexpr std::chrono::minutes StatementRetention{5};
 
     explicit GatewayTargets(ZoneName zone);
 
--- a/tests/gateway/gatewaytargets_test.cpp
+++ b/tests/gateway/gatewaytargets_test.cpp
@@ -34,6 +34,7 @@
     {"InBackoff", BackoffStatement{3s}, 5s, 5s, 1s, false},
     {"AfterTheBackoff", BackoffStatement{3s}, 5s, 5s, 3s, true},
     {"Limited", RateLimitStatement{0}, 5s, 5s, 1s, false},
+    {"LimitedLongAgo", RateLimitStatement{0}, 5s, 5s, GatewayTargets::StatementRetention + 1s, true},
     {"Draining", DrainingStatement{}, 5s, 5s, 60s, false},
     {"DrainingOfUnknownStart", DrainingStatement{}, 0s, 0s, 60s, false},
     {"DrainingOfAnOlderRun", DrainingStatement{}, 5s, 9s, 60s, true},
@@ -52,12 +53,14 @@
     GatewayTargets targets(ZoneName("z"));
     targets.setShares(1, 1);
     targets.setEntries({makeEntry(row.startedAtBefore)});
+    targets.find(Id)->lastReceivedAt = Start;
     targets.applyStatement(*targets.find(Id), row.statement, Start, random);
     targets.setEntries({});
     EXPECT_EQ(targets.find(Id), nullptr);
     const auto now = Start + row.returnsAfter;
     targets.tick(now);
     targets.setEntries({makeEntry(row.startedAtAfter)});
+    targets.find(Id)->admission.recordSent(now); // at a limit, the next request has to wait
     EXPECT_EQ(targets.choose(Service, {}, Urgency::OnTime, now, random).target != nullptr, row.isUsable);
 }
 
