--- a/modules/heatherridge_state/decisions/targetadmission.cpp
+++ b/modules/heatherridge_state/decisions/targetadmission.cpp
@@ -7,7 +7,6 @@
 namespace Heatherridge
 {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 bool TargetAdmission::apply(const TargetStatement &statement, double share, SteadyTime now, RandomSource &random)
