Bound what a gateway holds for all callers together

Cause: each connection has a limit, the sum had none: 1,000 callers that do not read, or that send bodies slowly, hold far more than the host's memory, and the process ends for all.

Change: BufferBudget counts request bodies and unsent answers of all connections against a quarter of the host's memory. Beyond it the connection that holds most ends: a request that is still arriving is refused as not run, another one is closed so that its answer does not look complete.

--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -26,6 +26,12 @@
      .minimum = 1,
      .maximum = 100000,
      .help = "maximum number of callers' connections; further ones are closed"},
+    {.key = "memory-mb",
+     .type = SettingType::Number,
+     .defaultValue = "256",
+     .minimum = 16,
+     .maximum = 1000000,
+     .help = "memory of this host in MiB; a quarter of it may be used for callers' requests and responses"},
     {.key = "grace",
      .type = SettingType::Seconds,
      .defaultValue = "8",
@@ -107,6 +113,10 @@
 /** Bytes per second in one megabit per second. */
 constexpr double BytesPerMegabit = 1e6 / 8;
 
+constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
+/** Share of the host's memory for callers' requests and responses; bodies are copied once on their way to a target. */
+constexpr double CallerMemoryShare = 0.25;
+
 GatewayServer::Options optionsFrom(const Settings &settings)
 {
     const auto window = std::chrono::duration_cast<std::chrono::seconds>(settings.duration("retry-window"));
@@ -130,6 +140,8 @@
                         .zoneRegions = parseZoneRegions(settings.text("zone-regions"))},
             .logPartitions = static_cast<int>(settings.number("log-partitions")),
             .maxConnections = static_cast<std::size_t>(settings.number("max-connections")),
+            .maxHeldBytes = static_cast<std::size_t>(static_cast<double>(settings.number("memory-mb"))
+                                                     * BytesPerMebibyte * CallerMemoryShare),
             .gracePeriod = settings.duration("grace")};
 }
 
--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -148,6 +148,7 @@
               }
               if (!m_rejection) {
                   m_request.body.append(bytes);
+                  m_requestBytes = m_request.body.size();
               }
           })
     , m_phaseSince(std::chrono::steady_clock::now())
@@ -157,6 +158,7 @@
 CallerConnection::~CallerConnection()
 {
     setPhase(Phase::Closed);
+    m_server->buffers.change(m_countedBytes, 0);
 }
 
 void CallerConnection::start()
@@ -199,6 +201,35 @@
     }
 }
 
+std::size_t CallerConnection::heldBytes() const
+{
+    return m_pending.size() + m_requestBytes + m_unsentBytes;
+}
+
+void CallerConnection::endForMemory()
+{
+    if (m_phase == Phase::Receiving) {
+        m_request.body.clear();
+        m_request.body.shrink_to_fit();
+        m_requestBytes = 0;
+        reject(ErrorKind::Overloaded);
+    } else {
+        onCallerDisconnected();
+    }
+    updateHeldBytes();
+}
+
+void CallerConnection::updateHeldBytes()
+{
+    const auto held = m_phase == Phase::Closed ? 0 : heldBytes();
+    m_server->buffers.change(m_countedBytes, held);
+    const bool hasGrown = held > m_countedBytes;
+    m_countedBytes = held;
+    if (hasGrown && m_server->buffers.isExceeded() && m_server->buffersExceeded) {
+        m_server->buffersExceeded();
+    }
+}
+
 void CallerConnection::closeIfIdle()
 {
     if (m_phase == Phase::Waiting) {
@@ -212,6 +243,7 @@
         return;
     }
     setPhase(Phase::Closed);
+    updateHeldBytes();
     asio::error_code ignored; // a close that fails cannot be handled
     m_socket.close(ignored);
 }
@@ -251,6 +283,7 @@
     } else {
         processBytes({m_buffer.data(), size});
     }
+    updateHeldBytes();
     read();
 }
 
@@ -321,8 +354,10 @@
         }
         return;
     }
+    m_unsentBytes += bytes.size();
     m_pendingWrites.push_back({.bytes = std::move(bytes), .done = std::move(done)});
     writeNext();
+    updateHeldBytes();
 }
 
 void CallerConnection::writeNext()
@@ -342,10 +377,12 @@
                       [self = shared_from_this(), batch](const asio::error_code &error, std::size_t) {
                           self->m_isWriting = false;
                           for (const auto &write : *batch) {
+                              self->m_unsentBytes -= write.bytes.size();
                               if (write.done) {
                                   write.done(!error);
                               }
                           }
+                          self->updateHeldBytes();
                           if (error) {
                               self->onCallerDisconnected();
                           } else if (!self->m_pendingWrites.empty()) {
@@ -359,6 +396,8 @@
 void CallerConnection::onResponseFinished(bool keepAlive)
 {
     m_exchange.reset();
+    m_requestBytes = 0;
+    updateHeldBytes();
     if (m_phase != Phase::Answering) {
         return;
     }
@@ -392,6 +431,7 @@
     }
     setPhase(Phase::Closing);
     m_pending.clear();
+    updateHeldBytes();
     asio::error_code ignored; // fails if the caller has disconnected already
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     read();
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_state/decisions/bufferbudget.h"
 #include "heatherridge_state/routing/routingconfig.h"
 #include "heatherridge_transport/direct/callerserver.h"
 #include "heatherridge_transport/http/httpmessagereader.h"
@@ -19,11 +20,18 @@
 /** State that all connections of one CallerServer share. */
 struct CallerServerState
 {
+    explicit CallerServerState(std::size_t maxHeldBytes)
+        : buffers(maxHeldBytes)
+    {
+    }
+
     CallerServer::Handler handler{};
     CallerServer::RejectionHandler makeRejection{};
     ClientLimits limits{};
     bool isDraining = false;
     std::size_t busyCount = 0; ///< connections with an unanswered request
+    BufferBudget buffers; ///< of all connections
+    std::function<void()> buffersExceeded{}; ///< called when the connections hold too much together
     Counter *headTimeouts = nullptr;
     Counter *idleTimeouts = nullptr;
     Counter *callerDisconnects = nullptr;
@@ -56,6 +64,12 @@
     /** Enforces the timeouts at the time @p now. Called every few hundred milliseconds. */
     void tick(SteadyTime now);
 
+    /** Returns the bytes of requests and responses that it holds. */
+    std::size_t heldBytes() const;
+
+    /** Ends the connection because it holds too much: rejects a request that is arriving, closes it otherwise. */
+    void endForMemory();
+
     /** Closes the connection unless a request is in progress. */
     void closeIfIdle();
 
@@ -85,6 +99,7 @@
     void startNextRequest();
     void linger();
     void setPhase(Phase phase);
+    void updateHeldBytes();
     void onCallerDisconnected();
     bool canKeepAlive() const;
 
@@ -100,6 +115,9 @@
     std::array<char, 8192> m_buffer{};
     std::string m_pending; ///< bytes received after the current request
     HttpRequest m_request;
+    std::size_t m_requestBytes = 0; ///< size of the body of the request in progress
+    std::size_t m_unsentBytes = 0; ///< of responses
+    std::size_t m_countedBytes = 0; ///< held bytes as last counted in the budget
     bool m_isKeepAlive = true; ///< the current request allows reuse of the connection
     bool m_isHttp10 = false;
     bool m_expectsContinue = false;
--- a/modules/heatherridge_transport/direct/callerserver.cpp
+++ b/modules/heatherridge_transport/direct/callerserver.cpp
@@ -1,11 +1,15 @@
 #include "heatherridge_transport/direct/callerserver.h"
 
+#include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/callerconnection.h"
 
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <list>
+#include <utility>
 
 namespace Heatherridge
 {
@@ -28,9 +32,11 @@
         : m_options(std::move(options))
         , m_acceptor(loop)
         , m_sweepTimer(loop)
-        , m_state(std::make_shared<CallerServerState>())
+        , m_state(std::make_shared<CallerServerState>(m_options.maxHeldBytes))
         , m_accepted(metrics.counter("heatherridge_caller_connections_total"))
         , m_refused(metrics.counter("heatherridge_caller_connections_refused_total"))
+        , m_endedForMemory(metrics.counter("heatherridge_callers_ended_for_memory_total"))
+        , m_heldBytes(metrics.gauge("heatherridge_caller_held_bytes"))
     {
         m_state->handler = std::move(handler);
         m_state->makeRejection = std::move(makeRejection);
@@ -57,11 +63,47 @@
         if (error) {
             return Error{.detail = "cannot listen on " + toString(m_options.listen) + ": " + error.message()};
         }
+        m_state->buffersExceeded = [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->scheduleEndOfHolders();
+            }
+        };
         accept();
         sweep();
         return Endpoint{.address = m_options.listen.address, .port = m_acceptor.local_endpoint().port()};
     }
 
+    /** Ends connections after the current operation, which may be one of the connection that has to end. */
+    void scheduleEndOfHolders()
+    {
+        if (!std::exchange(m_isEndScheduled, true)) {
+            asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
+                self->m_isEndScheduled = false;
+                self->endLargestHolders();
+            });
+        }
+    }
+
+    /** Ends the connections that hold most until the others fit. */
+    void endLargestHolders()
+    {
+        auto connections = openConnections();
+        while (m_state->buffers.isExceeded()) {
+            std::vector<std::size_t> held(connections.size());
+            std::transform(connections.begin(), connections.end(), held.begin(),
+                           [](const auto &connection) { return connection->heldBytes(); });
+            const auto largest = BufferBudget::largestHolder(held);
+            if (!largest) {
+                break;
+            }
+            m_endedForMemory.add();
+            logEvent(Severity::Warning, "caller-ended-for-memory",
+                     {{"held", std::to_string(held[*largest])}, {"all", std::to_string(m_state->buffers.held())}});
+            connections[*largest]->endForMemory();
+            connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(*largest));
+        }
+    }
+
     void stop()
     {
         asio::error_code ignored; // the process is about to exit
@@ -122,6 +164,7 @@
             for (const auto &connection : self->openConnections()) {
                 connection->tick(now);
             }
+            self->m_heldBytes.set(static_cast<std::int64_t>(self->m_state->buffers.held()));
             self->m_connections.remove_if([](const auto &entry) { return entry.expired(); });
             self->sweep();
         });
@@ -145,6 +188,9 @@
     std::list<std::weak_ptr<CallerConnection>> m_connections;
     Counter &m_accepted;
     Counter &m_refused;
+    Counter &m_endedForMemory;
+    Gauge &m_heldBytes;
+    bool m_isEndScheduled = false;
 };
 
 CallerServer::CallerServer(asio::io_context &loop, Options options, Handler handler, RejectionHandler makeRejection,
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -64,7 +64,9 @@
               *m_adapter.trafficCodec, m_metrics)
         , m_callers(
               m_trafficLoop.context(),
-              {.listen = m_options.listen, .maxConnections = m_options.maxConnections},
+              {.listen = m_options.listen,
+               .maxConnections = m_options.maxConnections,
+               .maxHeldBytes = m_options.maxHeldBytes},
               [this](const auto &exchange) { m_traffic.handle(exchange); },
               [this](ErrorKind kind) { return refusal(kind); }, m_metrics)
         , m_readiness(
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -37,6 +37,7 @@
         GatewayControl::Options control{};
         int logPartitions = 1; ///< partitions of each topic of the platform's log
         std::size_t maxConnections = 1'000; ///< of callers
+        std::size_t maxHeldBytes = 64UL << 20U; ///< of callers' requests and responses
         std::chrono::milliseconds gracePeriod{8'000}; ///< from the stop signal until the process is killed
         /** Time during which new connections still arrive after shutdown has begun: the balancer drops a gateway after
          * two failed readiness checks, a second apart. */
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -24,6 +24,7 @@
         std::shared_ptr<SharedRecords> reports = std::make_shared<SharedRecords>(); ///< shared with other gateways
         std::set<int> partitions{}; ///< partitions of the log assigned to this gateway; if empty, the log never answers
         int logPartitions = 1;
+        std::size_t maxHeldBytes = 64UL << 20U; ///< of callers' requests and responses
     };
 
     /** @param targets all serve the same service */
