Let a sidecar serve each gateway of a large fleet

Cause: a sidecar took 64 connections.

Change: half of the descriptors that the host leaves for sockets; connections without a request end after five seconds, so that those held follow the requests and not the number of gateways. ServeAConnectionOfEachGatewayOfALargeFleet fails without it.

--- a/extras/heatherridge-sidecar/main.cpp
+++ b/extras/heatherridge-sidecar/main.cpp
@@ -14,14 +14,24 @@
      .type = SettingType::Address,
      .required = true,
      .help = "address that serves the keepers of groups"},
+    {.key = "max-descriptors",
+     .type = SettingType::Number,
+     .defaultValue = "2048",
+     .minimum = 256,
+     .maximum = 1000000,
+     .help = "descriptors that this host gives a process; half of those that are left for sockets serve gateways"},
     {.key = "engine", .type = SettingType::Address, .required = true, .help = "the model engine on this host"},
 };
 
+/** Descriptors for files and the log. */
+constexpr long long ReservedDescriptors = 200;
+
 SidecarServer::Options optionsFrom(const Settings &settings)
 {
     return {.process = ProcessName(settings.text("name")),
             .listen = settings.address("listen"),
-            .engine = settings.address("engine")};
+            .engine = settings.address("engine"),
+            .maxConnections = static_cast<std::size_t>(settings.number("max-descriptors") - ReservedDescriptors) / 2};
 }
 
 } // namespace
--- a/modules/heatherridge_transport/direct/sidecarserver.cpp
+++ b/modules/heatherridge_transport/direct/sidecarserver.cpp
@@ -56,10 +56,11 @@
         , m_client(m_loop.context(), {.connectTimeout = std::chrono::milliseconds(200), .maxIdleConnections = 4})
         , m_rankControl(makeRankControl(m_client))
         , m_server(
-              m_loop.context(), {.listen = m_options.listen, .maxConnections = 64},
+              m_loop.context(), {.listen = m_options.listen, .maxConnections = m_options.maxConnections},
               [this](const auto &exchange) { handle(exchange); },
               [](ErrorKind kind) { return errorResponse({.kind = kind}); }, m_metrics)
     {
+        m_server.setLimits({.idleTimeout = IdleTimeout});
     }
 
     Result<std::vector<Endpoint>> start()
--- a/modules/heatherridge_transport/direct/sidecarserver.h
+++ b/modules/heatherridge_transport/direct/sidecarserver.h
@@ -3,6 +3,8 @@
 #include "heatherridge_coordination/groups/rankcontrol.h"
 #include "heatherridge_transport/http/httpclient.h"
 
+#include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -24,8 +26,13 @@
         ProcessName process{};
         Endpoint listen{}; ///< where keepers connect
         Endpoint engine{}; ///< on this host
+        std::size_t maxConnections = 900; ///< of keepers and gateways; further ones read from the engine itself
     };
 
+    /** Connections without a request are closed after this time: most gateways ask a sidecar of another zone less often
+     * than that, so that the connections held do not grow with their number. */
+    static constexpr std::chrono::milliseconds IdleTimeout{5'000};
+
     /** Creates the RankControl that reaches the engine. Called in the constructor. */
     using RankControlFactory = std::function<std::unique_ptr<RankControl>(HttpClient &client)>;
 
--- a/tests/gateway/sidecarrankclient_test.cpp
+++ b/tests/gateway/sidecarrankclient_test.cpp
@@ -1,5 +1,7 @@
+#include "gateway/gatewayfixture.h"
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/direct/sidecarrankclient.h"
+#include "heatherridge_transport/direct/sidecarserver.h"
 #include "support/stubrankcontrol.h"
 
 #include <asio/io_context.hpp>
@@ -122,4 +124,23 @@
 
 INSTANTIATE_TEST_SUITE_P(All, MissingSidecarTest, testing::ValuesIn(MissingSidecarRows));
 
+// Guards against gateways that a sidecar turns away because of their number, and that ask its engine instead: with 99
+// of them and 64 connections, 29,000 requests a second went to the engines.
+TEST(SidecarServers, ServeAConnectionOfEachGatewayOfALargeFleet)
+{
+    constexpr int gateways = 200;
+    SidecarServer sidecar({.listen = {.address = "127.0.0.1"}},
+                          [](HttpClient &) { return std::make_unique<StubRankControl>(); });
+    const auto listening = sidecar.start();
+    ASSERT_EQ(errorIn(listening), nullptr);
+    const auto endpoint = std::get<std::vector<Endpoint>>(listening).front();
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int gateway = 0; gateway < gateways; ++gateway) {
+        callers.push_back(std::make_unique<RawCaller>(endpoint));
+        callers.back()->send("GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n");
+        EXPECT_EQ(callers.back()->receive().status, 404) << "gateway " << gateway;
+    }
+    sidecar.drainAndStop();
+}
+
 } // namespace
