--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -56,6 +56,18 @@
      .minimum = 1,
      .maximum = 600,
      .help = "window over which retries are limited"},
+    {.key = "warm-up-factor",
+     .type = SettingType::Fraction,
+     .defaultValue = "1",
+     .minimum = 1,
+     .maximum = 1000,
+     .help = "requests that a target bears while it warms up, as a multiple of the warm-up rate of its service"},
+    {.key = "warm-up-slack",
+     .type = SettingType::Fraction,
+     .defaultValue = "0",
+     .minimum = 0,
+     .maximum = 100000,
+     .help = "requests a second that a target bears beyond that multiple while it warms up"},
     {.key = "group-count-period",
      .type = SettingType::Milliseconds,
      .defaultValue = "175",
@@ -113,6 +125,11 @@
 /** Bytes per second in one megabit per second. */
 constexpr double BytesPerMegabit = 1e6 / 8;
 
+/**
+ * Topics whose partitions divide work among all gateways. With 24 partitions a topic, 456 gateways have a share. A member
+ * is assigned partitions of 20 topics at most; one more is that of its availability zone.
+ */
+constexpr int ShareTopics = 19;
 constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
 /** Share of the host's memory for callers' requests and responses; bodies are copied once on their way to a target. */
 constexpr double CallerMemoryShare = 0.25;
@@ -120,29 +137,32 @@
 GatewayServer::Options optionsFrom(const Settings &settings)
 {
     const auto window = std::chrono::duration_cast<std::chrono::seconds>(settings.duration("retry-window"));
-    return {.process = ProcessName(settings.text("name")),
-            .zone = ZoneName(settings.text("zone")),
-            .listen = settings.address("listen"),
-            .readyListen = settings.address("ready-listen"),
-            .readyPath = settings.text("ready-path"),
-            .metricsListen = settings.address("metrics-listen"),
-            .retryBudget = {.share = settings.fraction("retry-share"),
-                            .slack = settings.fraction("retry-slack"),
-                            .window = window},
-            .groups = {.countPeriod = settings.duration("group-count-period"),
-                       .minGain = static_cast<double>(settings.number("group-least-gain-percent")) / 100,
-                       .maxCopiesPerRank = static_cast<std::size_t>(settings.number("group-copies")),
-                       .budget = ControlBudget(ZoneName(settings.text("zone")),
-                                               settings.fraction("link-mbps") * BytesPerMegabit)},
-            .sidecarPort = static_cast<int>(settings.number("sidecar-port")),
-            .control = {.withdrawalTime = settings.duration("withdrawal"),
-                        .silenceTime = settings.duration("silence"),
-                        .zoneRegions = parseZoneRegions(settings.text("zone-regions"))},
-            .logPartitions = static_cast<int>(settings.number("log-partitions")),
-            .maxConnections = static_cast<std::size_t>(settings.number("max-connections")),
-            .maxHeldBytes = static_cast<std::size_t>(static_cast<double>(settings.number("memory-mb"))
-                                                     * BytesPerMebibyte * CallerMemoryShare),
-            .gracePeriod = settings.duration("grace")};
+    return {
+        .process = ProcessName(settings.text("name")),
+        .zone = ZoneName(settings.text("zone")),
+        .listen = settings.address("listen"),
+        .readyListen = settings.address("ready-listen"),
+        .readyPath = settings.text("ready-path"),
+        .metricsListen = settings.address("metrics-listen"),
+        .retryBudget = {.share = settings.fraction("retry-share"),
+                        .slack = settings.fraction("retry-slack"),
+                        .window = window},
+        .warmUpTolerance = {.factor = settings.fraction("warm-up-factor"), .slack = settings.fraction("warm-up-slack")},
+        .groups = {.countPeriod = settings.duration("group-count-period"),
+                   .minGain = static_cast<double>(settings.number("group-least-gain-percent")) / 100,
+                   .maxCopiesPerRank = static_cast<std::size_t>(settings.number("group-copies")),
+                   .budget = ControlBudget(ZoneName(settings.text("zone")),
+                                           settings.fraction("link-mbps") * BytesPerMegabit)},
+        .sidecarPort = static_cast<int>(settings.number("sidecar-port")),
+        .control = {.withdrawalTime = settings.duration("withdrawal"),
+                    .silenceTime = settings.duration("silence"),
+                    .zoneRegions = parseZoneRegions(settings.text("zone-regions"))},
+        .logPartitions = static_cast<int>(settings.number("log-partitions")),
+        .sharePartitions = static_cast<int>(settings.number("log-partitions")) * ShareTopics,
+        .maxConnections = static_cast<std::size_t>(settings.number("max-connections")),
+        .maxHeldBytes = static_cast<std::size_t>(static_cast<double>(settings.number("memory-mb")) * BytesPerMebibyte
+                                                 * CallerMemoryShare),
+        .gracePeriod = settings.duration("grace")};
 }
 
 GatewayServer::Adapter adapterFrom(const Settings &settings)
@@ -150,13 +170,18 @@
     return {
         .trafficCodec = std::make_shared<PlatformTraffic>(),
         .makeLogClients =
-            [log = settings.address("log-service")](HttpClient &client, LogEvents events) {
+            [log = settings.address("log-service"), zone = ZoneName(settings.text("zone")),
+             partitions = static_cast<int>(settings.number("log-partitions"))](HttpClient &client, LogEvents events) {
                 const auto calls =
                     std::make_shared<LogClient>(client, LogClient::Options{.endpoint = log}, std::move(events));
-                return GatewayServer::LogClients{.registers = std::make_unique<PlatformLog>(calls),
-                                                 .shares = std::make_unique<PlatformShare>(calls, "group-keepers"),
-                                                 .reports =
-                                                     std::make_unique<PlatformReports>(calls, "heatherridge-crashes")};
+                return GatewayServer::LogClients{
+                    .registers = std::make_unique<PlatformLog>(calls),
+                    .shares = std::make_unique<PlatformShare>(calls,
+                                                              PlatformShare::Options{.name = "group-keepers",
+                                                                                     .topics = ShareTopics,
+                                                                                     .partitionsPerTopic = partitions,
+                                                                                     .zone = zone}),
+                    .reports = std::make_unique<PlatformReports>(calls, "heatherridge-crashes")};
             },
         .makeRankControl =
             [](HttpClient &client) { return std::make_unique<PlatformEngines>(client, PlatformEngines::Options{}); }};
--- a/modules/heatherridge_coordination/feed/workshare.cpp
+++ b/modules/heatherridge_coordination/feed/workshare.cpp
@@ -5,6 +5,16 @@
 namespace Heatherridge
 {
 
+namespace
+{
+
+int partitionOf(std::string_view work, int partitionCount)
+{
+    return static_cast<int>(XXH3_64bits(work.data(), work.size()) % static_cast<std::uint64_t>(partitionCount));
+}
+
+} // namespace
+
 WorkShare::WorkShare(ShareLog &log, Options options)
     : m_log(log)
     , m_options(std::move(options))
@@ -33,8 +43,12 @@
 
 bool WorkShare::isMine(std::string_view work) const
 {
-    const auto partition = XXH3_64bits(work.data(), work.size()) % static_cast<std::uint64_t>(m_options.partitionCount);
-    return !m_hasLeft && m_share.partitions.contains(static_cast<int>(partition));
+    return !m_hasLeft && m_share.partitions.contains(partitionOf(work, m_options.partitionCount));
+}
+
+bool WorkShare::isMineInZone(std::string_view work) const
+{
+    return !m_hasLeft && m_share.zonePartitions.contains(partitionOf(work, m_options.zonePartitionCount));
 }
 
 std::optional<double> WorkShare::fraction() const
@@ -51,6 +65,14 @@
     return own && *own <= 0 && !m_hasLeft ? 1.0 / (m_options.partitionCount + 1) : own;
 }
 
+std::optional<double> WorkShare::zoneFraction() const
+{
+    if (!m_confirmedAt || m_hasLeft || m_share.zonePartitions.empty()) {
+        return std::nullopt;
+    }
+    return static_cast<double>(m_share.zonePartitions.size()) / m_options.zonePartitionCount;
+}
+
 OwnedPartitions WorkShare::ownedPartitions() const
 {
     if (!m_confirmedAt || m_hasLeft) {
--- a/modules/heatherridge_coordination/feed/workshare.h
+++ b/modules/heatherridge_coordination/feed/workshare.h
@@ -19,7 +19,8 @@
 struct ShareAssignment
 {
     std::uint64_t generation = 0;
-    std::set<int> partitions{};
+    std::set<int> partitions{}; ///< that all members share
+    std::set<int> zonePartitions{}; ///< that only the members of the same availability zone share
 };
 
 /** Interface to the platform's assignment of partitions to live members. Single-threaded; answers arrive later on the
@@ -51,7 +52,8 @@
     struct Options
     {
         std::string member{}; ///< unique to this run of the process
-        int partitionCount = 1; ///< number of partitions of the topic
+        int partitionCount = 1; ///< number of partitions that all members share
+        int zonePartitionCount = 1; ///< number of those that the members of one availability zone share
         std::chrono::milliseconds callInterval{450}; ///< a third of the lease, so that two calls may get lost
         std::chrono::milliseconds lease{1'500}; ///< the longest time that a dead member's work is left undone
     };
@@ -65,6 +67,9 @@
     /** Returns whether @p work, any stable name, belongs to this process. */
     bool isMine(std::string_view work) const;
 
+    /** Returns whether @p work belongs to this process among the processes of its availability zone. */
+    bool isMineInZone(std::string_view work) const;
+
     /** Returns the fraction of all work that belongs to this process; the fractions of all live processes add up to 1.
      * Empty before the first answer. */
     std::optional<double> fraction() const;
@@ -78,6 +83,10 @@
     /** Returns the partitions of the last assignment, and until when no other member can have them. */
     OwnedPartitions ownedPartitions() const;
 
+    /** Returns the fraction of the work of its availability zone that belongs to this process; empty if it is unknown
+     * or none. */
+    std::optional<double> zoneFraction() const;
+
     /** Returns whether the log has confirmed the assignment within its lease, so that no other member can have it. */
     bool isConfirmed(SteadyTime now) const;
 
--- a/modules/heatherridge_coordination/groups/expertrebalancer.cpp
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 namespace Heatherridge
 {
@@ -80,45 +81,104 @@
     m_rankMonitor.setTargets(targets);
 }
 
-void ExpertRebalancer::setActive(bool isActive, bool isConfirmed)
+void ExpertRebalancer::setActive(const GroupPredicate &isAssigned, bool isConfirmed)
 {
-    m_isActive = isActive;
-    if (m_isConfirmed && !isConfirmed) {
+    m_isAssigned = isAssigned;
+    const bool hasChanged = m_isConfirmed != isConfirmed;
+    if (hasChanged && !isConfirmed) {
         m_unconfirmedSince = m_now;
-        recordKnownMaps();
-    }
-    if (m_isConfirmed != isConfirmed) {
-        m_takeover.setConfirmed(isConfirmed, m_randomBits());
     }
     m_isConfirmed = isConfirmed;
-    if (isActive) {
-        m_takeover.cancel();
+    for (auto &[name, group] : m_groups) {
+        if (hasChanged) {
+            group.takeover.setConfirmed(isConfirmed, m_randomBits());
+            if (!isConfirmed) {
+                recordKnownMap(name, group);
+            }
+        }
+        updateAssignment(name, group);
     }
-    m_rankMonitor.setFullRate(isRebalancing());
+    updateFullRate();
 }
 
-void ExpertRebalancer::recordKnownMaps()
+void ExpertRebalancer::updateAssignment(const GroupName &name, GroupState &group)
 {
-    m_hasSeenOther = false;
-    m_highestKnownMap = {};
-    for (const auto &[name, monitored] : m_rankMonitor.groups()) {
-        m_highestKnownMap = std::max(m_highestKnownMap, monitored.highestMap);
+    const bool isAbandoned = isUnattended(name, group);
+    const bool isAssigned = m_isAssigned({.name = name, .homeZone = group.homeZone, .isUnattended = isAbandoned});
+    if (isAssigned && isAbandoned && m_now >= group.attendedUntil) {
+        group.attendedUntil = m_now + AttendanceTerm;
+    }
+    if (isAssigned) {
+        group.takeover.cancel();
+    }
+    if (std::exchange(group.isAssigned, isAssigned) != isAssigned) {
+        reportDecision(isAssigned ? "keeper-active" : "keeper-inactive", name, {});
     }
 }
 
-bool ExpertRebalancer::isRebalancing() const
+bool ExpertRebalancer::isUnattended(const GroupName &name, const GroupState &group) const
+{
+    const auto &monitored = m_rankMonitor.group(name);
+    const bool hasReport = monitored.countsRequestReportedAt != SteadyTime{};
+    const bool isOverdue = hasReport && monitored.countsRequestedAgo.value_or(milliseconds(0)) > UnattendedTimeout;
+    return m_now < group.attendedUntil || isOverdue;
+}
+
+void ExpertRebalancer::setPollers(const PollerCounts &pollers)
 {
-    return m_isActive || m_takeover.hasTakenOver();
+    m_rankMonitor.setPollers(pollers);
+}
+
+ExpertRebalancer::GroupState &ExpertRebalancer::stateOf(const GroupName &name)
+{
+    const auto [found, isNew] = m_groups.try_emplace(name);
+    auto &group = found->second;
+    if (isNew) {
+        group.takeover.setConfirmed(m_isConfirmed, m_randomBits());
+        updateAssignment(name, group);
+        updateFullRate();
+    }
+    return group;
+}
+
+void ExpertRebalancer::updateFullRate()
+{
+    std::set<GroupName> groups;
+    for (const auto &[name, group] : m_groups) {
+        if (isRebalancing(group)) {
+            groups.insert(name);
+        }
+    }
+    m_rankMonitor.setFullRateGroups(std::move(groups));
+}
+
+void ExpertRebalancer::recordKnownMap(const GroupName &name, GroupState &group) const
+{
+    group.hasSeenOther = false;
+    group.highestKnownMap = m_rankMonitor.group(name).highestMap;
+}
+
+bool ExpertRebalancer::isRebalancing(const GroupState &group)
+{
+    return group.isAssigned || group.takeover.hasTakenOver();
+}
+
+bool ExpertRebalancer::isRebalancingAny() const
+{
+    return std::any_of(m_groups.begin(), m_groups.end(), [](const auto &entry) { return isRebalancing(entry.second); });
 }
 
 void ExpertRebalancer::checkTakeover(SteadyTime now)
 {
-    if (m_isActive || !m_takeover.tryTakeOver(m_rankMonitor.groups(), now)) {
-        return;
+    for (auto &[name, group] : m_groups) {
+        if (group.isAssigned || !group.takeover.tryTakeOver(m_rankMonitor.group(name), now)) {
+            continue;
+        }
+        updateFullRate();
+        recordKnownMap(name, group); // maps prepared by the rebalancer that is gone do not count as another's activity
+        reportDecision("keeper-takes-over", name,
+                       "no keeper has requested counts, and the log cannot assign the share");
     }
-    m_rankMonitor.setFullRate(true);
-    recordKnownMaps(); // maps prepared by the rebalancer that is gone do not count as another's activity
-    reportDecision("keeper-takes-over", {}, "no keeper has requested counts, and the log cannot assign the share");
 }
 
 void ExpertRebalancer::tick(SteadyTime now)
@@ -129,17 +189,17 @@
     for (auto &[name, group] : m_groups) {
         updateGroup(name, group, now);
     }
-    if (isRebalancing() && m_demandSampler.tick(now, [this] { return ranksToSample(); })) {
+    if (isRebalancingAny() && m_demandSampler.tick(now, [this] { return ranksToSample(); })) {
         handleNewDemand();
     }
     for (auto &[name, group] : m_groups) {
-        if (isRebalancing() && group.needsEvaluation && group.layout
+        if (isRebalancing(group) && group.needsEvaluation && group.layout
             && m_rankMonitor.isOperational(m_rankMonitor.group(name))) {
             evaluateSwitch(name, group, now);
         }
     }
-    if (auto engines = m_rankMonitor.takeUpdates(); engines && m_events.enginesUpdated) {
-        m_events.enginesUpdated(std::move(*engines));
+    if (auto engines = m_rankMonitor.takeUpdates(); !engines.empty() && m_events.enginesUpdated) {
+        m_events.enginesUpdated(std::move(engines));
     }
 }
 
@@ -150,7 +210,8 @@
 
 void ExpertRebalancer::membershipChanged(const GroupName &name)
 {
-    auto &group = m_groups[name];
+    auto &group = stateOf(name);
+    group.homeZone = m_rankMonitor.homeZoneOf(m_rankMonitor.group(name));
     group.layout.reset();
     group.mapSwitch.reset();
     group.recovery.reset();
@@ -159,8 +220,8 @@
 
 void ExpertRebalancer::statusReceived(const GroupName &name, const RankStatus &status)
 {
-    detectOtherRebalancer(status);
-    auto &group = m_groups[name];
+    auto &group = stateOf(name);
+    detectOtherRebalancer(group, status);
     const bool isLeadingRank = status.rank == 0 && status.epoch == m_rankMonitor.group(name).epoch;
     const bool hasOtherMap = status.map != group.layoutMap && status.step >= group.layoutSinceStep;
     if (isLeadingRank && hasOtherMap && group.layout && !group.mapSwitch) {
@@ -168,18 +229,18 @@
     }
 }
 
-void ExpertRebalancer::detectOtherRebalancer(const RankStatus &status)
+void ExpertRebalancer::detectOtherRebalancer(GroupState &group, const RankStatus &status) const
 {
     const auto latestMap = std::max(status.map, status.prepared.value_or(MapNumber{}));
-    if (!m_isConfirmed && latestMap > m_highestKnownMap && !m_ownMapNumbers.contains(latestMap)) {
-        m_hasSeenOther = true;
+    if (!m_isConfirmed && latestMap > group.highestKnownMap && !m_ownMapNumbers.contains(latestMap)) {
+        group.hasSeenOther = true;
     }
 }
 
-bool ExpertRebalancer::mustYield(SteadyTime now) const
+bool ExpertRebalancer::mustYield(const GroupState &group, SteadyTime now) const
 {
     // Two rebalancers that switch one group make each other fail, and each failure holds the group for a second.
-    return !m_isConfirmed && (m_hasSeenOther || now - m_unconfirmedSince < UnconfirmedYieldPeriod);
+    return !m_isConfirmed && (group.hasSeenOther || now - m_unconfirmedSince < UnconfirmedYieldPeriod);
 }
 
 bool ExpertRebalancer::mustDelayUnconfirmedSwitch(const GroupState &group, SteadyTime now) const
@@ -208,7 +269,7 @@
                && (m_rankMonitor.hasStatusesSince(monitored, group.statusesRequestedAt)
                    || now - group.statusesRequestedAt > StatusTimeout)) {
         startSwitch(name, group, now);
-    } else if (isRebalancing() && !group.layout) {
+    } else if (isRebalancing(group) && !group.layout) {
         readExperts(name, group);
     }
 }
@@ -237,13 +298,13 @@
                                        });
 }
 
-bool ExpertRebalancer::isHoldAbandoned(GroupState &group, const MonitoredGroup &monitored, SteadyTime now)
+bool ExpertRebalancer::isHoldAbandoned(GroupState &group, const MonitoredGroup &monitored, SteadyTime now) const
 {
     if (group.jitterDrawnForHoldSince != monitored.heldSince) {
         group.jitterDrawnForHoldSince = monitored.heldSince;
         group.holdTimeoutJitter = milliseconds(m_randomBits() % InactiveJitterWidth.count());
     }
-    const auto extraDelay = isRebalancing() ? milliseconds(0) : InactiveExtraDelay + group.holdTimeoutJitter;
+    const auto extraDelay = isRebalancing(group) ? milliseconds(0) : InactiveExtraDelay + group.holdTimeoutJitter;
     const bool isStandingStill =
         monitored.standstillSince && now - *monitored.standstillSince > StandstillTimeout + extraDelay;
     return isStandingStill || now - monitored.heldSince > ForeignHoldTimeout + extraDelay;
@@ -341,7 +402,7 @@
                     reading->experts[rank] = std::move(*known);
                 }
                 if (--reading->pendingAnswers == 0) {
-                    m_groups[name].isReadingExperts = false;
+                    stateOf(name).isReadingExperts = false;
                     assembleLayout(name, *reading);
                 }
             });
@@ -371,7 +432,7 @@
                              static_cast<std::size_t>(m_profile.expertSlots));
     });
     if (isLayoutComplete) {
-        auto &group = m_groups[name];
+        auto &group = stateOf(name);
         group.layout = std::move(layout);
         group.layoutMap = *map;
         group.layoutSinceStep = 0;
@@ -381,8 +442,9 @@
 std::vector<TargetEntry> ExpertRebalancer::ranksToSample() const
 {
     std::vector<TargetEntry> ranks;
-    for (const auto &[name, monitored] : m_rankMonitor.groups()) {
-        if (m_rankMonitor.isOperational(monitored)) {
+    for (const auto &[name, group] : m_groups) {
+        const auto &monitored = m_rankMonitor.group(name);
+        if (isRebalancing(group) && m_rankMonitor.isOperational(monitored)) {
             const auto targets = m_rankMonitor.targetsOf(monitored);
             ranks.insert(ranks.end(), targets.begin(), targets.end());
         }
@@ -395,8 +457,9 @@
 
 void ExpertRebalancer::addLeadingRanks(std::vector<TargetEntry> &asked) const
 {
-    for (const auto &[name, monitored] : m_rankMonitor.groups()) {
-        if (!m_rankMonitor.isOperational(monitored)) {
+    for (const auto &[name, group] : m_groups) {
+        const auto &monitored = m_rankMonitor.group(name);
+        if (!isRebalancing(group) || !m_rankMonitor.isOperational(monitored)) {
             continue;
         }
         const auto leader = m_rankMonitor.targetsOf(monitored).front();
@@ -414,7 +477,7 @@
     for (auto &[name, group] : m_groups) {
         const auto &monitored = m_rankMonitor.group(name);
         group.needsEvaluation = true;
-        if (m_rankMonitor.isOperational(monitored) && group.layout) {
+        if (isRebalancing(group) && m_rankMonitor.isOperational(monitored) && group.layout) {
             m_lastSkew =
                 std::max(m_lastSkew, layoutSkew(*group.layout, m_demandSampler.demandBySet(), slownessOf(monitored)));
         }
@@ -425,7 +488,7 @@
 {
     const auto &monitored = m_rankMonitor.group(name);
     const bool isFree = !group.mapSwitch && !group.recovery && !group.pendingPlan && !monitored.heldStep;
-    if (!isFree || now < group.noSwitchBefore || mustYield(now)) {
+    if (!isFree || now < group.noSwitchBefore || mustYield(group, now)) {
         return;
     }
     group.needsEvaluation = false;
--- a/modules/heatherridge_coordination/groups/expertrebalancer.h
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.h
@@ -46,20 +46,32 @@
 /** Callbacks of an ExpertRebalancer. */
 struct ExpertRebalancerEvents
 {
-    /** Called after new statuses have arrived, with all engines that have ever reported a status. */
+    /** Called after new statuses have arrived, with the engines that have changed. */
     std::function<void(std::vector<EngineView> engines)> enginesUpdated{};
     /** Called when a decision was made or an action has ended: the event's name, the group, and the inputs as text. */
     std::function<void(std::string_view event, const GroupName &group, const std::string &details)> decisionMade{};
 };
 
+/** A group that needs a rebalancer. */
+struct GroupToAssign
+{
+    GroupName name{};
+    ZoneName homeZone{}; ///< the availability zone of most of its ranks
+    bool isUnattended = false; ///< no rebalancer has read its demand for a while
+};
+
+/** Returns whether a group is assigned to this process. */
+using GroupPredicate = std::function<bool(const GroupToAssign &group)>;
+
 /**
  * Rebalances the experts of one service's groups: measures demand and switches each group to an expert map that spreads
  * the load evenly over its ranks.
  *
- * Log events and the work share `group-keepers` call an active rebalancer the keeper. Any number of rebalancers may be
- * active at once, as each switch is safe by itself; limiting it to one only saves orders. An inactive one monitors the
- * groups, releases passes that stay held, and takes over when the active one is gone and the log is unreachable, see
- * RebalancerTakeover. One thread; driven by tick().
+ * Log events and the work share `group-keepers` call a rebalancer that is active for a group its keeper. The groups are
+ * divided among the processes. Any number of rebalancers may be active for a group at once, as each switch is safe by
+ * itself; limiting it to one only saves orders. An inactive one monitors the groups, releases passes that stay held,
+ * and takes over when the active one is gone and the log is unreachable, see RebalancerTakeover. One thread; driven by
+ * tick().
  */
 class ExpertRebalancer
 {
@@ -96,6 +108,11 @@
      */
     static constexpr std::chrono::milliseconds UnconfirmedSwitchDelay{900};
 
+    /** A group counts as unattended when no rebalancer has read its demand for this time. */
+    static constexpr std::chrono::milliseconds UnattendedTimeout{5'000};
+    /** How long a rebalancer attends to such a group before it checks again whether the home zone has one. */
+    static constexpr std::chrono::milliseconds AttendanceTerm{30'000};
+
     ExpertRebalancer(RankControl &control, ExpertRebalancerOptions options, ExpertRebalancerEvents events,
                      const Clock &clock, std::function<std::uint64_t()> randomBits);
 
@@ -107,11 +124,14 @@
                     std::chrono::milliseconds longestPause);
 
     /**
-     * Sets whether this rebalancer measures demand and switches maps.
+     * Sets for which groups this rebalancer measures demand and switches maps.
      * @param isConfirmed false while it cannot know whether another has taken over; it then yields to any other that it
      * detects
      */
-    void setActive(bool isActive, bool isConfirmed);
+    void setActive(const GroupPredicate &isAssigned, bool isConfirmed);
+
+    /** Sets the estimated numbers of processes that monitor the same engines. */
+    void setPollers(const PollerCounts &pollers);
 
     /** Performs all actions that are due. */
     void tick(SteadyTime now);
@@ -149,6 +169,12 @@
         std::optional<MapSwitchPlan> pendingPlan{}; ///< a switch that waits for fresh statuses
         SteadyTime statusesRequestedAt{}; ///< when the fresh statuses were requested
         SteadyTime noSwitchBefore{}; ///< no switch starts earlier
+        bool isAssigned = false; ///< to this rebalancer
+        ZoneName homeZone{};
+        SteadyTime attendedUntil{}; ///< by this rebalancer, though no rebalancer of the home zone has shown up
+        RebalancerTakeover takeover{};
+        bool hasSeenOther = false; ///< a map of another rebalancer was seen since the share became unconfirmed
+        MapNumber highestKnownMap{}; ///< that was seen while the share was confirmed
         std::optional<SteadyTime> imbalancedSince{}; ///< since when a switch is worthwhile but has not started
         SteadyTime lossyUntil{}; ///< orders were lost; until then only switches with a large gain
         SteadyTime switchStartedAt{};
@@ -160,7 +186,7 @@
     void statusReceived(const GroupName &name, const RankStatus &status);
     void updateGroup(const GroupName &name, GroupState &group, SteadyTime now);
     void checkHold(const GroupName &name, GroupState &group, SteadyTime now);
-    bool isHoldAbandoned(GroupState &group, const MonitoredGroup &monitored, SteadyTime now);
+    bool isHoldAbandoned(GroupState &group, const MonitoredGroup &monitored, SteadyTime now) const;
     void updateSwitch(const GroupName &name, GroupState &group, SteadyTime now);
     bool isAnotherGroupHeld(const GroupState &group) const;
     void updateRecovery(const GroupName &name, GroupState &group, SteadyTime now);
@@ -174,10 +200,15 @@
     RankSlowness slownessOf(const MonitoredGroup &monitored) const;
     void startSwitch(const GroupName &name, GroupState &group, SteadyTime now);
     void checkTakeover(SteadyTime now);
-    bool isRebalancing() const;
-    void recordKnownMaps();
-    void detectOtherRebalancer(const RankStatus &status);
-    bool mustYield(SteadyTime now) const;
+    GroupState &stateOf(const GroupName &name);
+    void updateAssignment(const GroupName &name, GroupState &group);
+    bool isUnattended(const GroupName &name, const GroupState &group) const;
+    static bool isRebalancing(const GroupState &group);
+    bool isRebalancingAny() const;
+    void updateFullRate();
+    void recordKnownMap(const GroupName &name, GroupState &group) const;
+    void detectOtherRebalancer(GroupState &group, const RankStatus &status) const;
+    bool mustYield(const GroupState &group, SteadyTime now) const;
     bool mustDelayUnconfirmedSwitch(const GroupState &group, SteadyTime now) const;
     MapNumber allocateMapNumber(const GroupName &name);
     void reportDecision(std::string_view event, const GroupName &group, const std::string &details) const;
@@ -192,14 +223,11 @@
     RankMonitor m_rankMonitor;
     std::map<GroupName, GroupState> m_groups;
     DemandSampler m_demandSampler;
-    bool m_isActive = false;
+    GroupPredicate m_isAssigned = [](const GroupToAssign &) { return false; };
     bool m_isConfirmed = true;
-    RebalancerTakeover m_takeover;
     SteadyTime m_now{}; ///< of the last tick
     SteadyTime m_unconfirmedSince{};
-    bool m_hasSeenOther = false; ///< a map of another rebalancer was seen since then
     std::set<MapNumber> m_ownMapNumbers; ///< numbers of the maps that this rebalancer has made ranks prepare
-    MapNumber m_highestKnownMap{}; ///< of all maps that were seen while it was confirmed
     double m_lastSkew = 0;
     std::shared_ptr<int> m_alive;
 };
--- a/modules/heatherridge_coordination/groups/rankmonitor.cpp
+++ b/modules/heatherridge_coordination/groups/rankmonitor.cpp
@@ -33,7 +33,9 @@
     : m_control(control)
     , m_options(std::move(options))
     , m_events(std::move(events))
+    , m_nearPeriod(m_options.period)
     , m_farPeriod(m_options.period)
+    , m_farHolderPeriod(m_options.period)
     , m_alive(std::make_shared<int>(0))
 {
 }
@@ -43,46 +45,74 @@
     for (const auto &target : targets) {
         m_engines[target.id].target = target;
     }
-    const auto erased = std::erase_if(m_engines, [&targets](const auto &entry) {
-        return std::none_of(targets.begin(), targets.end(),
-                            [&entry](const auto &target) { return target.id == entry.first; });
-    });
+    std::set<TargetName> registered;
+    for (const auto &target : targets) {
+        registered.insert(target.id);
+    }
+    const auto erased =
+        std::erase_if(m_engines, [&registered](const auto &entry) { return !registered.contains(entry.first); });
     if (erased > 0) {
         for (const auto &[name, group] : m_groups) {
             rebuildGroup(name);
         }
     }
-    const auto farCount = std::count_if(targets.begin(), targets.end(),
-                                        [this](const auto &target) { return !m_options.budget.isInOwnZone(target); });
-    m_farPeriod = m_options.budget.remoteStatusPeriod(static_cast<std::size_t>(farCount), m_options.period);
+    m_farCount = static_cast<std::size_t>(std::count_if(
+        targets.begin(), targets.end(), [this](const auto &target) { return !m_options.budget.isInOwnZone(target); }));
+    updatePeriods();
+}
+
+void RankMonitor::setPollers(const PollerCounts &pollers)
+{
+    m_pollers = pollers;
+    updatePeriods();
+}
+
+void RankMonitor::updatePeriods()
+{
+    m_nearPeriod = std::max(m_options.period, ControlBudget::sharedNearStatusPeriod(m_pollers.inZone));
+    const auto shared = ControlBudget::sharedStatusPeriod(m_pollers.all);
+    m_farPeriod = std::max(m_options.budget.remoteStatusPeriod(m_farCount, m_options.period), shared);
+    m_farHolderPeriod = std::max(m_options.period, shared);
 }
 
-void RankMonitor::setFullRate(bool isFullRate)
+void RankMonitor::setFullRateGroups(std::set<GroupName> groups)
 {
-    m_isFullRate = isFullRate;
+    m_fullRateGroups = std::move(groups);
 }
 
 void RankMonitor::tick(SteadyTime now)
 {
     // A group that is forming or held accepts no streams, and the time until a status shows that it has resumed is
     // lost: it is polled at twice the rate.
-    const int rateFactor = isSettled() ? 1 : 2;
+    std::set<GroupName> settledGroups;
+    for (const auto &[name, group] : m_groups) {
+        if (isSettled(name)) {
+            settledGroups.insert(name);
+        }
+    }
     for (auto &[id, engine] : m_engines) {
+        const int rateFactor = settledGroups.contains(engine.lastGroup) ? 1 : 2;
         if (now - engine.requestedAt >= pollPeriodOf(engine) / rateFactor) {
             requestStatus(engine, now);
         }
     }
 }
 
-bool RankMonitor::isPolledClosely(const MonitoredEngine &engine) const
+milliseconds RankMonitor::pollPeriodOf(const MonitoredEngine &engine) const
 {
+    if (m_fullRateGroups.contains(engine.lastGroup)) {
+        return m_options.period;
+    }
     const bool mayHold = engine.status && engine.status->rank <= LastHoldingRank;
-    return m_isFullRate || mayHold || m_options.budget.isInOwnZone(engine.target);
+    if (m_options.budget.isInOwnZone(engine.target)) {
+        return mayHold || isOutdated(engine) ? m_options.period : m_nearPeriod;
+    }
+    return mayHold ? m_farHolderPeriod : m_farPeriod;
 }
 
-milliseconds RankMonitor::pollPeriodOf(const MonitoredEngine &engine) const
+bool RankMonitor::isOutdated(const MonitoredEngine &engine) const
 {
-    return isPolledClosely(engine) ? m_options.period : m_farPeriod;
+    return !engine.status || engine.status->epoch != group(engine.lastGroup).epoch;
 }
 
 int RankMonitor::missesUntilLost(const MonitoredEngine &engine) const
@@ -90,11 +120,23 @@
     return std::max(MinMissesUntilLost, static_cast<int>(MissesUntilLost * m_options.period / pollPeriodOf(engine)));
 }
 
-bool RankMonitor::isSettled() const
+bool RankMonitor::isSettled(const GroupName &name) const
 {
-    return !m_groups.empty() && std::all_of(m_groups.begin(), m_groups.end(), [this](const auto &entry) {
-        return isOperational(entry.second) && !entry.second.heldStep;
-    });
+    const auto &monitored = group(name);
+    return isOperational(monitored) && !monitored.heldStep;
+}
+
+ZoneName RankMonitor::homeZoneOf(const MonitoredGroup &group) const
+{
+    std::map<ZoneName, int> ranks;
+    for (const auto &id : group.ranks) {
+        if (const auto found = m_engines.find(id); found != m_engines.end()) {
+            ++ranks[found->second.target.zone];
+        }
+    }
+    const auto most =
+        std::max_element(ranks.begin(), ranks.end(), [](const auto &a, const auto &b) { return a.second < b.second; });
+    return most == ranks.end() ? ZoneName() : most->first;
 }
 
 void RankMonitor::requestStatuses(const MonitoredGroup &group, SteadyTime now)
@@ -160,36 +202,51 @@
     group.lastHeldStep = std::max(group.lastHeldStep, step);
 }
 
-std::optional<std::vector<EngineView>> RankMonitor::takeUpdates()
+std::vector<EngineView> RankMonitor::takeUpdates()
 {
-    if (!std::exchange(m_hasUpdates, false)) {
-        return std::nullopt;
+    std::set<GroupName> acceptingGroups;
+    for (const auto &[name, monitored] : m_groups) {
+        if (acceptsStreams(monitored)) {
+            acceptingGroups.insert(name);
+        }
     }
     std::vector<EngineView> views;
-    for (const auto &[id, engine] : m_engines) {
+    for (auto &[id, engine] : m_engines) {
         if (engine.lastGroup.isEmpty()) {
             continue;
         }
-        if (!engine.status) {
-            // Reported as not open, as otherwise its last status would stand: dead engines received 1,066 attempts in a
-            // day.
-            views.push_back({.target = id, .group = engine.lastGroup, .requestedAt = engine.requestedAt});
-            continue;
+        auto view = viewOf(engine, acceptingGroups);
+        if (std::exchange(engine.hasUpdate, false) || view.isOpen != engine.wasOpen) {
+            engine.wasOpen = view.isOpen;
+            views.push_back(std::move(view));
         }
-        const auto &status = *engine.status;
-        const auto &monitored = group(status.group);
-        views.push_back({.target = id,
-                         .group = status.group,
-                         .isOpen = status.epoch == monitored.epoch && acceptsStreams(monitored),
-                         .running = status.running,
-                         .waiting = status.waiting,
-                         .pace = status.slowdown,
-                         .passTime = monitored.passTime,
-                         .requestedAt = engine.requestedAt});
     }
     return views;
 }
 
+EngineView RankMonitor::viewOf(const MonitoredEngine &engine, const std::set<GroupName> &acceptingGroups) const
+{
+    if (!engine.status) {
+        // Reported as not open, as otherwise its last status would stand: dead engines received 1,066 attempts in a
+        // day.
+        return {.target = engine.target.id,
+                .group = engine.lastGroup,
+                .isGroupOpen = acceptingGroups.contains(engine.lastGroup),
+                .requestedAt = engine.requestedAt};
+    }
+    const auto &status = *engine.status;
+    const auto &monitored = group(status.group);
+    return {.target = engine.target.id,
+            .group = status.group,
+            .isGroupOpen = acceptingGroups.contains(status.group),
+            .isOpen = status.epoch == monitored.epoch && acceptingGroups.contains(status.group),
+            .running = status.running,
+            .waiting = status.waiting,
+            .pace = status.slowdown,
+            .passTime = monitored.passTime,
+            .requestedAt = engine.requestedAt};
+}
+
 void RankMonitor::requestStatus(MonitoredEngine &engine, SteadyTime now)
 {
     if (engine.isRequestPending) {
@@ -222,7 +279,7 @@
     // reports the rank again.
     const auto group = engine.status->group;
     engine.status.reset();
-    m_hasUpdates = true;
+    engine.hasUpdate = true;
     rebuildGroup(group);
 }
 
@@ -234,7 +291,7 @@
     engine.lastGroup = status.group;
     engine.statusRequestedAt = now;
     engine.missedStatuses = 0;
-    m_hasUpdates = true;
+    engine.hasUpdate = true;
     if (status.group.isEmpty()) {
         return;
     }
--- a/modules/heatherridge_coordination/groups/rankmonitor.h
+++ b/modules/heatherridge_coordination/groups/rankmonitor.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Heatherridge
@@ -18,7 +19,8 @@
 {
     TargetName target{};
     GroupName group{};
-    bool isOpen = false; ///< its group is operating
+    bool isGroupOpen = false; ///< its group accepts streams
+    bool isOpen = false; ///< so does the engine itself
     int running = 0; ///< requests of all senders
     int waiting = 0;
     double pace = 1; ///< over 1: it takes this many times as long as usual
@@ -52,8 +54,10 @@
  * A status describes one rank; which ranks form a group, whether it operates, how long its passes take and whether it
  * stands still follows from the statuses of all of them. An engine that does not answer is dropped after two seconds,
  * or after two requests if these are further apart: its rank is empty until another engine reports it. Ranks of other
- * availability zones are polled as rarely as the budget demands, except for those at which passes are held. One thread;
- * driven by tick().
+ * availability zones are polled as rarely as the budget demands, those at which passes are held more often. Ranks of
+ * the own zone are polled at the base period unless many processes share it; then only those at which passes are held,
+ * those of groups that this process rebalances and those that have missed a change of their group. One thread; driven
+ * by tick().
  */
 class RankMonitor
 {
@@ -79,9 +83,13 @@
     void setTargets(const std::vector<TargetEntry> &targets);
 
     /**
-     * Sets whether all ranks are polled as often as near ones: a rebalancer that switches maps has to know each rank.
+     * Sets the groups whose ranks are all polled as often as near ones: a rebalancer that switches maps of a group has
+     * to know each of its ranks.
      */
-    void setFullRate(bool isFullRate);
+    void setFullRateGroups(std::set<GroupName> groups);
+
+    /** Sets the estimated numbers of processes that poll the same engines. */
+    void setPollers(const PollerCounts &pollers);
 
     /** Sends the status requests that are due. */
     void tick(SteadyTime now);
@@ -104,6 +112,9 @@
     /** Returns whether all statuses of @p group were requested at @p time or later. */
     bool hasStatusesSince(const MonitoredGroup &group, SteadyTime time) const;
 
+    /** Returns the availability zone of most of the known ranks of @p group; the null name if none is known. */
+    ZoneName homeZoneOf(const MonitoredGroup &group) const;
+
     /** Returns the ranks of @p group, which must be operational. */
     std::vector<TargetEntry> targetsOf(const MonitoredGroup &group) const;
 
@@ -114,10 +125,10 @@
     void recordHeldStep(const GroupName &name, std::uint64_t step);
 
     /**
-     * Returns all engines that have ever reported a status; nothing if no status has arrived or was dropped since the
-     * last call.
+     * Returns the engines that have reported a status, were dropped, or whose group has opened or closed since the last
+     * call. In a large service these are few of all engines.
      */
-    std::optional<std::vector<EngineView>> takeUpdates();
+    std::vector<EngineView> takeUpdates();
 
 private:
     struct MonitoredEngine
@@ -129,6 +140,8 @@
         SteadyTime statusRequestedAt{}; ///< when the last status that arrived was requested
         int missedStatuses = 0; ///< consecutive status requests without an answer
         bool isRequestPending = false;
+        bool hasUpdate = false; ///< that takeUpdates() has not returned yet
+        bool wasOpen = false; ///< as last returned by takeUpdates()
     };
 
     void requestStatus(MonitoredEngine &engine, SteadyTime now);
@@ -139,20 +152,25 @@
     void updateHold(MonitoredGroup &group, SteadyTime now) const;
     static void updatePassTime(MonitoredGroup &group, const RankStatus &status, SteadyTime now);
     static void updateCountsRequest(MonitoredGroup &group, const RankStatus &status, SteadyTime now);
-    bool isSettled() const;
-    bool isPolledClosely(const MonitoredEngine &engine) const;
+    bool isSettled(const GroupName &group) const;
+    void updatePeriods();
+    bool isOutdated(const MonitoredEngine &engine) const;
     std::chrono::milliseconds pollPeriodOf(const MonitoredEngine &engine) const;
     int missesUntilLost(const MonitoredEngine &engine) const;
     bool acceptsStreams(const MonitoredGroup &group) const;
+    EngineView viewOf(const MonitoredEngine &engine, const std::set<GroupName> &acceptingGroups) const;
 
     RankControl &m_control;
     Options m_options;
     Events m_events;
     std::map<TargetName, MonitoredEngine> m_engines;
     std::map<GroupName, MonitoredGroup> m_groups;
+    std::size_t m_farCount = 0; ///< engines in other zones
+    PollerCounts m_pollers;
+    std::chrono::milliseconds m_nearPeriod{};
     std::chrono::milliseconds m_farPeriod{};
-    bool m_isFullRate = false;
-    bool m_hasUpdates = false; ///< changes that takeUpdates() has not returned yet
+    std::chrono::milliseconds m_farHolderPeriod{}; ///< of ranks in other zones at which passes are held
+    std::set<GroupName> m_fullRateGroups;
     std::shared_ptr<int> m_alive;
 };
 
--- a/modules/heatherridge_coordination/groups/rebalancertakeover.cpp
+++ b/modules/heatherridge_coordination/groups/rebalancertakeover.cpp
@@ -1,6 +1,5 @@
 #include "heatherridge_coordination/groups/rebalancertakeover.h"
 
-#include <algorithm>
 #include <optional>
 
 namespace Heatherridge
@@ -9,20 +8,11 @@
 namespace
 {
 
-/**
- * Returns how long ago a rebalancer last requested counts from any rank; nothing when no rank has reported recently.
- */
-std::optional<std::chrono::milliseconds> timeSinceLastCountsRequest(const std::map<GroupName, MonitoredGroup> &groups,
-                                                                    SteadyTime now)
+/** Returns how long ago a rebalancer last requested counts of @p group; nothing when it has not reported recently. */
+std::optional<std::chrono::milliseconds> timeSinceLastCountsRequest(const MonitoredGroup &group, SteadyTime now)
 {
-    std::optional<std::chrono::milliseconds> shortest;
-    for (const auto &[name, monitored] : groups) {
-        if (monitored.countsRequestedAgo
-            && now - monitored.countsRequestReportedAt <= RebalancerTakeover::MaxReportAge) {
-            shortest = shortest ? std::min(*shortest, *monitored.countsRequestedAgo) : *monitored.countsRequestedAgo;
-        }
-    }
-    return shortest;
+    const bool isRecent = now - group.countsRequestReportedAt <= RebalancerTakeover::MaxReportAge;
+    return isRecent ? group.countsRequestedAgo : std::nullopt;
 }
 
 } // namespace
@@ -36,12 +26,12 @@
     m_hasTakenOver = m_hasTakenOver && !isConfirmed;
 }
 
-bool RebalancerTakeover::tryTakeOver(const std::map<GroupName, MonitoredGroup> &groups, SteadyTime now)
+bool RebalancerTakeover::tryTakeOver(const MonitoredGroup &group, SteadyTime now)
 {
     if (m_isConfirmed || m_hasTakenOver) {
         return false;
     }
-    const auto elapsed = timeSinceLastCountsRequest(groups, now);
+    const auto elapsed = timeSinceLastCountsRequest(group, now);
     m_hasTakenOver = elapsed && *elapsed > TakeoverTimeout + m_jitter;
     return m_hasTakenOver;
 }
--- a/modules/heatherridge_coordination/groups/rebalancertakeover.h
+++ b/modules/heatherridge_coordination/groups/rebalancertakeover.h
@@ -5,13 +5,12 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 
 namespace Heatherridge
 {
 
 /**
- * Decides when an inactive rebalancer takes over although the log has not given it the work share.
+ * Decides when an inactive rebalancer takes over one group although the log has not given it the work share.
  *
  * Load pattern: demand for experts shifts every few seconds, and the host of the active rebalancer is stopped or lost
  * while the log is down, so the log cannot give the share to another process until it is back. The processes beside the
@@ -41,10 +40,10 @@
     void setConfirmed(bool isConfirmed, std::uint64_t randomBits);
 
     /**
-     * Returns whether to take over now, based on the reports of the ranks of @p groups. Once it has returned true,
+     * Returns whether to take over @p group now, based on the reports of its ranks. Once it has returned true,
      * hasTakenOver() is true until cancel().
      */
-    bool tryTakeOver(const std::map<GroupName, MonitoredGroup> &groups, SteadyTime now);
+    bool tryTakeOver(const MonitoredGroup &group, SteadyTime now);
 
     /** Ends the takeover: this rebalancer has the share, or the log answers and says who has it. */
     void cancel();
--- a/modules/heatherridge_state/decisions/engineplacement.cpp
+++ b/modules/heatherridge_state/decisions/engineplacement.cpp
@@ -132,14 +132,59 @@
     return sample;
 }
 
+/**
+ * Own-zone engines are preferred while their headroom per engine is at least this fraction of that of all engines:
+ * their passes are then hardly longer than elsewhere.
+ */
+constexpr double OwnZoneHeadroomShare = 0.5;
+
+/** Headroom of groups, split by the availability zones of their engines. */
+struct ZonedHeadroom
+{
+    std::vector<double> all; ///< of each group
+    std::vector<double> ownZone; ///< the part of it that belongs to engines in the entry's own zone
+};
+
+ZonedHeadroom splitHeadroom(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &candidates,
+                            std::span<const EngineGroup> groups)
+{
+    std::vector<double> engineCounts(groups.size(), 0);
+    std::vector<double> ownZoneCounts(groups.size(), 0);
+    for (const auto index : candidates) {
+        const auto &engine = engines[index];
+        engineCounts[engine.group] += 1;
+        ownZoneCounts[engine.group] += engine.target.isInOwnZone ? 1 : 0;
+    }
+    ZonedHeadroom headroom{.all = std::vector<double>(groups.size(), 0),
+                           .ownZone = std::vector<double>(groups.size(), 0)};
+    for (std::size_t group = 0; group < groups.size(); ++group) {
+        if (engineCounts[group] > 0) {
+            headroom.all[group] = std::max(groups[group].headroom, 0.0);
+            headroom.ownZone[group] = headroom.all[group] * ownZoneCounts[group] / engineCounts[group];
+        }
+    }
+    return headroom;
+}
+
+/** Returns the weights with which groups are drawn. */
+std::vector<double> groupWeights(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &candidates,
+                                 std::span<const EngineGroup> groups)
+{
+    auto headroom = splitHeadroom(engines, candidates, groups);
+    const auto ownZoneEngines = std::count_if(candidates.begin(), candidates.end(),
+                                              [&](auto index) { return engines[index].target.isInOwnZone; });
+    const auto total = std::accumulate(headroom.all.begin(), headroom.all.end(), 0.0);
+    const auto ownZone = std::accumulate(headroom.ownZone.begin(), headroom.ownZone.end(), 0.0);
+    const bool hasOwnZoneHeadroom = ownZone * static_cast<double>(candidates.size())
+        >= OwnZoneHeadroomShare * total * static_cast<double>(ownZoneEngines);
+    return ownZone > 0 && hasOwnZoneHeadroom ? std::move(headroom.ownZone) : std::move(headroom.all);
+}
+
 /** Draws a group, weighted by its headroom, and returns those of @p candidates that belong to it. */
 std::vector<std::size_t> drawGroup(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &candidates,
                                    std::span<const EngineGroup> groups, RandomSource &random)
 {
-    std::vector<double> headroom(groups.size(), 0);
-    for (const auto index : candidates) {
-        headroom[engines[index].group] = std::max(groups[engines[index].group].headroom, 0.0);
-    }
+    const auto headroom = groupWeights(engines, candidates, groups);
     double remaining = random.fraction() * std::accumulate(headroom.begin(), headroom.end(), 0.0);
     std::size_t drawnGroup = engines[candidates.front()].group;
     for (std::size_t group = 0; group < groups.size(); ++group) {
--- a/modules/heatherridge_state/groups/controlbudget.cpp
+++ b/modules/heatherridge_state/groups/controlbudget.cpp
@@ -45,4 +45,14 @@
                       std::max(period, MaxRemoteStatusPeriod));
 }
 
+milliseconds ControlBudget::sharedStatusPeriod(double pollers)
+{
+    return std::chrono::duration_cast<milliseconds>(Seconds(pollers / MaxSharedStatusesPerSecond));
+}
+
+milliseconds ControlBudget::sharedNearStatusPeriod(double pollers)
+{
+    return std::chrono::duration_cast<milliseconds>(Seconds(pollers / MaxSharedNearStatusesPerSecond));
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_state/groups/controlbudget.h
+++ b/modules/heatherridge_state/groups/controlbudget.h
@@ -10,6 +10,13 @@
 namespace Heatherridge
 {
 
+/** Numbers of processes that poll the same ranks. */
+struct PollerCounts
+{
+    double all = 1;
+    double inZone = 1; ///< in the same availability zone as this one
+};
+
 /**
  * Limits how often a process polls the statuses of ranks, and from how many ranks it polls expert selection counts.
  *
@@ -38,6 +45,14 @@
      */
     static constexpr std::chrono::milliseconds MaxRemoteStatusPeriod{3'000};
 
+    /**
+     * Statuses that all processes of other availability zones together request from one rank in a second. Each of them
+     * sends few requests to ranks of other zones, however many processes there are.
+     */
+    static constexpr double MaxSharedStatusesPerSecond = 5;
+    /** The same for the processes of its own zone. */
+    static constexpr double MaxSharedNearStatusesPerSecond = 12.5;
+
     /** @param bytesPerSecond capacity of the link; 0 for unlimited */
     ControlBudget(ZoneName zone, double bytesPerSecond);
 
@@ -55,6 +70,12 @@
     /** Returns the polling period for the statuses of @p remoteRanks ranks in other zones, at least @p period. */
     std::chrono::milliseconds remoteStatusPeriod(std::size_t remoteRanks, std::chrono::milliseconds period) const;
 
+    /** Returns the polling period with which @p pollers processes together keep MaxSharedStatusesPerSecond. */
+    static std::chrono::milliseconds sharedStatusPeriod(double pollers);
+
+    /** Returns the polling period with which @p pollers processes together keep MaxSharedNearStatusesPerSecond. */
+    static std::chrono::milliseconds sharedNearStatusPeriod(double pollers);
+
 private:
     ZoneName m_zone;
     double m_bytesPerSecond;
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -58,6 +58,7 @@
               m_trafficLoop.context(),
               {.zone = m_options.zone,
                .zoneRegions = m_options.control.zoneRegions,
+               .warmUpTolerance = m_options.warmUpTolerance,
                .retryBudget = m_options.retryBudget,
                .reportCrash =
                    [this](const auto &report) { m_controlLoop.post([this, report] { m_crashFeed.report(report); }); }},
@@ -84,7 +85,8 @@
         , m_ranks(m_client, {.port = m_options.sidecarPort}, m_adapter.makeRankControl(m_client), m_metrics)
         , m_workShare(*m_logClients.shares,
                       {.member = m_options.process.text() + "-" + std::to_string(m_entropy()),
-                       .partitionCount = m_options.logPartitions})
+                       .partitionCount = m_options.sharePartitions,
+                       .zonePartitionCount = m_options.logPartitions})
         , m_crashFeed(*m_logClients.reports, {.busyPollTimeout = GatewayControl::rulesWait(m_options.control)},
                       {.received = [this](auto reports) { onCrashReports(std::move(reports)); },
                        .failed = [this](auto call, const auto &error) { onCrashFeedFailed(call, error); },
@@ -203,19 +205,31 @@
         m_workShare.tick(now);
         m_crashFeed.tick(now);
         updateShares();
+        const auto pollers = countPollers();
         for (auto &[service, rebalancer] : m_rebalancers) {
-            const bool isAssigned = m_workShare.isMine(service.text());
-            if (isAssigned != m_activeRebalancers.contains(service)) {
-                logEvent(Severity::Info, isAssigned ? "keeper-active" : "keeper-inactive",
-                         {{"service", service.text()}});
-                isAssigned ? void(m_activeRebalancers.insert(service)) : void(m_activeRebalancers.erase(service));
-            }
-            rebalancer->setActive(isAssigned, m_workShare.isConfirmed(now));
+            rebalancer->setActive([this, &service](const GroupToAssign &group) { return isAssigned(service, group); },
+                                  m_workShare.isConfirmed(now));
+            rebalancer->setPollers(pollers);
             rebalancer->tick(now);
             m_groupSkew.set(static_cast<std::int64_t>(rebalancer->lastSkew() * 100));
         }
     }
 
+    /** Estimates how many gateways there are from the work that the log has assigned to this one. */
+    PollerCounts countPollers() const
+    {
+        const auto share = m_workShare.nonZeroFraction().value_or(0);
+        return {.all = share > 0 ? 1 / share : 1, .inZone = 1 / m_workShare.zoneFraction().value_or(1)};
+    }
+
+    /** Counts are read by a gateway of the zone of most ranks, since bytes between zones are charged. */
+    bool isAssigned(const ServiceName &service, const GroupToAssign &group) const
+    {
+        const auto work = service.text() + "/" + group.name.text();
+        return group.homeZone == m_options.zone ? m_workShare.isMineInZone(work)
+                                                : group.isUnattended && m_workShare.isMine(work);
+    }
+
     /** Divides the retry slack and the targets' limits among the gateways as the log divides the work. */
     void updateShares()
     {
@@ -352,7 +366,6 @@
     std::map<ServiceName, std::unique_ptr<ExpertRebalancer>> m_rebalancers;
     std::optional<double> m_budgetShare; ///< last share posted to the traffic thread
     OwnedPartitions m_ownedPartitions; ///< last ones posted to the traffic thread
-    std::set<ServiceName> m_activeRebalancers; ///< services whose groups this gateway rebalances
 };
 
 GatewayServer::GatewayServer(Options options, Adapter adapter)
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -32,10 +32,12 @@
         std::string readyPath{}; ///< path of its readiness checks
         Endpoint metricsListen{}; ///< no metrics are served if the port is 0
         FleetRetryBudgetOptions retryBudget{};
+        WarmUpTolerance warmUpTolerance{};
         ExpertRebalancerOptions groups{};
         int sidecarPort = 0; ///< port of the sidecars beside model engines; 0 if there are none
         GatewayControl::Options control{};
         int logPartitions = 1; ///< partitions of each topic of the platform's log
+        int sharePartitions = 1; ///< partitions by which work is divided among the gateways, over several topics
         std::size_t maxConnections = 1'000; ///< of callers
         std::size_t maxHeldBytes = 64UL << 20U; ///< of callers' requests and responses
         std::chrono::milliseconds gracePeriod{8'000}; ///< from the stop signal until the process is killed
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -33,9 +33,10 @@
 
 } // namespace
 
-GatewayTargets::GatewayTargets(ZoneName zone, ZoneRegions regions)
+GatewayTargets::GatewayTargets(ZoneName zone, ZoneRegions regions, WarmUpTolerance tolerance)
     : m_zone(std::move(zone))
     , m_zoneRegions(std::move(regions))
+    , m_warmUpTolerance(tolerance)
 {
 }
 
@@ -206,13 +207,19 @@
     std::vector<EngineCandidate> engines;
     std::vector<GroupName> groupNames;
     std::vector<GroupLoad> groupWork;
+    std::vector<SteadyTime> reportedAt; ///< latest status of each group
     std::map<GroupName, std::size_t> groupIndices;
     for (std::size_t index = 0; index < targets.size(); ++index) {
         const auto &view = *targets[index]->engine;
         const auto group = groupIndices.try_emplace(view.group, groupWork.size()).first->second;
         if (group == groupWork.size()) {
             groupNames.push_back(view.group);
-            groupWork.push_back({.reportedPass = view.passTime});
+            groupWork.push_back({});
+            reportedAt.push_back({});
+        }
+        if (view.requestedAt >= reportedAt[group]) {
+            reportedAt[group] = view.requestedAt;
+            groupWork[group].reportedPass = view.passTime;
         }
         addToGroup(groupWork[group], *targets[index], candidates[index].load, now);
         engines.push_back({.target = candidates[index],
@@ -304,8 +311,8 @@
 {
     AdmissionShare share{.rateLimit = m_limitShare};
     const auto warmUp = warmUpOf(target.entry.service);
-    if (warmUp.requestsPerSecond > 0 && target.admission.isWarmingUp(now)) {
-        share.warmUpRequests = m_warmUpShare.maxRequests(target.entry.id, warmUp.requestsPerSecond, now);
+    if (warmUp.rate.perSecond > 0 && target.admission.isWarmingUp(now)) {
+        share.warmUpRequests = m_warmUpShare.maxRequests(target.entry.id, warmUp.rate, now);
     }
     return share;
 }
@@ -335,8 +342,10 @@
     m_passTimeModels.clear();
     m_warmUps.clear();
     for (const auto &service : config.services) {
+        const double rate = service.warmUpRequestsPerSecond;
+        const double tolerated = rate * m_warmUpTolerance.factor + m_warmUpTolerance.slack;
         m_warmUps[service.name] = {.duration = service.warmUpTime,
-                                   .requestsPerSecond = service.warmUpRequestsPerSecond};
+                                   .rate = {.perSecond = rate, .reserve = std::max(0.0, tolerated - rate)}};
         if (!service.engine || service.engine->layerSets == 0) {
             continue;
         }
@@ -354,7 +363,7 @@
 void GatewayTargets::updateEngines(const std::vector<EngineView> &engines)
 {
     for (const auto &engine : engines) {
-        m_groups[engine.group].setOpen(engine.isOpen, engine.requestedAt);
+        m_groups[engine.group].setOpen(engine.isGroupOpen, engine.requestedAt);
         auto *target = find(engine.target);
         if (target == nullptr) {
             continue;
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -30,6 +30,13 @@
     TargetAdmission admission{}; ///< by its own statements
 };
 
+/** Requests beyond the warm-up rate of its service that a target bears while it warms up. */
+struct WarmUpTolerance
+{
+    double factor = 1; ///< of the rate; 1 or more
+    double slack = 0; ///< requests a second beyond that
+};
+
 /** What a request needs of its target. */
 struct TargetRequirements
 {
@@ -61,7 +68,7 @@
     /** How long the statements of a target without an entry are kept after its last answer. */
     static constexpr std::chrono::minutes StatementRetention{5};
 
-    GatewayTargets(ZoneName zone, ZoneRegions regions);
+    GatewayTargets(ZoneName zone, ZoneRegions regions, WarmUpTolerance tolerance = {});
 
     /** Replaces the registered targets. @returns the targets that are no longer registered */
     std::vector<TargetName> setEntries(const std::vector<TargetEntry> &entries, SteadyTime now);
@@ -138,7 +145,7 @@
     struct WarmUp
     {
         std::chrono::milliseconds duration{0};
-        double requestsPerSecond = 0; ///< 0: not limited
+        WarmUpRate rate{}; ///< 0: not limited
     };
 
     /** The targets that can take a request, and why others cannot. */
@@ -167,6 +174,7 @@
 
     ZoneName m_zone;
     ZoneRegions m_zoneRegions;
+    WarmUpTolerance m_warmUpTolerance;
     std::set<ZoneName> m_drainedZones;
     std::map<ServiceName, WarmUp> m_warmUps;
     WarmUpShare m_warmUpShare;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -44,7 +44,7 @@
     , m_codec(codec)
     , m_metrics(metrics)
     , m_counters(metrics)
-    , m_targets(m_options.zone, m_options.zoneRegions)
+    , m_targets(m_options.zone, m_options.zoneRegions, m_options.warmUpTolerance)
     , m_pool(loop, metrics)
     , m_probe(loop, m_options.connectTimeout, metrics)
     , m_crashGuard({.reportCreated = m_options.reportCrash,
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -37,6 +37,7 @@
     {
         ZoneName zone{};
         ZoneRegions zoneRegions{};
+        WarmUpTolerance warmUpTolerance{};
         FleetRetryBudgetOptions retryBudget{};
         std::chrono::milliseconds connectTimeout{300}; ///< 100 round trips; TCP resends a lost SYN only after 1 s
         /** Called with this gateway's reports on requests that crash targets, to publish to the other gateways. */
--- a/modules/heatherridge_transport/direct/placementrefusal.cpp
+++ b/modules/heatherridge_transport/direct/placementrefusal.cpp
@@ -34,7 +34,7 @@
         return {.kind = ErrorKind::Overloaded, .detail = "all targets are full", .retryAfter = EnginesFullRetryAfter};
     case NoChoiceReason::AllHeldBack:
         return {.kind = ErrorKind::Overloaded,
-                .detail = "all targets are at a limit, in back-off or warming up",
+                .detail = "all targets are at their limit, in back-off or warming up",
                 .retryAfter = heldFor.value_or(EnginesFullRetryAfter)};
     case NoChoiceReason::ZonesDrained:
         return {.kind = ErrorKind::ZoneDrained,
--- a/tests/decisions/engineplacement_test.cpp
+++ b/tests/decisions/engineplacement_test.cpp
@@ -259,4 +259,54 @@
     EXPECT_LE(entries.maxStreamsPerEngine(), 10);
 }
 
+struct ZoneCase
+{
+    const char *name;
+    int zones;
+    double ownHeadroom; ///< of each group of the entry's own zone
+    double otherHeadroom;
+    double minOwnShare; ///< of the streams that stay in the own zone
+    double maxOwnShare;
+};
+
+const ZoneCase ZoneCases[] = {
+    {"EvenLoad", 5, 100, 100, 0.99, 1},         {"OwnZoneBusier", 5, 60, 100, 0.99, 1},
+    {"OwnZoneNearlyFull", 5, 10, 100, 0, 0.2},  {"OwnZoneFull", 5, 0, 100, 0, 0},
+    {"AtTwiceTheZones", 10, 100, 100, 0.99, 1}, {"OneZone", 1, 100, 0, 1, 1},
+};
+
+class ZonedGroups : public testing::TestWithParam<ZoneCase>
+{
+};
+
+// Guards against streams that cross zones because their group was drawn without regard to zones: with a group in each
+// of five zones, four of five did.
+TEST_P(ZonedGroups, KeepStreamsInTheZoneWhileItHasHeadroom)
+{
+    const auto &zoneCase = GetParam();
+    constexpr int ranks = 32;
+    EngineFleet fleet;
+    for (int zone = 0; zone < zoneCase.zones; ++zone) {
+        const double headroom = zone == 0 ? zoneCase.ownHeadroom : zoneCase.otherHeadroom;
+        fleet.groups.push_back({.hasHeadroom = headroom > 0, .headroom = headroom});
+        for (int rank = 0; rank < ranks; ++rank) {
+            fleet.engines.push_back({.target = {.load = 1, .slots = Batch, .isInOwnZone = zone == 0},
+                                     .group = static_cast<std::size_t>(zone)});
+        }
+    }
+    SeededRandom random(9);
+    constexpr int streams = 1'000;
+    int inOwnZone = 0;
+    for (int stream = 0; stream < streams; ++stream) {
+        const auto choice = placeStream(fleet.engines, fleet.groups, {.share = 0.01}, random);
+        ASSERT_TRUE(choice.index);
+        inOwnZone += fleet.engines[*choice.index].target.isInOwnZone ? 1 : 0;
+    }
+    EXPECT_GE(inOwnZone, zoneCase.minOwnShare * streams);
+    EXPECT_LE(inOwnZone, zoneCase.maxOwnShare * streams);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, ZonedGroups, testing::ValuesIn(ZoneCases),
+                         [](const auto &row) { return row.param.name; });
+
 } // namespace
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -124,6 +124,7 @@
                                                                       .readyPath = "/ready",
                                                                       .retryBudget = {.slack = 800},
                                                                       .logPartitions = options.logPartitions,
+                                                                      .sharePartitions = options.logPartitions,
                                                                       .maxHeldBytes = options.maxHeldBytes,
                                                                       .balancerDetectionTime = milliseconds(200)},
                                                std::move(adapter));
--- a/tests/heldgroups/heldgroupsimulation.cpp
+++ b/tests/heldgroups/heldgroupsimulation.cpp
@@ -1,5 +1,7 @@
 #include "heldgroupsimulation.h"
 
+#include "heldgroups/groupassignments.h"
+
 #include <algorithm>
 #include <cstdio>
 #include <map>
@@ -258,7 +260,7 @@
                                        }},
             fixedClock(), [this] { return m_random.draw(); });
         process->rebalancer->setTargets(targets, profile, milliseconds(120));
-        process->rebalancer->setActive(true, true);
+        process->rebalancer->setActive(everyGroup, true);
         m_processes.push_back(std::move(process));
     }
     shiftDemand();
@@ -275,7 +277,7 @@
 {
     for (auto &process : m_processes) {
         process->pausedUntil = 0;
-        process->rebalancer->setActive(process == m_processes.front(), true);
+        process->rebalancer->setActive(process == m_processes.front() ? everyGroup : noGroup, true);
     }
     advance(duration, false);
 }
@@ -292,8 +294,8 @@
     const auto leaseEnd = m_now + LeaseMs;
     return longestHalt(milliseconds(HolderPauseMs), [&] {
         if (m_now == leaseEnd) {
-            holder.rebalancer->setActive(false, false);
-            m_processes.at(1)->rebalancer->setActive(true, true);
+            holder.rebalancer->setActive(noGroup, false);
+            m_processes.at(1)->rebalancer->setActive(everyGroup, true);
         }
     });
 }
@@ -301,9 +303,9 @@
 milliseconds HeldGroupSimulation::haltWithTwoActiveRebalancers(milliseconds duration)
 {
     runWithoutFaults(milliseconds(2'500));
-    m_processes.at(0)->rebalancer->setActive(true, false);
+    m_processes.at(0)->rebalancer->setActive(everyGroup, false);
     advance(milliseconds(LeaseMs), false); // no other process is given the share before the lease has expired
-    m_processes.at(1)->rebalancer->setActive(true, true);
+    m_processes.at(1)->rebalancer->setActive(everyGroup, true);
     return longestHalt(duration, [] {});
 }
 
--- a/tests/heldgroups/pendingswitchpass_test.cpp
+++ b/tests/heldgroups/pendingswitchpass_test.cpp
@@ -1,4 +1,5 @@
 #include "heatherridge_coordination/groups/expertrebalancer.h"
+#include "heldgroups/groupassignments.h"
 #include "support/stubrankcontrol.h"
 
 #include <gtest/gtest.h>
@@ -128,7 +129,7 @@
     rebalancer.setTargets(
         numberedRanks(Ranks),
         {.layerSets = 1, .experts = Experts, .expertSlots = 3, .spareExpertSlots = 1, .expertCopyTime = 1ms}, 120ms);
-    rebalancer.setActive(true, true);
+    rebalancer.setActive(everyGroup, true);
     const auto count = [&decisions](std::string_view what) {
         return std::count(decisions.begin(), decisions.end(), what);
     };
--- a/tests/heldgroups/rankmonitor_test.cpp
+++ b/tests/heldgroups/rankmonitor_test.cpp
@@ -1,4 +1,5 @@
 #include "heatherridge_coordination/groups/expertrebalancer.h"
+#include "heldgroups/groupassignments.h"
 #include "support/stubrankcontrol.h"
 
 #include <gtest/gtest.h>
@@ -124,10 +125,14 @@
 {
     const auto &testCase = GetParam();
     ScriptedRanks ranks;
-    std::vector<EngineView> views;
+    std::map<TargetName, EngineView> views;
     const FixedClock clock;
-    ExpertRebalancer rebalancer(ranks, {}, {.enginesUpdated = [&](auto engines) { views = std::move(engines); }}, clock,
-                                [] { return 1; });
+    const auto keepLatest = [&views](const std::vector<EngineView> &engines) {
+        for (const auto &engine : engines) {
+            views.insert_or_assign(engine.target, engine);
+        }
+    };
+    ExpertRebalancer rebalancer(ranks, {}, {.enginesUpdated = keepLatest}, clock, [] { return 1; });
     rebalancer.setTargets(numberedRanks(GroupSize), {.layerSets = 1, .experts = 4, .expertSlots = 2}, 120ms);
     SteadyTime now(1h);
     for (const auto &answers : {testCase.before, testCase.after}) {
@@ -137,7 +142,8 @@
             rebalancer.tick(now);
         }
     }
-    EXPECT_EQ(std::count_if(views.begin(), views.end(), [](const auto &view) { return view.isOpen; }), testCase.open)
+    EXPECT_EQ(std::count_if(views.begin(), views.end(), [](const auto &view) { return view.second.isOpen; }),
+              testCase.open)
         << testCase.name;
     const auto knownEngines = std::count_if(testCase.before.begin(), testCase.before.end(),
                                             [](auto answer) { return answer != RankAnswer::None; });
@@ -184,7 +190,7 @@
     ExpertRebalancer rebalancer(ranks, {.budget = ControlBudget(ZoneName("near"), thinLink)}, {}, clock,
                                 [] { return 1; });
     rebalancer.setTargets(targets, {.layerSets = 1, .experts = 4, .expertSlots = 2}, 120ms);
-    rebalancer.setActive(testCase.isActive, true);
+    rebalancer.setActive(testCase.isActive ? everyGroup : noGroup, true);
     SteadyTime now(1h);
     constexpr int ticks = 600;
     for (int tick = 0; tick < ticks; ++tick) {
@@ -239,7 +245,7 @@
     SteadyTime now(1h);
     for (int tick = 0; tick < 200; ++tick) {
         now += 20ms;
-        rebalancer.setActive(false, testCase.isConfirmed);
+        rebalancer.setActive(noGroup, testCase.isConfirmed);
         rebalancer.tick(now);
         if (testCase.fallsSilent && tick == 30) {
             ranks.answers.assign(GroupSize, RankAnswer::None);
@@ -249,7 +255,7 @@
         << testCase.name;
     EXPECT_EQ(ranks.countsRequests > 0, testCase.takesOver) << testCase.name;
     // The log answers again and says who has the share.
-    rebalancer.setActive(false, true);
+    rebalancer.setActive(noGroup, true);
     const int requests = ranks.countsRequests;
     for (int tick = 0; tick < 100; ++tick) {
         now += 20ms;
