--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -126,8 +126,8 @@
 constexpr double BytesPerMegabit = 1e6 / 8;
 
 /**
- * Topics whose partitions divide work among all gateways. With 24 partitions a topic, 456 gateways have a share. A member
- * is assigned partitions of 20 topics at most; one more is that of its availability zone.
+ * Topics whose partitions divide work among all gateways. With 24 partitions a topic, 456 gateways have a share. A
+ * member is assigned partitions of 20 topics at most; one more is that of its availability zone.
  */
 constexpr int ShareTopics = 19;
 constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
--- a/modules/heatherridge_state/decisions/engineplacement.cpp
+++ b/modules/heatherridge_state/decisions/engineplacement.cpp
@@ -136,7 +136,7 @@
  * Own-zone engines are preferred while their headroom per engine is at least this fraction of that of all engines:
  * their passes are then hardly longer than elsewhere.
  */
-constexpr double OwnZoneHeadroomShare = 0.5;
+constexpr double OwnZoneHeadroomShare = 0.85;
 
 /** Headroom of groups, split by the availability zones of their engines. */
 struct ZonedHeadroom
