--- a/modules/heatherridge_coordination/groups/expertrebalancer.cpp
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.cpp
@@ -78,6 +78,7 @@
     m_longestPause = longestPause;
     m_demandSampler.setModelShape(profile.layerSets, profile.experts);
     m_profile = profile;
+    m_rankCount = targets.size();
     m_rankMonitor.setTargets(targets);
 }
 
@@ -104,7 +105,8 @@
 void ExpertRebalancer::updateAssignment(const GroupName &name, GroupState &group)
 {
     const bool isAbandoned = isUnattended(name, group);
-    const bool isAssigned = m_isAssigned({.name = name, .homeZone = group.homeZone, .isUnattended = isAbandoned});
+    const bool isAssigned = m_isAssigned(
+        {.name = name, .homeZone = group.homeZone, .serviceRanks = m_rankCount, .isUnattended = isAbandoned});
     if (isAssigned && isAbandoned && m_now >= group.attendedUntil) {
         group.attendedUntil = m_now + AttendanceTerm;
     }
--- a/modules/heatherridge_coordination/groups/expertrebalancer.h
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.h
@@ -57,6 +57,7 @@
 {
     GroupName name{};
     ZoneName homeZone{}; ///< the availability zone of most of its ranks
+    std::size_t serviceRanks = 0; ///< of all groups of its service
     bool isUnattended = false; ///< no rebalancer has read its demand for a while
 };
 
@@ -221,6 +222,7 @@
     std::chrono::milliseconds m_longestPause{};
     EngineProfile m_profile;
     RankMonitor m_rankMonitor;
+    std::size_t m_rankCount = 0; ///< of all groups
     std::map<GroupName, GroupState> m_groups;
     DemandSampler m_demandSampler;
     GroupPredicate m_isAssigned = [](const GroupToAssign &) { return false; };
--- a/tests/heldgroups/fleet_test.cpp
+++ b/tests/heldgroups/fleet_test.cpp
@@ -202,6 +202,19 @@
     EXPECT_EQ(process.updates, ranks.statusRequests);
 }
 
+// Guards against a process that does not know whether the groups of a service are too many for it.
+TEST(GroupAssignments, TellTheSizeOfTheService)
+{
+    FleetRanks ranks(3);
+    FleetProcess process(ranks, FleetRanks::zoneOf(0), FastLink);
+    std::set<std::size_t> sizes;
+    process.run(1s, [&sizes](const GroupToAssign &group) {
+        sizes.insert(group.serviceRanks);
+        return false;
+    });
+    EXPECT_EQ(sizes, std::set<std::size_t>{3 * GroupSize});
+}
+
 // Guards against one process that keeps the maps of all groups of a service, whatever their number.
 TEST(GroupAssignments, DivideTheGroupsOfAService)
 {
