--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -210,8 +210,9 @@
         updateShares();
         const auto pollers = countPollers();
         for (auto &[service, rebalancer] : m_rebalancers) {
-            rebalancer->setActive([this, &service](const GroupToAssign &group) { return isAssigned(service, group); },
-                                  m_workShare.isConfirmed(now));
+            rebalancer->setActive(
+                [this, &name = service](const GroupToAssign &group) { return isAssigned(name, group); },
+                m_workShare.isConfirmed(now));
             rebalancer->setPollers(pollers);
             rebalancer->tick(now);
             m_groupSkew.set(static_cast<std::int64_t>(rebalancer->lastSkew() * 100));
