--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -168,17 +168,17 @@
     }
     for (const auto &statement : fields.statements) {
         if (m_targets.applyStatement(target, statement, std::chrono::steady_clock::now(), m_random)) {
-            reportStatement(target.entry.id, statement, request);
+            reportStatement(target.entry, statement, request);
         }
     }
 }
 
-void GatewayTraffic::reportStatement(const TargetName &target, const TargetStatement &statement,
+void GatewayTraffic::reportStatement(const TargetEntry &target, const TargetStatement &statement,
                                      const RequestId &request)
 {
     const auto log = [&](std::string_view event, std::string_view name, std::string value) {
         logEvent(Severity::Info, event,
-                 {{"target", target.text()}, {name, std::move(value)}, {"request", request.text()}});
+                 {{"target", target.id.text()}, {name, std::move(value)}, {"request", request.text()}});
     };
     std::visit(Visitor{[&](const RateLimitStatement &limit) {
                            const auto &rate = limit.requestsPerSecond;
@@ -191,7 +191,7 @@
                        },
                        [&](const DrainingStatement &) {
                            m_counters.drainingStatements.add();
-                           log("target-draining", "state", "draining");
+                           log("target-draining", "service", target.service.text());
                        },
                        [&](const WarmUpStatement &warmUp) {
                            m_counters.warmUpStatements.add();
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -123,7 +123,7 @@
     FleetRetryBudget &retryBudgetFor(const ServiceName &service);
     RunningEstimate &firstEventDelayFor(const ServiceName &service);
     void applyTargetStatements(GatewayTarget &target, const TargetResponseFields &fields, const RequestId &request);
-    void reportStatement(const TargetName &target, const TargetStatement &statement, const RequestId &request);
+    void reportStatement(const TargetEntry &target, const TargetStatement &statement, const RequestId &request);
     void enqueue(const std::shared_ptr<GatewayCall> &call, const WaitingStream &stream);
     void admit(std::uint64_t number, SteadyTime now);
     void dequeue(std::uint64_t number);
