Bound the statuses asked of one rank so that small sites keep the usual period

Found on reading the change: with a bound of 5 a second from other zones, four gateways asked far ranks, also those at which passes are held, every 0.8 s instead of 0.4 s. Two nearly equal bounds and functions were one too many.

Change: one bound of 10 a second, four processes at the usual period. Views of engines are built only for those with news: all 960 were still built and thrown away in each tick.

--- a/modules/heatherridge_coordination/groups/rankmonitor.cpp
+++ b/modules/heatherridge_coordination/groups/rankmonitor.cpp
@@ -52,6 +52,7 @@
     const auto erased =
         std::erase_if(m_engines, [&registered](const auto &entry) { return !registered.contains(entry.first); });
     if (erased > 0) {
+        m_hasUpdates = true;
         for (const auto &[name, group] : m_groups) {
             rebuildGroup(name);
         }
@@ -69,7 +70,7 @@
 
 void RankMonitor::updatePeriods()
 {
-    m_nearPeriod = std::max(m_options.period, ControlBudget::sharedNearStatusPeriod(m_pollers.inZone));
+    m_nearPeriod = std::max(m_options.period, ControlBudget::sharedStatusPeriod(m_pollers.inZone));
     const auto shared = ControlBudget::sharedStatusPeriod(m_pollers.all);
     m_farPeriod = std::max(m_options.budget.remoteStatusPeriod(m_farCount, m_options.period), shared);
     m_farHolderPeriod = std::max(m_options.period, shared);
@@ -204,6 +205,9 @@
 
 std::vector<EngineView> RankMonitor::takeUpdates()
 {
+    if (!std::exchange(m_hasUpdates, false)) {
+        return {};
+    }
     std::set<GroupName> acceptingGroups;
     for (const auto &[name, monitored] : m_groups) {
         if (acceptsStreams(monitored)) {
@@ -215,35 +219,34 @@
         if (engine.lastGroup.isEmpty()) {
             continue;
         }
-        auto view = viewOf(engine, acceptingGroups);
-        if (std::exchange(engine.hasUpdate, false) || view.isOpen != engine.wasOpen) {
-            engine.wasOpen = view.isOpen;
-            views.push_back(std::move(view));
+        const bool isOpen = engine.status && !isOutdated(engine) && acceptingGroups.contains(engine.lastGroup);
+        if (std::exchange(engine.hasUpdate, false) || isOpen != engine.wasOpen) {
+            engine.wasOpen = isOpen;
+            views.push_back(viewOf(engine, acceptingGroups.contains(engine.lastGroup)));
         }
     }
     return views;
 }
 
-EngineView RankMonitor::viewOf(const MonitoredEngine &engine, const std::set<GroupName> &acceptingGroups) const
+EngineView RankMonitor::viewOf(const MonitoredEngine &engine, bool isGroupOpen) const
 {
     if (!engine.status) {
         // Reported as not open, as otherwise its last status would stand: dead engines received 1,066 attempts in a
         // day.
         return {.target = engine.target.id,
                 .group = engine.lastGroup,
-                .isGroupOpen = acceptingGroups.contains(engine.lastGroup),
+                .isGroupOpen = isGroupOpen,
                 .requestedAt = engine.requestedAt};
     }
     const auto &status = *engine.status;
-    const auto &monitored = group(status.group);
     return {.target = engine.target.id,
             .group = status.group,
-            .isGroupOpen = acceptingGroups.contains(status.group),
-            .isOpen = status.epoch == monitored.epoch && acceptingGroups.contains(status.group),
+            .isGroupOpen = isGroupOpen,
+            .isOpen = engine.wasOpen,
             .running = status.running,
             .waiting = status.waiting,
             .pace = status.slowdown,
-            .passTime = monitored.passTime,
+            .passTime = group(status.group).passTime,
             .requestedAt = engine.requestedAt};
 }
 
@@ -280,6 +283,7 @@
     const auto group = engine.status->group;
     engine.status.reset();
     engine.hasUpdate = true;
+    m_hasUpdates = true;
     rebuildGroup(group);
 }
 
@@ -292,6 +296,7 @@
     engine.statusRequestedAt = now;
     engine.missedStatuses = 0;
     engine.hasUpdate = true;
+    m_hasUpdates = true;
     if (status.group.isEmpty()) {
         return;
     }
--- a/modules/heatherridge_coordination/groups/rankmonitor.h
+++ b/modules/heatherridge_coordination/groups/rankmonitor.h
@@ -158,7 +158,7 @@
     std::chrono::milliseconds pollPeriodOf(const MonitoredEngine &engine) const;
     int missesUntilLost(const MonitoredEngine &engine) const;
     bool acceptsStreams(const MonitoredGroup &group) const;
-    EngineView viewOf(const MonitoredEngine &engine, const std::set<GroupName> &acceptingGroups) const;
+    EngineView viewOf(const MonitoredEngine &engine, bool isGroupOpen) const;
 
     RankControl &m_control;
     Options m_options;
@@ -171,6 +171,7 @@
     std::chrono::milliseconds m_farPeriod{};
     std::chrono::milliseconds m_farHolderPeriod{}; ///< of ranks in other zones at which passes are held
     std::set<GroupName> m_fullRateGroups;
+    bool m_hasUpdates = false; ///< whether takeUpdates() may have something to return
     std::shared_ptr<int> m_alive;
 };
 
--- a/modules/heatherridge_state/groups/controlbudget.cpp
+++ b/modules/heatherridge_state/groups/controlbudget.cpp
@@ -47,12 +47,7 @@
 
 milliseconds ControlBudget::sharedStatusPeriod(double pollers)
 {
-    return std::chrono::duration_cast<milliseconds>(Seconds(pollers / MaxSharedStatusesPerSecond));
-}
-
-milliseconds ControlBudget::sharedNearStatusPeriod(double pollers)
-{
-    return std::chrono::duration_cast<milliseconds>(Seconds(pollers / MaxSharedNearStatusesPerSecond));
+    return std::chrono::duration_cast<milliseconds>(Seconds(pollers / MaxStatusesPerRank));
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/groups/controlbudget.h
+++ b/modules/heatherridge_state/groups/controlbudget.h
@@ -46,12 +46,10 @@
     static constexpr std::chrono::milliseconds MaxRemoteStatusPeriod{3'000};
 
     /**
-     * Statuses that all processes of other availability zones together request from one rank in a second. Each of them
-     * sends few requests to ranks of other zones, however many processes there are.
+     * Statuses that all processes together request from one rank in a second, however many processes there are. Four
+     * processes may use the usual period.
      */
-    static constexpr double MaxSharedStatusesPerSecond = 5;
-    /** The same for the processes of its own zone. */
-    static constexpr double MaxSharedNearStatusesPerSecond = 12.5;
+    static constexpr double MaxStatusesPerRank = 10;
 
     /** @param bytesPerSecond capacity of the link; 0 for unlimited */
     ControlBudget(ZoneName zone, double bytesPerSecond);
@@ -70,12 +68,9 @@
     /** Returns the polling period for the statuses of @p remoteRanks ranks in other zones, at least @p period. */
     std::chrono::milliseconds remoteStatusPeriod(std::size_t remoteRanks, std::chrono::milliseconds period) const;
 
-    /** Returns the polling period with which @p pollers processes together keep MaxSharedStatusesPerSecond. */
+    /** Returns the polling period with which @p pollers processes together keep MaxStatusesPerRank. */
     static std::chrono::milliseconds sharedStatusPeriod(double pollers);
 
-    /** Returns the polling period with which @p pollers processes together keep MaxSharedNearStatusesPerSecond. */
-    static std::chrono::milliseconds sharedNearStatusPeriod(double pollers);
-
 private:
     ZoneName m_zone;
     double m_bytesPerSecond;
