Keep streams near home only where the zone holds a whole group; decide assignment of groups apart

Change: the zone counts only if it has as many engines as the largest group and these are not more loaded than all by the penalty that placement already has for other zones. Who rebalances a group is decided in the coordination layer, with a table test, and not in the gateway's server.

Tests: GroupsOverZones fails without it; the rows of ZonedGroups now give loads in place of headroom, by the new rule.

--- a/modules/heatherridge_coordination/groups/expertrebalancer.h
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_coordination/groups/demandsampler.h"
+#include "heatherridge_coordination/groups/groupassignment.h"
 #include "heatherridge_coordination/groups/holdrecovery.h"
 #include "heatherridge_coordination/groups/mapswitch.h"
 #include "heatherridge_coordination/groups/rankmonitor.h"
@@ -52,18 +53,6 @@
     std::function<void(std::string_view event, const GroupName &group, const std::string &details)> decisionMade{};
 };
 
-/** A group that needs a rebalancer. */
-struct GroupToAssign
-{
-    GroupName name{};
-    ZoneName homeZone{}; ///< the availability zone of most of its ranks
-    std::size_t serviceRanks = 0; ///< of all groups of its service
-    bool isUnattended = false; ///< no rebalancer has read its demand for a while
-};
-
-/** Returns whether a group is assigned to this process. */
-using GroupPredicate = std::function<bool(const GroupToAssign &group)>;
-
 /**
  * Rebalances the experts of one service's groups: measures demand and switches each group to an expert map that spreads
  * the load evenly over its ranks.
--- a/modules/heatherridge_state/decisions/engineplacement.cpp
+++ b/modules/heatherridge_state/decisions/engineplacement.cpp
@@ -133,20 +133,29 @@
 }
 
 /**
- * Own-zone engines are preferred while their headroom per engine is at least this fraction of that of all engines:
- * their passes are then hardly longer than elsewhere.
+ * Returns whether streams stay in the entry's own zone. It must have as many engines as the largest group: a smaller
+ * part of a group would get more than its share of the group's streams. And its engines must not be more loaded than
+ * all by OtherZonePenalty, since a busy group makes all its streams late.
  */
-constexpr double OwnZoneHeadroomShare = 0.85;
-
-/** Headroom of groups, split by the availability zones of their engines. */
-struct ZonedHeadroom
+bool staysInOwnZone(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &candidates,
+                    double largestGroup)
 {
-    std::vector<double> all; ///< of each group
-    std::vector<double> ownZone; ///< the part of it that belongs to engines in the entry's own zone
-};
+    double load = 0;
+    double ownZoneLoad = 0;
+    double ownZoneEngines = 0;
+    for (const auto index : candidates) {
+        const auto &target = engines[index].target;
+        load += target.load;
+        ownZoneLoad += target.isInOwnZone ? target.load : 0;
+        ownZoneEngines += target.isInOwnZone ? 1 : 0;
+    }
+    const double meanLoad = load / static_cast<double>(candidates.size());
+    return ownZoneEngines >= largestGroup && ownZoneLoad / ownZoneEngines <= meanLoad + OtherZonePenalty;
+}
 
-ZonedHeadroom splitHeadroom(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &candidates,
-                            std::span<const EngineGroup> groups)
+/** Returns the weights with which groups are drawn: their headroom, or the part of it in the entry's own zone. */
+std::vector<double> groupWeights(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &candidates,
+                                 std::span<const EngineGroup> groups)
 {
     std::vector<double> engineCounts(groups.size(), 0);
     std::vector<double> ownZoneCounts(groups.size(), 0);
@@ -155,29 +164,15 @@
         engineCounts[engine.group] += 1;
         ownZoneCounts[engine.group] += engine.target.isInOwnZone ? 1 : 0;
     }
-    ZonedHeadroom headroom{.all = std::vector<double>(groups.size(), 0),
-                           .ownZone = std::vector<double>(groups.size(), 0)};
+    const double largestGroup = *std::max_element(engineCounts.begin(), engineCounts.end());
+    const auto &countedEngines = staysInOwnZone(engines, candidates, largestGroup) ? ownZoneCounts : engineCounts;
+    std::vector<double> weights(groups.size(), 0);
     for (std::size_t group = 0; group < groups.size(); ++group) {
         if (engineCounts[group] > 0) {
-            headroom.all[group] = std::max(groups[group].headroom, 0.0);
-            headroom.ownZone[group] = headroom.all[group] * ownZoneCounts[group] / engineCounts[group];
+            weights[group] = std::max(groups[group].headroom, 0.0) * countedEngines[group] / engineCounts[group];
         }
     }
-    return headroom;
-}
-
-/** Returns the weights with which groups are drawn. */
-std::vector<double> groupWeights(std::span<const EngineCandidate> engines, const std::vector<std::size_t> &candidates,
-                                 std::span<const EngineGroup> groups)
-{
-    auto headroom = splitHeadroom(engines, candidates, groups);
-    const auto ownZoneEngines = std::count_if(candidates.begin(), candidates.end(),
-                                              [&](auto index) { return engines[index].target.isInOwnZone; });
-    const auto total = std::accumulate(headroom.all.begin(), headroom.all.end(), 0.0);
-    const auto ownZone = std::accumulate(headroom.ownZone.begin(), headroom.ownZone.end(), 0.0);
-    const bool hasOwnZoneHeadroom = ownZone * static_cast<double>(candidates.size())
-        >= OwnZoneHeadroomShare * total * static_cast<double>(ownZoneEngines);
-    return ownZone > 0 && hasOwnZoneHeadroom ? std::move(headroom.ownZone) : std::move(headroom.all);
+    return weights;
 }
 
 /** Draws a group, weighted by its headroom, and returns those of @p candidates that belong to it. */
--- a/modules/heatherridge_state/decisions/engineplacement.h
+++ b/modules/heatherridge_state/decisions/engineplacement.h
@@ -67,7 +67,7 @@
  * its group, and a group with a dead rank refuses everything and looks idle.
  *
  * - The group is chosen first: groups that can serve a stream on time are drawn at random, weighted by their headroom,
- *   by that of their engines in the entry's own zone while these have enough of it.
+ *   by that of their engines in the entry's own zone if these are enough and not more loaded than others.
  * - A late stream goes to a group in which no stream can be on time, or uses headroom that would remain in bad moments.
  * - A stream of which the caller has received a part goes to any engine with a free slot.
  * - Within a group the least loaded engine of a random sample is taken. The sample is smaller with more entries: all
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -36,9 +36,6 @@
 /** Name of the task of writing the copies of the rules, which is assigned to one gateway. */
 constexpr std::string_view RulesCopiesTask = "copies-of-rules";
 
-/** Ranks whose groups one gateway keeps: polling them takes a quarter of a core. */
-constexpr std::size_t MaxRanksPerKeeper = 192;
-
 /** With three copies, an outage of a third of the log's partitions seldom makes all of them unreachable. */
 constexpr int MaxRulesCopies = 3;
 
@@ -211,7 +208,9 @@
         const auto pollers = countPollers();
         for (auto &[service, rebalancer] : m_rebalancers) {
             rebalancer->setActive(
-                [this, &name = service](const GroupToAssign &group) { return isAssigned(name, group); },
+                [this, &name = service](const GroupToAssign &group) {
+                    return isAssignedTo(m_workShare, m_options.zone, name, group);
+                },
                 m_workShare.isConfirmed(now));
             rebalancer->setPollers(pollers);
             rebalancer->tick(now);
@@ -226,21 +225,6 @@
         return {.all = share > 0 ? 1 / share : 1, .inZone = 1 / m_workShare.zoneFraction().value_or(1)};
     }
 
-    /**
-     * One gateway keeps all groups of a service while it can read the counts of all their ranks: an average over more
-     * ranks follows demand better. Beyond that the groups are divided, and counts are read by a gateway of the zone of
-     * most ranks, since bytes between zones are charged.
-     */
-    bool isAssigned(const ServiceName &service, const GroupToAssign &group) const
-    {
-        if (group.serviceRanks <= MaxRanksPerKeeper) {
-            return m_workShare.isMine(service.text());
-        }
-        const auto work = service.text() + "/" + group.name.text();
-        return group.homeZone == m_options.zone ? m_workShare.isMineInZone(work)
-                                                : group.isUnattended && m_workShare.isMine(work);
-    }
-
     /** Divides the retry slack and the targets' limits among the gateways as the log divides the work. */
     void updateShares()
     {
