--- a/tests/decisions/engineplacement_test.cpp
+++ b/tests/decisions/engineplacement_test.cpp
@@ -331,7 +331,7 @@
         ASSERT_TRUE(choice.index);
         inFirstGroup += fleet.engines[*choice.index].group == 0 ? 1 : 0;
     }
-    EXPECT_NEAR(inFirstGroup, streams / 2, streams / 10);
+    EXPECT_NEAR(inFirstGroup, streams * 0.5, streams * 0.1);
 }
 
 } // namespace
