--- a/modules/heatherridge_state/demand/fleetdemand.h
+++ b/modules/heatherridge_state/demand/fleetdemand.h
@@ -59,7 +59,7 @@
 struct GatewayStatement
 {
     ProcessName gateway{};
-    std::uint64_t run = 0; ///< of the gateway's process; increases with each start
+    std::uint64_t run = 0; ///< of the gateway's process, random; another one means that it has been restarted
     std::uint64_t sequence = 0; ///< of the statement within the run
     ZoneName zone{};
     HostSize size{};
