--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -99,6 +99,16 @@
     m_targets.setOwnedPartitions(owned, std::chrono::steady_clock::now());
 }
 
+std::vector<ServiceDemand> GatewayTraffic::demand(SteadyTime now) const
+{
+    return m_admissionControl.demand(now);
+}
+
+void GatewayTraffic::setFleetDemand(FleetDemand demand)
+{
+    m_admissionControl.setFleetDemand(std::move(demand));
+}
+
 void GatewayTraffic::refuseStreams()
 {
     m_refusesStreams = true;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -5,6 +5,7 @@
 #include "heatherridge_state/decisions/streamqueue.h"
 #include "heatherridge_state/routing/routetable.h"
 #include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/direct/admissioncontrol.h"
 #include "heatherridge_transport/direct/crashguard.h"
 #include "heatherridge_transport/direct/gatewaytargets.h"
 #include "heatherridge_transport/direct/targetconnectionpool.h"
@@ -74,6 +75,12 @@
     /** Sets the partitions of the log by which the warm-up rates of targets are divided among the gateways. */
     void setOwnedPartitions(const OwnedPartitions &owned);
 
+    /** Returns the demand of this gateway's streams by service, to state to the other gateways. */
+    std::vector<ServiceDemand> demand(SteadyTime now) const;
+
+    /** Replaces the demand at all other gateways. */
+    void setFleetDemand(FleetDemand demand);
+
     /** Refuses new streams from now on, since they could outlast the process. */
     void refuseStreams();
 
@@ -140,6 +147,7 @@
     Metrics &m_metrics;
     Counters m_counters;
     std::shared_ptr<const RouteTable> m_table;
+    AdmissionControl m_admissionControl;
     GatewayTargets m_targets;
     TargetConnectionPool m_pool;
     TargetProbe m_probe;
