--- /dev/null
+++ b/modules/heatherridge_coordination/demand/demandexchange.cpp
@@ -0,0 +1,401 @@
+#include "heatherridge_coordination/demand/demandexchange.h"
+
+#include "heatherridge_state/decisions/targetview.h"
+#include "heatherridge_state/demand/demandsum.h"
+#include "heatherridge_state/demand/demandtable.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+std::uint64_t zoneKey(const ZoneName &zone)
+{
+    return XXH3_64bits(zone.text().data(), zone.text().size());
+}
+
+milliseconds elapsedBetween(SteadyTime start, SteadyTime end)
+{
+    return std::chrono::duration_cast<milliseconds>(end - start);
+}
+
+/** Extends the range from @p smallest to @p largest by another one. A range that begins at 0 is empty. */
+void extendRange(double &smallest, double &largest, double otherSmallest, double otherLargest)
+{
+    if (otherSmallest <= 0) {
+        return;
+    }
+    smallest = smallest > 0 ? std::min(smallest, otherSmallest) : otherSmallest;
+    largest = std::max(largest, otherLargest);
+}
+
+} // namespace
+
+DemandExchange::DemandExchange(DemandLink &link, Options options, Events events)
+    : m_link(link)
+    , m_options(std::move(options))
+    , m_events(std::move(events))
+{
+}
+
+void DemandExchange::setTargets(const std::vector<TargetEntry> &targets)
+{
+    m_candidates.clear();
+    for (const auto &target : targets) {
+        m_candidates[target.zone].push_back(
+            {.hash = rendezvousHash(zoneKey(target.zone), targetKey(target.id)), .target = target});
+    }
+    for (auto &[zone, candidates] : m_candidates) {
+        const auto count = std::min(CandidatesPerZone, candidates.size());
+        std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
+                          [](const auto &a, const auto &b) { return a.hash > b.hash; });
+        candidates.resize(count);
+    }
+    std::erase_if(m_failures, [this](const auto &failure) {
+        return std::none_of(m_candidates.begin(), m_candidates.end(), [&](const auto &zone) {
+            return std::any_of(zone.second.begin(), zone.second.end(),
+                               [&](const auto &candidate) { return candidate.target.id == failure.first; });
+        });
+    });
+    auto home = m_options.zone;
+    if (!m_candidates.contains(home) && !m_candidates.empty()) {
+        home =
+            std::max_element(m_candidates.begin(), m_candidates.end(),
+                             [key = zoneKey(m_options.zone)](const auto &a, const auto &b) {
+                                 return rendezvousHash(key, zoneKey(a.first)) < rendezvousHash(key, zoneKey(b.first));
+                             })
+                ->first;
+    }
+    if (home != m_homeZone) {
+        m_homeZone = home;
+        m_home.reset();
+        m_others.erase(home);
+    }
+}
+
+void DemandExchange::setDifferentiated(bool isDifferentiated)
+{
+    m_isDifferentiated = isDifferentiated;
+}
+
+void DemandExchange::setKnownGateways(PollerCounts gateways)
+{
+    m_knownGateways = gateways;
+}
+
+void DemandExchange::setOwnDemand(std::vector<ServiceDemand> demand)
+{
+    m_ownDemand = std::move(demand);
+    if (std::exchange(m_awaitsDemand, false) && !m_hasLeft) {
+        sendStatement(m_now);
+    }
+}
+
+void DemandExchange::tick(SteadyTime now)
+{
+    m_now = now;
+    if (m_options.mode == DemandExchangeMode::Off || m_hasLeft) {
+        return;
+    }
+    updateMode(now);
+    if (m_wasKnown && !isKnown(now)) {
+        publish(now);
+    }
+    if (now >= m_queryDueAt && !m_isAsking) {
+        queryNextZone(now);
+    }
+    if (now < m_statementDueAt || m_isStating || m_awaitsDemand || exchangePoint(m_homeZone, now) == nullptr) {
+        return;
+    }
+    if (m_events.demandNeeded) {
+        m_awaitsDemand = true;
+        m_events.demandNeeded();
+    } else {
+        sendStatement(now);
+    }
+}
+
+void DemandExchange::leave()
+{
+    if (m_options.mode == DemandExchangeMode::Off || std::exchange(m_hasLeft, true)) {
+        return;
+    }
+    if (const auto *target = exchangePoint(m_homeZone, m_now)) {
+        m_link.send(*target, {.statement = makeStatement(true), .lifetime = lifetime()},
+                    [this, target = *target](const auto &result) { recordEnd(target, result); });
+    }
+}
+
+FleetDemand DemandExchange::demand(SteadyTime now) const
+{
+    FleetDemand fleet{.isKnown = isKnown(now), .isShared = m_isOn};
+    if (!fleet.isKnown) {
+        return fleet;
+    }
+    DemandSum sum;
+    const auto add = [&](const KnownZone &zone) {
+        fleet.gateways += zone.demand.gateways;
+        fleet.age = std::max(fleet.age, elapsedBetween(zone.oldestStatementAt, now));
+        extendRange(fleet.smallestProcessorShare, fleet.largestProcessorShare, zone.demand.smallestProcessorShare,
+                    zone.demand.largestProcessorShare);
+        sum.add(zone.demand.services);
+    };
+    add(*m_home);
+    for (const auto &[name, zone] : m_others) {
+        if (now - zone.summedAt <= ZoneLifetime) {
+            add(zone);
+        }
+    }
+    fleet.services = sum.services(MaxDemandWorkspaces);
+    return fleet;
+}
+
+DemandExchange::Status DemandExchange::status(SteadyTime now) const
+{
+    const auto fleet = demand(now);
+    return {.isOn = m_isOn, .isKnown = fleet.isKnown, .gateways = fleet.gateways, .age = fleet.age, .period = period()};
+}
+
+void DemandExchange::updateMode(SteadyTime now)
+{
+    if (areSizesUnlike(now)) {
+        m_unlikeSizesAt = now;
+    }
+    const bool isOn = m_isDifferentiated || (m_unlikeSizesAt && now - *m_unlikeSizesAt <= SizeMemory);
+    if (isOn == m_isOn) {
+        return;
+    }
+    m_isOn = isOn;
+    if (isOn) {
+        m_statementDueAt = std::min(m_statementDueAt, now);
+        m_queryDueAt = std::min(m_queryDueAt, now);
+    }
+    publish(now);
+}
+
+bool DemandExchange::areSizesUnlike(SteadyTime now)
+{
+    std::erase_if(m_sizes, [now](const auto &entry) { return now - entry.second.seenAt > SizeMemory; });
+    double smallest = m_options.size.processorShare;
+    double largest = smallest;
+    for (const auto &[zone, sizes] : m_sizes) {
+        extendRange(smallest, largest, sizes.smallest, sizes.largest);
+    }
+    return smallest > 0 && largest >= UnlikeSizeRatio * smallest;
+}
+
+milliseconds DemandExchange::period() const
+{
+    if (!m_isOn) {
+        return WatchPeriod;
+    }
+    const double stated = m_home ? m_home->demand.gateways + 1 : 1;
+    const auto gateways =
+        std::min(std::max(stated, m_knownGateways.inZone), static_cast<double>(DemandTable::MaxGateways));
+    return std::max(MinPeriod, PeriodPerGateway * static_cast<int>(std::ceil(gateways)));
+}
+
+milliseconds DemandExchange::lifetime() const
+{
+    return m_isOn ? std::max(MinLifetime, LifetimePeriods * period()) : WatchLifetime;
+}
+
+const TargetEntry *DemandExchange::exchangePoint(const ZoneName &zone, SteadyTime now) const
+{
+    const auto found = m_candidates.find(zone);
+    if (found == m_candidates.end()) {
+        return nullptr;
+    }
+    const auto usable = std::find_if(found->second.begin(), found->second.end(), [&](const Candidate &candidate) {
+        const auto failure = m_failures.find(candidate.target.id);
+        return failure == m_failures.end() || now - failure->second >= FailureTime;
+    });
+    return usable == found->second.end() ? nullptr : &usable->target;
+}
+
+void DemandExchange::sendStatement(SteadyTime now)
+{
+    const auto *target = exchangePoint(m_homeZone, now);
+    if (target == nullptr) {
+        return;
+    }
+    m_statementDueAt = now + period();
+    m_isStating = true;
+    DemandRequest request{.statement = makeStatement(false), .lifetime = lifetime(), .zones = zonesToRelay(now)};
+    m_zoneToRelay = {};
+    m_link.send(*target, request, [this, target = *target, sentAt = now](const auto &result) {
+        onStatementAnswer(target, sentAt, result);
+    });
+}
+
+const ZoneName *DemandExchange::nextZoneToQuery() const
+{
+    std::vector<const ZoneName *> zones;
+    for (const auto &[zone, candidates] : m_candidates) {
+        if (zone != m_homeZone) {
+            zones.push_back(&zone);
+        }
+    }
+    if (zones.empty()) {
+        return nullptr;
+    }
+    if (m_lastQueried.isEmpty()) {
+        return zones[m_options.run % zones.size()]; // so that gateways that start together ask different zones
+    }
+    const auto next =
+        std::find_if(zones.begin(), zones.end(), [this](const auto *zone) { return *zone > m_lastQueried; });
+    return next == zones.end() ? zones.front() : *next;
+}
+
+void DemandExchange::queryNextZone(SteadyTime now)
+{
+    const auto *zone = nextZoneToQuery();
+    if (zone == nullptr) {
+        return;
+    }
+    m_queryDueAt = now + period();
+    m_lastQueried = *zone;
+    const auto *target = exchangePoint(*zone, now);
+    if (target == nullptr) {
+        return;
+    }
+    m_isAsking = true;
+    m_link.send(*target, {},
+                [this, target = *target, sentAt = now](const auto &result) { onQueryAnswer(target, sentAt, result); });
+}
+
+void DemandExchange::onStatementAnswer(const TargetEntry &target, SteadyTime sentAt,
+                                       const Result<DemandResponse> &result)
+{
+    m_isStating = false;
+    const auto *response = recordEnd(target, result);
+    if (response == nullptr) {
+        if (m_isOn) {
+            m_statementDueAt = std::min(m_statementDueAt, sentAt + MinPeriod);
+        }
+        return;
+    }
+    if (m_hasLeft || target.zone != m_homeZone) {
+        return;
+    }
+    const auto &own = response->ownZone;
+    m_home = {.demand = own, .oldestStatementAt = sentAt - own.age, .summedAt = sentAt};
+    learnSizes(own, sentAt);
+    std::erase_if(m_others, [this](const auto &zone) { return m_now - zone.second.summedAt > ZoneLifetime; });
+    for (const auto &zone : response->otherZones) {
+        learnZone(zone, sentAt);
+    }
+    publish(m_now);
+}
+
+void DemandExchange::onQueryAnswer(const TargetEntry &target, SteadyTime sentAt, const Result<DemandResponse> &result)
+{
+    m_isAsking = false;
+    const auto *response = recordEnd(target, result);
+    if (response == nullptr || target.zone == m_homeZone) {
+        return;
+    }
+    learnZone(response->ownZone, sentAt);
+    m_zoneToRelay = target.zone;
+}
+
+const DemandResponse *DemandExchange::recordEnd(const TargetEntry &target, const Result<DemandResponse> &result)
+{
+    std::optional<Error> error;
+    const auto *response = std::get_if<DemandResponse>(&result);
+    if (response == nullptr) {
+        error = *errorIn(result);
+    } else if (response->ownZone.zone != target.zone) {
+        error = {.kind = ErrorKind::BackendFailed,
+                 .detail = "the sidecar belongs to zone '" + response->ownZone.zone.text() + "'"};
+        response = nullptr;
+    }
+    if (error) {
+        m_failures[target.id] = m_now;
+    } else {
+        m_failures.erase(target.id);
+    }
+    if (m_events.callEnded) {
+        m_events.callEnded(target, error ? &*error : nullptr);
+    }
+    return response;
+}
+
+void DemandExchange::learnZone(const ZoneDemand &zone, SteadyTime asOf)
+{
+    const auto summedAt = asOf - zone.summedAgo;
+    const auto known = m_others.find(zone.zone);
+    if (zone.zone == m_homeZone || (known != m_others.end() && known->second.summedAt > summedAt)) {
+        return;
+    }
+    m_others.insert_or_assign(zone.zone,
+                              KnownZone{.demand = zone, .oldestStatementAt = asOf - zone.age, .summedAt = summedAt});
+    learnSizes(zone, summedAt);
+}
+
+void DemandExchange::learnSizes(const ZoneDemand &zone, SteadyTime asOf)
+{
+    if (zone.smallestProcessorShare > 0) {
+        m_sizes[zone.zone] = {
+            .smallest = zone.smallestProcessorShare, .largest = zone.largestProcessorShare, .seenAt = asOf};
+    }
+}
+
+GatewayStatement DemandExchange::makeStatement(bool isLeaving)
+{
+    return {.gateway = m_options.gateway,
+            .run = m_options.run,
+            .sequence = ++m_sequence,
+            .zone = m_options.zone,
+            .size = m_options.size,
+            .services = isLeaving ? std::vector<ServiceDemand>{} : m_ownDemand,
+            .isLeaving = isLeaving};
+}
+
+std::vector<ZoneDemand> DemandExchange::zonesToRelay(SteadyTime now) const
+{
+    const auto zone = m_others.find(m_zoneToRelay);
+    if (zone == m_others.end() || now - zone->second.summedAt > ZoneLifetime) {
+        return {};
+    }
+    auto demand = zone->second.demand;
+    demand.age = elapsedBetween(zone->second.oldestStatementAt, now);
+    demand.summedAgo = elapsedBetween(zone->second.summedAt, now);
+    return {std::move(demand)};
+}
+
+bool DemandExchange::isKnown(SteadyTime now) const
+{
+    return m_home && now - m_home->summedAt <= lifetime();
+}
+
+void DemandExchange::publish(SteadyTime now)
+{
+    const auto fleet = demand(now);
+    m_wasKnown = fleet.isKnown;
+    reportStatus(now);
+    if (m_events.changed) {
+        m_events.changed(fleet);
+    }
+}
+
+void DemandExchange::reportStatus(SteadyTime now)
+{
+    const auto current = status(now);
+    const bool hasChanged = current.isOn != m_reported.isOn || current.isKnown != m_reported.isKnown
+        || current.gateways != m_reported.gateways;
+    m_reported = current;
+    if (hasChanged && m_events.statusChanged) {
+        m_events.statusChanged(current);
+    }
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_state/demand/fleetdemand.h
+++ b/modules/heatherridge_state/demand/fleetdemand.h
@@ -75,6 +75,7 @@
     ZoneName zone{};
     int gateways = 0;
     std::chrono::milliseconds age{0}; ///< of the oldest statement in the sum
+    std::chrono::milliseconds summedAgo{0}; ///< time since the exchange point of the zone calculated the sum
     std::vector<ServiceDemand> services{};
     double smallestProcessorShare = 0; ///< cores, of the gateways that state it; 0 if none does
     double largestProcessorShare = 0;
