--- a/extras/heatherridge-sidecar/main.cpp
+++ b/extras/heatherridge-sidecar/main.cpp
@@ -29,6 +29,7 @@
 SidecarServer::Options optionsFrom(const Settings &settings)
 {
     return {.process = ProcessName(settings.text("name")),
+            .zone = ZoneName(settings.text("zone")),
             .listen = settings.address("listen"),
             .engine = settings.address("engine"),
             .maxConnections = static_cast<std::size_t>(settings.number("max-descriptors") - ReservedDescriptors) / 2};
--- a/modules/heatherridge_coordination/demand/demandexchange.cpp
+++ b/modules/heatherridge_coordination/demand/demandexchange.cpp
@@ -343,10 +343,8 @@
 
 void DemandExchange::learnSizes(const ZoneDemand &zone, SteadyTime asOf)
 {
-    if (zone.smallestProcessorShare > 0) {
-        m_sizes[zone.zone] = {
-            .smallest = zone.smallestProcessorShare, .largest = zone.largestProcessorShare, .seenAt = asOf};
-    }
+    m_sizes[zone.zone] = {
+        .smallest = zone.smallestProcessorShare, .largest = zone.largestProcessorShare, .seenAt = asOf};
 }
 
 GatewayStatement DemandExchange::makeStatement(bool isLeaving)
--- /dev/null
+++ b/modules/heatherridge_transport/direct/gatewaydemand.cpp
@@ -0,0 +1,115 @@
+#include "heatherridge_transport/direct/gatewaydemand.h"
+
+#include "heatherridge_state/routing/rankedservices.h"
+#include "heatherridge_transport/app/logger.h"
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr auto CallsMetric = "heatherridge_demand_calls_total";
+
+DemandExchange::Options exchangeOptions(const GatewayDemand::Options &options)
+{
+    auto exchange = options.exchange;
+    if (options.sidecarPort == 0) {
+        exchange.mode = DemandExchangeMode::Off;
+    }
+    return exchange;
+}
+
+} // namespace
+
+GatewayDemand::GatewayDemand(HttpClient &client, Options options, Events events, Metrics &metrics)
+    : m_answeredCalls(metrics.counter(CallsMetric, R"(result="ok")"))
+    , m_failedCalls(metrics.counter(CallsMetric, R"(result="failed")"))
+    , m_unsupportedCalls(metrics.counter(CallsMetric, R"(result="unsupported")"))
+    , m_malformedCalls(metrics.counter(CallsMetric, R"(result="malformed")"))
+    , m_gatewayCount(metrics.gauge("heatherridge_demand_gateways"))
+    , m_age(metrics.gauge("heatherridge_demand_age_ms"))
+    , m_link(client, {.port = options.sidecarPort})
+    , m_exchange(m_link, exchangeOptions(options), makeEvents(std::move(events)))
+{
+}
+
+DemandExchange::Events GatewayDemand::makeEvents(Events events)
+{
+    return {.changed =
+                [this, changed = std::move(events.changed)](FleetDemand demand) {
+                    m_gatewayCount.set(demand.gateways);
+                    m_age.set(demand.age.count());
+                    changed(std::move(demand));
+                },
+            .demandNeeded = std::move(events.demandNeeded),
+            .callEnded = [this](const auto &target, const auto *error) { onCallEnded(target, error); },
+            .statusChanged = [this](const auto &status) { onStatusChanged(status); }};
+}
+
+void GatewayDemand::update(const RoutingConfig &config, const std::vector<TargetEntry> &targets)
+{
+    std::set<ServiceName> engineServices;
+    for (const auto &service : config.services) {
+        if (service.engine) {
+            engineServices.insert(service.name);
+        }
+    }
+    std::vector<TargetEntry> engines;
+    for (const auto &target : targets) {
+        if (engineServices.contains(target.service)) {
+            engines.push_back(target);
+        }
+    }
+    m_exchange.setTargets(engines);
+    m_exchange.setDifferentiated(!rankedServices(config).empty());
+}
+
+void GatewayDemand::setOwnDemand(std::vector<ServiceDemand> demand)
+{
+    m_exchange.setOwnDemand(std::move(demand));
+}
+
+void GatewayDemand::tick(SteadyTime now, const PollerCounts &gateways)
+{
+    m_exchange.setKnownGateways(gateways);
+    m_exchange.tick(now);
+}
+
+void GatewayDemand::leave()
+{
+    m_exchange.leave();
+}
+
+void GatewayDemand::onCallEnded(const TargetEntry &target, const Error *error)
+{
+    if (error == nullptr) {
+        m_answeredCalls.add();
+        m_failing.erase(target.id);
+        return;
+    }
+    auto &calls = error->kind == ErrorKind::NotFound ? m_unsupportedCalls
+        : error->kind == ErrorKind::MalformedFrame   ? m_malformedCalls
+                                                     : m_failedCalls;
+    calls.add();
+    // Only the first failure in a row is logged: a sidecar of an earlier version fails every few seconds.
+    if (m_failing.insert(target.id).second) {
+        logEvent(Severity::Warning, "demand-call-failed",
+                 {{"target", target.id.text()},
+                  {"zone", target.zone.text()},
+                  {"kind", std::string(errorDescriptorFor(error->kind).name)},
+                  {"reason", error->detail}});
+    }
+}
+
+void GatewayDemand::onStatusChanged(const DemandExchange::Status &status)
+{
+    logEvent(Severity::Info, "fleet-demand",
+             {{"mode", status.isOn ? "on" : "watch"},
+              {"known", status.isKnown ? "yes" : "no"},
+              {"gateways", std::to_string(status.gateways)},
+              {"age-ms", std::to_string(status.age.count())},
+              {"period-ms", std::to_string(status.period.count())}});
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/sidecarserver.cpp
+++ b/modules/heatherridge_transport/direct/sidecarserver.cpp
@@ -1,6 +1,8 @@
 #include "heatherridge_transport/direct/sidecarserver.h"
 
+#include "heatherridge_protocol/demandmessage.h"
 #include "heatherridge_protocol/rankmessage.h"
+#include "heatherridge_state/demand/demandtable.h"
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/callerserver.h"
@@ -53,6 +55,7 @@
 public:
     Implementation(Options options, const RankControlFactory &makeRankControl)
         : m_options(std::move(options))
+        , m_demand(m_options.zone)
         , m_client(m_loop.context(), {.connectTimeout = std::chrono::milliseconds(200), .maxIdleConnections = 4})
         , m_rankControl(makeRankControl(m_client))
         , m_server(
@@ -96,6 +99,8 @@
             m_rankControl->fetchExperts(target, responder<RankExperts>(exchange));
         } else if (request.path == SidecarPaths::Order) {
             forwardOrder(exchange);
+        } else if (request.path == SidecarPaths::Demand) {
+            exchangeDemand(*exchange);
         } else {
             exchange->respond(errorResponse({.kind = ErrorKind::NotFound}));
         }
@@ -149,6 +154,45 @@
                                  [exchange](OrderReply reply) { exchange->respond({.body = encode(reply)}); });
     }
 
+    void exchangeDemand(HttpExchange &exchange)
+    {
+        const auto decoded = decodeDemandRequest(exchange.request().body);
+        if (const auto *error = errorIn(decoded)) {
+            m_malformedStatements.add();
+            logEvent(Severity::Warning, "demand-statement-malformed", {{"reason", error->detail}});
+            exchange.respond(errorResponse({.kind = ErrorKind::BadRequest, .detail = error->detail}));
+            return;
+        }
+        const auto &request = std::get<DemandRequest>(decoded);
+        const auto now = std::chrono::steady_clock::now();
+        for (const auto &zone : request.zones) {
+            m_demand.applyZone(zone, now);
+        }
+        if (!request.statement) {
+            exchange.respond(
+                {.body = encode(DemandResponse{.ownZone = m_demand.ownZone({}, MaxRelayedWorkspaces, now)})});
+            return;
+        }
+        m_demand.applyStatement(*request.statement, request.lifetime, now);
+        reportDropped();
+        exchange.respond({.body = encode(DemandResponse{
+                              .ownZone = m_demand.ownZone(request.statement->gateway, MaxDemandWorkspaces, now),
+                              .otherZones = m_demand.otherZones(now)})});
+    }
+
+    /** Logs and counts statements that were dropped because the table is full. */
+    void reportDropped()
+    {
+        const auto counts = m_demand.counts();
+        const auto dropped = counts.droppedGateways + counts.droppedZones;
+        if (dropped > m_droppedStatements.value()) {
+            m_droppedStatements.add(dropped - m_droppedStatements.value());
+            logEvent(
+                Severity::Warning, "demand-table-full",
+                {{"gateways", std::to_string(counts.droppedGateways)}, {"zones", std::to_string(counts.droppedZones)}});
+        }
+    }
+
     template<typename T>
     static std::function<void(const Result<T> &)> responder(const std::shared_ptr<HttpExchange> &exchange)
     {
@@ -161,6 +205,9 @@
 
     Options m_options;
     Metrics m_metrics;
+    Counter &m_malformedStatements = m_metrics.counter("heatherridge_demand_statements_malformed_total");
+    Counter &m_droppedStatements = m_metrics.counter("heatherridge_demand_statements_dropped_total");
+    DemandTable m_demand; ///< by the gateways that chose this sidecar as the exchange point of the zone
     EventLoop m_loop;
     HttpClient m_client;
     std::unique_ptr<RankControl> m_rankControl;
--- a/modules/heatherridge_transport/direct/sidecarserver.h
+++ b/modules/heatherridge_transport/direct/sidecarserver.h
@@ -16,7 +16,8 @@
  * The server of a sidecar: a process on the host of a model engine that reads the engine's state and forwards orders to
  * it, on behalf of remote keepers.
  *
- * Persists nothing and makes no decisions. Uses one thread.
+ * Also adds up the demand that gateways state, if they choose it as the exchange point of its zone. Persists nothing
+ * and makes no decisions. Uses one thread.
  */
 class SidecarServer
 {
@@ -24,6 +25,7 @@
     struct Options
     {
         ProcessName process{};
+        ZoneName zone{};
         Endpoint listen{}; ///< where keepers connect
         Endpoint engine{}; ///< on this host
         std::size_t maxConnections = 900; ///< of keepers and gateways; further ones read from the engine itself
