--- a/modules/heatherridge_state/decisions/streamqueue.cpp
+++ b/modules/heatherridge_state/decisions/streamqueue.cpp
@@ -79,13 +79,27 @@
     return m_streams.empty();
 }
 
-bool StreamQueue::hasOnTimeStream(const ServiceName &service, SteadyTime now) const
+bool StreamQueue::hasOnTimeStream(const ServiceName &service, SteadyTime now, int rank) const
 {
     return std::any_of(m_streams.begin(), m_streams.end(), [&](const auto &entry) {
-        return entry.second.service == service && admissionOrderOf(entry.second, now) == AdmissionOrder::Timely;
+        const auto &stream = entry.second;
+        return stream.service == service && stream.rank <= rank
+            && admissionOrderOf(stream, now) == AdmissionOrder::Timely;
     });
 }
 
+std::optional<std::uint64_t> StreamQueue::lastOfLowerRank(const ServiceName &service, int rank) const
+{
+    const WaitingStream *last = nullptr;
+    for (const auto &[number, stream] : m_streams) {
+        if (stream.service == service && !stream.hasStarted && stream.rank > rank
+            && (last == nullptr || stream.rank >= last->rank)) {
+            last = &stream;
+        }
+    }
+    return last == nullptr ? std::nullopt : std::optional(last->number);
+}
+
 std::vector<WaitingStream> StreamQueue::inAdmissionOrder(SteadyTime now) const
 {
     std::vector<WaitingStream> streams;
@@ -96,7 +110,8 @@
     const auto key = [now](const WaitingStream &stream) {
         const auto admissionOrder = admissionOrderOf(stream, now);
         const auto urgency = admissionOrder == AdmissionOrder::Timely ? stream.onTimeUntil : SteadyTime{};
-        return std::tuple(admissionOrder, urgency, stream.number);
+        const int rank = admissionOrder == AdmissionOrder::Started ? 0 : stream.rank;
+        return std::tuple(admissionOrder, rank, urgency, stream.number);
     };
     std::sort(streams.begin(), streams.end(), [&key](const auto &a, const auto &b) { return key(a) < key(b); });
     return streams;
--- a/modules/heatherridge_state/decisions/streamqueue.h
+++ b/modules/heatherridge_state/decisions/streamqueue.h
@@ -6,7 +6,9 @@
 
 #include <chrono>
 #include <cstdint>
+#include <limits>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Heatherridge
@@ -19,6 +21,7 @@
     ServiceName service{};
     bool hasStarted = false; ///< its caller has received a part of it
     SteadyTime onTimeUntil{}; ///< if sent after this time, the stream cannot be on time
+    int rank = 0; ///< priority of its caller, 0 is the highest; 0 for all streams of a service without rank admission
 };
 
 /**
@@ -26,8 +29,9 @@
  *
  * Load pattern: for a second or two engines have less capacity than arrives. In order of arrival, streams that are late
  * already would take the capacity of those that could still be on time. Interrupted streams are therefore admitted
- * first, then those that can still be on time, the most urgent first, then late ones in order of arrival.
- * Single-threaded.
+ * first, then those that can still be on time, the most urgent first, then late ones in order of arrival. Where rank
+ * admission is in force, the rank comes before urgency and arrival, but a stream that can still be on time precedes one
+ * of a higher rank that cannot. Single-threaded.
  */
 class StreamQueue
 {
@@ -49,8 +53,14 @@
      */
     std::chrono::milliseconds expectedWait(const WaitingStream &stream, SteadyTime now) const;
 
-    /** Returns whether a stream of @p service is waiting that can be on time at @p now. */
-    bool hasOnTimeStream(const ServiceName &service, SteadyTime now) const;
+    /** Returns whether a stream of @p service, of @p rank or a higher one, is waiting that can be on time at @p now. */
+    bool hasOnTimeStream(const ServiceName &service, SteadyTime now, int rank = std::numeric_limits<int>::max()) const;
+
+    /**
+     * Returns the stream to refuse in place of one of @p rank: of the waiting streams of @p service with a lower rank
+     * those of the lowest, and of these the last to arrive. Streams that have started are not refused.
+     */
+    std::optional<std::uint64_t> lastOfLowerRank(const ServiceName &service, int rank) const;
 
     /** Returns all streams in the order in which they are to be admitted. */
     std::vector<WaitingStream> inAdmissionOrder(SteadyTime now) const;
--- a/tests/decisions/streamqueue_test.cpp
+++ b/tests/decisions/streamqueue_test.cpp
@@ -33,6 +33,21 @@
     {"an interrupted stream before all others",
      {{.number = 1, .onTimeUntil = Start + 1'200ms}, {.number = 2, .hasStarted = true, .onTimeUntil = Start}},
      {2, 1}},
+    {"timely streams by rank before urgency",
+     {{.number = 1, .onTimeUntil = Start + 1'200ms, .rank = 2},
+      {.number = 2, .onTimeUntil = Start + 1'400ms, .rank = 0},
+      {.number = 3, .onTimeUntil = Start + 1'300ms, .rank = 0}},
+     {3, 2, 1}},
+    {"late streams by rank before arrival",
+     {{.number = 1, .onTimeUntil = Start, .rank = 1}, {.number = 2, .onTimeUntil = Start + 10ms}},
+     {2, 1}},
+    {"a timely stream before a late one of a higher rank",
+     {{.number = 1, .onTimeUntil = Start, .rank = 0}, {.number = 2, .onTimeUntil = Start + 1'200ms, .rank = 2}},
+     {2, 1}},
+    {"an interrupted stream before one of a higher rank",
+     {{.number = 1, .onTimeUntil = Start + 1'200ms, .rank = 0},
+      {.number = 2, .hasStarted = true, .onTimeUntil = Start, .rank = 2}},
+     {2, 1}},
 };
 
 class StreamQueues : public testing::TestWithParam<OrderRow>
@@ -66,6 +81,36 @@
     EXPECT_FALSE(queue.hasOnTimeStream(Service, Start));
 }
 
+// Guards against a stream of a high rank that waits behind lower ones when it arrives.
+TEST(StreamQueues, ReportOnTimeStreamsOfHigherRanks)
+{
+    StreamQueue queue;
+    queue.enqueue({.number = 1, .service = Service, .onTimeUntil = Start, .rank = 1}, Start);
+    EXPECT_FALSE(queue.hasOnTimeStream(Service, Start, 0));
+    EXPECT_TRUE(queue.hasOnTimeStream(Service, Start, 1));
+    EXPECT_TRUE(queue.hasOnTimeStream(Service, Start, 2));
+}
+
+// Guards against refusing a stream while one of a lower rank waits, and against refusing one that a caller has begun to
+// receive.
+TEST(StreamQueues, NameTheLastStreamOfTheLowestRank)
+{
+    StreamQueue queue;
+    EXPECT_EQ(queue.lastOfLowerRank(Service, 0), std::nullopt);
+    queue.enqueue({.number = 1, .service = Service, .rank = 1}, Start);
+    queue.enqueue({.number = 2, .service = Service, .rank = 2}, Start);
+    queue.enqueue({.number = 3, .service = Service, .rank = 2}, Start);
+    queue.enqueue({.number = 4, .service = Service, .hasStarted = true, .rank = 2}, Start);
+    queue.enqueue({.number = 5, .service = ServiceName("other"), .rank = 2}, Start);
+    queue.enqueue({.number = 6, .service = Service, .rank = 1}, Start);
+    EXPECT_EQ(queue.lastOfLowerRank(Service, 0), 3U);
+    EXPECT_EQ(queue.lastOfLowerRank(Service, 2), std::nullopt);
+    queue.remove(3);
+    queue.remove(2);
+    EXPECT_EQ(queue.lastOfLowerRank(Service, 0), 6U);
+    EXPECT_EQ(queue.lastOfLowerRank(Service, 1), std::nullopt);
+}
+
 struct WaitRow
 {
     const char *description;
