--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -105,6 +105,18 @@
      .maximum = 1000000,
      .help =
          "capacity of this host's link in millions of bits a second; limits control requests to engines; 0: unknown"},
+    {.key = "cpu-share",
+     .type = SettingType::Fraction,
+     .defaultValue = "0",
+     .minimum = 0,
+     .maximum = 10000,
+     .help = "cores that this host gives this process, stated to the other gateways; 0: unknown"},
+    {.key = "demand-exchange",
+     .type = SettingType::Choice,
+     .defaultValue = "auto",
+     .help = "whether gateways tell each other their demand; auto: at the full rate where priorities of streams or "
+             "sizes of gateways differ",
+     .choices = "auto, off"},
     {.key = "sidecar-port",
      .type = SettingType::Number,
      .defaultValue = "0",
@@ -154,6 +166,9 @@
                    .budget = ControlBudget(ZoneName(settings.text("zone")),
                                            settings.fraction("link-mbps") * BytesPerMegabit)},
         .sidecarPort = static_cast<int>(settings.number("sidecar-port")),
+        .demandExchange =
+            settings.text("demand-exchange") == "off" ? DemandExchangeMode::Off : DemandExchangeMode::Auto,
+        .size = {.processorShare = settings.fraction("cpu-share")},
         .control = {.withdrawalTime = settings.duration("withdrawal"),
                     .silenceTime = settings.duration("silence"),
                     .zoneRegions = parseZoneRegions(settings.text("zone-regions"))},
--- a/modules/heatherridge_transport/app/settings.cpp
+++ b/modules/heatherridge_transport/app/settings.cpp
@@ -36,6 +36,8 @@
         return "number";
     case SettingType::Switch:
         return "yes or no";
+    case SettingType::Choice:
+        return "one of";
     }
     return "";
 }
@@ -65,6 +67,9 @@
     if (isBounded(spec)) {
         text += ", " + std::to_string(spec.minimum) + " to " + std::to_string(spec.maximum);
     }
+    if (spec.type == SettingType::Choice) {
+        text += " " + std::string(spec.choices);
+    }
     if (spec.required) {
         text += ", required";
     } else if (!spec.defaultValue.empty()) {
@@ -115,6 +120,11 @@
                 + std::to_string(spec.minimum) + " to " + std::to_string(spec.maximum) + ", not '" + value + "'";
     case SettingType::Switch:
         return parseBool(value) ? "" : key + " must be yes or no, not '" + value + "'";
+    case SettingType::Choice: {
+        const auto choices = splitList(std::string(spec.choices));
+        const bool isChoice = std::find(choices.begin(), choices.end(), value) != choices.end();
+        return isChoice ? "" : key + " must be one of " + std::string(spec.choices) + ", not '" + value + "'";
+    }
     }
     return "";
 }
--- a/modules/heatherridge_transport/app/settings.h
+++ b/modules/heatherridge_transport/app/settings.h
@@ -23,6 +23,7 @@
     Seconds, ///< seconds within bounds, with or without a decimal fraction
     Fraction, ///< number within bounds, with or without a decimal fraction
     Switch, ///< yes or no
+    Choice, ///< one of several words
 };
 
 /** One setting of a daemon: a key of its INI file and a command-line flag of the same name. */
@@ -35,6 +36,7 @@
     long long minimum = 0; ///< bounds of Number, Milliseconds, Seconds and Fraction
     long long maximum = 0;
     std::string_view help{}; ///< one-line description
+    std::string_view choices{}; ///< comma-separated words of a Choice
 };
 
 /** Validated settings. Immutable, so they may be read from any thread. */
--- a/modules/heatherridge_transport/direct/gatewaydemand.cpp
+++ b/modules/heatherridge_transport/direct/gatewaydemand.cpp
@@ -56,11 +56,14 @@
         }
     }
     std::vector<TargetEntry> engines;
+    std::set<TargetName> names;
     for (const auto &target : targets) {
         if (engineServices.contains(target.service)) {
             engines.push_back(target);
+            names.insert(target.id);
         }
     }
+    std::erase_if(m_failing, [&names](const auto &target) { return !names.contains(target); });
     m_exchange.setTargets(engines);
     m_exchange.setDifferentiated(!rankedServices(config).empty());
 }
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -1,9 +1,11 @@
 #include "heatherridge_transport/direct/gatewayserver.h"
 
 #include "heatherridge_coordination/feed/crashfeed.h"
+#include "heatherridge_transport/app/daemon.h"
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/callerserver.h"
+#include "heatherridge_transport/direct/gatewaydemand.h"
 #include "heatherridge_transport/direct/sidecarrankclient.h"
 
 #include <atomic>
@@ -33,6 +35,8 @@
 constexpr long ExtraKeptConnections = 64;
 /** The process exits this long before the grace period ends, to log the number of aborted requests. */
 constexpr milliseconds GraceMargin{250};
+/** How long the process still runs after it has told the others that it leaves: longer than one call takes. */
+constexpr milliseconds LeaveTime{50};
 /** Name of the task of writing the copies of the rules, which is assigned to one gateway. */
 constexpr std::string_view RulesCopiesTask = "copies-of-rules";
 
@@ -100,6 +104,20 @@
                          },
                      .reachabilityChanged = [this](bool) { m_crashFeed.restartRead(); }},
                     m_metrics)
+        , m_demand(m_client,
+                   {.exchange = {.mode = m_options.demandExchange,
+                                 .gateway = m_options.process,
+                                 .zone = m_options.zone,
+                                 .size = m_options.size,
+                                 .run = toNumber(generateIncarnation())},
+                    .sidecarPort = m_options.sidecarPort},
+                   {.changed =
+                        [this](FleetDemand demand) {
+                            m_trafficLoop.post(
+                                [this, demand = std::move(demand)] { m_traffic.setFleetDemand(demand); });
+                        },
+                    .demandNeeded = [this] { m_trafficLoop.post([this] { passOwnDemand(); }); }},
+                   m_metrics)
     {
     }
 
@@ -142,6 +160,8 @@
         m_trafficLoop.after(m_options.balancerDetectionTime / 2, [this] { m_callers.closeIdleConnections(); });
         m_trafficLoop.after(m_options.balancerDetectionTime, [this] { m_traffic.refuseStreams(); });
         waitUntilDrained(drainStart);
+        m_controlLoop.post([this] { m_demand.leave(); });
+        std::this_thread::sleep_for(LeaveTime);
         logEvent(Severity::Info, "stopped", {{"cut", std::to_string(openCallCount())}});
         m_trafficLoop.runAndWait([this] {
             m_traffic.stop();
@@ -206,6 +226,7 @@
         m_crashFeed.tick(now);
         updateShares();
         const auto pollers = countPollers();
+        m_demand.tick(now, pollers);
         for (auto &[service, rebalancer] : m_rebalancers) {
             rebalancer->setActive(
                 [this, &name = service](const GroupToAssign &group) {
@@ -242,7 +263,14 @@
         m_trafficLoop.post([this, share = *share, evenShare] { m_traffic.setShares(share, evenShare); });
     }
 
-    /** Passes the current targets to the rebalancers of services with expert groups. */
+    /** Passes this gateway's demand from the traffic thread to the control thread. */
+    void passOwnDemand()
+    {
+        m_controlLoop.post(
+            [this, demand = m_traffic.demand(std::chrono::steady_clock::now())] { m_demand.setOwnDemand(demand); });
+    }
+
+    /** Passes the current targets to the rebalancers of services with expert groups and to the demand exchange. */
     void updateRebalancers()
     {
         const auto rules = m_control.rules();
@@ -256,6 +284,7 @@
         }
         m_client.setMaxIdleConnections(ExtraKeptConnections
                                        + KeptConnectionsPerTarget * static_cast<long>(allTargets.size()));
+        m_demand.update(rules->config(), allTargets);
         for (const auto &service : rules->config().services) {
             if (!service.engine || service.engine->layerSets == 0) {
                 continue;
@@ -358,6 +387,7 @@
     WorkShare m_workShare;
     CrashFeed m_crashFeed;
     GatewayControl m_control;
+    GatewayDemand m_demand;
     std::map<ServiceName, std::unique_ptr<ExpertRebalancer>> m_rebalancers;
     std::optional<double> m_budgetShare; ///< last share posted to the traffic thread
     OwnedPartitions m_ownedPartitions; ///< last ones posted to the traffic thread
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_coordination/demand/demandexchange.h"
 #include "heatherridge_coordination/feed/logrestore.h"
 #include "heatherridge_coordination/feed/reportlog.h"
 #include "heatherridge_coordination/feed/workshare.h"
@@ -35,6 +36,8 @@
         WarmUpTolerance warmUpTolerance{};
         ExpertRebalancerOptions groups{};
         int sidecarPort = 0; ///< port of the sidecars beside model engines; 0 if there are none
+        DemandExchangeMode demandExchange = DemandExchangeMode::Auto;
+        HostSize size{}; ///< stated to the other gateways
         GatewayControl::Options control{};
         int logPartitions = 1; ///< partitions of each topic of the platform's log
         int sharePartitions = 1; ///< partitions by which work is divided among the gateways, over several topics
--- a/tests/transport/settings_test.cpp
+++ b/tests/transport/settings_test.cpp
@@ -28,6 +28,7 @@
      .minimum = 0,
      .maximum = 99,
      .help = "a time"},
+    {.key = "mode", .type = SettingType::Choice, .defaultValue = "auto", .help = "a mode", .choices = "auto, off"},
 };
 
 struct ValueCase
@@ -48,6 +49,9 @@
     {"not a number", {"--grace=8s"}, std::nullopt},
     {"empty value", {"--share="}, std::nullopt},
     {"a fraction for an integer setting", {"--pause=1.5"}, std::nullopt},
+    {"a word of a choice", {"--mode=off"}, std::pair(0.2, 8'000ms)},
+    // A misspelled word would leave on what the operator has switched off.
+    {"an unknown word of a choice", {"--mode=of"}, std::nullopt},
 };
 
 class SettingValues : public testing::TestWithParam<ValueCase>
