--- a/modules/heatherridge_coordination/feed/workshare.cpp
+++ b/modules/heatherridge_coordination/feed/workshare.cpp
@@ -65,6 +65,13 @@
     return own && *own <= 0 && !m_hasLeft ? 1.0 / (m_options.partitionCount + 1) : own;
 }
 
+int WorkShare::memberCount() const
+{
+    // Each member has the partitions of an even division, rounded up or down.
+    const auto own = static_cast<int>(m_share.partitions.size());
+    return m_confirmedAt ? m_options.partitionCount / (own + 1) + 1 : 1;
+}
+
 std::optional<double> WorkShare::zoneFraction() const
 {
     if (!m_confirmedAt || m_hasLeft || m_share.zonePartitions.empty()) {
--- a/modules/heatherridge_coordination/feed/workshare.h
+++ b/modules/heatherridge_coordination/feed/workshare.h
@@ -80,6 +80,12 @@
      */
     std::optional<double> nonZeroFraction() const;
 
+    /**
+     * Returns the smallest number of members, this one included, that is consistent with the assigned partitions if the
+     * log divides them evenly; 1 before the first answer.
+     */
+    int memberCount() const;
+
     /** Returns the partitions of the last assignment, and until when no other member can have them. */
     OwnedPartitions ownedPartitions() const;
 
--- a/modules/heatherridge_state/decisions/groupadmission.cpp
+++ b/modules/heatherridge_state/decisions/groupadmission.cpp
@@ -23,6 +23,13 @@
 /** Assumed slowdown of the work in the first passes of a group, because of its initial map. */
 constexpr double InitialSlowdown = 2;
 
+/** Returns the requests of all entries, those of the others corrected by what these have stated. */
+double requestsByStatements(const GroupLoad &load)
+{
+    const double others = load.requests - load.ownRequests;
+    return load.ownRequests + others * load.others.factor + load.others.perEngine * static_cast<double>(load.engines);
+}
+
 /**
  * Estimates by how much the requests of the other entries have grown since the engines last reported their load,
  * assuming that they have grown like those of this entry.
@@ -32,7 +39,7 @@
     const double others = load.requests - load.ownRequests;
     const double othersPerOwn =
         (others + PriorOwnRequests * (1 / share - 1)) / (load.ownRequestsAtReport + PriorOwnRequests);
-    const double growth = load.ownRequests - load.ownRequestsAtReport;
+    const double growth = (load.ownRequests - load.ownRequestsAtReport) * load.others.growthWeight;
     return std::max(growth * othersPerOwn, -others);
 }
 
@@ -109,7 +116,8 @@
                                      SteadyTime now)
 {
     m_load = load;
-    m_load.requests += estimateOthersGrowth(load, share);
+    m_load.requests = requestsByStatements(load);
+    m_load.requests += estimateOthersGrowth(m_load, share);
     m_passTimes = passTimes;
     m_share = share;
     if (m_isStarting && now - m_openedAt >= SlowStartDuration) {
--- a/modules/heatherridge_state/decisions/groupadmission.h
+++ b/modules/heatherridge_state/decisions/groupadmission.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_state/base/clock.h"
 #include "heatherridge_state/decisions/engineplacement.h"
+#include "heatherridge_state/decisions/otherstreams.h"
 #include "heatherridge_state/decisions/passbudget.h"
 
 #include <chrono>
@@ -22,6 +23,7 @@
     double slots = 0; ///< of all engines of the group
     bool isStalled = false; ///< one of its engines has open streams but is silent
     bool hasSlowRank = false;
+    OtherStreams others{}; ///< correction by the statements of the other entries
 };
 
 /**
--- a/modules/heatherridge_state/decisions/otherstreams.h
+++ b/modules/heatherridge_state/decisions/otherstreams.h
@@ -32,8 +32,8 @@
 /** Statements may change the reported requests by this factor at most, and by its inverse at least. */
 constexpr double MaxStatedFactor = 2;
 /**
- * Statuses of a deployment with 18 gateways are up to 1.8 s old. Those that a gateway receives during this time may show
- * the engines as they were before a common start, so MaxStatedFactor does not limit the statements yet.
+ * Statuses of a deployment with 18 gateways are up to 1.8 s old. Those that a gateway receives during this time may
+ * show the engines as they were before a common start, so MaxStatedFactor does not limit the statements yet.
  */
 constexpr std::chrono::milliseconds StatusStartDuration{2'000};
 
--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -20,4 +20,14 @@
     return m_fleetDemand;
 }
 
+ServiceDemand AdmissionControl::demandOf(const ServiceName &service, SteadyTime now) const
+{
+    for (auto &demand : demand(now)) {
+        if (demand.service == service) {
+            return demand;
+        }
+    }
+    return {.service = service};
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -26,6 +26,9 @@
     /** Returns the last demand at all other gateways; check `isKnown` before using it. */
     const FleetDemand &fleetDemand() const;
 
+    /** Returns the demand of this gateway's streams for @p service. */
+    ServiceDemand demandOf(const ServiceName &service, SteadyTime now) const;
+
 private:
     FleetDemand m_fleetDemand;
 };
--- a/modules/heatherridge_transport/direct/engineshares.cpp
+++ b/modules/heatherridge_transport/direct/engineshares.cpp
@@ -65,9 +65,11 @@
 {
     auto &state = m_services[service];
     if (!isDemandShared()) {
-        state.calculatedAt.reset();
+        const bool wasShared = std::exchange(state.calculatedAt, std::nullopt).has_value();
         state.share = m_evenShare;
-        report(service, state, 0, 0);
+        if (wasShared) {
+            report(service, state, 0, 0);
+        }
     } else if (!state.calculatedAt || now - *state.calculatedAt >= ShareLifetime) {
         state.calculatedAt = now;
         state.share = calculate(service, state, now);
@@ -90,6 +92,13 @@
 
 void EngineShares::report(const ServiceName &service, ServiceShare &state, double own, double others)
 {
+    if (state.gauge == nullptr && m_options.metrics != nullptr) {
+        state.gauge =
+            &m_options.metrics->gauge("heatherridge_capacity_share_permille", "service=\"" + service.text() + "\"");
+    }
+    if (state.gauge != nullptr) {
+        state.gauge->set(std::lround(state.share * 1000));
+    }
     if (std::abs(state.share - state.reportedShare) <= state.reportedShare * LoggedChange) {
         return;
     }
--- a/modules/heatherridge_transport/direct/engineshares.h
+++ b/modules/heatherridge_transport/direct/engineshares.h
@@ -36,7 +36,7 @@
         Metrics *metrics = nullptr; ///< none: no gauge is kept
     };
 
-    explicit EngineShares(Options options = {});
+    explicit EngineShares(Options options);
 
     /**
      * Sets the share that treats all gateways alike.
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -239,7 +239,9 @@
         }
         m_budgetShare = share;
         const auto evenShare = m_workShare.nonZeroFraction().value_or(*share);
-        m_trafficLoop.post([this, share = *share, evenShare] { m_traffic.setShares(share, evenShare); });
+        m_trafficLoop.post([this, share = *share, evenShare, others = m_workShare.memberCount() - 1] {
+            m_traffic.setShares(share, evenShare, others);
+        });
     }
 
     /** Passes the current targets to the rebalancers of services with expert groups. */
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -18,25 +18,14 @@
  * the caller. */
 constexpr double PassFractionOfPause = 0.9;
 
-/** Returns the average load that other entries put on each of @p targets, weighted by how recent the reports are. */
-double averageOtherLoad(const std::vector<GatewayTarget *> &targets, SteadyTime now)
-{
-    double sum = 0;
-    double weight = 0;
-    for (const auto *target : targets) {
-        const double freshness = target->load.freshness(now);
-        sum += target->load.otherRequests() * freshness;
-        weight += freshness;
-    }
-    return weight > 0 ? sum / weight : 0;
-}
-
 } // namespace
 
-GatewayTargets::GatewayTargets(ZoneName zone, ZoneRegions regions, WarmUpTolerance tolerance)
+GatewayTargets::GatewayTargets(ZoneName zone, ZoneRegions regions, WarmUpTolerance tolerance,
+                               EngineShares::Options shares)
     : m_zone(std::move(zone))
     , m_zoneRegions(std::move(regions))
     , m_warmUpTolerance(tolerance)
+    , m_engineShares(std::move(shares))
 {
 }
 
@@ -124,8 +113,9 @@
     for (const auto *target : eligible.targets) {
         candidates.push_back(makeCandidate(*target, averageOthers, health, request.tried, now));
     }
-    if (hasEngineGroups) {
-        return chooseEngine(eligible, candidates, passTimeModel->second, request.urgency, now, random);
+    // Statements of the other gateways arrive before statuses do; until then all engines count as one group.
+    if (hasEngineGroups || (passTimeModel != m_passTimeModels.end() && m_engineShares.isDemandShared())) {
+        return chooseEngine(eligible, candidates, passTimeModel->second, request, now, random);
     }
     const auto chosen = placeDirectly(candidates, random);
     if (chosen) {
@@ -200,21 +190,26 @@
 
 GatewayTargets::Choice GatewayTargets::chooseEngine(const Eligible &eligible,
                                                     const std::vector<DirectCandidate> &candidates,
-                                                    const PassTimeModel &passTimeModel, Urgency urgency, SteadyTime now,
+                                                    const PassTimeModel &passTimeModel,
+                                                    const TargetRequirements &request, SteadyTime now,
                                                     RandomSource &random)
 {
+    static const EngineView unreported{.isGroupOpen = true, .isOpen = true};
     const auto &targets = eligible.targets;
+    const double share = m_engineShares.share(request.service, now);
+    const auto reports = engineReports(m_targets, request.service, averageOtherLoad(targets, now), now);
+    const auto others = m_engineShares.others(request.service, reports, now);
     std::vector<EngineCandidate> engines;
     std::vector<GroupName> groupNames;
     std::vector<GroupLoad> groupWork;
     std::vector<SteadyTime> reportedAt; ///< latest status of each group
     std::map<GroupName, std::size_t> groupIndices;
     for (std::size_t index = 0; index < targets.size(); ++index) {
-        const auto &view = *targets[index]->engine;
+        const auto &view = targets[index]->engine ? *targets[index]->engine : unreported;
         const auto group = groupIndices.try_emplace(view.group, groupWork.size()).first->second;
         if (group == groupWork.size()) {
             groupNames.push_back(view.group);
-            groupWork.push_back({});
+            groupWork.push_back({.others = others});
             reportedAt.push_back({});
         }
         if (view.requestedAt >= reportedAt[group]) {
@@ -222,17 +217,18 @@
             groupWork[group].reportedPass = view.passTime;
         }
         addToGroup(groupWork[group], *targets[index], candidates[index].load, now);
-        engines.push_back({.target = candidates[index],
-                           .group = group,
-                           .isOpen = view.isOpen,
-                           .isRefusing = now < targets[index]->refusedUntil || hasUsedCapacityShare(*targets[index]),
-                           .slowdown = view.pace});
+        engines.push_back(
+            {.target = candidates[index],
+             .group = group,
+             .isOpen = view.isOpen,
+             .isRefusing = now < targets[index]->refusedUntil || hasUsedCapacityShare(*targets[index], share),
+             .slowdown = view.pace});
     }
     std::vector<EngineGroup> groups;
     for (std::size_t group = 0; group < groupWork.size(); ++group) {
-        groups.push_back(m_groups[groupNames[group]].evaluate(groupWork[group], passTimeModel, m_capacityShare, now));
+        groups.push_back(m_groups[groupNames[group]].evaluate(groupWork[group], passTimeModel, share, now));
     }
-    const auto choice = placeStream(engines, groups, {.urgency = urgency, .share = m_capacityShare}, random);
+    const auto choice = placeStream(engines, groups, {.urgency = request.urgency, .share = share}, random);
     if (choice.index) {
         return {.target = targets[*choice.index], .load = candidates[*choice.index].load};
     }
@@ -246,7 +242,7 @@
     work.ownRequests += target.load.ownRequests();
     work.ownRequestsAtReport += target.load.ownRequestsAtReport();
     work.slots += target.entry.slots;
-    work.hasSlowRank = work.hasSlowRank || target.engine->pace >= SlowEngineFactor;
+    work.hasSlowRank = work.hasSlowRank || (target.engine && target.engine->pace >= SlowEngineFactor);
     work.isStalled = work.isStalled || isStalled(target, now);
 }
 
@@ -264,20 +260,25 @@
     }
 }
 
-bool GatewayTargets::hasUsedCapacityShare(const GatewayTarget &target) const
+bool GatewayTargets::hasUsedCapacityShare(const GatewayTarget &target, double share) const
 {
+    if (!target.engine) {
+        return false;
+    }
     const auto found = m_groups.find(target.engine->group);
     const int reportedRequests = target.engine->running + target.engine->waiting;
     return found != m_groups.end() && found->second.isStarting()
-        && target.sentSinceReport >= slowStartAllowance(target.entry.slots, reportedRequests, m_capacityShare);
+        && target.sentSinceReport >= slowStartAllowance(target.entry.slots, reportedRequests, share);
+}
+
+void GatewayTargets::setLimitShare(double share)
+{
+    m_limitShare = share;
 }
 
-void GatewayTargets::setShares(double limitShare, double capacityShare)
+EngineShares &GatewayTargets::engineShares()
 {
-    m_limitShare = limitShare;
-    // A share of 0 means that this process has lost the log for a while; the last known share is then the better
-    // estimate of the number of gateways.
-    m_capacityShare = capacityShare > 0 ? capacityShare : m_capacityShare;
+    return m_engineShares;
 }
 
 bool GatewayTargets::applyStatement(GatewayTarget &target, const TargetStatement &statement, SteadyTime now,
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include "heatherridge_coordination/groups/expertrebalancer.h"
 #include "heatherridge_state/decisions/engineplacement.h"
 #include "heatherridge_state/decisions/groupadmission.h"
-#include "heatherridge_state/decisions/loadestimate.h"
-#include "heatherridge_state/decisions/targetadmission.h"
 #include "heatherridge_state/decisions/warmupshare.h"
 #include "heatherridge_state/routing/regionrule.h"
-#include "heatherridge_state/routing/targetentry.h"
+#include "heatherridge_transport/direct/engineshares.h"
+#include "heatherridge_transport/direct/gatewaytarget.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 
 #include <map>
@@ -18,18 +16,6 @@
 namespace Heatherridge
 {
 
-/** The state of one target as estimated by one gateway. */
-struct GatewayTarget
-{
-    TargetEntry entry{};
-    LoadEstimate load{};
-    SteadyTime lastReceivedAt{}; ///< when bytes of any response last arrived from it
-    std::optional<EngineView> engine{}; ///< last report of an engine in an expert group
-    int sentSinceReport = 0; ///< requests sent by this gateway since the engine's last report
-    SteadyTime refusedUntil{}; ///< set when it refused a request; nothing is sent before this time
-    TargetAdmission admission{}; ///< by its own statements
-};
-
 /** Requests beyond the warm-up rate of its service that a target bears while it warms up. */
 struct WarmUpTolerance
 {
@@ -68,7 +54,8 @@
     /** How long the statements of a target without an entry are kept after its last answer. */
     static constexpr std::chrono::minutes StatementRetention{5};
 
-    GatewayTargets(ZoneName zone, ZoneRegions regions, WarmUpTolerance tolerance = {});
+    GatewayTargets(ZoneName zone, ZoneRegions regions, WarmUpTolerance tolerance = {},
+                   EngineShares::Options shares = {});
 
     /** Replaces the registered targets. @returns the targets that are no longer registered */
     std::vector<TargetName> setEntries(const std::vector<TargetEntry> &entries, SteadyTime now);
@@ -92,12 +79,12 @@
     GatewayTarget *find(const TargetName &id);
 
     /**
-     * Sets this gateway's share of the resources that all gateways use.
-     * @param limitShare of the limits that targets name; the shares of all gateways add up to 1
-     * @param capacityShare of the free capacity that engines report; the rest is for the other gateways. 0 leaves the
-     *        last share in force
+     * Sets this gateway's share of the limits that targets name; the shares of all gateways add up to 1.
      */
-    void setShares(double limitShare, double capacityShare);
+    void setLimitShare(double share);
+
+    /** Returns this gateway's shares of the free capacity that engines report. */
+    EngineShares &engineShares();
 
     /** The target chosen for a request. */
     struct Choice
@@ -161,7 +148,7 @@
     AdmissionShare admissionShare(const GatewayTarget &target, SteadyTime now) const;
     void applyEntryWarmUp(GatewayTarget &target, const TargetEntry &entry, SteadyTime now);
     Choice noChoice(const Eligible &eligible, bool isFull, SteadyTime now) const;
-    bool hasUsedCapacityShare(const GatewayTarget &target) const;
+    bool hasUsedCapacityShare(const GatewayTarget &target, double share) const;
     static void addToGroup(GroupLoad &work, const GatewayTarget &target, double load, SteadyTime now);
     bool isUsable(const GatewayTarget &target, const ServiceName &service, SteadyTime now) const;
     GatewayTarget &addEntry(const TargetEntry &entry);
@@ -170,7 +157,8 @@
     std::optional<std::chrono::milliseconds> timeUntilAnyAllowed(const std::vector<GatewayTarget *> &targets,
                                                                  SteadyTime now) const;
     Choice chooseEngine(const Eligible &eligible, const std::vector<DirectCandidate> &candidates,
-                        const PassTimeModel &passTimeModel, Urgency urgency, SteadyTime now, RandomSource &random);
+                        const PassTimeModel &passTimeModel, const TargetRequirements &request, SteadyTime now,
+                        RandomSource &random);
 
     ZoneName m_zone;
     ZoneRegions m_zoneRegions;
@@ -179,7 +167,7 @@
     std::map<ServiceName, WarmUp> m_warmUps;
     WarmUpShare m_warmUpShare;
     double m_limitShare = 0;
-    double m_capacityShare = 0.25; ///< of the free capacity of engines; assumes four gateways until the share is known
+    EngineShares m_engineShares;
     std::map<GroupName, GroupAdmission> m_groups;
     std::map<TargetName, GatewayTarget> m_targets;
     std::set<TargetName> m_unregistered; ///< targets that left the register with requests open
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -44,7 +44,10 @@
     , m_codec(codec)
     , m_metrics(metrics)
     , m_counters(metrics)
-    , m_targets(m_options.zone, m_options.zoneRegions, m_options.warmUpTolerance)
+    , m_targets(
+          m_options.zone, m_options.zoneRegions, m_options.warmUpTolerance,
+          {.ownDemand = [this](const auto &service, auto now) { return m_admissionControl.demandOf(service, now); },
+           .metrics = &metrics})
     , m_pool(loop, metrics)
     , m_probe(loop, m_options.connectTimeout, metrics)
     , m_crashGuard({.reportCreated = m_options.reportCrash,
@@ -80,10 +83,11 @@
     }
 }
 
-void GatewayTraffic::setShares(double budgetShare, double evenShare)
+void GatewayTraffic::setShares(double budgetShare, double evenShare, int knownGateways)
 {
     m_options.retryBudget.slackShare = budgetShare;
-    m_targets.setShares(budgetShare, evenShare);
+    m_targets.setLimitShare(budgetShare);
+    m_targets.engineShares().setEvenShare(evenShare, knownGateways);
     for (auto &[service, budget] : m_retryBudgets) {
         budget.setSlackShare(budgetShare);
     }
@@ -106,6 +110,7 @@
 
 void GatewayTraffic::setFleetDemand(FleetDemand demand)
 {
+    m_targets.engineShares().setFleetDemand(demand, std::chrono::steady_clock::now());
     m_admissionControl.setFleetDemand(std::move(demand));
 }
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -66,8 +66,9 @@
      * @param budgetShare of the retry slack and of targets' limits; the shares of all gateways must not add up to more
      *        than the whole
      * @param evenShare of the streams, assuming that all gateways have equally many
+     * @param knownGateways that the log divides the work among, without this one
      */
-    void setShares(double budgetShare, double evenShare);
+    void setShares(double budgetShare, double evenShare, int knownGateways);
 
     /** Replaces the availability zones that the operator has drained. */
     void setDrainedZones(const std::set<ZoneName> &zones);
--- a/tests/feed/workshare_test.cpp
+++ b/tests/feed/workshare_test.cpp
@@ -100,6 +100,51 @@
 
 INSTANTIATE_TEST_SUITE_P(All, WorkShareFraction, testing::ValuesIn(FractionRows));
 
+struct MemberCountRow
+{
+    const char *description;
+    int partitions; ///< of all members
+    int members;
+};
+
+const MemberCountRow MemberCountRows[] = {
+    {"one member", 228, 1},
+    {"six members", 228, 6},
+    {"eighteen members, uneven division", 228, 18},
+    {"ninety-nine members", 228, 99},
+    {"as many members as partitions", 12, 12},
+    {"more members than partitions", 12, 13},
+};
+
+class WorkShareMembers : public testing::TestWithParam<MemberCountRow>
+{
+};
+
+// Guards against members that count others which do not exist, because an uneven division gave them fewer partitions.
+TEST_P(WorkShareMembers, AreNeverOverestimated)
+{
+    const auto &row = GetParam();
+    const int fewest = row.partitions / row.members;
+    const int most = (row.partitions + row.members - 1) / row.members;
+    for (const int own : {fewest, most}) {
+        ManualShareLog log;
+        WorkShare share(log, {.member = "m", .partitionCount = row.partitions});
+        EXPECT_EQ(share.memberCount(), 1) << row.description;
+        share.tick(Start);
+        ShareAssignment assignment{.generation = 1};
+        for (int partition = 0; partition < own; ++partition) {
+            assignment.partitions.insert(partition);
+        }
+        log.answer(assignment);
+        EXPECT_LE(share.memberCount(), row.members) << row.description;
+        const int nextDivision = (row.partitions + share.memberCount() - 1) / share.memberCount();
+        EXPECT_GE(nextDivision, own) << row.description;
+        EXPECT_LE(row.partitions / share.memberCount(), own) << row.description;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, WorkShareMembers, testing::ValuesIn(MemberCountRows));
+
 TEST_F(WorkShareTest, ReleasesAllWorkOnLeave)
 {
     m_share.tick(Start);
--- a/tests/gateway/gatewaytargets_test.cpp
+++ b/tests/gateway/gatewaytargets_test.cpp
@@ -51,7 +51,7 @@
     const auto &row = GetParam();
     SeededRandom random(3);
     GatewayTargets targets(ZoneName("z"), {});
-    targets.setShares(1, 1);
+    targets.setLimitShare(1);
     targets.setEntries({makeEntry(row.startedAtBefore)}, Start);
     targets.find(Id)->lastReceivedAt = Start;
     targets.applyStatement(*targets.find(Id), row.statement, Start, random);
