--- a/modules/heatherridge_state/decisions/rankadmission.cpp
+++ b/modules/heatherridge_state/decisions/rankadmission.cpp
@@ -12,8 +12,9 @@
 
 using Seconds = std::chrono::duration<double>;
 
-/** How long sent streams are remembered: twice the longest pass. */
-constexpr std::chrono::milliseconds SendHistory{600};
+/** Longest time that is considered for a share of less than one stream in a pass; sent streams are remembered for it.
+ */
+constexpr std::chrono::milliseconds SendHistory{1'000};
 /** Upper limit of an expected wait: longer than any request lasts. */
 constexpr Seconds MaxExpectedWait{3'600};
 
@@ -36,17 +37,14 @@
     m_levels[priority];
     update(capacity, demand, now);
     const auto &level = m_levels[priority];
-    if (!level.isHeld && !level.isReservedFor) {
+    if (!level.isHeld && level.isHighest) {
         return true;
     }
     if (capacity.room >= 1 && hasAssuredStream(priority)) {
         return true;
     }
-    if (level.isHeld) {
-        return false;
-    }
     const double allotment = level.room * capacity.share / std::max(capacity.promptWeight, 1.0);
-    return countSentAfter(now - capacity.pass, priority) < std::max(1.0, std::floor(allotment));
+    return !level.isHeld && !hasUsedShare(priority, allotment, capacity.pass, now);
 }
 
 void RankAdmission::recordAdmitted(int priority, SteadyTime now)
@@ -89,6 +87,12 @@
     return found != m_levels.end() && found->second.isHeld;
 }
 
+bool RankAdmission::isHighest(int priority) const
+{
+    const auto found = m_levels.find(priority);
+    return found == m_levels.end() || found->second.isHighest;
+}
+
 bool RankAdmission::hasAssuredStream(int priority) const
 {
     const auto found = m_levels.find(priority);
@@ -137,9 +141,9 @@
 void RankAdmission::updateLevel(int priority, const Capacity &capacity, double reserved, SteadyTime now)
 {
     auto &level = m_levels[priority];
-    level.isReservedFor = reserved >= MinReserved;
+    level.isHighest = reserved < MinReserved;
     level.room = capacity.room - reserved;
-    if (level.isReservedFor && level.room < 1) {
+    if (!level.isHighest && level.room < 1) {
         level.positiveSince.reset();
         setHeld(priority, level, true, capacity.room, reserved);
         return;
@@ -177,11 +181,13 @@
     return rank;
 }
 
-int RankAdmission::countSentAfter(SteadyTime after, int highestPriority) const
+bool RankAdmission::hasUsedShare(int priority, double allotment, std::chrono::milliseconds pass, SteadyTime now) const
 {
-    return static_cast<int>(std::count_if(m_sent.begin(), m_sent.end(), [&](const Sent &sent) {
-        return sent.at > after && sent.priority >= highestPriority;
-    }));
+    const auto period = std::min<Seconds>(pass / std::min(allotment, 1.0), SendHistory);
+    const auto sent = std::count_if(m_sent.begin(), m_sent.end(), [&](const Sent &stream) {
+        return stream.priority >= priority && Seconds(now - stream.at) < period;
+    });
+    return static_cast<double>(sent) >= std::max(std::floor(allotment), 1.0);
 }
 
 void RankAdmission::AdmissionRate::record(SteadyTime now)
--- a/modules/heatherridge_state/decisions/rankadmission.h
+++ b/modules/heatherridge_state/decisions/rankadmission.h
@@ -26,6 +26,8 @@
  * - A rank is held when its capacity is used up, and admitted again after its capacity has been positive for two
  * passes.
  * - A held rank keeps an assured part of its arrivals while there is any free capacity.
+ * - Each gateway sends its share of the capacity for a rank. A share of less than one stream in a pass is one stream in
+ *   several passes: one stream of each gateway in each pass would be far more than the capacity for a low rank.
  *
  * Single-threaded; one object for each service.
  */
@@ -49,7 +51,7 @@
         double room = 0; ///< streams of all gateways that the engines can take on time beyond those they have
         std::chrono::milliseconds pass{0}; ///< time of one pass
         double share = 1; ///< of this gateway in the capacity, above 0 and up to 1
-        double promptWeight = 1; ///< requests that take as much of a pass as one prompt; 1 or more
+        double promptWeight = 1; ///< requests that take as much of a pass as one prompt, @see maxStreamsPerPass()
     };
 
     /** Demand for the service. */
@@ -85,6 +87,9 @@
     /** Returns whether streams of @p priority are held, apart from the assured part. */
     bool isHeld(int priority) const;
 
+    /** Returns whether @p priority is the highest rank with any demand. */
+    bool isHighest(int priority) const;
+
     /** Returns whether the assured part of @p priority allows a stream. */
     bool hasAssuredStream(int priority) const;
 
@@ -119,7 +124,7 @@
         std::optional<SteadyTime> positiveSince{}; ///< since when the capacity of a held rank has been positive
         double assuredStreams = 0;
         double room = 0; ///< for this rank
-        bool isReservedFor = false; ///< whether a part of the capacity is reserved for higher ranks
+        bool isHighest = true; ///< of the ranks with demand: no capacity is reserved for others
         AdmissionRate rate{};
     };
 
@@ -133,7 +138,7 @@
     void updateLevel(int priority, const Capacity &capacity, double reserved, SteadyTime now);
     void setHeld(int priority, Level &level, bool isHeld, double room, double reserved);
     RankDemand fleetDemand(int priority, const Demand &demand) const;
-    int countSentAfter(SteadyTime after, int highestPriority) const;
+    bool hasUsedShare(int priority, double allotment, std::chrono::milliseconds pass, SteadyTime now) const;
 
     std::map<int, Level> m_levels; ///< by priority
     std::deque<Sent> m_sent; ///< oldest first
--- a/tests/decisions/rankadmission_test.cpp
+++ b/tests/decisions/rankadmission_test.cpp
@@ -144,22 +144,52 @@
     EXPECT_TRUE(admission.takeChanges().empty());
 }
 
-// Guards against lower ranks that take a whole pass's prompts of a gateway: they get its share of what is left to them.
-TEST(RankAdmissions, GiveEachGatewayItsShareInAPass)
+struct ShareRow
 {
+    const char *description;
+    double room; ///< of which ten are reserved for the highest rank
+    double share;
+    double promptWeight;
+    std::chrono::milliseconds time;
+    int sent;
+};
+
+const ShareRow ShareRows[] = {
+    {"its share within a pass", 30, 0.25, 1, 0ms, 5},
+    {"as many in the next pass", 30, 0.25, 1, 100ms, 10},
+    {"prompts that take more of a pass than requests", 30, 0.25, 2.5, 0ms, 2},
+    {"less than one in a pass", 12, 0.1, 1, 400ms, 1},
+    {"one in five passes", 12, 0.1, 1, 500ms, 2},
+    {"one in a second at least", 12, 0.001, 1, 1s, 2},
+};
+
+class RankShares : public testing::TestWithParam<ShareRow>
+{
+};
+
+// Guards against gateways that together send more than the capacity for a lower rank: rounded up to one stream in each
+// pass, the shares of 18 gateways were many times the capacity.
+TEST_P(RankShares, AreSentInEachPass)
+{
+    const auto &row = GetParam();
     RankAdmission admission;
     const ServiceDemand none;
     const RankAdmission::Demand demand{.own = TenWarnings, .others = &none};
-    const RankAdmission::Capacity room{.room = 30, .pass = Pass, .share = 0.25, .promptWeight = 2};
+    const RankAdmission::Capacity capacity{
+        .room = row.room, .pass = Pass, .share = row.share, .promptWeight = row.promptWeight};
     int sent = 0;
-    for (; sent < 20 && admission.mayAdmit(Briefs, room, demand, Start); ++sent) {
-        admission.recordAdmitted(Briefs, Start);
+    for (auto now = Start; now <= Start + row.time; now += 20ms) {
+        while (sent < 100 && admission.mayAdmit(Briefs, capacity, demand, now)) {
+            admission.recordAdmitted(Briefs, now);
+            ++sent;
+        }
     }
-    EXPECT_EQ(sent, 2); // (30 - 10) * 0.25 / 2
-    EXPECT_TRUE(admission.mayAdmit(Warnings, room, demand, Start));
-    EXPECT_TRUE(admission.mayAdmit(Briefs, room, demand, Start + Pass));
+    EXPECT_EQ(sent, row.sent) << row.description;
+    EXPECT_TRUE(admission.mayAdmit(Warnings, capacity, demand, Start + row.time));
 }
 
+INSTANTIATE_TEST_SUITE_P(All, RankShares, testing::ValuesIn(ShareRows));
+
 struct AssuredRow
 {
     const char *description;
