Wire the meter of a gateway's own demand

AdmissionControl owns the DemandMeter, GatewayTraffic::demand() returns its demand, and GatewayCall holds a DemandMeter::Stream for streaming routes: arrival, waiting, in progress, idle after an attempt, end.

--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -5,9 +5,14 @@
 namespace Heatherridge
 {
 
-std::vector<ServiceDemand> AdmissionControl::demand([[maybe_unused]] SteadyTime now) const
+DemandMeter::Stream AdmissionControl::recordArrival(const DemandMeter::StreamClass &streamClass, SteadyTime now)
 {
-    return {};
+    return m_meter.recordArrival(streamClass, now);
+}
+
+std::vector<ServiceDemand> AdmissionControl::demand(SteadyTime now) const
+{
+    return m_meter.demand(now);
 }
 
 void AdmissionControl::setFleetDemand(FleetDemand demand)
--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/demand/demandmeter.h"
 #include "heatherridge_state/demand/fleetdemand.h"
 
 #include <vector>
@@ -17,6 +18,9 @@
 class AdmissionControl
 {
 public:
+    /** Records that a stream arrived at this gateway. */
+    DemandMeter::Stream recordArrival(const DemandMeter::StreamClass &streamClass, SteadyTime now);
+
     /** Returns the demand of this gateway's streams by service. */
     std::vector<ServiceDemand> demand(SteadyTime now) const;
 
@@ -27,6 +31,7 @@
     const FleetDemand &fleetDemand() const;
 
 private:
+    DemandMeter m_meter;
     FleetDemand m_fleetDemand;
 };
 
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -38,6 +38,7 @@
     , m_table(std::move(table))
     , m_route(*match.route)
     , m_match(match)
+    , m_suspicion(traffic.m_crashGuard, m_exchange->request(), m_match.workspace)
     , m_arrivedAt(now())
     , m_deadline(m_arrivedAt + std::min(m_route.timeout, m_callerFields.timeout.value_or(m_route.timeout)))
     , m_timer(traffic.m_loop)
@@ -57,6 +58,10 @@
     if (refuseIfBlocked()) {
         return;
     }
+    if (isStream()) {
+        m_demand = m_traffic.m_admissionControl.recordArrival(
+            {.service = m_service, .priority = m_match.priority, .workspace = m_match.workspace}, m_arrivedAt);
+    }
     if (isStream() && m_traffic.m_queue.hasOnTimeStream(m_service, m_arrivedAt)) {
         enqueue(); // behind the streams that arrived earlier
     } else {
@@ -81,6 +86,7 @@
 void GatewayCall::drop()
 {
     m_isDone = true;
+    m_demand = {};
     m_timer.cancel();
     releaseTarget(false);
     m_exchange->abort();
@@ -122,7 +128,7 @@
 GatewayTargets::Choice GatewayCall::chooseTarget()
 {
     auto &targets = m_traffic.m_targets;
-    if (isSuspect()) {
+    if (m_suspicion.isSuspect()) {
         const auto avoided = m_traffic.m_crashGuard.suspectTargets().targetsToAvoid(m_tried);
         const auto unsuspectedChoice = targets.choose(requirements(avoided), now(), m_traffic.m_random);
         if (unsuspectedChoice.target != nullptr) {
@@ -181,6 +187,7 @@
     }
     m_isQueuedAsLate = isLate;
     m_isWaiting = true;
+    m_demand.setWaiting();
     m_traffic.enqueue(shared_from_this(), stream);
 }
 
@@ -206,8 +213,9 @@
     ++m_attempts;
     m_sentAt = now();
     m_response = {};
-    markSuspectAt(m_target);
+    m_suspicion.markAt(m_target);
     m_stream.beginAttempt();
+    m_demand.setInProgress();
     if (target.load.ownRequests() == 0) {
         target.lastReceivedAt = m_sentAt;
     }
@@ -260,7 +268,7 @@
     if (!m_response.beginBody()) {
         return;
     }
-    unmarkSuspect();
+    m_suspicion.unmark();
     if (isStream() && m_response.status() == 200) {
         forwardEvents(bytes);
         return;
@@ -312,44 +320,28 @@
         self->m_isProbingTarget = false;
         if (result == ProbeResult::Refused) {
             self->m_traffic.m_targets.recordUnreachable(self->m_target);
-            self->m_traffic.m_crashGuard.recordTargetDeath(self->m_callerFields.id, self->fingerprint(),
+            self->m_traffic.m_crashGuard.recordTargetDeath(self->m_callerFields.id, self->m_suspicion.fingerprint(),
                                                            self->m_target);
         }
         self->finishAttempt(AttemptResult::Interrupted, reason);
     });
 }
 
-const RequestFingerprint &GatewayCall::fingerprint()
-{
-    if (!m_fingerprint) {
-        const auto &request = m_exchange->request();
-        const auto url = std::string(request.header("Host")) + request.target;
-        m_fingerprint = fingerprintOf(m_match.workspace, request.method, url, request.body);
-    }
-    return *m_fingerprint;
-}
-
-bool GatewayCall::isSuspect()
-{
-    return !m_traffic.m_crashGuard.isIdle() && m_traffic.m_crashGuard.isSuspect(fingerprint());
-}
-
 bool GatewayCall::refuseIfBlocked()
 {
-    auto &guard = m_traffic.m_crashGuard;
-    if (guard.isIdle() || !guard.isBlocked(fingerprint())) {
+    if (!m_suspicion.isBlocked()) {
         return false;
     }
-    guard.recordRefusal(fingerprint());
+    m_traffic.m_crashGuard.recordRefusal(m_suspicion.fingerprint());
     fail({.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : ErrorKind::EndsTargets,
-          .detail = "fingerprint " + toString(fingerprint())});
+          .detail = "fingerprint " + toString(m_suspicion.fingerprint())});
     return true;
 }
 
 void GatewayCall::cancelIfBlocked(const RequestFingerprint &request)
 {
     const bool isInProgress = m_connection != nullptr || m_isWaiting;
-    if (m_isDone || m_response.hasBodyBegun() || !isInProgress || fingerprint() != request) {
+    if (m_isDone || m_response.hasBodyBegun() || !isInProgress || m_suspicion.fingerprint() != request) {
         return;
     }
     m_possibleExecutions += m_connection != nullptr ? 1 : 0;
@@ -357,23 +349,6 @@
     refuseIfBlocked();
 }
 
-void GatewayCall::markSuspectAt(const TargetName &target)
-{
-    if (isSuspect()) {
-        m_suspectTarget = target;
-        m_traffic.m_crashGuard.suspectTargets().add(target);
-    }
-}
-
-void GatewayCall::unmarkSuspect()
-{
-    if (!m_suspectTarget) {
-        return;
-    }
-    m_traffic.m_crashGuard.suspectTargets().remove(*m_suspectTarget);
-    m_suspectTarget.reset();
-}
-
 void GatewayCall::forwardEvents(std::string_view bytes)
 {
     for (const auto &event : m_stream.feed(bytes)) {
@@ -426,9 +401,7 @@
     }
     releaseTarget(true);
     m_traffic.m_targets.recordAttempt(m_target, AttemptOutcome::Succeeded, now());
-    if (isSuspect()) {
-        m_traffic.m_crashGuard.recordAnswer(fingerprint());
-    }
+    m_suspicion.recordAnswer();
     if (!m_stream.hasBegun()) {
         m_exchange->beginStream(m_response.status(), m_response.headers());
     }
@@ -450,8 +423,8 @@
             m_target, result == AttemptResult::TimedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Failed, now());
     }
     const bool hasCompleted = result == AttemptResult::Answered || result == AttemptResult::FailedAtTarget;
-    if (hasCompleted && isSuspect()) {
-        m_traffic.m_crashGuard.recordAnswer(fingerprint());
+    if (hasCompleted) {
+        m_suspicion.recordAnswer();
     }
     m_possibleExecutions += mayHaveRun(result) ? 1 : 0;
     m_possibleArrivals += result != AttemptResult::NeverSent ? 1 : 0;
@@ -506,10 +479,11 @@
 
 void GatewayCall::releaseTarget(bool keepConnection)
 {
-    unmarkSuspect();
+    m_suspicion.unmark();
     if (!m_connection) {
         return;
     }
+    m_demand.setIdle();
     const auto connection = std::exchange(m_connection, {});
     if (auto *target = m_traffic.m_targets.find(m_target)) {
         target->load.recordEnded();
@@ -551,6 +525,7 @@
         return;
     }
     m_isDone = true;
+    m_demand = {};
     m_timer.cancel();
     logEvent(Severity::Info, "request",
              {{"request", m_callerFields.id.text()},
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "heatherridge_state/decisions/attemptresult.h"
-#include "heatherridge_state/keys/requestfingerprint.h"
+#include "heatherridge_state/demand/demandmeter.h"
+#include "heatherridge_transport/direct/crashsuspicion.h"
 #include "heatherridge_transport/direct/gatewaytraffic.h"
 #include "heatherridge_transport/direct/streamprogress.h"
 #include "heatherridge_transport/direct/targetresponse.h"
@@ -73,13 +74,9 @@
     void onStreamComplete();
     void finishAttempt(AttemptResult result, std::string_view reason);
     void probeTargetAfterFailure(const std::string &reason);
-    const RequestFingerprint &fingerprint();
-    bool isSuspect();
     bool refuseIfBlocked();
     GatewayTargets::Choice chooseTarget();
     TargetRequirements requirements(const std::set<TargetName> &avoided) const;
-    void markSuspectAt(const TargetName &target);
-    void unmarkSuspect();
     void releaseTarget(bool keepConnection);
     void retry(AttemptResult result, std::string_view reason);
     void logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const;
@@ -101,6 +98,7 @@
     std::shared_ptr<const RouteTable> m_table;
     const RouteRule &m_route;
     RouteMatch m_match;
+    CrashSuspicion m_suspicion;
     ServiceName m_service;
     SteadyTime m_arrivedAt;
     SteadyTime m_deadline;
@@ -123,10 +121,9 @@
 
     TargetResponse m_response; ///< of the current attempt
     bool m_isProbingTarget = false; ///< the current attempt failed, and its target is being probed
-    std::optional<TargetName> m_suspectTarget; ///< the target at which this call is listed as a suspect
-    std::optional<RequestFingerprint> m_fingerprint; ///< computed on first use
 
     StreamProgress m_stream;
+    DemandMeter::Stream m_demand; ///< counts this call while it is open, if it is a stream
     std::size_t m_unsentBytes = 0;
     std::chrono::milliseconds m_placementWait{0}; ///< from arrival to the start of the last attempt, for the log
 };
