--- a/modules/heatherridge_state/decisions/rankadmission.cpp
+++ b/modules/heatherridge_state/decisions/rankadmission.cpp
@@ -93,6 +93,15 @@
     return found == m_levels.end() || found->second.isHighest;
 }
 
+int RankAdmission::highestRank() const
+{
+    int highest = 0;
+    for (const auto &[priority, level] : m_levels) {
+        highest = level.isHighest ? priority : highest;
+    }
+    return highest;
+}
+
 bool RankAdmission::hasAssuredStream(int priority) const
 {
     const auto found = m_levels.find(priority);
--- a/modules/heatherridge_state/decisions/rankadmission.h
+++ b/modules/heatherridge_state/decisions/rankadmission.h
@@ -90,6 +90,9 @@
     /** Returns whether @p priority is the highest rank with any demand. */
     bool isHighest(int priority) const;
 
+    /** Returns the lowest of the ranks for which no capacity is reserved for others: the highest one with demand. */
+    int highestRank() const;
+
     /** Returns whether the assured part of @p priority allows a stream. */
     bool hasAssuredStream(int priority) const;
 
--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -1,10 +1,46 @@
 #include "heatherridge_transport/direct/admissioncontrol.h"
 
+#include "heatherridge_state/routing/rankedservices.h"
+#include "heatherridge_transport/app/logger.h"
+
+#include <algorithm>
+#include <string>
 #include <utility>
 
 namespace Heatherridge
 {
 
+namespace
+{
+
+/** Returns the label of metrics; ranks beyond the limit are counted with the last one. */
+std::string rankLabel(int priority)
+{
+    return "rank=\"" + std::to_string(std::clamp(priority, 0, static_cast<int>(MaxDemandRanks) - 1)) + '"';
+}
+
+} // namespace
+
+AdmissionControl::AdmissionControl(Metrics &metrics)
+    : m_metrics(metrics)
+{
+}
+
+void AdmissionControl::setConfig(const RoutingConfig &config)
+{
+    auto before = std::exchange(m_services, {});
+    for (const auto &service : rankedServices(config)) {
+        auto &admission = m_services[service];
+        if (auto known = before.extract(service)) {
+            admission = std::move(known.mapped());
+        }
+    }
+    for (auto &[service, admission] : before) {
+        admission.tick(SteadyTime::max());
+        reportChanges(service, admission);
+    }
+}
+
 DemandMeter::Stream AdmissionControl::recordArrival(const DemandMeter::StreamClass &streamClass, SteadyTime now)
 {
     return m_meter.recordArrival(streamClass, now);
@@ -15,9 +51,15 @@
     return m_meter.demand(now);
 }
 
+ServiceDemand AdmissionControl::demandOf(const ServiceName &service, SteadyTime now) const
+{
+    return m_meter.demandOf(service, now);
+}
+
 void AdmissionControl::setFleetDemand(FleetDemand demand)
 {
     m_fleetDemand = std::move(demand);
+    updateOthers();
 }
 
 const FleetDemand &AdmissionControl::fleetDemand() const
@@ -25,4 +67,133 @@
     return m_fleetDemand;
 }
 
+void AdmissionControl::setKnownGateways(int gateways)
+{
+    m_knownGateways = gateways;
+    updateOthers();
+}
+
+bool AdmissionControl::admitsByRank(const ServiceName &service) const
+{
+    return m_services.contains(service);
+}
+
+int AdmissionControl::queueRank(const ServiceName &service, int priority) const
+{
+    return admitsByRank(service) ? priority : 0;
+}
+
+bool AdmissionControl::mayAdmit(const ServiceName &service, int priority, const RankAdmission::Capacity &capacity,
+                                SteadyTime now)
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return true;
+    }
+    const auto own = demandOf(service, now);
+    auto &admission = found->second;
+    const bool mayAdmit = admission.mayAdmit(priority, capacity, {.own = own, .others = othersDemand(service)}, now);
+    reportChanges(service, admission);
+    return mayAdmit;
+}
+
+void AdmissionControl::recordSent(const ServiceName &service, int priority, SteadyTime now)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end()) {
+        found->second.recordAdmitted(priority, now);
+        rankCounter("heatherridge_streams_sent_total", priority).add();
+    }
+}
+
+void AdmissionControl::recordRefused(const ServiceName &service, int priority)
+{
+    if (admitsByRank(service)) {
+        rankCounter("heatherridge_streams_refused_total", priority).add();
+    }
+}
+
+std::optional<std::chrono::milliseconds> AdmissionControl::expectedWait(const ServiceName &service, int priority,
+                                                                        SteadyTime now) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return std::nullopt;
+    }
+    const auto own = demandOf(service, now);
+    return found->second.expectedWait(priority, {.own = own, .others = othersDemand(service)}, now);
+}
+
+QueueClass AdmissionControl::queueClass(const WaitingStream &stream, SteadyTime now) const
+{
+    const auto found = m_services.find(stream.service);
+    return found == m_services.end() ? QueueClass::InOrder : classifyByRank(stream, found->second, now);
+}
+
+bool AdmissionControl::waitsBehind(const StreamQueue &queue, const ServiceName &service, int priority,
+                                   SteadyTime now) const
+{
+    const auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return queue.hasOnTimeStream(service, now);
+    }
+    // A stream of the assured part waits for the highest rank only.
+    const auto &admission = found->second;
+    return queue.hasOnTimeStream(service, now,
+                                 admission.hasAssuredStream(priority) ? admission.highestRank() : priority);
+}
+
+void AdmissionControl::tick(SteadyTime now)
+{
+    for (auto &[service, admission] : m_services) {
+        admission.tick(now);
+        reportChanges(service, admission);
+    }
+}
+
+const ServiceDemand *AdmissionControl::othersDemand(const ServiceName &service) const
+{
+    static const ServiceDemand none;
+    if (!m_fleetDemand.isKnown || !m_fleetDemand.isShared) {
+        return nullptr;
+    }
+    const auto found = m_others.find(service);
+    return found == m_others.end() ? &none : &found->second;
+}
+
+void AdmissionControl::updateOthers()
+{
+    const double factor =
+        m_fleetDemand.gateways > 0 ? std::max(1.0, static_cast<double>(m_knownGateways) / m_fleetDemand.gateways) : 1;
+    m_others.clear();
+    for (const auto &demand : m_fleetDemand.services) {
+        for (auto [priority, rank] : demand.ranks) {
+            rank.arrivalsPerSecond *= factor;
+            rank.waiting *= factor;
+            m_others[demand.service].ranks[priority] = rank;
+        }
+    }
+}
+
+void AdmissionControl::reportChanges(const ServiceName &service, RankAdmission &admission)
+{
+    for (const auto &change : admission.takeChanges()) {
+        m_metrics.gauge("heatherridge_rank_held", rankLabel(change.priority)).add(change.isHeld ? 1 : -1);
+        logEvent(Severity::Info, "rank-level",
+                 {{"service", service.text()},
+                  {"rank", std::to_string(change.priority)},
+                  {"level", change.isHeld ? "held" : "admitted"},
+                  {"room", std::to_string(change.room)},
+                  {"reserved", std::to_string(change.reserved)},
+                  {"known", m_fleetDemand.isKnown && m_fleetDemand.isShared ? "yes" : "no"},
+                  {"age-ms", std::to_string(m_fleetDemand.age.count())},
+                  {"gateways", std::to_string(m_fleetDemand.gateways)}});
+    }
+}
+
+Counter &AdmissionControl::rankCounter(const char *name, int priority)
+{
+    return m_metrics.counter(name, rankLabel(priority));
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -1,9 +1,15 @@
 #pragma once
 
 #include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/decisions/rankadmission.h"
+#include "heatherridge_state/decisions/streamadmission.h"
 #include "heatherridge_state/demand/demandmeter.h"
 #include "heatherridge_state/demand/fleetdemand.h"
+#include "heatherridge_state/routing/routingconfig.h"
+#include "heatherridge_transport/app/metrics.h"
 
+#include <map>
+#include <optional>
 #include <vector>
 
 namespace Heatherridge
@@ -12,27 +18,84 @@
 /**
  * Decides on the admission of streams by the demand of all gateways.
  *
- * Holds what the decisions of a gateway's traffic thread share: its own demand and the last known demand of the other
- * gateways. Used on the traffic thread only.
+ * Holds what the decisions of a gateway's traffic thread share: its own demand, the last known demand of the other
+ * gateways, and the RankAdmission of each service whose streams can have different priorities. The streams of all
+ * other services are admitted without regard to ranks. Used on the traffic thread only.
  */
 class AdmissionControl
 {
 public:
+    /** @p metrics must outlive this object. */
+    explicit AdmissionControl(Metrics &metrics);
+
+    /** Puts rank admission in force for those services of @p config whose streams can have different priorities. */
+    void setConfig(const RoutingConfig &config);
+
     /** Records that a stream arrived at this gateway. */
     DemandMeter::Stream recordArrival(const DemandMeter::StreamClass &streamClass, SteadyTime now);
 
     /** Returns the demand of this gateway's streams by service. */
     std::vector<ServiceDemand> demand(SteadyTime now) const;
 
+    /** Returns the demand of this gateway's streams for @p service. */
+    ServiceDemand demandOf(const ServiceName &service, SteadyTime now) const;
+
     /** Replaces the demand at all other gateways. */
     void setFleetDemand(FleetDemand demand);
 
     /** Returns the last demand at all other gateways; check `isKnown` before using it. */
     const FleetDemand &fleetDemand() const;
 
+    /** Sets the number of other gateways that exist; those that have stated no demand count as average ones. */
+    void setKnownGateways(int gateways);
+
+    /** Returns whether rank admission is in force for @p service. */
+    bool admitsByRank(const ServiceName &service) const;
+
+    /** Returns the rank of a stream of @p service in the queue: 0 unless rank admission is in force. */
+    int queueRank(const ServiceName &service, int priority) const;
+
+    /** Returns whether a stream may be sent to the engines of @p service, which have @p capacity. */
+    bool mayAdmit(const ServiceName &service, int priority, const RankAdmission::Capacity &capacity, SteadyTime now);
+
+    /** Records that a stream of @p priority is sent that no engine has started before. */
+    void recordSent(const ServiceName &service, int priority, SteadyTime now);
+
+    /** Records that a stream of @p priority is refused because there is not enough capacity. */
+    void recordRefused(const ServiceName &service, int priority);
+
+    /**
+     * Returns how long a stream that begins to wait now is expected to wait. Nothing if rank admission is not in force
+     * for @p service or no rate of admission is known yet.
+     */
+    std::optional<std::chrono::milliseconds> expectedWait(const ServiceName &service, int priority,
+                                                          SteadyTime now) const;
+
+    /** Returns when @p stream has its turn. */
+    QueueClass queueClass(const WaitingStream &stream, SteadyTime now) const;
+
+    /**
+     * Returns whether a stream of @p priority that arrives waits behind those of @p queue, instead of looking for an
+     * engine at once.
+     */
+    bool waitsBehind(const StreamQueue &queue, const ServiceName &service, int priority, SteadyTime now) const;
+
+    /** Ends what is not in force any more. Called about once a second. */
+    void tick(SteadyTime now);
+
 private:
+    const ServiceDemand *othersDemand(const ServiceName &service) const;
+    void updateOthers();
+    void reportChanges(const ServiceName &service, RankAdmission &admission);
+    Counter &rankCounter(const char *name, int priority);
+
+    Metrics &m_metrics;
     DemandMeter m_meter;
     FleetDemand m_fleetDemand;
+    int m_knownGateways = 0;
+    /** By rank at all other gateways, those included that have stated nothing. */
+    std::map<ServiceName, ServiceDemand> m_others;
+    std::map<ServiceName, RankAdmission> m_services; ///< for which rank admission is in force
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -62,7 +62,8 @@
         m_demand = m_traffic.m_admissionControl.recordArrival(
             {.service = m_service, .priority = m_match.priority, .workspace = m_match.workspace}, m_arrivedAt);
     }
-    if (isStream() && m_traffic.m_queue.hasOnTimeStream(m_service, m_arrivedAt)) {
+    if (isStream()
+        && m_traffic.m_admissionControl.waitsBehind(m_traffic.m_queue, m_service, m_match.priority, m_arrivedAt)) {
         enqueue(); // behind the streams that arrived earlier
     } else {
         startAttempt();
@@ -78,6 +79,12 @@
     }
 }
 
+void GatewayCall::refuseWaiting(milliseconds expectedWait)
+{
+    m_isWaiting = false;
+    fail({.kind = ErrorKind::Overloaded, .detail = "the queue is too long", .retryAfter = expectedWait});
+}
+
 std::uint64_t GatewayCall::number() const
 {
     return m_number;
@@ -140,7 +147,15 @@
 
 TargetRequirements GatewayCall::requirements(const std::set<TargetName> &avoided) const
 {
-    return {.service = m_service, .tried = avoided, .urgency = urgency(), .regions = m_match.regions};
+    TargetRequirements requirements{
+        .service = m_service, .tried = avoided, .urgency = urgency(), .regions = m_match.regions};
+    auto &control = m_traffic.m_admissionControl;
+    if (isStream() && requirements.urgency != Urgency::InProgress && control.admitsByRank(m_service)) {
+        requirements.mayAdmit = [this, &control](const RankAdmission::Capacity &capacity) {
+            return control.mayAdmit(m_service, m_match.priority, capacity, now());
+        };
+    }
+    return requirements;
 }
 
 Urgency GatewayCall::urgency() const
@@ -175,14 +190,15 @@
     const WaitingStream stream{.number = m_number,
                                .service = m_service,
                                .hasStarted = urgency() == Urgency::InProgress,
-                               .onTimeUntil = onTimeUntil()};
+                               .onTimeUntil = onTimeUntil(),
+                               .rank = m_traffic.m_admissionControl.queueRank(m_service, m_match.priority)};
     // The wait is estimated only when the stream joins the queue and when it becomes late and falls behind the
     // on-time streams; at other times it can only have moved forward.
     const bool isLate = stream.onTimeUntil < now();
     const bool needsWaitEstimate = !stream.hasStarted && m_isQueuedAsLate != isLate;
-    const auto expectedWait = needsWaitEstimate ? m_traffic.m_queue.expectedWait(stream, now()) : milliseconds(0);
-    if (now() + expectedWait > waitDeadline()) {
-        fail({.kind = ErrorKind::Overloaded, .detail = "the queue is too long", .retryAfter = expectedWait});
+    const auto expectedWait = needsWaitEstimate ? m_traffic.expectedWait(stream, now()) : milliseconds(0);
+    if (now() + expectedWait > waitDeadline() && !m_traffic.refuseLowerRank(stream, expectedWait)) {
+        refuseWaiting(expectedWait);
         return;
     }
     m_isQueuedAsLate = isLate;
@@ -224,6 +240,9 @@
     m_group = target.engine ? target.engine->group : GroupName();
     m_placementWait = age();
     m_traffic.admit(m_number, m_sentAt);
+    if (isStream() && urgency() != Urgency::InProgress) {
+        m_traffic.m_admissionControl.recordSent(m_service, m_match.priority, m_sentAt);
+    }
     m_traffic.m_targets.recordSend(m_group, m_sentAt);
     target.load.recordSent();
     target.admission.recordSent(m_sentAt);
@@ -513,6 +532,9 @@
     }
     error.ran = m_possibleExecutions > 0 ? ExecutionStatus::Unknown : ExecutionStatus::No;
     m_traffic.m_metrics.errors(error.kind).add();
+    if (isStream() && error.kind == ErrorKind::Overloaded) {
+        m_traffic.m_admissionControl.recordRefused(m_service, m_match.priority);
+    }
     auto response = m_traffic.m_codec.errorResponse(error, m_callerFields.id);
     const int status = response.status;
     m_exchange->respond(std::move(response));
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -34,6 +34,12 @@
     /** Tries again to find an engine, if the call waits for one. */
     void retryPlacement();
 
+    /**
+     * Refuses the call, which waits for an engine, because all capacity is needed for others.
+     * @param expectedWait until capacity would be available for it
+     */
+    void refuseWaiting(std::chrono::milliseconds expectedWait);
+
     std::uint64_t number() const;
 
     /**
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/direct/gatewaytargets.h"
 
+#include "heatherridge_state/decisions/servicecapacity.h"
 #include "heatherridge_state/decisions/slowstart.h"
 #include "heatherridge_state/routing/routetable.h"
 
@@ -125,7 +126,7 @@
         candidates.push_back(makeCandidate(*target, averageOthers, health, request.tried, now));
     }
     if (hasEngineGroups) {
-        return chooseEngine(eligible, candidates, passTimeModel->second, request.urgency, now, random);
+        return chooseEngine(eligible, candidates, passTimeModel->second, request, now, random);
     }
     const auto chosen = placeDirectly(candidates, random);
     if (chosen) {
@@ -200,7 +201,8 @@
 
 GatewayTargets::Choice GatewayTargets::chooseEngine(const Eligible &eligible,
                                                     const std::vector<DirectCandidate> &candidates,
-                                                    const PassTimeModel &passTimeModel, Urgency urgency, SteadyTime now,
+                                                    const PassTimeModel &passTimeModel,
+                                                    const TargetRequirements &request, SteadyTime now,
                                                     RandomSource &random)
 {
     const auto &targets = eligible.targets;
@@ -232,7 +234,11 @@
     for (std::size_t group = 0; group < groupWork.size(); ++group) {
         groups.push_back(m_groups[groupNames[group]].evaluate(groupWork[group], passTimeModel, m_capacityShare, now));
     }
-    const auto choice = placeStream(engines, groups, {.urgency = urgency, .share = m_capacityShare}, random);
+    const PlacementRequest placement{.urgency = request.urgency, .share = m_capacityShare};
+    if (request.mayAdmit && !request.mayAdmit(freeCapacity(engines, groups, groupWork, passTimeModel, placement))) {
+        return noChoice(eligible, true, now);
+    }
+    const auto choice = placeStream(engines, groups, placement, random);
     if (choice.index) {
         return {.target = targets[*choice.index], .load = candidates[*choice.index].load};
     }
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -4,12 +4,14 @@
 #include "heatherridge_state/decisions/engineplacement.h"
 #include "heatherridge_state/decisions/groupadmission.h"
 #include "heatherridge_state/decisions/loadestimate.h"
+#include "heatherridge_state/decisions/rankadmission.h"
 #include "heatherridge_state/decisions/targetadmission.h"
 #include "heatherridge_state/decisions/warmupshare.h"
 #include "heatherridge_state/routing/regionrule.h"
 #include "heatherridge_state/routing/targetentry.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -44,6 +46,8 @@
     std::set<TargetName> tried{}; ///< targets that have failed or refused the request
     Urgency urgency = Urgency::OnTime; ///< of a stream
     RegionRule regions{};
+    /** Whether the stream may use a part of the free capacity; not set if only its own headroom counts. */
+    std::function<bool(const RankAdmission::Capacity &)> mayAdmit{};
 };
 
 /** Why no target was chosen for a request. */
@@ -170,7 +174,8 @@
     std::optional<std::chrono::milliseconds> timeUntilAnyAllowed(const std::vector<GatewayTarget *> &targets,
                                                                  SteadyTime now) const;
     Choice chooseEngine(const Eligible &eligible, const std::vector<DirectCandidate> &candidates,
-                        const PassTimeModel &passTimeModel, Urgency urgency, SteadyTime now, RandomSource &random);
+                        const PassTimeModel &passTimeModel, const TargetRequirements &request, SteadyTime now,
+                        RandomSource &random);
 
     ZoneName m_zone;
     ZoneRegions m_zoneRegions;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -4,7 +4,6 @@
 #include "heatherridge_transport/direct/gatewaycall.h"
 
 #include <random>
-#include <set>
 
 namespace Heatherridge
 {
@@ -44,6 +43,7 @@
     , m_codec(codec)
     , m_metrics(metrics)
     , m_counters(metrics)
+    , m_admissionControl(metrics)
     , m_targets(m_options.zone, m_options.zoneRegions, m_options.warmUpTolerance)
     , m_pool(loop, metrics)
     , m_probe(loop, m_options.connectTimeout, metrics)
@@ -60,6 +60,7 @@
 void GatewayTraffic::setTable(std::shared_ptr<const RouteTable> table)
 {
     m_targets.setServices(table->config());
+    m_admissionControl.setConfig(table->config());
     m_table = std::move(table);
 }
 
@@ -139,6 +140,7 @@
     m_pool.tick(now);
     m_crashGuard.tick(now);
     m_targets.tick(now);
+    m_admissionControl.tick(now);
 }
 
 bool GatewayTraffic::isReady() const
@@ -247,24 +249,42 @@
 
 void GatewayTraffic::advanceQueue()
 {
-    std::set<ServiceName> fullServices;
-    for (const auto &stream : m_queue.inAdmissionOrder(std::chrono::steady_clock::now())) {
-        const auto found = m_waitingCalls.find(stream.number);
-        const auto call = found == m_waitingCalls.end() ? nullptr : found->second.lock();
-        if (!call) {
-            dequeue(stream.number);
-            continue;
-        }
-        // If a stream finds no free engine, neither do the streams of the same service behind it.
-        if (fullServices.contains(stream.service)) {
-            continue;
-        }
-        call->retryPlacement();
-        const bool isStillWaiting = m_waitingCalls.contains(stream.number);
-        if (!stream.hasStarted && isStillWaiting) {
-            fullServices.insert(stream.service);
-        }
+    const auto now = std::chrono::steady_clock::now();
+    admitInOrder(
+        m_queue.inAdmissionOrder(now),
+        [this, now](const WaitingStream &stream) { return m_admissionControl.queueClass(stream, now); },
+        [this](const WaitingStream &stream) { return retryPlacement(stream.number); });
+}
+
+bool GatewayTraffic::retryPlacement(std::uint64_t number)
+{
+    const auto found = m_waitingCalls.find(number);
+    const auto call = found == m_waitingCalls.end() ? nullptr : found->second.lock();
+    if (!call) {
+        dequeue(number);
+        return true;
+    }
+    call->retryPlacement();
+    return !m_waitingCalls.contains(number);
+}
+
+std::chrono::milliseconds GatewayTraffic::expectedWait(const WaitingStream &stream, SteadyTime now) const
+{
+    return m_admissionControl.admitsByRank(stream.service)
+        ? m_admissionControl.expectedWait(stream.service, stream.rank, now).value_or(std::chrono::milliseconds(0))
+        : m_queue.expectedWait(stream, now);
+}
+
+bool GatewayTraffic::refuseLowerRank(const WaitingStream &stream, std::chrono::milliseconds expectedWait)
+{
+    const auto number = m_queue.lastOfLowerRank(stream.service, stream.rank);
+    const auto found = number ? m_waitingCalls.find(*number) : m_waitingCalls.end();
+    const auto call = found == m_waitingCalls.end() ? nullptr : found->second.lock();
+    if (!call) {
+        return false;
     }
+    call->refuseWaiting(expectedWait);
+    return true;
 }
 
 void GatewayTraffic::applyCrashReports(const std::vector<CrashReport> &reports)
--- a/tests/decisions/rankreplay_test.cpp
+++ b/tests/decisions/rankreplay_test.cpp
@@ -188,13 +188,13 @@
         }
         const bool mayTry = !gateway.queue.hasOnTimeStream(Service, m_now, queueRank)
             || (m_options.admitsByRank && gateway.admission.hasAssuredStream(rank)
-                && !gateway.queue.hasOnTimeStream(Service, m_now, 0));
+                && !gateway.queue.hasOnTimeStream(Service, m_now, gateway.admission.highestRank()));
         if (mayTry && trySend(gateway, number)) {
             return;
         }
         if (m_options.admitsByRank && isWaitTooLong(gateway, rank)) {
             const auto victim = gateway.queue.lastOfLowerRank(Service, rank);
-            if (!victim || gateway.admission.hasAssuredStream(m_waiting[*victim].rank)) {
+            if (!victim) {
                 return;
             }
             leaveQueue(gateway, *victim);
