--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/direct/gatewaytargets.h"
 
+#include "heatherridge_state/decisions/servicecapacity.h"
 #include "heatherridge_state/decisions/slowstart.h"
 #include "heatherridge_state/routing/routetable.h"
 
@@ -228,7 +229,11 @@
     for (std::size_t group = 0; group < groupWork.size(); ++group) {
         groups.push_back(m_groups[groupNames[group]].evaluate(groupWork[group], passTimeModel, share, now));
     }
-    const auto choice = placeStream(engines, groups, {.urgency = request.urgency, .share = share}, random);
+    const PlacementRequest placement{.urgency = request.urgency, .share = share};
+    if (request.mayAdmit && !request.mayAdmit(freeCapacity(engines, groups, groupWork, passTimeModel, placement))) {
+        return noChoice(eligible, true, now);
+    }
+    const auto choice = placeStream(engines, groups, placement, random);
     if (choice.index) {
         return {.target = targets[*choice.index], .load = candidates[*choice.index].load};
     }
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -2,12 +2,14 @@
 
 #include "heatherridge_state/decisions/engineplacement.h"
 #include "heatherridge_state/decisions/groupadmission.h"
+#include "heatherridge_state/decisions/rankadmission.h"
 #include "heatherridge_state/decisions/warmupshare.h"
 #include "heatherridge_state/routing/regionrule.h"
 #include "heatherridge_transport/direct/engineshares.h"
 #include "heatherridge_transport/direct/gatewaytarget.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,6 +32,8 @@
     std::set<TargetName> tried{}; ///< targets that have failed or refused the request
     Urgency urgency = Urgency::OnTime; ///< of a stream
     RegionRule regions{};
+    /** Whether the stream may use a part of the free capacity; not set if only its own headroom counts. */
+    std::function<bool(const RankAdmission::Capacity &)> mayAdmit{};
 };
 
 /** Why no target was chosen for a request. */
