--- a/modules/heatherridge_state/decisions/streamqueue.cpp
+++ b/modules/heatherridge_state/decisions/streamqueue.cpp
@@ -56,7 +56,10 @@
     const auto streamClass = classOf(stream, now);
     const auto rate = m_admissionRates.find(streamClass);
     const auto interval = rate == m_admissionRates.end() ? std::nullopt : rate->second.interval.mean();
-    const auto ahead = countWaiting(streamClass, now);
+    const auto ahead = std::count_if(m_streams.begin(), m_streams.end(), [&](const auto &entry) {
+        const auto &other = entry.second;
+        return classOf(other, now) == streamClass && (stream.isOverShare || !other.isOverShare);
+    });
     if (!interval || ahead == 0) {
         return std::chrono::milliseconds(0);
     }
@@ -88,13 +91,14 @@
     });
 }
 
-std::optional<std::uint64_t> StreamQueue::lastOfLowerRank(const ServiceName &service, int rank) const
+std::optional<std::uint64_t> StreamQueue::streamToRefuseInsteadOf(const WaitingStream &stream) const
 {
+    const auto importance = [](const WaitingStream &waiting) { return std::tuple(waiting.rank, waiting.isOverShare); };
     const WaitingStream *last = nullptr;
-    for (const auto &[number, stream] : m_streams) {
-        if (stream.service == service && !stream.hasStarted && stream.rank > rank
-            && (last == nullptr || stream.rank >= last->rank)) {
-            last = &stream;
+    for (const auto &[number, waiting] : m_streams) {
+        if (waiting.service == stream.service && !waiting.hasStarted && importance(waiting) > importance(stream)
+            && (last == nullptr || importance(waiting) >= importance(*last))) {
+            last = &waiting;
         }
     }
     return last == nullptr ? std::nullopt : std::optional(last->number);
@@ -111,7 +115,8 @@
         const auto admissionOrder = admissionOrderOf(stream, now);
         const auto urgency = admissionOrder == AdmissionOrder::Timely ? stream.onTimeUntil : SteadyTime{};
         const int rank = admissionOrder == AdmissionOrder::Started ? 0 : stream.rank;
-        return std::tuple(admissionOrder, rank, urgency, stream.number);
+        const bool isOverShare = admissionOrder != AdmissionOrder::Started && stream.isOverShare;
+        return std::tuple(admissionOrder, rank, isOverShare, urgency, stream.number);
     };
     std::sort(streams.begin(), streams.end(), [&key](const auto &a, const auto &b) { return key(a) < key(b); });
     return streams;
--- a/modules/heatherridge_state/decisions/streamqueue.h
+++ b/modules/heatherridge_state/decisions/streamqueue.h
@@ -22,6 +22,7 @@
     bool hasStarted = false; ///< its caller has received a part of it
     SteadyTime onTimeUntil{}; ///< if sent after this time, the stream cannot be on time
     int rank = 0; ///< priority of its caller, 0 is the highest; 0 for all streams of a service without rank admission
+    bool isOverShare = false; ///< its workspace demands more than its fair share
 };
 
 /**
@@ -31,7 +32,8 @@
  * already would take the capacity of those that could still be on time. Interrupted streams are therefore admitted
  * first, then those that can still be on time, the most urgent first, then late ones in order of arrival. Where rank
  * admission is in force, the rank comes before urgency and arrival, but a stream that can still be on time precedes one
- * of a higher rank that cannot. Single-threaded.
+ * of a higher rank that cannot. Of streams of the same rank, those of workspaces over their fair share come last.
+ * Single-threaded.
  */
 class StreamQueue
 {
@@ -48,8 +50,8 @@
     void admit(std::uint64_t number, SteadyTime now);
 
     /**
-     * Returns how long @p stream would wait from @p now on behind the waiting streams of its class. Zero while no
-     * stream of its class waits or none has been admitted yet.
+     * Returns how long @p stream would wait from @p now on behind the waiting streams of its class, those over their
+     * share left out unless it is one of them. Zero while none of these waits or none has been admitted yet.
      */
     std::chrono::milliseconds expectedWait(const WaitingStream &stream, SteadyTime now) const;
 
@@ -57,10 +59,11 @@
     bool hasOnTimeStream(const ServiceName &service, SteadyTime now, int rank = std::numeric_limits<int>::max()) const;
 
     /**
-     * Returns the stream to refuse in place of one of @p rank: of the waiting streams of @p service with a lower rank
-     * those of the lowest, and of these the last to arrive. Streams that have started are not refused.
+     * Returns the waiting stream of the same service to refuse in place of @p stream, if there is one of a lower rank,
+     * or one of the same rank that is over its share while @p stream is within: of the lowest rank those over their
+     * share first, and of these the last to arrive. Streams that have started are not refused.
      */
-    std::optional<std::uint64_t> lastOfLowerRank(const ServiceName &service, int rank) const;
+    std::optional<std::uint64_t> streamToRefuseInsteadOf(const WaitingStream &stream) const;
 
     /** Returns all streams in the order in which they are to be admitted. */
     std::vector<WaitingStream> inAdmissionOrder(SteadyTime now) const;
--- a/tests/decisions/streamqueue_test.cpp
+++ b/tests/decisions/streamqueue_test.cpp
@@ -48,6 +48,18 @@
      {{.number = 1, .onTimeUntil = Start + 1'200ms, .rank = 0},
       {.number = 2, .hasStarted = true, .onTimeUntil = Start, .rank = 2}},
      {2, 1}},
+    {"a stream of a workspace over its share behind those of its rank, however urgent",
+     {{.number = 1, .onTimeUntil = Start + 1'200ms, .rank = 1, .isOverShare = true},
+      {.number = 2, .onTimeUntil = Start + 1'400ms, .rank = 1},
+      {.number = 3, .onTimeUntil = Start + 1'300ms, .rank = 2}},
+     {2, 1, 3}},
+    {"late streams of workspaces over their share behind those within theirs",
+     {{.number = 1, .onTimeUntil = Start, .isOverShare = true}, {.number = 2, .onTimeUntil = Start + 10ms}},
+     {2, 1}},
+    {"an interrupted stream first, although its workspace is over its share",
+     {{.number = 1, .onTimeUntil = Start + 1'200ms},
+      {.number = 2, .hasStarted = true, .onTimeUntil = Start, .isOverShare = true}},
+     {2, 1}},
 };
 
 class StreamQueues : public testing::TestWithParam<OrderRow>
@@ -96,19 +108,52 @@
 TEST(StreamQueues, NameTheLastStreamOfTheLowestRank)
 {
     StreamQueue queue;
-    EXPECT_EQ(queue.lastOfLowerRank(Service, 0), std::nullopt);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 0}), std::nullopt);
     queue.enqueue({.number = 1, .service = Service, .rank = 1}, Start);
     queue.enqueue({.number = 2, .service = Service, .rank = 2}, Start);
     queue.enqueue({.number = 3, .service = Service, .rank = 2}, Start);
     queue.enqueue({.number = 4, .service = Service, .hasStarted = true, .rank = 2}, Start);
     queue.enqueue({.number = 5, .service = ServiceName("other"), .rank = 2}, Start);
     queue.enqueue({.number = 6, .service = Service, .rank = 1}, Start);
-    EXPECT_EQ(queue.lastOfLowerRank(Service, 0), 3U);
-    EXPECT_EQ(queue.lastOfLowerRank(Service, 2), std::nullopt);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 0}), 3U);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 2}), std::nullopt);
     queue.remove(3);
     queue.remove(2);
-    EXPECT_EQ(queue.lastOfLowerRank(Service, 0), 6U);
-    EXPECT_EQ(queue.lastOfLowerRank(Service, 1), std::nullopt);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 0}), 6U);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 1}), std::nullopt);
+}
+
+// Guards against refusing a stream within its share while one of the same rank waits that is over its share, and
+// against refusing a stream of a higher rank because its workspace is over its share.
+TEST(StreamQueues, NameStreamsOverTheirShareFirst)
+{
+    StreamQueue queue;
+    queue.enqueue({.number = 1, .service = Service, .rank = 1, .isOverShare = true}, Start);
+    queue.enqueue({.number = 2, .service = Service, .rank = 1}, Start);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 1}), 1U);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 0, .isOverShare = true}), 1U);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 1, .isOverShare = true}), std::nullopt);
+    queue.enqueue({.number = 3, .service = Service, .rank = 2}, Start);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 1}), 3U) << "the rank comes before the share";
+    queue.enqueue({.number = 4, .service = Service, .rank = 1, .isOverShare = true}, Start);
+    queue.remove(3);
+    EXPECT_EQ(queue.streamToRefuseInsteadOf({.service = Service, .rank = 1}), 4U) << "the last to arrive";
+}
+
+// Guards against refusing streams of quiet workspaces because of a long queue that they do not wait behind.
+TEST(StreamQueues, ExpectNoWaitBehindStreamsOverTheirShare)
+{
+    StreamQueue queue;
+    auto now = Start;
+    for (std::uint64_t number = 1; number <= 32; ++number) {
+        queue.enqueue({.number = number, .service = Service, .isOverShare = number > 16}, now);
+    }
+    for (std::uint64_t number = 1; number <= 12; ++number) {
+        now += 50ms;
+        queue.admit(number, now);
+    }
+    EXPECT_EQ(queue.expectedWait({.service = Service}, now), 200ms);
+    EXPECT_EQ(queue.expectedWait({.service = Service, .isOverShare = true}, now), 1s);
 }
 
 struct WaitRow
