--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -277,7 +277,7 @@
 
 bool GatewayTraffic::refuseLowerRank(const WaitingStream &stream, std::chrono::milliseconds expectedWait)
 {
-    const auto number = m_queue.lastOfLowerRank(stream.service, stream.rank);
+    const auto number = m_queue.streamToRefuseInsteadOf(stream);
     const auto found = number ? m_waitingCalls.find(*number) : m_waitingCalls.end();
     const auto call = found == m_waitingCalls.end() ? nullptr : found->second.lock();
     if (!call) {
--- a/tests/decisions/rankreplay_test.cpp
+++ b/tests/decisions/rankreplay_test.cpp
@@ -193,7 +193,7 @@
             return;
         }
         if (m_options.admitsByRank && isWaitTooLong(gateway, rank)) {
-            const auto victim = gateway.queue.lastOfLowerRank(Service, rank);
+            const auto victim = gateway.queue.streamToRefuseInsteadOf({.service = Service, .rank = rank});
             if (!victim) {
                 return;
             }
