--- a/tests/gateway/gatewaydemand_test.cpp
+++ b/tests/gateway/gatewaydemand_test.cpp
@@ -118,6 +118,37 @@
     EXPECT_FALSE(gateway.last.isKnown);
 }
 
+/** Returns the sum that the sidecar at @p endpoint has of its own zone. */
+ZoneDemand sumAt(const Endpoint &endpoint)
+{
+    const auto body = encode(DemandRequest{});
+    RawCaller caller(endpoint);
+    caller.send("POST /fleet/demand HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size())
+                + "\r\n\r\n" + body);
+    const auto response = decodeDemandResponse(caller.receive().body);
+    return errorIn(response) == nullptr ? std::get<DemandResponse>(response).ownZone : ZoneDemand{};
+}
+
+// Guards against a gateway that does not take part, and against one whose demand still counts after it has stopped.
+TEST(DemandThroughASidecar, IsStatedByAGatewayUntilItStops)
+{
+    Endpoint endpoint;
+    const auto sidecar = startSidecar(endpoint);
+    const ScriptedTarget target([](const std::string &, int) { return std::vector<TargetAction>{}; });
+    GatewayFixture gateway({&target}, {.sidecarPort = endpoint.port});
+    const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (sumAt(endpoint).gateways == 0 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    const auto sum = sumAt(endpoint);
+    EXPECT_EQ(sum.gateways, 1);
+    EXPECT_EQ(sum.largestProcessorShare, 0.5);
+    gateway.beginStop();
+    gateway.awaitStop();
+    EXPECT_EQ(sumAt(endpoint).gateways, 0) << "its statement is valid for 6 s unless it says that it leaves";
+    sidecar->drainAndStop();
+}
+
 struct BodyRow
 {
     const char *story;
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -108,11 +108,15 @@
                            .zone = ZoneName("z"),
                            .slots = 8});
     }
+    auto config = defaultConfig();
+    if (options.sidecarPort != 0) {
+        config.services.front().engine = EngineProfile{};
+    }
     GatewayServer::Adapter adapter{.trafficCodec = std::make_shared<PlatformTraffic>(),
                                    .makeLogClients =
-                                       [entries, options](HttpClient &, const LogEvents &) {
+                                       [entries, options, config](HttpClient &, const LogEvents &) {
                                            return GatewayServer::LogClients{
-                                               .registers = std::make_unique<FixedRegisters>(defaultConfig(), entries),
+                                               .registers = std::make_unique<FixedRegisters>(config, entries),
                                                .shares = std::make_unique<FixedShares>(options.partitions),
                                                .reports = std::make_unique<SharedReportLog>(options.reports)};
                                        },
@@ -123,6 +127,8 @@
                                                                       .readyListen = m_readinessEndpoint,
                                                                       .readyPath = "/ready",
                                                                       .retryBudget = {.slack = 800},
+                                                                      .sidecarPort = options.sidecarPort,
+                                                                      .size = {.processorShare = 0.5},
                                                                       .logPartitions = options.logPartitions,
                                                                       .sharePartitions = options.logPartitions,
                                                                       .maxHeldBytes = options.maxHeldBytes,
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -25,6 +25,7 @@
         std::set<int> partitions{}; ///< partitions of the log assigned to this gateway; if empty, the log never answers
         int logPartitions = 1;
         std::size_t maxHeldBytes = 64UL << 20U; ///< of callers' requests and responses
+        int sidecarPort = 0; ///< of the sidecars; if not 0, the targets are model engines
     };
 
     /** @param targets all serve the same service */
