--- a/modules/heatherridge_transport/direct/gatewaydemand.cpp
+++ b/modules/heatherridge_transport/direct/gatewaydemand.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-GatewayDemand::GatewayDemand(HttpClient &client, Options options, Events events, Metrics &metrics)
+GatewayDemand::GatewayDemand(HttpClient &client, const Options &options, Events events, Metrics &metrics)
     : m_answeredCalls(metrics.counter(CallsMetric, R"(result="ok")"))
     , m_failedCalls(metrics.counter(CallsMetric, R"(result="failed")"))
     , m_unsupportedCalls(metrics.counter(CallsMetric, R"(result="unsupported")"))
--- a/modules/heatherridge_transport/direct/gatewaydemand.h
+++ b/modules/heatherridge_transport/direct/gatewaydemand.h
@@ -31,7 +31,7 @@
     };
 
     /** @p client and @p metrics must outlive this object. */
-    GatewayDemand(HttpClient &client, Options options, Events events, Metrics &metrics);
+    GatewayDemand(HttpClient &client, const Options &options, Events events, Metrics &metrics);
 
     /** Applies the rules and targets in force. */
     void update(const RoutingConfig &config, const std::vector<TargetEntry> &targets);
