--- a/modules/heatherridge_coordination/feed/registerfollower.cpp
+++ b/modules/heatherridge_coordination/feed/registerfollower.cpp
@@ -33,6 +33,11 @@
     m_nextReadAt = m_now + delay;
 }
 
+std::uint64_t RegisterFollower::position() const
+{
+    return m_position;
+}
+
 RegisterLog::Done RegisterFollower::ifNotRestarted(void (RegisterFollower::*handler)(Result<RegisterPage>, SteadyTime),
                                                    SteadyTime requestedAt)
 {
@@ -52,6 +57,7 @@
     }
     const auto &snapshot = std::get<RegisterPage>(page);
     m_nextOffset = snapshot.end;
+    m_position = snapshot.end;
     handleAnswer(requestedAt);
     m_events.replaced(snapshot.changes);
 }
@@ -70,6 +76,7 @@
     }
     const auto &update = std::get<RegisterPage>(page);
     m_nextOffset = update.end;
+    m_position = update.end;
     handleAnswer(requestedAt);
     if (!update.changes.empty()) {
         m_events.changed(update.changes);
--- a/modules/heatherridge_coordination/feed/registerfollower.h
+++ b/modules/heatherridge_coordination/feed/registerfollower.h
@@ -40,6 +40,9 @@
     /** Starts a read if one is due. Must be called often. */
     void tick(SteadyTime now);
 
+    /** Returns the offset up to which the register has been read, including the changes of the current event. */
+    std::uint64_t position() const;
+
     /** Reads the whole register again after @p delay; the answer to a read in progress is ignored. */
     void restart(std::chrono::milliseconds delay);
 
@@ -54,6 +57,7 @@
     RegisterLog &m_log;
     Options m_options;
     RegisterEvents m_events;
+    std::uint64_t m_position = 0;
     std::optional<std::uint64_t> m_nextOffset; ///< empty: the current content has to be read with readNewest()
     std::uint64_t m_restartCount = 0; ///< answers to calls from before the last restart are ignored
     bool m_isReading = false;
--- a/modules/heatherridge_coordination/feed/registerlog.h
+++ b/modules/heatherridge_coordination/feed/registerlog.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,11 +38,34 @@
     std::uint64_t end = 0; ///< the offset to continue from
 };
 
+/** The state of the register of rules that a record of drained zones was written from; the highest is the newest. */
+struct DrainsStamp
+{
+    std::uint64_t version = 0; ///< of the rules in force
+    std::uint64_t position = 0; ///< offset up to which the register had been read
+
+    auto operator<=>(const DrainsStamp &) const = default;
+};
+
+/** The zones in the drained-zones records of a copy; empty for a record that cannot be read. */
+using StoredDrains = std::map<DrainsStamp, std::optional<std::set<ZoneName>>>;
+
 /** The contents of one copy of the register of rules. */
 struct RulesCopy
 {
     std::vector<RegisterChange> changes{}; ///< each in the form of a record of the register itself
     std::map<std::uint64_t, std::size_t> versions{}; ///< stored versions, each with its number of log records
+    StoredDrains drains{}; ///< absent if no zone was drained, or if an earlier version wrote the copy
+};
+
+/** A change to one copy of the register of rules. */
+struct RulesCopyUpdate
+{
+    std::optional<RegisterChange> rules{}; ///< a record of the register of rules to add; empty: already stored
+    std::uint64_t version = 0; ///< of `rules`
+    std::map<std::uint64_t, std::size_t> droppedVersions{}; ///< versions to remove, each with its number of records
+    std::map<DrainsStamp, std::set<ZoneName>> drains{}; ///< drained-zones records to add
+    std::set<DrainsStamp> droppedDrains{}; ///< drained-zones records to remove
 };
 
 /** Interface to the platform's registers. Single-threaded; answers arrive later on the same thread. */
@@ -65,13 +89,10 @@
     virtual void readCopy(int copy, std::function<void(Result<RulesCopy>)> done) = 0;
 
     /**
-     * Adds @p rules, a record of the register of rules, to copy @p copy as @p version, and removes the versions
-     * @p dropped, each with its number of records. The call is atomic. Returns the number of records that hold
-     * @p version: 0 if it is too large for the log, in which case the dropped versions are still removed.
+     * Applies @p update to copy @p copy. The call is atomic. Returns the number of records that hold the rules: 0 if
+     * they are too large for the log, in which case the rest of the update is still applied, or if there are none.
      */
-    virtual void writeCopy(int copy, const RegisterChange &rules, std::uint64_t version,
-                           const std::map<std::uint64_t, std::size_t> &dropped,
-                           std::function<void(Result<std::size_t>)> done) = 0;
+    virtual void writeCopy(int copy, const RulesCopyUpdate &update, std::function<void(Result<std::size_t>)> done) = 0;
 
     /** Returns the configuration in @p change, or an error of kind BadRequest; empty if its key is not a
      * configuration's. */
--- a/modules/heatherridge_coordination/feed/rulescopies.h
+++ b/modules/heatherridge_coordination/feed/rulescopies.h
@@ -14,12 +14,17 @@
 {
 
 /**
- * Maintains copies of the rules in other partitions of the log, for processes that start while the register of rules
- * cannot be read.
+ * Maintains copies of the rules and of the drained zones in other partitions of the log, for processes that start while
+ * the register of rules cannot be read.
  *
  * One process, selected by the log's work sharing, writes each new version to all copies. A process without rules reads
  * all copies and uses the highest version. Concurrent writers are harmless: each version is a separate record, and a
- * writer removes only versions below the one that it writes. Single-threaded; driven by tick().
+ * writer removes only versions below the one that it writes.
+ *
+ * A copy has a record of the drained zones only while a zone is drained. Records of different versions of the rules or
+ * positions in the register are separate, and a writer removes only those below its own, so that a writer with outdated
+ * orders cannot replace newer ones. After a restore of the log positions are assigned again, so the first update of a
+ * copy removes all others. Single-threaded; driven by tick().
  */
 class RulesCopies
 {
@@ -40,6 +45,8 @@
 
     struct Events
     {
+        /** Called in a process without rules, before `restored`, with the newest drained zones read so far. */
+        std::function<void(const std::set<ZoneName> &zones)> drainsRestored{};
         /** Called in a process without rules with @p changes read from a copy. */
         std::function<void(const std::vector<RegisterChange> &changes)> restored{};
         /** Called when a "read" or "write", given by @p what, of a copy failed; it is retried. */
@@ -52,6 +59,9 @@
     /** Sets the newest record of the rules, read from the register itself, and its version. */
     void setRules(const RegisterChange &rules, std::uint64_t version);
 
+    /** Sets the drained zones as read from the register itself up to offset @p position. */
+    void setDrains(const std::set<ZoneName> &zones, std::uint64_t position);
+
     /** Called after the log was restored from an older copy: the contents of the copies have to be read again. */
     void logRestored();
 
@@ -63,12 +73,19 @@
     {
         /** Stored versions, each with its number of records; empty until the copy has been read. */
         std::optional<std::map<std::uint64_t, std::size_t>> versions{};
+        StoredDrains drains{}; ///< stored drained-zones records
+        bool needsRead = false; ///< another writer may have changed the records since the last read
+        bool replacesAllDrains = false; ///< stored records may be from before a restore of the log
         bool isCalling = false;
         SteadyTime nextCallAt{}; ///< earliest time of the next call
     };
 
     void read(int index, bool restores);
     void write(int index);
+    void restore(const RulesCopy &stored);
+    DrainsStamp drainsStamp() const;
+    bool hasCurrentDrains(const Copy &copy) const;
+    void addDrains(RulesCopyUpdate &update, const Copy &copy) const;
     void handleFailure(Copy &copy, std::string_view what, const Error &error, std::chrono::milliseconds delay);
 
     RegisterLog &m_log;
@@ -77,6 +94,9 @@
     std::vector<Copy> m_copies;
     std::optional<RegisterChange> m_rules;
     std::uint64_t m_version = 0; ///< of `m_rules`
+    std::set<ZoneName> m_drainedZones; ///< as read from the register
+    std::uint64_t m_position = 0; ///< of `m_drainedZones`
+    std::optional<DrainsStamp> m_restoredDrains; ///< the newest record passed to `drainsRestored`
     SteadyTime m_now{}; ///< of the last tick; answers arrive between ticks
     std::shared_ptr<int> m_callToken; ///< renewed to drop the answers to all earlier calls
 };
--- a/modules/heatherridge_transport/direct/gatewaycontrol.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.cpp
@@ -55,7 +55,8 @@
                                  }
                              }})
     , m_rulesCopies(log, {.count = options.rulesCopies},
-                    {.restored = [this](const auto &changes) { applyRules(changes, Source::Copy); },
+                    {.drainsRestored = [this](const auto &zones) { applyCopiedDrains(zones); },
+                     .restored = [this](const auto &changes) { applyRules(changes, Source::Copy); },
                      .failed =
                          [this](std::string_view what, const Error &error) {
                              m_rulesCopyFailures.add();
@@ -81,7 +82,8 @@
         publishTargets();
     }
     if (m_drainedZones.tick(now)) {
-        publishDrainedZones();
+        m_rulesCopies.setDrains(m_drainedZones.zones(), m_rulesFollower.position());
+        publishDrainedZones(Source::Register);
     }
 }
 
@@ -118,9 +120,11 @@
         }
     }
     // Before the configuration, so that a gateway that starts knows the orders when it begins to serve.
+    m_hasReadRulesRegister = true;
     if (m_drainedZones.replaceAll(zones, m_now)) {
-        publishDrainedZones();
+        publishDrainedZones(Source::Register);
     }
+    m_rulesCopies.setDrains(m_drainedZones.zones(), m_rulesFollower.position());
     applyRules(changes, Source::Register);
 }
 
@@ -133,8 +137,9 @@
         }
     }
     if (hasChanged) {
-        publishDrainedZones();
+        publishDrainedZones(Source::Register);
     }
+    m_rulesCopies.setDrains(m_drainedZones.zones(), m_rulesFollower.position());
     applyRules(changes, Source::Register);
 }
 
@@ -155,14 +160,22 @@
     return order;
 }
 
-void GatewayControl::publishDrainedZones()
+void GatewayControl::applyCopiedDrains(const std::set<ZoneName> &zones)
+{
+    if (!m_hasReadRulesRegister && m_drainedZones.replaceAll(zones, m_now)) {
+        publishDrainedZones(Source::Copy);
+    }
+}
+
+void GatewayControl::publishDrainedZones(Source source)
 {
     std::string names;
     for (const auto &zone : m_drainedZones.zones()) {
         names += (names.empty() ? "" : " ") + zone.text();
     }
     m_drainedZoneCount.set(static_cast<std::int64_t>(m_drainedZones.zones().size()));
-    logEvent(Severity::Info, "zones-drained", {{"zones", names}});
+    logEvent(Severity::Info, "zones-drained",
+             {{"zones", names}, {"from", source == Source::Register ? "register" : "copy"}});
     m_events.drainedZonesChanged(m_drainedZones.zones());
 }
 
--- a/modules/heatherridge_transport/direct/gatewaycontrol.h
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.h
@@ -92,7 +92,8 @@
     void changeRules(const std::vector<RegisterChange> &changes);
     void applyRules(const std::vector<RegisterChange> &changes, Source source);
     std::optional<ZoneDrain> readZoneDrain(const RegisterChange &change);
-    void publishDrainedZones();
+    void publishDrainedZones(Source source);
+    void applyCopiedDrains(const std::set<ZoneName> &zones);
     void applyRulesChange(const RegisterChange &change, Source source);
     void replaceTargets(const std::vector<RegisterChange> &changes);
     void changeTargets(const std::vector<RegisterChange> &changes);
@@ -118,6 +119,7 @@
     ZoneRegions m_zoneRegions;
     DrainedZones m_drainedZones;
     std::vector<TargetEntry> m_publishedTargets;
+    bool m_hasReadRulesRegister = false; ///< from then on, copies no longer determine the drained zones
     bool m_isRulesRegisterReachable = true;
     bool m_isTargetsRegisterReachable = true;
     SteadyTime m_now{};
--- a/tests/feed/rulescopies_test.cpp
+++ b/tests/feed/rulescopies_test.cpp
@@ -1,5 +1,5 @@
+#include "feed/rulescopylog.h"
 #include "heatherridge_coordination/feed/rulescopies.h"
-#include "support/stubregisterlog.h"
 
 #include <gtest/gtest.h>
 
@@ -13,48 +13,7 @@
 namespace
 {
 
-constexpr int CopyCount = 3;
-
-/** Copies of rules in partitions that can be unavailable; every call is answered at once. */
-class RulesCopyLog final : public StubRegisterLog
-{
-public:
-    void readCopy(int copy, std::function<void(Result<RulesCopy>)> done) override
-    {
-        ++reads;
-        if (isUnavailable[copy]) {
-            done(Error{.kind = ErrorKind::PlatformUnavailable});
-            return;
-        }
-        RulesCopy stored;
-        for (const auto &[version, rules] : records[copy]) {
-            stored.versions.emplace(version, 1);
-            stored.changes.push_back(rules);
-        }
-        done(std::move(stored));
-    }
-
-    void writeCopy(int copy, const RegisterChange &rules, std::uint64_t version,
-                   const std::map<std::uint64_t, std::size_t> &dropped,
-                   std::function<void(Result<std::size_t>)> done) override
-    {
-        ++writes;
-        if (isUnavailable[copy]) {
-            done(Error{.kind = ErrorKind::PlatformUnavailable});
-            return;
-        }
-        records[copy][version] = rules;
-        for (const auto &[old, count] : dropped) {
-            records[copy].erase(old);
-        }
-        done(std::size_t{1});
-    }
-
-    std::array<bool, CopyCount> isUnavailable{};
-    std::array<std::map<std::uint64_t, RegisterChange>, CopyCount> records{};
-    int reads = 0;
-    int writes = 0;
-};
+constexpr int CopyCount = RulesCopyLog::CopyCount;
 
 /** A process whose only persistent state is in the log. */
 class Process
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -239,6 +239,86 @@
 
 INSTANTIATE_TEST_SUITE_P(Table, CopyRecords, testing::ValuesIn(CopyRows));
 
+// Guards against a gateway of an earlier version that cannot start from copies with a record of drained zones.
+TEST(CopiesOfDrains, AreReadByAnEarlierVersionDespiteDrainedZones)
+{
+    auto records = encodeRulesCopy(7, "rules");
+    records.push_back({.key = drainsKey({.version = 7, .position = 12}), .value = encodeDrains({ZoneName("a-1")})});
+    // Earlier versions read all records of a copy with this function and nothing else.
+    EXPECT_EQ(decodeRulesCopies(records), (std::map<std::uint64_t, std::string>{{7, "rules"}}));
+}
+
+// Guards against copies of an earlier version, which have no such record, that are read as if zones were drained.
+TEST(CopiesOfDrains, WithoutDrainedZonesHaveNone)
+{
+    EXPECT_TRUE(decodeDrains(encodeRulesCopy(7, "rules")).empty());
+}
+
+// Guards against drained zones that cannot be read back, for zone names of arbitrary bytes.
+RC_GTEST_PROP(CopiesOfDrains, KeepDrainedZones, (std::uint64_t version, std::uint64_t position))
+{
+    const DrainsStamp stamp{.version = version, .position = position};
+    const auto names = *rc::gen::container<std::set<std::string>>(rc::gen::string<std::string>());
+    std::set<ZoneName> zones;
+    for (const auto &name : names) {
+        const bool isText = std::all_of(name.begin(), name.end(), [](char byte) { return byte >= 0; });
+        if (isText) {
+            zones.insert(ZoneName(name));
+        }
+    }
+    const auto read = decodeDrains({{.key = drainsKey(stamp), .value = encodeDrains(zones)}});
+    RC_ASSERT(read == (StoredDrains{{stamp, zones}}));
+}
+
+struct MalformedDrainsRow
+{
+    const char *description;
+    const char *value;
+};
+
+const MalformedDrainsRow MalformedDrainsRows[] = {
+    {"no JSON", "["},
+    {"an object", R"({"a-1": true})"},
+    {"a number among the zones", R"(["a-1", 2])"},
+};
+
+class MalformedDrains : public testing::TestWithParam<MalformedDrainsRow>
+{
+};
+
+// Guards against a malformed record that is read as "no zone is drained".
+TEST_P(MalformedDrains, AreReportedAsUnreadable)
+{
+    const auto read = decodeDrains({{.key = "drained/7/12", .value = GetParam().value}});
+    ASSERT_EQ(read.size(), 1U) << GetParam().description;
+    EXPECT_FALSE(read.begin()->second.has_value()) << GetParam().description;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, MalformedDrains, testing::ValuesIn(MalformedDrainsRows));
+
+// Guards against more bytes in the log than before while no zone is drained.
+TEST(CopyUpdates, WithoutDrainedZonesHaveOnlyRulesAndDeletions)
+{
+    const RulesCopyUpdate update{
+        .rules = RegisterChange{.key = "config", .value = "rules"}, .version = 8, .droppedVersions = {{7, 2}}};
+    const auto encoded = encodeCopyUpdate(update);
+    EXPECT_EQ(encoded.rulesRecords, 1U);
+    EXPECT_EQ(encoded.body,
+              encodeKeyedRecord("8/0/1", "rules") + encodeKeyedRecord("7/0/2", {}) + encodeKeyedRecord("7/1/2", {}));
+}
+
+// Guards against drained zones that are lost together with rules that are too large for the log.
+TEST(CopyUpdates, KeepDrainedZonesWhenTheRulesAreTooLarge)
+{
+    const std::set<ZoneName> zones{ZoneName("a-1")};
+    const RulesCopyUpdate update{.rules = RegisterChange{.key = "config", .value = std::string(MaxAppendBytes, 'x')},
+                                 .version = 8,
+                                 .drains = {{{.version = 8, .position = 3}, zones}}};
+    const auto encoded = encodeCopyUpdate(update);
+    EXPECT_EQ(encoded.rulesRecords, 0U);
+    EXPECT_EQ(encoded.body, encodeKeyedRecord("drained/8/3", encodeDrains(zones)));
+}
+
 TEST(LogRecords, LeaveATruncatedRecordForTheNextRead)
 {
     const auto records = encodeKeyedRecord("a", "first") + encodeKeyedRecord("b", "second");
--- a/tests/restoredlog/logrestoresimulation.cpp
+++ b/tests/restoredlog/logrestoresimulation.cpp
@@ -94,16 +94,16 @@
         });
     }
 
-    void writeCopy(int copy, const RegisterChange &rules, std::uint64_t version,
-                   const std::map<std::uint64_t, std::size_t> &dropped,
-                   std::function<void(Result<std::size_t>)> done) override
+    void writeCopy(int copy, const RulesCopyUpdate &update, std::function<void(Result<std::size_t>)> done) override
     {
-        call<std::size_t>({}, std::move(done), [copy, rules, version, dropped](LogContent &log) {
+        call<std::size_t>({}, std::move(done), [copy, update](LogContent &log) {
             auto &stored = log.copies[static_cast<std::size_t>(copy)];
-            for (const auto &[old, records] : dropped) {
+            for (const auto &[old, records] : update.droppedVersions) {
                 stored.erase(old);
             }
-            stored[version] = rules.value.value_or("");
+            if (update.rules) {
+                stored[update.version] = update.rules->value.value_or("");
+            }
             return std::optional(Result<std::size_t>(std::size_t{1}));
         });
     }
--- a/tests/support/stubregisterlog.h
+++ b/tests/support/stubregisterlog.h
@@ -21,8 +21,7 @@
     {
     }
 
-    void writeCopy(int, const RegisterChange &, std::uint64_t, const std::map<std::uint64_t, std::size_t> &,
-                   std::function<void(Result<std::size_t>)>) override
+    void writeCopy(int, const RulesCopyUpdate &, std::function<void(Result<std::size_t>)>) override
     {
     }
 
