--- a/tests/decisions/returnschedule_test.cpp
+++ b/tests/decisions/returnschedule_test.cpp
@@ -206,6 +206,7 @@
     const auto &row = GetParam();
     SeededRandom random(7);
     std::vector<milliseconds> delays;
+    delays.reserve(200);
     for (int draw = 0; draw < 200; ++draw) {
         delays.push_back(returnDelay(row.input, random));
     }
