--- a/tests/restoredlog/logrestoresimulation.cpp
+++ b/tests/restoredlog/logrestoresimulation.cpp
@@ -3,6 +3,7 @@
 #include "heatherridge_protocol/crashreportcodec.h"
 
 #include <algorithm>
+#include <array>
 #include <sstream>
 
 namespace Heatherridge
@@ -22,6 +23,8 @@
 constexpr std::size_t GatewayCount = 3;
 constexpr int CopyCount = 2;
 constexpr std::size_t TargetCount = 4;
+constexpr milliseconds DrainPeriod{4'000}; ///< average time between orders to drain a zone or withdrawals
+constexpr std::array<const char *, 2> Zones{"a-1", "b-1"};
 constexpr double LostAnswerProbability = 0.03;
 
 const Error NoAnswer{.kind = ErrorKind::PlatformUnavailable, .detail = "no answer"};
@@ -90,6 +93,7 @@
                 stored.versions.emplace(version, 1);
                 stored.changes.push_back({.key = "config", .value = rules});
             }
+            stored.drains = log.copiedDrains[static_cast<std::size_t>(copy)];
             return std::optional(Result<RulesCopy>(std::move(stored)));
         });
     }
@@ -104,18 +108,31 @@
             if (update.rules) {
                 stored[update.version] = update.rules->value.value_or("");
             }
+            auto &drains = log.copiedDrains[static_cast<std::size_t>(copy)];
+            for (const auto &stamp : update.droppedDrains) {
+                drains.erase(stamp);
+            }
+            for (const auto &[stamp, zones] : update.drains) {
+                drains.insert_or_assign(stamp, zones);
+            }
             return std::optional(Result<std::size_t>(std::size_t{1}));
         });
     }
 
     std::optional<Result<RoutingConfig>> parseRules(const RegisterChange &change) const override
     {
+        if (change.key != "config") {
+            return std::nullopt;
+        }
         return RoutingConfig{.version = std::stoull(change.value.value_or("0"))};
     }
 
-    std::optional<ZoneDrain> parseZoneDrain(const RegisterChange &) const override
+    std::optional<ZoneDrain> parseZoneDrain(const RegisterChange &change) const override
     {
-        return std::nullopt;
+        if (change.key == "config") {
+            return std::nullopt;
+        }
+        return ZoneDrain{.zone = ZoneName(change.key), .isInForce = change.value.has_value()};
     }
 
     Result<TargetRecord> parseTarget(const RegisterChange &change) const override
@@ -247,7 +264,10 @@
         , crashFeed(log, {}, {.received = [](auto) {}, .failed = [](auto, const auto &) {}, .lost = [](auto) {}})
         , workShare(log, {.member = "m"})
         , control(log, {.rulesCopies = CopyCount},
-                  {.rulesChanged = [](auto) {}, .targetsChanged = [](auto) {}, .reachabilityChanged = [](bool) {}},
+                  {.rulesChanged = [](auto) {},
+                   .targetsChanged = [](auto) {},
+                   .drainedZonesChanged = [this](const auto &zones) { drainedZones = zones; },
+                   .reachabilityChanged = [](bool) {}},
                   metrics)
     {
     }
@@ -273,6 +293,7 @@
     CrashFeed crashFeed;
     WorkShare workShare;
     GatewayControl control;
+    std::set<ZoneName> drainedZones;
     std::uint64_t highestVersion = 0;
     std::set<TargetName> withdrawn; ///< targets seen draining
     std::set<std::uint64_t> reported; ///< requests that this run has reported
@@ -282,8 +303,10 @@
     : m_random(seed)
     , m_safeguards(safeguards)
     , m_now(SteadyTime{} + std::chrono::hours(1))
+    , m_operatorRandom(seed)
 {
     m_log.copies.resize(CopyCount);
+    m_log.copiedDrains.resize(CopyCount);
     m_gateways.resize(GatewayCount);
     publish();
     for (std::size_t index = 0; index < GatewayCount; ++index) {
@@ -351,6 +374,13 @@
     if (occursOnAverageEvery(milliseconds(3'000))) {
         publish();
     }
+    if (m_operatorRandom.below(DrainPeriod / Step) == 0) {
+        const std::string zone = Zones.at(m_operatorRandom.below(Zones.size()));
+        if (m_drainedZones.erase(zone) == 0) {
+            m_drainedZones.insert(zone);
+        }
+        writeDrain(zone);
+    }
     if (occursOnAverageEvery(milliseconds(6'000))) {
         restoreLog();
     }
@@ -435,7 +465,12 @@
         for (const auto &key : departed) {
             schedule(milliseconds(3'600), [this, key] { writeRemoval(key); });
         }
-        schedule(randomDelay(50, 1'000), [this] { writeRules(); });
+        schedule(randomDelay(50, 1'000), [this] {
+            for (const auto *zone : Zones) {
+                writeDrain(zone);
+            }
+            writeRules();
+        });
     });
 }
 
@@ -448,6 +483,15 @@
     append(m_log.rules, "config", std::to_string(m_version));
 }
 
+void LogRestoreSimulation::writeDrain(const std::string &zone)
+{
+    if (m_isLogDown) {
+        schedule(milliseconds(200), [this, zone] { writeDrain(zone); });
+        return;
+    }
+    append(m_log.rules, zone, m_drainedZones.contains(zone) ? std::optional<std::string>("{}") : std::nullopt);
+}
+
 void LogRestoreSimulation::writeRemoval(const std::string &target)
 {
     if (m_isLogDown) {
@@ -522,11 +566,7 @@
             recordFailure("the used targets differ from the serving ones:" + text);
         }
     }
-    for (const auto &copy : m_log.copies) {
-        if (!copy.contains(m_version)) {
-            recordFailure("a copy lacks the rules in force");
-        }
-    }
+    checkCopies();
     std::set<std::uint64_t> storedReports;
     for (const auto &record : m_log.reports) {
         storedReports.insert(std::get<CrashReport>(decodeCrashReport(record)).request.low);
@@ -539,6 +579,29 @@
     }
 }
 
+void LogRestoreSimulation::checkCopies()
+{
+    for (const auto &copy : m_log.copies) {
+        if (!copy.contains(m_version)) {
+            recordFailure("a copy lacks the rules in force");
+        }
+    }
+    std::set<ZoneName> drained;
+    for (const auto &zone : m_drainedZones) {
+        drained.insert(ZoneName(zone));
+    }
+    for (const auto &gateway : m_gateways) {
+        if (gateway->drainedZones != drained) {
+            recordFailure("a gateway does not have the drained zones in force");
+        }
+    }
+    for (const auto &copy : m_log.copiedDrains) {
+        if (copy.empty() ? !drained.empty() : copy.rbegin()->second != drained) {
+            recordFailure("a copy does not have the drained zones in force");
+        }
+    }
+}
+
 void LogRestoreSimulation::recordFailure(const std::string &what)
 {
     if (m_failure.empty()) {
--- a/tests/restoredlog/logrestoresimulation.h
+++ b/tests/restoredlog/logrestoresimulation.h
@@ -32,6 +32,7 @@
     std::vector<RegisterChange> rules{};
     std::vector<RegisterChange> targets{};
     std::vector<std::map<std::uint64_t, std::string>> copies{};
+    std::vector<StoredDrains> copiedDrains{}; ///< per copy
     std::vector<std::string> reports{};
 };
 
@@ -61,6 +62,8 @@
     void scheduleHeartbeat(const Target &target, std::chrono::milliseconds delay);
     void restoreLog();
     void writeRules();
+    void writeDrain(const std::string &zone);
+    void checkCopies();
     void writeRemoval(const std::string &target);
     static void append(std::vector<RegisterChange> &records, const std::string &key, std::optional<std::string> value);
     void startGateway(std::size_t index);
@@ -81,6 +84,8 @@
     bool m_isLogDown = false;
     std::map<SteadyTime, LogContent> m_backups;
     std::uint64_t m_version = 0;
+    SeededRandom m_operatorRandom; ///< for the orders to drain a zone
+    std::set<std::string> m_drainedZones; ///< as the operator has ordered
     int m_targetCount = 0;
     std::vector<std::unique_ptr<Target>> m_targets;
     std::vector<std::unique_ptr<Gateway>> m_gateways;
