--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -27,12 +27,7 @@
 
 ServiceDemand AdmissionControl::demandOf(const ServiceName &service, SteadyTime now) const
 {
-    for (auto &demand : demand(now)) {
-        if (demand.service == service) {
-            return demand;
-        }
-    }
-    return {.service = service};
+    return m_meter.demandOf(service, now);
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/engineshares.cpp
+++ b/modules/heatherridge_transport/direct/engineshares.cpp
@@ -139,10 +139,10 @@
 
 const ServiceDemand &EngineShares::statedDemand(const ServiceName &service) const
 {
-    static const ServiceDemand none;
+    static const ServiceDemand None;
     const auto found = std::find_if(m_fleet.services.begin(), m_fleet.services.end(),
                                     [&](const auto &demand) { return demand.service == service; });
-    return found == m_fleet.services.end() ? none : *found;
+    return found == m_fleet.services.end() ? None : *found;
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -194,7 +194,7 @@
                                                     const TargetRequirements &request, SteadyTime now,
                                                     RandomSource &random)
 {
-    static const EngineView unreported{.isGroupOpen = true, .isOpen = true};
+    static const EngineView Unreported{.isGroupOpen = true, .isOpen = true};
     const auto &targets = eligible.targets;
     const double share = m_engineShares.share(request.service, now);
     const auto reports = engineReports(m_targets, request.service, averageOtherLoad(targets, now), now);
@@ -205,7 +205,7 @@
     std::vector<SteadyTime> reportedAt; ///< latest status of each group
     std::map<GroupName, std::size_t> groupIndices;
     for (std::size_t index = 0; index < targets.size(); ++index) {
-        const auto &view = targets[index]->engine ? *targets[index]->engine : unreported;
+        const auto &view = targets[index]->engine ? *targets[index]->engine : Unreported;
         const auto group = groupIndices.try_emplace(view.group, groupWork.size()).first->second;
         if (group == groupWork.size()) {
             groupNames.push_back(view.group);
