Rank admission follows the priorities of routes alone

Cause: workspaces that override the priority of a route made the services of deployments without ranked routes count as ranked, so that the exchange ran at full rate there.

--- a/modules/heatherridge_state/routing/rankedservices.h
+++ b/modules/heatherridge_state/routing/rankedservices.h
@@ -8,8 +8,8 @@
 {
 
 /**
- * Returns the services whose streams can have different priorities: several streaming routes to the service differ in
- * their priority, or a workspace overrides the priority of such a route.
+ * Returns the services whose streaming routes differ in their priority. A workspace that overrides the priority of a
+ * route does not count: deployments that set nothing else are served as before.
  */
 std::set<ServiceName> rankedServices(const RoutingConfig &config);
 
