--- a/benchmarks/demandexchange.cpp
+++ b/benchmarks/demandexchange.cpp
@@ -153,6 +153,7 @@
 {
     constexpr int targetsPerZone = 8;
     std::vector<TargetEntry> targets;
+    targets.reserve(static_cast<std::size_t>(zones) * targetsPerZone);
     for (int index = 0; index < zones * targetsPerZone; ++index) {
         targets.push_back({.id = TargetName("engine-" + std::to_string(index)),
                            .service = ServiceName("assistant"),
@@ -168,6 +169,7 @@
     SeededRandom random(7);
     const auto targets = makeTargets(setting.zones);
     std::vector<std::unique_ptr<DemandExchange>> exchanges;
+    exchanges.reserve(static_cast<std::size_t>(setting.gateways));
     for (int index = 0; index < setting.gateways; ++index) {
         exchanges.push_back(std::make_unique<DemandExchange>(
             link,
--- a/tests/gateway/gatewaydemand_test.cpp
+++ b/tests/gateway/gatewaydemand_test.cpp
@@ -71,7 +71,7 @@
 };
 
 /** Drives both gateways until @p isDone, for at most 5 s. */
-bool runUntil(asio::io_context &loop, std::vector<TestGateway *> gateways, const std::function<bool()> &isDone)
+bool runUntil(asio::io_context &loop, const std::vector<TestGateway *> &gateways, const std::function<bool()> &isDone)
 {
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
     while (!isDone() && std::chrono::steady_clock::now() < end) {
