--- a/modules/heatherridge_state/decisions/servicecapacity.cpp
+++ b/modules/heatherridge_state/decisions/servicecapacity.cpp
@@ -45,4 +45,10 @@
     return capacity;
 }
 
+bool hasOpenEngine(std::span<const EngineCandidate> engines)
+{
+    return std::any_of(engines.begin(), engines.end(),
+                       [](const auto &engine) { return engine.isOpen && !engine.target.wasTried; });
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -1,7 +1,6 @@
 #include "heatherridge_transport/direct/gatewaycall.h"
 
 #include "heatherridge_state/decisions/placementwait.h"
-#include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/httptext.h"
 #include "heatherridge_transport/direct/placementrefusal.h"
 
@@ -235,15 +234,16 @@
     if (target.load.ownRequests() == 0) {
         target.lastReceivedAt = m_sentAt;
     }
-    m_loadAtSend = load;
-    m_passTimeAtSend = target.engine ? target.engine->passTime : milliseconds(0);
-    m_group = target.engine ? target.engine->group : GroupName();
-    m_placementWait = age();
+    m_placement = {.load = load, .wait = age()};
+    if (target.engine) {
+        m_placement.group = target.engine->group;
+        m_placement.passTime = target.engine->passTime;
+    }
     m_traffic.admit(m_number, m_sentAt);
     if (isStream() && urgency() != Urgency::InProgress) {
         m_traffic.m_admissionControl.recordSent(m_service, m_match.priority, m_sentAt);
     }
-    m_traffic.m_targets.recordSend(m_group, m_sentAt);
+    m_traffic.m_targets.recordSend(m_placement.group, m_sentAt);
     target.load.recordSent();
     target.admission.recordSent(m_sentAt);
     ++target.sentSinceReport;
@@ -387,7 +387,7 @@
         m_traffic.m_counters.streamFirstEvent.record(m_stream.timeToFirstEvent());
         m_exchange->beginStream(m_response.status(), m_response.headers());
     } else if (!isFirstOfAttempt) {
-        m_traffic.m_targets.recordPause(m_group, *pause, forwardedAt);
+        m_traffic.m_targets.recordPause(m_placement.group, *pause, forwardedAt);
     }
     write(event.text);
 }
@@ -487,13 +487,13 @@
 
 void GatewayCall::logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const
 {
-    logEvent(Severity::Info, event,
-             {{"request", m_callerFields.id.text()},
-              {"after", std::string(toString(result))},
-              {"target", m_target.text()},
-              {"reason", std::string(reason)},
-              {"tries", std::to_string(m_attempts)},
-              {"age-ms", std::to_string(age().count())}});
+    logAttemptEnd(event,
+                  {.request = m_callerFields.id,
+                   .result = result,
+                   .target = m_target,
+                   .reason = reason,
+                   .attempts = m_attempts,
+                   .age = age()});
 }
 
 void GatewayCall::releaseTarget(bool keepConnection)
@@ -549,22 +549,19 @@
     m_isDone = true;
     m_demand = {};
     m_timer.cancel();
-    logEvent(Severity::Info, "request",
-             {{"request", m_callerFields.id.text()},
-              {"route", m_route.name},
-              {"service", m_service.text()},
-              {"target", m_target.text()},
-              {"group", m_group.text()},
-              {"load", std::to_string(static_cast<int>(m_loadAtSend))},
-              {"pass-ms", std::to_string(m_passTimeAtSend.count())},
-              {"waited-ms", std::to_string(m_placementWait.count())},
-              {"tries", std::to_string(m_attempts)},
-              {"outcome", std::string(outcome)},
-              {"status", std::to_string(status)},
-              {"ms", std::to_string(age().count())},
-              {"first-event-ms", std::to_string(m_stream.timeToFirstEvent().count())},
-              {"longest-pause-ms", std::to_string(m_stream.longestPause().count())},
-              {"config", std::to_string(m_table->config().version)}});
+    logRequestEnd({.request = m_callerFields.id,
+                   .route = m_route.name,
+                   .service = m_service,
+                   .rank = m_match.priority,
+                   .target = m_target,
+                   .placement = m_placement,
+                   .attempts = m_attempts,
+                   .outcome = outcome,
+                   .status = status,
+                   .age = age(),
+                   .timeToFirstEvent = m_stream.timeToFirstEvent(),
+                   .longestPause = m_stream.longestPause(),
+                   .configVersion = m_table->config().version});
     m_traffic.removeCall(shared_from_this());
 }
 
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -19,25 +19,14 @@
  * the caller. */
 constexpr double PassFractionOfPause = 0.9;
 
-/** Returns the average load that other entries put on each of @p targets, weighted by how recent the reports are. */
-double averageOtherLoad(const std::vector<GatewayTarget *> &targets, SteadyTime now)
-{
-    double sum = 0;
-    double weight = 0;
-    for (const auto *target : targets) {
-        const double freshness = target->load.freshness(now);
-        sum += target->load.otherRequests() * freshness;
-        weight += freshness;
-    }
-    return weight > 0 ? sum / weight : 0;
-}
-
 } // namespace
 
-GatewayTargets::GatewayTargets(ZoneName zone, ZoneRegions regions, WarmUpTolerance tolerance)
+GatewayTargets::GatewayTargets(ZoneName zone, ZoneRegions regions, WarmUpTolerance tolerance,
+                               EngineShares::Options shares)
     : m_zone(std::move(zone))
     , m_zoneRegions(std::move(regions))
-    , m_warmUpTolerance(tolerance)
+    , m_warmUps(tolerance)
+    , m_engineShares(std::move(shares))
 {
 }
 
@@ -91,7 +80,7 @@
     const bool isNews = target.entry.id.isEmpty() || entry.startedAt != target.entry.startedAt
         || entry.remainingWarmUp != target.entry.remainingWarmUp;
     if (isNews) {
-        const auto remaining = entry.remainingWarmUp.value_or(warmUpOf(entry.service).duration);
+        const auto remaining = entry.remainingWarmUp.value_or(m_warmUps.duration(entry.service));
         target.admission.startWarmUp(remaining, now);
     }
 }
@@ -125,7 +114,8 @@
     for (const auto *target : eligible.targets) {
         candidates.push_back(makeCandidate(*target, averageOthers, health, request.tried, now));
     }
-    if (hasEngineGroups) {
+    // Statements of the other gateways arrive before statuses do; until then all engines count as one group.
+    if (hasEngineGroups || (passTimeModel != m_passTimeModels.end() && m_engineShares.isDemandShared())) {
         return chooseEngine(eligible, candidates, passTimeModel->second, request, now, random);
     }
     const auto chosen = placeDirectly(candidates, random);
@@ -205,18 +195,22 @@
                                                     const TargetRequirements &request, SteadyTime now,
                                                     RandomSource &random)
 {
+    static const EngineView Unreported{.isGroupOpen = true, .isOpen = true};
     const auto &targets = eligible.targets;
+    const double share = m_engineShares.share(request.service, now);
+    const auto reports = engineReports(m_targets, request.service, averageOtherLoad(targets, now), now);
+    const auto others = m_engineShares.others(request.service, reports, now);
     std::vector<EngineCandidate> engines;
     std::vector<GroupName> groupNames;
     std::vector<GroupLoad> groupWork;
     std::vector<SteadyTime> reportedAt; ///< latest status of each group
     std::map<GroupName, std::size_t> groupIndices;
     for (std::size_t index = 0; index < targets.size(); ++index) {
-        const auto &view = *targets[index]->engine;
+        const auto &view = targets[index]->engine ? *targets[index]->engine : Unreported;
         const auto group = groupIndices.try_emplace(view.group, groupWork.size()).first->second;
         if (group == groupWork.size()) {
             groupNames.push_back(view.group);
-            groupWork.push_back({});
+            groupWork.push_back({.others = others});
             reportedAt.push_back({});
         }
         if (view.requestedAt >= reportedAt[group]) {
@@ -224,19 +218,20 @@
             groupWork[group].reportedPass = view.passTime;
         }
         addToGroup(groupWork[group], *targets[index], candidates[index].load, now);
-        engines.push_back({.target = candidates[index],
-                           .group = group,
-                           .isOpen = view.isOpen,
-                           .isRefusing = now < targets[index]->refusedUntil || hasUsedCapacityShare(*targets[index]),
-                           .slowdown = view.pace});
+        engines.push_back(
+            {.target = candidates[index],
+             .group = group,
+             .isOpen = view.isOpen,
+             .isRefusing = now < targets[index]->refusedUntil || hasUsedCapacityShare(*targets[index], share),
+             .slowdown = view.pace});
     }
     std::vector<EngineGroup> groups;
     for (std::size_t group = 0; group < groupWork.size(); ++group) {
-        groups.push_back(m_groups[groupNames[group]].evaluate(groupWork[group], passTimeModel, m_capacityShare, now));
+        groups.push_back(m_groups[groupNames[group]].evaluate(groupWork[group], passTimeModel, share, now));
     }
-    const PlacementRequest placement{.urgency = request.urgency, .share = m_capacityShare};
+    const PlacementRequest placement{.urgency = request.urgency, .share = share};
     if (request.mayAdmit && !request.mayAdmit(freeCapacity(engines, groups, groupWork, passTimeModel, placement))) {
-        return noChoice(eligible, true, now);
+        return noChoice(eligible, hasOpenEngine(engines), now);
     }
     const auto choice = placeStream(engines, groups, placement, random);
     if (choice.index) {
@@ -252,7 +247,7 @@
     work.ownRequests += target.load.ownRequests();
     work.ownRequestsAtReport += target.load.ownRequestsAtReport();
     work.slots += target.entry.slots;
-    work.hasSlowRank = work.hasSlowRank || target.engine->pace >= SlowEngineFactor;
+    work.hasSlowRank = work.hasSlowRank || (target.engine && target.engine->pace >= SlowEngineFactor);
     work.isStalled = work.isStalled || isStalled(target, now);
 }
 
@@ -270,20 +265,25 @@
     }
 }
 
-bool GatewayTargets::hasUsedCapacityShare(const GatewayTarget &target) const
+bool GatewayTargets::hasUsedCapacityShare(const GatewayTarget &target, double share) const
 {
+    if (!target.engine) {
+        return false;
+    }
     const auto found = m_groups.find(target.engine->group);
     const int reportedRequests = target.engine->running + target.engine->waiting;
     return found != m_groups.end() && found->second.isStarting()
-        && target.sentSinceReport >= slowStartAllowance(target.entry.slots, reportedRequests, m_capacityShare);
+        && target.sentSinceReport >= slowStartAllowance(target.entry.slots, reportedRequests, share);
 }
 
-void GatewayTargets::setShares(double limitShare, double capacityShare)
+void GatewayTargets::setLimitShare(double share)
 {
-    m_limitShare = limitShare;
-    // A share of 0 means that this process has lost the log for a while; the last known share is then the better
-    // estimate of the number of gateways.
-    m_capacityShare = capacityShare > 0 ? capacityShare : m_capacityShare;
+    m_limitShare = share;
+}
+
+EngineShares &GatewayTargets::engineShares()
+{
+    return m_engineShares;
 }
 
 bool GatewayTargets::applyStatement(GatewayTarget &target, const TargetStatement &statement, SteadyTime now,
@@ -297,36 +297,25 @@
     const auto before = std::exchange(m_drainedZones, zones);
     for (auto &[id, target] : m_targets) {
         if (before.contains(target.entry.zone) && !zones.contains(target.entry.zone)) {
-            target.admission.startWarmUp(warmUpOf(target.entry.service).duration, now);
+            target.admission.startWarmUp(m_warmUps.duration(target.entry.service), now);
         }
     }
 }
 
 void GatewayTargets::setOwnedPartitions(const OwnedPartitions &owned, SteadyTime now)
 {
-    m_warmUpShare.setPartitions(owned, now);
-}
-
-GatewayTargets::WarmUp GatewayTargets::warmUpOf(const ServiceName &service) const
-{
-    const auto found = m_warmUps.find(service);
-    return found == m_warmUps.end() ? WarmUp{} : found->second;
+    m_warmUps.setOwnedPartitions(owned, now);
 }
 
 AdmissionShare GatewayTargets::admissionShare(const GatewayTarget &target, SteadyTime now) const
 {
-    AdmissionShare share{.rateLimit = m_limitShare};
-    const auto warmUp = warmUpOf(target.entry.service);
-    if (warmUp.rate.perSecond > 0 && target.admission.isWarmingUp(now)) {
-        share.warmUpRequests = m_warmUpShare.maxRequests(target.entry.id, warmUp.rate, now);
-    }
-    return share;
+    return m_warmUps.admissionShare(target.entry.id, target.entry.service, target.admission, m_limitShare, now);
 }
 
 void GatewayTargets::recordAnswer(GatewayTarget &target, SteadyTime now) const
 {
     target.lastReceivedAt = now;
-    target.admission.recordAnswer(warmUpOf(target.entry.service).duration, now);
+    target.admission.recordAnswer(m_warmUps.duration(target.entry.service), now);
 }
 
 void GatewayTargets::recordUnreachable(const TargetName &id)
@@ -346,12 +335,8 @@
 void GatewayTargets::setServices(const RoutingConfig &config)
 {
     m_passTimeModels.clear();
-    m_warmUps.clear();
+    m_warmUps.setServices(config);
     for (const auto &service : config.services) {
-        const double rate = service.warmUpRequestsPerSecond;
-        const double tolerated = rate * m_warmUpTolerance.factor + m_warmUpTolerance.slack;
-        m_warmUps[service.name] = {.duration = service.warmUpTime,
-                                   .rate = {.perSecond = rate, .reserve = std::max(0.0, tolerated - rate)}};
         if (!service.engine || service.engine->layerSets == 0) {
             continue;
         }
