--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -1,7 +1,6 @@
 #include "heatherridge_transport/direct/gatewaycall.h"
 
 #include "heatherridge_state/decisions/placementwait.h"
-#include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/httptext.h"
 #include "heatherridge_transport/direct/placementrefusal.h"
 
@@ -38,6 +37,7 @@
     , m_table(std::move(table))
     , m_route(*match.route)
     , m_match(match)
+    , m_suspicion(traffic.m_crashGuard, m_exchange->request(), m_match.workspace)
     , m_arrivedAt(now())
     , m_deadline(m_arrivedAt + std::min(m_route.timeout, m_callerFields.timeout.value_or(m_route.timeout)))
     , m_timer(traffic.m_loop)
@@ -57,7 +57,12 @@
     if (refuseIfBlocked()) {
         return;
     }
-    if (isStream() && m_traffic.m_queue.hasOnTimeStream(m_service, m_arrivedAt)) {
+    if (isStream()) {
+        m_demand = m_traffic.m_admissionControl.recordArrival(
+            {.service = m_service, .priority = m_match.priority, .workspace = m_match.workspace}, m_arrivedAt);
+    }
+    if (isStream()
+        && m_traffic.m_admissionControl.waitsBehind(m_traffic.m_queue, m_service, m_match.priority, m_arrivedAt)) {
         enqueue(); // behind the streams that arrived earlier
     } else {
         startAttempt();
@@ -73,6 +78,12 @@
     }
 }
 
+void GatewayCall::refuseWaiting(milliseconds expectedWait)
+{
+    m_isWaiting = false;
+    fail({.kind = ErrorKind::Overloaded, .detail = "the queue is too long", .retryAfter = expectedWait});
+}
+
 std::uint64_t GatewayCall::number() const
 {
     return m_number;
@@ -81,6 +92,7 @@
 void GatewayCall::drop()
 {
     m_isDone = true;
+    m_demand = {};
     m_timer.cancel();
     releaseTarget(false);
     m_exchange->abort();
@@ -122,7 +134,7 @@
 GatewayTargets::Choice GatewayCall::chooseTarget()
 {
     auto &targets = m_traffic.m_targets;
-    if (isSuspect()) {
+    if (m_suspicion.isSuspect()) {
         const auto avoided = m_traffic.m_crashGuard.suspectTargets().targetsToAvoid(m_tried);
         const auto unsuspectedChoice = targets.choose(requirements(avoided), now(), m_traffic.m_random);
         if (unsuspectedChoice.target != nullptr) {
@@ -134,7 +146,15 @@
 
 TargetRequirements GatewayCall::requirements(const std::set<TargetName> &avoided) const
 {
-    return {.service = m_service, .tried = avoided, .urgency = urgency(), .regions = m_match.regions};
+    TargetRequirements requirements{
+        .service = m_service, .tried = avoided, .urgency = urgency(), .regions = m_match.regions};
+    auto &control = m_traffic.m_admissionControl;
+    if (isStream() && requirements.urgency != Urgency::InProgress && control.admitsByRank(m_service)) {
+        requirements.mayAdmit = [this, &control](const RankAdmission::Capacity &capacity) {
+            return control.mayAdmit(m_service, m_match.priority, capacity, now());
+        };
+    }
+    return requirements;
 }
 
 Urgency GatewayCall::urgency() const
@@ -169,18 +189,20 @@
     const WaitingStream stream{.number = m_number,
                                .service = m_service,
                                .hasStarted = urgency() == Urgency::InProgress,
-                               .onTimeUntil = onTimeUntil()};
+                               .onTimeUntil = onTimeUntil(),
+                               .rank = m_traffic.m_admissionControl.queueRank(m_service, m_match.priority)};
     // The wait is estimated only when the stream joins the queue and when it becomes late and falls behind the
     // on-time streams; at other times it can only have moved forward.
     const bool isLate = stream.onTimeUntil < now();
     const bool needsWaitEstimate = !stream.hasStarted && m_isQueuedAsLate != isLate;
-    const auto expectedWait = needsWaitEstimate ? m_traffic.m_queue.expectedWait(stream, now()) : milliseconds(0);
-    if (now() + expectedWait > waitDeadline()) {
-        fail({.kind = ErrorKind::Overloaded, .detail = "the queue is too long", .retryAfter = expectedWait});
+    const auto expectedWait = needsWaitEstimate ? m_traffic.expectedWait(stream, now()) : milliseconds(0);
+    if (now() + expectedWait > waitDeadline() && !m_traffic.refuseLowerRank(stream, expectedWait)) {
+        refuseWaiting(expectedWait);
         return;
     }
     m_isQueuedAsLate = isLate;
     m_isWaiting = true;
+    m_demand.setWaiting();
     m_traffic.enqueue(shared_from_this(), stream);
 }
 
@@ -206,17 +228,22 @@
     ++m_attempts;
     m_sentAt = now();
     m_response = {};
-    markSuspectAt(m_target);
+    m_suspicion.markAt(m_target);
     m_stream.beginAttempt();
+    m_demand.setInProgress();
     if (target.load.ownRequests() == 0) {
         target.lastReceivedAt = m_sentAt;
     }
-    m_loadAtSend = load;
-    m_passTimeAtSend = target.engine ? target.engine->passTime : milliseconds(0);
-    m_group = target.engine ? target.engine->group : GroupName();
-    m_placementWait = age();
+    m_placement = {.load = load, .wait = age()};
+    if (target.engine) {
+        m_placement.group = target.engine->group;
+        m_placement.passTime = target.engine->passTime;
+    }
     m_traffic.admit(m_number, m_sentAt);
-    m_traffic.m_targets.recordSend(m_group, m_sentAt);
+    if (isStream() && urgency() != Urgency::InProgress) {
+        m_traffic.m_admissionControl.recordSent(m_service, m_match.priority, m_sentAt);
+    }
+    m_traffic.m_targets.recordSend(m_placement.group, m_sentAt);
     target.load.recordSent();
     target.admission.recordSent(m_sentAt);
     ++target.sentSinceReport;
@@ -260,7 +287,7 @@
     if (!m_response.beginBody()) {
         return;
     }
-    unmarkSuspect();
+    m_suspicion.unmark();
     if (isStream() && m_response.status() == 200) {
         forwardEvents(bytes);
         return;
@@ -312,44 +339,28 @@
         self->m_isProbingTarget = false;
         if (result == ProbeResult::Refused) {
             self->m_traffic.m_targets.recordUnreachable(self->m_target);
-            self->m_traffic.m_crashGuard.recordTargetDeath(self->m_callerFields.id, self->fingerprint(),
+            self->m_traffic.m_crashGuard.recordTargetDeath(self->m_callerFields.id, self->m_suspicion.fingerprint(),
                                                            self->m_target);
         }
         self->finishAttempt(AttemptResult::Interrupted, reason);
     });
 }
 
-const RequestFingerprint &GatewayCall::fingerprint()
-{
-    if (!m_fingerprint) {
-        const auto &request = m_exchange->request();
-        const auto url = std::string(request.header("Host")) + request.target;
-        m_fingerprint = fingerprintOf(m_match.workspace, request.method, url, request.body);
-    }
-    return *m_fingerprint;
-}
-
-bool GatewayCall::isSuspect()
-{
-    return !m_traffic.m_crashGuard.isIdle() && m_traffic.m_crashGuard.isSuspect(fingerprint());
-}
-
 bool GatewayCall::refuseIfBlocked()
 {
-    auto &guard = m_traffic.m_crashGuard;
-    if (guard.isIdle() || !guard.isBlocked(fingerprint())) {
+    if (!m_suspicion.isBlocked()) {
         return false;
     }
-    guard.recordRefusal(fingerprint());
+    m_traffic.m_crashGuard.recordRefusal(m_suspicion.fingerprint());
     fail({.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : ErrorKind::EndsTargets,
-          .detail = "fingerprint " + toString(fingerprint())});
+          .detail = "fingerprint " + toString(m_suspicion.fingerprint())});
     return true;
 }
 
 void GatewayCall::cancelIfBlocked(const RequestFingerprint &request)
 {
     const bool isInProgress = m_connection != nullptr || m_isWaiting;
-    if (m_isDone || m_response.hasBodyBegun() || !isInProgress || fingerprint() != request) {
+    if (m_isDone || m_response.hasBodyBegun() || !isInProgress || m_suspicion.fingerprint() != request) {
         return;
     }
     m_possibleExecutions += m_connection != nullptr ? 1 : 0;
@@ -357,23 +368,6 @@
     refuseIfBlocked();
 }
 
-void GatewayCall::markSuspectAt(const TargetName &target)
-{
-    if (isSuspect()) {
-        m_suspectTarget = target;
-        m_traffic.m_crashGuard.suspectTargets().add(target);
-    }
-}
-
-void GatewayCall::unmarkSuspect()
-{
-    if (!m_suspectTarget) {
-        return;
-    }
-    m_traffic.m_crashGuard.suspectTargets().remove(*m_suspectTarget);
-    m_suspectTarget.reset();
-}
-
 void GatewayCall::forwardEvents(std::string_view bytes)
 {
     for (const auto &event : m_stream.feed(bytes)) {
@@ -393,7 +387,7 @@
         m_traffic.m_counters.streamFirstEvent.record(m_stream.timeToFirstEvent());
         m_exchange->beginStream(m_response.status(), m_response.headers());
     } else if (!isFirstOfAttempt) {
-        m_traffic.m_targets.recordPause(m_group, *pause, forwardedAt);
+        m_traffic.m_targets.recordPause(m_placement.group, *pause, forwardedAt);
     }
     write(event.text);
 }
@@ -426,9 +420,7 @@
     }
     releaseTarget(true);
     m_traffic.m_targets.recordAttempt(m_target, AttemptOutcome::Succeeded, now());
-    if (isSuspect()) {
-        m_traffic.m_crashGuard.recordAnswer(fingerprint());
-    }
+    m_suspicion.recordAnswer();
     if (!m_stream.hasBegun()) {
         m_exchange->beginStream(m_response.status(), m_response.headers());
     }
@@ -450,8 +442,8 @@
             m_target, result == AttemptResult::TimedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Failed, now());
     }
     const bool hasCompleted = result == AttemptResult::Answered || result == AttemptResult::FailedAtTarget;
-    if (hasCompleted && isSuspect()) {
-        m_traffic.m_crashGuard.recordAnswer(fingerprint());
+    if (hasCompleted) {
+        m_suspicion.recordAnswer();
     }
     m_possibleExecutions += mayHaveRun(result) ? 1 : 0;
     m_possibleArrivals += result != AttemptResult::NeverSent ? 1 : 0;
@@ -495,21 +487,22 @@
 
 void GatewayCall::logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const
 {
-    logEvent(Severity::Info, event,
-             {{"request", m_callerFields.id.text()},
-              {"after", std::string(toString(result))},
-              {"target", m_target.text()},
-              {"reason", std::string(reason)},
-              {"tries", std::to_string(m_attempts)},
-              {"age-ms", std::to_string(age().count())}});
+    logAttemptEnd(event,
+                  {.request = m_callerFields.id,
+                   .result = result,
+                   .target = m_target,
+                   .reason = reason,
+                   .attempts = m_attempts,
+                   .age = age()});
 }
 
 void GatewayCall::releaseTarget(bool keepConnection)
 {
-    unmarkSuspect();
+    m_suspicion.unmark();
     if (!m_connection) {
         return;
     }
+    m_demand.setIdle();
     const auto connection = std::exchange(m_connection, {});
     if (auto *target = m_traffic.m_targets.find(m_target)) {
         target->load.recordEnded();
@@ -539,6 +532,9 @@
     }
     error.ran = m_possibleExecutions > 0 ? ExecutionStatus::Unknown : ExecutionStatus::No;
     m_traffic.m_metrics.errors(error.kind).add();
+    if (isStream() && error.kind == ErrorKind::Overloaded) {
+        m_traffic.m_admissionControl.recordRefused(m_service, m_match.priority);
+    }
     auto response = m_traffic.m_codec.errorResponse(error, m_callerFields.id);
     const int status = response.status;
     m_exchange->respond(std::move(response));
@@ -551,23 +547,21 @@
         return;
     }
     m_isDone = true;
+    m_demand = {};
     m_timer.cancel();
-    logEvent(Severity::Info, "request",
-             {{"request", m_callerFields.id.text()},
-              {"route", m_route.name},
-              {"service", m_service.text()},
-              {"target", m_target.text()},
-              {"group", m_group.text()},
-              {"load", std::to_string(static_cast<int>(m_loadAtSend))},
-              {"pass-ms", std::to_string(m_passTimeAtSend.count())},
-              {"waited-ms", std::to_string(m_placementWait.count())},
-              {"tries", std::to_string(m_attempts)},
-              {"outcome", std::string(outcome)},
-              {"status", std::to_string(status)},
-              {"ms", std::to_string(age().count())},
-              {"first-event-ms", std::to_string(m_stream.timeToFirstEvent().count())},
-              {"longest-pause-ms", std::to_string(m_stream.longestPause().count())},
-              {"config", std::to_string(m_table->config().version)}});
+    logRequestEnd({.request = m_callerFields.id,
+                   .route = m_route.name,
+                   .service = m_service,
+                   .rank = m_match.priority,
+                   .target = m_target,
+                   .placement = m_placement,
+                   .attempts = m_attempts,
+                   .outcome = outcome,
+                   .status = status,
+                   .age = age(),
+                   .timeToFirstEvent = m_stream.timeToFirstEvent(),
+                   .longestPause = m_stream.longestPause(),
+                   .configVersion = m_table->config().version});
     m_traffic.removeCall(shared_from_this());
 }
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -66,8 +66,9 @@
      * @param budgetShare of the retry slack and of targets' limits; the shares of all gateways must not add up to more
      *        than the whole
      * @param evenShare of the streams, assuming that all gateways have equally many
+     * @param knownGateways that the log divides the work among, without this one
      */
-    void setShares(double budgetShare, double evenShare);
+    void setShares(double budgetShare, double evenShare, int knownGateways);
 
     /** Replaces the availability zones that the operator has drained. */
     void setDrainedZones(const std::set<ZoneName> &zones);
@@ -132,6 +133,9 @@
     void applyTargetStatements(GatewayTarget &target, const TargetResponseFields &fields, const RequestId &request);
     void reportStatement(const TargetEntry &target, const TargetStatement &statement, const RequestId &request);
     void enqueue(const std::shared_ptr<GatewayCall> &call, const WaitingStream &stream);
+    std::chrono::milliseconds expectedWait(const WaitingStream &stream, SteadyTime now) const;
+    bool refuseLowerRank(const WaitingStream &stream, std::chrono::milliseconds expectedWait);
+    bool retryPlacement(std::uint64_t number);
     void admit(std::uint64_t number, SteadyTime now);
     void dequeue(std::uint64_t number);
     void armQueueTimer();
