--- a/modules/heatherridge_state/decisions/servicecapacity.h
+++ b/modules/heatherridge_state/decisions/servicecapacity.h
@@ -21,4 +21,7 @@
                                      std::span<const GroupLoad> loads, const PassTimeModel &passTimes,
                                      const PlacementRequest &request);
 
+/** Returns whether any of @p engines is open and was not tried, even if all are full. */
+bool hasOpenEngine(std::span<const EngineCandidate> engines);
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -4,6 +4,7 @@
 #include "heatherridge_state/demand/demandmeter.h"
 #include "heatherridge_transport/direct/crashsuspicion.h"
 #include "heatherridge_transport/direct/gatewaytraffic.h"
+#include "heatherridge_transport/direct/requestlog.h"
 #include "heatherridge_transport/direct/streamprogress.h"
 #include "heatherridge_transport/direct/targetresponse.h"
 
@@ -117,9 +118,7 @@
     std::shared_ptr<TargetConnection> m_connection; ///< of the current attempt
     TargetName m_target;
     SteadyTime m_sentAt{};
-    double m_loadAtSend = 0; ///< estimated number of requests at the target, for the log
-    std::chrono::milliseconds m_passTimeAtSend{0}; ///< of the expert group, for the log
-    GroupName m_group{}; ///< the target's expert group; empty if it has none
+    RequestPlacement m_placement; ///< of the last attempt
     std::set<TargetName> m_tried;
     int m_attempts = 0;
     int m_possibleExecutions = 0; ///< attempts that may have executed the request
@@ -131,7 +130,6 @@
     StreamProgress m_stream;
     DemandMeter::Stream m_demand; ///< counts this call while it is open, if it is a stream
     std::size_t m_unsentBytes = 0;
-    std::chrono::milliseconds m_placementWait{0}; ///< from arrival to the start of the last attempt, for the log
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -25,7 +25,7 @@
                                EngineShares::Options shares)
     : m_zone(std::move(zone))
     , m_zoneRegions(std::move(regions))
-    , m_warmUpTolerance(tolerance)
+    , m_warmUps(tolerance)
     , m_engineShares(std::move(shares))
 {
 }
@@ -80,7 +80,7 @@
     const bool isNews = target.entry.id.isEmpty() || entry.startedAt != target.entry.startedAt
         || entry.remainingWarmUp != target.entry.remainingWarmUp;
     if (isNews) {
-        const auto remaining = entry.remainingWarmUp.value_or(warmUpOf(entry.service).duration);
+        const auto remaining = entry.remainingWarmUp.value_or(m_warmUps.duration(entry.service));
         target.admission.startWarmUp(remaining, now);
     }
 }
@@ -231,7 +231,7 @@
     }
     const PlacementRequest placement{.urgency = request.urgency, .share = share};
     if (request.mayAdmit && !request.mayAdmit(freeCapacity(engines, groups, groupWork, passTimeModel, placement))) {
-        return noChoice(eligible, true, now);
+        return noChoice(eligible, hasOpenEngine(engines), now);
     }
     const auto choice = placeStream(engines, groups, placement, random);
     if (choice.index) {
@@ -297,36 +297,25 @@
     const auto before = std::exchange(m_drainedZones, zones);
     for (auto &[id, target] : m_targets) {
         if (before.contains(target.entry.zone) && !zones.contains(target.entry.zone)) {
-            target.admission.startWarmUp(warmUpOf(target.entry.service).duration, now);
+            target.admission.startWarmUp(m_warmUps.duration(target.entry.service), now);
         }
     }
 }
 
 void GatewayTargets::setOwnedPartitions(const OwnedPartitions &owned, SteadyTime now)
 {
-    m_warmUpShare.setPartitions(owned, now);
-}
-
-GatewayTargets::WarmUp GatewayTargets::warmUpOf(const ServiceName &service) const
-{
-    const auto found = m_warmUps.find(service);
-    return found == m_warmUps.end() ? WarmUp{} : found->second;
+    m_warmUps.setOwnedPartitions(owned, now);
 }
 
 AdmissionShare GatewayTargets::admissionShare(const GatewayTarget &target, SteadyTime now) const
 {
-    AdmissionShare share{.rateLimit = m_limitShare};
-    const auto warmUp = warmUpOf(target.entry.service);
-    if (warmUp.rate.perSecond > 0 && target.admission.isWarmingUp(now)) {
-        share.warmUpRequests = m_warmUpShare.maxRequests(target.entry.id, warmUp.rate, now);
-    }
-    return share;
+    return m_warmUps.admissionShare(target.entry.id, target.entry.service, target.admission, m_limitShare, now);
 }
 
 void GatewayTargets::recordAnswer(GatewayTarget &target, SteadyTime now) const
 {
     target.lastReceivedAt = now;
-    target.admission.recordAnswer(warmUpOf(target.entry.service).duration, now);
+    target.admission.recordAnswer(m_warmUps.duration(target.entry.service), now);
 }
 
 void GatewayTargets::recordUnreachable(const TargetName &id)
@@ -346,12 +335,8 @@
 void GatewayTargets::setServices(const RoutingConfig &config)
 {
     m_passTimeModels.clear();
-    m_warmUps.clear();
+    m_warmUps.setServices(config);
     for (const auto &service : config.services) {
-        const double rate = service.warmUpRequestsPerSecond;
-        const double tolerated = rate * m_warmUpTolerance.factor + m_warmUpTolerance.slack;
-        m_warmUps[service.name] = {.duration = service.warmUpTime,
-                                   .rate = {.perSecond = rate, .reserve = std::max(0.0, tolerated - rate)}};
         if (!service.engine || service.engine->layerSets == 0) {
             continue;
         }
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -3,10 +3,10 @@
 #include "heatherridge_state/decisions/engineplacement.h"
 #include "heatherridge_state/decisions/groupadmission.h"
 #include "heatherridge_state/decisions/rankadmission.h"
-#include "heatherridge_state/decisions/warmupshare.h"
 #include "heatherridge_state/routing/regionrule.h"
 #include "heatherridge_transport/direct/engineshares.h"
 #include "heatherridge_transport/direct/gatewaytarget.h"
+#include "heatherridge_transport/direct/servicewarmups.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 
 #include <functional>
@@ -18,13 +18,6 @@
 namespace Heatherridge
 {
 
-/** Requests beyond the warm-up rate of its service that a target bears while it warms up. */
-struct WarmUpTolerance
-{
-    double factor = 1; ///< of the rate; 1 or more
-    double slack = 0; ///< requests a second beyond that
-};
-
 /** What a request needs of its target. */
 struct TargetRequirements
 {
@@ -132,13 +125,6 @@
     static bool isStalled(const GatewayTarget &target, SteadyTime now);
 
 private:
-    /** The warm-up of the targets of one service. */
-    struct WarmUp
-    {
-        std::chrono::milliseconds duration{0};
-        WarmUpRate rate{}; ///< 0: not limited
-    };
-
     /** The targets that can take a request, and why others cannot. */
     struct Eligible
     {
@@ -148,7 +134,6 @@
     };
 
     Eligible findEligible(const TargetRequirements &request, bool hasEngineGroups, SteadyTime now);
-    WarmUp warmUpOf(const ServiceName &service) const;
     AdmissionShare admissionShare(const GatewayTarget &target, SteadyTime now) const;
     void applyEntryWarmUp(GatewayTarget &target, const TargetEntry &entry, SteadyTime now);
     Choice noChoice(const Eligible &eligible, bool isFull, SteadyTime now) const;
@@ -166,10 +151,8 @@
 
     ZoneName m_zone;
     ZoneRegions m_zoneRegions;
-    WarmUpTolerance m_warmUpTolerance;
     std::set<ZoneName> m_drainedZones;
-    std::map<ServiceName, WarmUp> m_warmUps;
-    WarmUpShare m_warmUpShare;
+    ServiceWarmUps m_warmUps;
     double m_limitShare = 0;
     EngineShares m_engineShares;
     std::map<GroupName, GroupAdmission> m_groups;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -89,6 +89,7 @@
     m_options.retryBudget.slackShare = budgetShare;
     m_targets.setLimitShare(budgetShare);
     m_targets.engineShares().setEvenShare(evenShare, knownGateways);
+    m_admissionControl.setKnownGateways(knownGateways);
     for (auto &[service, budget] : m_retryBudgets) {
         budget.setSlackShare(budgetShare);
     }
