--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -19,7 +19,7 @@
  * Decides on the admission of streams by the demand of all gateways.
  *
  * Holds what the decisions of a gateway's traffic thread share: its own demand, the last known demand of the other
- * gateways, and the RankAdmission of each service whose streams can have different priorities. The streams of all
+ * gateways, and the RankAdmission of each service whose streaming routes have different priorities. The streams of all
  * other services are admitted without regard to ranks. Used on the traffic thread only.
  */
 class AdmissionControl
@@ -28,7 +28,8 @@
     /** @p metrics must outlive this object. */
     explicit AdmissionControl(Metrics &metrics);
 
-    /** Puts rank admission in force for those services of @p config whose streams can have different priorities. */
+    /** Puts rank admission in force for those services of @p config whose streaming routes have different priorities.
+     */
     void setConfig(const RoutingConfig &config);
 
     /** Records that a stream arrived at this gateway. */
