Wire fair shares of workspaces

AdmissionControl updates the shares of a service every 100 ms while streams arrive, where gateways share their demand or rank admission is in force. Waiting streams of workspaces over their share come last in their rank, newcomers of others pass them, the expected wait of others leaves them out, and they are refused first. Log line workspace-over-share, gauge heatherridge_workspaces_over_share, field over-share of request lines.

--- a/modules/heatherridge_state/decisions/streamqueue.cpp
+++ b/modules/heatherridge_state/decisions/streamqueue.cpp
@@ -24,6 +24,12 @@
     return stream.onTimeUntil >= now ? AdmissionOrder::Timely : AdmissionOrder::Late;
 }
 
+/** Streams with a lower value are admitted first and refused last, as far as they can be on time equally. */
+std::tuple<int, bool> importanceOf(const WaitingStream &stream)
+{
+    return {stream.rank, stream.isOverShare};
+}
+
 } // namespace
 
 void StreamQueue::enqueue(const WaitingStream &stream, SteadyTime now)
@@ -82,22 +88,34 @@
     return m_streams.empty();
 }
 
-bool StreamQueue::hasOnTimeStream(const ServiceName &service, SteadyTime now, int rank) const
+bool StreamQueue::hasOnTimeStream(const WaitingStream &stream, SteadyTime now) const
 {
     return std::any_of(m_streams.begin(), m_streams.end(), [&](const auto &entry) {
-        const auto &stream = entry.second;
-        return stream.service == service && stream.rank <= rank
-            && admissionOrderOf(stream, now) == AdmissionOrder::Timely;
+        const auto &waiting = entry.second;
+        return waiting.service == stream.service && importanceOf(waiting) <= importanceOf(stream)
+            && admissionOrderOf(waiting, now) == AdmissionOrder::Timely;
     });
 }
 
+double StreamQueue::partBehind(const WaitingStream &stream) const
+{
+    int ofRank = 0;
+    int behind = 0;
+    for (const auto &[number, waiting] : m_streams) {
+        if (waiting.service == stream.service && waiting.rank == stream.rank) {
+            ++ofRank;
+            behind += !stream.isOverShare && waiting.isOverShare ? 1 : 0;
+        }
+    }
+    return ofRank > 0 ? static_cast<double>(behind) / ofRank : 0;
+}
+
 std::optional<std::uint64_t> StreamQueue::streamToRefuseInsteadOf(const WaitingStream &stream) const
 {
-    const auto importance = [](const WaitingStream &waiting) { return std::tuple(waiting.rank, waiting.isOverShare); };
     const WaitingStream *last = nullptr;
     for (const auto &[number, waiting] : m_streams) {
-        if (waiting.service == stream.service && !waiting.hasStarted && importance(waiting) > importance(stream)
-            && (last == nullptr || importance(waiting) >= importance(*last))) {
+        if (waiting.service == stream.service && !waiting.hasStarted && importanceOf(waiting) > importanceOf(stream)
+            && (last == nullptr || importanceOf(waiting) >= importanceOf(*last))) {
             last = &waiting;
         }
     }
--- a/modules/heatherridge_state/decisions/streamqueue.h
+++ b/modules/heatherridge_state/decisions/streamqueue.h
@@ -6,7 +6,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <limits>
 #include <map>
 #include <optional>
 #include <vector>
@@ -55,8 +54,14 @@
      */
     std::chrono::milliseconds expectedWait(const WaitingStream &stream, SteadyTime now) const;
 
-    /** Returns whether a stream of @p service, of @p rank or a higher one, is waiting that can be on time at @p now. */
-    bool hasOnTimeStream(const ServiceName &service, SteadyTime now, int rank = std::numeric_limits<int>::max()) const;
+    /**
+     * Returns whether a stream is waiting that can be on time at @p now and precedes @p stream by its rank and share,
+     * or equals it in both.
+     */
+    bool hasOnTimeStream(const WaitingStream &stream, SteadyTime now) const;
+
+    /** Returns which part of the waiting streams of the rank of @p stream are put behind it by their share. */
+    double partBehind(const WaitingStream &stream) const;
 
     /**
      * Returns the waiting stream of the same service to refuse in place of @p stream, if there is one of a lower rank,
--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -23,6 +23,7 @@
 
 AdmissionControl::AdmissionControl(Metrics &metrics)
     : m_metrics(metrics)
+    , m_workspaceShares(metrics)
 {
 }
 
@@ -43,7 +44,9 @@
 
 DemandMeter::Stream AdmissionControl::recordArrival(const DemandMeter::StreamClass &streamClass, SteadyTime now)
 {
-    return m_meter.recordArrival(streamClass, now);
+    auto stream = m_meter.recordArrival(streamClass, now);
+    updateShares(streamClass.service, now);
+    return stream;
 }
 
 std::vector<ServiceDemand> AdmissionControl::demand(SteadyTime now) const
@@ -90,6 +93,7 @@
     if (found == m_services.end()) {
         return true;
     }
+    m_capacityShares[service] = capacity.share;
     const auto own = demandOf(service, now);
     auto &admission = found->second;
     const bool mayAdmit = admission.mayAdmit(priority, capacity, {.own = own, .others = othersDemand(service)}, now);
@@ -99,6 +103,7 @@
 
 void AdmissionControl::recordSent(const ServiceName &service, int priority, SteadyTime now)
 {
+    m_workspaceShares.recordSent(service, now);
     const auto found = m_services.find(service);
     if (found != m_services.end()) {
         found->second.recordAdmitted(priority, now);
@@ -113,15 +118,28 @@
     }
 }
 
+bool AdmissionControl::isOverShare(const ServiceName &service, const WorkspaceName &workspace) const
+{
+    return hasFairShares(service) && m_workspaceShares.isOverShare(service, workspace);
+}
+
 std::optional<std::chrono::milliseconds> AdmissionControl::expectedWait(const ServiceName &service, int priority,
-                                                                        SteadyTime now) const
+                                                                        SteadyTime now, double partBehind) const
 {
     const auto found = m_services.find(service);
     if (found == m_services.end()) {
         return std::nullopt;
     }
-    const auto own = demandOf(service, now);
-    return found->second.expectedWait(priority, {.own = own, .others = othersDemand(service)}, now);
+    auto own = demandOf(service, now);
+    const auto *others = othersDemand(service);
+    if (partBehind == 0) {
+        return found->second.expectedWait(priority, {.own = own, .others = others}, now);
+    }
+    auto othersAhead = others != nullptr ? *others : ServiceDemand{};
+    own.ranks[priority].waiting *= 1 - partBehind;
+    othersAhead.ranks[priority].waiting *= 1 - partBehind;
+    return found->second.expectedWait(priority, {.own = own, .others = others != nullptr ? &othersAhead : nullptr},
+                                      now);
 }
 
 QueueClass AdmissionControl::queueClass(const WaitingStream &stream, SteadyTime now) const
@@ -130,21 +148,24 @@
     return found == m_services.end() ? QueueClass::InOrder : classifyByRank(stream, found->second, now);
 }
 
-bool AdmissionControl::waitsBehind(const StreamQueue &queue, const ServiceName &service, int priority,
+bool AdmissionControl::waitsBehind(const StreamQueue &queue, const DemandMeter::StreamClass &stream,
                                    SteadyTime now) const
 {
-    const auto found = m_services.find(service);
-    if (found == m_services.end()) {
-        return queue.hasOnTimeStream(service, now);
+    const auto found = m_services.find(stream.service);
+    int rank = 0;
+    bool isBehindSameRank = isOverShare(stream.service, stream.workspace);
+    if (found != m_services.end()) {
+        // A stream of the assured part waits for the highest rank only.
+        const auto &admission = found->second;
+        rank = admission.hasAssuredStream(stream.priority) ? admission.highestRank() : stream.priority;
+        isBehindSameRank = isBehindSameRank || rank != stream.priority;
     }
-    // A stream of the assured part waits for the highest rank only.
-    const auto &admission = found->second;
-    return queue.hasOnTimeStream(service, now,
-                                 admission.hasAssuredStream(priority) ? admission.highestRank() : priority);
+    return queue.hasOnTimeStream({.service = stream.service, .rank = rank, .isOverShare = isBehindSameRank}, now);
 }
 
 void AdmissionControl::tick(SteadyTime now)
 {
+    m_workspaceShares.tick(now);
     for (auto &[service, admission] : m_services) {
         admission.tick(now);
         reportChanges(service, admission);
@@ -161,6 +182,26 @@
     return found == m_others.end() ? &none : &found->second;
 }
 
+bool AdmissionControl::hasFairShares(const ServiceName &service) const
+{
+    return m_fleetDemand.isShared || admitsByRank(service);
+}
+
+void AdmissionControl::updateShares(const ServiceName &service, SteadyTime now)
+{
+    if (!hasFairShares(service) || !m_workspaceShares.isUpdateDue(service, now)) {
+        return;
+    }
+    const auto own = demandOf(service, now);
+    const auto share = m_capacityShares.find(service);
+    m_workspaceShares.update(service,
+                             {.own = own,
+                              .others = othersDemand(service),
+                              .age = m_fleetDemand.age,
+                              .capacityShare = share == m_capacityShares.end() ? 0 : share->second},
+                             now);
+}
+
 void AdmissionControl::updateOthers()
 {
     const double factor =
@@ -172,6 +213,12 @@
             rank.waiting *= factor;
             m_others[demand.service].ranks[priority] = rank;
         }
+        auto &others = m_others[demand.service];
+        others.service = demand.service;
+        for (auto workspace : demand.workspaces) {
+            workspace.arrivalsPerSecond *= factor;
+            others.workspaces.push_back(std::move(workspace));
+        }
     }
 }
 
--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -7,6 +7,7 @@
 #include "heatherridge_state/demand/fleetdemand.h"
 #include "heatherridge_state/routing/routingconfig.h"
 #include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/direct/workspaceshares.h"
 
 #include <map>
 #include <optional>
@@ -19,8 +20,8 @@
  * Decides on the admission of streams by the demand of all gateways.
  *
  * Holds what the decisions of a gateway's traffic thread share: its own demand, the last known demand of the other
- * gateways, and the RankAdmission of each service whose streams can have different priorities. The streams of all
- * other services are admitted without regard to ranks. Used on the traffic thread only.
+ * gateways, the RankAdmission of each service whose streams can have different priorities, and the fair shares of
+ * workspaces. The streams of all other services are admitted without regard to ranks. Used on the traffic thread only.
  */
 class AdmissionControl
 {
@@ -64,27 +65,32 @@
     /** Records that a stream of @p priority is refused because there is not enough capacity. */
     void recordRefused(const ServiceName &service, int priority);
 
+    /** Returns whether @p workspace demands more than its fair share, if fair shares are in force for @p service. */
+    bool isOverShare(const ServiceName &service, const WorkspaceName &workspace) const;
+
     /**
      * Returns how long a stream that begins to wait now is expected to wait. Nothing if rank admission is not in force
      * for @p service or no rate of admission is known yet.
+     * @param partBehind part of the waiting streams of its rank that have their turn after it
      */
-    std::optional<std::chrono::milliseconds> expectedWait(const ServiceName &service, int priority,
-                                                          SteadyTime now) const;
+    std::optional<std::chrono::milliseconds> expectedWait(const ServiceName &service, int priority, SteadyTime now,
+                                                          double partBehind = 0) const;
 
     /** Returns when @p stream has its turn. */
     QueueClass queueClass(const WaitingStream &stream, SteadyTime now) const;
 
     /**
-     * Returns whether a stream of @p priority that arrives waits behind those of @p queue, instead of looking for an
-     * engine at once.
+     * Returns whether a stream that arrives waits behind those of @p queue, instead of looking for an engine at once.
      */
-    bool waitsBehind(const StreamQueue &queue, const ServiceName &service, int priority, SteadyTime now) const;
+    bool waitsBehind(const StreamQueue &queue, const DemandMeter::StreamClass &stream, SteadyTime now) const;
 
     /** Ends what is not in force any more. Called about once a second. */
     void tick(SteadyTime now);
 
 private:
     const ServiceDemand *othersDemand(const ServiceName &service) const;
+    bool hasFairShares(const ServiceName &service) const;
+    void updateShares(const ServiceName &service, SteadyTime now);
     void updateOthers();
     void reportChanges(const ServiceName &service, RankAdmission &admission);
     Counter &rankCounter(const char *name, int priority);
@@ -93,9 +99,11 @@
     DemandMeter m_meter;
     FleetDemand m_fleetDemand;
     int m_knownGateways = 0;
-    /** By rank at all other gateways, those included that have stated nothing. */
+    /** At all other gateways, those included that have stated nothing. */
     std::map<ServiceName, ServiceDemand> m_others;
     std::map<ServiceName, RankAdmission> m_services; ///< for which rank admission is in force
+    std::map<ServiceName, double> m_capacityShares; ///< last ones named to mayAdmit()
+    WorkspaceShares m_workspaceShares;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -58,12 +58,11 @@
     if (refuseIfBlocked()) {
         return;
     }
-    if (isStream()) {
-        m_demand = m_traffic.m_admissionControl.recordArrival(
-            {.service = m_service, .priority = m_match.priority, .workspace = m_match.workspace}, m_arrivedAt);
-    }
-    if (isStream()
-        && m_traffic.m_admissionControl.waitsBehind(m_traffic.m_queue, m_service, m_match.priority, m_arrivedAt)) {
+    const DemandMeter::StreamClass streamClass{
+        .service = m_service, .priority = m_match.priority, .workspace = m_match.workspace};
+    auto &control = m_traffic.m_admissionControl;
+    m_demand = isStream() ? control.recordArrival(streamClass, m_arrivedAt) : DemandMeter::Stream();
+    if (isStream() && control.waitsBehind(m_traffic.m_queue, streamClass, m_arrivedAt)) {
         enqueue(); // behind the streams that arrived earlier
     } else {
         startAttempt();
@@ -187,17 +186,20 @@
 
 void GatewayCall::enqueue()
 {
+    const auto &control = m_traffic.m_admissionControl;
+    m_isOverShare = control.isOverShare(m_service, m_match.workspace);
     const WaitingStream stream{.number = m_number,
                                .service = m_service,
                                .hasStarted = urgency() == Urgency::InProgress,
                                .onTimeUntil = onTimeUntil(),
-                               .rank = m_traffic.m_admissionControl.queueRank(m_service, m_match.priority)};
+                               .rank = control.queueRank(m_service, m_match.priority),
+                               .isOverShare = m_isOverShare};
     // The wait is estimated only when the stream joins the queue and when it becomes late and falls behind the
     // on-time streams; at other times it can only have moved forward.
     const bool isLate = stream.onTimeUntil < now();
     const bool needsWaitEstimate = !stream.hasStarted && m_isQueuedAsLate != isLate;
     const auto expectedWait = needsWaitEstimate ? m_traffic.expectedWait(stream, now()) : milliseconds(0);
-    if (now() + expectedWait > waitDeadline() && !m_traffic.refuseLowerRank(stream, expectedWait)) {
+    if (now() + expectedWait > waitDeadline() && !m_traffic.refuseInsteadOf(stream, expectedWait)) {
         refuseWaiting(expectedWait);
         return;
     }
@@ -558,6 +560,7 @@
               {"load", std::to_string(static_cast<int>(m_loadAtSend))},
               {"pass-ms", std::to_string(m_passTimeAtSend.count())},
               {"waited-ms", std::to_string(m_placementWait.count())},
+              {"over-share", m_isOverShare ? "yes" : "no"},
               {"tries", std::to_string(m_attempts)},
               {"outcome", std::string(outcome)},
               {"status", std::to_string(status)},
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -112,6 +112,7 @@
     bool m_isDone = false;
     std::optional<SteadyTime> m_waitDeadline; ///< for finding a target; set when none was found for the first time
     bool m_isWaiting = false;
+    bool m_isOverShare = false; ///< whether its workspace was over its share when it last joined the queue
     std::optional<bool> m_isQueuedAsLate; ///< whether it was queued among the late streams; empty until it is queued
 
     std::shared_ptr<TargetConnection> m_connection; ///< of the current attempt
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -271,11 +271,12 @@
 std::chrono::milliseconds GatewayTraffic::expectedWait(const WaitingStream &stream, SteadyTime now) const
 {
     return m_admissionControl.admitsByRank(stream.service)
-        ? m_admissionControl.expectedWait(stream.service, stream.rank, now).value_or(std::chrono::milliseconds(0))
+        ? m_admissionControl.expectedWait(stream.service, stream.rank, now, m_queue.partBehind(stream))
+              .value_or(std::chrono::milliseconds(0))
         : m_queue.expectedWait(stream, now);
 }
 
-bool GatewayTraffic::refuseLowerRank(const WaitingStream &stream, std::chrono::milliseconds expectedWait)
+bool GatewayTraffic::refuseInsteadOf(const WaitingStream &stream, std::chrono::milliseconds expectedWait)
 {
     const auto number = m_queue.streamToRefuseInsteadOf(stream);
     const auto found = number ? m_waitingCalls.find(*number) : m_waitingCalls.end();
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -133,7 +133,7 @@
     void reportStatement(const TargetEntry &target, const TargetStatement &statement, const RequestId &request);
     void enqueue(const std::shared_ptr<GatewayCall> &call, const WaitingStream &stream);
     std::chrono::milliseconds expectedWait(const WaitingStream &stream, SteadyTime now) const;
-    bool refuseLowerRank(const WaitingStream &stream, std::chrono::milliseconds expectedWait);
+    bool refuseInsteadOf(const WaitingStream &stream, std::chrono::milliseconds expectedWait);
     bool retryPlacement(std::uint64_t number);
     void admit(std::uint64_t number, SteadyTime now);
     void dequeue(std::uint64_t number);
--- a/tests/decisions/rankreplay_test.cpp
+++ b/tests/decisions/rankreplay_test.cpp
@@ -186,9 +186,10 @@
         if (auto *result = resultOf(number)) {
             ++result->arrived;
         }
-        const bool mayTry = !gateway.queue.hasOnTimeStream(Service, m_now, queueRank)
+        const bool mayTry = !gateway.queue.hasOnTimeStream({.service = Service, .rank = queueRank}, m_now)
             || (m_options.admitsByRank && gateway.admission.hasAssuredStream(rank)
-                && !gateway.queue.hasOnTimeStream(Service, m_now, gateway.admission.highestRank()));
+                && !gateway.queue.hasOnTimeStream({.service = Service, .rank = gateway.admission.highestRank()},
+                                                  m_now));
         if (mayTry && trySend(gateway, number)) {
             return;
         }
--- a/tests/decisions/streamqueue_test.cpp
+++ b/tests/decisions/streamqueue_test.cpp
@@ -85,12 +85,12 @@
 {
     StreamQueue queue;
     queue.enqueue({.number = 1, .service = Service, .onTimeUntil = Start}, Start);
-    EXPECT_TRUE(queue.hasOnTimeStream(Service, Start));
-    EXPECT_FALSE(queue.hasOnTimeStream(ServiceName("other"), Start));
-    EXPECT_FALSE(queue.hasOnTimeStream(Service, Start + 1ms));
+    EXPECT_TRUE(queue.hasOnTimeStream({.service = Service}, Start));
+    EXPECT_FALSE(queue.hasOnTimeStream({.service = ServiceName("other")}, Start));
+    EXPECT_FALSE(queue.hasOnTimeStream({.service = Service}, Start + 1ms));
     queue.remove(1);
     EXPECT_TRUE(queue.isEmpty());
-    EXPECT_FALSE(queue.hasOnTimeStream(Service, Start));
+    EXPECT_FALSE(queue.hasOnTimeStream({.service = Service}, Start));
 }
 
 // Guards against a stream of a high rank that waits behind lower ones when it arrives.
@@ -98,9 +98,9 @@
 {
     StreamQueue queue;
     queue.enqueue({.number = 1, .service = Service, .onTimeUntil = Start, .rank = 1}, Start);
-    EXPECT_FALSE(queue.hasOnTimeStream(Service, Start, 0));
-    EXPECT_TRUE(queue.hasOnTimeStream(Service, Start, 1));
-    EXPECT_TRUE(queue.hasOnTimeStream(Service, Start, 2));
+    EXPECT_FALSE(queue.hasOnTimeStream({.service = Service, .rank = 0}, Start));
+    EXPECT_TRUE(queue.hasOnTimeStream({.service = Service, .rank = 1}, Start));
+    EXPECT_TRUE(queue.hasOnTimeStream({.service = Service, .rank = 2}, Start));
 }
 
 // Guards against refusing a stream while one of a lower rank waits, and against refusing one that a caller has begun to
--- a/tests/gateway/admissioncontrol_test.cpp
+++ b/tests/gateway/admissioncontrol_test.cpp
@@ -102,7 +102,7 @@
     EXPECT_EQ(metrics.counter("heatherridge_streams_refused_total", R"(rank="1")").value(), 0U);
     StreamQueue queue;
     queue.enqueue(stream, Start);
-    EXPECT_TRUE(control.waitsBehind(queue, Plain, 1, Start));
+    EXPECT_TRUE(control.waitsBehind(queue, {.service = Plain, .priority = 1}, Start));
 }
 
 // Guards against a stream of a high rank that waits behind lower ones although there is capacity for it.
@@ -113,8 +113,8 @@
     control.setConfig(makeConfig());
     StreamQueue queue;
     queue.enqueue({.number = 1, .service = Ranked, .onTimeUntil = Start, .rank = 2}, Start);
-    EXPECT_FALSE(control.waitsBehind(queue, Ranked, 0, Start));
-    EXPECT_TRUE(control.waitsBehind(queue, Ranked, 2, Start));
+    EXPECT_FALSE(control.waitsBehind(queue, {.service = Ranked, .priority = 0}, Start));
+    EXPECT_TRUE(control.waitsBehind(queue, {.service = Ranked, .priority = 2}, Start));
 }
 
 // Guards against holds that outlive the configuration, and against counters that operators cannot tell by rank.
@@ -143,4 +143,104 @@
     EXPECT_EQ(held.value(), 0);
 }
 
+FleetDemand quietElsewhere()
+{
+    FleetDemand demand{.isKnown = true, .isShared = true, .gateways = 1};
+    for (const auto &service : {Ranked, Plain}) {
+        ServiceDemand others{.service = service, .ranks = {{2, {.arrivalsPerSecond = 10, .waiting = 10}}}};
+        others.workspaces = {{.workspace = WorkspaceName("quiet"), .arrivalsPerSecond = 10}};
+        demand.services.push_back(std::move(others));
+    }
+    return demand;
+}
+
+struct ShareRow
+{
+    const char *description;
+    ServiceName service;
+    FleetDemand fleet;
+    int sentEach; ///< one of so many streams of the loud workspace is sent
+    bool isOverShare;
+};
+
+const ShareRow ShareRows[] = {
+    {"a shortage where the gateways share their demand", Plain, quietElsewhere(), 4, true},
+    {"a shortage where rank admission is in force", Ranked, quietElsewhere(), 4, true},
+    {"all streams are sent", Plain, quietElsewhere(), 1, false},
+    {"one workspace and unknown demand of others", Ranked, notKnown(quietElsewhere()), 4, false},
+    {"neither ranks nor shared demand", Plain, notShared(quietElsewhere()), 4, false},
+};
+
+class WorkspaceShareRules : public testing::TestWithParam<ShareRow>
+{
+};
+
+/** Records 3 s of arrivals of the workspace "loud", 100 per second, of which one in @p sentEach is sent. */
+std::vector<DemandMeter::Stream> recordLoudArrivals(AdmissionControl &control, const ServiceName &service, int sentEach)
+{
+    std::vector<DemandMeter::Stream> waiting;
+    for (int arrival = 0; arrival < 300; ++arrival) {
+        const auto now = Start + arrival * 10ms;
+        auto stream =
+            control.recordArrival({.service = service, .priority = 2, .workspace = WorkspaceName("loud")}, now);
+        if (arrival % sentEach == 0) {
+            control.recordSent(service, 2, now);
+        } else {
+            stream.setWaiting();
+            waiting.push_back(std::move(stream));
+        }
+    }
+    return waiting;
+}
+
+// Guards against shares in deployments that do not call for them, and against a loud workspace that goes unnoticed
+// because its gateway does not consider the demand of the others.
+TEST_P(WorkspaceShareRules, AreInForceForSharedOrRankedServices)
+{
+    const auto &row = GetParam();
+    Metrics metrics;
+    AdmissionControl control(metrics);
+    control.setConfig(makeConfig());
+    control.setFleetDemand(row.fleet);
+    const auto waiting = recordLoudArrivals(control, row.service, row.sentEach);
+    EXPECT_EQ(control.isOverShare(row.service, WorkspaceName("loud")), row.isOverShare) << row.description;
+    EXPECT_FALSE(control.isOverShare(row.service, WorkspaceName("quiet")));
+    auto &gauge = metrics.gauge("heatherridge_workspaces_over_share");
+    EXPECT_EQ(gauge.value(), row.isOverShare ? 1 : 0);
+    control.tick(Start + 10s);
+    EXPECT_EQ(gauge.value(), 0);
+    EXPECT_FALSE(control.isOverShare(row.service, WorkspaceName("loud")));
+}
+
+INSTANTIATE_TEST_SUITE_P(All, WorkspaceShareRules, testing::ValuesIn(ShareRows));
+
+// Guards against streams of quiet workspaces that wait behind those of one over its share, or are refused because of
+// them.
+TEST(AdmissionControls, LetNewStreamsPassWorkspacesOverTheirShare)
+{
+    Metrics metrics;
+    AdmissionControl control(metrics);
+    control.setConfig(makeConfig());
+    control.setFleetDemand(quietElsewhere());
+    const auto waiting = recordLoudArrivals(control, Ranked, 4);
+    const auto now = Start + 3s;
+    StreamQueue queue;
+    for (std::uint64_t number = 1; number <= 10; ++number) {
+        queue.enqueue({.number = number, .service = Ranked, .onTimeUntil = now + 1s, .rank = 2, .isOverShare = true},
+                      now);
+    }
+    const DemandMeter::StreamClass loud{.service = Ranked, .priority = 2, .workspace = WorkspaceName("loud")};
+    const DemandMeter::StreamClass quiet{.service = Ranked, .priority = 2, .workspace = WorkspaceName("quiet")};
+    EXPECT_TRUE(control.waitsBehind(queue, loud, now));
+    EXPECT_FALSE(control.waitsBehind(queue, quiet, now));
+    const WaitingStream stream{.service = Ranked, .rank = 2};
+    EXPECT_EQ(queue.partBehind(stream), 1);
+    EXPECT_EQ(queue.partBehind({.service = Ranked, .rank = 2, .isOverShare = true}), 0);
+    control.mayAdmit(Ranked, 2, {.room = 10, .pass = 100ms}, now);
+    const auto wait = control.expectedWait(Ranked, 2, now);
+    ASSERT_TRUE(wait);
+    EXPECT_GT(*wait, 0ms);
+    EXPECT_EQ(control.expectedWait(Ranked, 2, now, queue.partBehind(stream)), 0ms);
+}
+
 } // namespace
