--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-AdmissionControl::AdmissionControl(Metrics &metrics)
+AdmissionControl::AdmissionControl(Metrics &metrics, CapacityShareSource capacityShare)
     : m_metrics(metrics)
+    , m_capacityShare(std::move(capacityShare))
     , m_workspaceShares(metrics)
 {
 }
@@ -93,7 +94,6 @@
     if (found == m_services.end()) {
         return true;
     }
-    m_capacityShares[service] = capacity.share;
     const auto own = demandOf(service, now);
     auto &admission = found->second;
     const bool mayAdmit = admission.mayAdmit(priority, capacity, {.own = own, .others = othersDemand(service)}, now);
@@ -193,12 +193,11 @@
         return;
     }
     const auto own = demandOf(service, now);
-    const auto share = m_capacityShares.find(service);
     m_workspaceShares.update(service,
                              {.own = own,
                               .others = othersDemand(service),
                               .age = m_fleetDemand.age,
-                              .capacityShare = share == m_capacityShares.end() ? 0 : share->second},
+                              .capacityShare = m_capacityShare ? m_capacityShare(service, now) : 0},
                              now);
 }
 
--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -9,6 +9,7 @@
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/direct/workspaceshares.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -26,8 +27,11 @@
 class AdmissionControl
 {
 public:
-    /** @p metrics must outlive this object. */
-    explicit AdmissionControl(Metrics &metrics);
+    /** Returns this gateway's share of the capacity of the engines of a service. */
+    using CapacityShareSource = std::function<double(const ServiceName &service, SteadyTime now)>;
+
+    /** @p metrics must outlive this object. Without @p capacityShare the share counts as unknown. */
+    explicit AdmissionControl(Metrics &metrics, CapacityShareSource capacityShare = {});
 
     /** Puts rank admission in force for those services of @p config whose streams can have different priorities. */
     void setConfig(const RoutingConfig &config);
@@ -102,7 +106,7 @@
     /** At all other gateways, those included that have stated nothing. */
     std::map<ServiceName, ServiceDemand> m_others;
     std::map<ServiceName, RankAdmission> m_services; ///< for which rank admission is in force
-    std::map<ServiceName, double> m_capacityShares; ///< last ones named to mayAdmit()
+    CapacityShareSource m_capacityShare;
     WorkspaceShares m_workspaceShares;
 };
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -43,8 +43,13 @@
     , m_codec(codec)
     , m_metrics(metrics)
     , m_counters(metrics)
-    , m_admissionControl(metrics)
-    , m_targets(m_options.zone, m_options.zoneRegions, m_options.warmUpTolerance)
+    , m_admissionControl(
+          metrics,
+          [this](const ServiceName &service, SteadyTime now) { return m_targets.engineShares().share(service, now); })
+    , m_targets(
+          m_options.zone, m_options.zoneRegions, m_options.warmUpTolerance,
+          {.ownDemand = [this](const auto &service, auto now) { return m_admissionControl.demandOf(service, now); },
+           .metrics = &metrics})
     , m_pool(loop, metrics)
     , m_probe(loop, m_options.connectTimeout, metrics)
     , m_crashGuard({.reportCreated = m_options.reportCrash,
@@ -81,10 +86,12 @@
     }
 }
 
-void GatewayTraffic::setShares(double budgetShare, double evenShare)
+void GatewayTraffic::setShares(double budgetShare, double evenShare, int knownGateways)
 {
     m_options.retryBudget.slackShare = budgetShare;
-    m_targets.setShares(budgetShare, evenShare);
+    m_targets.setLimitShare(budgetShare);
+    m_targets.engineShares().setEvenShare(evenShare, knownGateways);
+    m_admissionControl.setKnownGateways(knownGateways);
     for (auto &[service, budget] : m_retryBudgets) {
         budget.setSlackShare(budgetShare);
     }
@@ -107,6 +114,7 @@
 
 void GatewayTraffic::setFleetDemand(FleetDemand demand)
 {
+    m_targets.engineShares().setFleetDemand(demand, std::chrono::steady_clock::now());
     m_admissionControl.setFleetDemand(std::move(demand));
 }
 
