--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -142,6 +142,8 @@
  * member is assigned partitions of 20 topics at most; one more is that of its availability zone.
  */
 constexpr int ShareTopics = 19;
+/** Topics of the division among large gateways: only few pieces of work are divided by it. */
+constexpr int LargeShareTopics = 1;
 constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
 /** Share of the host's memory for callers' requests and responses; bodies are copied once on their way to a target. */
 constexpr double CallerMemoryShare = 0.25;
@@ -196,6 +198,12 @@
                                                                                      .topics = ShareTopics,
                                                                                      .partitionsPerTopic = partitions,
                                                                                      .zone = zone}),
+                    .largeShares =
+                        std::make_unique<PlatformShare>(calls,
+                                                        PlatformShare::Options{.name = "group-keepers-large",
+                                                                               .topics = LargeShareTopics,
+                                                                               .partitionsPerTopic = partitions,
+                                                                               .zone = zone}),
                     .reports = std::make_unique<PlatformReports>(calls, "heatherridge-crashes")};
             },
         .makeRankControl =
--- a/modules/heatherridge_coordination/feed/workshare.cpp
+++ b/modules/heatherridge_coordination/feed/workshare.cpp
@@ -111,4 +111,14 @@
     m_log.leave(m_options.member);
 }
 
+void WorkShare::rejoin()
+{
+    if (!m_hasLeft) {
+        return;
+    }
+    logRestored(); // answers to calls from before leaving are ignored
+    m_share = {};
+    m_hasLeft = false;
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_coordination/feed/workshare.h
+++ b/modules/heatherridge_coordination/feed/workshare.h
@@ -102,6 +102,9 @@
     /** Leaves and gives up all work. */
     void leave();
 
+    /** Becomes a member again, without any work until the log has answered. Does nothing before leave(). */
+    void rejoin();
+
 private:
     ShareLog &m_log;
     Options m_options;
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -6,6 +6,7 @@
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/callerserver.h"
 #include "heatherridge_transport/direct/gatewaydemand.h"
+#include "heatherridge_transport/direct/gatewayduties.h"
 #include "heatherridge_transport/direct/sidecarrankclient.h"
 
 #include <atomic>
@@ -91,6 +92,14 @@
                       {.member = m_options.process.text() + "-" + std::to_string(m_entropy()),
                        .partitionCount = m_options.sharePartitions,
                        .zonePartitionCount = m_options.logPartitions})
+        , m_duties(
+              m_workShare, *m_logClients.largeShares,
+              {.zone = m_options.zone,
+               .ownSize = m_options.size.processorShare,
+               .exchangesDemand = m_options.demandExchange != DemandExchangeMode::Off && m_options.sidecarPort != 0,
+               .largeShare = {.member = m_options.process.text() + "-" + std::to_string(m_entropy()),
+                              .partitionCount = m_options.logPartitions,
+                              .zonePartitionCount = m_options.logPartitions}})
         , m_crashFeed(*m_logClients.reports, {.busyPollTimeout = GatewayControl::rulesWait(m_options.control)},
                       {.received = [this](auto reports) { onCrashReports(std::move(reports)); },
                        .failed = [this](auto call, const auto &error) { onCrashFeedFailed(call, error); },
@@ -113,6 +122,7 @@
                     .sidecarPort = m_options.sidecarPort},
                    {.changed =
                         [this](FleetDemand demand) {
+                            m_duties.setFleetDemand(demand);
                             m_trafficLoop.post(
                                 [this, demand = std::move(demand)] { m_traffic.setFleetDemand(demand); });
                         },
@@ -154,7 +164,10 @@
         const auto drainStart = std::chrono::steady_clock::now();
         logEvent(Severity::Info, "stopping", {{"open", std::to_string(openCallCount())}});
         m_isStopping = true;
-        m_controlLoop.post([this] { m_workShare.leave(); });
+        m_controlLoop.post([this] {
+            m_workShare.leave();
+            m_duties.leave();
+        });
         m_trafficLoop.post([this] { m_callers.beginDrain(); });
         // After half of the time, few callers still choose a kept connection.
         m_trafficLoop.after(m_options.balancerDetectionTime / 2, [this] { m_callers.closeIdleConnections(); });
@@ -223,16 +236,15 @@
         const auto now = std::chrono::steady_clock::now();
         m_control.tick(now, m_workShare.isMine(RulesCopiesTask));
         m_workShare.tick(now);
+        m_duties.tick(now);
         m_crashFeed.tick(now);
         updateShares();
         const auto pollers = countPollers();
         m_demand.tick(now, pollers);
         for (auto &[service, rebalancer] : m_rebalancers) {
             rebalancer->setActive(
-                [this, &name = service](const GroupToAssign &group) {
-                    return isAssignedTo(m_workShare, m_options.zone, name, group);
-                },
-                m_workShare.isConfirmed(now));
+                [this, &name = service](const GroupToAssign &group) { return m_duties.isAssigned(name, group); },
+                m_duties.isConfirmed(now));
             rebalancer->setPollers(pollers);
             rebalancer->tick(now);
             m_groupSkew.set(static_cast<std::int64_t>(rebalancer->lastSkew() * 100));
@@ -340,6 +352,7 @@
         SeededRandom random(m_entropy());
         m_control.logRestored(random);
         m_workShare.logRestored();
+        m_duties.logRestored();
         m_crashFeed.logRestored();
     }
 
@@ -387,6 +400,7 @@
     Counter &m_crashFeedFailures = m_metrics.counter("heatherridge_crash_report_failures_total");
     Counter &m_crashReportsLost = m_metrics.counter("heatherridge_crash_reports_lost_total");
     WorkShare m_workShare;
+    GatewayDuties m_duties;
     CrashFeed m_crashFeed;
     GatewayControl m_control;
     GatewayDemand m_demand;
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -54,6 +54,7 @@
     {
         std::unique_ptr<RegisterLog> registers{};
         std::unique_ptr<ShareLog> shares{};
+        std::unique_ptr<ShareLog> largeShares{}; ///< of duties among large gateways; joined only while it is in force
         std::unique_ptr<ReportLog> reports{}; ///< on requests that crash targets
     };
 
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -118,6 +118,7 @@
                                            return GatewayServer::LogClients{
                                                .registers = std::make_unique<FixedRegisters>(config, entries),
                                                .shares = std::make_unique<FixedShares>(options.partitions),
+                                               .largeShares = std::make_unique<FixedShares>(options.partitions),
                                                .reports = std::make_unique<SharedReportLog>(options.reports)};
                                        },
                                    .makeRankControl = [](HttpClient &) { return std::make_unique<StubRankControl>(); }};
--- a/tests/heldgroups/heldgroups_test.cpp
+++ b/tests/heldgroups/heldgroups_test.cpp
@@ -92,6 +92,24 @@
     EXPECT_EQ(disturbed, 0);
 }
 
+// Guards against a group that stands still because the process that rebalances it gives up this duty, as a gateway does
+// that learns of larger ones, while it holds a pass.
+TEST(HeldGroups, KeepRunningWhenTheHolderLeavesItsDuties)
+{
+    constexpr int schedules = 150;
+    int disturbed = 0;
+    for (int number = 0; number < schedules; ++number) {
+        HeldGroupSimulation simulation({.ranks = 4,
+                                        .seed = 931 + static_cast<std::uint64_t>(number),
+                                        .processes = 2,
+                                        .maxStatusAge = 10ms,
+                                        .isTraced = isTraced()});
+        disturbed += simulation.haltAfterHolderLeaves() > 400ms ? 1 : 0;
+        EXPECT_EQ(simulation.violation(), "");
+    }
+    EXPECT_EQ(disturbed, 0);
+}
+
 struct BrokenSafeguardCase
 {
     const char *name;
--- a/tests/heldgroups/heldgroupsimulation.cpp
+++ b/tests/heldgroups/heldgroupsimulation.cpp
@@ -300,6 +300,17 @@
     });
 }
 
+milliseconds HeldGroupSimulation::haltAfterHolderLeaves()
+{
+    runWithoutFaults(milliseconds(500));
+    while (!isAnyPassHeld()) {
+        runWithoutFaults(milliseconds(1));
+    }
+    m_processes.at(0)->rebalancer->setActive(noGroup, true);
+    m_processes.at(1)->rebalancer->setActive(everyGroup, true);
+    return longestHalt(milliseconds(HolderPauseMs), [] {});
+}
+
 milliseconds HeldGroupSimulation::haltWithTwoActiveRebalancers(milliseconds duration)
 {
     runWithoutFaults(milliseconds(2'500));
--- a/tests/heldgroups/heldgroupsimulation.h
+++ b/tests/heldgroups/heldgroupsimulation.h
@@ -64,6 +64,13 @@
      */
     std::chrono::milliseconds haltAfterHolderPauses();
 
+    /**
+     * Gives the share to the next rebalancer as soon as the active one holds a pass, which knows that it has lost it.
+     *
+     * @returns the longest time without a new pass
+     */
+    std::chrono::milliseconds haltAfterHolderLeaves();
+
     /**
      * Simulates @p duration without faults while the first rebalancer cannot renew its share and does not know that the
      * second has it.
