--- a/modules/heatherridge_state/decisions/otherstreams.h
+++ b/modules/heatherridge_state/decisions/otherstreams.h
@@ -15,8 +15,8 @@
     std::chrono::milliseconds reportedAge{0}; ///< mean age of these statuses
     std::size_t reportingEngines = 0;
     std::size_t engines = 0; ///< of the service, registered
-    bool isStarting = false; ///< this gateway received its first status of these engines less than
-                             ///< StatusStartDuration ago, or none yet
+    bool isStarting = false; ///< statements were first compared with statuses less than StatusStartDuration ago, or
+                             ///< never yet
 };
 
 /** How the streams of the other gateways are derived from the engines' statuses. */
--- a/modules/heatherridge_transport/direct/engineshares.cpp
+++ b/modules/heatherridge_transport/direct/engineshares.cpp
@@ -116,19 +116,20 @@
 
 OtherStreams EngineShares::others(const ServiceName &service, const EngineReports &reports, SteadyTime now)
 {
+    if (!isDemandShared()) {
+        return {};
+    }
     auto &state = m_services[service];
     if (reports.reporting > 0 && !state.firstStatusAt) {
         state.firstStatusAt = now;
     }
-    if (!isDemandShared()) {
-        return {};
+    double stated = streamsInProgress(statedDemand(service));
+    if (const int unstated = unstatedGateways(m_fleet.gateways, m_knownGateways); unstated > 0) {
+        const double all = stated + streamsInProgress(m_options.ownDemand(service, now));
+        stated += all / (m_fleet.gateways + 1) * unstated;
     }
-    const double stated = streamsInProgress(statedDemand(service));
-    const double own = streamsInProgress(m_options.ownDemand(service, now));
-    const double unstated =
-        (stated + own) / (m_fleet.gateways + 1) * unstatedGateways(m_fleet.gateways, m_knownGateways);
     const auto reporting = static_cast<SteadyTime::rep>(std::max<std::size_t>(reports.reporting, 1));
-    return otherStreams({.stated = stated + unstated,
+    return otherStreams({.stated = stated,
                          .statedAge = m_fleet.age + inMilliseconds(now - m_receivedAt),
                          .reported = reports.otherRequests,
                          .reportedAge = inMilliseconds(reports.totalAge / reporting),
--- a/modules/heatherridge_transport/direct/engineshares.h
+++ b/modules/heatherridge_transport/direct/engineshares.h
@@ -62,7 +62,7 @@
         double share = 0;
         double reportedShare = 0; ///< last one that was logged
         std::optional<SteadyTime> calculatedAt{};
-        std::optional<SteadyTime> firstStatusAt{}; ///< since which this gateway knows statuses of engines
+        std::optional<SteadyTime> firstStatusAt{}; ///< when statements were first compared with statuses
         Gauge *gauge = nullptr;
     };
 
--- a/modules/heatherridge_transport/direct/gatewaytargets.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytargets.cpp
@@ -198,8 +198,11 @@
     static const EngineView Unreported{.isGroupOpen = true, .isOpen = true};
     const auto &targets = eligible.targets;
     const double share = m_engineShares.share(request.service, now);
-    const auto reports = engineReports(m_targets, request.service, averageOtherLoad(targets, now), now);
-    const auto others = m_engineShares.others(request.service, reports, now);
+    OtherStreams others;
+    if (m_engineShares.isDemandShared()) {
+        const auto reports = engineReports(m_targets, request.service, averageOtherLoad(targets, now), now);
+        others = m_engineShares.others(request.service, reports, now);
+    }
     std::vector<EngineCandidate> engines;
     std::vector<GroupName> groupNames;
     std::vector<GroupLoad> groupWork;
