--- a/modules/heatherridge_transport/direct/requestlog.cpp
+++ b/modules/heatherridge_transport/direct/requestlog.cpp
@@ -14,6 +14,7 @@
               {"route", std::string(end.route)},
               {"service", end.service.text()},
               {"rank", std::to_string(end.rank)},
+              {"over-share", end.isOverShare ? "yes" : "no"},
               {"target", end.target.text()},
               {"group", end.placement.group.text()},
               {"load", std::to_string(static_cast<int>(end.placement.load))},
--- a/modules/heatherridge_transport/direct/requestlog.h
+++ b/modules/heatherridge_transport/direct/requestlog.h
@@ -26,6 +26,7 @@
     std::string_view route{};
     ServiceName service{};
     int rank = 0; ///< priority of the caller, 0 is the highest
+    bool isOverShare = false; ///< whether it last waited as a stream of a workspace over its fair share
     TargetName target{}; ///< of the last attempt
     RequestPlacement placement{}; ///< of the last attempt
     int attempts = 0;
