--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -174,12 +174,12 @@
 
 const ServiceDemand *AdmissionControl::othersDemand(const ServiceName &service) const
 {
-    static const ServiceDemand none;
+    static const ServiceDemand None;
     if (!m_fleetDemand.isKnown || !m_fleetDemand.isShared) {
         return nullptr;
     }
     const auto found = m_others.find(service);
-    return found == m_others.end() ? &none : &found->second;
+    return found == m_others.end() ? &None : &found->second;
 }
 
 bool AdmissionControl::hasFairShares(const ServiceName &service) const
