--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -21,7 +21,7 @@
  * Decides on the admission of streams by the demand of all gateways.
  *
  * Holds what the decisions of a gateway's traffic thread share: its own demand, the last known demand of the other
- * gateways, the RankAdmission of each service whose streams can have different priorities, and the fair shares of
+ * gateways, the RankAdmission of each service whose streaming routes have different priorities, and the fair shares of
  * workspaces. The streams of all other services are admitted without regard to ranks. Used on the traffic thread only.
  */
 class AdmissionControl
@@ -33,7 +33,7 @@
     /** @p metrics must outlive this object. Without @p capacityShare the share counts as unknown. */
     explicit AdmissionControl(Metrics &metrics, CapacityShareSource capacityShare = {});
 
-    /** Puts rank admission in force for those services of @p config whose streams can have different priorities. */
+    /** Puts rank admission in force for the services of @p config whose streaming routes differ in their priority. */
     void setConfig(const RoutingConfig &config);
 
     /** Records that a stream arrived at this gateway. */
--- a/tests/gateway/streamdemand_test.cpp
+++ b/tests/gateway/streamdemand_test.cpp
@@ -4,6 +4,8 @@
 #include <asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 using namespace Heatherridge;
 using namespace std::chrono_literals;
 
@@ -16,11 +18,12 @@
 class StubExchange final : public HttpExchange
 {
 public:
-    StubExchange(const std::string &path, const std::string &id)
-        : m_request{.method = "GET",
-                    .path = path,
-                    .target = path,
-                    .headers = {{"Host", "h"}, {"X-Heatherridge-Request-Id", id}}}
+    StubExchange(const std::string &path, const std::string &id, const std::string &apiKey = {})
+        : m_request{
+            .method = "GET",
+            .path = path,
+            .target = path,
+            .headers = {{"Host", "h"}, {"X-Heatherridge-Request-Id", id}, {"Authorization", "Bearer " + apiKey}}}
     {
     }
 
@@ -32,11 +35,13 @@
     void respond(HttpResponse response) override
     {
         status = response.status;
+        answeredAt = std::chrono::steady_clock::now();
     }
 
     void beginStream(int streamStatus, const std::vector<HttpHeader> &) override
     {
         status = streamStatus;
+        answeredAt = std::chrono::steady_clock::now();
     }
 
     void write(std::string, WriteCallback done) override
@@ -58,6 +63,8 @@
     }
 
     int status = 0; ///< 0 until an answer has begun
+    SteadyTime answeredAt{};
+    const SteadyTime createdAt = std::chrono::steady_clock::now();
     std::function<void()> closed;
 
 private:
@@ -160,6 +167,57 @@
     EXPECT_EQ(gateway.streams().waiting, 0);
 }
 
+/** Sends a whole stream and states that the target accepts 30 requests per second. */
+std::vector<TargetAction> sendLimitedStream(const std::string &request, int)
+{
+    return {{.bytes = signedResponse(request, "id: 1\ndata: piece\n\n", 200,
+                                     "Content-Type: text/event-stream\r\nServer-Limit: 30\r\n")}};
+}
+
+// Guards against a gateway that computes fair shares, but does not use them: streams of a quiet workspace would wait
+// behind those of one that sends three times what its target accepts.
+TEST(StreamDemand, OfALoudWorkspaceDoesNotDelayAQuietOne)
+{
+    const ScriptedTarget target(sendLimitedStream);
+    Traffic gateway;
+    auto config = GatewayFixture::defaultConfig();
+    config.workspaces = {{.name = WorkspaceName("loud"), .apiKeys = {"l"}},
+                         {.name = WorkspaceName("quiet"), .apiKeys = {"q"}}};
+    gateway.traffic.setTable(std::make_shared<RouteTable>(config));
+    gateway.traffic.setShares(1, 1, 0);
+    gateway.traffic.setFleetDemand({.isKnown = true, .isShared = true});
+    gateway.setTarget(target);
+    std::vector<std::shared_ptr<StubExchange>> loud;
+    std::vector<std::shared_ptr<StubExchange>> quiet;
+    const auto start = std::chrono::steady_clock::now();
+    int sent = 0;
+    gateway.runUntil([&] {
+        const auto elapsed = std::chrono::steady_clock::now() - start;
+        for (; elapsed < 4s && sent * 11ms < elapsed; ++sent) {
+            auto &exchanges = sent % 22 == 0 ? quiet : loud;
+            const bool isQuiet = &exchanges == &quiet;
+            exchanges.push_back(std::make_shared<StubExchange>("/stream/1", std::to_string(sent), isQuiet ? "q" : "l"));
+            gateway.traffic.handle(exchanges.back());
+        }
+        return elapsed > 4'500ms;
+    });
+    EXPECT_EQ(gateway.metrics.gauge("heatherridge_workspaces_over_share").value(), 1);
+    // The shares are in force two seconds after the start: rates are measured for one, and streams have to wait first.
+    std::vector<std::chrono::milliseconds> quietWaits;
+    for (const auto &exchange : quiet) {
+        if (exchange->createdAt > start + 2s) {
+            EXPECT_EQ(exchange->status, 200);
+            quietWaits.push_back(
+                std::chrono::duration_cast<std::chrono::milliseconds>(exchange->answeredAt - exchange->createdAt));
+        }
+    }
+    ASSERT_GT(quietWaits.size(), 4U);
+    EXPECT_LT(*std::max_element(quietWaits.begin(), quietWaits.end()), 300ms);
+    const auto refused =
+        std::count_if(loud.begin(), loud.end(), [](const auto &exchange) { return exchange->status == 503; });
+    EXPECT_GT(refused, 50) << "the loud workspace sends more than its target accepts";
+}
+
 // Guards against plain calls in the demand for engines.
 TEST(StreamDemand, LeavesOutPlainCalls)
 {
