--- a/modules/heatherridge_state/decisions/rankadmission.cpp
+++ b/modules/heatherridge_state/decisions/rankadmission.cpp
@@ -65,22 +65,30 @@
 std::optional<std::chrono::milliseconds> RankAdmission::expectedWait(int priority, const Demand &demand,
                                                                      [[maybe_unused]] SteadyTime now) const
 {
-    const auto found = m_levels.find(priority);
-    const auto ownRate = found == m_levels.end() ? std::nullopt : found->second.rate.perSecond();
-    if (!ownRate || !m_share) {
+    const auto ahead = backlog(priority, demand);
+    if (!ahead.admittedPerSecond) {
         return std::nullopt;
     }
-    double waiting = 0;
-    for (const auto &[rank, level] : m_levels) {
-        waiting += rank <= priority ? fleetDemand(rank, demand).waiting : 0;
-    }
-    const auto wait = waitFor(waiting, *ownRate / *m_share);
+    const auto wait = waitFor(ahead.streams, *ahead.admittedPerSecond);
     // The assured part does not wait for higher ranks.
     const auto rank = fleetDemand(priority, demand);
     return rank.arrivalsPerSecond > 0 ? std::min(wait, waitFor(rank.waiting, rank.arrivalsPerSecond * AssuredShare))
                                       : wait;
 }
 
+RankAdmission::Backlog RankAdmission::backlog(int priority, const Demand &demand) const
+{
+    const auto found = m_levels.find(priority);
+    if (found == m_levels.end() || !m_share) {
+        return {};
+    }
+    Backlog result{.admittedPerSecond = found->second.rate.perSecond()};
+    for (const auto &[rank, level] : m_levels) {
+        result.streams += rank <= priority ? fleetDemand(rank, demand).waiting * *m_share : 0;
+    }
+    return result;
+}
+
 bool RankAdmission::isHeld(int priority) const
 {
     const auto found = m_levels.find(priority);
--- a/modules/heatherridge_state/decisions/rankadmission.h
+++ b/modules/heatherridge_state/decisions/rankadmission.h
@@ -61,6 +61,14 @@
         const ServiceDemand *others = nullptr; ///< of all other gateways; null if it is unknown
     };
 
+    /** Streams that are admitted before one that arrives, and the rate at which they are: this gateway's part of both.
+     */
+    struct Backlog
+    {
+        double streams = 0;
+        std::optional<double> admittedPerSecond{}; ///< empty if it is not known yet
+    };
+
     /** A rank that has become held or is admitted again. */
     struct LevelChange
     {
@@ -84,6 +92,9 @@
      */
     std::optional<std::chrono::milliseconds> expectedWait(int priority, const Demand &demand, SteadyTime now) const;
 
+    /** Returns the waiting streams of @p priority and higher ranks. */
+    Backlog backlog(int priority, const Demand &demand) const;
+
     /** Returns whether streams of @p priority are held, apart from the assured part. */
     bool isHeld(int priority) const;
 
--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -35,6 +35,7 @@
             admission = std::move(known.mapped());
         }
     }
+    std::erase_if(m_returnSchedules, [this](const auto &schedule) { return !m_services.contains(schedule.first); });
     for (auto &[service, admission] : before) {
         admission.tick(SteadyTime::max());
         reportChanges(service, admission);
@@ -113,6 +114,25 @@
     }
 }
 
+Error AdmissionControl::refuse(Error error, const RefusedStream &stream, SteadyTime now, RandomSource &random)
+{
+    recordRefused(stream.service, stream.priority);
+    const auto found = m_services.find(stream.service);
+    if (found == m_services.end() || !stream.lacksCapacity) {
+        return error;
+    }
+    const auto own = demandOf(stream.service, now);
+    const auto ahead = found->second.backlog(stream.priority, {.own = own, .others = othersDemand(stream.service)});
+    const auto result = m_returnSchedules[stream.service].refuse({.returnClass = {.priority = stream.priority},
+                                                                  .streamsAhead = ahead.streams,
+                                                                  .admittedPerSecond = ahead.admittedPerSecond,
+                                                                  .remainingTime = stream.remainingTime},
+                                                                 now, random);
+    reportReturn(stream, result);
+    error.retryAfter = result.delay;
+    return error;
+}
+
 std::optional<std::chrono::milliseconds> AdmissionControl::expectedWait(const ServiceName &service, int priority,
                                                                         SteadyTime now) const
 {
@@ -191,6 +211,21 @@
     }
 }
 
+void AdmissionControl::reportReturn(const RefusedStream &stream, const ReturnSchedule::Return &result)
+{
+    const auto &input = result.input;
+    m_metrics.histogram("heatherridge_return_delay_seconds").record(result.delay);
+    logEvent(Severity::Info, "return-scheduled",
+             {{"request", stream.request.text()},
+              {"service", stream.service.text()},
+              {"rank", std::to_string(stream.priority)},
+              {"retry-after-ms", std::to_string(result.delay.count())},
+              {"ahead", std::to_string(input.streamsAhead)},
+              {"refused", std::to_string(input.refusedOfRank)},
+              {"per-second", input.admittedPerSecond ? std::to_string(*input.admittedPerSecond) : "unknown"},
+              {"remaining-ms", std::to_string(input.remainingTime.count())}});
+}
+
 Counter &AdmissionControl::rankCounter(const char *name, int priority)
 {
     return m_metrics.counter(name, rankLabel(priority));
--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/base/result.h"
 #include "heatherridge_state/decisions/rankadmission.h"
+#include "heatherridge_state/decisions/returnschedule.h"
 #include "heatherridge_state/decisions/streamadmission.h"
 #include "heatherridge_state/demand/demandmeter.h"
 #include "heatherridge_state/demand/fleetdemand.h"
@@ -64,6 +66,23 @@
     /** Records that a stream of @p priority is refused because there is not enough capacity. */
     void recordRefused(const ServiceName &service, int priority);
 
+    /** A stream that is refused as overloaded. */
+    struct RefusedStream
+    {
+        RequestId request{};
+        ServiceName service{};
+        int priority = 0;
+        bool lacksCapacity = false; ///< refused because all engines are full, or because the queue is too long
+        std::chrono::milliseconds remainingTime{0}; ///< of the caller
+    };
+
+    /**
+     * Records that @p stream is refused with @p error. Returns the error with the retry delay to tell the caller: that
+     * of the ReturnSchedule if rank admission is in force for the service and the stream lacks capacity, otherwise the
+     * present one.
+     */
+    Error refuse(Error error, const RefusedStream &stream, SteadyTime now, RandomSource &random);
+
     /**
      * Returns how long a stream that begins to wait now is expected to wait. Nothing if rank admission is not in force
      * for @p service or no rate of admission is known yet.
@@ -87,6 +106,7 @@
     const ServiceDemand *othersDemand(const ServiceName &service) const;
     void updateOthers();
     void reportChanges(const ServiceName &service, RankAdmission &admission);
+    void reportReturn(const RefusedStream &stream, const ReturnSchedule::Return &result);
     Counter &rankCounter(const char *name, int priority);
 
     Metrics &m_metrics;
@@ -96,6 +116,7 @@
     /** By rank at all other gateways, those included that have stated nothing. */
     std::map<ServiceName, ServiceDemand> m_others;
     std::map<ServiceName, RankAdmission> m_services; ///< for which rank admission is in force
+    std::map<ServiceName, ReturnSchedule> m_returnSchedules; ///< of these services
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -16,9 +16,6 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/** Retry delay for callers after the targets refused: a slot of a plain service becomes free within this time. */
-constexpr milliseconds TargetsFullRetryAfter{300};
-
 /** Assumed time from sending a stream to its first event, before any was measured: two passes of usual length. */
 constexpr milliseconds DefaultFirstEventDelay{200};
 
@@ -82,6 +79,7 @@
 void GatewayCall::refuseWaiting(milliseconds expectedWait)
 {
     m_isWaiting = false;
+    m_lacksCapacity = true;
     fail({.kind = ErrorKind::Overloaded, .detail = "the queue is too long", .retryAfter = expectedWait});
 }
 
@@ -106,13 +104,12 @@
         return;
     }
     const auto choice = chooseTarget();
+    m_lacksCapacity = choice.target == nullptr && choice.reason == NoChoiceReason::AllFull;
     // An attempt that never reached a target adds no load, so the next one does not count as a retry.
     const bool isRetry = m_possibleArrivals > 0;
     if (choice.target != nullptr && isRetry && !m_traffic.retryBudgetFor(m_service).tryTake(now())) {
         m_traffic.m_counters.retriesDenied.add();
-        waitForTarget({.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
-                       .detail = "retry budget exhausted",
-                       .retryAfter = TargetsFullRetryAfter});
+        waitForTarget(refusalByTargets(m_possibleExecutions > 0, "retry budget exhausted"));
         return;
     }
     if (choice.target != nullptr) {
@@ -430,8 +427,8 @@
 
 void GatewayCall::finishAttempt(AttemptResult result, std::string_view reason)
 {
-    releaseTarget(result == AttemptResult::Answered || result == AttemptResult::FailedAtTarget
-                  || result == AttemptResult::RefusedAtTarget);
+    const bool hasCompleted = result == AttemptResult::Answered || result == AttemptResult::FailedAtTarget;
+    releaseTarget(hasCompleted || result == AttemptResult::RefusedAtTarget);
     if (result == AttemptResult::RefusedAtTarget) {
         m_traffic.m_targets.recordRefusal(m_target, now());
     }
@@ -441,7 +438,6 @@
         m_traffic.m_targets.recordAttempt(
             m_target, result == AttemptResult::TimedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Failed, now());
     }
-    const bool hasCompleted = result == AttemptResult::Answered || result == AttemptResult::FailedAtTarget;
     if (hasCompleted) {
         m_suspicion.recordAnswer();
     }
@@ -464,9 +460,8 @@
     case NextStep::Fail:
         break;
     }
-    Error error{.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
-                .detail = std::string(toString(result)) + " at " + m_target.text() + " " + std::string(reason),
-                .retryAfter = TargetsFullRetryAfter};
+    auto error = refusalByTargets(m_possibleExecutions > 0,
+                                  std::string(toString(result)) + " at " + m_target.text() + " " + std::string(reason));
     if (mayHaveRun(result)) {
         fail(std::move(error));
         return;
@@ -533,8 +528,15 @@
     error.ran = m_possibleExecutions > 0 ? ExecutionStatus::Unknown : ExecutionStatus::No;
     m_traffic.m_metrics.errors(error.kind).add();
     if (isStream() && error.kind == ErrorKind::Overloaded) {
-        m_traffic.m_admissionControl.recordRefused(m_service, m_match.priority);
-    }
+        error = m_traffic.m_admissionControl.refuse(std::move(error),
+                                                    {.request = m_callerFields.id,
+                                                     .service = m_service,
+                                                     .priority = m_match.priority,
+                                                     .lacksCapacity = m_lacksCapacity,
+                                                     .remainingTime = timeLeft()},
+                                                    now(), m_traffic.m_random);
+    }
+    m_retryAfter = error.retryAfter.value_or(milliseconds(0));
     auto response = m_traffic.m_codec.errorResponse(error, m_callerFields.id);
     const int status = response.status;
     m_exchange->respond(std::move(response));
@@ -564,6 +566,7 @@
               {"ms", std::to_string(age().count())},
               {"first-event-ms", std::to_string(m_stream.timeToFirstEvent().count())},
               {"longest-pause-ms", std::to_string(m_stream.longestPause().count())},
+              {"retry-after-ms", std::to_string(m_retryAfter.count())},
               {"config", std::to_string(m_table->config().version)}});
     m_traffic.removeCall(shared_from_this());
 }
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -114,6 +114,9 @@
     bool m_isWaiting = false;
     std::optional<bool> m_isQueuedAsLate; ///< whether it was queued among the late streams; empty until it is queued
 
+    bool m_lacksCapacity = false; ///< no engine has capacity for it, or the queue is too long
+    std::chrono::milliseconds m_retryAfter{0}; ///< told to the caller, for the log; 0 if none
+
     std::shared_ptr<TargetConnection> m_connection; ///< of the current attempt
     TargetName m_target;
     SteadyTime m_sentAt{};
--- a/modules/heatherridge_transport/direct/placementrefusal.cpp
+++ b/modules/heatherridge_transport/direct/placementrefusal.cpp
@@ -1,6 +1,7 @@
 #include "heatherridge_transport/direct/placementrefusal.h"
 
 #include <cassert>
+#include <utility>
 
 namespace Heatherridge
 {
@@ -14,6 +15,8 @@
 constexpr milliseconds NoTargetRetryAfter{500};
 /** Retry delay for callers refused because all engines are full: a third of an engine's usual answer time. */
 constexpr milliseconds EnginesFullRetryAfter{500};
+/** Retry delay for callers after the targets refused: a slot of a plain service becomes free within this time. */
+constexpr milliseconds TargetsFullRetryAfter{300};
 /** Retry delay for callers refused until an operator acts: a zone is restored within seconds at the soonest. */
 constexpr milliseconds OperatorRetryAfter{2'000};
 
@@ -49,4 +52,11 @@
     return {.kind = ErrorKind::Internal};
 }
 
+Error refusalByTargets(bool mayHaveRun, std::string detail)
+{
+    return {.kind = mayHaveRun ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
+            .detail = std::move(detail),
+            .retryAfter = TargetsFullRetryAfter};
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/placementrefusal.h
+++ b/modules/heatherridge_transport/direct/placementrefusal.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <optional>
+#include <string>
 
 namespace Heatherridge
 {
@@ -17,4 +18,10 @@
  */
 Error refusalFor(NoChoiceReason reason, const ServiceName &service, std::optional<std::chrono::milliseconds> heldFor);
 
+/**
+ * Returns the error for a caller whose request the targets refused, or that may not be retried any more.
+ * @param mayHaveRun whether a target may have executed the request
+ */
+Error refusalByTargets(bool mayHaveRun, std::string detail);
+
 } // namespace Heatherridge
--- a/tests/gateway/admissioncontrol_test.cpp
+++ b/tests/gateway/admissioncontrol_test.cpp
@@ -143,4 +143,86 @@
     EXPECT_EQ(held.value(), 0);
 }
 
+struct RefusalRow
+{
+    const char *description;
+    ServiceName service;
+    bool lacksCapacity;
+    double waitingElsewhere; ///< streams of the highest rank
+    int sentPerSecond; ///< by this gateway, which has half of the capacity
+    std::chrono::milliseconds minDelay;
+    std::chrono::milliseconds maxDelay;
+};
+
+constexpr auto PresentDelay = 500ms;
+
+const RefusalRow RefusalRows[] = {
+    {"a service without ranks", Plain, true, 40, 20, PresentDelay, PresentDelay},
+    {"a refusal for another reason than capacity", Ranked, false, 40, 20, PresentDelay, PresentDelay},
+    {"no stream was sent yet", Ranked, true, 40, 0, 500ms, 750ms},
+    {"no stream waits", Ranked, true, 0, 20, 100ms, 160ms},
+    {"streams wait at other gateways", Ranked, true, 40, 20, 900ms, 1'200ms},
+    {"more wait than are admitted in the caller's time", Ranked, true, 4'000, 20, 1'000ms, 2'000ms},
+};
+
+class RefusedStreams : public testing::TestWithParam<RefusalRow>
+{
+};
+
+// Guards against retry delays that ignore the streams ahead, and against changed delays where rank admission is not in
+// force.
+TEST_P(RefusedStreams, AreToldADelayByTheStreamsAhead)
+{
+    const auto &row = GetParam();
+    Metrics metrics;
+    SeededRandom random(1);
+    AdmissionControl control(metrics);
+    control.setConfig(makeConfig());
+    control.setFleetDemand(waitingElsewhere(row.waitingElsewhere));
+    control.setKnownGateways(2);
+    auto now = Start;
+    for (int sent = 0; sent < row.sentPerSecond * 4; ++sent) {
+        now += 1'000ms / row.sentPerSecond;
+        control.mayAdmit(row.service, 0, {.room = 100, .pass = 100ms, .share = 0.5}, now);
+        control.recordSent(row.service, 0, now);
+    }
+    const auto refused = control.refuse(
+        {.kind = ErrorKind::Overloaded, .detail = "all targets are full", .retryAfter = PresentDelay},
+        {.service = row.service, .priority = 0, .lacksCapacity = row.lacksCapacity, .remainingTime = 6s}, now, random);
+    EXPECT_EQ(refused.kind, ErrorKind::Overloaded);
+    EXPECT_EQ(refused.detail, "all targets are full");
+    ASSERT_TRUE(refused.retryAfter);
+    EXPECT_GE(*refused.retryAfter, row.minDelay) << row.description;
+    EXPECT_LE(*refused.retryAfter, row.maxDelay) << row.description;
+    const bool isScheduled = metrics.exposition().find("heatherridge_return_delay_seconds_count") != std::string::npos;
+    EXPECT_EQ(isScheduled, row.service == Ranked && row.lacksCapacity) << row.description;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, RefusedStreams, testing::ValuesIn(RefusalRows));
+
+// Guards against refused callers that return together: each is told a later time than the one before.
+TEST(RefusedCallers, ReturnOneAfterTheOther)
+{
+    Metrics metrics;
+    SeededRandom random(1);
+    AdmissionControl control(metrics);
+    control.setConfig(makeConfig());
+    auto now = Start;
+    for (int sent = 0; sent < 80; ++sent) {
+        now += 50ms;
+        control.mayAdmit(Ranked, 0, {.room = 100, .pass = 100ms}, now);
+        control.recordSent(Ranked, 0, now);
+    }
+    std::chrono::milliseconds last{0};
+    for (int refused = 0; refused < 20; ++refused) {
+        const auto error = control.refuse(
+            {.kind = ErrorKind::Overloaded},
+            {.service = Ranked, .priority = 0, .lacksCapacity = true, .remainingTime = 60s}, now, random);
+        EXPECT_GE(*error.retryAfter, last);
+        last = *error.retryAfter;
+    }
+    EXPECT_GE(last, 900ms);
+    EXPECT_LE(last, 1'300ms);
+}
+
 } // namespace
