--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -44,7 +44,10 @@
     , m_metrics(metrics)
     , m_counters(metrics)
     , m_admissionControl(metrics)
-    , m_targets(m_options.zone, m_options.zoneRegions, m_options.warmUpTolerance)
+    , m_targets(
+          m_options.zone, m_options.zoneRegions, m_options.warmUpTolerance,
+          {.ownDemand = [this](const auto &service, auto now) { return m_admissionControl.demandOf(service, now); },
+           .metrics = &metrics})
     , m_pool(loop, metrics)
     , m_probe(loop, m_options.connectTimeout, metrics)
     , m_crashGuard({.reportCreated = m_options.reportCrash,
@@ -81,10 +84,12 @@
     }
 }
 
-void GatewayTraffic::setShares(double budgetShare, double evenShare)
+void GatewayTraffic::setShares(double budgetShare, double evenShare, int knownGateways)
 {
     m_options.retryBudget.slackShare = budgetShare;
-    m_targets.setShares(budgetShare, evenShare);
+    m_targets.setLimitShare(budgetShare);
+    m_targets.engineShares().setEvenShare(evenShare, knownGateways);
+    m_admissionControl.setKnownGateways(knownGateways);
     for (auto &[service, budget] : m_retryBudgets) {
         budget.setSlackShare(budgetShare);
     }
@@ -107,6 +112,7 @@
 
 void GatewayTraffic::setFleetDemand(FleetDemand demand)
 {
+    m_targets.engineShares().setFleetDemand(demand, std::chrono::steady_clock::now());
     m_admissionControl.setFleetDemand(std::move(demand));
 }
 
@@ -277,7 +283,7 @@
 
 bool GatewayTraffic::refuseLowerRank(const WaitingStream &stream, std::chrono::milliseconds expectedWait)
 {
-    const auto number = m_queue.lastOfLowerRank(stream.service, stream.rank);
+    const auto number = m_queue.streamToRefuseInsteadOf(stream);
     const auto found = number ? m_waitingCalls.find(*number) : m_waitingCalls.end();
     const auto call = found == m_waitingCalls.end() ? nullptr : found->second.lock();
     if (!call) {
