--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -52,6 +52,26 @@
     std::set<int> m_partitions;
 };
 
+/** Ranks that always answer with the same status, or never if there is none. */
+class FixedStatuses final : public StubRankControl
+{
+public:
+    explicit FixedStatuses(std::optional<RankStatus> status)
+        : m_status(std::move(status))
+    {
+    }
+
+    void fetchStatus(const TargetEntry &, std::function<void(Result<RankStatus>)> done) override
+    {
+        if (m_status) {
+            done(*m_status);
+        }
+    }
+
+private:
+    std::optional<RankStatus> m_status;
+};
+
 } // namespace
 
 /** Registers that never change: one configuration and the given targets. */
@@ -108,19 +128,19 @@
                            .zone = ZoneName("z"),
                            .slots = 8});
     }
-    auto config = defaultConfig();
+    auto config = options.config;
     if (options.sidecarPort != 0) {
         config.services.front().engine = EngineProfile{};
     }
-    GatewayServer::Adapter adapter{.trafficCodec = std::make_shared<PlatformTraffic>(),
-                                   .makeLogClients =
-                                       [entries, options, config](HttpClient &, const LogEvents &) {
-                                           return GatewayServer::LogClients{
-                                               .registers = std::make_unique<FixedRegisters>(config, entries),
-                                               .shares = std::make_unique<FixedShares>(options.partitions),
-                                               .reports = std::make_unique<SharedReportLog>(options.reports)};
-                                       },
-                                   .makeRankControl = [](HttpClient &) { return std::make_unique<StubRankControl>(); }};
+    GatewayServer::Adapter adapter{
+        .trafficCodec = std::make_shared<PlatformTraffic>(),
+        .makeLogClients =
+            [entries, options, config](HttpClient &, const LogEvents &) {
+                return GatewayServer::LogClients{.registers = std::make_unique<FixedRegisters>(config, entries),
+                                                 .shares = std::make_unique<FixedShares>(options.partitions),
+                                                 .reports = std::make_unique<SharedReportLog>(options.reports)};
+            },
+        .makeRankControl = [status = options.status](HttpClient &) { return std::make_unique<FixedStatuses>(status); }};
     m_server = std::make_unique<GatewayServer>(GatewayServer::Options{.process = ProcessName("g"),
                                                                       .zone = ZoneName("z"),
                                                                       .listen = {.address = "127.0.0.1"},
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -2,12 +2,14 @@
 
 #include "gateway/scriptedtarget.h"
 #include "heatherridge_platform.h"
+#include "heatherridge_state/groups/rankvalues.h"
 #include "heatherridge_transport/direct/gatewayserver.h"
 #include "support/sharedreportlog.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,6 +27,8 @@
         std::set<int> partitions{}; ///< partitions of the log assigned to this gateway; if empty, the log never answers
         int logPartitions = 1;
         std::size_t maxHeldBytes = 64UL << 20U; ///< of callers' requests and responses
+        RoutingConfig config = defaultConfig(); ///< the targets serve its first service
+        std::optional<RankStatus> status{}; ///< of each target, which is a rank; empty: the targets answer no such call
         int sidecarPort = 0; ///< of the sidecars; if not 0, the targets are model engines
     };
 
