Sum the demand of a service also where others state none; test fair shares in GatewayTraffic

Others' demand without an entry for the service has no name, and the sum took that empty entry for the service: no workspace was over its share there.

--- a/modules/heatherridge_transport/direct/workspaceshares.cpp
+++ b/modules/heatherridge_transport/direct/workspaceshares.cpp
@@ -24,11 +24,12 @@
     return sum;
 }
 
-ServiceDemand sumOf(const ServiceDemand &own, const ServiceDemand &others)
+/** @p others may be empty and without a name. */
+ServiceDemand sumOf(const ServiceDemand &own, ServiceDemand others)
 {
+    others.service = own.service;
     DemandSum sum;
-    sum.add({own});
-    sum.add({others});
+    sum.add({own, others});
     auto services = sum.services(MaxDemandWorkspaces);
     return services.empty() ? ServiceDemand{} : std::move(services.front());
 }
