--- a/modules/heatherridge_transport/direct/requestlog.cpp
+++ b/modules/heatherridge_transport/direct/requestlog.cpp
@@ -26,6 +26,7 @@
               {"ms", std::to_string(end.age.count())},
               {"first-event-ms", std::to_string(end.timeToFirstEvent.count())},
               {"longest-pause-ms", std::to_string(end.longestPause.count())},
+              {"retry-after-ms", std::to_string(end.retryAfter.count())},
               {"config", std::to_string(end.configVersion)}});
 }
 
--- a/modules/heatherridge_transport/direct/requestlog.h
+++ b/modules/heatherridge_transport/direct/requestlog.h
@@ -35,6 +35,7 @@
     std::chrono::milliseconds age{0};
     std::chrono::milliseconds timeToFirstEvent{0};
     std::chrono::milliseconds longestPause{0};
+    std::chrono::milliseconds retryAfter{0}; ///< that a refused caller is told
     std::uint64_t configVersion = 0;
 };
 
