--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -43,7 +43,9 @@
     , m_codec(codec)
     , m_metrics(metrics)
     , m_counters(metrics)
-    , m_admissionControl(metrics)
+    , m_admissionControl(
+          metrics,
+          [this](const ServiceName &service, SteadyTime now) { return m_targets.engineShares().share(service, now); })
     , m_targets(
           m_options.zone, m_options.zoneRegions, m_options.warmUpTolerance,
           {.ownDemand = [this](const auto &service, auto now) { return m_admissionControl.demandOf(service, now); },
@@ -277,11 +279,12 @@
 std::chrono::milliseconds GatewayTraffic::expectedWait(const WaitingStream &stream, SteadyTime now) const
 {
     return m_admissionControl.admitsByRank(stream.service)
-        ? m_admissionControl.expectedWait(stream.service, stream.rank, now).value_or(std::chrono::milliseconds(0))
+        ? m_admissionControl.expectedWait(stream.service, stream.rank, now, m_queue.partBehind(stream))
+              .value_or(std::chrono::milliseconds(0))
         : m_queue.expectedWait(stream, now);
 }
 
-bool GatewayTraffic::refuseLowerRank(const WaitingStream &stream, std::chrono::milliseconds expectedWait)
+bool GatewayTraffic::refuseInsteadOf(const WaitingStream &stream, std::chrono::milliseconds expectedWait)
 {
     const auto number = m_queue.streamToRefuseInsteadOf(stream);
     const auto found = number ? m_waitingCalls.find(*number) : m_waitingCalls.end();
--- a/modules/heatherridge_transport/direct/requestlog.h
+++ b/modules/heatherridge_transport/direct/requestlog.h
@@ -26,6 +26,7 @@
     std::string_view route{};
     ServiceName service{};
     int rank = 0; ///< priority of the caller, 0 is the highest
+    bool isOverShare = false; ///< whether it last waited as a stream of a workspace over its fair share
     TargetName target{}; ///< of the last attempt
     RequestPlacement placement{}; ///< of the last attempt
     int attempts = 0;
@@ -34,7 +35,7 @@
     std::chrono::milliseconds age{0};
     std::chrono::milliseconds timeToFirstEvent{0};
     std::chrono::milliseconds longestPause{0};
-    std::chrono::milliseconds retryAfter{0}; ///< told to a refused caller; 0 if none
+    std::chrono::milliseconds retryAfter{0}; ///< that a refused caller is told
     std::uint64_t configVersion = 0;
 };
 
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -138,6 +138,7 @@
             [entries, options, config](HttpClient &, const LogEvents &) {
                 return GatewayServer::LogClients{.registers = std::make_unique<FixedRegisters>(config, entries),
                                                  .shares = std::make_unique<FixedShares>(options.partitions),
+                                                 .largeShares = std::make_unique<FixedShares>(options.partitions),
                                                  .reports = std::make_unique<SharedReportLog>(options.reports)};
             },
         .makeRankControl = [status = options.status](HttpClient &) { return std::make_unique<FixedStatuses>(status); }};
