--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -126,14 +126,17 @@
 
 Error AdmissionControl::refuse(Error error, const RefusedStream &stream, SteadyTime now, RandomSource &random)
 {
-    recordRefused(stream.service, stream.priority);
+    recordRefused(stream.service, stream.match.priority);
     const auto found = m_services.find(stream.service);
     if (found == m_services.end() || !stream.lacksCapacity) {
         return error;
     }
+    const ReturnSchedule::ReturnClass returnClass{.priority = stream.match.priority,
+                                                  .isOverShare = isOverShare(stream.service, stream.match.workspace)};
     const auto own = demandOf(stream.service, now);
-    const auto ahead = found->second.backlog(stream.priority, {.own = own, .others = othersDemand(stream.service)});
-    const auto result = m_returnSchedules[stream.service].refuse({.returnClass = {.priority = stream.priority},
+    const auto ahead =
+        found->second.backlog(stream.match.priority, {.own = own, .others = othersDemand(stream.service)});
+    const auto result = m_returnSchedules[stream.service].refuse({.returnClass = returnClass,
                                                                   .streamsAhead = ahead.streams,
                                                                   .admittedPerSecond = ahead.admittedPerSecond,
                                                                   .remainingTime = stream.remainingTime},
@@ -264,7 +267,7 @@
     logEvent(Severity::Info, "return-scheduled",
              {{"request", stream.request.text()},
               {"service", stream.service.text()},
-              {"rank", std::to_string(stream.priority)},
+              {"rank", std::to_string(stream.match.priority)},
               {"retry-after-ms", std::to_string(result.delay.count())},
               {"ahead", std::to_string(input.streamsAhead)},
               {"refused", std::to_string(input.refusedOfRank)},
--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -7,6 +7,7 @@
 #include "heatherridge_state/decisions/streamadmission.h"
 #include "heatherridge_state/demand/demandmeter.h"
 #include "heatherridge_state/demand/fleetdemand.h"
+#include "heatherridge_state/routing/routetable.h"
 #include "heatherridge_state/routing/routingconfig.h"
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/direct/workspaceshares.h"
@@ -79,7 +80,7 @@
     {
         RequestId request{};
         ServiceName service{};
-        int priority = 0;
+        RouteMatch match{};
         bool lacksCapacity = false; ///< refused because all engines are full, or because the queue is too long
         std::chrono::milliseconds remainingTime{0}; ///< of the caller
     };
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -533,7 +533,7 @@
         error = m_traffic.m_admissionControl.refuse(std::move(error),
                                                     {.request = m_callerFields.id,
                                                      .service = m_service,
-                                                     .priority = m_match.priority,
+                                                     .match = m_match,
                                                      .lacksCapacity = m_lacksCapacity,
                                                      .remainingTime = timeLeft()},
                                                     now(), m_traffic.m_random);
