--- a/tests/gateway/streamdemand_test.cpp
+++ b/tests/gateway/streamdemand_test.cpp
@@ -229,4 +229,54 @@
     EXPECT_TRUE(gateway.traffic.demand(std::chrono::steady_clock::now()).empty());
 }
 
+/** Routes for streams of two ranks to one expert group with a target, two of whose eight slots are in use. */
+void openRankedGroup(Traffic &gateway, const ScriptedTarget &target)
+{
+    auto config = GatewayFixture::defaultConfig();
+    config.routes.back().timeout = 10s;
+    auto low = config.routes.back();
+    low.name = "low";
+    low.pathPrefix = "/low/";
+    low.priority = config.routes.back().priority + 1;
+    config.routes.push_back(low);
+    config.services.front().engine = EngineProfile{.stepTime = 10ms, .layerSets = 1, .experts = 1, .expertSlots = 1};
+    gateway.traffic.setTable(std::make_shared<RouteTable>(config));
+    gateway.traffic.setShares(0.5, 0.5, 1);
+    gateway.setTarget(target);
+    const auto now = std::chrono::steady_clock::now();
+    EngineView engine{.target = TargetName("t"),
+                      .group = GroupName("g"),
+                      .isGroupOpen = true,
+                      .isOpen = true,
+                      .running = 2,
+                      .passTime = 10ms,
+                      .requestedAt = now - 20s}; // the group is not starting any more
+    gateway.traffic.updateEngines({engine});
+    engine.requestedAt = now;
+    gateway.traffic.updateEngines({engine});
+}
+
+// Guards against ranks that GatewayTraffic computes but does not use: a stream of a low rank would take the headroom
+// that streams of a higher rank at other gateways wait for, and one of a high rank would wait behind it.
+TEST(StreamDemand, OfAHigherRankElsewhereHoldsALowerRank)
+{
+    const ScriptedTarget target(beginStream);
+    Traffic gateway;
+    openRankedGroup(gateway, target);
+    const int highest = GatewayFixture::defaultConfig().routes.back().priority;
+    gateway.traffic.setFleetDemand({.isKnown = true,
+                                    .isShared = true,
+                                    .gateways = 1,
+                                    .services = {{.service = Service, .ranks = {{highest, {.waiting = 100}}}}}});
+    const auto low = std::make_shared<StubExchange>("/low/1", "r1");
+    gateway.traffic.handle(low);
+    const auto high = std::make_shared<StubExchange>("/stream/1", "r2");
+    gateway.traffic.handle(high);
+    EXPECT_TRUE(gateway.runUntil([&] { return high->status == 200; }));
+    EXPECT_EQ(low->status, 0) << "held, although the group has headroom";
+    gateway.traffic.setFleetDemand({.isKnown = true, .isShared = true, .gateways = 1});
+    EXPECT_TRUE(gateway.runUntil([&] { return low->status != 0; }));
+    EXPECT_EQ(low->status, 200);
+}
+
 } // namespace
