--- a/tests/gateway/admissioncontrol_test.cpp
+++ b/tests/gateway/admissioncontrol_test.cpp
@@ -288,7 +288,8 @@
     }
     const auto refused = control.refuse(
         {.kind = ErrorKind::Overloaded, .detail = "all targets are full", .retryAfter = PresentDelay},
-        {.service = row.service, .priority = 0, .lacksCapacity = row.lacksCapacity, .remainingTime = 6s}, now, random);
+        {.service = row.service, .match = {.rank = 0}, .lacksCapacity = row.lacksCapacity, .remainingTime = 6s}, now,
+        random);
     EXPECT_EQ(refused.kind, ErrorKind::Overloaded);
     EXPECT_EQ(refused.detail, "all targets are full");
     ASSERT_TRUE(refused.retryAfter);
@@ -317,7 +318,7 @@
     for (int refused = 0; refused < 20; ++refused) {
         const auto error = control.refuse(
             {.kind = ErrorKind::Overloaded},
-            {.service = Ranked, .priority = 0, .lacksCapacity = true, .remainingTime = 60s}, now, random);
+            {.service = Ranked, .match = {.rank = 0}, .lacksCapacity = true, .remainingTime = 60s}, now, random);
         EXPECT_GE(*error.retryAfter, last);
         last = *error.retryAfter;
     }
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -132,16 +132,16 @@
     if (options.sidecarPort != 0) {
         config.services.front().engine = EngineProfile{};
     }
-    GatewayServer::Adapter adapter{.trafficCodec = std::make_shared<PlatformTraffic>(),
-                                   .makeLogClients =
-                                       [entries, options, config](HttpClient &, const LogEvents &) {
-                                           return GatewayServer::LogClients{
-                                               .registers = std::make_unique<FixedRegisters>(config, entries),
-                                               .shares = std::make_unique<FixedShares>(options.partitions),
-                                               .largeShares = std::make_unique<FixedShares>(options.partitions),
-                                               .reports = std::make_unique<SharedReportLog>(options.reports)};
-                                       },
-                                   .makeRankControl = [status = options.status](HttpClient &) { return std::make_unique<FixedStatuses>(status); }};
+    GatewayServer::Adapter adapter{
+        .trafficCodec = std::make_shared<PlatformTraffic>(),
+        .makeLogClients =
+            [entries, options, config](HttpClient &, const LogEvents &) {
+                return GatewayServer::LogClients{.registers = std::make_unique<FixedRegisters>(config, entries),
+                                                 .shares = std::make_unique<FixedShares>(options.partitions),
+                                                 .largeShares = std::make_unique<FixedShares>(options.partitions),
+                                                 .reports = std::make_unique<SharedReportLog>(options.reports)};
+            },
+        .makeRankControl = [status = options.status](HttpClient &) { return std::make_unique<FixedStatuses>(status); }};
     m_server = std::make_unique<GatewayServer>(GatewayServer::Options{.process = ProcessName("g"),
                                                                       .zone = ZoneName("z"),
                                                                       .listen = {.address = "127.0.0.1"},
