Count gateways by their statements until the log has assigned a part

Cause: the log assigns no partition to a member that has just joined, which read as 457 gateways. Change: where demand is shared, the number of stated gateways counts until the log has assigned a part.

--- a/modules/heatherridge_transport/direct/engineshares.cpp
+++ b/modules/heatherridge_transport/direct/engineshares.cpp
@@ -50,6 +50,14 @@
     m_knownGateways = knownGateways;
 }
 
+double EngineShares::evenShare() const
+{
+    if (!m_fleet.isShared || m_knownGateways > 0) {
+        return m_evenShare;
+    }
+    return m_fleet.isKnown ? 1.0 / (m_fleet.gateways + 1) : DefaultEvenShare;
+}
+
 void EngineShares::setFleetDemand(FleetDemand demand, SteadyTime now)
 {
     m_fleet = std::move(demand);
@@ -66,7 +74,7 @@
     auto &state = m_services[service];
     if (!isDemandShared()) {
         const bool wasShared = std::exchange(state.calculatedAt, std::nullopt).has_value();
-        state.share = m_evenShare;
+        state.share = evenShare();
         if (wasShared) {
             report(service, state, 0, 0);
         }
@@ -85,7 +93,7 @@
                                  .others = &others,
                                  .statedGateways = m_fleet.gateways,
                                  .knownGateways = m_knownGateways,
-                                 .evenShare = m_evenShare});
+                                 .evenShare = evenShare()});
     report(service, state, capacityDemand(own), capacityDemand(others));
     return state.share;
 }
@@ -108,7 +116,7 @@
               {"share", std::to_string(state.share)},
               {"own", std::to_string(own)},
               {"others", std::to_string(others)},
-              {"even", std::to_string(m_evenShare)},
+              {"even", std::to_string(evenShare())},
               {"known", isDemandShared() ? "yes" : "no"},
               {"gateways", std::to_string(m_fleet.gateways)},
               {"age-ms", std::to_string(m_fleet.age.count())}});
--- a/modules/heatherridge_transport/direct/engineshares.h
+++ b/modules/heatherridge_transport/direct/engineshares.h
@@ -66,12 +66,20 @@
         Gauge *gauge = nullptr;
     };
 
+    /** Assumes four gateways until the number is known. */
+    static constexpr double DefaultEvenShare = 0.25;
+
+    /**
+     * Returns the share if all gateways have equal ones. A gateway that has just joined the division of work has no
+     * part yet; where demand is shared, the statements tell the number of gateways until it has one.
+     */
+    double evenShare() const;
     double calculate(const ServiceName &service, ServiceShare &state, SteadyTime now);
     void report(const ServiceName &service, ServiceShare &state, double own, double others);
     const ServiceDemand &statedDemand(const ServiceName &service) const;
 
     Options m_options;
-    double m_evenShare = 0.25; ///< assumes four gateways until the share is known
+    double m_evenShare = DefaultEvenShare;
     int m_knownGateways = 0;
     FleetDemand m_fleet;
     SteadyTime m_receivedAt{}; ///< when m_fleet was received
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -272,7 +272,8 @@
         }
         m_budgetShare = share;
         const auto evenShare = m_workShare.nonZeroFraction().value_or(*share);
-        m_trafficLoop.post([this, share = *share, evenShare, others = m_workShare.memberCount() - 1] {
+        // The log assigns nothing to a member that has just joined: that does not tell the number of members.
+        m_trafficLoop.post([this, share = *share, evenShare, others = *share > 0 ? m_workShare.memberCount() - 1 : 0] {
             m_traffic.setShares(share, evenShare, others);
         });
     }
--- a/tests/gateway/engineshares_test.cpp
+++ b/tests/gateway/engineshares_test.cpp
@@ -63,6 +63,19 @@
 INSTANTIATE_TEST_SUITE_P(All, EngineShareOf, testing::ValuesIn(ShareRows),
                          [](const auto &row) { return row.param.name; });
 
+// Guards against a gateway that has just joined the division of work, has no part in it yet and holds its streams back
+// for a second, since it counts more gateways than the log has partitions.
+TEST(EngineShares, CountGatewaysByStatementsUntilTheLogHasAssignedAPart)
+{
+    EngineShares shares({.ownDemand = [](const ServiceName &, SteadyTime) { return makeDemand(30); }});
+    shares.setEvenShare(1.0 / 457, 0);
+    EXPECT_DOUBLE_EQ(shares.share(Service, Start), 1.0 / 457) << "demand is not shared";
+    shares.setFleetDemand(makeFleet(false, true), Start);
+    EXPECT_DOUBLE_EQ(shares.share(Service, Start), 0.25);
+    shares.setFleetDemand(makeFleet(true, true), Start);
+    EXPECT_DOUBLE_EQ(shares.share(Service, Start), 0.75 * 0.75 + 0.25 * 0.25);
+}
+
 // Guards against a share of 0 while the log is lost, which would keep this gateway from sending anything.
 TEST(EngineShares, KeepTheLastEvenShareWithoutTheLog)
 {
