Let a gateway that starts among busy ones use what their statements show

Cause: a gateway that starts took every open group for one that has just opened, and allowed it no more than the first pass of an empty group could read. Change: what the others state counts as proven. The priority that engines are told moves out of GatewayCall.

--- a/modules/heatherridge_state/decisions/groupadmission.cpp
+++ b/modules/heatherridge_state/decisions/groupadmission.cpp
@@ -140,8 +140,14 @@
 GroupAdmission::SendLimit GroupAdmission::startingLimit(double slowdown) const
 {
     const double onTime = maxRequestsOnTime(slowdown, m_load.engines, m_passTimes);
-    const double provenRequests =
+    double provenRequests =
         m_provenRequests.value_or(initialRequests(m_passTimes)) * static_cast<double>(m_load.engines);
+    if (m_load.others.isStated) {
+        // The group may have been open long before this entry started: it carries what the others state.
+        const double others = m_load.requests - m_load.ownRequests;
+        provenRequests =
+            std::max(provenRequests, others + initialRequests(m_passTimes) * static_cast<double>(m_load.engines));
+    }
     const double headroom = std::min(onTime, provenRequests) - m_load.requests;
     // An entry without a stream of its own in the group cannot observe any of its passes.
     const bool maySend = headroom >= 1 || m_load.ownRequests == 0;
--- a/modules/heatherridge_state/decisions/otherstreams.cpp
+++ b/modules/heatherridge_state/decisions/otherstreams.cpp
@@ -11,7 +11,10 @@
         return {};
     }
     if (input.reportingEngines == 0) {
-        return {.factor = 0, .perEngine = input.stated / static_cast<double>(input.engines), .growthWeight = 0};
+        return {.factor = 0,
+                .perEngine = input.stated / static_cast<double>(input.engines),
+                .growthWeight = 0,
+                .isStated = true};
     }
     if (input.statedAge >= input.reportedAge) {
         return {};
@@ -20,7 +23,8 @@
     const double stated = input.stated * std::min(1.0, reporting / static_cast<double>(input.engines));
     // The growth since the statements is the part of the growth since the statuses that falls into their age.
     OtherStreams others{.growthWeight = static_cast<double>(input.statedAge.count())
-                            / static_cast<double>(input.reportedAge.count())};
+                            / static_cast<double>(input.reportedAge.count()),
+                        .isStated = true};
     if (input.reported > 0) {
         others.factor = std::clamp(stated / input.reported, 1 / MaxStatedFactor, MaxStatedFactor);
     }
--- a/modules/heatherridge_state/decisions/otherstreams.h
+++ b/modules/heatherridge_state/decisions/otherstreams.h
@@ -25,6 +25,7 @@
     double factor = 1; ///< of the requests that statuses report
     double perEngine = 0; ///< to be added for each engine
     double growthWeight = 1; ///< of the growth that is assumed since the statuses
+    bool isStated = false; ///< whether the statements were used
 
     bool operator==(const OtherStreams &) const = default;
 };
--- a/modules/heatherridge_transport/direct/admissioncontrol.cpp
+++ b/modules/heatherridge_transport/direct/admissioncontrol.cpp
@@ -88,6 +88,14 @@
     return admitsByRank(service) ? priority : 0;
 }
 
+std::optional<int> AdmissionControl::enginePriority(const ServiceName &service, const RouteMatch &match) const
+{
+    if (match.route->kind != RequestKind::EventStream) {
+        return std::nullopt;
+    }
+    return admitsByRank(service) ? match.rank : match.priority;
+}
+
 bool AdmissionControl::mayAdmit(const ServiceName &service, int priority, const RankAdmission::Capacity &capacity,
                                 SteadyTime now)
 {
--- a/modules/heatherridge_transport/direct/admissioncontrol.h
+++ b/modules/heatherridge_transport/direct/admissioncontrol.h
@@ -63,6 +63,10 @@
     /** Returns the rank of a stream of @p service in the queue: 0 unless rank admission is in force. */
     int queueRank(const ServiceName &service, int priority) const;
 
+    /** Returns the priority that targets of @p service are told for a request of @p match; none unless it is a stream.
+     */
+    std::optional<int> enginePriority(const ServiceName &service, const RouteMatch &match) const;
+
     /** Returns whether a stream may be sent to the engines of @p service, which have @p capacity. */
     bool mayAdmit(const ServiceName &service, int priority, const RankAdmission::Capacity &capacity, SteadyTime now);
 
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -239,21 +239,21 @@
         m_placement.passTime = target.engine->passTime;
     }
     m_traffic.admit(m_number, m_sentAt);
+    auto &control = m_traffic.m_admissionControl;
     if (isStream() && urgency() != Urgency::InProgress) {
-        m_traffic.m_admissionControl.recordSent(m_service, m_match.rank, m_sentAt);
+        control.recordSent(m_service, m_match.rank, m_sentAt);
     }
     m_traffic.m_targets.recordSend(m_placement.group, m_sentAt);
     target.load.recordSent();
     target.admission.recordSent(m_sentAt);
     ++target.sentSinceReport;
     const auto &request = m_exchange->request();
-    const auto headers =
-        m_traffic.m_codec.forwardedHeaders(endToEndHeaders(request.headers),
-                                           {.timeLeft = timeLeft(),
-                                            .target = m_target,
-                                            .workspace = m_match.workspace,
-                                            .lastEventId = m_stream.lastEventId(),
-                                            .priority = isStream() ? std::optional(enginePriority()) : std::nullopt});
+    const auto headers = m_traffic.m_codec.forwardedHeaders(endToEndHeaders(request.headers),
+                                                            {.timeLeft = timeLeft(),
+                                                             .target = m_target,
+                                                             .workspace = m_match.workspace,
+                                                             .lastEventId = m_stream.lastEventId(),
+                                                             .priority = control.enginePriority(m_service, m_match)});
     m_connection = m_traffic.m_pool.acquire(target.entry);
     const auto self = shared_from_this();
     m_connection->exchange(requestText(request.method, request.target, headers, request.body), request.method == "HEAD",
@@ -264,11 +264,6 @@
                             .failed = [self](const ExchangeFailure &failure) { self->onExchangeFailed(failure); }});
 }
 
-int GatewayCall::enginePriority() const
-{
-    return m_traffic.m_admissionControl.admitsByRank(m_service) ? m_match.rank : m_match.priority;
-}
-
 void GatewayCall::onResponseHead(const HttpMessageHead &head)
 {
     m_response.setHead(head, m_traffic.m_codec.readResponseFields(head.status, head.headers), m_callerFields.id);
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -71,7 +71,6 @@
     SteadyTime waitDeadline();
     void enqueue();
     void send(GatewayTarget &target, double load);
-    int enginePriority() const;
     void onResponseHead(const HttpMessageHead &head);
     void onResponseBody(std::string_view bytes);
     void onResponseComplete();
