End the attendance to a group with the share of the work

Cause: a rebalancer that had its share of the work while nobody had read a group's demand for 5 s attended to the group for another 30 s after it had lost the share. Change: only an assignment that depends on the group being unattended lasts for the term. The test failed before.

--- a/modules/heatherridge_coordination/groups/expertrebalancer.cpp
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.cpp
@@ -104,11 +104,15 @@
 
 void ExpertRebalancer::updateAssignment(const GroupName &name, GroupState &group)
 {
-    const bool isAbandoned = isUnattended(name, group);
-    const bool isAssigned = m_isAssigned(
-        {.name = name, .homeZone = group.homeZone, .serviceRanks = m_rankCount, .isUnattended = isAbandoned});
-    if (isAssigned && isAbandoned && m_now >= group.attendedUntil) {
-        group.attendedUntil = m_now + AttendanceTerm;
+    GroupToAssign request{.name = name, .homeZone = group.homeZone, .serviceRanks = m_rankCount};
+    bool isAssigned = m_isAssigned(request);
+    if (!isAssigned && isUnattended(name, group)) {
+        // Only an assignment that depends on it lasts for the term: a gateway that leaves its duties must not stay.
+        request.isUnattended = true;
+        isAssigned = m_isAssigned(request);
+        if (isAssigned && m_now >= group.attendedUntil) {
+            group.attendedUntil = m_now + AttendanceTerm;
+        }
     }
     if (isAssigned) {
         group.takeover.cancel();
--- a/tests/heldgroups/fleet_test.cpp
+++ b/tests/heldgroups/fleet_test.cpp
@@ -233,6 +233,22 @@
     EXPECT_EQ(ranks.countedGroups, std::set<int>{3});
 }
 
+// Guards against two processes that keep the maps of a group for half a minute: one that has lost its share of the work
+// stayed, since nobody else had read the group's demand when it had the share.
+TEST(GroupAssignments, EndWithTheShareOfTheWork)
+{
+    FleetRanks ranks(1);
+    FleetProcess process(ranks, FleetRanks::zoneOf(0), FastLink);
+    ranks.countsLastPolledAgo = 10s;
+    process.run(2s, [](const GroupToAssign &) { return true; });
+    ranks.countsLastPolledAgo = 100ms; // by this process
+    process.run(1s, [](const GroupToAssign &) { return true; });
+    process.run(1s, [](const GroupToAssign &group) { return group.isUnattended; });
+    ranks.countedGroups.clear();
+    process.run(5s, [](const GroupToAssign &group) { return group.isUnattended; });
+    EXPECT_EQ(ranks.countedGroups, std::set<int>{});
+}
+
 struct HomeRow
 {
     const char *name;
