--- a/modules/heatherridge_coordination/demand/demandexchange.h
+++ b/modules/heatherridge_coordination/demand/demandexchange.h
@@ -68,8 +68,9 @@
     static constexpr std::chrono::milliseconds ZoneLifetime{3'000};
     /** Time for which a sidecar that failed to answer is not the exchange point. */
     static constexpr std::chrono::milliseconds FailureTime{4'000};
-    /** The largest processor share of a gateway is at least so many times the smallest where sizes are unlike. */
-    static constexpr double UnlikeSizeRatio = 2;
+    /** The largest processor share of a gateway is at least so many times the smallest where sizes are unlike.
+     * Gateways that differ by a factor of two carry an even share. */
+    static constexpr double UnlikeSizeRatio = 3;
     /** Time for which stated sizes count in their comparison, and for which unlike sizes keep the full rate. In `Watch`
      * mode, each of up to 14 other zones is asked once in this time; without it, the mode would change with each answer
      * and with each restart of the largest gateway. */
--- a/tests/demand/demandexchange_test.cpp
+++ b/tests/demand/demandexchange_test.cpp
@@ -248,8 +248,9 @@
     {"off", DemandExchangeMode::Off, true, 0.5, 0.1, false, 0, 0},
     {"neither ranks nor sizes differ", DemandExchangeMode::Auto, false, 0.5, 0.5, false, 4, 6},
     {"ranks differ", DemandExchangeMode::Auto, true, 0.5, 0.5, true, 48, 51},
-    {"sizes differ", DemandExchangeMode::Auto, false, 0.5, 0.25, true, 40, 51},
-    {"sizes differ a little", DemandExchangeMode::Auto, false, 0.5, 0.26, false, 4, 6},
+    {"sizes differ", DemandExchangeMode::Auto, false, 0.75, 0.25, true, 40, 51},
+    {"sizes differ a little", DemandExchangeMode::Auto, false, 0.75, 0.26, false, 4, 6},
+    {"one is twice the other", DemandExchangeMode::Auto, false, 0.38, 0.19, false, 4, 6},
     {"a size is unknown", DemandExchangeMode::Auto, false, 0.5, 0, false, 4, 6},
 };
 
