Log and count parts of an answer that are sent out of order

Observability for the report of an answer that is not one in the protocol. Neither the log nor the metrics could tell whether a call had written a second response, or bytes after the end of one: each server kept the order to its callers.

HttpExchange now knows how far its response has come. Its functions are no longer virtual; servers implement private ones. A call out of order is logged as response-out-of-order with the request's id, counted as heatherridge_responses_out_of_order_total, and passed on as before: behaviour is unchanged.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -14,6 +14,7 @@
 public:
     CallerExchange(std::shared_ptr<CallerConnection> connection, HttpRequest request)
         : m_connection(std::move(connection))
+        , m_server(m_connection->m_server)
         , m_request(std::move(request))
     {
     }
@@ -25,15 +26,27 @@
         }
     }
 
-    CallerExchange(const CallerExchange &) = delete;
-    CallerExchange &operator=(const CallerExchange &) = delete;
-
     const HttpRequest &request() const override
     {
         return m_request;
     }
 
-    void respond(HttpResponse response) override
+    void onClosed(std::function<void()> closed) override
+    {
+        m_onClosed = std::move(closed);
+    }
+
+    /** Called when the caller disconnects before the end of the response. */
+    void onCallerDisconnected()
+    {
+        m_connection.reset();
+        if (const auto closed = std::exchange(m_onClosed, {})) {
+            closed();
+        }
+    }
+
+private:
+    void sendResponse(HttpResponse response) override
     {
         if (!m_connection) {
             return;
@@ -48,7 +61,7 @@
         finish(keepAlive);
     }
 
-    void beginStream(int status, const std::vector<HttpHeader> &headers) override
+    void sendStreamHead(int status, const std::vector<HttpHeader> &headers) override
     {
         if (!m_connection) {
             return;
@@ -59,7 +72,7 @@
             responseHeadText(status, headers, {.isChunked = m_isChunked, .keepsConnection = m_keepAlive}), {});
     }
 
-    void write(std::string bytes, WriteCallback done) override
+    void sendStreamBytes(std::string bytes, WriteCallback done) override
     {
         if (!m_connection) {
             done(false);
@@ -68,7 +81,7 @@
         m_connection->send(m_isChunked ? chunkText(bytes) : std::move(bytes), std::move(done));
     }
 
-    void end() override
+    void sendStreamEnd() override
     {
         if (!m_connection) {
             return;
@@ -79,7 +92,7 @@
         finish(m_keepAlive);
     }
 
-    void abort() override
+    void closeConnection() override
     {
         if (m_connection) {
             const auto connection = std::move(m_connection);
@@ -87,21 +100,11 @@
         }
     }
 
-    void onClosed(std::function<void()> closed) override
-    {
-        m_onClosed = std::move(closed);
-    }
-
-    /** Called when the caller disconnects before the end of the response. */
-    void onCallerDisconnected()
+    void recordOutOfOrder() override
     {
-        m_connection.reset();
-        if (const auto closed = std::exchange(m_onClosed, {})) {
-            closed();
-        }
+        m_server->responsesOutOfOrder->add();
     }
 
-private:
     void finish(bool keepAlive)
     {
         m_onClosed = {};
@@ -110,6 +113,7 @@
     }
 
     std::shared_ptr<CallerConnection> m_connection; ///< null once the response has ended
+    std::shared_ptr<CallerServerState> m_server;
     HttpRequest m_request;
     std::function<void()> m_onClosed;
     bool m_keepAlive = true;
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -35,6 +35,7 @@
     Counter *headTimeouts = nullptr;
     Counter *idleTimeouts = nullptr;
     Counter *callerDisconnects = nullptr;
+    Counter *responsesOutOfOrder = nullptr;
 };
 
 /**
--- a/modules/heatherridge_transport/direct/callerserver.cpp
+++ b/modules/heatherridge_transport/direct/callerserver.cpp
@@ -43,6 +43,7 @@
         m_state->headTimeouts = &metrics.counter("heatherridge_caller_head_timeouts_total");
         m_state->idleTimeouts = &metrics.counter("heatherridge_caller_idle_timeouts_total");
         m_state->callerDisconnects = &metrics.counter("heatherridge_callers_gone_total");
+        m_state->responsesOutOfOrder = &metrics.counter("heatherridge_responses_out_of_order_total");
     }
 
     Result<Endpoint> start()
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -132,6 +132,7 @@
 {
     m_counters.requests.add();
     auto fields = m_codec.readCallerFields(exchange->request().headers);
+    exchange->setLogId(fields.id.text());
     const auto accepted = accept(exchange->request(), fields);
     if (const auto *error = errorIn(accepted)) {
         refuse(exchange, fields.id, *error);
--- /dev/null
+++ b/modules/heatherridge_transport/http/httpexchange.cpp
@@ -0,0 +1,70 @@
+#include "heatherridge_transport/http/httpexchange.h"
+
+#include "heatherridge_transport/app/logger.h"
+
+#include <utility>
+
+namespace Heatherridge
+{
+
+void HttpExchange::setLogId(std::string id)
+{
+    m_logId = std::move(id);
+}
+
+void HttpExchange::respond(HttpResponse response)
+{
+    advance(State::NotBegun, State::Ended, "respond");
+    sendResponse(std::move(response));
+}
+
+void HttpExchange::beginStream(int status, const std::vector<HttpHeader> &headers)
+{
+    advance(State::NotBegun, State::Streaming, "begin-stream");
+    sendStreamHead(status, headers);
+}
+
+void HttpExchange::write(std::string bytes, WriteCallback done)
+{
+    advance(State::Streaming, State::Streaming, "write");
+    sendStreamBytes(std::move(bytes), std::move(done));
+}
+
+void HttpExchange::end()
+{
+    advance(State::Streaming, State::Ended, "end");
+    sendStreamEnd();
+}
+
+void HttpExchange::abort()
+{
+    m_state = State::Ended;
+    closeConnection();
+}
+
+bool HttpExchange::advance(State from, State to, std::string_view call)
+{
+    auto state = from;
+    if (m_state.compare_exchange_strong(state, to)) {
+        return true;
+    }
+    recordOutOfOrder();
+    logEvent(Severity::Warning, "response-out-of-order",
+             {{"request", m_logId}, {"call", std::string(call)}, {"state", std::string(toString(state))}});
+    return false;
+}
+
+std::string_view HttpExchange::toString(State state)
+{
+    switch (state) {
+    case State::NotBegun:
+        return "not-begun";
+    case State::Streaming:
+        return "streaming";
+    case State::Ended:
+        return "ended";
+    }
+    return "unknown";
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/http/httpserver.cpp
+++ b/modules/heatherridge_transport/http/httpserver.cpp
@@ -112,7 +112,18 @@
         return m_request;
     }
 
-    void respond(HttpResponse response) override
+    void onClosed(std::function<void()> closed) override
+    {
+        m_closeNotifier->addListener(m_handle->connection_id(), [weak = weak_from_this(), closed = std::move(closed)] {
+            const auto exchange = weak.lock();
+            if (exchange && !exchange->isFinished()) {
+                closed();
+            }
+        });
+    }
+
+private:
+    void sendResponse(HttpResponse response) override
     {
         const std::lock_guard lock(m_mutex);
         if (m_finished || m_stream) {
@@ -125,7 +136,7 @@
         builder.done();
     }
 
-    void beginStream(int status, const std::vector<HttpHeader> &headers) override
+    void sendStreamHead(int status, const std::vector<HttpHeader> &headers) override
     {
         const std::lock_guard lock(m_mutex);
         if (m_finished || m_stream) {
@@ -135,7 +146,7 @@
         addHeaders(*m_stream, headers);
     }
 
-    void write(std::string bytes, WriteCallback done) override
+    void sendStreamBytes(std::string bytes, WriteCallback done) override
     {
         const std::lock_guard lock(m_mutex);
         if (m_finished || !m_stream) {
@@ -145,7 +156,7 @@
         m_stream->flush([done = std::move(done)](const auto &error) { done(!error); });
     }
 
-    void end() override
+    void sendStreamEnd() override
     {
         const std::lock_guard lock(m_mutex);
         if (!m_finished && m_stream) {
@@ -154,7 +165,7 @@
         }
     }
 
-    void abort() override
+    void closeConnection() override
     {
         const std::lock_guard lock(m_mutex);
         if (m_finished) {
@@ -181,17 +192,6 @@
             std::move(emptyGroup));
     }
 
-    void onClosed(std::function<void()> closed) override
-    {
-        m_closeNotifier->addListener(m_handle->connection_id(), [weak = weak_from_this(), closed = std::move(closed)] {
-            const auto exchange = weak.lock();
-            if (exchange && !exchange->isFinished()) {
-                closed();
-            }
-        });
-    }
-
-private:
     bool isFinished()
     {
         const std::lock_guard lock(m_mutex);
--- a/modules/heatherridge_transport/http/httpserver.h
+++ b/modules/heatherridge_transport/http/httpserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "heatherridge_state/heatherridge_state.h"
-#include "heatherridge_transport/http/httpmessages.h"
+#include "heatherridge_transport/http/httpexchange.h"
 
 #include <chrono>
 #include <functional>
@@ -11,50 +11,6 @@
 namespace Heatherridge
 {
 
-/**
- * One request and its pending response.
- *
- * Call either respond() once, or beginStream(), any number of write(), and end(). All methods may be called from any
- * thread. The server and the code that responds share ownership; destroying the exchange without a response closes the
- * connection.
- */
-class HttpExchange
-{
-public:
-    /** Called with whether the bytes were sent; false if the caller has disconnected. */
-    using WriteCallback = std::function<void(bool sent)>;
-
-    virtual ~HttpExchange() = default;
-
-    /** Returns the request, which is valid as long as the exchange. */
-    virtual const HttpRequest &request() const = 0;
-
-    /** Sends a complete response. */
-    virtual void respond(HttpResponse response) = 0;
-
-    /** Starts a chunked response with @p status and @p headers. */
-    virtual void beginStream(int status, const std::vector<HttpHeader> &headers) = 0;
-
-    /**
-     * Sends @p bytes as one chunk. @p done is called on a server thread once they are sent or the caller has
-     * disconnected. Wait for it before reading more from the source; otherwise chunks for a slow reader accumulate
-     * without bound.
-     */
-    virtual void write(std::string bytes, WriteCallback done) = 0;
-
-    /** Completes a chunked response. */
-    virtual void end() = 0;
-
-    /**
-     * Closes the connection. The caller can detect that a chunked response is truncated, because its final chunk is not
-     * sent. If no response has started, none is sent.
-     */
-    virtual void abort() = 0;
-
-    /** Calls @p closed once, on a server thread, if the connection closes before the response is complete. */
-    virtual void onClosed(std::function<void()> closed) = 0;
-};
-
 /**
  * An HTTP/1.1 server that runs on its own threads.
  *
--- a/tests/gateway/streamdemand_test.cpp
+++ b/tests/gateway/streamdemand_test.cpp
@@ -32,42 +32,42 @@
         return m_request;
     }
 
-    void respond(HttpResponse response) override
+    void onClosed(std::function<void()> callback) override
+    {
+        closed = std::move(callback);
+    }
+
+    int status = 0; ///< 0 until an answer has begun
+    SteadyTime answeredAt{};
+    const SteadyTime createdAt = std::chrono::steady_clock::now();
+    std::function<void()> closed;
+
+private:
+    void sendResponse(HttpResponse response) override
     {
         status = response.status;
         answeredAt = std::chrono::steady_clock::now();
     }
 
-    void beginStream(int streamStatus, const std::vector<HttpHeader> &) override
+    void sendStreamHead(int streamStatus, const std::vector<HttpHeader> &) override
     {
         status = streamStatus;
         answeredAt = std::chrono::steady_clock::now();
     }
 
-    void write(std::string, WriteCallback done) override
+    void sendStreamBytes(std::string, WriteCallback done) override
     {
         done(true);
     }
 
-    void end() override
+    void sendStreamEnd() override
     {
     }
 
-    void abort() override
+    void closeConnection() override
     {
     }
 
-    void onClosed(std::function<void()> callback) override
-    {
-        closed = std::move(callback);
-    }
-
-    int status = 0; ///< 0 until an answer has begun
-    SteadyTime answeredAt{};
-    const SteadyTime createdAt = std::chrono::steady_clock::now();
-    std::function<void()> closed;
-
-private:
     HttpRequest m_request;
 };
 
