--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -147,7 +147,7 @@
                                                                       .listen = {.address = "127.0.0.1"},
                                                                       .readyListen = m_readinessEndpoint,
                                                                       .readyPath = "/ready",
-                                                                      .retryBudget = {.slack = 800},
+                                                                      .retryBudget = {.slack = options.retrySlack},
                                                                       .sidecarPort = options.sidecarPort,
                                                                       .size = {.processorShare = 0.5},
                                                                       .logPartitions = options.logPartitions,
@@ -268,6 +268,7 @@
         }
         m_buffered.erase(0, reader.feed(m_buffered));
         if (reader.state() == HttpMessageReader::State::Malformed) {
+            answer.isInProtocol = false;
             break;
         }
     }
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -30,6 +30,7 @@
         RoutingConfig config = defaultConfig(); ///< the targets serve its first service
         std::optional<RankStatus> status{}; ///< of each target, which is a rank; empty: the targets answer no such call
         int sidecarPort = 0; ///< of the sidecars; if not 0, the targets are model engines
+        double retrySlack = 800; ///< retries allowed besides those in proportion to the requests
     };
 
     /** @param targets all serve the same service */
@@ -83,6 +84,7 @@
         std::string head{};
         std::string body{};
         bool isWhole = false;
+        bool isInProtocol = true; ///< false if bytes arrived that HTTP does not allow at their place
     };
     Answer receive(bool isHeadRequest = false);
 
