Break a begun stream off when its target answers with something else

What callers saw: bytes that are no answer in the protocol, in a stream that had begun.

Cause: the order of a response was kept by each path of a call alone. GatewayCall::fail() asked whether the stream had begun, deliver() did not: it passed on the whole answer of the target that was to resume the stream, head included, inside the chunked answer. The class of fault: an exchange that lets a second head be written.

Change: HttpExchange keeps the order itself. A call out of order sends nothing, closes a connection whose response has not ended, and is logged and counted; its servers' functions are called in the right order only.

Ruled out as sufficient: the same check in deliver() only. Every further path, and every other user of an exchange, could do it again.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -23,6 +23,11 @@
     return std::chrono::steady_clock::now();
 }
 
+std::string outcomeText(const Error &error)
+{
+    return std::string(errorDescriptorFor(error.kind).name) + ": " + error.detail;
+}
+
 } // namespace
 
 GatewayCall::GatewayCall(GatewayTraffic &traffic, std::uint64_t number, std::shared_ptr<HttpExchange> exchange,
@@ -30,6 +35,7 @@
     : m_traffic(traffic)
     , m_number(number)
     , m_exchange(std::move(exchange))
+    , m_caller(std::make_shared<CallerResponse>(m_exchange))
     , m_callerFields(std::move(fields))
     , m_table(std::move(table))
     , m_route(*match.route)
@@ -51,6 +57,12 @@
             self->onCallerDisconnected();
         }
     });
+    m_caller->onDrained([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->m_connection) {
+            self->m_connection->resumeReading();
+        }
+    });
     if (refuseIfBlocked()) {
         return;
     }
@@ -92,7 +104,7 @@
     m_demand = {};
     m_timer.cancel();
     releaseTarget(false);
-    m_exchange->abort();
+    m_caller->conclude(AbandonedCall{});
 }
 
 void GatewayCall::startAttempt()
@@ -384,31 +396,13 @@
     if (!pause) {
         m_traffic.firstEventDelayFor(m_service).record(forwardedAt - m_sentAt);
         m_traffic.m_counters.streamFirstEvent.record(m_stream.timeToFirstEvent());
-        m_exchange->beginStream(m_response.status(), m_response.headers());
     } else if (!isFirstOfAttempt) {
         m_traffic.m_targets.recordPause(m_placement.group, *pause, forwardedAt);
     }
-    write(event.text);
-}
-
-void GatewayCall::write(const std::string &text)
-{
-    const auto size = text.size();
-    m_unsentBytes += size;
-    if (m_unsentBytes > MaxUnsentBytes) {
+    m_caller->forward(event.text, m_response.status(), m_response.headers());
+    if (m_caller->isFull()) {
         m_connection->pauseReading();
     }
-    m_exchange->write(text, [weak = weak_from_this(), size](bool) {
-        const auto self = weak.lock();
-        if (!self) {
-            return;
-        }
-        const bool wasPaused = self->m_unsentBytes > MaxUnsentBytes;
-        self->m_unsentBytes -= size;
-        if (wasPaused && self->m_unsentBytes <= MaxUnsentBytes && self->m_connection) {
-            self->m_connection->resumeReading();
-        }
-    });
 }
 
 void GatewayCall::onStreamComplete()
@@ -420,11 +414,7 @@
     releaseTarget(true);
     m_traffic.m_targets.recordAttempt(m_target, AttemptOutcome::Succeeded, now());
     m_suspicion.recordAnswer();
-    if (!m_stream.hasBegun()) {
-        m_exchange->beginStream(m_response.status(), m_response.headers());
-    }
-    m_exchange->end();
-    finish("delivered", m_response.status());
+    conclude(CompleteStream{.status = m_response.status(), .headers = m_response.headers()});
 }
 
 void GatewayCall::finishAttempt(AttemptResult result, std::string_view reason)
@@ -513,18 +503,17 @@
 
 void GatewayCall::deliver()
 {
-    m_traffic.m_counters.plainAnswers.add();
-    m_traffic.m_counters.plainAnswer.record(age());
-    const int status = m_response.status();
-    m_exchange->respond(m_response.take());
-    finish(status < 400 ? "delivered" : "target-failure", status);
+    if (!m_caller->hasBegun()) {
+        m_traffic.m_counters.plainAnswers.add();
+        m_traffic.m_counters.plainAnswer.record(age());
+    }
+    conclude(WholeAnswer{.response = m_response.take()});
 }
 
 void GatewayCall::fail(Error error)
 {
-    if (m_stream.hasBegun()) {
-        m_exchange->abort(); // the head has been sent: only closing the connection shows that the answer is incomplete
-        finish("stream-broken", 200);
+    if (m_caller->hasBegun()) {
+        conclude(LocalError{.reason = outcomeText(error)});
         return;
     }
     error.ran = m_possibleExecutions > 0 ? ExecutionStatus::Unknown : ExecutionStatus::No;
@@ -539,10 +528,14 @@
                                                     now(), m_traffic.m_random);
     }
     m_retryAfter = error.retryAfter.value_or(milliseconds(0));
-    auto response = m_traffic.m_codec.errorResponse(error, m_callerFields.id);
-    const int status = response.status;
-    m_exchange->respond(std::move(response));
-    finish(std::string(errorDescriptorFor(error.kind).name) + ": " + error.detail, status);
+    conclude(LocalError{.response = m_traffic.m_codec.errorResponse(error, m_callerFields.id),
+                        .reason = outcomeText(error)});
+}
+
+void GatewayCall::conclude(CallOutcome outcome)
+{
+    const auto conclusion = m_caller->conclude(std::move(outcome));
+    finish(conclusion.outcome, conclusion.status);
 }
 
 void GatewayCall::finish(std::string_view outcome, int status)
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_state/decisions/attemptresult.h"
 #include "heatherridge_state/demand/demandmeter.h"
+#include "heatherridge_transport/direct/callerresponse.h"
 #include "heatherridge_transport/direct/crashsuspicion.h"
 #include "heatherridge_transport/direct/gatewaytraffic.h"
 #include "heatherridge_transport/direct/requestlog.h"
@@ -53,8 +54,6 @@
     void drop();
 
 private:
-    /** Unsent bytes of an answer to a slow caller above which reading from its target is paused. */
-    static constexpr std::size_t MaxUnsentBytes = 256UL << 10U;
     /** With less time left, no further attempt is made: the shortest answers take about this long. */
     static constexpr std::chrono::milliseconds MinAttemptTime{60};
     /** How often a stream or an idempotent request is checked for a silent target. */
@@ -77,7 +76,6 @@
     void onExchangeFailed(const ExchangeFailure &failure);
     void forwardEvents(std::string_view bytes);
     void forwardEvent(const StreamEvent &event);
-    void write(const std::string &text);
     void onStreamComplete();
     void finishAttempt(AttemptResult result, std::string_view reason);
     void probeTargetAfterFailure(const std::string &reason);
@@ -89,6 +87,7 @@
     void logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const;
     void deliver();
     void fail(Error error);
+    void conclude(CallOutcome outcome);
     void finish(std::string_view outcome, int status);
     void armTimer();
     void onTimer();
@@ -101,6 +100,7 @@
     GatewayTraffic &m_traffic;
     const std::uint64_t m_number;
     std::shared_ptr<HttpExchange> m_exchange;
+    std::shared_ptr<CallerResponse> m_caller;
     CallerFields m_callerFields;
     std::shared_ptr<const RouteTable> m_table;
     const RouteRule &m_route;
@@ -133,7 +133,6 @@
 
     StreamProgress m_stream;
     DemandMeter::Stream m_demand; ///< counts this call while it is open, if it is a stream
-    std::size_t m_unsentBytes = 0;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/http/httpexchange.cpp
+++ b/modules/heatherridge_transport/http/httpexchange.cpp
@@ -14,32 +14,39 @@
 
 void HttpExchange::respond(HttpResponse response)
 {
-    advance(State::NotBegun, State::Ended, "respond");
-    sendResponse(std::move(response));
+    if (advance(State::NotBegun, State::Ended, "respond")) {
+        sendResponse(std::move(response));
+    }
 }
 
 void HttpExchange::beginStream(int status, const std::vector<HttpHeader> &headers)
 {
-    advance(State::NotBegun, State::Streaming, "begin-stream");
-    sendStreamHead(status, headers);
+    if (advance(State::NotBegun, State::Streaming, "begin-stream")) {
+        sendStreamHead(status, headers);
+    }
 }
 
 void HttpExchange::write(std::string bytes, WriteCallback done)
 {
-    advance(State::Streaming, State::Streaming, "write");
-    sendStreamBytes(std::move(bytes), std::move(done));
+    if (advance(State::Streaming, State::Streaming, "write")) {
+        sendStreamBytes(std::move(bytes), std::move(done));
+    } else {
+        done(false);
+    }
 }
 
 void HttpExchange::end()
 {
-    advance(State::Streaming, State::Ended, "end");
-    sendStreamEnd();
+    if (advance(State::Streaming, State::Ended, "end")) {
+        sendStreamEnd();
+    }
 }
 
 void HttpExchange::abort()
 {
-    m_state = State::Ended;
-    closeConnection();
+    if (m_state.exchange(State::Ended) != State::Ended) {
+        closeConnection();
+    }
 }
 
 bool HttpExchange::advance(State from, State to, std::string_view call)
@@ -51,6 +58,7 @@
     recordOutOfOrder();
     logEvent(Severity::Warning, "response-out-of-order",
              {{"request", m_logId}, {"call", std::string(call)}, {"state", std::string(toString(state))}});
+    abort();
     return false;
 }
 
--- a/modules/heatherridge_transport/http/httpexchange.h
+++ b/modules/heatherridge_transport/http/httpexchange.h
@@ -18,8 +18,9 @@
  * methods may be called from any thread. The server and the code that responds share ownership; destroying the exchange
  * without a response closes the connection.
  *
- * Any other order is logged as `response-out-of-order` and counted. Servers derive from this class and implement the
- * private functions.
+ * A call in any other order sends nothing: it is logged as `response-out-of-order` and counted, and if the response has
+ * not ended, the connection is closed, so that the caller recognises the response as cut off. Servers derive from this
+ * class and implement the private functions, which are called in the right order only.
  */
 class HttpExchange
 {
@@ -72,7 +73,7 @@
         Ended,
     };
 
-    /** Moves from @p from to @p to. @returns false, after a log line about @p call, if the state is another one */
+    /** Moves from @p from to @p to. @returns false, after closing the connection, if the state is another one */
     bool advance(State from, State to, std::string_view call);
     static std::string_view toString(State state);
 
