Close the connection of a stream that is dropped without its end

HttpServer left the connection open when an exchange was destroyed after beginStream() and before end() or abort(): the caller waited until the handle timeout of an hour. HttpExchange promises that the connection is closed.

--- a/modules/heatherridge_transport/http/httpserver.cpp
+++ b/modules/heatherridge_transport/http/httpserver.cpp
@@ -100,9 +100,11 @@
 
     ~RestinioExchange() override
     {
+        // Without a response, or without the end of one, the caller would wait until the handle timeout.
         if (!m_finished && !m_stream) {
-            // No response was sent: without this the caller would wait until the handle timeout.
             m_handle->create_response(restinio::status_internal_server_error()).connection_close().done();
+        } else if (!m_finished) {
+            RestinioExchange::closeConnection();
         }
         m_closeNotifier->removeListeners(m_handle->connection_id());
     }
--- a/tests/gateway/responseorder_test.cpp
+++ b/tests/gateway/responseorder_test.cpp
@@ -97,12 +97,32 @@
     std::thread m_thread;
 };
 
+/** The server of all other processes. */
+class RestinioServer
+{
+public:
+    explicit RestinioServer(HttpServer::Handler handler)
+        : m_server({.listen = {.address = "127.0.0.1"}}, std::move(handler))
+        , m_endpoint(std::get<Endpoint>(m_server.start()))
+    {
+    }
+
+    Endpoint endpoint() const
+    {
+        return m_endpoint;
+    }
+
+private:
+    HttpServer m_server;
+    Endpoint m_endpoint;
+};
+
 template<typename Server>
 class ResponseOrder : public testing::Test
 {
 };
 
-using Servers = testing::Types<GatewayCallerServer>;
+using Servers = testing::Types<GatewayCallerServer, RestinioServer>;
 TYPED_TEST_SUITE(ResponseOrder, Servers, );
 
 // Guards against a server that writes bytes out of order into a response, whatever its user calls in which order.
