Give a repeated request a connection that has not carried it before

A target that refused a request and sent its refusal once more, late, had the request executed again: the connection went back to the pool after the first refusal, the next attempt took it, and the late refusal passed for the answer of that attempt, as all attempts of a request carry the request id of the caller. While the second attempt ran, a third one was sent.

The pool now leaves out the connections that earlier attempts of the same request have used, and leaves them idle for other requests. A new connection is opened only where no other idle one to that target exists, so the cost is limited to requests that return to a target that has refused them.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -254,7 +254,7 @@
                                                              .workspace = m_match.workspace,
                                                              .lastEventId = m_stream.lastEventId(),
                                                              .priority = control.enginePriority(m_service, m_match)});
-    m_connection = m_traffic.m_pool.acquire(target.entry);
+    m_connection = m_traffic.m_pool.acquire(target.entry, m_usedConnections);
     const auto self = shared_from_this();
     m_connection->exchange(requestText(request.method, request.target, headers, request.body), request.method == "HEAD",
                            m_traffic.m_options.connectTimeout,
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -120,6 +120,7 @@
     std::chrono::milliseconds m_retryAfter{0}; ///< told to the caller, for the log; 0 if none
 
     std::shared_ptr<TargetConnection> m_connection; ///< of the current attempt
+    UsedConnections m_usedConnections; ///< by all attempts
     TargetName m_target;
     SteadyTime m_sentAt{};
     RequestPlacement m_placement; ///< of the last attempt
--- a/modules/heatherridge_transport/direct/targetconnection.cpp
+++ b/modules/heatherridge_transport/direct/targetconnection.cpp
@@ -28,10 +28,11 @@
 
 } // namespace
 
-TargetConnection::TargetConnection(asio::io_context &loop, Endpoint endpoint)
+TargetConnection::TargetConnection(asio::io_context &loop, Endpoint endpoint, std::uint64_t number)
     : m_socket(loop)
     , m_connectTimer(loop)
     , m_endpoint(std::move(endpoint))
+    , m_number(number)
     , m_reader(
           HttpMessageReader::Side::Responses, [this](const auto &head) { return onHead(head); },
           [this](std::string_view bytes) {
@@ -102,6 +103,11 @@
     m_onUnusable = std::move(unusable);
 }
 
+std::uint64_t TargetConnection::number() const
+{
+    return m_number;
+}
+
 const Endpoint &TargetConnection::endpoint() const
 {
     return m_endpoint;
--- a/modules/heatherridge_transport/direct/targetconnection.h
+++ b/modules/heatherridge_transport/direct/targetconnection.h
@@ -43,7 +43,8 @@
 class TargetConnection : public std::enable_shared_from_this<TargetConnection>
 {
 public:
-    TargetConnection(asio::io_context &loop, Endpoint endpoint);
+    /** @param number identifies the connection within its pool */
+    TargetConnection(asio::io_context &loop, Endpoint endpoint, std::uint64_t number);
 
     TargetConnection(const TargetConnection &) = delete;
     TargetConnection &operator=(const TargetConnection &) = delete;
@@ -74,6 +75,9 @@
     /** Sets @p unusable, which is called once when the idle connection is closed or receives unsolicited data. */
     void onUnusable(std::function<void()> unusable);
 
+    /** Returns the number of the connection within its pool. */
+    std::uint64_t number() const;
+
     /** Returns the remote endpoint. */
     const Endpoint &endpoint() const;
 
@@ -91,6 +95,7 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_connectTimer;
     Endpoint m_endpoint;
+    const std::uint64_t m_number;
     HttpMessageReader m_reader;
     ExchangeEvents m_events;
     std::function<void()> m_onUnusable;
--- a/modules/heatherridge_transport/direct/targetconnectionpool.cpp
+++ b/modules/heatherridge_transport/direct/targetconnectionpool.cpp
@@ -12,23 +12,29 @@
 {
 }
 
-std::shared_ptr<TargetConnection> TargetConnectionPool::acquire(const TargetEntry &target)
+std::shared_ptr<TargetConnection> TargetConnectionPool::acquire(const TargetEntry &target, UsedConnections &used)
 {
     auto &idle = m_idle[target.id];
     const auto now = std::chrono::steady_clock::now();
-    while (!idle.empty()) {
-        const auto newest = idle.back();
-        idle.pop_back();
-        newest.connection->onUnusable({});
-        if (newest.connection->isReusable() && now < newest.usableUntil
-            && newest.connection->endpoint() == target.address) {
+    for (auto position = idle.size(); position-- > 0;) {
+        if (used.contains(idle[position].connection->number())) {
+            continue;
+        }
+        const auto candidate = idle[position];
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(position));
+        candidate.connection->onUnusable({});
+        if (candidate.connection->isReusable() && now < candidate.usableUntil
+            && candidate.connection->endpoint() == target.address) {
             m_reused.add();
-            return newest.connection;
+            used.insert(candidate.connection->number());
+            return candidate.connection;
         }
-        newest.connection->close();
+        candidate.connection->close();
     }
     m_opened.add();
-    return std::make_shared<TargetConnection>(m_loop, target.address);
+    auto connection = std::make_shared<TargetConnection>(m_loop, target.address, ++m_lastNumber);
+    used.insert(connection->number());
+    return connection;
 }
 
 void TargetConnectionPool::release(const TargetName &target, const std::shared_ptr<TargetConnection> &connection,
--- a/modules/heatherridge_transport/direct/targetconnectionpool.h
+++ b/modules/heatherridge_transport/direct/targetconnectionpool.h
@@ -7,11 +7,15 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Heatherridge
 {
 
+/** Numbers of the connections that one request has used. */
+using UsedConnections = std::set<std::uint64_t>;
+
 /**
  * Pool of idle connections to targets. Used only on the loop's thread.
  *
@@ -29,8 +33,14 @@
 
     TargetConnectionPool(asio::io_context &loop, Metrics &metrics);
 
-    /** Returns the most recently used idle connection to @p target, or a new one if there is none. */
-    std::shared_ptr<TargetConnection> acquire(const TargetEntry &target);
+    /**
+     * Returns the most recently used idle connection to @p target, or a new one if there is none, and adds it to @p
+     * used.
+     *
+     * @param used the connections that have carried earlier attempts of the same request, which are not returned.
+     * Attempts share the request id, so late bytes of an earlier one would pass for the response to the next.
+     */
+    std::shared_ptr<TargetConnection> acquire(const TargetEntry &target, UsedConnections &used);
 
     /** Pools @p connection if it is reusable, else closes it. @param idleTimeout announced by the target */
     void release(const TargetName &target, const std::shared_ptr<TargetConnection> &connection,
@@ -54,6 +64,7 @@
     asio::io_context &m_loop;
     Counter &m_opened;
     Counter &m_reused;
+    std::uint64_t m_lastNumber = 0; ///< of the newest connection
     std::map<TargetName, std::vector<IdleConnection>> m_idle;
 };
 
