Reuse no target connection whose end or surplus bytes have arrived unread

A request that was sent on an idle connection which its target had just closed, or on which surplus bytes lay, failed although nothing was wrong with it: the bytes passed for the beginning of its response, and a booking ended with 502. The pool looked only at what the loop had read so far.

The pool now peeks at the socket of an idle connection before it hands it out. That alone left one case: an asynchronous read that is started while input is there takes the bytes at once and runs its handler later, so that the socket looks empty. An idle connection therefore waits for input without reading it.

--- a/modules/heatherridge_transport/direct/targetconnection.cpp
+++ b/modules/heatherridge_transport/direct/targetconnection.cpp
@@ -93,6 +93,14 @@
     return m_isOpen && !m_isBusy && !m_isClosed;
 }
 
+bool TargetConnection::hasUnreadInput()
+{
+    char next = 0;
+    asio::error_code error;
+    m_socket.receive(asio::buffer(&next, 1), asio::socket_base::message_peek, error);
+    return error != asio::error::would_block;
+}
+
 SteadyTime TargetConnection::idleSince() const
 {
     return m_idleSince;
@@ -128,11 +136,14 @@
         }
     });
     m_socket.async_connect({address, static_cast<std::uint16_t>(m_endpoint.port)},
-                           [self = shared_from_this()](const asio::error_code &failed) {
+                           [self = shared_from_this()](asio::error_code failed) {
                                if (self->m_isClosed) {
                                    return;
                                }
                                self->m_connectTimer.cancel();
+                               if (!failed) {
+                                   self->m_socket.non_blocking(true, failed); // for hasUnreadInput()
+                               }
                                if (failed) {
                                    self->failExchange("connect: " + failed.message());
                                    return;
@@ -161,6 +172,10 @@
         return;
     }
     m_isReading = true;
+    if (!m_isBusy) {
+        awaitInput();
+        return;
+    }
     m_socket.async_read_some(asio::buffer(m_buffer),
                              [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
                                  self->m_isReading = false;
@@ -168,6 +183,24 @@
                              });
 }
 
+void TargetConnection::awaitInput()
+{
+    // An asynchronous read may take bytes from the socket before its handler runs, where hasUnreadInput() cannot see
+    // them. Waiting leaves them in the socket.
+    m_socket.async_wait(asio::socket_base::wait_read, [self = shared_from_this()](asio::error_code error) {
+        self->m_isReading = false;
+        std::size_t size = 0;
+        if (!error && !self->m_isClosed) {
+            size = self->m_socket.read_some(asio::buffer(self->m_buffer), error);
+        }
+        if (error == asio::error::would_block) {
+            self->read();
+        } else {
+            self->onRead(error, size);
+        }
+    });
+}
+
 void TargetConnection::onRead(const asio::error_code &error, std::size_t size)
 {
     if (m_isClosed) {
@@ -241,7 +274,7 @@
     m_isBusy = false;
     m_idleSince = std::chrono::steady_clock::now();
     // A target that responds before it has read the whole request would parse the rest as the next request.
-    if (hasLeftover || !m_isKeepAlive || !m_isWritten) {
+    if (hasLeftover || !m_isKeepAlive || !m_isWritten || m_isReading) {
         closeSocket();
     }
     const auto events = std::exchange(m_events, {});
--- a/modules/heatherridge_transport/direct/targetconnection.h
+++ b/modules/heatherridge_transport/direct/targetconnection.h
@@ -69,6 +69,9 @@
     /** Returns whether another exchange may follow: the last response ended cleanly and no data came after it. */
     bool isReusable() const;
 
+    /** Returns whether the end of the idle connection or unsolicited data has arrived that was not read yet. */
+    bool hasUnreadInput();
+
     /** Returns when the last exchange ended. */
     SteadyTime idleSince() const;
 
@@ -85,6 +88,7 @@
     void connect(std::chrono::milliseconds timeout);
     void write();
     void read();
+    void awaitInput();
     void onRead(const asio::error_code &error, std::size_t size);
     bool onHead(const HttpMessageHead &head);
     void processBytes(std::string_view bytes);
--- a/modules/heatherridge_transport/direct/targetconnectionpool.cpp
+++ b/modules/heatherridge_transport/direct/targetconnectionpool.cpp
@@ -23,7 +23,7 @@
         const auto candidate = idle[position];
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(position));
         candidate.connection->onUnusable({});
-        if (candidate.connection->isReusable() && now < candidate.usableUntil
+        if (candidate.connection->isReusable() && !candidate.connection->hasUnreadInput() && now < candidate.usableUntil
             && candidate.connection->endpoint() == target.address) {
             m_reused.add();
             used.insert(candidate.connection->number());
