Count a stream that ends with its connection before its first event as broken off

A caller got a whole, empty stream when its target closed the connection after the head of an answer with neither a length nor chunks. For such an answer the end of the connection is the only sign of its end, so a target that ends early and one that has nothing to say look alike; the gateway took both for whole.

The head now says whether the body ends with the connection. A stream of that kind whose attempt had no event, or only comments, is broken off: it is sent to another target if it may be resumed, and fails otherwise. With a length or chunks an empty stream stays whole, as does one that ends after an event, and the answer to a HEAD request. The reason tells a missing event from a cut one.

--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
@@ -19,6 +19,19 @@
     return std::min(afterLfBlankLine, afterCrlfBlankLine);
 }
 
+/** Returns whether @p event has a line that is neither a comment nor blank. */
+bool hasField(std::string_view event)
+{
+    while (!event.empty()) {
+        const auto line = event.substr(0, event.find('\n'));
+        event.remove_prefix(std::min(event.size(), line.size() + 1));
+        if (!line.empty() && line != "\r" && line.front() != ':') {
+            return true;
+        }
+    }
+    return false;
+}
+
 std::optional<std::uint64_t> parseEventId(std::string_view event)
 {
     while (!event.empty()) {
@@ -48,6 +61,7 @@
          size = findEventEnd(std::string_view(m_buffer).substr(begin))) {
         std::string text = m_buffer.substr(begin, size);
         const auto id = parseEventId(text);
+        m_hasCompletedEvent = m_hasCompletedEvent || hasField(text);
         events.push_back({.id = id, .text = std::move(text)});
         begin += size;
     }
@@ -55,6 +69,11 @@
     return events;
 }
 
+bool EventStreamSplitter::hasCompletedEvent() const
+{
+    return m_hasCompletedEvent;
+}
+
 bool EventStreamSplitter::hasPartialEvent() const
 {
     return !m_buffer.empty();
--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.h
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.h
@@ -31,8 +31,12 @@
     /** Whether bytes of an incomplete event are buffered. */
     bool hasPartialEvent() const;
 
+    /** Returns whether an event has been completed; comments alone are none. */
+    bool hasCompletedEvent() const;
+
 private:
     std::string m_buffer;
+    bool m_hasCompletedEvent = false;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -407,8 +407,8 @@
 
 void GatewayCall::onStreamComplete()
 {
-    if (m_stream.isBroken()) {
-        finishAttempt(AttemptResult::Interrupted, "the stream ended in the middle of an event");
+    if (const auto reason = m_stream.brokenOffReason(m_response.endsWithConnection())) {
+        onExchangeFailed({.reason = std::string(*reason)});
         return;
     }
     releaseTarget(true);
--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -56,9 +56,18 @@
     return m_hasBegun;
 }
 
-bool StreamProgress::isBroken() const
+std::optional<std::string_view> StreamProgress::brokenOffReason(bool endsWithConnection) const
 {
-    return m_isBroken || m_splitter.hasPartialEvent();
+    if (m_isBroken) {
+        return "an event of the stream is missing";
+    }
+    if (m_splitter.hasPartialEvent()) {
+        return "the stream ended in the middle of an event";
+    }
+    if (endsWithConnection && !m_splitter.hasCompletedEvent()) {
+        return "the connection ended before the first event of the stream";
+    }
+    return std::nullopt;
 }
 
 std::optional<std::uint64_t> StreamProgress::lastEventId() const
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -37,8 +37,12 @@
     /** Returns whether an event has been forwarded to the caller. */
     bool hasBegun() const;
 
-    /** Returns whether an event is missing, or the data of the current attempt ends in the middle of one. */
-    bool isBroken() const;
+    /**
+     * Returns why the stream is broken off if the current attempt has ended: an event is missing, or its data ends in
+     * the middle of one. An attempt whose data @p endsWithConnection, without length or chunks, is also broken off if
+     * it had no event.
+     */
+    std::optional<std::string_view> brokenOffReason(bool endsWithConnection) const;
 
     /** Returns the id of the last event that the caller has. */
     std::optional<std::uint64_t> lastEventId() const;
--- a/modules/heatherridge_transport/direct/targetconnection.cpp
+++ b/modules/heatherridge_transport/direct/targetconnection.cpp
@@ -256,8 +256,9 @@
     }
 }
 
-bool TargetConnection::onHead(const HttpMessageHead &head)
+bool TargetConnection::onHead(HttpMessageHead head)
 {
+    head.endsWithConnection = head.endsWithConnection && !m_isHeadRequest;
     m_isInterim = head.status >= 100 && head.status < 200;
     if (m_isInterim || !m_isBusy) {
         return true;
--- a/modules/heatherridge_transport/direct/targetconnection.h
+++ b/modules/heatherridge_transport/direct/targetconnection.h
@@ -90,7 +90,7 @@
     void read();
     void awaitInput();
     void onRead(const asio::error_code &error, std::size_t size);
-    bool onHead(const HttpMessageHead &head);
+    bool onHead(HttpMessageHead head);
     void processBytes(std::string_view bytes);
     void completeExchange(bool hasLeftover);
     void failExchange(std::string reason);
--- a/modules/heatherridge_transport/direct/targetresponse.cpp
+++ b/modules/heatherridge_transport/direct/targetresponse.cpp
@@ -7,6 +7,7 @@
 {
     m_status = head.status;
     m_headers = head.headers;
+    m_endsWithConnection = head.endsWithConnection;
     m_fields = std::move(fields);
     m_belongsToRequest = m_fields.id == request;
     const bool isUnsigned = !m_fields.isSigned && !m_fields.isNotExecuted;
@@ -54,6 +55,11 @@
     return m_isUsable;
 }
 
+bool TargetResponse::endsWithConnection() const
+{
+    return m_endsWithConnection;
+}
+
 bool TargetResponse::belongsToRequest() const
 {
     return m_belongsToRequest;
--- a/modules/heatherridge_transport/direct/targetresponse.h
+++ b/modules/heatherridge_transport/direct/targetresponse.h
@@ -37,6 +37,9 @@
     /** Returns whether the bytes so far are the target's own response to the request. */
     bool isUsable() const;
 
+    /** Returns whether only the end of the connection ends the body. */
+    bool endsWithConnection() const;
+
     /** Returns whether the response has the id of the request. */
     bool belongsToRequest() const;
 
@@ -51,6 +54,7 @@
     std::vector<HttpHeader> m_headers;
     TargetResponseFields m_fields;
     std::string m_body;
+    bool m_endsWithConnection = false;
     bool m_belongsToRequest = false;
     bool m_isUsable = true;
     bool m_hasBodyBegun = false;
