Pass the lines between events on by themselves, so that a stream may end after one

A stream that ended with a blank line too many or with a comment line after its last event counted as cut inside an event: the lines waited for the blank line that ends an event. It was resumed at another target, or broken off if it could not be, though the caller had every event.

The splitter now takes a comment line or a blank line between two events as a piece of its own, which is complete at its line end. A comment inside an event still belongs to it, and a cut comment line still counts as cut. A blank line after a line that ends differently (LF, then CR LF) now ends the event too.

Before the change 2 cases of StreamEnds failed (AfterABlankLine, AfterACommentLine: two requests instead of one, and the end of the first answer was lost).

--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
@@ -9,14 +9,26 @@
 namespace
 {
 
-/** Returns the end of the first event in @p text, after its blank line, or npos if the event is incomplete. */
-std::size_t findEventEnd(std::string_view text)
+bool isFieldLine(std::string_view line)
 {
-    const auto lfBlankLine = text.find("\n\n");
-    const auto crlfBlankLine = text.find("\r\n\r\n");
-    const auto afterLfBlankLine = lfBlankLine == std::string_view::npos ? lfBlankLine : lfBlankLine + 2;
-    const auto afterCrlfBlankLine = crlfBlankLine == std::string_view::npos ? crlfBlankLine : crlfBlankLine + 4;
-    return std::min(afterLfBlankLine, afterCrlfBlankLine);
+    return !line.empty() && line != "\r" && line.front() != ':';
+}
+
+/** Returns the end of the first piece of @p text, or npos if the piece is incomplete. */
+std::size_t findPieceEnd(std::string_view text)
+{
+    bool isInEvent = false;
+    std::size_t begin = 0;
+    for (auto end = text.find('\n'); end != std::string_view::npos; end = text.find('\n', begin)) {
+        const auto line = text.substr(begin, end - begin);
+        const bool isBlank = line.empty() || line == "\r";
+        isInEvent = isInEvent || isFieldLine(line);
+        begin = end + 1;
+        if (isBlank || !isInEvent) {
+            return begin;
+        }
+    }
+    return std::string_view::npos;
 }
 
 /** Returns whether @p event has a line that is neither a comment nor blank. */
@@ -25,7 +37,7 @@
     while (!event.empty()) {
         const auto line = event.substr(0, event.find('\n'));
         event.remove_prefix(std::min(event.size(), line.size() + 1));
-        if (!line.empty() && line != "\r" && line.front() != ':') {
+        if (isFieldLine(line)) {
             return true;
         }
     }
@@ -57,8 +69,8 @@
     m_buffer.append(bytes);
     std::vector<StreamEvent> events;
     std::size_t begin = 0;
-    for (auto size = findEventEnd(m_buffer); size != std::string_view::npos;
-         size = findEventEnd(std::string_view(m_buffer).substr(begin))) {
+    for (auto size = findPieceEnd(m_buffer); size != std::string_view::npos;
+         size = findPieceEnd(std::string_view(m_buffer).substr(begin))) {
         std::string text = m_buffer.substr(begin, size);
         const auto id = parseEventId(text);
         m_hasCompletedEvent = m_hasCompletedEvent || hasField(text);
--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.h
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.h
@@ -9,7 +9,7 @@
 namespace Heatherridge
 {
 
-/** A complete event of a stream. */
+/** A complete event of a stream, or one comment line or blank line between two events. */
 struct StreamEvent
 {
     std::optional<std::uint64_t> id{};
@@ -25,7 +25,7 @@
 class EventStreamSplitter
 {
 public:
-    /** Adds @p bytes. @returns the events that are now complete */
+    /** Adds @p bytes. @returns the events, and the lines between them, that are now complete */
     std::vector<StreamEvent> feed(std::string_view bytes);
 
     /** Whether bytes of an incomplete event are buffered. */
--- a/tests/gateway/unframedstreams_test.cpp
+++ b/tests/gateway/unframedstreams_test.cpp
@@ -39,6 +39,8 @@
 const StreamEndCase StreamEndCases[] = {
     {"AfterAnEvent", "", FirstEvent, FirstEvent, 1},
     {"AfterAnEventWithCrLf", "", "id: 1\r\ndata: a\r\n\r\n", "id: 1\r\ndata: a\r\n\r\n", 1},
+    {"AfterABlankLine", "", FirstEvent + "\n", FirstEvent + "\n", 1},
+    {"AfterACommentLine", "", FirstEvent + ": end\n", FirstEvent + ": end\n", 1},
     {"InACommentLine", "", FirstEvent + ": en", FirstEvent + SecondEvent, 2},
     {"InAnEvent", "", FirstEvent + "id: 2\nda", FirstEvent + SecondEvent, 2},
     {"BeforeTheBlankLineOfAnEvent", "", FirstEvent + "id: 2\ndata: b\n", FirstEvent + SecondEvent, 2},
