Send no chunks after the response to a HEAD request

The response to a HEAD request on a streaming route was followed by the last chunk of an empty stream. On a kept connection a caller reads these bytes as the beginning of the next response. The exchange of a HEAD request now sends neither chunks nor the last one; the head still tells the coding that a GET would get.

Before the change the response after such a request was no HTTP (status 0 and malformed bytes in HeadRequests.OnStreamingRoutesAreAnsweredWithoutChunks).

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -78,6 +78,10 @@
             done(false);
             return;
         }
+        if (m_request.method == "HEAD") {
+            done(true); // its response has no body
+            return;
+        }
         m_connection->send(m_isChunked ? chunkText(bytes) : std::move(bytes), std::move(done));
     }
 
@@ -86,7 +90,7 @@
         if (!m_connection) {
             return;
         }
-        if (m_isChunked) {
+        if (m_isChunked && m_request.method != "HEAD") {
             m_connection->send(std::string(LastChunk), {});
         }
         finish(m_keepAlive);
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -242,6 +242,7 @@
     std::array<char, 4096> buffer{};
     asio::error_code error;
     const auto size = m_socket.read_some(asio::buffer(buffer), error);
+    m_isReset = error && error != asio::error::eof;
     return {buffer.data(), error ? 0 : size};
 }
 
@@ -262,7 +263,9 @@
         if (m_buffered.empty()) {
             m_buffered = readSome();
             if (m_buffered.empty()) {
-                reader.feedEndOfStream();
+                if (!m_isReset) {
+                    reader.feedEndOfStream();
+                }
                 break;
             }
         }
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -99,6 +99,7 @@
     asio::io_context m_loop;
     asio::ip::tcp::socket m_socket;
     std::string m_buffered;
+    bool m_isReset = false; ///< the connection has ended, and not in an orderly way
 };
 
 /** Returns the text of a request with the request id @p id. */
--- /dev/null
+++ b/tests/gateway/headrequests_test.cpp
@@ -0,0 +1,32 @@
+#include "gateway/gatewayfixture.h"
+
+#include <gtest/gtest.h>
+
+using namespace Heatherridge;
+
+namespace
+{
+
+using Actions = std::vector<TargetAction>;
+
+const std::string Event = "id: 1\ndata: a\n\n";
+
+// Guards against the last chunk after the response to a HEAD request, which has no body: on a kept connection it would
+// be read as the beginning of the next response.
+TEST(HeadRequests, OnStreamingRoutesAreAnsweredWithoutChunks)
+{
+    const ScriptedTarget target([](const auto &request, int) {
+        const bool isHead = request.starts_with("HEAD ");
+        return Actions{{.bytes = isHead ? unframedResponse(request, "") : signedResponse(request, Event)}};
+    });
+    GatewayFixture gateway({&target});
+    RawCaller caller(gateway.callerEndpoint());
+    caller.send(requestText("HEAD", "/stream/1", "r1") + requestText("GET", "/look/1", "r2"));
+    EXPECT_EQ(caller.receive(true).status, 200);
+    const auto answer = caller.receive();
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.isInProtocol);
+    EXPECT_EQ(answer.body, Event);
+}
+
+} // namespace
--- a/tests/gateway/scriptedtarget.cpp
+++ b/tests/gateway/scriptedtarget.cpp
@@ -172,4 +172,11 @@
         + extraHeaders + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string unframedResponse(const std::string &request, const std::string &body, int status)
+{
+    return "HTTP/1.1 " + std::to_string(status)
+        + " X\r\nX-Heatherridge-Request-Id: " + requestHeader(request, "X-Heatherridge-Request-Id")
+        + "\r\nX-Heatherridge-Response-Signature: s\r\n\r\n" + body;
+}
+
 } // namespace Heatherridge
--- a/tests/gateway/scriptedtarget.h
+++ b/tests/gateway/scriptedtarget.h
@@ -90,4 +90,7 @@
 std::string signedResponse(const std::string &request, const std::string &body, int status = 200,
                            const std::string &extraHeaders = {});
 
+/** Returns a signed response to @p request with neither length nor chunks, so that it ends with its connection. */
+std::string unframedResponse(const std::string &request, const std::string &body, int status = 200);
+
 } // namespace Heatherridge
