--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.h
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.h
@@ -9,7 +9,7 @@
 namespace Heatherridge
 {
 
-/** A complete event of a stream. */
+/** A complete event of a stream, or one comment line or blank line between two events. */
 struct StreamEvent
 {
     std::optional<std::uint64_t> id{};
@@ -25,14 +25,18 @@
 class EventStreamSplitter
 {
 public:
-    /** Adds @p bytes. @returns the events that are now complete */
+    /** Adds @p bytes. @returns the events, and the lines between them, that are now complete */
     std::vector<StreamEvent> feed(std::string_view bytes);
 
     /** Whether bytes of an incomplete event are buffered. */
     bool hasPartialEvent() const;
 
+    /** Returns whether an event has been completed; comments alone are none. */
+    bool hasCompletedEvent() const;
+
 private:
     std::string m_buffer;
+    bool m_hasCompletedEvent = false;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/targetconnection.h
+++ b/modules/heatherridge_transport/direct/targetconnection.h
@@ -43,7 +43,8 @@
 class TargetConnection : public std::enable_shared_from_this<TargetConnection>
 {
 public:
-    TargetConnection(asio::io_context &loop, Endpoint endpoint);
+    /** @param number identifies the connection within its pool */
+    TargetConnection(asio::io_context &loop, Endpoint endpoint, std::uint64_t number);
 
     TargetConnection(const TargetConnection &) = delete;
     TargetConnection &operator=(const TargetConnection &) = delete;
@@ -68,12 +69,18 @@
     /** Returns whether another exchange may follow: the last response ended cleanly and no data came after it. */
     bool isReusable() const;
 
+    /** Returns whether the end of the idle connection or unsolicited data has arrived that was not read yet. */
+    bool hasUnreadInput();
+
     /** Returns when the last exchange ended. */
     SteadyTime idleSince() const;
 
     /** Sets @p unusable, which is called once when the idle connection is closed or receives unsolicited data. */
     void onUnusable(std::function<void()> unusable);
 
+    /** Returns the number of the connection within its pool. */
+    std::uint64_t number() const;
+
     /** Returns the remote endpoint. */
     const Endpoint &endpoint() const;
 
@@ -81,8 +88,9 @@
     void connect(std::chrono::milliseconds timeout);
     void write();
     void read();
+    void awaitInput();
     void onRead(const asio::error_code &error, std::size_t size);
-    bool onHead(const HttpMessageHead &head);
+    bool onHead(HttpMessageHead head);
     void processBytes(std::string_view bytes);
     void completeExchange(bool hasLeftover);
     void failExchange(std::string reason);
@@ -91,6 +99,7 @@
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_connectTimer;
     Endpoint m_endpoint;
+    const std::uint64_t m_number;
     HttpMessageReader m_reader;
     ExchangeEvents m_events;
     std::function<void()> m_onUnusable;
