Tell apart in logs and metrics how targets break answers off

Callers saw group after group of engines end under requests that have one part of their prompts in common. No line told what such requests share, and a target that ended after its answer had begun left no trace that tells it from one that lives and broke off.

- The parts of a prompt that requests may share are read from the caller's header (at most 16, without the last one).
A malformed list yields none and refuses nothing.
An id on a log line stands for a service and a part.
- Every break of a request that may have arrived is followed by a probe, also after the first byte.

What follows from a break does not change: an attempt waits for the probe only before the first byte, and only then a death counts against a request.

--- a/modules/heatherridge_transport/direct/crashguard.cpp
+++ b/modules/heatherridge_transport/direct/crashguard.cpp
@@ -37,11 +37,9 @@
     return m_suspects.isBlocked(request);
 }
 
-void CrashGuard::recordTargetDeath(const RequestId &id, const RequestFingerprint &request, const TargetName &target)
+void CrashGuard::recordTargetDeath(const RequestFingerprint &request, const TargetName &target)
 {
     m_targetDeaths.add();
-    logEvent(Severity::Warning, "target-died",
-             {{"request", id.text()}, {"fingerprint", toString(request)}, {"target", target.text()}});
     const CrashReport report{.kind = CrashReport::Kind::TargetDied, .request = request, .target = target};
     apply(report);
     publish(report);
--- a/modules/heatherridge_transport/direct/crashguard.h
+++ b/modules/heatherridge_transport/direct/crashguard.h
@@ -39,8 +39,8 @@
     /** @see CrashSuspects::isBlocked */
     bool isBlocked(const RequestFingerprint &request) const;
 
-    /** Records that @p target died while running @p request, which arrived with the request id @p id. */
-    void recordTargetDeath(const RequestId &id, const RequestFingerprint &request, const TargetName &target);
+    /** Records that @p target died while running @p request. */
+    void recordTargetDeath(const RequestFingerprint &request, const TargetName &target);
 
     /** Records that a target answered the suspect @p request. */
     void recordAnswer(const RequestFingerprint &request);
--- a/modules/heatherridge_transport/direct/crashsuspicion.cpp
+++ b/modules/heatherridge_transport/direct/crashsuspicion.cpp
@@ -3,22 +3,31 @@
 namespace Heatherridge
 {
 
-CrashSuspicion::CrashSuspicion(CrashGuard &guard, const HttpRequest &request, const WorkspaceName &workspace)
+CrashSuspicion::CrashSuspicion(CrashGuard &guard, Request request)
     : m_guard(guard)
     , m_request(request)
-    , m_workspace(workspace)
 {
 }
 
 const RequestFingerprint &CrashSuspicion::fingerprint()
 {
     if (!m_fingerprint) {
-        const auto url = std::string(m_request.header("Host")) + m_request.target;
-        m_fingerprint = fingerprintOf(m_workspace, m_request.method, url, m_request.body);
+        const auto url = std::string(m_request.http.header("Host")) + m_request.http.target;
+        m_fingerprint = fingerprintOf(m_request.workspace, m_request.http.method, url, m_request.http.body);
     }
     return *m_fingerprint;
 }
 
+BrokenAttempt CrashSuspicion::brokenAttempt(const TargetName &target, bool hasBegun, int events)
+{
+    return {.request = m_request.fields.id,
+            .fingerprint = fingerprint(),
+            .target = target,
+            .promptParts = promptPartIdsOf(m_request.service, m_request.fields.promptParts),
+            .hasBegun = hasBegun,
+            .events = events};
+}
+
 bool CrashSuspicion::isSuspect()
 {
     return !m_guard.isIdle() && m_guard.isSuspect(fingerprint());
--- a/modules/heatherridge_transport/direct/crashsuspicion.h
+++ b/modules/heatherridge_transport/direct/crashsuspicion.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "heatherridge_state/keys/requestfingerprint.h"
+#include "heatherridge_transport/direct/brokenattempts.h"
 #include "heatherridge_transport/direct/crashguard.h"
+#include "heatherridge_transport/direct/trafficcodec.h"
 #include "heatherridge_transport/http/httpmessages.h"
 
 #include <optional>
@@ -17,11 +19,23 @@
 class CrashSuspicion
 {
 public:
-    /** @p guard, @p request and @p workspace must outlive this object. */
-    CrashSuspicion(CrashGuard &guard, const HttpRequest &request, const WorkspaceName &workspace);
+    /** What identifies the request; everything referred to must outlive the suspicion. */
+    struct Request
+    {
+        const HttpRequest &http;
+        const CallerFields &fields;
+        const WorkspaceName &workspace;
+        const ServiceName &service; ///< read on first use only
+    };
+
+    /** @p guard must outlive this object. */
+    CrashSuspicion(CrashGuard &guard, Request request);
 
     const RequestFingerprint &fingerprint();
 
+    /** Describes an attempt that @p target broke off after @p events complete events. */
+    BrokenAttempt brokenAttempt(const TargetName &target, bool hasBegun, int events);
+
     bool isSuspect();
     bool isBlocked();
 
@@ -36,8 +50,7 @@
 
 private:
     CrashGuard &m_guard;
-    const HttpRequest &m_request;
-    const WorkspaceName &m_workspace;
+    Request m_request;
     std::optional<TargetName> m_suspectTarget;
     std::optional<RequestFingerprint> m_fingerprint;
 };
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -34,7 +34,7 @@
     , m_table(std::move(table))
     , m_route(*match.route)
     , m_match(match)
-    , m_suspicion(traffic.m_crashGuard, m_exchange->request(), m_match.workspace)
+    , m_suspicion(traffic.m_crashGuard, {m_exchange->request(), m_callerFields, m_match.workspace, m_service})
     , m_arrivedAt(now())
     , m_deadline(m_arrivedAt + std::min(m_route.timeout, m_callerFields.timeout.value_or(m_route.timeout)))
     , m_timer(traffic.m_loop)
@@ -311,38 +311,38 @@
     if (m_isDone) {
         return;
     }
-    if (failure.mayHaveArrived && !m_response.hasBodyBegun()) {
-        probeTargetAfterFailure(failure.reason);
+    if (failure.mayHaveArrived) {
+        finishBrokenAttempt(failure.reason);
         return;
     }
-    if (!failure.mayHaveArrived) {
-        m_traffic.m_targets.recordUnreachable(m_target);
-    }
-    finishAttempt(failure.mayHaveArrived ? AttemptResult::Interrupted : AttemptResult::NeverSent, failure.reason);
+    m_traffic.m_targets.recordUnreachable(m_target);
+    finishAttempt(AttemptResult::NeverSent, failure.reason);
 }
 
-void GatewayCall::probeTargetAfterFailure(const std::string &reason)
+void GatewayCall::finishBrokenAttempt(const std::string &reason)
 {
     releaseTarget(false);
     const auto *target = m_traffic.m_targets.find(m_target);
-    if (target == nullptr) {
+    m_isProbingTarget = target != nullptr && !m_response.hasBodyBegun();
+    if (target != nullptr) {
+        m_traffic.m_brokenAttempts.inspect(
+            m_suspicion.brokenAttempt(m_target, m_response.hasBodyBegun(), m_stream.eventsInAttempt()), target->entry,
+            [weak = weak_from_this(), waits = m_isProbingTarget, reason](ProbeResult result) {
+                const auto self = weak.lock();
+                if (!waits || !self || self->m_isDone) {
+                    return;
+                }
+                self->m_isProbingTarget = false;
+                if (result == ProbeResult::Refused) {
+                    self->m_traffic.m_targets.recordUnreachable(self->m_target);
+                    self->m_traffic.m_crashGuard.recordTargetDeath(self->m_suspicion.fingerprint(), self->m_target);
+                }
+                self->finishAttempt(AttemptResult::Interrupted, reason);
+            });
+    }
+    if (!m_isProbingTarget) {
         finishAttempt(AttemptResult::Interrupted, reason);
-        return;
     }
-    m_isProbingTarget = true;
-    m_traffic.m_probe.probe(target->entry, [weak = weak_from_this(), reason](ProbeResult result) {
-        const auto self = weak.lock();
-        if (!self || self->m_isDone) {
-            return;
-        }
-        self->m_isProbingTarget = false;
-        if (result == ProbeResult::Refused) {
-            self->m_traffic.m_targets.recordUnreachable(self->m_target);
-            self->m_traffic.m_crashGuard.recordTargetDeath(self->m_callerFields.id, self->m_suspicion.fingerprint(),
-                                                           self->m_target);
-        }
-        self->finishAttempt(AttemptResult::Interrupted, reason);
-    });
 }
 
 bool GatewayCall::refuseIfBlocked()
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -80,7 +80,7 @@
     void write(const std::string &text);
     void onStreamComplete();
     void finishAttempt(AttemptResult result, std::string_view reason);
-    void probeTargetAfterFailure(const std::string &reason);
+    void finishBrokenAttempt(const std::string &reason);
     bool refuseIfBlocked();
     GatewayTargets::Choice chooseTarget();
     TargetRequirements requirements(const std::set<TargetName> &avoided) const;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -52,6 +52,7 @@
            .metrics = &metrics})
     , m_pool(loop, metrics)
     , m_probe(loop, m_options.connectTimeout, metrics)
+    , m_brokenAttempts(m_probe, metrics)
     , m_crashGuard({.reportCreated = m_options.reportCrash,
                     .requestBlocked = [this](const auto &request) { cancelBlocked(request); }},
                    metrics)
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -6,6 +6,7 @@
 #include "heatherridge_state/routing/routetable.h"
 #include "heatherridge_transport/app/metrics.h"
 #include "heatherridge_transport/direct/admissioncontrol.h"
+#include "heatherridge_transport/direct/brokenattempts.h"
 #include "heatherridge_transport/direct/crashguard.h"
 #include "heatherridge_transport/direct/gatewaytargets.h"
 #include "heatherridge_transport/direct/targetconnectionpool.h"
@@ -155,6 +156,7 @@
     GatewayTargets m_targets;
     TargetConnectionPool m_pool;
     TargetProbe m_probe;
+    BrokenAttempts m_brokenAttempts;
     CrashGuard m_crashGuard;
     SeededRandom m_random;
     std::map<ServiceName, FleetRetryBudget> m_retryBudgets;
--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -14,6 +14,7 @@
 void StreamProgress::beginAttempt()
 {
     m_splitter = {};
+    m_eventsInAttempt = 0;
 }
 
 std::vector<StreamEvent> StreamProgress::feed(std::string_view bytes)
@@ -24,6 +25,7 @@
         if (m_isBroken) {
             break;
         }
+        ++m_eventsInAttempt;
         const bool isDuplicate = event.id && m_lastEventId && *event.id <= *m_lastEventId;
         if (isDuplicate) {
             continue; // received from an earlier target
@@ -56,6 +58,11 @@
     return m_hasBegun;
 }
 
+int StreamProgress::eventsInAttempt() const
+{
+    return m_eventsInAttempt;
+}
+
 bool StreamProgress::isBroken() const
 {
     return m_isBroken || m_splitter.hasPartialEvent();
--- a/modules/heatherridge_transport/direct/trafficcodec.h
+++ b/modules/heatherridge_transport/direct/trafficcodec.h
@@ -19,6 +19,8 @@
     std::optional<std::chrono::milliseconds> timeout{}; ///< how long the caller waits for the response
     std::string apiKey{};
     std::optional<std::uint64_t> lastEventId{}; ///< last event of the stream that the caller has received
+    /** Ids of the parts of the prompt that it may share with other requests, in order; bounded in number. */
+    std::vector<std::uint64_t> promptParts{};
     bool isWellFormed = true; ///< false if one of the fields cannot be parsed
 };
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -343,6 +343,64 @@
     EXPECT_FALSE(PlatformTraffic().readCallerFields({{"X-Heatherridge-Deadline-Ms", "soon"}}).isWellFormed);
 }
 
+/** A header that lists the parts of a prompt, and the ids that are read from it. */
+struct PromptPartsRow
+{
+    const char *name;
+    std::string header;
+    std::vector<std::uint64_t> parts;
+};
+
+/** Returns a header with @p count entries, numbered from 1. */
+std::string promptPartsHeader(int count)
+{
+    std::string header;
+    for (int number = 1; number <= count; ++number) {
+        header += (number > 1 ? "," : "") + std::string(number == count ? "ff" : "a") + ":" + std::to_string(number);
+    }
+    return header;
+}
+
+const PromptPartsRow PromptPartsRows[] = {
+    {"LeavesOutTheLast", "5c1e07a2:800,91bd3f06:410,e4402b7d:250", {0x5c1e07a2, 0x91bd3f06}},
+    {"NoneWithoutHeader", "", {}},
+    {"NoneOfOne", "5c1e07a2:800", {}},
+    {"SpacesAround", " 5c1e07a2:800 ,\t91bd3f06:410", {0x5c1e07a2}},
+    {"LongestId", "ffffffffffffffff:1,0:1", {0xffffffffffffffff}},
+    {"IdTooLong", "1ffffffffffffffff:1,0:1", {}},
+    {"IdNotHexadecimal", "5c1e07a2:800,xyz:1,e4402b7d:250", {}},
+    {"NegativeId", "-1:1,0:1", {}},
+    {"EmptyId", ":800,e4402b7d:250", {}},
+    {"MalformedLast", "5c1e07a2:800,91bd3f06:410,e4402b7d", {}},
+    {"MalformedTokens", "5c1e07a2:many,e4402b7d:250", {}},
+    {"EmptyEntry", "5c1e07a2:800,,e4402b7d:250", {}},
+    {"TrailingComma", "5c1e07a2:800,e4402b7d:250,", {}},
+    {"MoreThanRead", promptPartsHeader(1'000), std::vector<std::uint64_t>(16, 0xa)},
+};
+
+class PromptParts : public testing::TestWithParam<PromptPartsRow>
+{
+};
+
+// Guards against a request that is refused for a malformed or long list of prompt parts, and against the part that
+// belongs to the request alone being taken for a shared one.
+TEST_P(PromptParts, AreReadWithoutTheLastOne)
+{
+    const auto fields = PlatformTraffic().readCallerFields({{"X-Heatherridge-Prompt-Prefix", GetParam().header}});
+    EXPECT_EQ(fields.promptParts, GetParam().parts);
+    EXPECT_TRUE(fields.isWellFormed);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, PromptParts, testing::ValuesIn(PromptPartsRows),
+                         [](const auto &info) { return std::string(info.param.name); });
+
+RC_GTEST_PROP(PromptPartLists, AcceptArbitraryBytes, (const std::string &header))
+{
+    const auto fields = PlatformTraffic().readCallerFields({{"X-Heatherridge-Prompt-Prefix", header}});
+    RC_ASSERT(fields.isWellFormed);
+    RC_ASSERT(fields.promptParts.size() <= 16U);
+}
+
 // A caller could name another customer's workspace, or its API key could reach a target that logs it, where a reader of
 // the log could impersonate the caller. Only this process sets the routing and identity headers sent to targets.
 TEST(ForwardedHeaders, ReplaceReservedCallerHeaders)
