--- a/tests/gateway/crashing_test.cpp
+++ b/tests/gateway/crashing_test.cpp
@@ -1,10 +1,8 @@
+#include "gateway/crashabletargets.h"
 #include "gateway/gatewayfixture.h"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <numeric>
-
 using namespace Heatherridge;
 using namespace std::chrono_literals;
 
@@ -33,41 +31,6 @@
     return {{.bytes = signedResponse(request, "id: 1\ndata: good\n\n")}};
 }
 
-/** A set of targets, each with its own port. */
-class CrashableTargets
-{
-public:
-    explicit CrashableTargets(std::size_t count, const ScriptedTarget::Script &script = answerOrCrash)
-    {
-        while (m_targets.size() < count) {
-            m_targets.push_back(std::make_unique<ScriptedTarget>(script));
-        }
-    }
-
-    std::vector<const ScriptedTarget *> all() const
-    {
-        std::vector<const ScriptedTarget *> all;
-        std::transform(m_targets.begin(), m_targets.end(), std::back_inserter(all),
-                       [](const auto &target) { return target.get(); });
-        return all;
-    }
-
-    std::ptrdiff_t crashedCount() const
-    {
-        return std::count_if(m_targets.begin(), m_targets.end(),
-                             [](const auto &target) { return target->hasCrashed(); });
-    }
-
-    std::size_t requestCount() const
-    {
-        return std::accumulate(m_targets.begin(), m_targets.end(), std::size_t{0},
-                               [](std::size_t sum, const auto &target) { return sum + target->requests().size(); });
-    }
-
-private:
-    std::vector<std::unique_ptr<ScriptedTarget>> m_targets;
-};
-
 /** Sends a request and waits for its answer. @returns the status of the answer */
 int sendRequest(const GatewayFixture &gateway, const std::string &path, const std::string &id, const std::string &body)
 {
@@ -103,7 +66,7 @@
 TEST_P(CrashingRequests, AreBlockedAfterThreeTargetDeaths)
 {
     const auto &testCase = GetParam();
-    const CrashableTargets targets(12);
+    const CrashableTargets targets(12, answerOrCrash);
     const auto reports = std::make_shared<SharedRecords>();
     std::vector<std::unique_ptr<GatewayFixture>> gateways;
     while (gateways.size() < testCase.gateways) {
@@ -124,7 +87,7 @@
 // Guards against a newly started gateway that forwards a request known to the others to crash targets.
 TEST(LaterGateways, RefuseRequestsKnownToCrashTargets)
 {
-    const CrashableTargets targets(12);
+    const CrashableTargets targets(12, answerOrCrash);
     const auto reports = std::make_shared<SharedRecords>();
     {
         GatewayFixture gateway(targets.all(), {.reports = reports});
@@ -163,7 +126,7 @@
 // Guards against blocking a request whose connections broke although the targets stayed alive.
 TEST(BrokenRequests, AreStillSentToLiveTargets)
 {
-    const CrashableTargets targets(3);
+    const CrashableTargets targets(3, answerOrCrash);
     GatewayFixture gateway(targets.all());
     constexpr int requests = 6;
     for (int index = 0; index < requests; ++index) {
