Prompt part suspects: records, codec and interface final

The interface of the decision that finds a crashing prompt part, its four kinds of records and their codec. The first field of a new record is a number where that of a CrashReport is a boolean, so that earlier releases reject it with an error and log it.

--- /dev/null
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -0,0 +1,194 @@
+#pragma once
+
+#include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/decisions/answeredparts.h"
+#include "heatherridge_state/decisions/promptpartrecord.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/** What follows from an observation about prompt parts. */
+struct PromptPartChanges
+{
+    std::vector<PromptPartRecord> toPublish{}; ///< for all gateways
+    std::vector<PromptPart> blocked{}; ///< were not blocked before
+    std::vector<PromptPart> released{}; ///< were blocked before
+};
+
+/**
+ * Finds a part of prompts that crashes the targets which begin to write an answer on it.
+ *
+ * Load pattern: requests that share one part of their prompt, and nothing else, arrive at any gateway; each crashes the
+ * target that begins to answer it, and each crash closes a whole group for seconds. Next to nothing is answered between
+ * two crashes, and the popular parts of other prompts are in hand at every one of them.
+ *
+ * A part is blocked once several targets have died under it and no request with it has been answered since. A part with
+ * an earlier answer needs more deaths, in several episodes, while other requests are answered. One blocked part
+ * explains the deaths under it: they do not count for the other parts that were in hand. An answer to any request with
+ * a part clears it; at most a few trial requests, each sent by one gateway, give a blocked part that chance.
+ *
+ * Every gateway records the reports of all gateways and its own; the verdicts are published too, so that gateways which
+ * miss the reports learn of them. Single-threaded; time comes from the caller.
+ */
+class PromptPartSuspects
+{
+public:
+    struct Options
+    {
+        std::size_t deathsToBlock = 3; ///< of a part without a known answer
+        std::size_t deathsToBlockAnswered = 6; ///< of a part with an earlier answer
+        std::size_t episodesToBlockAnswered = 3; ///< in which these deaths must lie
+        std::chrono::milliseconds episodeGap{1'000}; ///< between the starts of two episodes at least
+        /** Answers without the part at this gateway, since the first death, before a part with an answer is blocked. */
+        std::uint64_t answersOfOthersToBlock = 8;
+        /** Reports of one gateway on one target that are closer than this are of one death. */
+        std::chrono::milliseconds sameDeathGap{2'000};
+        /** Reports of several gateways on one target may arrive this far apart and be of one death. */
+        std::chrono::milliseconds sameDeathArrival{5'000};
+        std::chrono::milliseconds retention{300'000}; ///< of deaths, and of a block since the last refusal or record
+        std::chrono::milliseconds repeatInterval{8'000}; ///< of the record of a block while requests with it arrive
+        std::chrono::milliseconds minRepeatInterval{1'000}; ///< when another gateway proves not to know of the block
+        /** Longest wait before a record that others may publish too; it is dropped when theirs is read meanwhile. */
+        std::chrono::milliseconds publishJitter{400};
+        std::size_t maxTrials = 2; ///< of one blocked part
+        std::chrono::milliseconds firstTrialDelay{15'000}; ///< after a block that rests on two or more episodes
+        std::chrono::milliseconds doubtfulTrialDelay{5'000}; ///< after a block that rests on one episode
+        int trialDelayGrowth = 8; ///< factor from one trial to the next
+        std::size_t maxSuspects = 10'000; ///< parts; beyond it the oldest with one death is dropped
+        std::size_t maxDeaths = 10'000; ///< beyond it the oldest is forgotten
+        std::size_t maxPartsPerReport = 32; ///< further parts of a prompt are not considered
+        AnsweredParts::Options answered{};
+    };
+
+    /** @param self this run of the gateway, which its reports carry */
+    explicit PromptPartSuspects(Incarnation self)
+        : PromptPartSuspects(self, Options{})
+    {
+    }
+    PromptPartSuspects(Incarnation self, Options options);
+
+    /** Returns whether no part is under suspicion or blocked, so that requests need not be checked. */
+    bool isIdle() const;
+
+    /** Returns the first blocked part among @p parts. */
+    std::optional<PromptPart> blockedPart(std::span<const PromptPart> parts) const;
+
+    /**
+     * Returns whether one of @p parts has deaths that nothing explains and no known answer. Such requests are sent to
+     * separate targets.
+     */
+    bool isSuspect(std::span<const PromptPart> parts) const;
+
+    /** Returns the number of deaths of @p part that count against it at present. */
+    std::size_t deathCount(PromptPart part) const;
+
+    /**
+     * Records that @p target died while it had a request of this gateway with @p parts (in prompt order, without the
+     * last one), of whose answer @p progress whole events had arrived in this attempt.
+     */
+    PromptPartChanges recordTargetDeath(const TargetName &target, std::span<const PromptPart> parts,
+                                        std::uint32_t progress, SteadyTime now);
+
+    /**
+     * Records that a target has sent @p progress whole events to a request with @p parts, or the whole answer. Called
+     * once an attempt has two or more whole events or is complete.
+     */
+    PromptPartChanges recordAnswer(std::span<const PromptPart> parts, std::uint32_t progress, bool isComplete,
+                                   SteadyTime now);
+
+    /** Records that a request with @p parts, one or more of them blocked, arrived and was refused. */
+    PromptPartChanges recordRefusal(std::span<const PromptPart> parts, SteadyTime now);
+
+    /**
+     * Returns whether this gateway may send the request at hand, which has @p parts, as the trial of its only blocked
+     * part, and uses up the permission.
+     */
+    bool takeTrial(std::span<const PromptPart> parts);
+
+    /** Applies records read from the log, in its order, including those of this gateway. */
+    PromptPartChanges apply(std::span<const PromptPartRecord> records, SteadyTime now);
+
+    /** Publishes what is due and evicts what has expired. Called about every 100 ms. */
+    PromptPartChanges tick(SteadyTime now);
+
+private:
+    /** A death of a target, as reported by one or more gateways. */
+    struct Death
+    {
+        TargetName target{};
+        SteadyTime time{}; ///< of the first report here
+        std::map<Incarnation, std::chrono::milliseconds> reportedAt{}; ///< by reporter, on its clock
+    };
+    using DeathPointer = std::shared_ptr<Death>;
+
+    struct Suspect
+    {
+        std::vector<DeathPointer> deaths{}; ///< since the last published answer, oldest first
+        std::uint32_t maxProgress = 0; ///< of the requests that were in hand at these deaths
+        std::size_t position = 0; ///< in the prompt, of the last report
+        bool wasAnswered = false; ///< at any gateway, before or between the deaths
+        std::optional<SteadyTime> lastAnswer{}; ///< at this gateway, later than the first death
+        std::uint64_t answersAtFirstDeath = 0; ///< value of m_answerCount
+    };
+
+    struct Block
+    {
+        SteadyTime lastActivity{}; ///< last refusal or record
+        SteadyTime lastRecord{}; ///< last record of it that was published here or read
+        bool isOwnVerdict = false; ///< follows from the deaths known here
+        std::size_t trials = 0; ///< claimed so far by any gateway
+        SteadyTime nextTrial{};
+        bool mayTry = false; ///< this gateway holds the last claim and has not used it
+    };
+
+    enum class RecordKind { Answered, Blocked, Trial };
+    struct PendingKey
+    {
+        RecordKind kind = RecordKind::Answered;
+        PromptPart part{};
+
+        auto operator<=>(const PendingKey &) const = default;
+    };
+
+    void apply(const PromptPartsDeath &report, SteadyTime now, PromptPartChanges &changes);
+    void apply(const PromptPartsAnswered &record, SteadyTime now, PromptPartChanges &changes);
+    void apply(const PromptPartBlocked &record, SteadyTime now, PromptPartChanges &changes);
+    void apply(const PromptPartTrial &record, SteadyTime now, PromptPartChanges &changes);
+
+    DeathPointer deathFor(const PromptPartsDeath &report, SteadyTime now);
+    void addDeath(const PromptPartInHand &inHand, std::size_t position, std::uint32_t progress,
+                  const DeathPointer &death, SteadyTime now);
+    std::vector<DeathPointer> countedDeaths(const Suspect &suspect) const;
+    std::size_t episodes(const std::vector<DeathPointer> &deaths) const;
+    bool isAnswered(PromptPart part, const Suspect &suspect) const;
+    void updateVerdicts(SteadyTime now, PromptPartChanges &changes);
+    void block(PromptPart part, std::size_t episodeCount, SteadyTime now, PromptPartChanges &changes);
+    void clear(PromptPart part, SteadyTime now, PromptPartChanges &changes);
+    void schedule(RecordKind kind, PromptPart part, SteadyTime now);
+    void publish(const PendingKey &key, SteadyTime now, PromptPartChanges &changes);
+    void evictExpired(SteadyTime now, PromptPartChanges &changes);
+    void evictSuspect();
+
+    Incarnation m_self;
+    Options m_options;
+    AnsweredParts m_answered;
+    std::uint64_t m_answerCount = 0; ///< answers at this gateway
+    std::map<TargetName, std::vector<DeathPointer>> m_deathsByTarget; ///< oldest first
+    std::size_t m_deathCount = 0;
+    std::map<PromptPart, Suspect> m_suspects;
+    std::map<PromptPart, Block> m_blocks;
+    std::set<DeathPointer> m_explained; ///< deaths under a blocked part
+    std::map<PendingKey, SteadyTime> m_pending; ///< records to publish, with the time at which they are due
+};
+
+} // namespace Heatherridge
--- a/tests/feed/crashfeed_test.cpp
+++ b/tests/feed/crashfeed_test.cpp
@@ -197,4 +197,69 @@
     static_cast<void>(decodeCrashReport(bytes));
 }
 
+CrashRecord arbitraryPartRecord()
+{
+    const auto parts = *rc::gen::arbitrary<std::vector<std::pair<std::uint64_t, bool>>>();
+    const auto number = *rc::gen::arbitrary<std::uint64_t>();
+    const auto kind = *rc::gen::inRange(0, 4);
+    const auto first = static_cast<PromptPart>(number);
+    if (kind == 0) {
+        PromptPartsDeath death{.reporter = static_cast<Incarnation>(number),
+                               .reportedAt = std::chrono::milliseconds(*rc::gen::arbitrary<std::int64_t>()),
+                               .target = TargetName("t" + std::to_string(parts.size())),
+                               .progress = *rc::gen::arbitrary<std::uint32_t>()};
+        for (const auto &[part, wasAnswered] : parts) {
+            death.parts.push_back({.part = static_cast<PromptPart>(part), .wasAnswered = wasAnswered});
+        }
+        return death;
+    }
+    if (kind == 1) {
+        PromptPartsAnswered answered;
+        for (const auto &[part, wasAnswered] : parts) {
+            answered.parts.push_back(static_cast<PromptPart>(part));
+        }
+        return answered;
+    }
+    if (kind == 2) {
+        return PromptPartBlocked{.part = first};
+    }
+    return PromptPartTrial{.part = first,
+                           .gateway = static_cast<Incarnation>(*rc::gen::arbitrary<std::uint64_t>()),
+                           .number = *rc::gen::arbitrary<std::uint32_t>()};
+}
+
+// Guards against gateways that read another verdict than was published.
+RC_GTEST_PROP(CrashRecordCodec, RoundTripsEveryRecordOfPromptParts, ())
+{
+    const auto written = arbitraryPartRecord();
+    const auto read = decodeCrashRecord(encodeCrashRecord(written));
+    RC_ASSERT(errorIn(read) == nullptr);
+    RC_ASSERT(std::get<CrashRecord>(read) == written);
+}
+
+// Guards against a process of the previous release that takes a record of prompt parts for a report of its own kind.
+RC_GTEST_PROP(CrashRecordCodec, EarlierReleasesRejectRecordsOfPromptParts, ())
+{
+    const auto bytes = encodeCrashRecord(arbitraryPartRecord());
+    const auto read = decodeCrashReport(bytes);
+    RC_ASSERT(errorIn(read) != nullptr);
+}
+
+// Guards against losing the reports that processes of the previous release write, or writing what they cannot read.
+RC_GTEST_PROP(CrashRecordCodec, KeepsReportsOfEarlierReleasesReadable, (bool hasAnswered, std::uint64_t high))
+{
+    const CrashReport written{.kind = hasAnswered ? CrashReport::Kind::Answered : CrashReport::Kind::TargetDied,
+                              .request = {.high = high, .low = 7},
+                              .target = TargetName("t")};
+    RC_ASSERT(encodeCrashRecord(written) == encode(written));
+    const auto read = decodeCrashRecord(encode(written));
+    RC_ASSERT(errorIn(read) == nullptr);
+    RC_ASSERT(std::get<CrashRecord>(read) == CrashRecord(written));
+}
+
+RC_GTEST_PROP(CrashRecordCodec, DecodesArbitraryBytesSafely, (const std::string &bytes))
+{
+    static_cast<void>(decodeCrashRecord(bytes));
+}
+
 } // namespace
