Find a part of prompts that crashes targets

Callers saw the targets of a service end one after the other under requests that share one part of their prompts and nothing else; a suspect was a fingerprint of the whole request, so that none of them was known.

PromptPartSuspects blames the parts that were in hand when a target died. A part without a known answer is blocked after three deaths; a part that was answered before needs six in three episodes while other requests are answered. Deaths under a blocked part do not count for the others in hand. Verdicts are derived anew from all deaths, so that the order of the reports does not matter, and a part that was blocked in place of the culprit is released when the culprit comes without it. Reports carry the run and the clock of their gateway, so that a report that is late or read twice is no second death. A blocked part gets at most two trial requests, each sent by the gateway whose claim is first in the log. PromptPartBlocked carries the number of trials for gateways that read the log later.

--- a/modules/heatherridge_state/decisions/promptpartrecord.h
+++ b/modules/heatherridge_state/decisions/promptpartrecord.h
@@ -53,6 +53,7 @@
 struct PromptPartBlocked
 {
     PromptPart part{};
+    std::uint32_t trials = 0; ///< claimed since it was blocked; see PromptPartTrial
 
     bool operator==(const PromptPartBlocked &) const = default;
 };
--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -45,6 +45,7 @@
 public:
     struct Options
     {
+        std::uint32_t maxProgress = 1; ///< whole events up to which a request counts as beginning its answer
         std::size_t deathsToBlock = 3; ///< of a part without a known answer
         std::size_t deathsToBlockAnswered = 6; ///< of a part with an earlier answer
         std::size_t episodesToBlockAnswered = 3; ///< in which these deaths must lie
@@ -57,7 +58,7 @@
         std::chrono::milliseconds sameDeathArrival{5'000};
         std::chrono::milliseconds retention{300'000}; ///< of deaths, and of a block since the last refusal or record
         std::chrono::milliseconds repeatInterval{8'000}; ///< of the record of a block while requests with it arrive
-        std::chrono::milliseconds minRepeatInterval{1'000}; ///< when another gateway proves not to know of the block
+        std::chrono::milliseconds minRepeatInterval{1'000}; ///< when another gateway reports a death under the part
         /** Longest wait before a record that others may publish too; it is dropped when theirs is read meanwhile. */
         std::chrono::milliseconds publishJitter{400};
         std::size_t maxTrials = 2; ///< of one blocked part
@@ -125,70 +126,82 @@
     /** A death of a target, as reported by one or more gateways. */
     struct Death
     {
-        TargetName target{};
         SteadyTime time{}; ///< of the first report here
         std::map<Incarnation, std::chrono::milliseconds> reportedAt{}; ///< by reporter, on its clock
     };
     using DeathPointer = std::shared_ptr<Death>;
+    using Deaths = std::vector<DeathPointer>; ///< oldest first
 
     struct Suspect
     {
-        std::vector<DeathPointer> deaths{}; ///< since the last published answer, oldest first
+        Deaths deaths{}; ///< since the last published answer
         std::uint32_t maxProgress = 0; ///< of the requests that were in hand at these deaths
-        std::size_t position = 0; ///< in the prompt, of the last report
+        std::size_t position = 0; ///< the last one in any prompt that was in hand
         bool wasAnswered = false; ///< at any gateway, before or between the deaths
-        std::optional<SteadyTime> lastAnswer{}; ///< at this gateway, later than the first death
-        std::uint64_t answersAtFirstDeath = 0; ///< value of m_answerCount
+        std::optional<SteadyTime> lastAnswer{}; ///< at this gateway, since the first death
+        std::uint64_t answersBefore = 0; ///< m_answerCount at the first death or the last answer
     };
 
     struct Block
     {
-        SteadyTime lastActivity{}; ///< last refusal or record
-        SteadyTime lastRecord{}; ///< last record of it that was published here or read
+        SteadyTime lastActivity{}; ///< last refusal, death or record
+        SteadyTime lastRecord{}; ///< when a record of it was published here or read
         bool isOwnVerdict = false; ///< follows from the deaths known here
-        std::size_t trials = 0; ///< claimed so far by any gateway
+        std::uint32_t trials = 0; ///< claimed so far by any gateway
         SteadyTime nextTrial{};
         bool mayTry = false; ///< this gateway holds the last claim and has not used it
     };
 
     enum class RecordKind { Answered, Blocked, Trial };
-    struct PendingKey
+    struct PendingRecord
     {
         RecordKind kind = RecordKind::Answered;
         PromptPart part{};
 
-        auto operator<=>(const PendingKey &) const = default;
+        auto operator<=>(const PendingRecord &) const = default;
     };
 
-    void apply(const PromptPartsDeath &report, SteadyTime now, PromptPartChanges &changes);
-    void apply(const PromptPartsAnswered &record, SteadyTime now, PromptPartChanges &changes);
-    void apply(const PromptPartBlocked &record, SteadyTime now, PromptPartChanges &changes);
-    void apply(const PromptPartTrial &record, SteadyTime now, PromptPartChanges &changes);
+    void applyRecord(const PromptPartsDeath &report, SteadyTime now);
+    void applyRecord(const PromptPartsAnswered &record, SteadyTime now);
+    void applyRecord(const PromptPartBlocked &record, SteadyTime now);
+    void applyRecord(const PromptPartTrial &record, SteadyTime now);
 
     DeathPointer deathFor(const PromptPartsDeath &report, SteadyTime now);
     void addDeath(const PromptPartInHand &inHand, std::size_t position, std::uint32_t progress,
                   const DeathPointer &death, SteadyTime now);
-    std::vector<DeathPointer> countedDeaths(const Suspect &suspect) const;
-    std::size_t episodes(const std::vector<DeathPointer> &deaths) const;
+    Deaths unexplainedDeaths(const Suspect &suspect) const;
+    Deaths countedDeaths(const Suspect &suspect) const;
+    std::size_t episodeCount(const Deaths &deaths) const;
     bool isAnswered(PromptPart part, const Suspect &suspect) const;
-    void updateVerdicts(SteadyTime now, PromptPartChanges &changes);
-    void block(PromptPart part, std::size_t episodeCount, SteadyTime now, PromptPartChanges &changes);
-    void clear(PromptPart part, SteadyTime now, PromptPartChanges &changes);
-    void schedule(RecordKind kind, PromptPart part, SteadyTime now);
-    void publish(const PendingKey &key, SteadyTime now, PromptPartChanges &changes);
-    void evictExpired(SteadyTime now, PromptPartChanges &changes);
-    void evictSuspect();
+    bool mayBlock(PromptPart part, const Suspect &suspect, const Deaths &counted) const;
+    std::optional<PromptPart> nextCulprit(const std::set<PromptPart> &found) const;
+    void explainDeathsOf(PromptPart part);
+    void updateVerdicts(SteadyTime now);
+    void releaseExplained(const std::set<PromptPart> &found, SteadyTime now);
+    void block(PromptPart part, const Deaths &counted, SteadyTime now);
+    void clear(PromptPart part, SteadyTime now);
+    std::chrono::milliseconds trialDelay(std::uint32_t trials) const;
+    void schedule(RecordKind kind, PromptPart part, SteadyTime earliest);
+    void publishDue(SteadyTime now);
+    void evictExpired(SteadyTime now);
+    void evictSuspects();
+    void evictDeaths(SteadyTime olderThan);
+    PromptPartChanges takeChanges();
 
     Incarnation m_self;
     Options m_options;
     AnsweredParts m_answered;
     std::uint64_t m_answerCount = 0; ///< answers at this gateway
-    std::map<TargetName, std::vector<DeathPointer>> m_deathsByTarget; ///< oldest first
-    std::size_t m_deathCount = 0;
+    std::map<TargetName, Deaths> m_deathsByTarget;
+    std::size_t m_deathCount = 0; ///< in m_deathsByTarget
     std::map<PromptPart, Suspect> m_suspects;
-    std::map<PromptPart, Block> m_blocks;
+    std::set<PromptPart> m_candidates; ///< suspects with enough deaths to be blocked, if they count
     std::set<DeathPointer> m_explained; ///< deaths under a blocked part
-    std::map<PendingKey, SteadyTime> m_pending; ///< records to publish, with the time at which they are due
+    std::map<PromptPart, Block> m_blocks;
+    std::map<PromptPart, SteadyTime> m_clearedAt; ///< last published answer to a former suspect
+    std::map<PendingRecord, SteadyTime> m_pending; ///< records to publish, with the time at which they are due
+    PromptPartChanges m_changes; ///< since the last call
+    SteadyTime m_nextEviction{};
 };
 
 } // namespace Heatherridge
