Refuse requests whose prompt has a part that crashes targets

Callers saw 19 and 18 engines end, one or two every 4 s, and over nine tenths of their streams refused meanwhile: requests that share one part of their prompts and nothing else ended each engine that began to answer them.

Cause: a suspect was a fingerprint of the whole request, so that these were strangers to each other, and a target that ended after the first byte of its answer was not counted.

Change: the decision PromptPartSuspects is wired to the gateway. - A target that ended under a request with at most one event of its answer counts against the parts of the prompt, also when its caller has left; the next attempt waits for the probe then. PromptPartGuard publishes, logs and counts; CrashSuspicion asks both guards for a call. - Requests with a blocked part are refused as ends-targets (503). Copies that wait or have no byte of an answer are ended: not run, or backend-failed where a target may have begun. Requests with a suspect part go to targets without another suspect until they have two events. - The part of an answer that clears a part is its second event, or its completion.

crashfeed_test compares records instead of reports; brokenattempts_test checks what is reported by progress of the answer. The tests of parts wait 250 ms for reports instead of 500, to end before a trial of a part is due.

--- a/modules/heatherridge_coordination/feed/crashfeed.cpp
+++ b/modules/heatherridge_coordination/feed/crashfeed.cpp
@@ -1,7 +1,5 @@
 #include "heatherridge_coordination/feed/crashfeed.h"
 
-#include "heatherridge_protocol/crashreportcodec.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -16,13 +14,13 @@
 {
 }
 
-void CrashFeed::report(CrashReport report)
+void CrashFeed::report(CrashRecord record)
 {
     if (m_pendingReports.size() - m_appendingCount >= m_options.maxPendingReports) {
         m_pendingReports.erase(m_pendingReports.begin() + static_cast<std::ptrdiff_t>(m_appendingCount));
         m_events.lost("the log accepts no reports and too many are pending; dropped the oldest one");
     }
-    m_pendingReports.push_back(std::move(report));
+    m_pendingReports.push_back(std::move(record));
     m_lastReportAt = m_now;
     if (m_pollTimeout > m_options.busyPollTimeout) {
         restartRead();
@@ -65,7 +63,7 @@
     std::vector<std::string> records;
     records.reserve(m_pendingReports.size());
     for (const auto &report : m_pendingReports) {
-        records.push_back(encode(report));
+        records.push_back(encodeCrashRecord(report));
     }
     m_appendingCount = records.size();
     m_log.append(records, [this, token = std::weak_ptr(m_callToken)](const Outcome &outcome) {
@@ -121,14 +119,14 @@
         m_readRetry.nextAttempt = m_now + m_options.retryDelay; // the log does not hold the requested offset
     }
     m_nextOffset = end;
-    std::vector<CrashReport> reports;
+    std::vector<CrashRecord> reports;
     for (const auto &record : records) {
-        auto report = decodeCrashReport(record);
+        auto report = decodeCrashRecord(record);
         if (const auto *error = errorIn(report)) {
             m_events.lost(error->detail);
             continue;
         }
-        reports.push_back(std::move(std::get<CrashReport>(report)));
+        reports.push_back(std::move(std::get<CrashRecord>(report)));
     }
     if (!reports.empty()) {
         m_lastReportAt = m_now;
--- a/modules/heatherridge_coordination/feed/crashfeed.h
+++ b/modules/heatherridge_coordination/feed/crashfeed.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "heatherridge_coordination/feed/reportlog.h"
+#include "heatherridge_protocol/crashreportcodec.h"
 #include "heatherridge_state/base/clock.h"
-#include "heatherridge_state/decisions/crashsuspects.h"
 
 #include <chrono>
 #include <deque>
@@ -15,8 +15,8 @@
 {
 
 /**
- * Exchanges crash reports with the other entry processes through the platform's log: which requests were running when a
- * target died.
+ * Exchanges crash reports with the other entry processes through the platform's log: which requests and prompt
+ * parts were at a target when it died.
  *
  * An append that fails is retried until the log accepts it, or until too many reports are pending. Duplicate reports
  * are harmless, and so are reads from an earlier offset. Single-threaded; driven by tick().
@@ -39,7 +39,7 @@
     struct Events
     {
         /** Called with reports read from the log, including this process's own. */
-        std::function<void(std::vector<CrashReport> reports)> received{};
+        std::function<void(std::vector<CrashRecord> reports)> received{};
         /** Called when a call of kind @p what, "read" or "append", failed; it is retried. Called once until one
          * succeeds. */
         std::function<void(std::string_view what, const Error &error)> failed{};
@@ -50,8 +50,8 @@
     /** Uses @p log, which must outlive it. */
     CrashFeed(ReportLog &log, Options options, Events events);
 
-    /** Publishes @p report to all entry processes. */
-    void report(CrashReport report);
+    /** Publishes @p record to all entry processes. */
+    void report(CrashRecord record);
 
     /** Restarts the read, which may be waiting on a dead connection. Called when another call to the log has failed or
      * the log answers again. */
@@ -83,9 +83,9 @@
     ReportLog &m_log;
     Options m_options;
     Events m_events;
-    std::deque<CrashReport> m_pendingReports; ///< not yet accepted by the log
+    std::deque<CrashRecord> m_pendingReports; ///< not yet accepted by the log
     std::size_t m_appendingCount = 0; ///< the number of pending reports, from the front, in the append in progress
-    std::deque<std::pair<SteadyTime, CrashReport>> m_sentReports; ///< accepted by the log, oldest first
+    std::deque<std::pair<SteadyTime, CrashRecord>> m_sentReports; ///< accepted by the log, oldest first
     std::uint64_t m_nextOffset = 0; ///< the next offset to read
     std::uint64_t m_readNumber = 0; ///< of the last read; answers to earlier ones are ignored
     std::chrono::milliseconds m_pollTimeout{0};
--- a/modules/heatherridge_transport/direct/brokenattempts.cpp
+++ b/modules/heatherridge_transport/direct/brokenattempts.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/direct/brokenattempts.h"
 
+#include "heatherridge_state/decisions/promptparthash.h"
 #include "heatherridge_transport/app/logger.h"
 
 #include <algorithm>
@@ -8,8 +9,9 @@
 namespace Heatherridge
 {
 
-BrokenAttempts::BrokenAttempts(TargetProbe &probe, Metrics &metrics)
+BrokenAttempts::BrokenAttempts(TargetProbe &probe, Listeners listeners, Metrics &metrics)
     : m_probe(probe)
+    , m_listeners(std::move(listeners))
     , m_metrics(metrics)
     , m_deathsSharingParts(metrics.counter("heatherridge_deaths_sharing_prompt_part_total"))
 {
@@ -19,10 +21,16 @@
 {
     m_probe.probe(target, [this, attempt = std::move(attempt), done = std::move(done)](ProbeResult result) {
         record(attempt, result);
-        done(result);
+        done();
     });
 }
 
+bool BrokenAttempts::mayBlock(const BrokenAttempt &attempt)
+{
+    const auto maxProgress = PromptPartSuspects::Options{}.maxProgress;
+    return !attempt.hasBegun || (!attempt.promptParts.empty() && attempt.events <= maxProgress);
+}
+
 void BrokenAttempts::record(const BrokenAttempt &attempt, ProbeResult result)
 {
     const std::string begun = attempt.hasBegun ? "yes" : "no";
@@ -59,11 +67,16 @@
     if (m_recentDeaths.size() > MaxRecentDeaths) {
         m_recentDeaths.pop_front();
     }
+    m_listeners.targetDied(attempt.target);
+    if (!attempt.hasBegun) {
+        m_listeners.crashes.recordTargetDeath(attempt.fingerprint, attempt.target);
+    }
+    m_listeners.parts.recordTargetDeath(attempt.target, attempt.promptParts, attempt.events);
 }
 
-std::vector<PromptPartId> BrokenAttempts::partsInEarlierDeaths(const BrokenAttempt &attempt) const
+std::vector<PromptPart> BrokenAttempts::partsInEarlierDeaths(const BrokenAttempt &attempt) const
 {
-    std::vector<PromptPartId> shared;
+    std::vector<PromptPart> shared;
     std::copy_if(
         attempt.promptParts.begin(), attempt.promptParts.end(), std::back_inserter(shared), [&](const auto part) {
             return std::any_of(m_recentDeaths.begin(), m_recentDeaths.end(), [&](const Death &death) {
--- a/modules/heatherridge_transport/direct/brokenattempts.h
+++ b/modules/heatherridge_transport/direct/brokenattempts.h
@@ -1,8 +1,10 @@
 #pragma once
 
-#include "heatherridge_state/keys/promptpartid.h"
+#include "heatherridge_state/decisions/promptpartrecord.h"
 #include "heatherridge_state/keys/requestfingerprint.h"
 #include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/direct/crashguard.h"
+#include "heatherridge_transport/direct/promptpartguard.h"
 #include "heatherridge_transport/direct/targetprobe.h"
 
 #include <deque>
@@ -18,33 +20,47 @@
     RequestId request{};
     RequestFingerprint fingerprint{};
     TargetName target{};
-    std::vector<PromptPartId> promptParts{}; ///< without the last one, which belongs to the request alone
+    std::vector<PromptPart> promptParts{}; ///< without the last one, which belongs to the request alone
     bool hasBegun = false; ///< bytes of the body of an answer had arrived
-    int events = 0; ///< complete events received in this attempt
+    std::uint32_t events = 0; ///< complete events received in this attempt
 };
 
 /**
- * Finds out whether a target that broke an exchange off has died, and logs and counts it.
+ * Finds out whether a target that broke an exchange off has died, logs and counts it, and reports deaths to the guards.
  *
  * Used on the traffic thread only.
  */
 class BrokenAttempts
 {
 public:
-    using Done = std::function<void(ProbeResult)>;
+    using Done = std::function<void()>;
 
-    /** @p probe and @p metrics must outlive this object. */
-    BrokenAttempts(TargetProbe &probe, Metrics &metrics);
+    /** What learns of deaths. */
+    struct Listeners
+    {
+        CrashGuard &crashes;
+        PromptPartGuard &parts;
+        std::function<void(const TargetName &target)> targetDied{};
+    };
 
-    /** Probes @p target, which broke @p attempt off, and calls @p done with the result later. */
+    /** @p probe, the guards and @p metrics must outlive this object. */
+    BrokenAttempts(TargetProbe &probe, Listeners listeners, Metrics &metrics);
+
+    /** Probes @p target, which broke @p attempt off, and calls @p done later, once a death has been reported. */
     void inspect(BrokenAttempt attempt, const TargetEntry &target, Done done);
 
+    /**
+     * Returns whether @p attempt, if its target died, may block the request, so that the next attempt must wait for the
+     * result.
+     */
+    static bool mayBlock(const BrokenAttempt &attempt);
+
 private:
     /** A dead target and the prompt parts of a request that it had. */
     struct Death
     {
         TargetName target{};
-        std::vector<PromptPartId> promptParts{};
+        std::vector<PromptPart> promptParts{};
     };
 
     /** Deaths whose prompt parts are compared with those of the next one: a few for each engine of a large group. */
@@ -52,9 +68,10 @@
 
     void record(const BrokenAttempt &attempt, ProbeResult result);
     void recordDeath(const BrokenAttempt &attempt);
-    std::vector<PromptPartId> partsInEarlierDeaths(const BrokenAttempt &attempt) const;
+    std::vector<PromptPart> partsInEarlierDeaths(const BrokenAttempt &attempt) const;
 
     TargetProbe &m_probe;
+    Listeners m_listeners;
     Metrics &m_metrics;
     Counter &m_deathsSharingParts;
     std::deque<Death> m_recentDeaths;
--- a/modules/heatherridge_transport/direct/crashsuspicion.cpp
+++ b/modules/heatherridge_transport/direct/crashsuspicion.cpp
@@ -1,10 +1,14 @@
 #include "heatherridge_transport/direct/crashsuspicion.h"
 
+#include "heatherridge_state/decisions/promptparthash.h"
+
+#include <algorithm>
+
 namespace Heatherridge
 {
 
-CrashSuspicion::CrashSuspicion(CrashGuard &guard, Request request)
-    : m_guard(guard)
+CrashSuspicion::CrashSuspicion(Guards guards, Request request)
+    : m_guards(guards)
     , m_request(request)
 {
 }
@@ -18,31 +22,79 @@
     return *m_fingerprint;
 }
 
-BrokenAttempt CrashSuspicion::brokenAttempt(const TargetName &target, bool hasBegun, int events)
+const std::vector<PromptPart> &CrashSuspicion::parts()
 {
+    if (!m_parts) {
+        m_parts = promptPartsOf(m_request.service, m_request.fields.promptParts);
+    }
+    return *m_parts;
+}
+
+BrokenAttempt CrashSuspicion::brokenAttempt(const TargetName &target, bool hasBegun, std::uint32_t events)
+{
+    m_isTrial = false;
     return {.request = m_request.fields.id,
             .fingerprint = fingerprint(),
             .target = target,
-            .promptParts = promptPartIdsOf(m_request.service, m_request.fields.promptParts),
+            .promptParts = parts(),
             .hasBegun = hasBegun,
             .events = events};
 }
 
+bool CrashSuspicion::isSuspectRequest()
+{
+    return !m_guards.requests.isIdle() && m_guards.requests.isSuspect(fingerprint());
+}
+
+bool CrashSuspicion::hasSuspectPart()
+{
+    return !m_guards.parts.isIdle() && m_guards.parts.isSuspect(parts());
+}
+
 bool CrashSuspicion::isSuspect()
 {
-    return !m_guard.isIdle() && m_guard.isSuspect(fingerprint());
+    return isSuspectRequest() || hasSuspectPart();
 }
 
 bool CrashSuspicion::isBlocked()
 {
-    return !m_guard.isIdle() && m_guard.isBlocked(fingerprint());
+    if (!m_guards.requests.isIdle() && m_guards.requests.isBlocked(fingerprint())) {
+        return true;
+    }
+    if (m_isTrial || m_guards.parts.isIdle() || !m_guards.parts.blockedPart(parts())) {
+        return false;
+    }
+    m_isTrial = m_guards.parts.takeTrial(parts());
+    return !m_isTrial;
+}
+
+bool CrashSuspicion::matches(const RequestFingerprint &request)
+{
+    return fingerprint() == request;
+}
+
+bool CrashSuspicion::matches(PromptPart part)
+{
+    return std::find(parts().begin(), parts().end(), part) != parts().end();
+}
+
+std::string CrashSuspicion::recordRefusal()
+{
+    if (const auto part = m_guards.parts.blockedPart(parts())) {
+        m_guards.parts.recordRefusal(parts());
+        return "prompt part " + toString(*part);
+    }
+    m_guards.requests.recordRefusal(fingerprint());
+    return "fingerprint " + toString(fingerprint());
 }
 
 void CrashSuspicion::markAt(const TargetName &target)
 {
-    if (isSuspect()) {
+    m_hasRecordedAnswer = false;
+    m_isPartSuspect = hasSuspectPart();
+    if (m_isPartSuspect || isSuspectRequest()) {
         m_suspectTarget = target;
-        m_guard.suspectTargets().add(target);
+        m_guards.requests.suspectTargets().add(target);
     }
 }
 
@@ -51,14 +103,34 @@
     if (!m_suspectTarget) {
         return;
     }
-    m_guard.suspectTargets().remove(*m_suspectTarget);
+    m_guards.requests.suspectTargets().remove(*m_suspectTarget);
     m_suspectTarget.reset();
 }
 
-void CrashSuspicion::recordAnswer()
+void CrashSuspicion::recordProgress(std::uint32_t events)
+{
+    const bool isBeyondBeginning = events > PromptPartSuspects::Options{}.maxProgress;
+    if (isBeyondBeginning || !m_isPartSuspect) {
+        unmark();
+    }
+    if (isBeyondBeginning) {
+        recordPartsAnswered(events, false);
+    }
+}
+
+void CrashSuspicion::recordAnswer(std::uint32_t events)
+{
+    if (isSuspectRequest()) {
+        m_guards.requests.recordAnswer(fingerprint());
+    }
+    recordPartsAnswered(events, true);
+}
+
+void CrashSuspicion::recordPartsAnswered(std::uint32_t events, bool isComplete)
 {
-    if (isSuspect()) {
-        m_guard.recordAnswer(fingerprint());
+    if (!m_hasRecordedAnswer) {
+        m_hasRecordedAnswer = true;
+        m_guards.parts.recordAnswer(parts(), events, isComplete);
     }
 }
 
--- a/modules/heatherridge_transport/direct/crashsuspicion.h
+++ b/modules/heatherridge_transport/direct/crashsuspicion.h
@@ -3,22 +3,32 @@
 #include "heatherridge_state/keys/requestfingerprint.h"
 #include "heatherridge_transport/direct/brokenattempts.h"
 #include "heatherridge_transport/direct/crashguard.h"
+#include "heatherridge_transport/direct/promptpartguard.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 #include "heatherridge_transport/http/httpmessages.h"
 
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace Heatherridge
 {
 
 /**
- * What a gateway's crash guard knows of one request, and the target at which it lists the request as a suspect.
+ * What a gateway's guards know of one request and the parts of its prompt, and the target at which it is listed as a
+ * suspect.
  *
- * Computes the request's fingerprint on first use. Used on the traffic thread only.
+ * Computes the request's fingerprint and its parts on first use. Used on the traffic thread only.
  */
 class CrashSuspicion
 {
 public:
+    struct Guards
+    {
+        CrashGuard &requests;
+        PromptPartGuard &parts;
+    };
+
     /** What identifies the request; everything referred to must outlive the suspicion. */
     struct Request
     {
@@ -28,31 +38,53 @@
         const ServiceName &service; ///< read on first use only
     };
 
-    /** @p guard must outlive this object. */
-    CrashSuspicion(CrashGuard &guard, Request request);
-
-    const RequestFingerprint &fingerprint();
+    /** @p guards must outlive this object. */
+    CrashSuspicion(Guards guards, Request request);
 
     /** Describes an attempt that @p target broke off after @p events complete events. */
-    BrokenAttempt brokenAttempt(const TargetName &target, bool hasBegun, int events);
+    BrokenAttempt brokenAttempt(const TargetName &target, bool hasBegun, std::uint32_t events);
 
     bool isSuspect();
+
+    /** Returns whether the request must not be sent, unless it is chosen as the trial of a blocked prompt part. */
     bool isBlocked();
 
-    /** Lists the request as a suspect that @p target runs, if it is one. */
+    /** Returns whether the request is the one that @p request identifies. */
+    bool matches(const RequestFingerprint &request);
+
+    /** Returns whether @p part is one of the parts of its prompt. */
+    bool matches(PromptPart part);
+
+    /** Records that the blocked request was refused. @returns what it is blocked for, for the log */
+    std::string recordRefusal();
+
+    /** Called when the request is sent to @p target. Lists it as a suspect that @p target runs, if it is one. */
     void markAt(const TargetName &target);
 
-    /** Removes it from that list: the target has begun to answer, or no longer has the request. */
+    /** Removes it from that list: the target no longer has the request. */
     void unmark();
 
-    /** Records that a target answered the request. */
-    void recordAnswer();
+    /** Called when bytes of the body of an answer have arrived, with @p events complete events in this attempt. */
+    void recordProgress(std::uint32_t events);
+
+    /** Records that a target answered the request with @p events complete events. */
+    void recordAnswer(std::uint32_t events);
 
 private:
-    CrashGuard &m_guard;
+    const RequestFingerprint &fingerprint();
+    const std::vector<PromptPart> &parts();
+    bool isSuspectRequest();
+    bool hasSuspectPart();
+    void recordPartsAnswered(std::uint32_t events, bool isComplete);
+
+    Guards m_guards;
     Request m_request;
     std::optional<TargetName> m_suspectTarget;
+    bool m_isPartSuspect = false; ///< listed for a part of its prompt
+    bool m_isTrial = false; ///< of a blocked part
+    bool m_hasRecordedAnswer = false; ///< of its parts, in this attempt
     std::optional<RequestFingerprint> m_fingerprint;
+    std::optional<std::vector<PromptPart>> m_parts;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -34,7 +34,8 @@
     , m_table(std::move(table))
     , m_route(*match.route)
     , m_match(match)
-    , m_suspicion(traffic.m_crashGuard, {m_exchange->request(), m_callerFields, m_match.workspace, m_service})
+    , m_suspicion({traffic.m_crashGuard, traffic.m_promptPartGuard},
+                  {m_exchange->request(), m_callerFields, m_match.workspace, m_service})
     , m_arrivedAt(now())
     , m_deadline(m_arrivedAt + std::min(m_route.timeout, m_callerFields.timeout.value_or(m_route.timeout)))
     , m_timer(traffic.m_loop)
@@ -286,12 +287,12 @@
     if (!m_response.beginBody()) {
         return;
     }
-    m_suspicion.unmark();
     if (isStream() && m_response.status() == 200) {
         forwardEvents(bytes);
-        return;
+    } else {
+        m_response.append(bytes);
     }
-    m_response.append(bytes);
+    m_suspicion.recordProgress(m_stream.eventsInAttempt());
 }
 
 void GatewayCall::onResponseComplete()
@@ -323,22 +324,17 @@
 {
     releaseTarget(false);
     const auto *target = m_traffic.m_targets.find(m_target);
-    m_isProbingTarget = target != nullptr && !m_response.hasBodyBegun();
+    auto attempt = m_suspicion.brokenAttempt(m_target, m_response.hasBodyBegun(), m_stream.eventsInAttempt());
+    m_isProbingTarget = target != nullptr && BrokenAttempts::mayBlock(attempt);
     if (target != nullptr) {
-        m_traffic.m_brokenAttempts.inspect(
-            m_suspicion.brokenAttempt(m_target, m_response.hasBodyBegun(), m_stream.eventsInAttempt()), target->entry,
-            [weak = weak_from_this(), waits = m_isProbingTarget, reason](ProbeResult result) {
-                const auto self = weak.lock();
-                if (!waits || !self || self->m_isDone) {
-                    return;
-                }
+        const auto finish = [weak = weak_from_this(), waits = m_isProbingTarget, reason] {
+            const auto self = weak.lock();
+            if (waits && self && !self->m_isDone) {
                 self->m_isProbingTarget = false;
-                if (result == ProbeResult::Refused) {
-                    self->m_traffic.m_targets.recordUnreachable(self->m_target);
-                    self->m_traffic.m_crashGuard.recordTargetDeath(self->m_suspicion.fingerprint(), self->m_target);
-                }
                 self->finishAttempt(AttemptResult::Interrupted, reason);
-            });
+            }
+        };
+        m_traffic.m_brokenAttempts.inspect(std::move(attempt), target->entry, finish);
     }
     if (!m_isProbingTarget) {
         finishAttempt(AttemptResult::Interrupted, reason);
@@ -350,18 +346,13 @@
     if (!m_suspicion.isBlocked()) {
         return false;
     }
-    m_traffic.m_crashGuard.recordRefusal(m_suspicion.fingerprint());
     fail({.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : ErrorKind::EndsTargets,
-          .detail = "fingerprint " + toString(m_suspicion.fingerprint())});
+          .detail = m_suspicion.recordRefusal()});
     return true;
 }
 
-void GatewayCall::cancelIfBlocked(const RequestFingerprint &request)
+void GatewayCall::cancelBlocked()
 {
-    const bool isInProgress = m_connection != nullptr || m_isWaiting;
-    if (m_isDone || m_response.hasBodyBegun() || !isInProgress || m_suspicion.fingerprint() != request) {
-        return;
-    }
     m_possibleExecutions += m_connection != nullptr ? 1 : 0;
     releaseTarget(false);
     refuseIfBlocked();
@@ -414,12 +405,12 @@
 void GatewayCall::onStreamComplete()
 {
     if (m_stream.isBroken()) {
-        finishAttempt(AttemptResult::Interrupted, "the stream ended in the middle of an event");
+        finishBrokenAttempt("the stream ended in the middle of an event");
         return;
     }
     releaseTarget(true);
     m_traffic.m_targets.recordAttempt(m_target, AttemptOutcome::Succeeded, now());
-    m_suspicion.recordAnswer();
+    m_suspicion.recordAnswer(m_stream.eventsInAttempt());
     if (!m_stream.hasBegun()) {
         m_exchange->beginStream(m_response.status(), m_response.headers());
     }
@@ -441,7 +432,7 @@
             m_target, result == AttemptResult::TimedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Failed, now());
     }
     if (hasCompleted) {
-        m_suspicion.recordAnswer();
+        m_suspicion.recordAnswer(m_stream.eventsInAttempt());
     }
     m_possibleExecutions += mayHaveRun(result) ? 1 : 0;
     m_possibleArrivals += result != AttemptResult::NeverSent ? 1 : 0;
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -44,10 +44,16 @@
     std::uint64_t number() const;
 
     /**
-     * Called when @p request is blocked from all targets. Ends this call if it has that fingerprint and no body bytes
-     * of a response have arrived in the current attempt.
+     * Called when @p blocked, a request's fingerprint or a part of prompts, is blocked from all targets. Ends this call
+     * if it matches and no body bytes of a response have arrived in the current attempt.
      */
-    void cancelIfBlocked(const RequestFingerprint &request);
+    template<typename Blocked>
+    void cancelIfBlocked(const Blocked &blocked)
+    {
+        if (!m_isDone && !m_response.hasBodyBegun() && (m_connection || m_isWaiting) && m_suspicion.matches(blocked)) {
+            cancelBlocked();
+        }
+    }
 
     /** Aborts the call without an answer. */
     void drop();
@@ -82,6 +88,7 @@
     void finishAttempt(AttemptResult result, std::string_view reason);
     void finishBrokenAttempt(const std::string &reason);
     bool refuseIfBlocked();
+    void cancelBlocked();
     GatewayTargets::Choice chooseTarget();
     TargetRequirements requirements(const std::set<TargetName> &avoided) const;
     void releaseTarget(bool keepConnection);
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds ControlTick{20};
 /** How often the traffic thread closes idle connections and removes expired state. */
 constexpr milliseconds TrafficTick{1'000};
+/** How often the traffic thread publishes what is due on prompt parts that crash targets. */
+constexpr milliseconds PromptPartTick{100};
 /** How often a gateway that shuts down checks whether all requests have finished. */
 constexpr milliseconds DrainTick{50};
 /** Idle connections to engines and their sidecars that are kept, per target: to each of both, one for a status or
@@ -65,8 +67,9 @@
                .zoneRegions = m_options.control.zoneRegions,
                .warmUpTolerance = m_options.warmUpTolerance,
                .retryBudget = m_options.retryBudget,
+               .run = m_run,
                .reportCrash =
-                   [this](const auto &report) { m_controlLoop.post([this, report] { m_crashFeed.report(report); }); }},
+                   [this](const auto &record) { m_controlLoop.post([this, record] { m_crashFeed.report(record); }); }},
               *m_adapter.trafficCodec, m_metrics)
         , m_callers(
               m_trafficLoop.context(),
@@ -101,7 +104,7 @@
                               .partitionCount = m_options.logPartitions,
                               .zonePartitionCount = m_options.logPartitions}})
         , m_crashFeed(*m_logClients.reports, {.busyPollTimeout = GatewayControl::rulesWait(m_options.control)},
-                      {.received = [this](auto reports) { onCrashReports(std::move(reports)); },
+                      {.received = [this](auto records) { onCrashRecords(std::move(records)); },
                        .failed = [this](auto call, const auto &error) { onCrashFeedFailed(call, error); },
                        .lost = [this](auto what) { onCrashReportLost(what); }})
         , m_control(*m_logClients.registers, controlOptions(m_options),
@@ -118,7 +121,7 @@
                                  .gateway = m_options.process,
                                  .zone = m_options.zone,
                                  .size = m_options.size,
-                                 .run = toNumber(generateIncarnation())},
+                                 .run = toNumber(m_run)},
                     .sidecarPort = m_options.sidecarPort},
                    {.changed =
                         [this](FleetDemand demand) {
@@ -151,6 +154,7 @@
         m_controlLoop.every(ControlTick, [this] { controlTick(); });
         m_trafficLoop.start();
         m_trafficLoop.every(TrafficTick, [this] { m_traffic.tick(std::chrono::steady_clock::now()); });
+        m_trafficLoop.every(PromptPartTick, [this] { m_traffic.tickPromptParts(std::chrono::steady_clock::now()); });
         return std::vector<Endpoint>{std::get<Endpoint>(callers)};
     }
 
@@ -363,9 +367,9 @@
         logEvent(Severity::Warning, "log-answer-malformed", {{"era", std::string(answer)}});
     }
 
-    void onCrashReports(std::vector<CrashReport> reports)
+    void onCrashRecords(std::vector<CrashRecord> records)
     {
-        m_trafficLoop.post([this, reports = std::move(reports)] { m_traffic.applyCrashReports(reports); });
+        m_trafficLoop.post([this, records = std::move(records)] { m_traffic.applyCrashRecords(records); });
     }
 
     void onCrashFeedFailed(std::string_view call, const Error &error)
@@ -382,6 +386,7 @@
 
     Options m_options;
     Adapter m_adapter;
+    const Incarnation m_run = generateIncarnation();
     Metrics m_metrics;
     EventLoop m_trafficLoop;
     EventLoop m_controlLoop;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -52,10 +52,17 @@
            .metrics = &metrics})
     , m_pool(loop, metrics)
     , m_probe(loop, m_options.connectTimeout, metrics)
-    , m_brokenAttempts(m_probe, metrics)
     , m_crashGuard({.reportCreated = m_options.reportCrash,
                     .requestBlocked = [this](const auto &request) { cancelBlocked(request); }},
                    metrics)
+    , m_promptPartGuard(
+          m_options.run,
+          {.recordCreated = m_options.reportCrash, .partBlocked = [this](PromptPart part) { cancelBlocked(part); }},
+          metrics)
+    , m_brokenAttempts(
+          m_probe,
+          {m_crashGuard, m_promptPartGuard, [this](const auto &target) { m_targets.recordUnreachable(target); }},
+          metrics)
     , m_random(std::random_device{}())
     , m_queueTimer(loop)
 {
@@ -152,6 +159,11 @@
     m_admissionControl.tick(now);
 }
 
+void GatewayTraffic::tickPromptParts(SteadyTime now)
+{
+    m_promptPartGuard.tick(now);
+}
+
 bool GatewayTraffic::isReady() const
 {
     return m_table != nullptr && m_hasTargets;
@@ -297,16 +309,25 @@
     return true;
 }
 
-void GatewayTraffic::applyCrashReports(const std::vector<CrashReport> &reports)
+void GatewayTraffic::applyCrashRecords(const std::vector<CrashRecord> &records)
 {
+    std::vector<CrashReport> reports;
+    std::vector<PromptPartRecord> partRecords;
+    for (const auto &record : records) {
+        std::visit(Visitor{[&](const CrashReport &report) { reports.push_back(report); },
+                           [&](const PromptPartRecord &partRecord) { partRecords.push_back(partRecord); }},
+                   record);
+    }
     m_crashGuard.applyReports(reports);
+    m_promptPartGuard.applyRecords(partRecords);
 }
 
-void GatewayTraffic::cancelBlocked(const RequestFingerprint &request)
+template<typename Blocked>
+void GatewayTraffic::cancelBlocked(const Blocked &blocked)
 {
     const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
     for (const auto &call : calls) {
-        call->cancelIfBlocked(request);
+        call->cancelIfBlocked(blocked);
     }
 }
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_protocol/crashreportcodec.h"
 #include "heatherridge_state/decisions/fleetretrybudget.h"
 #include "heatherridge_state/decisions/runningestimate.h"
 #include "heatherridge_state/decisions/streamqueue.h"
@@ -9,6 +10,7 @@
 #include "heatherridge_transport/direct/brokenattempts.h"
 #include "heatherridge_transport/direct/crashguard.h"
 #include "heatherridge_transport/direct/gatewaytargets.h"
+#include "heatherridge_transport/direct/promptpartguard.h"
 #include "heatherridge_transport/direct/targetconnectionpool.h"
 #include "heatherridge_transport/direct/targetprobe.h"
 #include "heatherridge_transport/http/httpserver.h"
@@ -41,9 +43,10 @@
         ZoneRegions zoneRegions{};
         WarmUpTolerance warmUpTolerance{};
         FleetRetryBudgetOptions retryBudget{};
+        Incarnation run{}; ///< identifies this run of the process
         std::chrono::milliseconds connectTimeout{300}; ///< 100 round trips; TCP resends a lost SYN only after 1 s
-        /** Called with this gateway's reports on requests that crash targets, to publish to the other gateways. */
-        std::function<void(const CrashReport &)> reportCrash{};
+        /** Called with this gateway's records on what crashes targets, to publish to the other gateways in order. */
+        std::function<void(const CrashRecord &)> reportCrash{};
     };
 
     /** @p codec and @p metrics must outlive this object. */
@@ -89,8 +92,8 @@
     /** Applies the latest reports of engines in expert groups. */
     void updateEngines(const std::vector<EngineView> &engines);
 
-    /** Applies the reports of all gateways, including this one, on requests that crash targets. */
-    void applyCrashReports(const std::vector<CrashReport> &reports);
+    /** Applies the records of all gateways, including this one, on what crashes targets. */
+    void applyCrashRecords(const std::vector<CrashRecord> &records);
 
     /** Accepts or refuses a new request. */
     void handle(const std::shared_ptr<HttpExchange> &exchange);
@@ -98,6 +101,9 @@
     /** Closes idle connections and removes expired crash suspicions. Called about once a second. */
     void tick(SteadyTime now);
 
+    /** Publishes what is due on prompt parts that crash targets. Called about every 100 ms. */
+    void tickPromptParts(SteadyTime now);
+
     /** Returns whether a configuration is in force and a target has been registered. */
     bool isReady() const;
 
@@ -141,7 +147,9 @@
     void dequeue(std::uint64_t number);
     void armQueueTimer();
     void advanceQueue();
-    void cancelBlocked(const RequestFingerprint &request);
+    /** Ends the calls that match @p blocked, a request's fingerprint or a part of a prompt. */
+    template<typename Blocked>
+    void cancelBlocked(const Blocked &blocked);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &id, const Error &error);
     Result<RouteMatch> accept(const HttpRequest &request, const CallerFields &fields) const;
     void removeCall(const std::shared_ptr<GatewayCall> &call);
@@ -156,8 +164,9 @@
     GatewayTargets m_targets;
     TargetConnectionPool m_pool;
     TargetProbe m_probe;
-    BrokenAttempts m_brokenAttempts;
     CrashGuard m_crashGuard;
+    PromptPartGuard m_promptPartGuard;
+    BrokenAttempts m_brokenAttempts;
     SeededRandom m_random;
     std::map<ServiceName, FleetRetryBudget> m_retryBudgets;
     std::map<ServiceName, RunningEstimate> m_firstEventDelays; ///< from sending a stream to its first event
--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -58,7 +58,7 @@
     return m_hasBegun;
 }
 
-int StreamProgress::eventsInAttempt() const
+std::uint32_t StreamProgress::eventsInAttempt() const
 {
     return m_eventsInAttempt;
 }
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -38,7 +38,7 @@
     bool hasBegun() const;
 
     /** Returns the number of complete events that the target of the current attempt has sent. */
-    int eventsInAttempt() const;
+    std::uint32_t eventsInAttempt() const;
 
     /** Returns whether an event is missing, or the data of the current attempt ends in the middle of one. */
     bool isBroken() const;
@@ -58,7 +58,7 @@
 private:
     EventStreamSplitter m_splitter;
     std::optional<std::uint64_t> m_lastEventId;
-    int m_eventsInAttempt = 0;
+    std::uint32_t m_eventsInAttempt = 0;
     bool m_hasBegun = false;
     bool m_isBroken = false; ///< an event is missing
     SteadyTime m_lastEventAt{};
--- a/tests/feed/crashfeed_test.cpp
+++ b/tests/feed/crashfeed_test.cpp
@@ -10,9 +10,9 @@
 namespace
 {
 
-CrashReport makeReport(std::uint64_t number)
+CrashRecord makeReport(std::uint64_t number)
 {
-    return {.kind = CrashReport::Kind::TargetDied, .request = {.low = number}, .target = TargetName("t")};
+    return CrashReport{.kind = CrashReport::Kind::TargetDied, .request = {.low = number}, .target = TargetName("t")};
 }
 
 /** A report log whose calls the test answers. */
@@ -52,7 +52,7 @@
     }
 
     ManualReportLog m_log;
-    std::vector<CrashReport> m_received;
+    std::vector<CrashRecord> m_received;
     std::vector<std::string> m_failures;
     int m_lostCount = 0;
     int m_readCount = 0;
@@ -75,8 +75,8 @@
     tick(20ms);
     ASSERT_EQ(m_log.reads.size(), 1U);
     EXPECT_EQ(m_log.reads[0].from, 0U);
-    m_log.reads[0].done(
-        ReportPage{.records = {encode(makeReport(1)), "not a report", encode(makeReport(2))}, .end = 3});
+    m_log.reads[0].done(ReportPage{
+        .records = {encodeCrashRecord(makeReport(1)), "not a report", encodeCrashRecord(makeReport(2))}, .end = 3});
     EXPECT_EQ(m_received, (std::vector{makeReport(1), makeReport(2)}));
     EXPECT_EQ(m_lostCount, 1);
     tick(20ms);
@@ -109,7 +109,7 @@
     EXPECT_EQ(m_log.appended.size(), 1U) << "before the retry delay has passed";
     tick(250ms);
     ASSERT_EQ(m_log.appended.size(), 2U);
-    EXPECT_EQ(m_log.appended[1], (std::vector{encode(makeReport(1)), encode(makeReport(2))}));
+    EXPECT_EQ(m_log.appended[1], (std::vector{encodeCrashRecord(makeReport(1)), encodeCrashRecord(makeReport(2))}));
     m_log.appends[1]({});
     tick(250ms);
     EXPECT_EQ(m_log.appended.size(), 2U);
@@ -140,7 +140,9 @@
         m_feed.report(makeReport(number));
     }
     tick(20ms);
-    EXPECT_EQ(m_log.appended.at(0), (std::vector{encode(makeReport(2)), encode(makeReport(3)), encode(makeReport(4))}));
+    EXPECT_EQ(m_log.appended.at(0),
+              (std::vector{encodeCrashRecord(makeReport(2)), encodeCrashRecord(makeReport(3)),
+                           encodeCrashRecord(makeReport(4))}));
     EXPECT_EQ(m_lostCount, 2);
 }
 
@@ -153,7 +155,7 @@
     tick(20ms);
     ASSERT_EQ(m_log.reads.size(), 2U);
     EXPECT_EQ(m_log.reads[1].wait, 2s);
-    m_log.reads[0].done(ReportPage{.records = {encode(makeReport(9))}, .end = 1});
+    m_log.reads[0].done(ReportPage{.records = {encodeCrashRecord(makeReport(9))}, .end = 1});
     EXPECT_TRUE(m_received.empty()) << "the answer to an abandoned read";
     m_feed.report(makeReport(2));
     tick(20ms);
@@ -177,7 +179,9 @@
     m_log.appends[1]({}); // answers an append from before the restore
     tick(20ms);
     ASSERT_EQ(m_log.appended.size(), 3U);
-    EXPECT_EQ(m_log.appended[2], (std::vector{encode(makeReport(1)), encode(makeReport(2)), encode(makeReport(3))}));
+    EXPECT_EQ(m_log.appended[2],
+              (std::vector{encodeCrashRecord(makeReport(1)), encodeCrashRecord(makeReport(2)),
+                           encodeCrashRecord(makeReport(3))}));
     EXPECT_EQ(m_log.reads.back().from, 0U);
 }
 
--- a/tests/gateway/brokenattempts_test.cpp
+++ b/tests/gateway/brokenattempts_test.cpp
@@ -30,16 +30,18 @@
 class BrokenAttemptsTest : public testing::Test
 {
 protected:
-    /** Inspects an attempt at @p target on the port of the acceptor. */
-    ProbeResult inspect(const std::string &target, std::vector<PromptPartId> parts, bool hasBegun)
+    /** Inspects an attempt at @p target on the port of the acceptor. @returns whether the target has died */
+    bool inspect(const std::string &target, std::vector<PromptPart> parts, bool hasBegun, std::uint32_t events = 0)
     {
-        auto result = ProbeResult::Unknown;
-        m_attempts.inspect({.target = TargetName(target), .promptParts = std::move(parts), .hasBegun = hasBegun},
-                           {.id = TargetName(target), .address = {.address = "127.0.0.1", .port = m_port}},
-                           [&](ProbeResult probed) { result = probed; });
+        bool isDone = false;
+        m_diedTargets.clear();
+        m_attempts.inspect(
+            {.target = TargetName(target), .promptParts = std::move(parts), .hasBegun = hasBegun, .events = events},
+            {.id = TargetName(target), .address = {.address = "127.0.0.1", .port = m_port}}, [&] { isDone = true; });
         m_loop.restart();
         m_loop.run();
-        return result;
+        EXPECT_TRUE(isDone);
+        return m_diedTargets == std::vector{TargetName(target)};
     }
 
     bool hasMetric(const std::string &line) const
@@ -52,7 +54,20 @@
     int m_port = m_acceptor.local_endpoint().port();
     Metrics m_metrics;
     TargetProbe m_probe{m_loop, ProbeTimeout, m_metrics};
-    BrokenAttempts m_attempts{m_probe, m_metrics};
+    std::vector<CrashReport> m_requestReports;
+    std::vector<PromptPartRecord> m_partRecords;
+    std::vector<TargetName> m_diedTargets;
+    CrashGuard m_crashGuard{{.reportCreated = [this](const auto &report) { m_requestReports.push_back(report); },
+                             .requestBlocked = [](const auto &) {}},
+                            m_metrics};
+    PromptPartGuard m_partGuard{Incarnation{1},
+                                {.recordCreated = [this](const auto &record) { m_partRecords.push_back(record); },
+                                 .partBlocked = [](PromptPart) {}},
+                                m_metrics};
+    BrokenAttempts m_attempts{
+        m_probe,
+        {m_crashGuard, m_partGuard, [this](const auto &target) { m_diedTargets.push_back(target); }},
+        m_metrics};
 };
 
 class BreaksByState : public BrokenAttemptsTest, public testing::WithParamInterface<BreakRow>
@@ -65,25 +80,63 @@
     if (!GetParam().isListening) {
         m_acceptor.close();
     }
-    const auto expected = GetParam().isListening ? ProbeResult::Listening : ProbeResult::Refused;
-    EXPECT_EQ(inspect("t", {}, GetParam().hasBegun), expected);
+    EXPECT_EQ(inspect("t", {}, GetParam().hasBegun), !GetParam().isListening);
     EXPECT_TRUE(hasMetric(GetParam().counter)) << m_metrics.exposition();
 }
 
 INSTANTIATE_TEST_SUITE_P(All, BreaksByState, testing::ValuesIn(BreakRows),
                          [](const auto &info) { return std::string(info.param.name); });
 
+/** How far an answer had come when its target died, and what is reported of it. */
+struct ReportRow
+{
+    const char *name;
+    bool hasBegun;
+    std::uint32_t events;
+    std::size_t requestReports;
+    std::size_t partRecords;
+    bool mayBlock;
+};
+
+const ReportRow ReportRows[] = {
+    {"BeforeTheBody", false, 0, 1, 1, true},
+    {"WithinTheFirstEvent", true, 0, 0, 1, true},
+    {"AfterTheFirstEvent", true, 1, 0, 1, true},
+    {"BeyondTheBeginning", true, 2, 0, 0, false},
+};
+
+class DeathsByProgress : public BrokenAttemptsTest, public testing::WithParamInterface<ReportRow>
+{
+};
+
+// Guards against blaming a prompt part for the death of a target that had gone on with the answer, and against sending
+// the request on before a death that may block it is known.
+TEST_P(DeathsByProgress, AreReportedUpToTheFirstEvent)
+{
+    const auto &row = GetParam();
+    m_acceptor.close();
+    EXPECT_TRUE(inspect("t", {PromptPart{1}}, row.hasBegun, row.events));
+    EXPECT_EQ(m_requestReports.size(), row.requestReports);
+    EXPECT_EQ(m_partRecords.size(), row.partRecords);
+    EXPECT_EQ(
+        BrokenAttempts::mayBlock({.promptParts = {PromptPart{1}}, .hasBegun = row.hasBegun, .events = row.events}),
+        row.mayBlock);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, DeathsByProgress, testing::ValuesIn(ReportRows),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against deaths under requests with a common prompt part that look unrelated, and against two requests at one
 // dead target that count as two deaths.
 TEST_F(BrokenAttemptsTest, CountDeathsThatShareAPartForDifferentTargetsOnly)
 {
     m_acceptor.close();
     constexpr auto metric = "heatherridge_deaths_sharing_prompt_part_total ";
-    inspect("a", {{.value = 1}, {.value = 2}}, true);
-    inspect("a", {{.value = 1}}, false);
-    inspect("b", {{.value = 3}}, true);
+    inspect("a", {PromptPart{1}, PromptPart{2}}, true);
+    inspect("a", {PromptPart{1}}, false);
+    inspect("b", {PromptPart{3}}, true);
     EXPECT_TRUE(hasMetric(std::string(metric) + "0")) << m_metrics.exposition();
-    inspect("c", {{.value = 4}, {.value = 2}}, false);
+    inspect("c", {PromptPart{4}, PromptPart{2}}, false);
     EXPECT_TRUE(hasMetric(std::string(metric) + "1")) << m_metrics.exposition();
 }
 
--- a/tests/gateway/crashingparts_test.cpp
+++ b/tests/gateway/crashingparts_test.cpp
@@ -23,7 +23,7 @@
 /** Requests with the part that may reach targets after that. */
 constexpr std::size_t MaxLaterRequests = 3;
 /** Time within which a report of one gateway reaches the others. */
-constexpr auto ReportPropagationTime = 500ms;
+constexpr auto ReportPropagationTime = 250ms;
 
 constexpr auto StreamBody = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 
