Prompt part suspects: settle reports before a verdict, keep blocks until an answer

Deaths now count 400 ms after their first report. A part without a known answer needs three deaths under several prompts, or five under the same parts. Parts that nothing tells apart are blocked together, a first part after the others. A block ends by an answer or 300 s without a request only; trials are claimed every 10 s while no target dies under them, and end after two that failed. A known part needs five deaths in two episodes, of which blocked companions may explain all but two. takeTrial() takes the time, since a claim expires.

--- a/modules/heatherridge_protocol/crashreportcodec.cpp
+++ b/modules/heatherridge_protocol/crashreportcodec.cpp
@@ -43,7 +43,7 @@
 
 json fieldsOf(const PromptPartBlocked &blocked)
 {
-    return json::array({PartRecordKind::Blocked, toNumber(blocked.part), blocked.trials});
+    return json::array({PartRecordKind::Blocked, toNumber(blocked.part), blocked.trials, blocked.failedTrials});
 }
 
 json fieldsOf(const PromptPartTrial &trial)
@@ -89,7 +89,9 @@
     case PartRecordKind::Answered:
         return answeredFrom(fields);
     case PartRecordKind::Blocked:
-        return PromptPartBlocked{.part = partFrom(fields.at(1)), .trials = fields.at(2).get<std::uint32_t>()};
+        return PromptPartBlocked{.part = partFrom(fields.at(1)),
+                                 .trials = fields.at(2).get<std::uint32_t>(),
+                                 .failedTrials = fields.at(3).get<std::uint32_t>()};
     case PartRecordKind::Trial:
         return PromptPartTrial{.part = partFrom(fields.at(1)),
                                .gateway = static_cast<Incarnation>(fields.at(2).get<std::uint64_t>()),
--- a/modules/heatherridge_state/decisions/promptpartrecord.h
+++ b/modules/heatherridge_state/decisions/promptpartrecord.h
@@ -54,6 +54,7 @@
 {
     PromptPart part{};
     std::uint32_t trials = 0; ///< claimed since it was blocked; see PromptPartTrial
+    std::uint32_t failedTrials = 0; ///< of these, those under which a target died
 
     bool operator==(const PromptPartBlocked &) const = default;
 };
--- a/modules/heatherridge_state/decisions/promptpartsuspects.cpp
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.cpp
@@ -22,6 +22,16 @@
     return value ^ (value >> 33U);
 }
 
+/** Identifies the prompt, apart from its last part. */
+std::uint64_t hashOf(const std::vector<PromptPartInHand> &parts)
+{
+    std::uint64_t hash = 0;
+    for (const auto &inHand : parts) {
+        hash = mix(hash + toNumber(inHand.part));
+    }
+    return hash;
+}
+
 /** Compares times of another process, which may be any numbers, without overflow. */
 bool isWithin(std::chrono::milliseconds a, std::chrono::milliseconds b, std::chrono::milliseconds gap)
 {
@@ -126,27 +136,34 @@
         if (now - block.lastRecord >= m_options.repeatInterval) {
             schedule(RecordKind::Blocked, part, now);
         }
-        if (block.trials < m_options.maxTrials && now >= block.nextTrial) {
+        if (now >= block.nextTrial && failedTrials(block) < m_options.maxFailedTrials && onlyBlock(parts) == found) {
             schedule(RecordKind::Trial, part, now);
         }
     }
     return takeChanges();
 }
 
-bool PromptPartSuspects::takeTrial(std::span<const PromptPart> parts)
+bool PromptPartSuspects::takeTrial(std::span<const PromptPart> parts, SteadyTime now)
+{
+    const auto block = onlyBlock(parts);
+    return block != m_blocks.end() && now < std::exchange(block->second.mayTryUntil, SteadyTime{});
+}
+
+std::map<PromptPart, PromptPartSuspects::Block>::iterator
+PromptPartSuspects::onlyBlock(std::span<const PromptPart> parts)
 {
-    auto onlyBlock = m_blocks.end();
+    auto only = m_blocks.end();
     for (const auto part : parts) {
         const auto found = m_blocks.find(part);
-        if (found == m_blocks.end() || found == onlyBlock) {
+        if (found == m_blocks.end() || found == only) {
             continue;
         }
-        if (onlyBlock != m_blocks.end()) {
-            return false;
+        if (only != m_blocks.end()) {
+            return m_blocks.end();
         }
-        onlyBlock = found;
+        only = found;
     }
-    return onlyBlock != m_blocks.end() && std::exchange(onlyBlock->second.mayTry, false);
+    return only;
 }
 
 PromptPartChanges PromptPartSuspects::apply(std::span<const PromptPartRecord> records, SteadyTime now)
@@ -175,17 +192,17 @@
 {
     const auto death = deathFor(report, now);
     const auto count = std::min(report.parts.size(), m_options.maxPartsPerReport);
-    for (std::size_t position = 0; position < count; ++position) {
-        const auto &inHand = report.parts[position];
-        addDeath(inHand, position, report.progress, death, now);
-        const auto found = m_blocks.find(inHand.part);
+    for (std::size_t index = 0; index < count; ++index) {
+        addDeath(report, index, death, now);
+        const auto part = report.parts[index].part;
+        const auto found = m_blocks.find(part);
         if (found == m_blocks.end()) {
             continue;
         }
         found->second.lastActivity = now;
+        recordFailedTrial(found->second, death, now);
         if (report.reporter != m_self) { // which may not know that it is blocked
-            schedule(RecordKind::Blocked, inHand.part,
-                     std::max(now, found->second.lastRecord + m_options.minRepeatInterval));
+            schedule(RecordKind::Blocked, part, std::max(now, found->second.lastRecord + m_options.minRepeatInterval));
         }
     }
     if (m_suspects.size() > m_options.maxSuspects) {
@@ -218,10 +235,11 @@
     const auto [entry, isNew] = m_blocks.try_emplace(part);
     auto &block = entry->second;
     if (isNew) {
-        block.nextTrial = now + trialDelay(record.trials);
+        block.nextTrial = now + trialDelay(record.failedTrials);
         m_changes.blocked.push_back(part);
     }
     block.trials = std::max(block.trials, record.trials);
+    block.reportedDeaths = std::max(block.reportedDeaths, record.failedTrials);
     block.lastActivity = now;
     block.lastRecord = now;
 }
@@ -235,8 +253,8 @@
     m_pending.erase({.kind = RecordKind::Trial, .part = record.part});
     auto &block = found->second;
     block.trials = record.number;
-    block.nextTrial = now + trialDelay(record.number);
-    block.mayTry = record.gateway == m_self;
+    block.nextTrial = now + m_options.trialInterval;
+    block.mayTryUntil = record.gateway == m_self ? now + m_options.trialLifetime : SteadyTime{};
 }
 
 PromptPartSuspects::DeathPointer PromptPartSuspects::deathFor(const PromptPartsDeath &report, SteadyTime now)
@@ -269,9 +287,10 @@
     return death;
 }
 
-void PromptPartSuspects::addDeath(const PromptPartInHand &inHand, std::size_t position, std::uint32_t progress,
-                                  const DeathPointer &death, SteadyTime now)
+void PromptPartSuspects::addDeath(const PromptPartsDeath &report, std::size_t index, const DeathPointer &death,
+                                  SteadyTime now)
 {
+    const auto &inHand = report.parts[index];
     const auto cleared = m_clearedAt.find(inHand.part);
     if (cleared != m_clearedAt.end() && death->time <= cleared->second) {
         return;
@@ -282,8 +301,12 @@
         suspect.answersBefore = m_answerCount;
     }
     suspect.wasAnswered = suspect.wasAnswered || inHand.wasAnswered;
-    suspect.maxProgress = std::max(suspect.maxProgress, progress);
-    suspect.position = std::max(suspect.position, position);
+    suspect.isFirstPart = suspect.isFirstPart || index == 0;
+    suspect.isReportedHere = suspect.isReportedHere || report.reporter == m_self;
+    suspect.maxProgress = std::max(suspect.maxProgress, report.progress);
+    if (suspect.prompts.size() < m_options.maxPromptsPerSuspect) {
+        suspect.prompts.emplace_back(death, hashOf(report.parts));
+    }
     if (std::find(suspect.deaths.begin(), suspect.deaths.end(), death) != suspect.deaths.end()) {
         return;
     }
@@ -304,13 +327,26 @@
     return deaths;
 }
 
-PromptPartSuspects::Deaths PromptPartSuspects::countedDeaths(const Suspect &suspect) const
+PromptPartSuspects::Deaths PromptPartSuspects::unansweredDeaths(const Suspect &suspect) const
 {
-    auto deaths = unexplainedDeaths(suspect);
+    auto deaths = suspect.deaths;
     std::erase_if(deaths, [&](const auto &death) { return suspect.lastAnswer && death->time <= *suspect.lastAnswer; });
     return deaths;
 }
 
+PromptPartSuspects::Deaths PromptPartSuspects::countedDeaths(const Suspect &suspect) const
+{
+    auto deaths = unansweredDeaths(suspect);
+    std::erase_if(deaths, [&](const auto &death) { return m_explained.contains(death); });
+    return deaths;
+}
+
+PromptPartSuspects::Deaths PromptPartSuspects::settled(Deaths deaths, SteadyTime now) const
+{
+    std::erase_if(deaths, [&](const auto &death) { return now - death->time < m_options.settleTime; });
+    return deaths;
+}
+
 std::size_t PromptPartSuspects::episodeCount(const Deaths &deaths) const
 {
     std::size_t count = 0;
@@ -329,34 +365,61 @@
     return suspect.wasAnswered || m_answered.contains(part);
 }
 
-bool PromptPartSuspects::mayBlock(PromptPart part, const Suspect &suspect, const Deaths &counted) const
+std::size_t PromptPartSuspects::promptCount(const Suspect &suspect, const Deaths &counted) const
 {
+    std::set<std::uint64_t> prompts;
+    for (const auto &[death, prompt] : suspect.prompts) {
+        if (std::find(counted.begin(), counted.end(), death) != counted.end()) {
+            prompts.insert(prompt);
+        }
+    }
+    return prompts.size();
+}
+
+bool PromptPartSuspects::mayBlock(PromptPart part, const Suspect &suspect, SteadyTime now) const
+{
+    const auto counted = settled(countedDeaths(suspect), now);
     if (!isAnswered(part, suspect)) {
-        return counted.size() >= m_options.deathsToBlock;
+        // One request that is sent again and again ends several targets by itself, whichever of its parts is at fault.
+        return counted.size()
+            >= (promptCount(suspect, counted) > 1 ? m_options.deathsToBlock : m_options.deathsToBlockOnePrompt);
     }
-    return counted.size() >= m_options.deathsToBlockAnswered
-        && episodeCount(counted) >= m_options.episodesToBlockAnswered
+    const auto deaths = settled(unansweredDeaths(suspect), now);
+    return deaths.size() >= m_options.deathsToBlockAnswered && counted.size() >= m_options.unexplainedToBlockAnswered
+        && episodeCount(deaths) >= m_options.episodesToBlockAnswered
         && m_answerCount - suspect.answersBefore >= m_options.answersOfOthersToBlock;
 }
 
-std::optional<PromptPart> PromptPartSuspects::nextCulprit(const std::set<PromptPart> &found) const
+std::vector<PromptPart> PromptPartSuspects::nextCulprits(SteadyTime now) const
 {
-    std::optional<PromptPart> culprit;
-    std::tuple<bool, std::size_t, bool, std::size_t, std::uint64_t> best{};
+    std::vector<PromptPart> culprits;
+    std::tuple<bool, bool, std::size_t> best{};
+    Deaths deathsOfBest;
     for (const auto part : m_candidates) {
         const auto &suspect = m_suspects.at(part);
-        const auto counted = countedDeaths(suspect);
-        if (found.contains(part) || !mayBlock(part, suspect, counted)) {
+        if (m_blocks.contains(part) || !mayBlock(part, suspect, now)) {
             continue;
         }
-        const std::tuple rank{!isAnswered(part, suspect), counted.size(), m_blocks.contains(part), suspect.position,
-                              toNumber(part)};
-        if (!culprit || rank > best) {
-            culprit = part;
+        const auto counted = settled(countedDeaths(suspect), now);
+        const std::tuple rank{!isAnswered(part, suspect), promptCount(suspect, counted) > 1, counted.size()};
+        if (culprits.empty() || rank > best) {
+            culprits = {part};
             best = rank;
+            deathsOfBest = counted;
+        } else if (rank == best && counted == deathsOfBest) {
+            culprits.push_back(part); // nothing tells them apart
         }
     }
-    return culprit;
+    preferLaterParts(culprits);
+    return culprits;
+}
+
+void PromptPartSuspects::preferLaterParts(std::vector<PromptPart> &culprits) const
+{
+    const auto isFirst = [&](auto part) { return m_suspects.at(part).isFirstPart; };
+    if (!std::all_of(culprits.begin(), culprits.end(), isFirst)) {
+        std::erase_if(culprits, isFirst); // many sound prompts share the first part
+    }
 }
 
 void PromptPartSuspects::explainDeathsOf(PromptPart part)
@@ -368,52 +431,25 @@
 
 void PromptPartSuspects::updateVerdicts(SteadyTime now)
 {
-    // Derived anew from all deaths, so that the order in which reports arrive does not matter.
     m_explained.clear();
-    std::set<PromptPart> found; // those that are blocked whatever the deaths known here say, then the culprits
     for (const auto &[part, block] : m_blocks) {
-        const auto suspect = m_suspects.find(part);
-        if (suspect != m_suspects.end() && !mayBlock(part, suspect->second, countedDeaths(suspect->second))) {
-            found.insert(part);
-        }
-    }
-    for (const auto part : found) {
         explainDeathsOf(part);
     }
-    while (const auto culprit = nextCulprit(found)) {
-        found.insert(*culprit);
-        block(*culprit, countedDeaths(m_suspects.at(*culprit)), now);
-        explainDeathsOf(*culprit);
-    }
-    releaseExplained(found, now);
-}
-
-void PromptPartSuspects::releaseExplained(const std::set<PromptPart> &found, SteadyTime now)
-{
-    for (const auto &[part, block] : m_blocks) {
-        if (!block.isOwnVerdict || found.contains(part) || !m_candidates.contains(part)) {
-            continue;
-        }
-        if (unexplainedDeaths(m_suspects.at(part)).empty()) {
-            schedule(RecordKind::Answered, part, now);
-        } else {
+    for (auto culprits = nextCulprits(now); !culprits.empty(); culprits = nextCulprits(now)) {
+        const auto isDoubtful = culprits.size() > 1 || episodeCount(countedDeaths(m_suspects.at(culprits[0]))) < 2;
+        for (const auto part : culprits) {
+            block(part, isDoubtful, now);
             explainDeathsOf(part);
         }
     }
 }
 
-void PromptPartSuspects::block(PromptPart part, const Deaths &counted, SteadyTime now)
+void PromptPartSuspects::block(PromptPart part, bool isDoubtful, SteadyTime now)
 {
-    const auto [entry, isNew] = m_blocks.try_emplace(part);
-    auto &block = entry->second;
-    block.isOwnVerdict = true;
-    if (!isNew) {
-        return;
-    }
-    const bool isDoubtful = episodeCount(counted) < 2;
-    block.lastActivity = now;
-    block.lastRecord = now;
-    block.nextTrial = now + (isDoubtful ? m_options.doubtfulTrialDelay : trialDelay(0));
+    m_blocks.insert_or_assign(part,
+                              Block{.lastActivity = now,
+                                    .lastRecord = now,
+                                    .nextTrial = now + (isDoubtful ? m_options.doubtfulTrialDelay : trialDelay(0))});
     m_pending.erase({.kind = RecordKind::Answered, .part = part});
     schedule(RecordKind::Blocked, part, now);
     m_changes.blocked.push_back(part);
@@ -435,10 +471,24 @@
     }
 }
 
-std::chrono::milliseconds PromptPartSuspects::trialDelay(std::uint32_t trials) const
+std::uint32_t PromptPartSuspects::failedTrials(const Block &block) const
+{
+    return std::max(static_cast<std::uint32_t>(block.deaths.size()), block.reportedDeaths);
+}
+
+void PromptPartSuspects::recordFailedTrial(Block &block, const DeathPointer &death, SteadyTime now)
+{
+    // Requests that were on their way at the verdict are no trials.
+    if (block.trials > block.trialsAtLastDeath && block.deaths.insert(death).second) {
+        block.trialsAtLastDeath = block.trials;
+        block.nextTrial = now + trialDelay(failedTrials(block));
+    }
+}
+
+std::chrono::milliseconds PromptPartSuspects::trialDelay(std::uint32_t failedTrials) const
 {
     auto delay = m_options.firstTrialDelay;
-    for (std::uint32_t trial = 0; trial < std::min<std::uint32_t>(trials, m_options.maxTrials); ++trial) {
+    for (std::uint32_t trial = 0; trial < std::min(failedTrials, m_options.maxFailedTrials); ++trial) {
         delay *= m_options.trialDelayGrowth;
     }
     return delay;
@@ -446,7 +496,10 @@
 
 void PromptPartSuspects::schedule(RecordKind kind, PromptPart part, SteadyTime earliest)
 {
-    const auto jitter = static_cast<std::uint64_t>(m_options.publishJitter.count()) + 1;
+    const auto suspect = m_suspects.find(part);
+    const bool isReporter = suspect != m_suspects.end() && suspect->second.isReportedHere;
+    const auto longest = isReporter ? m_options.reporterJitter : m_options.publishJitter;
+    const auto jitter = static_cast<std::uint64_t>(longest.count()) + 1;
     const auto delay = mix(toNumber(m_self) ^ mix(toNumber(part))) % jitter;
     m_pending.try_emplace({.kind = kind, .part = part}, earliest + std::chrono::milliseconds(delay));
 }
@@ -485,6 +538,7 @@
     evictDeaths(oldest);
     for (auto &[part, suspect] : m_suspects) {
         std::erase_if(suspect.deaths, [&](const auto &death) { return death->time < oldest; });
+        std::erase_if(suspect.prompts, [&](const auto &entry) { return entry.first->time < oldest; });
         if (suspect.deaths.size() < m_options.deathsToBlock) {
             m_candidates.erase(part);
         }
--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -46,10 +46,15 @@
     struct Options
     {
         std::uint32_t maxProgress = 1; ///< whole events up to which a request counts as beginning its answer
-        std::size_t deathsToBlock = 3; ///< of a part without a known answer
-        std::size_t deathsToBlockAnswered = 6; ///< of a part with an earlier answer
-        std::size_t episodesToBlockAnswered = 3; ///< in which these deaths must lie
-        std::chrono::milliseconds episodeGap{1'000}; ///< between the starts of two episodes at least
+        std::size_t deathsToBlock = 3; ///< of a part without a known answer that was in several prompts
+        std::size_t deathsToBlockOnePrompt = 5; ///< the same if all deaths were under the same parts
+        std::size_t deathsToBlockAnswered = 5; ///< of a part with an earlier answer
+        /** Of these, deaths that no blocked part explains; the others may have been blamed on a companion. */
+        std::size_t unexplainedToBlockAnswered = 2;
+        std::size_t episodesToBlockAnswered = 2; ///< in which these deaths must lie
+        std::chrono::milliseconds episodeGap{500}; ///< between the starts of two episodes at least
+        /** How long a death waits for the reports of other gateways before it counts for a verdict. */
+        std::chrono::milliseconds settleTime{400};
         /** Answers without the part at this gateway, since the first death, before a part with an answer is blocked. */
         std::uint64_t answersOfOthersToBlock = 8;
         /** Reports of one gateway on one target that are closer than this are of one death. */
@@ -61,13 +66,18 @@
         std::chrono::milliseconds minRepeatInterval{1'000}; ///< when another gateway reports a death under the part
         /** Longest wait before a record that others may publish too; it is dropped when theirs is read meanwhile. */
         std::chrono::milliseconds publishJitter{400};
-        std::size_t maxTrials = 2; ///< of one blocked part
-        std::chrono::milliseconds firstTrialDelay{15'000}; ///< after a block that rests on two or more episodes
-        std::chrono::milliseconds doubtfulTrialDelay{5'000}; ///< after a block that rests on one episode
-        int trialDelayGrowth = 8; ///< factor from one trial to the next
+        std::chrono::milliseconds reporterJitter{100}; ///< the same for a gateway that reported a death under the part
+        std::uint32_t maxFailedTrials = 2; ///< of one blocked part; a trial has failed when a target died under it
+        std::chrono::milliseconds firstTrialDelay{15'000}; ///< after a block of one part for several episodes
+        /** After a block that rests on one episode, or of parts that were in hand at the same deaths. */
+        std::chrono::milliseconds doubtfulTrialDelay{5'000};
+        int trialDelayGrowth = 4; ///< factor of the delay after each failed trial
+        std::chrono::milliseconds trialInterval{10'000}; ///< between claims when no target died
+        std::chrono::milliseconds trialLifetime{3'000}; ///< of a claim that is not used
         std::size_t maxSuspects = 10'000; ///< parts; beyond it the oldest with one death is dropped
         std::size_t maxDeaths = 10'000; ///< beyond it the oldest is forgotten
         std::size_t maxPartsPerReport = 32; ///< further parts of a prompt are not considered
+        std::size_t maxPromptsPerSuspect = 16; ///< further prompts with a part are not told apart
         AnsweredParts::Options answered{};
     };
 
@@ -114,7 +124,7 @@
      * Returns whether this gateway may send the request at hand, which has @p parts, as the trial of its only blocked
      * part, and uses up the permission.
      */
-    bool takeTrial(std::span<const PromptPart> parts);
+    bool takeTrial(std::span<const PromptPart> parts, SteadyTime now);
 
     /** Applies records read from the log, in its order, including those of this gateway. */
     PromptPartChanges apply(std::span<const PromptPartRecord> records, SteadyTime now);
@@ -135,8 +145,11 @@
     struct Suspect
     {
         Deaths deaths{}; ///< since the last published answer
+        std::vector<std::pair<DeathPointer, std::uint64_t>>
+            prompts{}; ///< at these deaths, as a hash of all their parts
         std::uint32_t maxProgress = 0; ///< of the requests that were in hand at these deaths
-        std::size_t position = 0; ///< the last one in any prompt that was in hand
+        bool isFirstPart = false; ///< of a prompt that was in hand
+        bool isReportedHere = false; ///< by this gateway, for at least one death
         bool wasAnswered = false; ///< at any gateway, before or between the deaths
         std::optional<SteadyTime> lastAnswer{}; ///< at this gateway, since the first death
         std::uint64_t answersBefore = 0; ///< m_answerCount at the first death or the last answer
@@ -146,10 +159,12 @@
     {
         SteadyTime lastActivity{}; ///< last refusal, death or record
         SteadyTime lastRecord{}; ///< when a record of it was published here or read
-        bool isOwnVerdict = false; ///< follows from the deaths known here
         std::uint32_t trials = 0; ///< claimed so far by any gateway
+        std::uint32_t trialsAtLastDeath = 0; ///< value of trials when a target last died under the part
+        std::set<DeathPointer> deaths{}; ///< of failed trials, known here
+        std::uint32_t reportedDeaths = 0; ///< of failed trials, by records of the block
         SteadyTime nextTrial{};
-        bool mayTry = false; ///< this gateway holds the last claim and has not used it
+        SteadyTime mayTryUntil{}; ///< this gateway holds the last claim and has not used it
     };
 
     enum class RecordKind { Answered, Blocked, Trial };
@@ -167,20 +182,25 @@
     void applyRecord(const PromptPartTrial &record, SteadyTime now);
 
     DeathPointer deathFor(const PromptPartsDeath &report, SteadyTime now);
-    void addDeath(const PromptPartInHand &inHand, std::size_t position, std::uint32_t progress,
-                  const DeathPointer &death, SteadyTime now);
+    void addDeath(const PromptPartsDeath &report, std::size_t index, const DeathPointer &death, SteadyTime now);
     Deaths unexplainedDeaths(const Suspect &suspect) const;
+    Deaths unansweredDeaths(const Suspect &suspect) const;
     Deaths countedDeaths(const Suspect &suspect) const;
+    Deaths settled(Deaths deaths, SteadyTime now) const;
     std::size_t episodeCount(const Deaths &deaths) const;
     bool isAnswered(PromptPart part, const Suspect &suspect) const;
-    bool mayBlock(PromptPart part, const Suspect &suspect, const Deaths &counted) const;
-    std::optional<PromptPart> nextCulprit(const std::set<PromptPart> &found) const;
+    bool mayBlock(PromptPart part, const Suspect &suspect, SteadyTime now) const;
+    std::size_t promptCount(const Suspect &suspect, const Deaths &counted) const;
+    std::vector<PromptPart> nextCulprits(SteadyTime now) const;
+    void preferLaterParts(std::vector<PromptPart> &culprits) const;
     void explainDeathsOf(PromptPart part);
     void updateVerdicts(SteadyTime now);
-    void releaseExplained(const std::set<PromptPart> &found, SteadyTime now);
-    void block(PromptPart part, const Deaths &counted, SteadyTime now);
+    void block(PromptPart part, bool isDoubtful, SteadyTime now);
     void clear(PromptPart part, SteadyTime now);
-    std::chrono::milliseconds trialDelay(std::uint32_t trials) const;
+    std::uint32_t failedTrials(const Block &block) const;
+    void recordFailedTrial(Block &block, const DeathPointer &death, SteadyTime now);
+    std::map<PromptPart, Block>::iterator onlyBlock(std::span<const PromptPart> parts);
+    std::chrono::milliseconds trialDelay(std::uint32_t failedTrials) const;
     void schedule(RecordKind kind, PromptPart part, SteadyTime earliest);
     void publishDue(SteadyTime now);
     void evictExpired(SteadyTime now);
