--- a/modules/heatherridge_transport/direct/promptpartguard.cpp
+++ b/modules/heatherridge_transport/direct/promptpartguard.cpp
@@ -42,7 +42,7 @@
 
 bool PromptPartGuard::takeTrial(Parts parts)
 {
-    const bool isTrial = m_suspects.takeTrial(parts);
+    const bool isTrial = m_suspects.takeTrial(parts, now());
     if (isTrial) {
         m_trials.add();
         logEvent(Severity::Info, "prompt-part-tried", {{"parts", toString(parts)}});
