--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
@@ -73,7 +73,7 @@
          size = findPieceEnd(std::string_view(m_buffer).substr(begin))) {
         std::string text = m_buffer.substr(begin, size);
         const auto id = parseEventId(text);
-        m_hasCompletedEvent = m_hasCompletedEvent || hasField(text);
+        m_completedEvents += hasField(text) ? 1 : 0;
         events.push_back({.id = id, .text = std::move(text)});
         begin += size;
     }
@@ -81,9 +81,9 @@
     return events;
 }
 
-bool EventStreamSplitter::hasCompletedEvent() const
+std::uint32_t EventStreamSplitter::completedEvents() const
 {
-    return m_hasCompletedEvent;
+    return m_completedEvents;
 }
 
 bool EventStreamSplitter::hasPartialEvent() const
--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.h
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.h
@@ -31,12 +31,12 @@
     /** Whether bytes of an incomplete event are buffered. */
     bool hasPartialEvent() const;
 
-    /** Returns whether an event has been completed; comments alone are none. */
-    bool hasCompletedEvent() const;
+    /** Returns the number of completed events; comments alone are none. */
+    std::uint32_t completedEvents() const;
 
 private:
     std::string m_buffer;
-    bool m_hasCompletedEvent = false;
+    std::uint32_t m_completedEvents = 0;
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -37,6 +37,9 @@
     /** Returns whether an event has been forwarded to the caller. */
     bool hasBegun() const;
 
+    /** Returns the number of complete events that the target of the current attempt has sent. */
+    std::uint32_t eventsInAttempt() const;
+
     /**
      * Returns why the stream is broken off if the current attempt has ended: an event is missing, or its data ends in
      * the middle of one. An attempt whose data @p endsWithConnection, without length or chunks, is also broken off if
--- a/tests/restoredlog/logrestoresimulation.cpp
+++ b/tests/restoredlog/logrestoresimulation.cpp
@@ -515,7 +515,7 @@
 void LogRestoreSimulation::reportTargetDeath(Gateway &gateway)
 {
     const auto request = m_random.draw();
-    gateway.crashFeed.report({.request = {.low = request}, .target = TargetName("t")});
+    gateway.crashFeed.report(CrashReport{.request = {.low = request}, .target = TargetName("t")});
     gateway.reported.insert(request);
 }
 
