--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -267,7 +267,7 @@
                                                              .workspace = m_match.workspace,
                                                              .lastEventId = m_stream.lastEventId(),
                                                              .priority = control.enginePriority(m_service, m_match)});
-    m_connection = m_traffic.m_pool.acquire(target.entry);
+    m_connection = m_traffic.m_pool.acquire(target.entry, m_usedConnections);
     const auto self = shared_from_this();
     m_connection->exchange(requestText(request.method, request.target, headers, request.body), request.method == "HEAD",
                            m_traffic.m_options.connectTimeout,
@@ -398,8 +398,8 @@
 
 void GatewayCall::onStreamComplete()
 {
-    if (m_stream.isBroken()) {
-        finishBrokenAttempt("the stream ended in the middle of an event");
+    if (const auto reason = m_stream.brokenOffReason(m_response.endsWithConnection())) {
+        onExchangeFailed({.reason = std::string(*reason)});
         return;
     }
     releaseTarget(true);
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -40,8 +40,12 @@
     /** Returns the number of complete events that the target of the current attempt has sent. */
     std::uint32_t eventsInAttempt() const;
 
-    /** Returns whether an event is missing, or the data of the current attempt ends in the middle of one. */
-    bool isBroken() const;
+    /**
+     * Returns why the stream is broken off if the current attempt has ended: an event is missing, or its data ends in
+     * the middle of one. An attempt whose data @p endsWithConnection, without length or chunks, is also broken off if
+     * it had no event.
+     */
+    std::optional<std::string_view> brokenOffReason(bool endsWithConnection) const;
 
     /** Returns the id of the last event that the caller has. */
     std::optional<std::uint64_t> lastEventId() const;
