Serve HTTP/1.0 callers in their own version, and reset a stream that is cut

A caller of HTTP/1.0 got its stream in chunks, which it takes for the body: the flag for such callers was read and never set. One that asked to keep its connection got no statement about it and waited for the end.

The reader now tells the version of a message. Such a caller gets a stream without chunks that ends with its connection, no interim response, and Connection: close. Without chunks an orderly close is the sign of a whole stream, so a close on any other path, even the end of the process, resets the connection until the last byte has been written.

Before the change 3 of the 5 cases of OldCallers failed (KeepAlive, Stream, StreamWithKeepAlive). With the flag set and without the reset, the 2 cases of CutStreams for HTTP/1.0 failed: the cut stream looked whole. A cut answer with a length or in chunks was a truncation before and still is.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -66,8 +66,11 @@
         if (!m_connection) {
             return;
         }
-        m_keepAlive = m_connection->canKeepAlive() && !m_connection->m_isHttp10;
+        m_keepAlive = m_connection->canKeepAlive();
         m_isChunked = !m_connection->m_isHttp10;
+        if (!m_isChunked) {
+            m_connection->setResetOnClose(true);
+        }
         m_connection->send(
             responseHeadText(status, headers, {.isChunked = m_isChunked, .keepsConnection = m_keepAlive}), {});
     }
@@ -323,8 +326,9 @@
 bool CallerConnection::onHead(const HttpMessageHead &head)
 {
     m_request = makeRequest(head);
-    m_isKeepAlive = head.isKeepAlive;
-    m_expectsContinue = expectsContinue(head);
+    m_isHttp10 = head.isHttp10;
+    m_isKeepAlive = head.isKeepAlive && !m_isHttp10;
+    m_expectsContinue = expectsContinue(head) && !m_isHttp10;
     if (head.headBytes > m_server->limits.maxHeaderBytes) {
         m_rejection = ErrorKind::HeaderTooLarge;
     } else if (head.contentLength.value_or(0) > m_server->limits.maxBodyBytes) {
@@ -440,11 +444,18 @@
     setPhase(Phase::Closing);
     m_pending.clear();
     updateHeldBytes();
+    setResetOnClose(false);
     asio::error_code ignored; // fails if the caller has disconnected already
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     read();
 }
 
+void CallerConnection::setResetOnClose(bool isReset)
+{
+    asio::error_code ignored; // fails if the caller has disconnected already
+    m_socket.set_option(asio::socket_base::linger(isReset, 0), ignored);
+}
+
 void CallerConnection::setPhase(Phase phase)
 {
     if (m_phase == Phase::Closed) {
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -99,6 +99,11 @@
     void onResponseFinished(bool keepAlive);
     void startNextRequest();
     void linger();
+    /**
+     * Sets whether any close, even by the end of the process, resets the connection. A response with neither length nor
+     * chunks needs it until it is complete, because an orderly close is the sign of its end.
+     */
+    void setResetOnClose(bool isReset);
     void setPhase(Phase phase);
     void updateHeldBytes();
     void onCallerDisconnected();
--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -127,6 +127,7 @@
         }
         m_head.status = m_type == HTTP_RESPONSE ? static_cast<int>(m_parser.status_code) : 0;
         m_head.headBytes = headBytes();
+        m_head.isHttp10 = m_parser.http_major < 1 || (m_parser.http_major == 1 && m_parser.http_minor == 0);
         m_head.isKeepAlive = http_should_keep_alive(&m_parser) != 0;
         if ((m_parser.flags & F_CONTENTLENGTH) != 0) {
             m_head.contentLength = m_parser.content_length;
