Pass on no status outside 200 to 599

A target's answer with status 0, 99, 600 or 999 reached the caller as it was, which no HTTP client can use. Such a response is now unusable: the attempt counts as one without an answer to the request.

The test is a table of heads that are none in the protocol, with a second request on the same connection, whose answer must follow. Before the change 4 of its 14 cases failed (StatusBelow100, Status0, Status600, Status999). Control characters in header names and values, two lengths, and a length with chunks were refused by the parser before, and stay in the table as guards.

--- a/modules/heatherridge_transport/direct/targetresponse.cpp
+++ b/modules/heatherridge_transport/direct/targetresponse.cpp
@@ -3,6 +3,17 @@
 namespace Heatherridge
 {
 
+namespace
+{
+
+/** Returns whether @p head can begin a final response to the caller. */
+bool isFinalInProtocol(const HttpMessageHead &head)
+{
+    return head.status >= 200 && head.status <= 599;
+}
+
+} // namespace
+
 void TargetResponse::setHead(const HttpMessageHead &head, TargetResponseFields fields, const RequestId &request)
 {
     m_status = head.status;
@@ -11,7 +22,7 @@
     m_fields = std::move(fields);
     m_belongsToRequest = m_fields.id == request;
     const bool isUnsigned = !m_fields.isSigned && !m_fields.isNotExecuted;
-    m_isUsable = m_belongsToRequest && !isUnsigned && !m_fields.isEncoded;
+    m_isUsable = m_belongsToRequest && !isUnsigned && !m_fields.isEncoded && isFinalInProtocol(head);
 }
 
 bool TargetResponse::beginBody()
