Treat responses with status 204 or 304 as having no body, on both sides

A target's 204 with a length or chunks was passed on with its body, which a caller reads as the beginning of the next response. A 304 that tells the length of the full response, as HTTP allows, waited for that many bytes until its deadline. What left the gateway had a Content-Length with both, which HTTP forbids for a 204 and which was wrong for a 304.

The body of such a response is not read any more. A 204 that announces one, or a 304 in chunks, is unusable; a 304 with a length is passed on. The connection is not kept if a body was announced, since the target may send it. No length is written with either status.

--- a/modules/heatherridge_transport/direct/httptext.cpp
+++ b/modules/heatherridge_transport/direct/httptext.cpp
@@ -71,7 +71,7 @@
     for (const auto &header : endToEndHeaders(headers)) {
         appendHeader(text, header.name, header.value);
     }
-    if (framing.contentLength) {
+    if (framing.contentLength && isBodyAllowed(status)) {
         appendHeader(text, "Content-Length", std::to_string(*framing.contentLength));
     }
     if (framing.isChunked) {
--- a/modules/heatherridge_transport/direct/targetconnection.cpp
+++ b/modules/heatherridge_transport/direct/targetconnection.cpp
@@ -263,11 +263,14 @@
     if (m_isInterim || !m_isBusy) {
         return true;
     }
-    m_isKeepAlive = head.isKeepAlive;
+    const bool isBodyExpected = isBodyAllowed(head.status) && !m_isHeadRequest;
+    // A target that announces a body where none is allowed may send it: it would precede the next response.
+    const bool mayHaveSurplus = !isBodyAllowed(head.status) && (head.isChunked || head.contentLength.value_or(0) > 0);
+    m_isKeepAlive = head.isKeepAlive && !mayHaveSurplus;
     if (m_events.head) {
         m_events.head(head);
     }
-    return !m_isHeadRequest;
+    return isBodyExpected;
 }
 
 void TargetConnection::completeExchange(bool hasLeftover)
--- a/modules/heatherridge_transport/direct/targetresponse.cpp
+++ b/modules/heatherridge_transport/direct/targetresponse.cpp
@@ -9,7 +9,9 @@
 /** Returns whether @p head can begin a final response to the caller. */
 bool isFinalInProtocol(const HttpMessageHead &head)
 {
-    return head.status >= 200 && head.status <= 599;
+    // The length in a 304 is that of the full response, which it stands for.
+    const bool isEmpty = !head.isChunked && (head.status == 304 || head.contentLength.value_or(0) == 0);
+    return head.status >= 200 && head.status <= 599 && (isEmpty || isBodyAllowed(head.status));
 }
 
 } // namespace
--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -5,16 +5,6 @@
 namespace Heatherridge
 {
 
-namespace
-{
-
-bool isBodyAllowed(int status)
-{
-    return status >= 200 && status != 204 && status != 304;
-}
-
-} // namespace
-
 class HttpMessageReader::Implementation
 {
 public:
@@ -132,8 +122,9 @@
         if ((m_parser.flags & F_CONTENTLENGTH) != 0) {
             m_head.contentLength = m_parser.content_length;
         }
-        m_head.endsWithConnection = m_type == HTTP_RESPONSE && isBodyAllowed(m_head.status)
-            && (m_parser.flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0;
+        m_head.isChunked = (m_parser.flags & F_CHUNKED) != 0;
+        m_head.endsWithConnection =
+            m_type == HTTP_RESPONSE && isBodyAllowed(m_head.status) && !m_head.isChunked && !m_head.contentLength;
         m_state = State::Body;
         return m_onHead(m_head) ? 0 : 1;
     }
--- a/modules/heatherridge_transport/http/httpmessagereader.h
+++ b/modules/heatherridge_transport/http/httpmessagereader.h
@@ -24,6 +24,7 @@
     std::size_t headBytes = 0; ///< size of the start line and all headers
     std::optional<std::uint64_t>
         contentLength{}; ///< empty for a chunked body and for one that ends when the connection closes
+    bool isChunked = false;
     bool endsWithConnection = false; ///< only for responses: the body has neither a length nor chunks
     bool isHttp10 = false; ///< HTTP/1.0 or older: the sender knows neither chunks nor interim responses
     bool isKeepAlive = true; ///< whether the sender keeps the connection open after the message
--- a/modules/heatherridge_transport/http/httpmessages.cpp
+++ b/modules/heatherridge_transport/http/httpmessages.cpp
@@ -48,6 +48,11 @@
     return header == headers.end() ? std::string_view{} : std::string_view(header->value);
 }
 
+bool isBodyAllowed(int status)
+{
+    return status >= 200 && status != 204 && status != 304;
+}
+
 std::string_view HttpRequest::header(std::string_view name) const
 {
     return headerValue(headers, name);
--- a/modules/heatherridge_transport/http/httpmessages.h
+++ b/modules/heatherridge_transport/http/httpmessages.h
@@ -24,6 +24,9 @@
 /** Returns whether @p names contains @p name, ignoring case. */
 bool containsHeaderName(std::span<const std::string_view> names, std::string_view name);
 
+/** Returns whether a response with @p status may have a body, whatever its headers say. */
+bool isBodyAllowed(int status);
+
 /** A complete HTTP request. */
 struct HttpRequest
 {
--- a/tests/gateway/invalidresponses_test.cpp
+++ b/tests/gateway/invalidresponses_test.cpp
@@ -35,6 +35,13 @@
     {"Status999", "HTTP/1.1 999 X", "Content-Length: 2\r\n\r\nok", 502},
     {"Status1000", "HTTP/1.1 1000 X", "Content-Length: 2\r\n\r\nok", 502},
     {"Status599", "HTTP/1.1 599 X", "Content-Length: 2\r\n\r\nok", 599, "ok"},
+    {"NoContent", "HTTP/1.1 204 X", "\r\n", 204},
+    {"NoContentWithLength0", "HTTP/1.1 204 X", "Content-Length: 0\r\n\r\n", 204},
+    {"NoContentWithLength", "HTTP/1.1 204 X", "Content-Length: 2\r\n\r\nok", 502},
+    {"NoContentInChunks", "HTTP/1.1 204 X", "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 502},
+    {"NotModified", "HTTP/1.1 304 X", "\r\n", 304},
+    {"NotModifiedWithLengthOfTheFullAnswer", "HTTP/1.1 304 X", "Content-Length: 2000\r\n\r\n", 304},
+    {"NotModifiedInChunks", "HTTP/1.1 304 X", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 502},
     {"HeaderWithCr", "HTTP/1.1 200 X", "X-Own: a\rX-Other: b\r\nContent-Length: 2\r\n\r\nok", 502},
     {"HeaderWithNul", "HTTP/1.1 200 X", "X-Own: a\0b\r\nContent-Length: 2\r\n\r\nok"s, 502},
     {"HeaderWithDelete", "HTTP/1.1 200 X", "X-Own: a\x7f\r\nContent-Length: 2\r\n\r\nok", 502},
@@ -71,6 +78,8 @@
     }
     EXPECT_NE(answer.head.find(testCase.header), std::string::npos);
     EXPECT_EQ(answer.head.find_first_of("\r\x7f"s + '\0'), std::string::npos);
+    const bool hasNoBody = answer.status == 204 || answer.status == 304;
+    EXPECT_FALSE(hasNoBody && answer.head.find("Content-Length") != std::string::npos);
     const auto next = caller.receive();
     EXPECT_EQ(next.status, 200);
     EXPECT_EQ(next.body, "next");
