--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -56,6 +56,11 @@
     return m_hasBegun;
 }
 
+std::uint32_t StreamProgress::eventsInAttempt() const
+{
+    return m_splitter.completedEvents();
+}
+
 std::optional<std::string_view> StreamProgress::brokenOffReason(bool endsWithConnection) const
 {
     if (m_isBroken) {
@@ -64,7 +69,7 @@
     if (m_splitter.hasPartialEvent()) {
         return "the stream ended in the middle of an event";
     }
-    if (endsWithConnection && !m_splitter.hasCompletedEvent()) {
+    if (endsWithConnection && m_splitter.completedEvents() == 0) {
         return "the connection ended before the first event of the stream";
     }
     return std::nullopt;
--- a/tests/answers/eventstreamsplitter_test.cpp
+++ b/tests/answers/eventstreamsplitter_test.cpp
@@ -13,14 +13,14 @@
     std::string bytes;
     std::vector<std::string> pieces;
     bool hasPartialEvent = false;
-    bool hasCompletedEvent = true;
+    std::uint32_t completedEvents = 1;
 };
 
 const SplitCase SplitCases[] = {
-    {"Nothing", "", {}, false, false},
-    {"TwoEvents", "id: 1\ndata: a\n\nid: 2\n\n", {"id: 1\ndata: a\n\n", "id: 2\n\n"}},
-    {"CrLf", "id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", {"id: 1\r\ndata: a\r\n\r\n", "id: 2\r\n\r\n"}},
-    {"MixedLineEnds", "id: 1\n\r\nid: 2\r\n\n", {"id: 1\n\r\n", "id: 2\r\n\n"}},
+    {"Nothing", "", {}, false, 0},
+    {"TwoEvents", "id: 1\ndata: a\n\nid: 2\n\n", {"id: 1\ndata: a\n\n", "id: 2\n\n"}, false, 2},
+    {"CrLf", "id: 1\r\ndata: a\r\n\r\nid: 2\r\n\r\n", {"id: 1\r\ndata: a\r\n\r\n", "id: 2\r\n\r\n"}, false, 2},
+    {"MixedLineEnds", "id: 1\n\r\nid: 2\r\n\n", {"id: 1\n\r\n", "id: 2\r\n\n"}, false, 2},
     {"CutInALine", "id: 1\n\nid: 2\nda", {"id: 1\n\n"}, true},
     {"CutBeforeTheBlankLine", "id: 1\n\nid: 2\ndata: b\n", {"id: 1\n\n"}, true},
     {"CutInTheBlankLine", "id: 1\r\n\r\nid: 2\r\n\r", {"id: 1\r\n\r\n"}, true},
@@ -28,9 +28,9 @@
     {"CommentLineAfterAnEvent", "id: 1\n\n: end\n", {"id: 1\n\n", ": end\n"}},
     {"CutInAComment", "id: 1\n\n: en", {"id: 1\n\n"}, true},
     {"CommentInsideAnEvent", "id: 1\n: c\ndata: a\n\n", {"id: 1\n: c\ndata: a\n\n"}},
-    {"CommentAfterTheFieldsOfAnEvent", "id: 1\n: c\n", {}, true, false},
+    {"CommentAfterTheFieldsOfAnEvent", "id: 1\n: c\n", {}, true, 0},
     {"CommentBeforeAnEvent", ": c\nid: 1\n\n", {": c\n", "id: 1\n\n"}},
-    {"OnlyAComment", ": c\n\n", {": c\n", "\n"}, false, false},
+    {"OnlyAComment", ": c\n\n", {": c\n", "\n"}, false, 0},
 };
 
 class Splits : public testing::TestWithParam<SplitCase>
@@ -52,7 +52,7 @@
         }
         EXPECT_EQ(pieces, testCase.pieces) << size;
         EXPECT_EQ(splitter.hasPartialEvent(), testCase.hasPartialEvent) << size;
-        EXPECT_EQ(splitter.hasCompletedEvent(), testCase.hasCompletedEvent) << size;
+        EXPECT_EQ(splitter.completedEvents(), testCase.completedEvents) << size;
     }
 }
 
