--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -5,16 +5,6 @@
 namespace Heatherridge
 {
 
-namespace
-{
-
-bool isBodyAllowed(int status)
-{
-    return status >= 200 && status != 204 && status != 304;
-}
-
-} // namespace
-
 class HttpMessageReader::Implementation
 {
 public:
@@ -127,12 +117,14 @@
         }
         m_head.status = m_type == HTTP_RESPONSE ? static_cast<int>(m_parser.status_code) : 0;
         m_head.headBytes = headBytes();
+        m_head.isHttp10 = m_parser.http_major < 1 || (m_parser.http_major == 1 && m_parser.http_minor == 0);
         m_head.isKeepAlive = http_should_keep_alive(&m_parser) != 0;
         if ((m_parser.flags & F_CONTENTLENGTH) != 0) {
             m_head.contentLength = m_parser.content_length;
         }
-        m_head.endsWithConnection = m_type == HTTP_RESPONSE && isBodyAllowed(m_head.status)
-            && (m_parser.flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0;
+        m_head.isChunked = (m_parser.flags & F_CHUNKED) != 0;
+        m_head.endsWithConnection =
+            m_type == HTTP_RESPONSE && isBodyAllowed(m_head.status) && !m_head.isChunked && !m_head.contentLength;
         m_state = State::Body;
         return m_onHead(m_head) ? 0 : 1;
     }
