--- a/modules/heatherridge_state/decisions/promptpartsuspects.cpp
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.cpp
@@ -381,13 +381,40 @@
     const auto counted = settled(countedDeaths(suspect), now);
     if (!isAnswered(part, suspect)) {
         // One request that is sent again and again ends several targets by itself, whichever of its parts is at fault.
-        return counted.size()
-            >= (promptCount(suspect, counted) > 1 ? m_options.deathsToBlock : m_options.deathsToBlockOnePrompt);
+        const auto needed =
+            promptCount(suspect, counted) > 1 ? m_options.deathsToBlock : m_options.deathsToBlockOnePrompt;
+        if (counted.size() < needed) {
+            return false;
+        }
+        const Deaths last(counted.end() - static_cast<std::ptrdiff_t>(needed), counted.end());
+        return shareOfAllDeaths(last)
+            >= (episodeCount(last) > 1 ? m_options.shareToBlock : m_options.shareToBlockInOneEpisode);
     }
     const auto deaths = settled(unansweredDeaths(suspect), now);
-    return deaths.size() >= m_options.deathsToBlockAnswered && counted.size() >= m_options.unexplainedToBlockAnswered
-        && episodeCount(deaths) >= m_options.episodesToBlockAnswered
-        && m_answerCount - suspect.answersBefore >= m_options.answersOfOthersToBlock;
+    if (counted.size() < m_options.unexplainedToBlockAnswered) {
+        return false;
+    }
+    if (m_answerCount - suspect.answersBefore >= m_options.answersOfOthersToBlock) {
+        return deaths.size() >= m_options.deathsToBlockAnswered
+            && episodeCount(deaths) >= m_options.episodesToBlockAnswered;
+    }
+    return !suspect.isFirstPart && deaths.size() >= m_options.deathsToBlockUnproven
+        && episodeCount(deaths) >= m_options.episodesToBlockUnproven
+        && shareOfAllDeaths(deaths) >= m_options.shareToBlockUnproven;
+}
+
+double PromptPartSuspects::shareOfAllDeaths(std::span<const DeathPointer> deaths) const
+{
+    // Wider than the deaths themselves: of very many at once, some part is in hand at several in a row.
+    const auto from = deaths.front()->time - m_options.episodeGap;
+    const auto to = deaths.back()->time + m_options.episodeGap;
+    std::size_t all = 0;
+    for (const auto &[target, deathsOfTarget] : m_deathsByTarget) {
+        all += static_cast<std::size_t>(
+            std::count_if(deathsOfTarget.begin(), deathsOfTarget.end(),
+                          [&](const auto &death) { return from <= death->time && death->time <= to; }));
+    }
+    return static_cast<double>(deaths.size()) / static_cast<double>(std::max<std::size_t>(all, 1));
 }
 
 std::vector<PromptPart> PromptPartSuspects::nextCulprits(SteadyTime now) const
--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -59,6 +59,14 @@
         std::uint64_t answersOfOthersToBlock = 8;
         /** Reports of one gateway on one target that are closer than this are of one death. */
         std::chrono::milliseconds sameDeathGap{2'000};
+        /**
+         * Deaths after which a part with an earlier answer is blocked although nothing is answered, if it is not a
+         * first part and was in hand at this share of all deaths. Crashes for other reasons hit the first parts of
+         * sound prompts as often.
+         */
+        std::size_t deathsToBlockUnproven = 10;
+        std::size_t episodesToBlockUnproven = 3; ///< in which these deaths must lie
+        double shareToBlockUnproven = 0.9; ///< of all deaths since the first one under the part
         /** Reports of several gateways on one target may arrive this far apart and be of one death. */
         std::chrono::milliseconds sameDeathArrival{5'000};
         std::chrono::milliseconds retention{300'000}; ///< of deaths, and of a block since the last refusal or record
@@ -67,6 +75,12 @@
         /** Longest wait before a record that others may publish too; it is dropped when theirs is read meanwhile. */
         std::chrono::milliseconds publishJitter{400};
         std::chrono::milliseconds reporterJitter{100}; ///< the same for a gateway that reported a death under the part
+        /**
+         * Share of all deaths, between the first and the last of those that block a part without a known answer, at
+         * which it must have been in hand. When many targets die at once, some part is in hand at several of them.
+         */
+        double shareToBlock = 0.1;
+        double shareToBlockInOneEpisode = 0.3; ///< the same if these deaths lie in one episode
         std::uint32_t maxFailedTrials = 2; ///< of one blocked part; a trial has failed when a target died under it
         std::chrono::milliseconds firstTrialDelay{15'000}; ///< after a block of one part for several episodes
         /** After a block that rests on one episode, or of parts that were in hand at the same deaths. */
@@ -190,6 +204,7 @@
     std::size_t episodeCount(const Deaths &deaths) const;
     bool isAnswered(PromptPart part, const Suspect &suspect) const;
     bool mayBlock(PromptPart part, const Suspect &suspect, SteadyTime now) const;
+    double shareOfAllDeaths(std::span<const DeathPointer> deaths) const;
     std::size_t promptCount(const Suspect &suspect, const Deaths &counted) const;
     std::vector<PromptPart> nextCulprits(SteadyTime now) const;
     void preferLaterParts(std::vector<PromptPart> &culprits) const;
