Send 100 Continue only to the request that expects it

A caller got an unasked `100 Continue` for the second request of its connection when the first one had `Expect: 100-continue` and arrived whole in one read, and the head of the second arrived in two. The expectation was cleared only when the interim answer was sent, which a request that is already complete does not get.

The expectation is now cleared after each read that set it.

Before the change 2 of the 4 cases of the new test failed (OnlyTheFirstExpectsIt, BothExpectIt: status 100 where 200 or the end of the head was due); now all pass.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -302,6 +302,7 @@
     }
     const auto consumed = m_reader.feed(bytes);
     const auto state = m_reader.state();
+    const bool isContinueExpected = std::exchange(m_expectsContinue, false);
     if (m_rejection) {
         reject(*m_rejection);
         return;
@@ -315,7 +316,7 @@
         dispatchRequest();
         return;
     }
-    if (std::exchange(m_expectsContinue, false)) {
+    if (isContinueExpected) {
         send("HTTP/1.1 100 Continue\r\n\r\n", {});
     }
 }
