Send nothing for an empty piece of a chunked response

An empty write on an exchange of the callers' server became a chunk of size 0, which ends a chunked response: the caller took a part of the response for the whole, and what followed for the beginning of the next one. Exchanges now drop empty pieces in one place, for both servers, and report them as sent.

ResponseOrder now also writes empty pieces, makes up to four calls instead of three, compares the body, and requires that no bytes at all follow a whole response; so far bytes that are no HTTP passed for the end of the connection. Its two servers move to a header that other tests can use.

--- a/modules/heatherridge_transport/http/httpexchange.cpp
+++ b/modules/heatherridge_transport/http/httpexchange.cpp
@@ -28,10 +28,12 @@
 
 void HttpExchange::write(std::string bytes, WriteCallback done)
 {
-    if (advance(State::Streaming, State::Streaming, "write")) {
-        sendStreamBytes(std::move(bytes), std::move(done));
-    } else {
+    if (!advance(State::Streaming, State::Streaming, "write")) {
         done(false);
+    } else if (bytes.empty()) {
+        done(true); // a chunk of size 0 would end the response
+    } else {
+        sendStreamBytes(std::move(bytes), std::move(done));
     }
 }
 
--- a/modules/heatherridge_transport/http/httpexchange.h
+++ b/modules/heatherridge_transport/http/httpexchange.h
@@ -47,9 +47,9 @@
     void beginStream(int status, const std::vector<HttpHeader> &headers);
 
     /**
-     * Sends @p bytes as one chunk. @p done is called on a server thread once they are sent or the caller has
-     * disconnected. Wait for it before reading more from the source; otherwise chunks for a slow reader accumulate
-     * without bound.
+     * Sends @p bytes as one chunk, or nothing if they are empty. @p done is called once they are sent or the caller has
+     * disconnected, on a server thread or, if nothing is sent, before this function returns. Wait for it before reading
+     * more from the source; otherwise chunks for a slow reader accumulate without bound.
      */
     void write(std::string bytes, WriteCallback done);
 
@@ -79,6 +79,7 @@
 
     virtual void sendResponse(HttpResponse response) = 0;
     virtual void sendStreamHead(int status, const std::vector<HttpHeader> &headers) = 0;
+    /** @p bytes are not empty. */
     virtual void sendStreamBytes(std::string bytes, WriteCallback done) = 0;
     virtual void sendStreamEnd() = 0;
     virtual void closeConnection() = 0;
--- a/tests/gateway/responseorder_test.cpp
+++ b/tests/gateway/responseorder_test.cpp
@@ -1,19 +1,14 @@
+#include "gateway/exchangeservers.h"
 #include "gateway/gatewayfixture.h"
-#include "heatherridge_transport/direct/callerserver.h"
 
-#include <asio/executor_work_guard.hpp>
-#include <asio/io_context.hpp>
-#include <asio/post.hpp>
 #include <gtest/gtest.h>
 
-#include <future>
-
 using namespace Heatherridge;
 
 namespace
 {
 
-/** Calls on an exchange, in order: R(espond), B(egin a stream), W(rite), E(nd), A(bort). */
+/** Calls on an exchange, in order: R(espond), B(egin a stream), W(rite), write an empty piece (0), E(nd), A(bort). */
 using Calls = std::string;
 
 void perform(HttpExchange &exchange, const Calls &calls)
@@ -29,6 +24,9 @@
         case 'W':
             exchange.write("piece", [](bool) {});
             break;
+        case '0':
+            exchange.write("", [](bool) {});
+            break;
         case 'E':
             exchange.end();
             break;
@@ -38,12 +36,12 @@
     }
 }
 
-/** Returns all sequences of one to three calls. */
+/** Returns all sequences of one to four calls. */
 std::vector<Calls> allSequences()
 {
     std::vector<Calls> sequences{""};
-    for (std::size_t index = 0; sequences[index].size() < 3; ++index) {
-        for (const char call : std::string("RBWEA")) {
+    for (std::size_t index = 0; sequences[index].size() < 4; ++index) {
+        for (const char call : std::string("RBW0EA")) {
             sequences.push_back(sequences[index] + call);
         }
     }
@@ -55,67 +53,22 @@
 bool isWholeAnswer(const Calls &calls)
 {
     const auto end = calls.find('E');
-    const bool isWholeStream = calls.front() == 'B' && end != Calls::npos && calls.find_first_not_of('W', 1) == end;
+    const bool isWholeStream = calls.front() == 'B' && end != Calls::npos && calls.find_first_not_of("W0", 1) == end;
     return calls.front() == 'R' || isWholeStream;
 }
 
-/** The server of a gateway's callers. */
-class GatewayCallerServer
+/** Returns the body of the whole answer that @p calls send. */
+std::string wholeBody(const Calls &calls)
 {
-public:
-    explicit GatewayCallerServer(HttpServer::Handler handler)
-        : m_server(
-            m_loop, {.listen = {.address = "127.0.0.1"}}, std::move(handler),
-            [](ErrorKind) { return HttpResponse{.status = 400}; }, m_metrics)
-        , m_endpoint(std::get<Endpoint>(m_server.start()))
-        , m_thread([this] { m_loop.run(); })
-    {
+    if (calls.front() == 'R') {
+        return "whole";
     }
-
-    ~GatewayCallerServer()
-    {
-        asio::post(m_loop, [this] {
-            m_server.stop();
-            m_loop.stop();
-        });
-        m_thread.join();
+    std::string body;
+    for (const char call : calls.substr(0, calls.find('E'))) {
+        body += call == 'W' ? "piece" : "";
     }
-
-    GatewayCallerServer(const GatewayCallerServer &) = delete;
-    GatewayCallerServer &operator=(const GatewayCallerServer &) = delete;
-
-    Endpoint endpoint() const
-    {
-        return m_endpoint;
-    }
-
-private:
-    asio::io_context m_loop;
-    Metrics m_metrics;
-    CallerServer m_server;
-    Endpoint m_endpoint;
-    std::thread m_thread;
-};
-
-/** The server of all other processes. */
-class RestinioServer
-{
-public:
-    explicit RestinioServer(HttpServer::Handler handler)
-        : m_server({.listen = {.address = "127.0.0.1"}}, std::move(handler))
-        , m_endpoint(std::get<Endpoint>(m_server.start()))
-    {
-    }
-
-    Endpoint endpoint() const
-    {
-        return m_endpoint;
-    }
-
-private:
-    HttpServer m_server;
-    Endpoint m_endpoint;
-};
+    return body;
+}
 
 template<typename Server>
 class ResponseOrder : public testing::Test
@@ -137,7 +90,11 @@
         const auto answer = caller.receive();
         EXPECT_TRUE(answer.isInProtocol) << sequence;
         EXPECT_EQ(answer.isWhole, isWholeAnswer(sequence)) << sequence;
-        EXPECT_TRUE(answer.isWhole ? caller.receive().status == 0 : true) << "bytes after the response: " << sequence;
+        if (answer.isWhole) {
+            EXPECT_EQ(answer.body, wholeBody(sequence)) << sequence;
+            const auto rest = caller.receive();
+            EXPECT_TRUE(rest.status == 0 && rest.isInProtocol) << "bytes after the response: " << sequence;
+        }
     }
 }
 
