Keep a caller's connection busy until its response is written

A connection became idle, and took up its next request, as soon as a response had been handed over, whatever part of it was unsent. Two faults came from that:

- A planned stop cut off the answer of a slow reader: closeIdleConnections shut the connection down, and busyConnections did not count it.
The idle timeout ended such an answer too, instead of the write timeout.
- Pipelined requests that are answered at once nested, one inside the response of the other, and each level held a copy of the rest.
With 4,550 of them the stack of the gateway overflowed.

The connection now leaves its answering phase when the last write has ended. As the end of a write comes from the loop, requests no longer nest. The bytes of waiting requests stay where they are and are parsed from an offset, without a copy for each request. What callbacks of a write send is collected and written together after them; so far a response that ended in such a callback could be shut down during its last write.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -286,21 +286,27 @@
         read(); // discards data received after the last response
         return;
     }
+    const std::string_view bytes(m_buffer.data(), size);
     if (m_phase == Phase::Answering) {
-        m_pending.append(m_buffer.data(), size);
+        m_pending.append(bytes);
     } else {
-        processBytes({m_buffer.data(), size});
+        m_pending.append(bytes.substr(feedReader(bytes)));
+        handleReaderState();
     }
     updateHeldBytes();
     read();
 }
 
-void CallerConnection::processBytes(std::string_view bytes)
+std::size_t CallerConnection::feedReader(std::string_view bytes)
 {
     if (m_phase == Phase::Waiting) {
         setPhase(Phase::Receiving);
     }
-    const auto consumed = m_reader.feed(bytes);
+    return m_reader.feed(bytes);
+}
+
+void CallerConnection::handleReaderState()
+{
     const auto state = m_reader.state();
     const bool isContinueExpected = std::exchange(m_expectsContinue, false);
     if (m_rejection) {
@@ -312,7 +318,6 @@
         return;
     }
     if (state == HttpMessageReader::State::Complete) {
-        m_pending.append(bytes.substr(consumed));
         dispatchRequest();
         return;
     }
@@ -384,21 +389,20 @@
     }
     asio::async_write(m_socket, buffers,
                       [self = shared_from_this(), batch](const asio::error_code &error, std::size_t) {
-                          self->m_isWriting = false;
                           for (const auto &write : *batch) {
                               self->m_unsentBytes -= write.bytes.size();
                               if (write.done) {
                                   write.done(!error);
                               }
                           }
+                          self->m_isWriting = false; // not earlier: what the callbacks send is written together
                           self->updateHeldBytes();
                           if (error) {
                               self->onCallerDisconnected();
-                          } else if (!self->m_pendingWrites.empty()) {
-                              self->writeNext();
-                          } else if (self->m_closeWhenWritten) {
-                              self->linger();
+                              return;
                           }
+                          self->writeNext();
+                          self->continueWhenWritten();
                       });
 }
 
@@ -410,36 +414,51 @@
     if (m_phase != Phase::Answering) {
         return;
     }
-    if (!keepAlive) {
-        m_closeWhenWritten = true;
-        if (!m_isWriting && m_pendingWrites.empty()) {
-            linger();
-        }
+    m_isResponseFinished = true;
+    m_closeWhenWritten = m_closeWhenWritten || !keepAlive;
+    continueWhenWritten();
+}
+
+void CallerConnection::continueWhenWritten()
+{
+    if (m_phase != Phase::Answering || m_isWriting) {
         return;
     }
-    startNextRequest();
+    if (m_closeWhenWritten) {
+        linger();
+    } else if (std::exchange(m_isResponseFinished, false)) {
+        startNextRequest();
+    }
 }
 
 void CallerConnection::startNextRequest()
 {
     m_reader.reset();
     setPhase(Phase::Waiting);
-    if (m_pending.empty()) {
-        read();
-        return;
+    if (!m_pending.empty()) {
+        m_pendingStart += feedReader(std::string_view(m_pending).substr(m_pendingStart));
+        if (m_pendingStart == m_pending.size()) {
+            clearPending();
+        }
+        handleReaderState();
     }
-    const auto bytes = std::exchange(m_pending, {});
-    processBytes(bytes);
+    updateHeldBytes();
     read();
 }
 
+void CallerConnection::clearPending()
+{
+    std::string().swap(m_pending); // clear() would keep the memory
+    m_pendingStart = 0;
+}
+
 void CallerConnection::linger()
 {
     if (m_phase == Phase::Closed || m_phase == Phase::Closing) {
         return;
     }
     setPhase(Phase::Closing);
-    m_pending.clear();
+    clearPending();
     updateHeldBytes();
     asio::error_code ignored; // fails if the caller has disconnected already
     m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -29,7 +29,7 @@
     CallerServer::RejectionHandler makeRejection{};
     ClientLimits limits{};
     bool isDraining = false;
-    std::size_t busyCount = 0; ///< connections with an unanswered request
+    std::size_t busyCount = 0; ///< connections with a request whose response is not yet written
     BufferBudget buffers; ///< of all connections
     std::function<void()> buffersExceeded{}; ///< called when the connections hold too much together
     Counter *headTimeouts = nullptr;
@@ -71,7 +71,7 @@
     /** Ends the connection because it holds too much: rejects a request that is arriving, closes it otherwise. */
     void endForMemory();
 
-    /** Closes the connection unless a request is in progress. */
+    /** Closes the connection unless a request is in progress or its response is not yet written. */
     void closeIfIdle();
 
     /** Closes the connection immediately. */
@@ -83,21 +83,27 @@
     enum class Phase {
         Waiting, ///< until the first byte of a request arrives
         Receiving,
-        Answering,
+        Answering, ///< until the response has been written
         Closing, ///< the last response has been written
         Closed,
     };
 
     void read();
     void onRead(const asio::error_code &error, std::size_t size);
-    void processBytes(std::string_view bytes);
+    /** Parses @p bytes up to the end of the current request. @returns the number of bytes consumed */
+    std::size_t feedReader(std::string_view bytes);
+    void handleReaderState();
     bool onHead(const HttpMessageHead &head);
     void dispatchRequest();
     void reject(ErrorKind kind);
     void send(std::string bytes, HttpExchange::WriteCallback done);
     void writeNext();
     void onResponseFinished(bool keepAlive);
+    /** Closes the connection or starts the next request if the response is finished and nothing is left to write. The
+     * end of a write leads here, so that requests which are answered at once do not nest. */
+    void continueWhenWritten();
     void startNextRequest();
+    void clearPending();
     void linger();
     void setPhase(Phase phase);
     void updateHeldBytes();
@@ -114,7 +120,8 @@
     std::shared_ptr<CallerServerState> m_server;
     HttpMessageReader m_reader;
     std::array<char, 8192> m_buffer{};
-    std::string m_pending; ///< bytes received after the current request
+    std::string m_pending; ///< bytes received after the current request, from m_pendingStart on
+    std::size_t m_pendingStart = 0;
     HttpRequest m_request;
     std::size_t m_requestBytes = 0; ///< size of the body of the request in progress
     std::size_t m_unsentBytes = 0; ///< of responses
@@ -128,6 +135,7 @@
     bool m_isWriting = false;
     bool m_isReading = false;
     bool m_closeWhenWritten = false;
+    bool m_isResponseFinished = false; ///< though maybe not yet written
     Phase m_phase = Phase::Waiting;
     SteadyTime m_phaseSince{};
     SteadyTime m_writeStartedAt{};
--- a/modules/heatherridge_transport/direct/callerserver.h
+++ b/modules/heatherridge_transport/direct/callerserver.h
@@ -55,10 +55,10 @@
     /** Makes each further response close its connection. New connections are still served. */
     void beginDrain();
 
-    /** Closes the persistent connections that have no request in progress. */
+    /** Closes the persistent connections that have no request in progress and nothing left to write. */
     void closeIdleConnections();
 
-    /** Returns the number of connections whose current response is not complete. */
+    /** Returns the number of connections whose current response has not been written to its end. */
     std::size_t busyConnections() const;
 
     /** Stops listening and closes all connections. */
