Send no body when a HEAD request is rejected

The rejection of a HEAD request whose head was too long, or whose body was too large, carried a body, which a caller takes for the beginning of a next response. The length of the body is still in the head. A rejection before the end of the head, when the method is not known, keeps its body.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -351,13 +351,15 @@
 
 void CallerConnection::reject(ErrorKind kind)
 {
-    auto response = m_server->makeRejection(kind);
+    const auto response = m_server->makeRejection(kind);
     m_closeWhenWritten = true;
     setPhase(Phase::Answering);
-    send(responseHeadText(response.status, response.headers,
-                          {.contentLength = response.body.size(), .keepsConnection = false})
-             + response.body,
-         {});
+    auto bytes = responseHeadText(response.status, response.headers,
+                                  {.contentLength = response.body.size(), .keepsConnection = false});
+    if (m_request.method != "HEAD") {
+        bytes += response.body;
+    }
+    send(std::move(bytes), {});
 }
 
 void CallerConnection::send(std::string bytes, HttpExchange::WriteCallback done)
--- a/tests/gateway/headrequests_test.cpp
+++ b/tests/gateway/headrequests_test.cpp
@@ -29,4 +29,36 @@
     EXPECT_EQ(answer.body, Event);
 }
 
+struct HeadRejectionCase
+{
+    const char *name;
+    std::string headers; ///< of the request
+    int status; ///< of the rejection
+};
+
+const HeadRejectionCase HeadRejectionCases[] = {
+    {"LongHeader", "X-Long: " + std::string(5'000, 'x') + "\r\n", 431},
+    {"LargeBody", "Content-Length: 1000000\r\n", 413},
+};
+
+class HeadRejections : public testing::TestWithParam<HeadRejectionCase>
+{
+};
+
+// Guards against a body after the head of the rejection of a HEAD request.
+TEST_P(HeadRejections, HaveNoBody)
+{
+    const ScriptedTarget target(
+        [](const auto &request, int) { return Actions{{.bytes = signedResponse(request, "")}}; });
+    GatewayFixture gateway({&target});
+    RawCaller caller(gateway.callerEndpoint());
+    caller.send(requestText("HEAD", "/look/1", "r1", {}, GetParam().headers));
+    EXPECT_EQ(caller.receive(true).status, GetParam().status);
+    const auto rest = caller.receive();
+    EXPECT_TRUE(rest.status == 0 && rest.isInProtocol) << "bytes after the head";
+}
+
+INSTANTIATE_TEST_SUITE_P(All, HeadRejections, testing::ValuesIn(HeadRejectionCases),
+                         [](const auto &row) { return row.param.name; });
+
 } // namespace
