Send no body in response to a HEAD request on the other servers

The servers on RESTinio answered HEAD with a body, or with chunks and the last chunk. A response to HEAD now has the length of its body in the head, and no body. That of a stream ends with the connection, because RESTinio can only end a chunked response with the last chunk.

--- a/modules/heatherridge_transport/http/httpserver.cpp
+++ b/modules/heatherridge_transport/http/httpserver.cpp
@@ -132,6 +132,13 @@
             return;
         }
         m_finished = true;
+        if (isHeadRequest()) {
+            auto head = m_handle->create_response<restinio::user_controlled_output_t>(statusLine(response.status));
+            addHeaders(head, response.headers);
+            head.set_content_length(response.body.size());
+            head.done();
+            return;
+        }
         auto builder = m_handle->create_response(statusLine(response.status));
         addHeaders(builder, response.headers);
         builder.set_body(std::move(response.body));
@@ -146,10 +153,17 @@
         }
         m_stream.emplace(m_handle->create_response<restinio::chunked_output_t>(statusLine(status)));
         addHeaders(*m_stream, headers);
+        if (isHeadRequest()) {
+            m_stream->connection_close(); // RESTinio ends a chunked response only with its last chunk
+        }
     }
 
     void sendStreamBytes(std::string bytes, WriteCallback done) override
     {
+        if (isHeadRequest()) {
+            done(true); // its response has no body
+            return;
+        }
         const std::lock_guard lock(m_mutex);
         if (m_finished || !m_stream) {
             return;
@@ -160,6 +174,10 @@
 
     void sendStreamEnd() override
     {
+        if (isHeadRequest()) {
+            closeConnection(); // after the head, without the last chunk
+            return;
+        }
         const std::lock_guard lock(m_mutex);
         if (!m_finished && m_stream) {
             m_finished = true;
@@ -194,6 +212,11 @@
             std::move(emptyGroup));
     }
 
+    bool isHeadRequest() const
+    {
+        return m_request.method == "HEAD";
+    }
+
     bool isFinished()
     {
         const std::lock_guard lock(m_mutex);
--- a/tests/gateway/responseorder_test.cpp
+++ b/tests/gateway/responseorder_test.cpp
@@ -98,4 +98,56 @@
     }
 }
 
+/** Calls on an exchange that answer /second with a body of its own. */
+HttpServer::Handler secondOr(const Calls &calls)
+{
+    return [&calls](const std::shared_ptr<HttpExchange> &exchange) {
+        if (exchange->request().path == "/second") {
+            exchange->respond({.body = "second"});
+        } else {
+            perform(*exchange, calls);
+        }
+    };
+}
+
+// Guards against bytes after a response that the caller of a kept connection takes for the beginning of the next one.
+TYPED_TEST(ResponseOrder, LeavesTheConnectionFitForASecondRequest)
+{
+    Calls calls;
+    const TypeParam server(secondOr(calls));
+    for (const auto &sequence : allSequences()) {
+        calls = sequence;
+        RawCaller caller(server.endpoint());
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto answer = caller.receive();
+        EXPECT_TRUE(answer.isInProtocol) << sequence;
+        EXPECT_EQ(answer.isWhole, isWholeAnswer(sequence)) << sequence;
+        caller.send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto second = caller.receive();
+        EXPECT_TRUE(second.isInProtocol) << sequence;
+        EXPECT_EQ(second.body, isWholeAnswer(sequence) ? "second" : "") << sequence;
+    }
+}
+
+// Guards against bytes after the head of the response to a HEAD request, which has no body.
+TYPED_TEST(ResponseOrder, SendsNoBodyInResponseToAHeadRequest)
+{
+    Calls calls;
+    const TypeParam server(secondOr(calls));
+    for (const auto &sequence : allSequences()) {
+        calls = sequence;
+        RawCaller caller(server.endpoint());
+        caller.send("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto answer = caller.receive(true);
+        EXPECT_TRUE(answer.isInProtocol) << sequence;
+        EXPECT_TRUE(answer.isWhole || !isWholeAnswer(sequence)) << sequence;
+        EXPECT_EQ(answer.body, "") << sequence;
+        caller.send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto second = caller.receive();
+        EXPECT_TRUE(second.isInProtocol) << sequence;
+        EXPECT_TRUE(second.status == 0 || second.body == "second") << sequence;
+        EXPECT_TRUE(second.isWhole || sequence.front() != 'R') << sequence;
+    }
+}
+
 } // namespace
