--- a/tests/gateway/responseorder_test.cpp
+++ b/tests/gateway/responseorder_test.cpp
@@ -1,19 +1,14 @@
+#include "gateway/exchangeservers.h"
 #include "gateway/gatewayfixture.h"
-#include "heatherridge_transport/direct/callerserver.h"
 
-#include <asio/executor_work_guard.hpp>
-#include <asio/io_context.hpp>
-#include <asio/post.hpp>
 #include <gtest/gtest.h>
 
-#include <future>
-
 using namespace Heatherridge;
 
 namespace
 {
 
-/** Calls on an exchange, in order: R(espond), B(egin a stream), W(rite), E(nd), A(bort). */
+/** Calls on an exchange, in order: R(espond), B(egin a stream), W(rite), write an empty piece (0), E(nd), A(bort). */
 using Calls = std::string;
 
 void perform(HttpExchange &exchange, const Calls &calls)
@@ -29,6 +24,9 @@
         case 'W':
             exchange.write("piece", [](bool) {});
             break;
+        case '0':
+            exchange.write("", [](bool) {});
+            break;
         case 'E':
             exchange.end();
             break;
@@ -38,12 +36,12 @@
     }
 }
 
-/** Returns all sequences of one to three calls. */
+/** Returns all sequences of one to four calls. */
 std::vector<Calls> allSequences()
 {
     std::vector<Calls> sequences{""};
-    for (std::size_t index = 0; sequences[index].size() < 3; ++index) {
-        for (const char call : std::string("RBWEA")) {
+    for (std::size_t index = 0; sequences[index].size() < 4; ++index) {
+        for (const char call : std::string("RBW0EA")) {
             sequences.push_back(sequences[index] + call);
         }
     }
@@ -55,67 +53,22 @@
 bool isWholeAnswer(const Calls &calls)
 {
     const auto end = calls.find('E');
-    const bool isWholeStream = calls.front() == 'B' && end != Calls::npos && calls.find_first_not_of('W', 1) == end;
+    const bool isWholeStream = calls.front() == 'B' && end != Calls::npos && calls.find_first_not_of("W0", 1) == end;
     return calls.front() == 'R' || isWholeStream;
 }
 
-/** The server of a gateway's callers. */
-class GatewayCallerServer
+/** Returns the body of the whole answer that @p calls send. */
+std::string wholeBody(const Calls &calls)
 {
-public:
-    explicit GatewayCallerServer(HttpServer::Handler handler)
-        : m_server(
-            m_loop, {.listen = {.address = "127.0.0.1"}}, std::move(handler),
-            [](ErrorKind) { return HttpResponse{.status = 400}; }, m_metrics)
-        , m_endpoint(std::get<Endpoint>(m_server.start()))
-        , m_thread([this] { m_loop.run(); })
-    {
-    }
-
-    ~GatewayCallerServer()
-    {
-        asio::post(m_loop, [this] {
-            m_server.stop();
-            m_loop.stop();
-        });
-        m_thread.join();
+    if (calls.front() == 'R') {
+        return "whole";
     }
-
-    GatewayCallerServer(const GatewayCallerServer &) = delete;
-    GatewayCallerServer &operator=(const GatewayCallerServer &) = delete;
-
-    Endpoint endpoint() const
-    {
-        return m_endpoint;
-    }
-
-private:
-    asio::io_context m_loop;
-    Metrics m_metrics;
-    CallerServer m_server;
-    Endpoint m_endpoint;
-    std::thread m_thread;
-};
-
-/** The server of all other processes. */
-class RestinioServer
-{
-public:
-    explicit RestinioServer(HttpServer::Handler handler)
-        : m_server({.listen = {.address = "127.0.0.1"}}, std::move(handler))
-        , m_endpoint(std::get<Endpoint>(m_server.start()))
-    {
+    std::string body;
+    for (const char call : calls.substr(0, calls.find('E'))) {
+        body += call == 'W' ? "piece" : "";
     }
-
-    Endpoint endpoint() const
-    {
-        return m_endpoint;
-    }
-
-private:
-    HttpServer m_server;
-    Endpoint m_endpoint;
-};
+    return body;
+}
 
 template<typename Server>
 class ResponseOrder : public testing::Test
@@ -137,7 +90,63 @@
         const auto answer = caller.receive();
         EXPECT_TRUE(answer.isInProtocol) << sequence;
         EXPECT_EQ(answer.isWhole, isWholeAnswer(sequence)) << sequence;
-        EXPECT_TRUE(answer.isWhole ? caller.receive().status == 0 : true) << "bytes after the response: " << sequence;
+        if (answer.isWhole) {
+            EXPECT_EQ(answer.body, wholeBody(sequence)) << sequence;
+            const auto rest = caller.receive();
+            EXPECT_TRUE(rest.status == 0 && rest.isInProtocol) << "bytes after the response: " << sequence;
+        }
+    }
+}
+
+/** Calls on an exchange that answer /second with a body of its own. */
+HttpServer::Handler secondOr(const Calls &calls)
+{
+    return [&calls](const std::shared_ptr<HttpExchange> &exchange) {
+        if (exchange->request().path == "/second") {
+            exchange->respond({.body = "second"});
+        } else {
+            perform(*exchange, calls);
+        }
+    };
+}
+
+// Guards against bytes after a response that the caller of a kept connection takes for the beginning of the next one.
+TYPED_TEST(ResponseOrder, LeavesTheConnectionFitForASecondRequest)
+{
+    Calls calls;
+    const TypeParam server(secondOr(calls));
+    for (const auto &sequence : allSequences()) {
+        calls = sequence;
+        RawCaller caller(server.endpoint());
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto answer = caller.receive();
+        EXPECT_TRUE(answer.isInProtocol) << sequence;
+        EXPECT_EQ(answer.isWhole, isWholeAnswer(sequence)) << sequence;
+        caller.send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto second = caller.receive();
+        EXPECT_TRUE(second.isInProtocol) << sequence;
+        EXPECT_EQ(second.body, isWholeAnswer(sequence) ? "second" : "") << sequence;
+    }
+}
+
+// Guards against bytes after the head of the response to a HEAD request, which has no body.
+TYPED_TEST(ResponseOrder, SendsNoBodyInResponseToAHeadRequest)
+{
+    Calls calls;
+    const TypeParam server(secondOr(calls));
+    for (const auto &sequence : allSequences()) {
+        calls = sequence;
+        RawCaller caller(server.endpoint());
+        caller.send("HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto answer = caller.receive(true);
+        EXPECT_TRUE(answer.isInProtocol) << sequence;
+        EXPECT_TRUE(answer.isWhole || !isWholeAnswer(sequence)) << sequence;
+        EXPECT_EQ(answer.body, "") << sequence;
+        caller.send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto second = caller.receive();
+        EXPECT_TRUE(second.isInProtocol) << sequence;
+        EXPECT_TRUE(second.status == 0 || second.body == "second") << sequence;
+        EXPECT_TRUE(second.isWhole || sequence.front() != 'R') << sequence;
     }
 }
 
