Resume a stream only after an event with an id

A stream whose events have no id, or whose last forwarded event has none, was sent to a second target after its own was lost. That target began anew, or after the last event with an id, so that the caller received events twice in one response that looked complete. Such a stream is now broken off. A target that is silent keeps it.

An event without id that a resuming target sends among events which the caller already has was forwarded again; it is now dropped like its neighbours.

StreamEvent tells events from the comments and blank lines between them, which need no id.

--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
@@ -73,8 +73,9 @@
          size = findPieceEnd(std::string_view(m_buffer).substr(begin))) {
         std::string text = m_buffer.substr(begin, size);
         const auto id = parseEventId(text);
-        m_hasCompletedEvent = m_hasCompletedEvent || hasField(text);
-        events.push_back({.id = id, .text = std::move(text)});
+        const bool hasFields = hasField(text);
+        m_hasCompletedEvent = m_hasCompletedEvent || hasFields;
+        events.push_back({.id = id, .hasFields = hasFields, .text = std::move(text)});
         begin += size;
     }
     m_buffer.erase(0, begin);
--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.h
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.h
@@ -13,6 +13,7 @@
 struct StreamEvent
 {
     std::optional<std::uint64_t> id{};
+    bool hasFields = false; ///< false for a line between two events
     std::string text{}; ///< all bytes of the event, including the terminating blank line
 };
 
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -437,7 +437,7 @@
     m_possibleArrivals += result != AttemptResult::NeverSent ? 1 : 0;
     const auto step = nextStep(result,
                                {.kind = m_route.kind,
-                                .isResumable = m_route.isResumable,
+                                .isResumable = m_route.isResumable && m_stream.isResumable(),
                                 .possibleRuns = m_possibleExecutions,
                                 .maxRuns = m_route.maxAttempts,
                                 .attempts = m_attempts,
@@ -600,7 +600,7 @@
         return;
     }
     const auto *target = m_traffic.m_targets.find(m_target);
-    const bool isSilentStream = isStream() && m_route.isResumable
+    const bool isSilentStream = isStream() && m_route.isResumable && m_stream.isResumable()
         && now() - std::max(m_sentAt, target != nullptr ? target->lastReceivedAt : m_sentAt) > SilenceTimeout;
     const bool isSilentCall =
         m_route.kind == RequestKind::Idempotent && m_response.status() == 0 && now() - m_sentAt > m_route.objective;
--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -14,6 +14,7 @@
 void StreamProgress::beginAttempt()
 {
     m_splitter = {};
+    m_isRepeating = false;
 }
 
 std::vector<StreamEvent> StreamProgress::feed(std::string_view bytes)
@@ -25,7 +26,8 @@
             break;
         }
         const bool isDuplicate = event.id && m_lastEventId && *event.id <= *m_lastEventId;
-        if (isDuplicate) {
+        m_isRepeating = event.id ? isDuplicate && *event.id < *m_lastEventId : m_isRepeating;
+        if (isDuplicate || m_isRepeating) {
             continue; // received from an earlier target
         }
         m_isBroken = event.id && m_lastEventId && hasBegun && *event.id != *m_lastEventId + 1;
@@ -33,6 +35,7 @@
             break;
         }
         m_lastEventId = event.id ? event.id : m_lastEventId;
+        m_endsWithoutId = event.hasFields ? !event.id : m_endsWithoutId;
         hasBegun = true;
         newEvents.push_back(std::move(event));
     }
@@ -56,6 +59,11 @@
     return m_hasBegun;
 }
 
+bool StreamProgress::isResumable() const
+{
+    return !m_endsWithoutId;
+}
+
 std::optional<std::string_view> StreamProgress::brokenOffReason(bool endsWithConnection) const
 {
     if (m_isBroken) {
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -37,6 +37,11 @@
     /** Returns whether an event has been forwarded to the caller. */
     bool hasBegun() const;
 
+    /**
+     * Returns whether another target can continue the stream: the last event that the caller has, if any, has an id.
+     */
+    bool isResumable() const;
+
     /**
      * Returns why the stream is broken off if the current attempt has ended: an event is missing, or its data ends in
      * the middle of one. An attempt whose data @p endsWithConnection, without length or chunks, is also broken off if
@@ -61,6 +66,8 @@
     std::optional<std::uint64_t> m_lastEventId;
     bool m_hasBegun = false;
     bool m_isBroken = false; ///< an event is missing
+    bool m_isRepeating = false; ///< the target repeats what precedes the last event that the caller has
+    bool m_endsWithoutId = false; ///< the last event that the caller has
     SteadyTime m_lastEventAt{};
     std::chrono::milliseconds m_timeToFirstEvent{0};
     std::chrono::milliseconds m_longestPause{0};
