Forget a missing event when the next attempt at a stream begins

When a target had left out an event, every later target's events were dropped as well: the attempts ran to their end and the caller received nothing from them, then a broken stream. StreamProgress::beginAttempt() now clears the mark.

Before the change All/StreamSplices.HaveEachEventOnce/EventLeftOut fails (the caller gets event 1 of 3, and a cut answer); after it the row passes. EventLeftOutTwice, a stream without any target that has the event, passes before and after.

--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -14,6 +14,7 @@
 void StreamProgress::beginAttempt()
 {
     m_splitter = {};
+    m_isBroken = false;
     m_isRepeating = false;
 }
 
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -25,7 +25,7 @@
     /** Called when a new attempt starts; its target sends the events after lastEventId(). */
     void beginAttempt();
 
-    /** Returns the events in @p bytes that the caller does not have. A gap in the event ids breaks the stream. */
+    /** Returns the events in @p bytes that the caller does not have. A gap in the event ids breaks the attempt. */
     std::vector<StreamEvent> feed(std::string_view bytes);
 
     /**
@@ -65,7 +65,7 @@
     EventStreamSplitter m_splitter;
     std::optional<std::uint64_t> m_lastEventId;
     bool m_hasBegun = false;
-    bool m_isBroken = false; ///< an event is missing
+    bool m_isBroken = false; ///< an event of the current attempt is missing
     bool m_isRepeating = false; ///< the target repeats what precedes the last event that the caller has
     bool m_endsWithoutId = false; ///< the last event that the caller has
     SteadyTime m_lastEventAt{};
--- a/tests/gateway/streamsplices_test.cpp
+++ b/tests/gateway/streamsplices_test.cpp
@@ -100,6 +100,12 @@
      true,
      3,
      3},
+    {"EventLeftOut",
+     {{event(1, "a") + event(3, "c")}, {event(2, "b") + event(3, "c")}},
+     event(1, "a") + event(2, "b") + event(3, "c"),
+     true,
+     2},
+    {"EventLeftOutTwice", {{event(1, "a") + event(3, "c")}}, event(1, "a"), false, 2},
 };
 
 class StreamSplices : public testing::TestWithParam<SpliceCase>
