Treat events missing after the caller's Last-Event-Id as a broken attempt

A gap counted only once an event had been forwarded. A caller that asked for what follows event 12 and whose target began with event 15 received the stream from 15 on as whole. The first event is now compared with the caller's Last-Event-Id too, so the request goes to another target, which may have the events.

Before the change All/StreamSplices.HaveEachEventOnce/GapAfterTheLastEventOfTheCaller fails (the caller gets event 15 after one attempt); after it all 10 rows pass, with BegunStreams and StreamEnds.

--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -21,7 +21,6 @@
 std::vector<StreamEvent> StreamProgress::feed(std::string_view bytes)
 {
     std::vector<StreamEvent> newEvents;
-    bool hasBegun = m_hasBegun;
     for (auto &event : m_splitter.feed(bytes)) {
         if (m_isBroken) {
             break;
@@ -31,13 +30,12 @@
         if (isDuplicate || m_isRepeating) {
             continue; // received from an earlier target
         }
-        m_isBroken = event.id && m_lastEventId && hasBegun && *event.id != *m_lastEventId + 1;
+        m_isBroken = event.id && m_lastEventId && *event.id != *m_lastEventId + 1;
         if (m_isBroken) {
             break;
         }
         m_lastEventId = event.id ? event.id : m_lastEventId;
         m_endsWithoutId = event.hasFields ? !event.id : m_endsWithoutId;
-        hasBegun = true;
         newEvents.push_back(std::move(event));
     }
     return newEvents;
