--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
@@ -74,7 +74,7 @@
         std::string text = m_buffer.substr(begin, size);
         const auto id = parseEventId(text);
         const bool hasFields = hasField(text);
-        m_hasCompletedEvent = m_hasCompletedEvent || hasFields;
+        m_completedEvents += hasFields ? 1 : 0;
         events.push_back({.id = id, .hasFields = hasFields, .text = std::move(text)});
         begin += size;
     }
@@ -82,9 +82,9 @@
     return events;
 }
 
-bool EventStreamSplitter::hasCompletedEvent() const
+std::uint32_t EventStreamSplitter::completedEvents() const
 {
-    return m_hasCompletedEvent;
+    return m_completedEvents;
 }
 
 bool EventStreamSplitter::hasPartialEvent() const
--- /dev/null
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.cpp
@@ -0,0 +1,598 @@
+#include "heatherridge_state/decisions/promptpartsuspects.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds EvictionInterval{1'000};
+constexpr std::size_t EvictedFraction = 8; ///< one in so many is evicted at a time, so that evictions are rare
+
+/** Spreads the times at which gateways publish the same record. */
+std::uint64_t mix(std::uint64_t value)
+{
+    value = (value ^ (value >> 33U)) * 0xff51afd7ed558ccdU;
+    value = (value ^ (value >> 33U)) * 0xc4ceb9fe1a85ec53U;
+    return value ^ (value >> 33U);
+}
+
+/** Identifies the prompt, apart from its last part. */
+std::uint64_t hashOf(const std::vector<PromptPartInHand> &parts)
+{
+    std::uint64_t hash = 0;
+    for (const auto &inHand : parts) {
+        hash = mix(hash + toNumber(inHand.part));
+    }
+    return hash;
+}
+
+/** Compares times of another process, which may be any numbers, without overflow. */
+bool isWithin(std::chrono::milliseconds a, std::chrono::milliseconds b, std::chrono::milliseconds gap)
+{
+    return std::abs(static_cast<double>(a.count()) - static_cast<double>(b.count())) < static_cast<double>(gap.count());
+}
+
+} // namespace
+
+PromptPartSuspects::PromptPartSuspects(Incarnation self, Options options)
+    : m_self(self)
+    , m_options(options)
+    , m_answered(options.answered)
+{
+}
+
+bool PromptPartSuspects::isIdle() const
+{
+    return m_suspects.empty() && m_blocks.empty();
+}
+
+std::optional<PromptPart> PromptPartSuspects::blockedPart(std::span<const PromptPart> parts) const
+{
+    const auto found = std::find_if(parts.begin(), parts.end(), [&](auto part) { return m_blocks.contains(part); });
+    return found == parts.end() ? std::nullopt : std::optional(*found);
+}
+
+bool PromptPartSuspects::isSuspect(std::span<const PromptPart> parts) const
+{
+    return std::any_of(parts.begin(), parts.end(), [&](auto part) {
+        const auto found = m_suspects.find(part);
+        return found != m_suspects.end() && !isAnswered(part, found->second) && !countedDeaths(found->second).empty();
+    });
+}
+
+std::size_t PromptPartSuspects::deathCount(PromptPart part) const
+{
+    const auto found = m_suspects.find(part);
+    return found == m_suspects.end() ? 0 : countedDeaths(found->second).size();
+}
+
+PromptPartChanges PromptPartSuspects::recordTargetDeath(const TargetName &target, std::span<const PromptPart> parts,
+                                                        std::uint32_t progress, SteadyTime now)
+{
+    if (parts.empty() || progress > m_options.maxProgress) {
+        return {};
+    }
+    PromptPartsDeath report{.reporter = m_self,
+                            .reportedAt = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()),
+                            .target = target,
+                            .progress = progress};
+    for (const auto part : parts.first(std::min(parts.size(), m_options.maxPartsPerReport))) {
+        report.parts.push_back({.part = part, .wasAnswered = m_answered.contains(part)});
+    }
+    applyRecord(report, now);
+    m_changes.toPublish.emplace_back(std::move(report));
+    updateVerdicts(now);
+    return takeChanges();
+}
+
+PromptPartChanges PromptPartSuspects::recordAnswer(std::span<const PromptPart> parts, std::uint32_t progress,
+                                                   bool isComplete, SteadyTime now)
+{
+    ++m_answerCount;
+    PromptPartsAnswered released;
+    for (const auto part : parts) {
+        const auto found = m_suspects.find(part);
+        const bool isSuspected = found != m_suspects.end();
+        if (isSuspected && !isComplete && progress <= found->second.maxProgress) {
+            continue; // not beyond the point at which the targets died
+        }
+        m_answered.add(part, now);
+        if (m_blocks.contains(part)) {
+            released.parts.push_back(part);
+            clear(part, now);
+            continue;
+        }
+        if (isSuspected) {
+            found->second.lastAnswer = now;
+            found->second.wasAnswered = true;
+            found->second.answersBefore = m_answerCount;
+            if (unexplainedDeaths(found->second).size() > 1) {
+                schedule(RecordKind::Answered, part, now);
+            }
+        }
+    }
+    if (!released.parts.empty()) {
+        m_changes.toPublish.emplace_back(std::move(released));
+        updateVerdicts(now);
+    }
+    return takeChanges();
+}
+
+PromptPartChanges PromptPartSuspects::recordRefusal(std::span<const PromptPart> parts, SteadyTime now)
+{
+    for (const auto part : parts) {
+        const auto found = m_blocks.find(part);
+        if (found == m_blocks.end()) {
+            continue;
+        }
+        auto &block = found->second;
+        block.lastActivity = now;
+        if (now - block.lastRecord >= m_options.repeatInterval) {
+            schedule(RecordKind::Blocked, part, now);
+        }
+        if (now >= block.nextTrial && failedTrials(block) < m_options.maxFailedTrials && onlyBlock(parts) == found) {
+            schedule(RecordKind::Trial, part, now);
+        }
+    }
+    return takeChanges();
+}
+
+bool PromptPartSuspects::takeTrial(std::span<const PromptPart> parts, SteadyTime now)
+{
+    const auto block = onlyBlock(parts);
+    return block != m_blocks.end() && now < std::exchange(block->second.mayTryUntil, SteadyTime{});
+}
+
+std::map<PromptPart, PromptPartSuspects::Block>::iterator
+PromptPartSuspects::onlyBlock(std::span<const PromptPart> parts)
+{
+    auto only = m_blocks.end();
+    for (const auto part : parts) {
+        const auto found = m_blocks.find(part);
+        if (found == m_blocks.end() || found == only) {
+            continue;
+        }
+        if (only != m_blocks.end()) {
+            return m_blocks.end();
+        }
+        only = found;
+    }
+    return only;
+}
+
+PromptPartChanges PromptPartSuspects::apply(std::span<const PromptPartRecord> records, SteadyTime now)
+{
+    for (const auto &record : records) {
+        std::visit([&](const auto &content) { applyRecord(content, now); }, record);
+    }
+    updateVerdicts(now);
+    return takeChanges();
+}
+
+PromptPartChanges PromptPartSuspects::tick(SteadyTime now)
+{
+    if (now >= m_nextEviction) {
+        m_nextEviction = now + EvictionInterval;
+        evictExpired(now);
+    }
+    if (!isIdle()) {
+        updateVerdicts(now); // answers to other requests may have made a verdict possible
+        publishDue(now);
+    }
+    return takeChanges();
+}
+
+void PromptPartSuspects::applyRecord(const PromptPartsDeath &report, SteadyTime now)
+{
+    const auto death = deathFor(report, now);
+    const auto count = std::min(report.parts.size(), m_options.maxPartsPerReport);
+    for (std::size_t index = 0; index < count; ++index) {
+        addDeath(report, index, death, now);
+        const auto part = report.parts[index].part;
+        const auto found = m_blocks.find(part);
+        if (found == m_blocks.end()) {
+            continue;
+        }
+        found->second.lastActivity = now;
+        recordFailedTrial(found->second, death, now);
+        if (report.reporter != m_self) { // which may not know that it is blocked
+            schedule(RecordKind::Blocked, part, std::max(now, found->second.lastRecord + m_options.minRepeatInterval));
+        }
+    }
+    if (m_suspects.size() > m_options.maxSuspects) {
+        evictSuspects();
+    }
+}
+
+void PromptPartSuspects::applyRecord(const PromptPartsAnswered &record, SteadyTime now)
+{
+    for (const auto part : record.parts) {
+        clear(part, now);
+    }
+}
+
+void PromptPartSuspects::applyRecord(const PromptPartBlocked &record, SteadyTime now)
+{
+    const auto part = record.part;
+    if (const auto found = m_suspects.find(part); found != m_suspects.end() && found->second.lastAnswer) {
+        if (countedDeaths(found->second).empty()) {
+            schedule(RecordKind::Answered, part, now); // answered here since
+            return;
+        }
+    }
+    const auto cleared = m_clearedAt.find(part);
+    if (cleared != m_clearedAt.end() && now - cleared->second < m_options.sameDeathArrival
+        && deathCount(part) < m_options.deathsToBlock) {
+        return; // written before its gateway read of the answer
+    }
+    m_pending.erase({.kind = RecordKind::Blocked, .part = part});
+    const auto [entry, isNew] = m_blocks.try_emplace(part);
+    auto &block = entry->second;
+    if (isNew) {
+        block.nextTrial = now + trialDelay(record.failedTrials);
+        m_changes.blocked.push_back(part);
+    }
+    block.trials = std::max(block.trials, record.trials);
+    block.reportedDeaths = std::max(block.reportedDeaths, record.failedTrials);
+    block.lastActivity = now;
+    block.lastRecord = now;
+}
+
+void PromptPartSuspects::applyRecord(const PromptPartTrial &record, SteadyTime now)
+{
+    const auto found = m_blocks.find(record.part);
+    if (found == m_blocks.end() || record.number <= found->second.trials) {
+        return;
+    }
+    m_pending.erase({.kind = RecordKind::Trial, .part = record.part});
+    auto &block = found->second;
+    block.trials = record.number;
+    block.nextTrial = now + m_options.trialInterval;
+    block.mayTryUntil = record.gateway == m_self ? now + m_options.trialLifetime : SteadyTime{};
+}
+
+PromptPartSuspects::DeathPointer PromptPartSuspects::deathFor(const PromptPartsDeath &report, SteadyTime now)
+{
+    auto &deaths = m_deathsByTarget[report.target];
+    auto unreported = deaths.begin(); // the first death after the last one that this gateway reported
+    for (auto death = deaths.begin(); death != deaths.end(); ++death) {
+        const auto found = (*death)->reportedAt.find(report.reporter);
+        if (found == (*death)->reportedAt.end()) {
+            continue;
+        }
+        if (isWithin(found->second, report.reportedAt, m_options.sameDeathGap)) {
+            return *death;
+        }
+        unreported = death + 1;
+    }
+    // A report of this gateway is not late; those of others may have waited for the log.
+    const auto maxAge = report.reporter == m_self ? m_options.sameDeathGap : m_options.sameDeathArrival;
+    const auto same =
+        std::find_if(unreported, deaths.end(), [&](const auto &death) { return now - death->time < maxAge; });
+    if (same != deaths.end()) {
+        (*same)->reportedAt.emplace(report.reporter, report.reportedAt);
+        return *same;
+    }
+    auto death = std::make_shared<Death>(Death{.time = now, .reportedAt = {{report.reporter, report.reportedAt}}});
+    deaths.push_back(death);
+    if (++m_deathCount > m_options.maxDeaths) {
+        evictDeaths(now - m_options.retention);
+    }
+    return death;
+}
+
+void PromptPartSuspects::addDeath(const PromptPartsDeath &report, std::size_t index, const DeathPointer &death,
+                                  SteadyTime now)
+{
+    const auto &inHand = report.parts[index];
+    const auto cleared = m_clearedAt.find(inHand.part);
+    if (cleared != m_clearedAt.end() && death->time <= cleared->second) {
+        return;
+    }
+    const auto [entry, isNew] = m_suspects.try_emplace(inHand.part);
+    auto &suspect = entry->second;
+    if (isNew) {
+        suspect.answersBefore = m_answerCount;
+    }
+    suspect.wasAnswered = suspect.wasAnswered || inHand.wasAnswered;
+    suspect.isFirstPart = suspect.isFirstPart || index == 0;
+    suspect.isReportedHere = suspect.isReportedHere || report.reporter == m_self;
+    suspect.maxProgress = std::max(suspect.maxProgress, report.progress);
+    if (suspect.prompts.size() < m_options.maxPromptsPerSuspect) {
+        suspect.prompts.emplace_back(death, hashOf(report.parts));
+    }
+    if (std::find(suspect.deaths.begin(), suspect.deaths.end(), death) != suspect.deaths.end()) {
+        return;
+    }
+    suspect.deaths.push_back(death);
+    if (suspect.deaths.size() >= m_options.deathsToBlock) {
+        m_candidates.insert(inHand.part);
+    }
+    if (suspect.lastAnswer && unexplainedDeaths(suspect).size() > 1) {
+        schedule(RecordKind::Answered, inHand.part, now);
+    }
+}
+
+PromptPartSuspects::Deaths PromptPartSuspects::unexplainedDeaths(const Suspect &suspect) const
+{
+    Deaths deaths;
+    std::copy_if(suspect.deaths.begin(), suspect.deaths.end(), std::back_inserter(deaths),
+                 [&](const auto &death) { return !m_explained.contains(death); });
+    return deaths;
+}
+
+PromptPartSuspects::Deaths PromptPartSuspects::unansweredDeaths(const Suspect &suspect) const
+{
+    auto deaths = suspect.deaths;
+    std::erase_if(deaths, [&](const auto &death) { return suspect.lastAnswer && death->time <= *suspect.lastAnswer; });
+    return deaths;
+}
+
+PromptPartSuspects::Deaths PromptPartSuspects::countedDeaths(const Suspect &suspect) const
+{
+    auto deaths = unansweredDeaths(suspect);
+    std::erase_if(deaths, [&](const auto &death) { return m_explained.contains(death); });
+    return deaths;
+}
+
+PromptPartSuspects::Deaths PromptPartSuspects::settled(Deaths deaths, SteadyTime now) const
+{
+    std::erase_if(deaths, [&](const auto &death) { return now - death->time < m_options.settleTime; });
+    return deaths;
+}
+
+std::size_t PromptPartSuspects::episodeCount(const Deaths &deaths) const
+{
+    std::size_t count = 0;
+    SteadyTime start{};
+    for (const auto &death : deaths) {
+        if (count == 0 || death->time - start >= m_options.episodeGap) {
+            ++count;
+            start = death->time;
+        }
+    }
+    return count;
+}
+
+bool PromptPartSuspects::isAnswered(PromptPart part, const Suspect &suspect) const
+{
+    return suspect.wasAnswered || m_answered.contains(part);
+}
+
+std::size_t PromptPartSuspects::promptCount(const Suspect &suspect, const Deaths &counted) const
+{
+    std::set<std::uint64_t> prompts;
+    for (const auto &[death, prompt] : suspect.prompts) {
+        if (std::find(counted.begin(), counted.end(), death) != counted.end()) {
+            prompts.insert(prompt);
+        }
+    }
+    return prompts.size();
+}
+
+bool PromptPartSuspects::mayBlock(PromptPart part, const Suspect &suspect, SteadyTime now) const
+{
+    const auto counted = settled(countedDeaths(suspect), now);
+    if (!isAnswered(part, suspect)) {
+        // One request that is sent again and again ends several targets by itself, whichever of its parts is at fault.
+        return counted.size()
+            >= (promptCount(suspect, counted) > 1 ? m_options.deathsToBlock : m_options.deathsToBlockOnePrompt);
+    }
+    const auto deaths = settled(unansweredDeaths(suspect), now);
+    return deaths.size() >= m_options.deathsToBlockAnswered && counted.size() >= m_options.unexplainedToBlockAnswered
+        && episodeCount(deaths) >= m_options.episodesToBlockAnswered
+        && m_answerCount - suspect.answersBefore >= m_options.answersOfOthersToBlock;
+}
+
+std::vector<PromptPart> PromptPartSuspects::nextCulprits(SteadyTime now) const
+{
+    std::vector<PromptPart> culprits;
+    std::tuple<bool, bool, std::size_t> best{};
+    Deaths deathsOfBest;
+    for (const auto part : m_candidates) {
+        const auto &suspect = m_suspects.at(part);
+        if (m_blocks.contains(part) || !mayBlock(part, suspect, now)) {
+            continue;
+        }
+        const auto counted = settled(countedDeaths(suspect), now);
+        const std::tuple rank{!isAnswered(part, suspect), promptCount(suspect, counted) > 1, counted.size()};
+        if (culprits.empty() || rank > best) {
+            culprits = {part};
+            best = rank;
+            deathsOfBest = counted;
+        } else if (rank == best && counted == deathsOfBest) {
+            culprits.push_back(part); // nothing tells them apart
+        }
+    }
+    preferLaterParts(culprits);
+    return culprits;
+}
+
+void PromptPartSuspects::preferLaterParts(std::vector<PromptPart> &culprits) const
+{
+    const auto isFirst = [&](auto part) { return m_suspects.at(part).isFirstPart; };
+    if (!std::all_of(culprits.begin(), culprits.end(), isFirst)) {
+        std::erase_if(culprits, isFirst); // many sound prompts share the first part
+    }
+}
+
+void PromptPartSuspects::explainDeathsOf(PromptPart part)
+{
+    if (const auto found = m_suspects.find(part); found != m_suspects.end()) {
+        m_explained.insert(found->second.deaths.begin(), found->second.deaths.end());
+    }
+}
+
+void PromptPartSuspects::updateVerdicts(SteadyTime now)
+{
+    m_explained.clear();
+    for (const auto &[part, block] : m_blocks) {
+        explainDeathsOf(part);
+    }
+    for (auto culprits = nextCulprits(now); !culprits.empty(); culprits = nextCulprits(now)) {
+        const auto isDoubtful = culprits.size() > 1 || episodeCount(countedDeaths(m_suspects.at(culprits[0]))) < 2;
+        for (const auto part : culprits) {
+            block(part, isDoubtful, now);
+            explainDeathsOf(part);
+        }
+    }
+}
+
+void PromptPartSuspects::block(PromptPart part, bool isDoubtful, SteadyTime now)
+{
+    m_blocks.insert_or_assign(part,
+                              Block{.lastActivity = now,
+                                    .lastRecord = now,
+                                    .nextTrial = now + (isDoubtful ? m_options.doubtfulTrialDelay : trialDelay(0))});
+    m_pending.erase({.kind = RecordKind::Answered, .part = part});
+    schedule(RecordKind::Blocked, part, now);
+    m_changes.blocked.push_back(part);
+}
+
+void PromptPartSuspects::clear(PromptPart part, SteadyTime now)
+{
+    const bool wasSuspect = m_suspects.erase(part) > 0;
+    m_candidates.erase(part);
+    if (m_blocks.erase(part) > 0) {
+        m_changes.released.push_back(part);
+    } else if (!wasSuspect) {
+        return;
+    }
+    m_answered.add(part, now);
+    m_clearedAt.insert_or_assign(part, now);
+    for (const auto kind : {RecordKind::Answered, RecordKind::Blocked, RecordKind::Trial}) {
+        m_pending.erase({.kind = kind, .part = part});
+    }
+}
+
+std::uint32_t PromptPartSuspects::failedTrials(const Block &block) const
+{
+    return std::max(static_cast<std::uint32_t>(block.deaths.size()), block.reportedDeaths);
+}
+
+void PromptPartSuspects::recordFailedTrial(Block &block, const DeathPointer &death, SteadyTime now)
+{
+    // Requests that were on their way at the verdict are no trials.
+    if (block.trials > block.trialsAtLastDeath && block.deaths.insert(death).second) {
+        block.trialsAtLastDeath = block.trials;
+        block.nextTrial = now + trialDelay(failedTrials(block));
+    }
+}
+
+std::chrono::milliseconds PromptPartSuspects::trialDelay(std::uint32_t failedTrials) const
+{
+    auto delay = m_options.firstTrialDelay;
+    for (std::uint32_t trial = 0; trial < std::min(failedTrials, m_options.maxFailedTrials); ++trial) {
+        delay *= m_options.trialDelayGrowth;
+    }
+    return delay;
+}
+
+void PromptPartSuspects::schedule(RecordKind kind, PromptPart part, SteadyTime earliest)
+{
+    const auto suspect = m_suspects.find(part);
+    const bool isReporter = suspect != m_suspects.end() && suspect->second.isReportedHere;
+    const auto longest = isReporter ? m_options.reporterJitter : m_options.publishJitter;
+    const auto jitter = static_cast<std::uint64_t>(longest.count()) + 1;
+    const auto delay = mix(toNumber(m_self) ^ mix(toNumber(part))) % jitter;
+    m_pending.try_emplace({.kind = kind, .part = part}, earliest + std::chrono::milliseconds(delay));
+}
+
+void PromptPartSuspects::publishDue(SteadyTime now)
+{
+    PromptPartsAnswered answered;
+    const auto pending = m_pending;
+    for (const auto &[record, due] : pending) {
+        if (now < due) {
+            continue;
+        }
+        m_pending.erase(record);
+        const auto found = m_blocks.find(record.part);
+        if (record.kind == RecordKind::Answered) {
+            answered.parts.push_back(record.part);
+            clear(record.part, now);
+        } else if (found != m_blocks.end() && record.kind == RecordKind::Blocked) {
+            found->second.lastRecord = now;
+            m_changes.toPublish.emplace_back(PromptPartBlocked{.part = record.part, .trials = found->second.trials});
+        } else if (found != m_blocks.end()) {
+            m_changes.toPublish.emplace_back(
+                PromptPartTrial{.part = record.part, .gateway = m_self, .number = found->second.trials + 1});
+        }
+    }
+    if (!answered.parts.empty()) {
+        m_changes.toPublish.emplace_back(std::move(answered));
+        updateVerdicts(now);
+    }
+}
+
+void PromptPartSuspects::evictExpired(SteadyTime now)
+{
+    const auto oldest = now - m_options.retention;
+    m_answered.evictExpired(now);
+    evictDeaths(oldest);
+    for (auto &[part, suspect] : m_suspects) {
+        std::erase_if(suspect.deaths, [&](const auto &death) { return death->time < oldest; });
+        std::erase_if(suspect.prompts, [&](const auto &entry) { return entry.first->time < oldest; });
+        if (suspect.deaths.size() < m_options.deathsToBlock) {
+            m_candidates.erase(part);
+        }
+    }
+    std::erase_if(m_suspects, [](const auto &entry) { return entry.second.deaths.empty(); });
+    std::erase_if(m_clearedAt, [&](const auto &entry) { return entry.second < oldest; });
+    std::erase_if(m_blocks, [&](const auto &entry) {
+        const bool isExpired = entry.second.lastActivity < oldest;
+        if (isExpired) {
+            m_changes.released.push_back(entry.first);
+        }
+        return isExpired;
+    });
+}
+
+void PromptPartSuspects::evictSuspects()
+{
+    std::vector<std::tuple<bool, SteadyTime, PromptPart>> order; // those with one death first, oldest first
+    for (const auto &[part, suspect] : m_suspects) {
+        if (!m_blocks.contains(part)) {
+            order.emplace_back(suspect.deaths.size() > 1, suspect.deaths.back()->time, part);
+        }
+    }
+    std::sort(order.begin(), order.end());
+    order.resize(std::min(order.size(), m_options.maxSuspects / EvictedFraction + 1));
+    for (const auto &[isRepeated, lastDeath, part] : order) {
+        m_suspects.erase(part);
+        m_candidates.erase(part);
+    }
+}
+
+void PromptPartSuspects::evictDeaths(SteadyTime olderThan)
+{
+    if (m_deathCount > m_options.maxDeaths) {
+        std::vector<SteadyTime> times;
+        for (const auto &[target, deaths] : m_deathsByTarget) {
+            std::transform(deaths.begin(), deaths.end(), std::back_inserter(times),
+                           [](const auto &death) { return death->time; });
+        }
+        const auto last = times.begin() + static_cast<std::ptrdiff_t>(m_deathCount / EvictedFraction);
+        std::nth_element(times.begin(), last, times.end());
+        olderThan = std::max(olderThan, *last);
+    }
+    m_deathCount = 0;
+    for (auto &[target, deaths] : m_deathsByTarget) {
+        std::erase_if(deaths, [&](const auto &death) { return death->time < olderThan; });
+        m_deathCount += deaths.size();
+    }
+    std::erase_if(m_deathsByTarget, [](const auto &entry) { return entry.second.empty(); });
+}
+
+PromptPartChanges PromptPartSuspects::takeChanges()
+{
+    return std::exchange(m_changes, {});
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -37,6 +37,9 @@
     /** Returns whether an event has been forwarded to the caller. */
     bool hasBegun() const;
 
+    /** Returns the number of complete events that the target of the current attempt has sent. */
+    std::uint32_t eventsInAttempt() const;
+
     /**
      * Returns whether another target can continue the stream: the last event that the caller has, if any, has an id.
      */
