Ask another target when one answers a resumed stream with something else

When a target that was to continue a begun stream rejected the request (404) or answered without an event stream, the stream was broken off at once although another target and attempts were left. The same happened after a target's own 500 when the retry budget was used up: GatewayCall::retry() delivered it, which a begun stream cannot do.

nextStep() now knows whether the stream has begun and whether there is retry budget. Once a stream has begun, no answer is delivered: it is a failed attempt to resume, retried within the same limits as others, else a failure. Without budget, a begun stream waits for it like after a lost connection. GatewayCall::retry() is gone; the reason in the log holds the status of the answer.

--- a/modules/heatherridge_state/decisions/attemptresult.cpp
+++ b/modules/heatherridge_state/decisions/attemptresult.cpp
@@ -36,15 +36,17 @@
 
 NextStep nextStep(AttemptResult result, const AttemptContext &context)
 {
-    if (result == AttemptResult::Answered) {
+    if (result == AttemptResult::Answered && !context.hasStreamBegun) {
         return NextStep::Deliver;
     }
     const bool mayRetry = !mayHaveRun(result)
         || (mayRunAgain(context.kind, context.isResumable) && context.possibleRuns < context.maxRuns);
-    if (mayRetry && context.attempts < MaxAttempts && context.hasTimeLeft) {
+    const bool hasErrorToDeliver = result == AttemptResult::FailedAtTarget && !context.hasStreamBegun;
+    if (mayRetry && context.attempts < MaxAttempts && context.hasTimeLeft
+        && (context.hasRetryBudget || !hasErrorToDeliver)) {
         return NextStep::Retry;
     }
-    return result == AttemptResult::FailedAtTarget ? NextStep::Deliver : NextStep::Fail;
+    return hasErrorToDeliver ? NextStep::Deliver : NextStep::Fail;
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/decisions/attemptresult.h
+++ b/modules/heatherridge_state/decisions/attemptresult.h
@@ -33,10 +33,12 @@
 {
     RequestKind kind = RequestKind::NonIdempotent;
     bool isResumable = false; ///< whether a stream can be resumed
+    bool hasStreamBegun = false; ///< whether the caller has received the head of a stream
     int possibleRuns = 0; ///< number of attempts that may have run, including this one
     int maxRuns = 1; ///< maximum number of targets that the request may run on
     int attempts = 1; ///< number of attempts so far, including those refused or never sent
     bool hasTimeLeft = true; ///< whether enough time is left for another attempt
+    bool hasRetryBudget = true; ///< whether another attempt can follow at once
 };
 
 /**
@@ -51,10 +53,14 @@
 bool mayRunAgain(RequestKind kind, bool isResumable);
 
 /**
- * Returns what to do after an attempt. Does not consider the retry budget, which the caller checks last.
+ * Returns what to do after an attempt. An attempt after NextStep::Retry may still have to wait for the retry budget.
  *
  * A request that must not be repeated is sent again only with proof that it did not run: the target says so, or nothing
  * was sent. A connection reset or a timeout proves nothing.
+ *
+ * A target's own error is more useful to the caller than one made here, so it is delivered if no other attempt can
+ * follow at once. Once a stream has begun, only its continuation may be delivered: any other answer is a failed attempt
+ * to resume it.
  */
 NextStep nextStep(AttemptResult result, const AttemptContext &context);
 
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -316,7 +316,7 @@
         onStreamComplete();
         return;
     }
-    finishAttempt(m_response.plainResult(), {});
+    finishAttempt(m_response.plainResult(), "status " + std::to_string(m_response.status()));
 }
 
 void GatewayCall::onExchangeFailed(const ExchangeFailure &failure)
@@ -429,16 +429,19 @@
     const auto step = nextStep(result,
                                {.kind = m_route.kind,
                                 .isResumable = m_route.isResumable && m_stream.isResumable(),
+                                .hasStreamBegun = m_caller->hasBegun(),
                                 .possibleRuns = m_possibleExecutions,
                                 .maxRuns = m_route.maxAttempts,
                                 .attempts = m_attempts,
-                                .hasTimeLeft = timeLeft() >= MinAttemptTime});
+                                .hasTimeLeft = timeLeft() >= MinAttemptTime,
+                                .hasRetryBudget = m_traffic.retryBudgetFor(m_service).remaining(now()) >= 1});
     switch (step) {
     case NextStep::Deliver:
         deliver();
         return;
     case NextStep::Retry:
-        retry(result, reason);
+        logAttempt("repeat", result, reason);
+        startAttempt();
         return;
     case NextStep::Fail:
         break;
@@ -453,16 +456,6 @@
     waitForTarget(std::move(error));
 }
 
-void GatewayCall::retry(AttemptResult result, std::string_view reason)
-{
-    if (result == AttemptResult::FailedAtTarget && m_traffic.retryBudgetFor(m_service).remaining(now()) < 1) {
-        deliver(); // the target's own error is more useful to the caller than one made here
-        return;
-    }
-    logAttempt("repeat", result, reason);
-    startAttempt();
-}
-
 void GatewayCall::logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const
 {
     logAttemptEnd(event,
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -90,7 +90,6 @@
     GatewayTargets::Choice chooseTarget();
     TargetRequirements requirements(const std::set<TargetName> &avoided) const;
     void releaseTarget(bool keepConnection);
-    void retry(AttemptResult result, std::string_view reason);
     void logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const;
     void deliver();
     void fail(Error error);
