Do not take a stream whose reading is paused for a silent target

While a slow caller has more than 256 KiB to read, the gateway reads no more from the target of its stream. After 1.1 s the timer took the target for silent, broke off a sound attempt and asked another target to go on, which spends retry budget and a second run. A stream is no longer checked while its caller is behind, and the silence is measured from when reading resumes.

Before the change SlowReaders.KeepTheTargetOfTheirStream fails (2 requests at the targets instead of 1); after it the test passes in 2 of 2 runs, with the other SlowReaders and LargeSenders cases and StreamSplices. No test covers the start of the measurement at the resumption by itself.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -61,6 +61,7 @@
     m_caller->onDrained([weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && self->m_connection) {
+            self->m_readingSince = now();
             self->m_connection->resumeReading();
         }
     });
@@ -239,6 +240,7 @@
     m_tried.insert(m_target);
     ++m_attempts;
     m_sentAt = now();
+    m_readingSince = m_sentAt;
     m_response = {};
     m_suspicion.markAt(m_target);
     m_stream.beginAttempt();
@@ -584,8 +586,9 @@
         return;
     }
     const auto *target = m_traffic.m_targets.find(m_target);
-    const bool isSilentStream = isStream() && m_route.isResumable && m_stream.isResumable()
-        && now() - std::max(m_sentAt, target != nullptr ? target->lastReceivedAt : m_sentAt) > SilenceTimeout;
+    const auto lastActiveAt = std::max(m_readingSince, target != nullptr ? target->lastReceivedAt : m_sentAt);
+    const bool isSilentStream = isStream() && m_route.isResumable && m_stream.isResumable() && !m_caller->isFull()
+        && now() - lastActiveAt > SilenceTimeout;
     const bool isSilentCall =
         m_route.kind == RequestKind::Idempotent && m_response.status() == 0 && now() - m_sentAt > m_route.objective;
     const bool mayRetry = m_possibleExecutions + 1 < m_route.maxAttempts && timeLeft() > MinAttemptTime * 2;
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -129,6 +129,7 @@
     UsedConnections m_usedConnections; ///< by all attempts
     TargetName m_target;
     SteadyTime m_sentAt{};
+    SteadyTime m_readingSince{}; ///< when reading from the target began or was last resumed
     RequestPlacement m_placement; ///< of the last attempt
     std::set<TargetName> m_tried;
     int m_attempts = 0;
--- a/tests/gateway/slowreaders_test.cpp
+++ b/tests/gateway/slowreaders_test.cpp
@@ -38,6 +38,34 @@
     EXPECT_FALSE(slow.receive().isWhole) << "it gets a truncated answer that does not look complete";
 }
 
+// Guards against a slow caller's stream that is taken from a sound target: the target is silent because the gateway
+// reads no more.
+TEST(SlowReaders, KeepTheTargetOfTheirStream)
+{
+    constexpr int events = 40; // together more than the kernel buffers for both connections
+    std::string body;
+    for (int id = 1; id <= events; ++id) {
+        body += "id: " + std::to_string(id) + "\ndata: " + std::string(200'000, 'x') + "\n\n";
+    }
+    const auto stream = [&body](const std::string &request, int) {
+        return std::vector<TargetAction>{{.bytes = signedResponse(request, body)}};
+    };
+    ScriptedTarget first(stream);
+    ScriptedTarget second(stream);
+    auto config = GatewayFixture::defaultConfig();
+    for (auto &route : config.routes) {
+        route.timeout = 30s;
+    }
+    GatewayFixture gateway({&first, &second}, {.config = config});
+    RawCaller caller(gateway.callerEndpoint());
+    caller.send(requestText("POST", "/stream/1", "slow", "prompt"));
+    std::this_thread::sleep_for(2'500ms); // over twice the time after which a target counts as silent
+    const auto answer = caller.receive();
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_TRUE(answer.body == body) << answer.body.size() << " bytes of " << body.size();
+    EXPECT_EQ(first.requests().size() + second.requests().size(), 1U);
+}
+
 // Guards against callers that together send more than the host can hold.
 TEST(LargeSenders, AreRefusedAsNotRunWithoutHarmToOtherCallers)
 {
