Check at an entry that a stream ends with a whole event

An answer whose target ended it in the middle of an event was passed on as whole: the entry dropped the incomplete event and completed the response. So was a resumed answer that ended before it had repeated the events which the caller has. Both now count as a broken attempt, which another target resumes. Blank lines and comments after the last event are still no fault.

EntryStreams runs EntryTraffic against target processes on the loopback interface that send given frames.

Before the change the rows EndInsideAnEvent, ResumedEndInsideAnEvent and ResumedEndBeforeTheEventsOfTheCaller of All/EntryStreams.EndAsWholeOnlyWithTheirLastEvent fail; after it all 6 rows pass.

--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -391,7 +391,7 @@
         forwardBytes(call, std::get<Bytes>(ready));
     }
     if (call->assembler.isComplete()) {
-        finish(call, "answered");
+        completeAnswer(call);
     }
 }
 
@@ -406,7 +406,7 @@
         return;
     }
     if (call->assembler.isComplete()) {
-        finish(call, "answered");
+        completeAnswer(call);
     }
 }
 
@@ -491,6 +491,16 @@
     });
 }
 
+void EntryTraffic::completeAnswer(const Call &call)
+{
+    const auto reason = call->resume ? call->resume->brokenOffReason() : std::nullopt;
+    if (reason) {
+        handleAttemptFailure(call, Error{.kind = ErrorKind::StreamBroken, .detail = std::string(*reason)});
+        return;
+    }
+    finish(call, "answered");
+}
+
 void EntryTraffic::finish(const Call &call, const std::string &outcome)
 {
     endAttempt(*call, AttemptOutcome::Succeeded);
--- a/modules/heatherridge_transport/entry/entrytraffic.h
+++ b/modules/heatherridge_transport/entry/entrytraffic.h
@@ -88,6 +88,7 @@
     const Target *findKeyHolder(const EntryCall &call, const std::vector<const Target *> &targets) const;
     bool followRedirect(const Call &call, const TargetName &askAt);
     void dispatchAttempt(const Call &call, const TargetName &target, std::chrono::milliseconds left);
+    void completeAnswer(const Call &call);
     void finish(const Call &call, const std::string &outcome);
     void fail(const Call &call, Error error);
     void cancelAtTarget(const Call &call);
--- a/modules/heatherridge_transport/entry/streamresume.cpp
+++ b/modules/heatherridge_transport/entry/streamresume.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/entry/streamresume.h"
 
+#include "heatherridge_coordination/answers/eventstreamsplitter.h"
 #include "heatherridge_transport/http/httpmessages.h"
 
 #include <nlohmann/json.hpp>
@@ -53,6 +54,20 @@
     return result;
 }
 
+std::optional<std::string_view> StreamResume::brokenOffReason() const
+{
+    // Comments and blank lines may follow the last event.
+    EventStreamSplitter rest;
+    rest.feed(m_partialEvent);
+    if (rest.hasPartialEvent() || rest.completedEvents() > 0) {
+        return "the stream ended in the middle of an event";
+    }
+    if (m_nextEvent < m_resumePoint.deliveredTokens()) {
+        return "the resumed stream ended before the events that the caller has";
+    }
+    return std::nullopt;
+}
+
 std::uint64_t StreamResume::beginResume()
 {
     m_partialEvent.clear();
--- a/modules/heatherridge_transport/entry/streamresume.h
+++ b/modules/heatherridge_transport/entry/streamresume.h
@@ -3,7 +3,9 @@
 #include "heatherridge_coordination/heatherridge_coordination.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace Heatherridge
 {
@@ -35,6 +37,12 @@
      * the events that the caller has or exceed the size limit */
     Result<ResumedBytes> append(const Bytes &bytes);
 
+    /**
+     * Returns why the answer is broken off if the current target's part of it has ended: in the middle of an event, or
+     * before the events that the caller has.
+     */
+    std::optional<std::string_view> brokenOffReason() const;
+
     /** Prepares for continuing the answer at another target. @returns the token at which that target must start */
     std::uint64_t beginResume();
 
