Require a head from the target that resumes a stream at an entry

The check for chunks or an end before the head asked whether the caller's answer had begun, which is always so for a resumed one. A target whose process sent an end of 0 chunks and no head completed the caller's answer. The check now asks for a head in the current attempt; without one the answer is broken off, as in a first attempt.

Before the change the rows ResumedEndWithoutHead and ResumedEndWithoutHeadBeforeTheFirstEvent of All/EntryStreams.EndAsWholeOnlyWithTheirLastEvent fail; after it all 8 rows pass.

Also removes a std::move() without effect from the test's exchange, which the linter reports.

--- a/modules/heatherridge_transport/entry/entrycall.h
+++ b/modules/heatherridge_transport/entry/entrycall.h
@@ -31,6 +31,7 @@
     std::set<TargetName> triedTargets{}; ///< targets that have refused or failed the request
     int attempts = 0;
     bool answerStarted = false; ///< whether the head was sent to the caller
+    bool hasHead = false; ///< whether the target of the current attempt has sent a head
     bool mayHaveRun = false; ///< whether an earlier attempt ended without proof that it did not run
     std::optional<Uuid7> key{}; ///< set if key gates ensure that repeated attempts run the call at most once
     TargetName askAt{}; ///< target to which the last key gate redirected the call
@@ -43,6 +44,7 @@
     /** Prepares an attempt that continues after the bytes that the caller has. Requires resume to be set. */
     void beginResume()
     {
+        hasHead = false;
         assembler = AnswerAssembler(AnswerAssembler::Options{});
         request.submit.body = withResumeFrom(request.submit.body, resume->beginResume());
     }
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -349,6 +349,7 @@
 
 void EntryTraffic::handleHead(const Call &call, const AnswerHead &head)
 {
+    call->hasHead = true;
     if (call->answerStarted) {
         if (call->resume && !isEventStream(head)) {
             cancelAtTarget(call);
@@ -367,7 +368,7 @@
 
 void EntryTraffic::handleChunk(const Call &call, const AnswerChunk &chunk)
 {
-    auto ready = call->answerStarted
+    auto ready = call->hasHead
         ? call->assembler.addFrame(chunk.sequence, chunk.bytes)
         : Result<Bytes>(Error{.kind = ErrorKind::StreamBroken, .detail = "answer chunk received before the head"});
     if (const auto *error = errorIn(ready)) {
@@ -397,7 +398,7 @@
 
 void EntryTraffic::handleEnd(const Call &call, const AnswerEnd &end)
 {
-    auto outcome = call->answerStarted
+    auto outcome = call->hasHead
         ? call->assembler.setFrameCount(end.chunks)
         : Outcome(Error{.kind = ErrorKind::StreamBroken, .detail = "end of the answer received before the head"});
     if (const auto *error = errorIn(outcome)) {
--- a/tests/transport/entrystreams_test.cpp
+++ b/tests/transport/entrystreams_test.cpp
@@ -45,7 +45,7 @@
 private:
     void sendResponse(HttpResponse response) override
     {
-        finish(&RecordingExchange::m_isWhole, std::move(response.body));
+        finish(&RecordingExchange::m_isWhole, response.body);
     }
 
     void sendStreamHead(int, const std::vector<HttpHeader> &) override
@@ -218,6 +218,12 @@
      "data: a\n\ndata: b\n\n",
      true,
      3},
+    {"ResumedEndWithoutHead",
+     {{.chunks = {"data: a\n\n"}, .isLost = true}, {.hasHead = false}},
+     "data: a\n\n",
+     false,
+     2},
+    {"ResumedEndWithoutHeadBeforeTheFirstEvent", {{.isLost = true}, {.hasHead = false}}, "", false, 2},
 };
 
 class EntryStreams : public testing::TestWithParam<EntryStreamCase>
