--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -61,6 +61,7 @@
     m_caller->onDrained([weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && self->m_connection) {
+            self->m_readingSince = now();
             self->m_connection->resumeReading();
         }
     });
@@ -239,6 +240,7 @@
     m_tried.insert(m_target);
     ++m_attempts;
     m_sentAt = now();
+    m_readingSince = m_sentAt;
     m_response = {};
     m_suspicion.markAt(m_target);
     m_stream.beginAttempt();
@@ -316,7 +318,7 @@
         onStreamComplete();
         return;
     }
-    finishAttempt(m_response.plainResult(), {});
+    finishAttempt(m_response.plainResult(), "status " + std::to_string(m_response.status()));
 }
 
 void GatewayCall::onExchangeFailed(const ExchangeFailure &failure)
@@ -428,17 +430,20 @@
     m_possibleArrivals += result != AttemptResult::NeverSent ? 1 : 0;
     const auto step = nextStep(result,
                                {.kind = m_route.kind,
-                                .isResumable = m_route.isResumable,
+                                .isResumable = m_route.isResumable && m_stream.isResumable(),
+                                .hasStreamBegun = m_caller->hasBegun(),
                                 .possibleRuns = m_possibleExecutions,
                                 .maxRuns = m_route.maxAttempts,
                                 .attempts = m_attempts,
-                                .hasTimeLeft = timeLeft() >= MinAttemptTime});
+                                .hasTimeLeft = timeLeft() >= MinAttemptTime,
+                                .hasRetryBudget = m_traffic.retryBudgetFor(m_service).remaining(now()) >= 1});
     switch (step) {
     case NextStep::Deliver:
         deliver();
         return;
     case NextStep::Retry:
-        retry(result, reason);
+        logAttempt("repeat", result, reason);
+        startAttempt();
         return;
     case NextStep::Fail:
         break;
@@ -453,16 +458,6 @@
     waitForTarget(std::move(error));
 }
 
-void GatewayCall::retry(AttemptResult result, std::string_view reason)
-{
-    if (result == AttemptResult::FailedAtTarget && m_traffic.retryBudgetFor(m_service).remaining(now()) < 1) {
-        deliver(); // the target's own error is more useful to the caller than one made here
-        return;
-    }
-    logAttempt("repeat", result, reason);
-    startAttempt();
-}
-
 void GatewayCall::logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const
 {
     logAttemptEnd(event,
@@ -591,8 +586,9 @@
         return;
     }
     const auto *target = m_traffic.m_targets.find(m_target);
-    const bool isSilentStream = isStream() && m_route.isResumable
-        && now() - std::max(m_sentAt, target != nullptr ? target->lastReceivedAt : m_sentAt) > SilenceTimeout;
+    const auto lastActiveAt = std::max(m_readingSince, target != nullptr ? target->lastReceivedAt : m_sentAt);
+    const bool isSilentStream = isStream() && m_route.isResumable && m_stream.isResumable() && !m_caller->isFull()
+        && now() - lastActiveAt > SilenceTimeout;
     const bool isSilentCall =
         m_route.kind == RequestKind::Idempotent && m_response.status() == 0 && now() - m_sentAt > m_route.objective;
     const bool mayRetry = m_possibleExecutions + 1 < m_route.maxAttempts && timeLeft() > MinAttemptTime * 2;
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -90,7 +90,6 @@
     GatewayTargets::Choice chooseTarget();
     TargetRequirements requirements(const std::set<TargetName> &avoided) const;
     void releaseTarget(bool keepConnection);
-    void retry(AttemptResult result, std::string_view reason);
     void logAttempt(std::string_view event, AttemptResult result, std::string_view reason) const;
     void deliver();
     void fail(Error error);
@@ -130,6 +129,7 @@
     UsedConnections m_usedConnections; ///< by all attempts
     TargetName m_target;
     SteadyTime m_sentAt{};
+    SteadyTime m_readingSince{}; ///< when reading from the target began or was last resumed
     RequestPlacement m_placement; ///< of the last attempt
     std::set<TargetName> m_tried;
     int m_attempts = 0;
--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -14,26 +14,28 @@
 void StreamProgress::beginAttempt()
 {
     m_splitter = {};
+    m_isBroken = false;
+    m_isRepeating = false;
 }
 
 std::vector<StreamEvent> StreamProgress::feed(std::string_view bytes)
 {
     std::vector<StreamEvent> newEvents;
-    bool hasBegun = m_hasBegun;
     for (auto &event : m_splitter.feed(bytes)) {
         if (m_isBroken) {
             break;
         }
         const bool isDuplicate = event.id && m_lastEventId && *event.id <= *m_lastEventId;
-        if (isDuplicate) {
+        m_isRepeating = event.id ? isDuplicate && *event.id < *m_lastEventId : m_isRepeating;
+        if (isDuplicate || m_isRepeating) {
             continue; // received from an earlier target
         }
-        m_isBroken = event.id && m_lastEventId && hasBegun && *event.id != *m_lastEventId + 1;
+        m_isBroken = event.id && m_lastEventId && *event.id != *m_lastEventId + 1;
         if (m_isBroken) {
             break;
         }
         m_lastEventId = event.id ? event.id : m_lastEventId;
-        hasBegun = true;
+        m_endsWithoutId = event.hasFields ? !event.id : m_endsWithoutId;
         newEvents.push_back(std::move(event));
     }
     return newEvents;
@@ -56,6 +58,11 @@
     return m_hasBegun;
 }
 
+bool StreamProgress::isResumable() const
+{
+    return !m_endsWithoutId;
+}
+
 std::uint32_t StreamProgress::eventsInAttempt() const
 {
     return m_splitter.completedEvents();
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -25,7 +25,7 @@
     /** Called when a new attempt starts; its target sends the events after lastEventId(). */
     void beginAttempt();
 
-    /** Returns the events in @p bytes that the caller does not have. A gap in the event ids breaks the stream. */
+    /** Returns the events in @p bytes that the caller does not have. A gap in the event ids breaks the attempt. */
     std::vector<StreamEvent> feed(std::string_view bytes);
 
     /**
@@ -40,6 +40,11 @@
     /** Returns the number of complete events that the target of the current attempt has sent. */
     std::uint32_t eventsInAttempt() const;
 
+    /**
+     * Returns whether another target can continue the stream: the last event that the caller has, if any, has an id.
+     */
+    bool isResumable() const;
+
     /**
      * Returns why the stream is broken off if the current attempt has ended: an event is missing, or its data ends in
      * the middle of one. An attempt whose data @p endsWithConnection, without length or chunks, is also broken off if
@@ -63,7 +68,9 @@
     EventStreamSplitter m_splitter;
     std::optional<std::uint64_t> m_lastEventId;
     bool m_hasBegun = false;
-    bool m_isBroken = false; ///< an event is missing
+    bool m_isBroken = false; ///< an event of the current attempt is missing
+    bool m_isRepeating = false; ///< the target repeats what precedes the last event that the caller has
+    bool m_endsWithoutId = false; ///< the last event that the caller has
     SteadyTime m_lastEventAt{};
     std::chrono::milliseconds m_timeToFirstEvent{0};
     std::chrono::milliseconds m_longestPause{0};
--- a/modules/heatherridge_transport/entry/entrytraffic.cpp
+++ b/modules/heatherridge_transport/entry/entrytraffic.cpp
@@ -349,6 +349,7 @@
 
 void EntryTraffic::handleHead(const Call &call, const AnswerHead &head)
 {
+    call->hasHead = true;
     if (call->answerStarted) {
         if (call->resume && !isEventStream(head)) {
             cancelAtTarget(call);
@@ -367,7 +368,7 @@
 
 void EntryTraffic::handleChunk(const Call &call, const AnswerChunk &chunk)
 {
-    auto ready = call->answerStarted
+    auto ready = call->hasHead
         ? call->assembler.addFrame(chunk.sequence, chunk.bytes)
         : Result<Bytes>(Error{.kind = ErrorKind::StreamBroken, .detail = "answer chunk received before the head"});
     if (const auto *error = errorIn(ready)) {
@@ -391,13 +392,13 @@
         forwardBytes(call, std::get<Bytes>(ready));
     }
     if (call->assembler.isComplete()) {
-        finish(call, "answered");
+        completeAnswer(call);
     }
 }
 
 void EntryTraffic::handleEnd(const Call &call, const AnswerEnd &end)
 {
-    auto outcome = call->answerStarted
+    auto outcome = call->hasHead
         ? call->assembler.setFrameCount(end.chunks)
         : Outcome(Error{.kind = ErrorKind::StreamBroken, .detail = "end of the answer received before the head"});
     if (const auto *error = errorIn(outcome)) {
@@ -406,7 +407,7 @@
         return;
     }
     if (call->assembler.isComplete()) {
-        finish(call, "answered");
+        completeAnswer(call);
     }
 }
 
@@ -491,6 +492,16 @@
     });
 }
 
+void EntryTraffic::completeAnswer(const Call &call)
+{
+    const auto reason = call->resume ? call->resume->brokenOffReason() : std::nullopt;
+    if (reason) {
+        handleAttemptFailure(call, Error{.kind = ErrorKind::StreamBroken, .detail = std::string(*reason)});
+        return;
+    }
+    finish(call, "answered");
+}
+
 void EntryTraffic::finish(const Call &call, const std::string &outcome)
 {
     endAttempt(*call, AttemptOutcome::Succeeded);
