Compare a part with all deaths of the same window

The share of deaths at which a part was in hand counted only the deaths that a verdict needs, but all deaths of a wider window. An answer to a part of which all gateways know already is published from three deaths on instead of two.

--- a/modules/heatherridge_state/decisions/promptpartsuspects.cpp
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.cpp
@@ -112,7 +112,7 @@
             found->second.lastAnswer = now;
             found->second.wasAnswered = true;
             found->second.answersBefore = m_answerCount;
-            if (unexplainedDeaths(found->second).size() > 1) {
+            if (mayPublishAnswer(found->second)) {
                 schedule(RecordKind::Answered, part, now);
             }
         }
@@ -301,6 +301,7 @@
         suspect.answersBefore = m_answerCount;
     }
     suspect.wasAnswered = suspect.wasAnswered || inHand.wasAnswered;
+    suspect.isMarkedAnswered = suspect.isMarkedAnswered || inHand.wasAnswered;
     suspect.isFirstPart = suspect.isFirstPart || index == 0;
     suspect.isReportedHere = suspect.isReportedHere || report.reporter == m_self;
     suspect.maxProgress = std::max(suspect.maxProgress, report.progress);
@@ -314,11 +315,16 @@
     if (suspect.deaths.size() >= m_options.deathsToBlock) {
         m_candidates.insert(inHand.part);
     }
-    if (suspect.lastAnswer && unexplainedDeaths(suspect).size() > 1) {
+    if (suspect.lastAnswer && mayPublishAnswer(suspect)) {
         schedule(RecordKind::Answered, inHand.part, now);
     }
 }
 
+bool PromptPartSuspects::mayPublishAnswer(const Suspect &suspect) const
+{
+    return unexplainedDeaths(suspect).size() >= m_options.deathsToPublishAnswer + (suspect.isMarkedAnswered ? 1 : 0);
+}
+
 PromptPartSuspects::Deaths PromptPartSuspects::unexplainedDeaths(const Suspect &suspect) const
 {
     Deaths deaths;
@@ -387,7 +393,7 @@
             return false;
         }
         const Deaths last(counted.end() - static_cast<std::ptrdiff_t>(needed), counted.end());
-        return shareOfAllDeaths(last)
+        return shareOfAllDeaths(counted, needed)
             >= (episodeCount(last) > 1 ? m_options.shareToBlock : m_options.shareToBlockInOneEpisode);
     }
     const auto deaths = settled(unansweredDeaths(suspect), now);
@@ -400,21 +406,23 @@
     }
     return !suspect.isFirstPart && deaths.size() >= m_options.deathsToBlockUnproven
         && episodeCount(deaths) >= m_options.episodesToBlockUnproven
-        && shareOfAllDeaths(deaths) >= m_options.shareToBlockUnproven;
+        && shareOfAllDeaths(deaths, deaths.size()) >= m_options.shareToBlockUnproven;
 }
 
-double PromptPartSuspects::shareOfAllDeaths(std::span<const DeathPointer> deaths) const
+double PromptPartSuspects::shareOfAllDeaths(const Deaths &deaths, std::size_t last) const
 {
     // Wider than the deaths themselves: of very many at once, some part is in hand at several in a row.
-    const auto from = deaths.front()->time - m_options.episodeGap;
+    const auto from = deaths[deaths.size() - last]->time - m_options.episodeGap;
     const auto to = deaths.back()->time + m_options.episodeGap;
-    std::size_t all = 0;
+    const auto countIn = [&](const Deaths &all) {
+        return std::count_if(all.begin(), all.end(),
+                             [&](const auto &death) { return from <= death->time && death->time <= to; });
+    };
+    std::ptrdiff_t all = 0;
     for (const auto &[target, deathsOfTarget] : m_deathsByTarget) {
-        all += static_cast<std::size_t>(
-            std::count_if(deathsOfTarget.begin(), deathsOfTarget.end(),
-                          [&](const auto &death) { return from <= death->time && death->time <= to; }));
+        all += countIn(deathsOfTarget);
     }
-    return static_cast<double>(deaths.size()) / static_cast<double>(std::max<std::size_t>(all, 1));
+    return static_cast<double>(countIn(deaths)) / static_cast<double>(std::max<std::ptrdiff_t>(all, 1));
 }
 
 std::vector<PromptPart> PromptPartSuspects::nextCulprits(SteadyTime now) const
--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -80,6 +80,8 @@
          * which it must have been in hand. When many targets die at once, some part is in hand at several of them.
          */
         double shareToBlock = 0.1;
+        /** Deaths from which an answer is published; one more if all gateways know of an earlier answer. */
+        std::size_t deathsToPublishAnswer = 2;
         double shareToBlockInOneEpisode = 0.3; ///< the same if these deaths lie in one episode
         std::uint32_t maxFailedTrials = 2; ///< of one blocked part; a trial has failed when a target died under it
         std::chrono::milliseconds firstTrialDelay{15'000}; ///< after a block of one part for several episodes
@@ -165,6 +167,7 @@
         bool isFirstPart = false; ///< of a prompt that was in hand
         bool isReportedHere = false; ///< by this gateway, for at least one death
         bool wasAnswered = false; ///< at any gateway, before or between the deaths
+        bool isMarkedAnswered = false; ///< by a report, so that all gateways know of an answer
         std::optional<SteadyTime> lastAnswer{}; ///< at this gateway, since the first death
         std::uint64_t answersBefore = 0; ///< m_answerCount at the first death or the last answer
     };
@@ -204,7 +207,8 @@
     std::size_t episodeCount(const Deaths &deaths) const;
     bool isAnswered(PromptPart part, const Suspect &suspect) const;
     bool mayBlock(PromptPart part, const Suspect &suspect, SteadyTime now) const;
-    double shareOfAllDeaths(std::span<const DeathPointer> deaths) const;
+    double shareOfAllDeaths(const Deaths &deaths, std::size_t last) const;
+    bool mayPublishAnswer(const Suspect &suspect) const;
     std::size_t promptCount(const Suspect &suspect, const Deaths &counted) const;
     std::vector<PromptPart> nextCulprits(SteadyTime now) const;
     void preferLaterParts(std::vector<PromptPart> &culprits) const;
--- a/tests/decisions/promptpartsuspects_test.cpp
+++ b/tests/decisions/promptpartsuspects_test.cpp
@@ -195,6 +195,13 @@
      {answer(0s, {Popular}), death(1s, "a", {Popular}), death(1s, "b", {Popular}), death(3s, "c", {Popular}),
       death(3s, "d", {Popular}), death(5s, "e", {Popular}), death(5s, "f", {Popular})},
      {}},
+    // Guards against endless crashes under a part that was answered earlier, when nothing is answered any more.
+    {"KnownLaterPartAtEveryDeathWhileNothingIsAnswered",
+     {answer(0s, {Popular, Poison}), death(1s, "a", {Popular, Poison, A}), death(1s, "b", {Popular, Poison, B}),
+      death(1s, "c", {Popular, Poison, C}), death(1s, "d", {Popular, Poison, A}), death(5s, "e", {Popular, Poison, B}),
+      death(5s, "f", {Popular, Poison, C}), death(5s, "g", {Popular, Poison, A}), death(9s, "h", {Popular, Poison, B}),
+      death(9s, "i", {Popular, Poison, C}), death(9s, "j", {Popular, Poison})},
+     {Poison}},
     // Guards against blocking a popular part when many targets die at once.
     {"KnownPartInOneEpisode",
      {answer(0s, {Popular}), death(1s, "a", {Popular}), death(1s, "b", {Popular}), death(1s, "c", {Popular}),
