--- a/modules/heatherridge_state/decisions/promptpartsuspects.cpp
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.cpp
@@ -533,7 +533,9 @@
 {
     const auto suspect = m_suspects.find(part);
     const bool isReporter = suspect != m_suspects.end() && suspect->second.isReportedHere;
-    const auto longest = isReporter ? m_options.reporterJitter : m_options.publishJitter;
+    const auto longest = kind == RecordKind::Answered ? m_options.answerJitter
+        : isReporter                                  ? m_options.reporterJitter
+                                                      : m_options.publishJitter;
     const auto jitter = static_cast<std::uint64_t>(longest.count()) + 1;
     const auto delay = mix(toNumber(m_self) ^ mix(toNumber(part))) % jitter;
     m_pending.try_emplace({.kind = kind, .part = part}, earliest + std::chrono::milliseconds(delay));
--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -74,6 +74,7 @@
         std::chrono::milliseconds minRepeatInterval{1'000}; ///< when another gateway reports a death under the part
         /** Longest wait before a record that others may publish too; it is dropped when theirs is read meanwhile. */
         std::chrono::milliseconds publishJitter{400};
+        std::chrono::milliseconds answerJitter{2'000}; ///< the same for an answer to a part that is not blocked
         std::chrono::milliseconds reporterJitter{100}; ///< the same for a gateway that reported a death under the part
         /**
          * Share of all deaths, between the first and the last of those that block a part without a known answer, at
