Let trials of a blocked part follow with growing delays, whatever they tell

A trial that no target died under was followed by the next claim 10 s later: targets that refuse it unread let ten requests with a crashing part reach targets in 100 s, where callers tolerate three. Each claim now waits four times as long as the one before.

--- a/modules/heatherridge_state/decisions/promptpartsuspects.cpp
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.cpp
@@ -253,7 +253,7 @@
     m_pending.erase({.kind = RecordKind::Trial, .part = record.part});
     auto &block = found->second;
     block.trials = record.number;
-    block.nextTrial = now + m_options.trialInterval;
+    block.nextTrial = now + trialDelay(record.number); // also if no target dies: the trial may have reached one
     block.mayTryUntil = record.gateway == m_self ? now + m_options.trialLifetime : SteadyTime{};
 }
 
--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -88,8 +88,7 @@
         std::chrono::milliseconds firstTrialDelay{15'000}; ///< after a block of one part for several episodes
         /** After a block that rests on one episode, or of parts that were in hand at the same deaths. */
         std::chrono::milliseconds doubtfulTrialDelay{5'000};
-        int trialDelayGrowth = 4; ///< factor of the delay after each failed trial
-        std::chrono::milliseconds trialInterval{10'000}; ///< between claims when no target died
+        int trialDelayGrowth = 4; ///< factor of the delay after each trial
         std::chrono::milliseconds trialLifetime{3'000}; ///< of a claim that is not used
         std::size_t maxSuspects = 10'000; ///< parts; beyond it the oldest with one death is dropped
         std::size_t maxDeaths = 10'000; ///< beyond it the oldest is forgotten
--- a/tests/decisions/promptpartsuspects_test.cpp
+++ b/tests/decisions/promptpartsuspects_test.cpp
@@ -432,6 +432,23 @@
     EXPECT_TRUE(m_suspects.blockedPart(Parts{Poison}));
 }
 
+// Guards against trials that targets refuse unread and that follow each other quickly: each of them reaches a target.
+TEST_F(BlockedPart, GetsFewTrialsWhenNoneTellsAnything)
+{
+    constexpr int tolerated = 3; // requests with the part that callers tolerate at targets after the verdict
+    int trials = 0;
+    for (int second = 0; second < 120; ++second) {
+        for (const auto &record : refuseFor(1s)) {
+            if (std::holds_alternative<PromptPartTrial>(record)) {
+                m_suspects.apply(Records{record}, m_now);
+            }
+        }
+        trials += m_suspects.takeTrial(Parts{Poison}, m_now) ? 1 : 0;
+    }
+    EXPECT_GE(trials, 1);
+    EXPECT_LE(trials, tolerated);
+}
+
 // Guards against callers who send nothing but new parts and so push out the part that crashes targets.
 TEST(PromptPartMemory, KeepsRepeatedSuspectsAndDropsThoseWithOneDeath)
 {
