Ask for six tenths of the deaths within one episode

The replay without the marks of answered parts has a second crash, since one no longer shows the need of the marks.

--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -83,7 +83,7 @@
         double shareToBlock = 0.1;
         /** Deaths from which an answer is published; one more if all gateways know of an earlier answer. */
         std::size_t deathsToPublishAnswer = 2;
-        double shareToBlockInOneEpisode = 0.3; ///< the same if these deaths lie in one episode
+        double shareToBlockInOneEpisode = 0.6; ///< the same if these deaths lie in one episode
         std::uint32_t maxFailedTrials = 2; ///< of one blocked part; a trial has failed when a target died under it
         std::chrono::milliseconds firstTrialDelay{15'000}; ///< after a block of one part for several episodes
         /** After a block that rests on one episode, or of parts that were in hand at the same deaths. */
--- a/tests/decisions/promptpartreplay_test.cpp
+++ b/tests/decisions/promptpartreplay_test.cpp
@@ -112,6 +112,8 @@
     {"AllAtOnceAgainAndAgain",
      sound(18, 16,
            {{.at = 8s, .count = 16}, {.at = 13s, .count = 16}, {.at = 18s, .count = 16}, {.at = 23s, .count = 16}})},
+    // Guards against blaming parts that gateways with few requests of their own have not seen answered yet.
+    {"AllAtOnceAtManyGateways", sound(99, 64, {{.at = 8s, .count = 64}})},
     {"AllAtOnceAtTheStart", sound(4, 64, {{.at = 1s, .count = 64}})},
     {"SlowSeries", sound(4, 16, {{.at = 8s, .count = 12, .interval = 4s}})},
     {"FastSeries", sound(18, 64, {{.at = 8s, .count = 60, .interval = 700ms}})},
@@ -212,7 +214,7 @@
               options.decision.settleTime = 0ms;
           })},
     {"ReportsWithoutAnsweredMarks",
-     with(sound(4, 16, {{.at = 12s, .count = 16}}),
+     with(sound(4, 16, {{.at = 12s, .count = 16}, {.at = 16'150ms, .count = 16}}),
           [](auto &options) {
               options.restarts = {11'900ms};
               options.dropsAnsweredMarks = true;
