--- a/tests/gateway/begunstreams_test.cpp
+++ b/tests/gateway/begunstreams_test.cpp
@@ -94,6 +94,7 @@
     EXPECT_EQ(answer.body, ForwardedEvents);
     EXPECT_FALSE(answer.isWhole);
     EXPECT_GE(requestCount, 2);
+    EXPECT_EQ(gateway.metric("heatherridge_responses_out_of_order_total"), 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(All, BegunStreams, testing::ValuesIn(ResumptionCases),
--- a/tests/gateway/exchangeservers.h
+++ b/tests/gateway/exchangeservers.h
@@ -17,7 +17,7 @@
 public:
     explicit GatewayCallerServer(HttpServer::Handler handler)
         : m_server(
-            m_loop, {.listen = {.address = "127.0.0.1"}}, std::move(handler),
+            m_loop, {.listen = {.address = "127.0.0.1"}, .maxConnections = MaxConnections}, std::move(handler),
             [](ErrorKind) { return HttpResponse{.status = 400, .body = "rejected"}; }, m_metrics)
         , m_endpoint(std::get<Endpoint>(m_server.start()))
         , m_thread([this] { m_loop.run(); })
@@ -58,6 +58,9 @@
     }
 
 private:
+    /** More than a test opens: closed connections count until the next sweep of the server. */
+    static constexpr std::size_t MaxConnections = 100'000;
+
     asio::io_context m_loop;
     Metrics m_metrics;
     CallerServer m_server;
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -118,6 +118,7 @@
 
 GatewayFixture::GatewayFixture(const std::vector<const ScriptedTarget *> &targets, const Options &options)
     : m_readinessEndpoint({.address = "127.0.0.1", .port = freePort()})
+    , m_metricsEndpoint({.address = "127.0.0.1", .port = freePort()})
 {
     std::vector<TargetEntry> entries;
     entries.reserve(targets.size());
@@ -147,6 +148,7 @@
                                                                       .listen = {.address = "127.0.0.1"},
                                                                       .readyListen = m_readinessEndpoint,
                                                                       .readyPath = "/ready",
+                                                                      .metricsListen = m_metricsEndpoint,
                                                                       .retryBudget = {.slack = options.retrySlack},
                                                                       .sidecarPort = options.sidecarPort,
                                                                       .size = {.processorShare = 0.5},
@@ -211,6 +213,15 @@
     return m_readinessEndpoint;
 }
 
+std::int64_t GatewayFixture::metric(const std::string &name) const
+{
+    RawCaller caller(m_metricsEndpoint);
+    caller.send("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto text = "\n" + caller.receive().body;
+    const auto line = text.find("\n" + name + " ");
+    return line == std::string::npos ? -1 : std::stoll(text.substr(line + name.size() + 2));
+}
+
 void GatewayFixture::beginStop()
 {
     m_isStopping = true;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -53,6 +53,9 @@
     /** The endpoint for the load balancer's readiness checks. */
     Endpoint readinessEndpoint() const;
 
+    /** Returns the value of the metric @p name, which has no labels; -1 if there is none. */
+    std::int64_t metric(const std::string &name) const;
+
     /** Starts the graceful shutdown on a separate thread. */
     void beginStop();
 
@@ -63,6 +66,7 @@
     class FixedRegisters;
 
     Endpoint m_readinessEndpoint{};
+    Endpoint m_metricsEndpoint{};
     Endpoint m_callerEndpoint{};
     std::unique_ptr<GatewayServer> m_server;
     bool m_isStopping = false;
--- a/tests/gateway/responseorder_test.cpp
+++ b/tests/gateway/responseorder_test.cpp
@@ -150,4 +150,38 @@
     }
 }
 
+/** Returns the number of @p calls that come out of order. */
+std::uint64_t callsOutOfOrder(const Calls &calls)
+{
+    bool hasBegun = false;
+    bool hasEnded = false;
+    std::uint64_t count = 0;
+    for (const char call : calls) {
+        const bool isFirst = call == 'R' || call == 'B';
+        const bool isInOrder = call == 'A' || (!hasEnded && isFirst != hasBegun);
+        count += isInOrder ? 0 : 1;
+        hasEnded = hasEnded || !isInOrder || call == 'A' || call == 'R' || call == 'E';
+        hasBegun = true;
+    }
+    return count;
+}
+
+// Guards against calls out of order that nobody notices because they are not counted.
+TEST(ResponseOrderCounter, CountsEachCallOutOfOrder)
+{
+    Calls calls;
+    GatewayCallerServer server([&calls](const std::shared_ptr<HttpExchange> &exchange) { perform(*exchange, calls); });
+    const auto &counter = server.metrics().counter("heatherridge_responses_out_of_order_total");
+    std::uint64_t expected = 0;
+    for (const auto &sequence : allSequences()) {
+        calls = sequence;
+        RawCaller caller(server.endpoint());
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        caller.receive();
+        server.runAndWait([](CallerServer &) {}); // the handler has returned
+        expected += callsOutOfOrder(sequence);
+        ASSERT_EQ(counter.value(), expected) << sequence;
+    }
+}
+
 } // namespace
