Reject heads that have a space in the name of a header

Callers could get bytes that are not a response: a target's "Content-Length : 2" or "Transfer-Encoding : chunked" was taken for the framing of its body and also passed on as a header of its own, beside the framing that the gateway adds. Callers' requests were passed on to targets in the same way, with two framings that may differ.

Cause: the installed parser library is built without its strict mode. It accepts spaces in names and still recognises the name before the space, while the list of headers that concern one connection is compared exactly.

The message reader, which reads requests and responses alike, now treats such a head as malformed: 400 for a caller, a broken attempt for a target.

--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -2,9 +2,26 @@
 
 #include <http_parser.h>
 
+#include <algorithm>
+
 namespace Heatherridge
 {
 
+namespace
+{
+
+/**
+ * Returns whether no name has a space, which the parser library accepts as it is commonly built. It takes a length or
+ * an encoding from "Content-Length : 2", and a proxy that compares names passes that on beside its own framing.
+ */
+bool areNamesWellFormed(const std::vector<HttpHeader> &headers)
+{
+    return std::none_of(headers.begin(), headers.end(),
+                        [](const auto &header) { return header.name.find(' ') != std::string::npos; });
+}
+
+} // namespace
+
 class HttpMessageReader::Implementation
 {
 public:
@@ -112,6 +129,9 @@
         if (m_state == State::Body) {
             return 0; // trailers after the last chunk
         }
+        if (!areNamesWellFormed(m_head.headers)) {
+            return -1;
+        }
         if (m_type == HTTP_REQUEST) {
             m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
         }
--- a/tests/gateway/invalidresponses_test.cpp
+++ b/tests/gateway/invalidresponses_test.cpp
@@ -51,6 +51,12 @@
     {"TwoLengths", "HTTP/1.1 200 X", "Content-Length: 2\r\nContent-Length: 3\r\n\r\nok", 502},
     {"LengthAndChunks", "HTTP/1.1 200 X", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
      502},
+    {"HeaderNameWithSpace", "HTTP/1.1 200 X", "X-O n: a\r\nContent-Length: 2\r\n\r\nok", 502},
+    {"LengthWithSpaceAfterItsName", "HTTP/1.1 200 X", "Content-Length : 2\r\n\r\nok", 502},
+    {"ChunksWithSpaceAfterTheirName", "HTTP/1.1 200 X", "Transfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 502},
+    {"ChunksInCapitals", "HTTP/1.1 200 X", "Transfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", 200, "ok"},
+    {"ChunkExtensionAndTrailer", "HTTP/1.1 200 X",
+     "Trailer: X-Own\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nok\r\n0\r\nX-Own: a\r\n\r\n", 200, "ok"},
 };
 
 class TargetHeads : public testing::TestWithParam<ResponseCase>
