Reject chunks whose size does not match their bytes

Callers could get a body that is not the target's as a whole answer: of "2 CRLF okAB0 CRLF CRLF" the two bytes after the chunk's data were dropped and "ok" delivered with 200. The same held for any byte in the place of the LF after a chunk's size, after the last chunk and after a head, and for the bodies of callers' requests.

Cause: the installed parser library is built without its strict mode, in which alone it checks these bytes.

The message reader now checks the bytes outside of the body itself: an LF after each CR, and CR LF after the data of a chunk. Anything else is malformed before any later byte of the body is passed on. Another parser (llhttp, Boost.Beast) would check it too; the former is not among the installed packages, the latter is another interface for every user of the reader.

--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace Heatherridge
 {
@@ -20,6 +21,35 @@
                         [](const auto &header) { return header.name.find(' ') != std::string::npos; });
 }
 
+/**
+ * Checks the bytes of a message outside of its body. The parser library, as it is commonly built, accepts any byte
+ * after a CR there, and any two bytes after the data of a chunk.
+ */
+class LineEndCheck
+{
+public:
+    /** Returns whether @p bytes, which follow those of the last call, have an LF after each CR. */
+    bool accept(std::string_view bytes)
+    {
+        for (const char byte : bytes) {
+            if (m_expected && byte != *m_expected) {
+                return false;
+            }
+            m_expected = byte == '\r' ? std::optional('\n') : std::nullopt;
+        }
+        return true;
+    }
+
+    /** Called at the end of a chunk's data, which CR and LF must follow. */
+    void onChunkEnd()
+    {
+        m_expected = '\r';
+    }
+
+private:
+    std::optional<char> m_expected; ///< next byte; if empty, any may follow
+};
+
 } // namespace
 
 class HttpMessageReader::Implementation
@@ -45,8 +75,7 @@
         };
         m_settings.on_headers_complete = [](http_parser *parser) { return self(parser).completeHead(); };
         m_settings.on_body = [](http_parser *parser, const char *at, std::size_t length) {
-            self(parser).m_onBody({at, length});
-            return 0;
+            return self(parser).addBody({at, length}) ? 0 : -1;
         };
         m_settings.on_message_complete = [](http_parser *parser) {
             self(parser).m_state = State::Complete;
@@ -62,6 +91,7 @@
         m_parser.data = this;
         m_head = {};
         m_isInHeaderValue = false;
+        m_lineEnds = {};
         m_state = State::Idle;
     }
 
@@ -73,9 +103,11 @@
         if (m_state == State::Idle) {
             m_state = State::Head;
         }
+        m_unchecked = bytes.data();
         const auto consumed = http_parser_execute(&m_parser, &m_settings, bytes.data(), bytes.size());
         const auto error = HTTP_PARSER_ERRNO(&m_parser);
-        if (m_state != State::Complete && error != HPE_OK) {
+        const bool hasFailed = m_state != State::Complete && error != HPE_OK;
+        if (hasFailed || !acceptLineEnds(bytes.data() + consumed)) {
             m_state = State::Malformed;
             m_headTooLarge = error == HPE_HEADER_OVERFLOW;
         }
@@ -124,6 +156,26 @@
         m_head.headers.back().value.append(piece);
     }
 
+    bool addBody(std::string_view piece)
+    {
+        if (!acceptLineEnds(piece.data())) {
+            return false;
+        }
+        m_unchecked = piece.data() + piece.size();
+        if ((m_parser.flags & F_CHUNKED) != 0 && m_parser.content_length == 0) {
+            m_lineEnds.onChunkEnd();
+        }
+        m_onBody(piece);
+        return true;
+    }
+
+    /** Checks the bytes from the last check, or from the last piece of the body, to @p end. */
+    bool acceptLineEnds(const char *end)
+    {
+        const auto *begin = std::exchange(m_unchecked, end);
+        return m_lineEnds.accept({begin, static_cast<std::size_t>(end - begin)});
+    }
+
     int completeHead()
     {
         if (m_state == State::Body) {
@@ -169,6 +221,8 @@
     http_parser_settings m_settings{};
     http_parser m_parser{};
     HttpMessageHead m_head;
+    LineEndCheck m_lineEnds;
+    const char *m_unchecked = nullptr; ///< in the bytes that are fed
     bool m_isInHeaderValue = false;
     bool m_headTooLarge = false;
     State m_state = State::Idle;
