Reject transfer codings other than chunked

Callers could get the compressed bytes of a target's answer as its body, with 200: the header that names the coding concerns one connection and is not passed on, and the coding itself was not undone. Targets could get callers' bodies in the same way.

Cause: the parser undoes chunks and ignores what else Transfer-Encoding lists; only Content-Encoding was looked at.

A head whose Transfer-Encoding is anything but one "chunked" is malformed: 400 for a caller, a broken attempt for a target.

--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -1,5 +1,7 @@
 #include "heatherridge_transport/http/httpmessagereader.h"
 
+#include "heatherridge_state/config/inidocument.h"
+
 #include <http_parser.h>
 
 #include <algorithm>
@@ -21,6 +23,15 @@
                         [](const auto &header) { return header.name.find(' ') != std::string::npos; });
 }
 
+/** Returns whether the body is sent as it is or in chunks. The parser decodes no other transfer coding. */
+bool isBodyDecoded(const std::vector<HttpHeader> &headers)
+{
+    constexpr std::string_view name = "Transfer-Encoding";
+    const auto count = std::count_if(headers.begin(), headers.end(),
+                                     [&](const auto &header) { return isSameHeaderName(header.name, name); });
+    return count == 0 || (count == 1 && isSameHeaderName(trimmed(headerValue(headers, name)), "chunked"));
+}
+
 /**
  * Checks the bytes of a message outside of its body. The parser library, as it is commonly built, accepts any byte
  * after a CR there, and any two bytes after the data of a chunk.
@@ -181,7 +192,7 @@
         if (m_state == State::Body) {
             return 0; // trailers after the last chunk
         }
-        if (!areNamesWellFormed(m_head.headers)) {
+        if (!areNamesWellFormed(m_head.headers) || !isBodyDecoded(m_head.headers)) {
             return -1;
         }
         if (m_type == HTTP_REQUEST) {
--- a/tests/gateway/gateway_test.cpp
+++ b/tests/gateway/gateway_test.cpp
@@ -236,6 +236,10 @@
      400},
     {"a space in the name of a header",
      "GET /look/1 HTTP/1.1\r\nHost: h\r\nX-Heatherridge-Request-Id: r\r\nX-O n: a\r\n\r\n", 400},
+    {"a compressed body",
+     "POST /book/1 HTTP/1.1\r\nHost: h\r\nX-Heatherridge-Request-Id: r\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+     "3\r\nabc\r\n0\r\n\r\n",
+     400},
     {"a head that never ends", "GET /look/1 HTTP/1.1\r\nHost: h\r\n", 408},
     {"no request id", "GET /look/1 HTTP/1.1\r\nHost: h\r\n\r\n", 400},
     {"a deadline that is not a number",
