Do not answer blank lines after a request

A caller that sends a line end after its request, as old clients do after a body, got a 408 of its own accord once the header timeout had passed: an answer to no request, which it takes for that to its next one. A planned stop waited for such connections too, since they did not count as idle.

Cause: any byte after a request began the next one. The parser skips blank lines before a request, as HTTP demands, so that none had begun.

The state of the message reader is Idle until the message begins, and the connection waits as long as it is.

BlankLinesBetweenRequests.AreNotAnswered failed before (408 instead of nothing until the idle timeout), and BlankLines of HttpMessages (Head instead of Idle).

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -302,10 +302,11 @@
 
 std::size_t CallerConnection::feedReader(std::string_view bytes)
 {
-    if (m_phase == Phase::Waiting) {
+    const auto consumed = m_reader.feed(bytes);
+    if (m_phase == Phase::Waiting && m_reader.state() != HttpMessageReader::State::Idle) {
         setPhase(Phase::Receiving);
     }
-    return m_reader.feed(bytes);
+    return consumed;
 }
 
 void CallerConnection::handleReaderState()
--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -72,6 +72,10 @@
         , m_onBody(std::move(onBody))
     {
         http_parser_settings_init(&m_settings);
+        m_settings.on_message_begin = [](http_parser *parser) {
+            self(parser).m_state = State::Head;
+            return 0;
+        };
         m_settings.on_url = [](http_parser *parser, const char *at, std::size_t length) {
             self(parser).m_head.target.append(at, length);
             return 0;
@@ -111,9 +115,6 @@
         if (m_state == State::Complete || m_state == State::Malformed || bytes.empty()) {
             return 0;
         }
-        if (m_state == State::Idle) {
-            m_state = State::Head;
-        }
         m_unchecked = bytes.data();
         const auto consumed = http_parser_execute(&m_parser, &m_settings, bytes.data(), bytes.size());
         const auto error = HTTP_PARSER_ERRNO(&m_parser);
--- a/modules/heatherridge_transport/http/httpmessagereader.h
+++ b/modules/heatherridge_transport/http/httpmessagereader.h
@@ -47,7 +47,7 @@
 
     /** Parsing state of the current message. */
     enum class State {
-        Idle, ///< no byte received yet
+        Idle, ///< no byte received yet, or only blank lines, which belong to no message
         Head,
         Body,
         Complete,
--- a/tests/gateway/callerframing_test.cpp
+++ b/tests/gateway/callerframing_test.cpp
@@ -51,4 +51,21 @@
 INSTANTIATE_TEST_SUITE_P(All, InterimAnswers, testing::ValuesIn(ContinueCases),
                          [](const auto &row) { return row.param.name; });
 
+// Guards against an answer to blank lines after a request: the caller would take it for that to its next request.
+TEST(BlankLinesBetweenRequests, AreNotAnswered)
+{
+    const ScriptedTarget target(
+        [](const auto &request, int) { return std::vector<TargetAction>{{.bytes = signedResponse(request, "xxxx")}}; });
+    auto config = GatewayFixture::defaultConfig();
+    config.bounds.headerTimeout = std::chrono::milliseconds(100);
+    config.bounds.idleTimeout = std::chrono::milliseconds(1'000);
+    GatewayFixture gateway({&target}, {.config = config});
+    RawCaller caller(gateway.callerEndpoint());
+    caller.send(requestText("POST", "/book/1", "r1", "body") + "\r\n\r\n");
+    EXPECT_EQ(caller.receive().status, 200);
+    const auto next = caller.receive(); // ends with the idle timeout
+    EXPECT_EQ(next.status, 0);
+    EXPECT_TRUE(next.isInProtocol);
+}
+
 } // namespace
--- a/tests/transport/httpmessagereader_test.cpp
+++ b/tests/transport/httpmessagereader_test.cpp
@@ -22,6 +22,7 @@
 const std::string ChunkedHead = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 const MessageCase MessageCases[] = {
+    {"BlankLines", Side::Requests, "\r\n\r\n", State::Idle},
     {"BlankLinesBeforeARequest", Side::Requests, "\r\n\r\nGET / HTTP/1.1\r\n\r\n", State::Complete},
     {"PartOfAHead", Side::Requests, "GET / HTTP/1.1\r\nHost: h\r\n", State::Head},
     {"Length", Side::Responses, "HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\nok", State::Complete, "ok"},
