--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -1,10 +1,68 @@
 #include "heatherridge_transport/http/httpmessagereader.h"
 
+#include "heatherridge_state/config/inidocument.h"
+
 #include <http_parser.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace Heatherridge
 {
 
+namespace
+{
+
+/**
+ * Returns whether no name has a space, which the parser library accepts as it is commonly built. It takes a length or
+ * an encoding from "Content-Length : 2", and a proxy that compares names passes that on beside its own framing.
+ */
+bool areNamesWellFormed(const std::vector<HttpHeader> &headers)
+{
+    return std::none_of(headers.begin(), headers.end(),
+                        [](const auto &header) { return header.name.find(' ') != std::string::npos; });
+}
+
+/** Returns whether the body is sent as it is or in chunks. The parser decodes no other transfer coding. */
+bool isBodyDecoded(const std::vector<HttpHeader> &headers)
+{
+    constexpr std::string_view name = "Transfer-Encoding";
+    const auto count = std::count_if(headers.begin(), headers.end(),
+                                     [&](const auto &header) { return isSameHeaderName(header.name, name); });
+    return count == 0 || (count == 1 && isSameHeaderName(trimmed(headerValue(headers, name)), "chunked"));
+}
+
+/**
+ * Checks the bytes of a message outside of its body. The parser library, as it is commonly built, accepts any byte
+ * after a CR there, and any two bytes after the data of a chunk.
+ */
+class LineEndCheck
+{
+public:
+    /** Returns whether @p bytes, which follow those of the last call, have an LF after each CR. */
+    bool accept(std::string_view bytes)
+    {
+        for (const char byte : bytes) {
+            if (m_expected && byte != *m_expected) {
+                return false;
+            }
+            m_expected = byte == '\r' ? std::optional('\n') : std::nullopt;
+        }
+        return true;
+    }
+
+    /** Called at the end of a chunk's data, which CR and LF must follow. */
+    void onChunkEnd()
+    {
+        m_expected = '\r';
+    }
+
+private:
+    std::optional<char> m_expected; ///< next byte; if empty, any may follow
+};
+
+} // namespace
+
 class HttpMessageReader::Implementation
 {
 public:
@@ -14,6 +72,10 @@
         , m_onBody(std::move(onBody))
     {
         http_parser_settings_init(&m_settings);
+        m_settings.on_message_begin = [](http_parser *parser) {
+            self(parser).m_state = State::Head;
+            return 0;
+        };
         m_settings.on_url = [](http_parser *parser, const char *at, std::size_t length) {
             self(parser).m_head.target.append(at, length);
             return 0;
@@ -28,8 +90,7 @@
         };
         m_settings.on_headers_complete = [](http_parser *parser) { return self(parser).completeHead(); };
         m_settings.on_body = [](http_parser *parser, const char *at, std::size_t length) {
-            self(parser).m_onBody({at, length});
-            return 0;
+            return self(parser).addBody({at, length}) ? 0 : -1;
         };
         m_settings.on_message_complete = [](http_parser *parser) {
             self(parser).m_state = State::Complete;
@@ -45,6 +106,7 @@
         m_parser.data = this;
         m_head = {};
         m_isInHeaderValue = false;
+        m_lineEnds = {};
         m_state = State::Idle;
     }
 
@@ -53,12 +115,11 @@
         if (m_state == State::Complete || m_state == State::Malformed || bytes.empty()) {
             return 0;
         }
-        if (m_state == State::Idle) {
-            m_state = State::Head;
-        }
+        m_unchecked = bytes.data();
         const auto consumed = http_parser_execute(&m_parser, &m_settings, bytes.data(), bytes.size());
         const auto error = HTTP_PARSER_ERRNO(&m_parser);
-        if (m_state != State::Complete && error != HPE_OK) {
+        const bool hasFailed = m_state != State::Complete && error != HPE_OK;
+        if (hasFailed || !acceptLineEnds(bytes.data() + consumed)) {
             m_state = State::Malformed;
             m_headTooLarge = error == HPE_HEADER_OVERFLOW;
         }
@@ -107,11 +168,34 @@
         m_head.headers.back().value.append(piece);
     }
 
+    bool addBody(std::string_view piece)
+    {
+        if (!acceptLineEnds(piece.data())) {
+            return false;
+        }
+        m_unchecked = piece.data() + piece.size();
+        if ((m_parser.flags & F_CHUNKED) != 0 && m_parser.content_length == 0) {
+            m_lineEnds.onChunkEnd();
+        }
+        m_onBody(piece);
+        return true;
+    }
+
+    /** Checks the bytes from the last check, or from the last piece of the body, to @p end. */
+    bool acceptLineEnds(const char *end)
+    {
+        const auto *begin = std::exchange(m_unchecked, end);
+        return m_lineEnds.accept({begin, static_cast<std::size_t>(end - begin)});
+    }
+
     int completeHead()
     {
         if (m_state == State::Body) {
             return 0; // trailers after the last chunk
         }
+        if (!areNamesWellFormed(m_head.headers) || !isBodyDecoded(m_head.headers)) {
+            return -1;
+        }
         if (m_type == HTTP_REQUEST) {
             m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
         }
@@ -149,6 +233,8 @@
     http_parser_settings m_settings{};
     http_parser m_parser{};
     HttpMessageHead m_head;
+    LineEndCheck m_lineEnds;
+    const char *m_unchecked = nullptr; ///< in the bytes that are fed
     bool m_isInHeaderValue = false;
     bool m_headTooLarge = false;
     State m_state = State::Idle;
