Close a stopping gateway only when no request is open

What callers saw: a request that a gateway had read and passed on, seconds after its SIGTERM, was cut: its connection closed without an answer.

Cause: the gateway looked for open requests, found none, waited 50 ms so that its leaving reached the others, and then closed all sockets. What was read in these 50 ms was cut. The class of fault: a check and the action that rests on it are two steps.

Change: the last check and the close are one step on the traffic thread; with a request open, the gateway waits on until the grace period is over. The other servers were read for the same: an entry refuses requests from the begin of its drain on; the sidecar's calls are asked again by their senders.

--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -179,13 +179,9 @@
         waitUntilDrained(drainStart);
         m_controlLoop.post([this] { m_demand.leave(); });
         std::this_thread::sleep_for(LeaveTime);
-        logEvent(Severity::Info, "stopped", {{"cut", std::to_string(openCallCount())}});
-        m_trafficLoop.runAndWait([this] {
-            m_traffic.stop();
-            m_callers.stop();
-            m_readiness.stop();
-            m_metricsServer.stop();
-        });
+        while (!stopTraffic(drainStart)) {
+            std::this_thread::sleep_for(DrainTick);
+        }
         m_trafficLoop.stop();
         m_controlLoop.stop();
     }
@@ -196,22 +192,51 @@
         while (true) {
             std::this_thread::sleep_for(DrainTick);
             const auto waited = std::chrono::steady_clock::now() - drainStart;
-            if (waited >= m_options.gracePeriod - GraceMargin) {
+            if (isGraceOver(drainStart) || (waited >= m_options.balancerDetectionTime && openCallCount() == 0)) {
                 return;
             }
-            if (waited >= m_options.balancerDetectionTime && openCallCount() == 0) {
+        }
+    }
+
+    bool isGraceOver(SteadyTime drainStart) const
+    {
+        return std::chrono::steady_clock::now() - drainStart >= m_options.gracePeriod - GraceMargin;
+    }
+
+    /**
+     * Closes all sockets, unless requests are open and there is time left for them. Both in one step of the traffic
+     * thread: a request that is read between a check and the close would be cut.
+     */
+    bool stopTraffic(SteadyTime drainStart)
+    {
+        bool hasStopped = false;
+        m_trafficLoop.runAndWait([&] {
+            const auto open = openCallCountOnTrafficThread();
+            hasStopped = open == 0 || isGraceOver(drainStart);
+            if (!hasStopped) {
                 return;
             }
-        }
+            logEvent(Severity::Info, "stopped", {{"cut", std::to_string(open)}});
+            m_traffic.stop();
+            m_callers.stop();
+            m_readiness.stop();
+            m_metricsServer.stop();
+        });
+        return hasStopped;
     }
 
     std::size_t openCallCount()
     {
         std::size_t open = 0;
-        m_trafficLoop.runAndWait([&] { open = std::max(m_traffic.openCallCount(), m_callers.busyConnections()); });
+        m_trafficLoop.runAndWait([&] { open = openCallCountOnTrafficThread(); });
         return open;
     }
 
+    std::size_t openCallCountOnTrafficThread() const
+    {
+        return std::max(m_traffic.openCallCount(), m_callers.busyConnections());
+    }
+
     HttpResponse refusal(ErrorKind kind)
     {
         m_metrics.errors(kind).add();
--- /dev/null
+++ b/tests/gateway/plannedstops_test.cpp
@@ -0,0 +1,73 @@
+#include "gateway/gatewayfixture.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+using namespace Heatherridge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+using Actions = std::vector<TargetAction>;
+using Kind = TargetAction::Kind;
+
+/** How callers send requests, on a new connection each, while the gateway stops. */
+struct LateCallerCase
+{
+    const char *name;
+    std::chrono::milliseconds answerTime; ///< of the target
+    std::chrono::milliseconds pause; ///< between an answer and the next request
+    int callers;
+};
+
+const LateCallerCase LateCallerCases[] = {
+    {"OneCaller", 100ms, 30ms, 1},
+    {"ThreeCallers", 60ms, 60ms, 3},
+};
+
+class RequestsDuringAPlannedStop : public testing::TestWithParam<LateCallerCase>
+{
+};
+
+// Guards against a request that is cut because it arrives after the last open one has been answered and before the
+// gateway has closed its sockets.
+TEST_P(RequestsDuringAPlannedStop, AreAnsweredOnceTheyReachATarget)
+{
+    const auto &testCase = GetParam();
+    const ScriptedTarget target([&](const std::string &request, int) {
+        return Actions{{.kind = Kind::Wait, .duration = testCase.answerTime}, {.bytes = signedResponse(request, "ok")}};
+    });
+    GatewayFixture gateway({&target});
+    std::atomic<bool> hasStopped = false;
+    std::atomic<int> answered = 0;
+    std::vector<std::thread> callers;
+    for (int number = 0; number < testCase.callers; ++number) {
+        callers.emplace_back([&, number] {
+            for (int request = 0; !hasStopped; ++request) {
+                RawCaller caller(gateway.callerEndpoint());
+                caller.send(
+                    requestText("POST", "/book/1", "r" + std::to_string(number) + "-" + std::to_string(request)));
+                answered += caller.receive().status == 200 ? 1 : 0;
+                std::this_thread::sleep_for(testCase.pause);
+            }
+        });
+    }
+    while (answered < testCase.callers) {
+        std::this_thread::sleep_for(5ms);
+    }
+    gateway.beginStop();
+    gateway.awaitStop();
+    hasStopped = true;
+    for (auto &caller : callers) {
+        caller.join();
+    }
+    EXPECT_EQ(target.requests().size(), answered);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, RequestsDuringAPlannedStop, testing::ValuesIn(LateCallerCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
+} // namespace
