Send no chunks with a status that allows no body

A caller of an entry whose back end answered 204 or 304 got a chunked response: the last chunk after the head, which it takes for the beginning of its next response. The gateway's own server wrote the same, and a whole response with such a status kept its body; the gateway never asks for either.

Cause: an exchange kept the order of the calls, but each server wrote the framing whatever the status. An entry streams every answer of a target.

HttpExchange knows the status and decides for all servers: a stream whose status allows no body is sent as a whole response without one, and what is written to it is dropped.

ResponseOrder.SendsNoBodyWithAStatusThatAllowsNone failed before for both servers: the second request of the connection got bytes that are no response, or the body "whole" came with 204.

--- a/modules/heatherridge_transport/http/httpexchange.cpp
+++ b/modules/heatherridge_transport/http/httpexchange.cpp
@@ -15,22 +15,32 @@
 void HttpExchange::respond(HttpResponse response)
 {
     if (advance(State::NotBegun, State::Ended, "respond")) {
+        if (!isBodyAllowed(response.status)) {
+            response.body.clear();
+        }
         sendResponse(std::move(response));
     }
 }
 
 void HttpExchange::beginStream(int status, const std::vector<HttpHeader> &headers)
 {
-    if (advance(State::NotBegun, State::Streaming, "begin-stream")) {
+    const bool hasBody = isBodyAllowed(status);
+    if (!advance(State::NotBegun, hasBody ? State::Streaming : State::WithoutBody, "begin-stream")) {
+        return;
+    }
+    if (hasBody) {
         sendStreamHead(status, headers);
+    } else {
+        sendResponse({.status = status, .headers = headers});
     }
 }
 
 void HttpExchange::write(std::string bytes, WriteCallback done)
 {
-    if (!advance(State::Streaming, State::Streaming, "write")) {
+    const auto begun = begunState();
+    if (!advance(begun, begun, "write")) {
         done(false);
-    } else if (bytes.empty()) {
+    } else if (begun == State::WithoutBody || bytes.empty()) {
         done(true); // a chunk of size 0 would end the response
     } else {
         sendStreamBytes(std::move(bytes), std::move(done));
@@ -39,7 +49,8 @@
 
 void HttpExchange::end()
 {
-    if (advance(State::Streaming, State::Ended, "end")) {
+    const auto begun = begunState();
+    if (advance(begun, State::Ended, "end") && begun == State::Streaming) {
         sendStreamEnd();
     }
 }
@@ -51,6 +62,11 @@
     }
 }
 
+HttpExchange::State HttpExchange::begunState() const
+{
+    return m_state == State::WithoutBody ? State::WithoutBody : State::Streaming;
+}
+
 bool HttpExchange::advance(State from, State to, std::string_view call)
 {
     auto state = from;
@@ -71,6 +87,8 @@
         return "not-begun";
     case State::Streaming:
         return "streaming";
+    case State::WithoutBody:
+        return "without-body";
     case State::Ended:
         return "ended";
     }
--- a/modules/heatherridge_transport/http/httpexchange.h
+++ b/modules/heatherridge_transport/http/httpexchange.h
@@ -40,10 +40,10 @@
     /** Sets the id under which the exchange appears in the log. Call it before the response begins. */
     void setLogId(std::string id);
 
-    /** Sends a complete response. */
+    /** Sends a complete response, without its body if its status allows none. */
     void respond(HttpResponse response);
 
-    /** Starts a chunked response with @p status and @p headers. */
+    /** Starts a chunked response with @p status and @p headers. If @p status allows no body, nothing else is sent. */
     void beginStream(int status, const std::vector<HttpHeader> &headers);
 
     /**
@@ -70,14 +70,18 @@
     enum class State {
         NotBegun,
         Streaming,
+        WithoutBody, ///< a stream whose status allows no body: its head is the whole response
         Ended,
     };
 
+    /** Returns the state in which the stream may go on. */
+    State begunState() const;
     /** Moves from @p from to @p to. @returns false, after closing the connection, if the state is another one */
     bool advance(State from, State to, std::string_view call);
     static std::string_view toString(State state);
 
     virtual void sendResponse(HttpResponse response) = 0;
+    /** @p status allows a body. */
     virtual void sendStreamHead(int status, const std::vector<HttpHeader> &headers) = 0;
     /** @p bytes are not empty. */
     virtual void sendStreamBytes(std::string bytes, WriteCallback done) = 0;
--- a/tests/gateway/responseorder_test.cpp
+++ b/tests/gateway/responseorder_test.cpp
@@ -11,15 +11,15 @@
 /** Calls on an exchange, in order: R(espond), B(egin a stream), W(rite), write an empty piece (0), E(nd), A(bort). */
 using Calls = std::string;
 
-void perform(HttpExchange &exchange, const Calls &calls)
+void perform(HttpExchange &exchange, const Calls &calls, int status = 200)
 {
     for (const char call : calls) {
         switch (call) {
         case 'R':
-            exchange.respond({.body = "whole"});
+            exchange.respond({.status = status, .body = "whole"});
             break;
         case 'B':
-            exchange.beginStream(200, {});
+            exchange.beginStream(status, {});
             break;
         case 'W':
             exchange.write("piece", [](bool) {});
@@ -99,13 +99,13 @@
 }
 
 /** Calls on an exchange that answer /second with a body of its own. */
-HttpServer::Handler secondOr(const Calls &calls)
+HttpServer::Handler secondOr(const Calls &calls, int status = 200)
 {
-    return [&calls](const std::shared_ptr<HttpExchange> &exchange) {
+    return [&calls, status](const std::shared_ptr<HttpExchange> &exchange) {
         if (exchange->request().path == "/second") {
             exchange->respond({.body = "second"});
         } else {
-            perform(*exchange, calls);
+            perform(*exchange, calls, status);
         }
     };
 }
@@ -150,6 +150,31 @@
     }
 }
 
+// Guards against bytes after the head of a response whose status allows no body, as 204 and 304: the caller would take
+// them for the beginning of the next response.
+TYPED_TEST(ResponseOrder, SendsNoBodyWithAStatusThatAllowsNone)
+{
+    for (const int status : {204, 304}) {
+        Calls calls;
+        const TypeParam server(secondOr(calls, status));
+        for (const auto &sequence : allSequences()) {
+            calls = sequence;
+            RawCaller caller(server.endpoint());
+            caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+            const auto answer = caller.receive();
+            EXPECT_TRUE(answer.isInProtocol) << status << " " << sequence;
+            EXPECT_TRUE(answer.isWhole || !isWholeAnswer(sequence)) << status << " " << sequence;
+            EXPECT_EQ(answer.body, "") << status << " " << sequence;
+            EXPECT_EQ(answer.head.find("Transfer-Encoding"), std::string::npos) << status << " " << sequence;
+            caller.send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+            const auto second = caller.receive();
+            EXPECT_TRUE(second.isInProtocol) << status << " " << sequence;
+            EXPECT_TRUE(second.body == "second" || !isWholeAnswer(sequence)) << status << " " << sequence;
+            EXPECT_TRUE(second.status == 0 || second.body == "second") << status << " " << sequence;
+        }
+    }
+}
+
 /** Returns the number of @p calls that come out of order. */
 std::uint64_t callsOutOfOrder(const Calls &calls)
 {
