Pass on no stream that its target says it did not run

A caller could get a stream with 200 and without the target's signature, or one that the target itself declared not run and that then counted as delivered: X-Heatherridge-Not-Executed on a 200 made the events usable, and they were forwarded as they came. Plain answers of this kind were already treated as refusals.

Cause: an answer was usable if it was signed or a refusal, and the path of streams asks for nothing else, while that of whole answers looks at the refusal first.

Usable is now only what is signed and not a refusal. The result of a refusal does not depend on it, so that such an answer leads to another attempt on both paths.

SuccessfulRefusals failed before for Stream and SignedStream (the caller got the refused event, no second attempt); LookUp and Booking passed.

--- a/modules/heatherridge_transport/direct/targetresponse.cpp
+++ b/modules/heatherridge_transport/direct/targetresponse.cpp
@@ -23,8 +23,8 @@
     m_endsWithConnection = head.endsWithConnection;
     m_fields = std::move(fields);
     m_belongsToRequest = m_fields.id == request;
-    const bool isUnsigned = !m_fields.isSigned && !m_fields.isNotExecuted;
-    m_isUsable = m_belongsToRequest && !isUnsigned && !m_fields.isEncoded && isFinalInProtocol(head);
+    const bool isAnswer = m_fields.isSigned && !m_fields.isNotExecuted;
+    m_isUsable = m_belongsToRequest && isAnswer && !m_fields.isEncoded && isFinalInProtocol(head);
 }
 
 bool TargetResponse::beginBody()
--- a/tests/gateway/invalidresponses_test.cpp
+++ b/tests/gateway/invalidresponses_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+
 using namespace Heatherridge;
 
 namespace
@@ -104,4 +106,50 @@
 INSTANTIATE_TEST_SUITE_P(All, TargetHeads, testing::ValuesIn(ResponseCases),
                          [](const auto &row) { return row.param.name; });
 
+struct RefusalCase
+{
+    const char *name;
+    const char *path;
+    const char *signature; ///< header of the refusal
+};
+
+const RefusalCase RefusalCases[] = {
+    {"Stream", "/stream/1", ""},
+    {"SignedStream", "/stream/1", "X-Heatherridge-Response-Signature: s\r\n"},
+    {"LookUp", "/look/1", ""},
+    {"Booking", "/book/1", "X-Heatherridge-Response-Signature: s\r\n"},
+};
+
+class SuccessfulRefusals : public testing::TestWithParam<RefusalCase>
+{
+};
+
+// Guards against a stream that is passed on, without a signature or beside a later one, although its target states that
+// it did not run the request.
+TEST_P(SuccessfulRefusals, AreNotPassedOn)
+{
+    const auto &testCase = GetParam();
+    std::atomic<int> requestCount = 0;
+    const auto script = [&](const std::string &request, int) {
+        const auto id = requestHeader(request, "X-Heatherridge-Request-Id");
+        return requestCount++ == 0
+            ? Actions{{.bytes = "HTTP/1.1 200 X\r\nX-Heatherridge-Not-Executed: 1\r\nX-Heatherridge-Request-Id: " + id
+                           + "\r\n" + testCase.signature + "Content-Length: 18\r\n\r\nid: 1\ndata: no\n\n\n\n"}}
+            : Actions{{.bytes = signedResponse(request, "id: 1\ndata: yes\n\n")}};
+    };
+    const ScriptedTarget first(script);
+    const ScriptedTarget second(script);
+    GatewayFixture gateway({&first, &second});
+    RawCaller caller(gateway.callerEndpoint());
+    caller.send(requestText("POST", testCase.path, "r1", "body"));
+    const auto answer = caller.receive();
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, "id: 1\ndata: yes\n\n");
+    EXPECT_EQ(requestCount, 2);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, SuccessfulRefusals, testing::ValuesIn(RefusalCases),
+                         [](const auto &row) { return row.param.name; });
+
 } // namespace
