Test rejections behind an answer that is being sent

No test had a request that is rejected (400, 408, 413, 431) on a connection whose earlier answer, a stream, was still arriving, nor one that is told to continue there.

--- a/tests/gateway/pipelinedrequests_test.cpp
+++ b/tests/gateway/pipelinedrequests_test.cpp
@@ -98,4 +98,63 @@
     EXPECT_EQ(refused, count);
 }
 
+struct RejectionCase
+{
+    const char *name;
+    std::string bytes; ///< after a request that is in progress
+    int status; ///< of the rejection
+};
+
+const RejectionCase RejectionCases[] = {
+    {"LongHeader", requestText("GET", "/look/2", "r2", {}, "X-Long: " + std::string(5'000, 'x') + "\r\n"), 431},
+    {"LargeBody", requestText("POST", "/book/2", "r2", {}, "Content-Length: 1000000\r\n"), 413},
+    {"LargeBodyThatIsAnnounced",
+     requestText("POST", "/book/2", "r2", {}, "Content-Length: 1000000\r\nExpect: 100-continue\r\n"), 413},
+    {"LargeChunk",
+     requestText("POST", "/book/2", "r2", {}, "Transfer-Encoding: chunked\r\n") + "30d40\r\n"
+         + std::string(200'000, 'x'),
+     413},
+    {"NotHttp", "hello there\r\n\r\n", 400},
+    {"PartOfAHead", "GET /look/2 HTTP/1.1\r\nHost: h\r\n", 408},
+    {"PartOfABody", requestText("POST", "/book/2", "r2", {}, "Content-Length: 5\r\nExpect: 100-continue\r\n") + "ab",
+     408},
+};
+
+class RejectionsBehindAnAnswer : public testing::TestWithParam<RejectionCase>
+{
+};
+
+// Guards against a rejection that is written into the answer to an earlier request of the connection, or replaces it.
+TEST_P(RejectionsBehindAnAnswer, FollowTheWholeAnswer)
+{
+    const std::string begin = "id: 1\ndata: a\n\n";
+    const std::string rest = "id: 2\ndata: b\n\n";
+    const ScriptedTarget target([&](const auto &request, int) {
+        const auto whole = signedResponse(request, begin + rest);
+        return std::vector<TargetAction>{{.bytes = whole.substr(0, whole.size() - rest.size())},
+                                         {.kind = TargetAction::Kind::Wait, .duration = 100ms},
+                                         {.bytes = rest}};
+    });
+    auto config = GatewayFixture::defaultConfig();
+    config.bounds.headerTimeout = 200ms;
+    config.bounds.idleTimeout = 200ms;
+    GatewayFixture gateway({&target}, {.config = config});
+    RawCaller caller(gateway.callerEndpoint());
+    caller.send(requestText("POST", "/stream/1", "r1", "prompt") + GetParam().bytes);
+    const auto answer = caller.receive();
+    EXPECT_EQ(answer.status, 200);
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body, begin + rest);
+    auto rejection = caller.receive();
+    if (rejection.status == 100) {
+        rejection = caller.receive();
+    }
+    EXPECT_EQ(rejection.status, GetParam().status);
+    EXPECT_TRUE(rejection.isWhole);
+    EXPECT_EQ(target.requests().size(), 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, RejectionsBehindAnAnswer, testing::ValuesIn(RejectionCases),
+                         [](const auto &row) { return row.param.name; });
+
 } // namespace
