Reject spaces in the header names of an entry's callers

A caller's "Transfer-Encoding : chunked" reached a back end beside the length that the entry sends, so that the back end may take another body, or another request, from the same bytes.

The HTTP server of the entry uses the parser library that accepts spaces in names and takes the framing from such a header, while the headers that are not forwarded are compared exactly.

The entry answers 400 to such a request.

The new row of RejectedRequests failed before (the request was accepted).

--- a/modules/heatherridge_transport/entry/callerrequest.cpp
+++ b/modules/heatherridge_transport/entry/callerrequest.cpp
@@ -74,8 +74,8 @@
 
     Outcome read()
     {
-        for (const auto step : {&Reader::readSizes, &Reader::readWorkspace, &Reader::readPriority, &Reader::readKey,
-                                &Reader::readRoute, &Reader::readDeadline}) {
+        for (const auto step : {&Reader::readNames, &Reader::readSizes, &Reader::readWorkspace, &Reader::readPriority,
+                                &Reader::readKey, &Reader::readRoute, &Reader::readDeadline}) {
             auto outcome = (this->*step)();
             if (errorIn(outcome) != nullptr) {
                 return outcome;
@@ -85,6 +85,19 @@
     }
 
 private:
+    /** Rejects spaces in header names. The server takes the framing from "Content-Length : 2", and a name with a space
+     * matches none that is not forwarded. */
+    Outcome readNames()
+    {
+        const bool hasSpace = std::any_of(m_request.headers.begin(), m_request.headers.end(), [](const auto &header) {
+            return header.name.find(' ') != std::string::npos;
+        });
+        if (hasSpace) {
+            return makeError(ErrorKind::BadRequest, "a space in the name of a header");
+        }
+        return {};
+    }
+
     Outcome readSizes()
     {
         if (m_request.body.size() > m_limits.maxBodyBytes) {
--- a/tests/transport/callerrequest_test.cpp
+++ b/tests/transport/callerrequest_test.cpp
@@ -79,6 +79,8 @@
      ErrorKind::BodyTooLarge},
     {"header too large", makeChatRequest({{"X-Workspace", "mills"}, {"X-A", std::string(9000, 'x')}}),
      ErrorKind::HeaderTooLarge},
+    {"a space after the name of a header",
+     makeChatRequest({{"X-Workspace", "mills"}, {"Transfer-Encoding ", "chunked"}}), ErrorKind::BadRequest},
     {"chat with the wrong method",
      {.method = "GET", .path = "/v1/chat/completions", .headers = {{"X-Workspace", "mills"}}},
      ErrorKind::MethodNotAllowed},
