Gateway tests: choose other ports when one is taken

Cause: the fixture chose the ports for readiness and metrics, gave them up and bound them again at the start of the gateway. Beside other programs one of them could be taken in between ("Address already in use"), and the test ended with "std::get: wrong index for variant". Seen 5 times in 200 tests, on a machine with, minutes later, 60,000 connections in TIME_WAIT.

Change: the fixture starts the gateway with other ports, up to ten times, and prints each failure. What the tests check is unchanged.

--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iostream>
 
 namespace Heatherridge
 {
@@ -117,8 +118,6 @@
 };
 
 GatewayFixture::GatewayFixture(const std::vector<const ScriptedTarget *> &targets, const Options &options)
-    : m_readinessEndpoint({.address = "127.0.0.1", .port = freePort()})
-    , m_metricsEndpoint({.address = "127.0.0.1", .port = freePort()})
 {
     std::vector<TargetEntry> entries;
     entries.reserve(targets.size());
@@ -133,7 +132,7 @@
     if (options.sidecarPort != 0) {
         config.services.front().engine = EngineProfile{};
     }
-    GatewayServer::Adapter adapter{
+    const GatewayServer::Adapter adapter{
         .trafficCodec = std::make_shared<PlatformTraffic>(),
         .makeLogClients =
             [entries, options, config](HttpClient &, const LogEvents &) {
@@ -143,21 +142,32 @@
                                                  .reports = std::make_unique<SharedReportLog>(options.reports)};
             },
         .makeRankControl = [status = options.status](HttpClient &) { return std::make_unique<FixedStatuses>(status); }};
-    m_server = std::make_unique<GatewayServer>(GatewayServer::Options{.process = ProcessName("g"),
-                                                                      .zone = ZoneName("z"),
-                                                                      .listen = {.address = "127.0.0.1"},
-                                                                      .readyListen = m_readinessEndpoint,
-                                                                      .readyPath = "/ready",
-                                                                      .metricsListen = m_metricsEndpoint,
-                                                                      .retryBudget = {.slack = options.retrySlack},
-                                                                      .sidecarPort = options.sidecarPort,
-                                                                      .size = {.processorShare = 0.5},
-                                                                      .logPartitions = options.logPartitions,
-                                                                      .sharePartitions = options.logPartitions,
-                                                                      .maxHeldBytes = options.maxHeldBytes,
-                                                                      .balancerDetectionTime = milliseconds(200)},
-                                               std::move(adapter));
-    m_callerEndpoint = std::get<std::vector<Endpoint>>(m_server->start()).front();
+    // Another process may take a port between its choice and its use.
+    constexpr int maxStarts = 10;
+    Result<std::vector<Endpoint>> started = Error{.kind = ErrorKind::Internal, .detail = "not started"};
+    for (int i = 0; i < maxStarts && errorIn(started) != nullptr; ++i) {
+        m_readinessEndpoint = {.address = "127.0.0.1", .port = freePort()};
+        m_metricsEndpoint = {.address = "127.0.0.1", .port = freePort()};
+        m_server = std::make_unique<GatewayServer>(GatewayServer::Options{.process = ProcessName("g"),
+                                                                          .zone = ZoneName("z"),
+                                                                          .listen = {.address = "127.0.0.1"},
+                                                                          .readyListen = m_readinessEndpoint,
+                                                                          .readyPath = "/ready",
+                                                                          .metricsListen = m_metricsEndpoint,
+                                                                          .retryBudget = {.slack = options.retrySlack},
+                                                                          .sidecarPort = options.sidecarPort,
+                                                                          .size = {.processorShare = 0.5},
+                                                                          .logPartitions = options.logPartitions,
+                                                                          .sharePartitions = options.logPartitions,
+                                                                          .maxHeldBytes = options.maxHeldBytes,
+                                                                          .balancerDetectionTime = milliseconds(200)},
+                                                   adapter);
+        started = m_server->start();
+        if (const auto *error = errorIn(started)) {
+            std::cout << "start " << i << " failed: " << error->detail << "\n";
+        }
+    }
+    m_callerEndpoint = std::get<std::vector<Endpoint>>(started).front();
     // Waits until the control thread has read the registers; before that, callers are refused for want of a
     // configuration.
     constexpr int maxTries = 500;
