Let a target's refusal count that is on its way when a booking is blocked

Cause: a booking that waits is sent to one target after the other, which refuse it. If its prompt part was blocked while it was at a target, the attempt was reset at once and counted as possibly executed. The caller got 502 and must not repeat the booking, although the refusal would have come a moment later.

A refusal gives 503 and "not run", a whole answer is delivered, anything else gives 502 as before. A target that has had the request for longer has accepted it and may crash when it begins, so the attempt is reset as before; look-ups and streams, which may run again, are reset at once.

Tests: three rows force the order: the target refuses, answers or breaks off only once the metric shows that the part is blocked. WaitingForATarget checks what it did before, with a refusal time as long as the route's timeout, so that its result does not depend on the speed of the targets.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -355,23 +355,6 @@
     }
 }
 
-bool GatewayCall::refuseIfBlocked()
-{
-    if (!m_suspicion.isBlocked()) {
-        return false;
-    }
-    fail({.kind = m_possibleExecutions > 0 ? ErrorKind::BackendFailed : ErrorKind::EndsTargets,
-          .detail = m_suspicion.recordRefusal()});
-    return true;
-}
-
-void GatewayCall::cancelBlocked()
-{
-    m_possibleExecutions += m_connection != nullptr ? 1 : 0;
-    releaseTarget(false);
-    refuseIfBlocked();
-}
-
 void GatewayCall::forwardEvents(std::string_view bytes)
 {
     for (const auto &event : m_stream.feed(bytes)) {
@@ -413,6 +396,7 @@
 void GatewayCall::finishAttempt(AttemptResult result, std::string_view reason)
 {
     const bool hasCompleted = result == AttemptResult::Answered || result == AttemptResult::FailedAtTarget;
+    const bool isBlocked = m_refusalDeadline.has_value();
     releaseTarget(hasCompleted || result == AttemptResult::RefusedAtTarget);
     if (result == AttemptResult::RefusedAtTarget) {
         m_traffic.m_targets.recordRefusal(m_target, now());
@@ -428,6 +412,10 @@
     }
     m_possibleExecutions += mayHaveRun(result) ? 1 : 0;
     m_possibleArrivals += result != AttemptResult::NeverSent ? 1 : 0;
+    if (isBlocked && !mayHaveRun(result)) {
+        refuseBlocked();
+        return;
+    }
     const auto step = nextStep(result,
                                {.kind = m_route.kind,
                                 .isResumable = m_route.isResumable && m_stream.isResumable(),
@@ -472,6 +460,7 @@
 void GatewayCall::releaseTarget(bool keepConnection)
 {
     m_suspicion.unmark();
+    m_refusalDeadline.reset();
     if (!m_connection) {
         return;
     }
@@ -559,7 +548,7 @@
         : m_isWaiting                                           ? now() + PlacementRetryPeriod
         : isStream() || m_route.kind == RequestKind::Idempotent ? now() + SilenceCheckPeriod
                                                                 : m_deadline;
-    m_timer.expires_at(std::min(m_deadline, nextCheck));
+    m_timer.expires_at(std::min({m_deadline, nextCheck, m_refusalDeadline.value_or(m_deadline)}));
     m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
         if (self && !error && !self->m_isDone) {
@@ -582,6 +571,10 @@
         startAttempt();
         return;
     }
+    if (m_refusalDeadline && now() >= *m_refusalDeadline) {
+        endBlockedAttempt();
+        return;
+    }
     if (!m_connection) {
         return;
     }
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -46,7 +46,8 @@
 
     /**
      * Called when @p blocked, a request's fingerprint or a part of prompts, is blocked from all targets. Ends this call
-     * if it matches and no body bytes of a response have arrived in the current attempt.
+     * if it matches and no body bytes of a response have arrived in the current attempt: at once, or when its target
+     * can no longer be about to refuse it.
      */
     template<typename Blocked>
     void cancelIfBlocked(const Blocked &blocked)
@@ -86,7 +87,9 @@
     void finishAttempt(AttemptResult result, std::string_view reason);
     void finishBrokenAttempt(const std::string &reason);
     bool refuseIfBlocked();
+    void refuseBlocked();
     void cancelBlocked();
+    void endBlockedAttempt();
     GatewayTargets::Choice chooseTarget();
     TargetRequirements requirements(const std::set<TargetName> &avoided) const;
     void releaseTarget(bool keepConnection);
@@ -130,6 +133,7 @@
     TargetName m_target;
     SteadyTime m_sentAt{};
     SteadyTime m_readingSince{}; ///< when reading from the target began or was last resumed
+    std::optional<SteadyTime> m_refusalDeadline; ///< for the target; set once the request is blocked while it is there
     RequestPlacement m_placement; ///< of the last attempt
     std::set<TargetName> m_tried;
     int m_attempts = 0;
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -68,6 +68,7 @@
                .warmUpTolerance = m_options.warmUpTolerance,
                .retryBudget = m_options.retryBudget,
                .run = m_run,
+               .refusalTime = m_options.refusalTime,
                .reportCrash =
                    [this](const auto &record) { m_controlLoop.post([this, record] { m_crashFeed.report(record); }); }},
               *m_adapter.trafficCodec, m_metrics)
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -34,6 +34,7 @@
         Endpoint metricsListen{}; ///< no metrics are served if the port is 0
         FleetRetryBudgetOptions retryBudget{};
         WarmUpTolerance warmUpTolerance{};
+        std::chrono::milliseconds refusalTime = DefaultRefusalTime; ///< targets refuse what they do not take within it
         ExpertRebalancerOptions groups{};
         int sidecarPort = 0; ///< port of the sidecars beside model engines; 0 if there are none
         DemandExchangeMode demandExchange = DemandExchangeMode::Auto;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_protocol/crashreportcodec.h"
+#include "heatherridge_state/decisions/blockedattempt.h"
 #include "heatherridge_state/decisions/fleetretrybudget.h"
 #include "heatherridge_state/decisions/runningestimate.h"
 #include "heatherridge_state/decisions/streamqueue.h"
@@ -45,6 +46,7 @@
         FleetRetryBudgetOptions retryBudget{};
         Incarnation run{}; ///< identifies this run of the process
         std::chrono::milliseconds connectTimeout{300}; ///< 100 round trips; TCP resends a lost SYN only after 1 s
+        std::chrono::milliseconds refusalTime = DefaultRefusalTime; ///< targets refuse what they do not take within it
         /** Called with this gateway's records on what crashes targets, to publish to the other gateways in order. */
         std::function<void(const CrashRecord &)> reportCrash{};
     };
--- a/tests/gateway/crashingparts_test.cpp
+++ b/tests/gateway/crashingparts_test.cpp
@@ -266,43 +266,60 @@
     EXPECT_EQ(sendCrashing(number + 1), 200);
 }
 
-/** A copy of the crashing request that has not begun when its part is found, and how it ends. */
+/** Id of a copy of the crashing request that has not begun when its part is found. */
+constexpr auto CopyId = "rbad100";
+constexpr auto Refusal = "HTTP/1.1 503 X\r\nX-Heatherridge-Request-Id: rbad100\r\nX-Heatherridge-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n";
+constexpr auto WholeAnswer = "HTTP/1.1 200 X\r\nX-Heatherridge-Request-Id: rbad100\r\n"
+                             "X-Heatherridge-Response-Signature: s\r\nContent-Length: 6\r\n\r\nbooked";
+
+constexpr std::chrono::milliseconds RouteTimeout = 10s;
+
+/** What the targets do that get the copy, and how it ends. */
 struct CopyRow
 {
     const char *name;
-    Actions actions; ///< of the targets that get the copy
+    Actions actions;
+    bool areHeld; ///< the actions follow only once the part has been found
+    std::chrono::milliseconds refusalTime;
     int status;
 };
 
 const CopyRow CopyRows[] = {
-    {"AtATarget", {{.kind = Kind::AwaitClose}}, 502},
-    {"WaitingForATarget",
-     {{.bytes = "HTTP/1.1 503 X\r\nX-Heatherridge-Request-Id: rbad100\r\nX-Heatherridge-Not-Executed: 1\r\n"
-                "Content-Length: 0\r\n\r\n"}},
-     503},
+    {"AtATarget", {{.kind = Kind::AwaitClose}}, false, DefaultRefusalTime, 502},
+    {"WaitingForATarget", {{.bytes = Refusal}}, false, RouteTimeout, 503},
+    {"AtATargetThatThenRefusesIt", {{.bytes = Refusal}}, true, RouteTimeout, 503},
+    {"AtATargetThatThenAnswersIt", {{.bytes = WholeAnswer}}, true, RouteTimeout, 200},
+    {"AtATargetThatThenBreaksItOff", {{.kind = Kind::Reset}}, true, RouteTimeout, 502},
 };
 
 class WaitingCopiesOfParts : public testing::TestWithParam<CopyRow>
 {
 };
 
-// Guards against a copy that waits, at a target or for one, and crashes a target after its part has been found, and
-// against telling its caller that it has not run when it may have.
+// Guards against a copy that waits, at a target or for one, and crashes a target after its part has been found, against
+// telling its caller that it has not run when it may have, and against telling it that the copy may have run when its
+// target states a moment later that it has not.
 TEST_P(WaitingCopiesOfParts, AreEndedOnceTheirPartIsFound)
 {
     constexpr int copyNumber = 100;
-    const auto script = [](const std::string &request, int number) {
-        return requestHeader(request, "X-Heatherridge-Request-Id") == "rbad100"
-            ? GetParam().actions
-            : crashAt(CrashPoint::WithinEvent)(request, number);
+    std::atomic<bool> isFound{false};
+    const auto script = [&isFound](const std::string &request, int number) {
+        if (requestHeader(request, "X-Heatherridge-Request-Id") != CopyId) {
+            return crashAt(CrashPoint::WithinEvent)(request, number);
+        }
+        while (GetParam().areHeld && !isFound) {
+            std::this_thread::sleep_for(5ms);
+        }
+        return GetParam().actions;
     };
     const CrashableTargets targets(16, script);
     auto config = GatewayFixture::defaultConfig();
     for (auto &route : config.routes) {
-        route.timeout = 10s;
+        route.timeout = RouteTimeout;
         route.objective = 8s; // lets the copy wait until its part is found
     }
-    GatewayFixture gateway(targets.all(), {.config = config});
+    GatewayFixture gateway(targets.all(), {.config = config, .refusalTime = GetParam().refusalTime});
     EXPECT_EQ(send(gateway, {.path = "/book/", .number = copyNumber}).status, 200);
     const auto before = targets.requestCount();
     RawCaller waiting(gateway.callerEndpoint());
@@ -313,6 +330,10 @@
     for (int number = 0; number < MaxCrashes; ++number) {
         send(gateway, {.path = "/book/", .part = CrashingPart, .number = number});
     }
+    while (gateway.metric("heatherridge_prompt_parts_blocked_total") < 1) {
+        std::this_thread::sleep_for(5ms);
+    }
+    isFound = true;
     const auto answer = waiting.receive();
     EXPECT_EQ(answer.status, GetParam().status);
     EXPECT_EQ(answer.body.find("have ended") != std::string::npos, GetParam().status == 503) << answer.body;
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -155,6 +155,7 @@
                                                                           .readyPath = "/ready",
                                                                           .metricsListen = m_metricsEndpoint,
                                                                           .retryBudget = {.slack = options.retrySlack},
+                                                                          .refusalTime = options.refusalTime,
                                                                           .sidecarPort = options.sidecarPort,
                                                                           .size = {.processorShare = 0.5},
                                                                           .logPartitions = options.logPartitions,
