Tell each sidecar that may count a stopped gateway's demand that it leaves

Cause, refuted: a late statement that undoes the leaving one. The sidecar ignores a lower sequence number of the same run, and a row of DemandTables shows it. Causes, proven: (1) a gateway told only the present exchange point. A sidecar that had failed to answer a statement is not the exchange point for 4 s, so it was not told, or nobody was, and the statement that it had taken counted until it expired. (2) The process ended 50 ms after the message was queued, whether or not the sidecar had it. Which of the two was at work in the failure seen once cannot be told: its output does not show it.

Change: DemandExchange::leave() tells each sidecar to which it stated its demand within the lifetime of the statement, and reports when all have answered or failed. The gateway waits for that, for at most 200 ms in all, below the margin of its grace period, and logs demand-leave-unconfirmed otherwise. No message has changed.

The check of IsStatedByAGatewayUntilItStops is unchanged.

--- a/modules/heatherridge_coordination/demand/demandexchange.cpp
+++ b/modules/heatherridge_coordination/demand/demandexchange.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <memory>
 
 namespace Heatherridge
 {
@@ -123,14 +124,27 @@
     }
 }
 
-void DemandExchange::leave()
+void DemandExchange::leave(const std::function<void()> &left)
 {
-    if (m_options.mode == DemandExchangeMode::Off || std::exchange(m_hasLeft, true)) {
-        return;
+    std::vector<TargetEntry> targets;
+    if (!std::exchange(m_hasLeft, true)) {
+        forgetExpiredStatements(m_now);
+        for (const auto &[name, stated] : m_stated) {
+            targets.push_back(stated.target);
+        }
     }
-    if (const auto *target = exchangePoint(m_homeZone, m_now)) {
-        m_link.send(*target, {.statement = makeStatement(true), .lifetime = lifetime()},
-                    [this, target = *target](const auto &result) { recordEnd(target, result); });
+    if (targets.empty() && left) {
+        left();
+    }
+    const auto unanswered = std::make_shared<std::size_t>(targets.size());
+    for (const auto &target : targets) {
+        m_link.send(target, {.statement = makeStatement(true), .lifetime = lifetime()},
+                    [this, target, left, unanswered](const auto &result) {
+                        recordEnd(target, result);
+                        if (--*unanswered == 0 && left) {
+                            left();
+                        }
+                    });
     }
 }
 
@@ -231,11 +245,19 @@
     m_isStating = true;
     DemandRequest request{.statement = makeStatement(false), .lifetime = lifetime(), .zones = zonesToRelay(now)};
     m_zoneToRelay = {};
+    forgetExpiredStatements(now);
+    auto &stated = m_stated[target->id];
+    stated = {.target = *target, .until = std::max(stated.until, now + request.lifetime)};
     m_link.send(*target, request, [this, target = *target, sentAt = now](const auto &result) {
         onStatementAnswer(target, sentAt, result);
     });
 }
 
+void DemandExchange::forgetExpiredStatements(SteadyTime now)
+{
+    std::erase_if(m_stated, [now](const auto &stated) { return stated.second.until < now; });
+}
+
 const ZoneName *DemandExchange::nextZoneToQuery() const
 {
     std::vector<const ZoneName *> zones;
--- a/modules/heatherridge_coordination/demand/demandexchange.h
+++ b/modules/heatherridge_coordination/demand/demandexchange.h
@@ -126,8 +126,11 @@
     /** Performs the work that is due. */
     void tick(SteadyTime now);
 
-    /** Tells the exchange point that this gateway stops, and ends the exchange. */
-    void leave();
+    /**
+     * Tells each sidecar that may count a statement of this gateway that the gateway stops, and ends the exchange.
+     * @param left called once all of them have answered or failed
+     */
+    void leave(const std::function<void()> &left = {});
 
     /** Returns the demand at all other gateways as known at @p now. */
     FleetDemand demand(SteadyTime now) const;
@@ -158,11 +161,19 @@
         SteadyTime seenAt{};
     };
 
+    /** A sidecar to which a statement was sent. */
+    struct StatedTarget
+    {
+        TargetEntry target{};
+        SteadyTime until{}; ///< end of the statement's lifetime
+    };
+
     void updateMode(SteadyTime now);
     std::chrono::milliseconds period() const;
     std::chrono::milliseconds lifetime() const;
     const TargetEntry *exchangePoint(const ZoneName &zone, SteadyTime now) const;
     void sendStatement(SteadyTime now);
+    void forgetExpiredStatements(SteadyTime now);
     const ZoneName *nextZoneToQuery() const;
     void queryNextZone(SteadyTime now);
     void onStatementAnswer(const TargetEntry &target, SteadyTime sentAt, const Result<DemandResponse> &result);
@@ -184,6 +195,7 @@
     std::map<ZoneName, std::vector<Candidate>> m_candidates; ///< best first
     ZoneName m_homeZone; ///< whose exchange point gets the statements; the own zone if it has engines
     std::map<TargetName, SteadyTime> m_failures; ///< time of the last failed call
+    std::map<TargetName, StatedTarget> m_stated; ///< whose last statement may still count, also if the call failed
     std::optional<KnownZone> m_home; ///< sum of the home zone without this gateway
     std::map<ZoneName, KnownZone> m_others; ///< sums of the other zones
     std::map<ZoneName, KnownSizes> m_sizes;
--- a/modules/heatherridge_transport/direct/gatewaydemand.cpp
+++ b/modules/heatherridge_transport/direct/gatewaydemand.cpp
@@ -79,9 +79,9 @@
     m_exchange.tick(now);
 }
 
-void GatewayDemand::leave()
+void GatewayDemand::leave(const std::function<void()> &left)
 {
-    m_exchange.leave();
+    m_exchange.leave(left);
 }
 
 void GatewayDemand::onCallEnded(const TargetEntry &target, const Error *error)
--- a/modules/heatherridge_transport/direct/gatewaydemand.h
+++ b/modules/heatherridge_transport/direct/gatewaydemand.h
@@ -42,8 +42,8 @@
     /** Performs the work that is due. @param gateways as known from the log's division of work */
     void tick(SteadyTime now, const PollerCounts &gateways);
 
-    /** Tells the others that this gateway stops. */
-    void leave();
+    /** Tells the others that this gateway stops. Calls @p left once all of them know or cannot be told. */
+    void leave(const std::function<void()> &left = {});
 
 private:
     DemandExchange::Events makeEvents(Events events);
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -10,7 +10,9 @@
 #include "heatherridge_transport/direct/sidecarrankclient.h"
 
 #include <atomic>
+#include <future>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <thread>
@@ -38,8 +40,10 @@
 constexpr long ExtraKeptConnections = 64;
 /** The process exits this long before the grace period ends, to log the number of aborted requests. */
 constexpr milliseconds GraceMargin{250};
-/** How long the process still runs after it has told the others that it leaves: longer than one call takes. */
+/** How long the process still runs after its last answer. */
 constexpr milliseconds LeaveTime{50};
+/** How much longer it waits until the others know that it leaves. With LeaveTime below GraceMargin. */
+constexpr milliseconds MaxLeaveWait{150};
 /** Name of the task of writing the copies of the rules, which is assigned to one gateway. */
 constexpr std::string_view RulesCopiesTask = "copies-of-rules";
 
@@ -178,8 +182,7 @@
         m_trafficLoop.after(m_options.balancerDetectionTime / 2, [this] { m_callers.closeIdleConnections(); });
         m_trafficLoop.after(m_options.balancerDetectionTime, [this] { m_traffic.refuseStreams(); });
         waitUntilDrained(drainStart);
-        m_controlLoop.post([this] { m_demand.leave(); });
-        std::this_thread::sleep_for(LeaveTime);
+        leaveDemandExchange();
         logEvent(Severity::Info, "stopped", {{"cut", std::to_string(openCallCount())}});
         m_trafficLoop.runAndWait([this] {
             m_traffic.stop();
@@ -192,6 +195,17 @@
     }
 
 private:
+    void leaveDemandExchange()
+    {
+        const auto left = std::make_shared<std::promise<void>>();
+        const auto isLeft = left->get_future();
+        m_controlLoop.post([this, left] { m_demand.leave([left] { left->set_value(); }); });
+        std::this_thread::sleep_for(LeaveTime);
+        if (isLeft.wait_for(MaxLeaveWait) != std::future_status::ready) {
+            logEvent(Severity::Warning, "demand-leave-unconfirmed");
+        }
+    }
+
     void waitUntilDrained(SteadyTime drainStart)
     {
         while (true) {
--- a/tests/demand/demandexchange_test.cpp
+++ b/tests/demand/demandexchange_test.cpp
@@ -428,6 +428,85 @@
     EXPECT_FALSE(gateway.wasUnknown) << "the death of one gateway leaves the demand of the others known";
 }
 
+struct LeaveRow
+{
+    const char *story;
+    /** Brings the sidecars into the state in which @p leaving ends. @p point is the exchange point so far. */
+    std::function<void(Fleet &fleet, Gateway &leaving, const TargetName &point)> disturb;
+    int calls; ///< that tell sidecars of the end
+};
+
+const LeaveRow LeaveRows[] = {
+    {"the exchange point is well", [](Fleet &, Gateway &, const TargetName &) {}, 1},
+    {"all calls have failed since, so that no sidecar counts as the exchange point",
+     [](Fleet &fleet, Gateway &leaving, const TargetName &) {
+         for (const auto &target : fleet.targets) {
+             leaving.link.cutOff.insert(target.id);
+         }
+         fleet.run(milliseconds(1'200));
+         leaving.link.cutOff.clear();
+     },
+     4},
+    {"one call has failed since, so that another sidecar is the exchange point",
+     [](Fleet &fleet, Gateway &leaving, const TargetName &point) {
+         leaving.link.cutOff.insert(point);
+         fleet.run(milliseconds(600));
+         leaving.link.cutOff.clear();
+     },
+     2},
+    {"a sidecar was the exchange point longer ago than a statement counts",
+     [](Fleet &fleet, Gateway &leaving, const TargetName &point) {
+         leaving.link.cutOff.insert(point);
+         fleet.run(milliseconds(3'000));
+         leaving.link.cutOff.clear();
+     },
+     1},
+};
+
+class LeavingGateways : public testing::TestWithParam<LeaveRow>
+{
+};
+
+// Guards against a gateway that has stopped and still counts at a sidecar, because a call to that sidecar failed before
+// and the sidecar was therefore not told.
+TEST_P(LeavingGateways, CountAtNoSidecar)
+{
+    const auto &row = GetParam();
+    Fleet fleet(OneZone);
+    auto &leaving = fleet.add("g0", "a", 1);
+    fleet.run(milliseconds(1'000));
+    row.disturb(fleet, leaving, fleet.busiestExchangePoint());
+    const auto before = leaving.link.calls;
+    int left = 0;
+    leaving.exchange.leave([&left] { ++left; });
+    EXPECT_EQ(leaving.link.calls - before, row.calls) << row.story;
+    EXPECT_EQ(left, 1) << row.story;
+    for (const auto &target : fleet.targets) {
+        const auto sum = fleet.sidecars.table(target).ownZone({}, MaxDemandWorkspaces, fleet.sidecars.now);
+        EXPECT_EQ(sum.gateways, 0) << row.story << ", sidecar " << target.id.text();
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, LeavingGateways, testing::ValuesIn(LeaveRows));
+
+// Guards against a process that ends before the sidecar knows that it leaves, and against one that waits for a sidecar
+// without end.
+TEST(LeavingGateways, HaveLeftOnceAllCallsHaveEnded)
+{
+    Fleet fleet(OneZone);
+    auto &leaving = fleet.add("g0", "a", 1);
+    fleet.run(milliseconds(1'000));
+    fleet.sidecars.silent.insert(fleet.busiestExchangePoint());
+    int left = 0;
+    leaving.exchange.leave([&left] { ++left; });
+    fleet.run(CallTimeout - Tick * 2);
+    EXPECT_EQ(left, 0);
+    fleet.run(Tick * 3);
+    EXPECT_EQ(left, 1);
+    leaving.exchange.leave([&left] { ++left; });
+    EXPECT_EQ(left, 2) << "at once, since the exchange has ended";
+}
+
 TEST(RestartedGateways, ReplaceTheirEarlierRun)
 {
     Fleet fleet(OneZone);
--- a/tests/gateway/gatewaydemand_test.cpp
+++ b/tests/gateway/gatewaydemand_test.cpp
@@ -7,6 +7,9 @@
 #include <asio/io_context.hpp>
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <thread>
+
 using namespace Heatherridge;
 
 namespace
@@ -149,6 +152,39 @@
     sidecar->drainAndStop();
 }
 
+// Guards against a process that ends before a busy sidecar has taken in that the gateway leaves.
+TEST(DemandThroughASidecar, IsWithdrawnBeforeTheProcessEnds)
+{
+    constexpr milliseconds sidecarDelay{100};
+    std::atomic<bool> hasStated{false};
+    std::atomic<bool> hasLeft{false};
+    const auto script = [&](const std::string &request, int) {
+        const auto message = decodeDemandRequest(request.substr(request.find("\r\n\r\n") + 4));
+        const auto *demand = std::get_if<DemandRequest>(&message);
+        if (demand == nullptr) {
+            return std::vector<TargetAction>{
+                {.bytes = "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n"}}; // not a message on demand
+        }
+        if (demand->statement && demand->statement->isLeaving) {
+            std::this_thread::sleep_for(sidecarDelay);
+            hasLeft = true;
+        }
+        hasStated = hasStated || demand->statement;
+        const auto body = encode(DemandResponse{.ownZone = {.zone = ZoneName("z")}});
+        return std::vector<TargetAction>{
+            {.bytes = "HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body}};
+    };
+    const ScriptedTarget sidecar(script);
+    const ScriptedTarget target([](const std::string &, int) { return std::vector<TargetAction>{}; });
+    GatewayFixture gateway({&target}, {.sidecarPort = sidecar.endpoint().port});
+    while (!hasStated) {
+        std::this_thread::sleep_for(milliseconds(20)); // bounded by the time limit of the test program
+    }
+    gateway.beginStop();
+    gateway.awaitStop();
+    EXPECT_TRUE(hasLeft);
+}
+
 struct BodyRow
 {
     const char *story;
