Keep the start of an attempt's wait when it is decided on again

Cause: an attempt that waits for promises or a take-over was parked anew with each tick, and its wait started anew each time. So the limit of 1.5 s was never reached, and the attempt waited until its entry gave it up.

Change: an attempt keeps the time since which it waits.

Test: RefusesAnAttemptThatHasWaitedForPromises had no reply after 1.55 s without the change.

--- a/modules/heatherridge_coordination/keys/keygate.cpp
+++ b/modules/heatherridge_coordination/keys/keygate.cpp
@@ -42,7 +42,7 @@
 KeyActions KeyGate::requestReceived(const KeyedCall &call, WallTime now)
 {
     if (registerAttempt(call.attempt)) {
-        decide(call, now);
+        decide({.call = call, .since = now}, now);
         flush();
     } else {
         ++m_counters.duplicateAttempts;
@@ -215,9 +215,10 @@
     return true;
 }
 
-/** Answers @p keyedCall if its key is known or open; otherwise passes it to admit(). */
-void KeyGate::decide(const KeyedCall &keyedCall, WallTime now)
+/** Answers @p waiting if its key is known or open; otherwise passes it to admit(). */
+void KeyGate::decide(const ParkedCall &waiting, WallTime now)
 {
+    const auto &keyedCall = waiting.call;
     if (const auto *open = m_calls.find(keyedCall.key)) {
         join(*open, keyedCall);
         return;
@@ -231,7 +232,7 @@
         ++m_counters.mismatches;
         refuse(keyedCall.attempt, ErrorKind::KeyMismatch);
     } else {
-        admit(keyedCall, isReleased, now);
+        admit(waiting, isReleased, now);
     }
 }
 
@@ -286,8 +287,9 @@
 }
 
 /** Decides on a key that is not known to have run. @p isReleased is set if the key is known not to have run. */
-void KeyGate::admit(const KeyedCall &keyedCall, bool isReleased, WallTime now)
+void KeyGate::admit(const ParkedCall &waiting, bool isReleased, WallTime now)
 {
+    const auto &keyedCall = waiting.call;
     const auto time = keyedCall.key.time();
     const bool isHolderNow = m_claimManager.canAnnounce(m_ledger);
     const auto &placement = m_claimManager.placement();
@@ -311,7 +313,7 @@
         startWithoutLog(keyedCall);
     } else if (isHolderNow || placement.shouldHold) {
         // The witnesses' promises may arrive shortly, or the take-over may complete.
-        m_calls.park(keyedCall, now);
+        m_calls.park(waiting);
     } else {
         redirect(keyedCall.attempt);
     }
@@ -323,7 +325,7 @@
     const bool isHolderNow = m_claimManager.canAnnounce(m_ledger);
     for (const auto &parked : m_calls.takeParked()) {
         if (now - parked.since <= m_options.maxParkTime) {
-            decide(parked.call, now);
+            decide(parked, now);
             continue;
         }
         if (isHolderNow) {
--- a/modules/heatherridge_coordination/keys/keygate.h
+++ b/modules/heatherridge_coordination/keys/keygate.h
@@ -115,10 +115,10 @@
 
 private:
     bool registerAttempt(const AttemptId &attempt);
-    void decide(const KeyedCall &keyedCall, WallTime now);
+    void decide(const ParkedCall &waiting, WallTime now);
     void join(const OpenCall &call, const KeyedCall &keyedCall);
     void answerFromEntry(const KeyEntry &entry, const KeyedCall &keyedCall);
-    void admit(const KeyedCall &keyedCall, bool isReleased, WallTime now);
+    void admit(const ParkedCall &waiting, bool isReleased, WallTime now);
     std::optional<ErrorKind> checkCreationTime(WallTime time, WallTime now);
     void retryParked(WallTime now);
     void announce(const KeyedCall &keyedCall);
--- a/modules/heatherridge_coordination/keys/opencalls.cpp
+++ b/modules/heatherridge_coordination/keys/opencalls.cpp
@@ -51,9 +51,9 @@
     return &call;
 }
 
-void OpenCalls::park(const KeyedCall &keyedCall, WallTime now)
+void OpenCalls::park(const ParkedCall &waiting)
 {
-    m_parked.push_back({.call = keyedCall, .since = now});
+    m_parked.push_back(waiting);
 }
 
 bool OpenCalls::unpark(const AttemptId &attempt)
--- a/modules/heatherridge_coordination/keys/opencalls.h
+++ b/modules/heatherridge_coordination/keys/opencalls.h
@@ -51,8 +51,8 @@
     /** Removes @p attempt from its call. @returns the call, or nullptr if the attempt waits for none */
     const OpenCall *removeWaiter(const AttemptId &attempt);
 
-    /** Parks @p keyedCall, with @p now as the start of its wait. */
-    void park(const KeyedCall &keyedCall, WallTime now);
+    /** Parks @p waiting, which keeps the start of its wait. */
+    void park(const ParkedCall &waiting);
 
     /** Removes @p attempt from the parked attempts. Returns false if it is not parked. */
     bool unpark(const AttemptId &attempt);
--- a/tests/keys/keygate_test.cpp
+++ b/tests/keys/keygate_test.cpp
@@ -46,10 +46,22 @@
 
     void request(int key, std::string_view body = "b")
     {
-        collect(gate.requestReceived({.attempt = {.entry = Entry, .number = ++attempts},
-                                      .key = keyFor(key),
-                                      .fingerprint = fingerprintOf(WorkspaceName("w"), "POST", "/", body)},
-                                     Now));
+        collect(gate.requestReceived(
+            {.attempt = {.entry = Entry, .number = ++attempts}, .key = keyFor(key), .fingerprint = fingerprint(body)},
+            Now));
+    }
+
+    /** Ticks as often as a process does until @p time after the start. */
+    void tickUntil(std::chrono::milliseconds time)
+    {
+        for (auto passed = 50ms; passed <= time; passed += 50ms) {
+            collect(gate.tick(Now + passed));
+        }
+    }
+
+    static RequestFingerprint fingerprint(std::string_view body = "b")
+    {
+        return fingerprintOf(WorkspaceName("w"), "POST", "/", body);
     }
 
     /** Answers all the gate's requests for a promise but the last @p unansweredCount ones. */
@@ -135,6 +147,18 @@
     EXPECT_EQ(fixture.runs.size(), 39U);
 }
 
+// Guards against an attempt that waits for promises until its caller's deadline, because each tick restarts its wait.
+TEST(KeyGate, RefusesAnAttemptThatHasWaitedForPromises)
+{
+    GateFixture fixture;
+    fixture.collect(fixture.gate.logAvailabilityChanged(false, Now));
+    fixture.request(1);
+    fixture.tickUntil(KeyGate::Options{}.maxParkTime);
+    EXPECT_TRUE(fixture.replies.empty());
+    fixture.tickUntil(KeyGate::Options{}.maxParkTime + 50ms);
+    EXPECT_EQ(fixture.lastError(), ErrorKind::KeyNotDecidable);
+}
+
 struct KeyTimeRow
 {
     const char *description;
