Hold a prompt part at fault by appearance until one trial tells

Cause: a part that was answered earlier and crashes targets until all groups are closed has five or more deaths within half a second, while nothing else is answered. The proof for a block (answers of others) is missing, so everything that waited with the part went to targets when the groups opened again, at every gateway, and each crash sent it to the next target.

Change: such a part is held. Requests with it wait, except for one trial at a time, which a gateway claims through the log once a target can take it. An answer ends the hold everywhere; answers of others prove the part at fault only after a trial has crashed a target. First parts are not held. Held streams leave the queue, so that those behind them need not wait. outcomeText() moves out of gatewaycall.cpp.

--- a/modules/heatherridge_state/decisions/promptpartsuspects.cpp
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.cpp
@@ -12,6 +12,7 @@
 {
 
 constexpr std::chrono::milliseconds EvictionInterval{1'000};
+constexpr std::chrono::milliseconds HeldUpdateInterval{50};
 constexpr std::size_t EvictedFraction = 8; ///< one in so many is evicted at a time, so that evictions are rare
 
 /** Spreads the times at which gateways publish the same record. */
@@ -44,6 +45,7 @@
     : m_self(self)
     , m_options(options)
     , m_answered(options.answered)
+    , m_held(self, options.held)
 {
 }
 
@@ -66,6 +68,24 @@
     });
 }
 
+bool PromptPartSuspects::isHeld(std::span<const PromptPart> parts) const
+{
+    return m_held.leadingPart(parts).has_value();
+}
+
+bool PromptPartSuspects::mayStart(std::span<const PromptPart> parts, SteadyTime now)
+{
+    const auto part = m_held.leadingPart(parts);
+    if (!part) {
+        return true;
+    }
+    const auto permission = m_held.takePermission(*part, now);
+    if (permission == HeldParts::Permission::NeedsClaim) {
+        schedule(RecordKind::Trial, *part, now);
+    }
+    return permission == HeldParts::Permission::Granted;
+}
+
 std::size_t PromptPartSuspects::deathCount(PromptPart part) const
 {
     const auto found = m_suspects.find(part);
@@ -103,7 +123,7 @@
             continue; // not beyond the point at which the targets died
         }
         m_answered.add(part, now);
-        if (m_blocks.contains(part)) {
+        if (m_blocks.contains(part) || m_held.contains(part)) {
             released.parts.push_back(part);
             clear(part, now);
             continue;
@@ -191,6 +211,7 @@
 void PromptPartSuspects::applyRecord(const PromptPartsDeath &report, SteadyTime now)
 {
     const auto death = deathFor(report, now);
+    m_held.recordDeath(report.parts, report.reporter, death->time);
     const auto count = std::min(report.parts.size(), m_options.maxPartsPerReport);
     for (std::size_t index = 0; index < count; ++index) {
         addDeath(report, index, death, now);
@@ -247,14 +268,21 @@
 void PromptPartSuspects::applyRecord(const PromptPartTrial &record, SteadyTime now)
 {
     const auto found = m_blocks.find(record.part);
-    if (found == m_blocks.end() || record.number <= found->second.trials) {
+    const auto isValid =
+        found == m_blocks.end() ? m_held.applyClaim(record, now) : record.number > found->second.trials;
+    if (!isValid) {
         return;
     }
     m_pending.erase({.kind = RecordKind::Trial, .part = record.part});
+    if (found == m_blocks.end()) {
+        return;
+    }
     auto &block = found->second;
+    const bool isOwn = record.gateway == m_self && now >= block.nextTrial; // else claimed before the block
     block.trials = record.number;
-    block.nextTrial = now + trialDelay(record.number); // also if no target dies: the trial may have reached one
-    block.mayTryUntil = record.gateway == m_self ? now + m_options.trialLifetime : SteadyTime{};
+    // Also if no target dies: the trial may have reached one.
+    block.nextTrial = now + trialDelay(record.number - block.trialsBefore);
+    block.mayTryUntil = isOwn ? now + m_options.trialLifetime : SteadyTime{};
 }
 
 PromptPartSuspects::DeathPointer PromptPartSuspects::deathFor(const PromptPartsDeath &report, SteadyTime now)
@@ -397,10 +425,16 @@
             >= (episodeCount(last) > 1 ? m_options.shareToBlock : m_options.shareToBlockInOneEpisode);
     }
     const auto deaths = settled(unansweredDeaths(suspect), now);
-    if (counted.size() < m_options.unexplainedToBlockAnswered) {
+    const auto unexplained = m_held.contains(part)
+        ? static_cast<std::ptrdiff_t>(counted.size())
+        : std::count_if(counted.begin(), counted.end(),
+                        [&](const auto &death) { return !m_heldDeaths.contains(death); });
+    if (static_cast<std::size_t>(unexplained) < m_options.unexplainedToBlockAnswered) {
         return false;
     }
-    if (m_answerCount - suspect.answersBefore >= m_options.answersOfOthersToBlock) {
+    // That others are answered tells nothing about a part whose requests wait, unless a trial has crashed a target.
+    const bool isTried = !m_held.contains(part) || m_held.hasFailedTrial(part);
+    if (isTried && m_answerCount - suspect.answersBefore >= m_options.answersOfOthersToBlock) {
         return deaths.size() >= m_options.deathsToBlockAnswered
             && episodeCount(deaths) >= m_options.episodesToBlockAnswered;
     }
@@ -409,6 +443,47 @@
         && shareOfAllDeaths(deaths, deaths.size()) >= m_options.shareToBlockUnproven;
 }
 
+bool PromptPartSuspects::mayHold(PromptPart part, const Suspect &suspect, SteadyTime now) const
+{
+    if (suspect.isFirstPart || m_blocks.contains(part) || !isAnswered(part, suspect)) {
+        return false;
+    }
+    const auto deaths = settled(unansweredDeaths(suspect), now);
+    return deaths.size() >= m_options.deathsToBlockAnswered
+        && settled(countedDeaths(suspect), now).size() >= m_options.unexplainedToBlockAnswered
+        && shareOfAllDeaths(deaths, deaths.size()) >= m_options.shareToHold;
+}
+
+void PromptPartSuspects::updateHeldParts(SteadyTime now)
+{
+    // Those with most deaths first; parts with the same deaths are held together.
+    std::vector<std::pair<std::size_t, PromptPart>> candidates;
+    for (const auto part : m_candidates) {
+        if (const auto &suspect = m_suspects.at(part); mayHold(part, suspect, now)) {
+            candidates.emplace_back(countedDeaths(suspect).size(), part);
+        }
+    }
+    std::sort(candidates.rbegin(), candidates.rend());
+    std::set<PromptPart> held;
+    m_heldDeaths.clear();
+    Deaths deathsOfLast;
+    for (const auto &[count, part] : candidates) {
+        const auto deaths = countedDeaths(m_suspects.at(part));
+        const bool isExplained =
+            std::all_of(deaths.begin(), deaths.end(), [&](const auto &death) { return m_heldDeaths.contains(death); });
+        if (isExplained && deaths != deathsOfLast) {
+            continue;
+        }
+        held.insert(part);
+        m_heldDeaths.insert(deaths.begin(), deaths.end());
+        deathsOfLast = deaths;
+    }
+    const auto &before = m_held.parts();
+    std::set_difference(held.begin(), held.end(), before.begin(), before.end(), std::back_inserter(m_changes.held));
+    std::set_difference(before.begin(), before.end(), held.begin(), held.end(), std::back_inserter(m_changes.unheld));
+    m_held.replace(std::move(held));
+}
+
 double PromptPartSuspects::shareOfAllDeaths(const Deaths &deaths, std::size_t last) const
 {
     // Wider than the deaths themselves: of very many at once, some part is in hand at several in a row.
@@ -477,13 +552,21 @@
             explainDeathsOf(part);
         }
     }
+    if (now >= m_nextHeldUpdate) {
+        m_nextHeldUpdate = now + HeldUpdateInterval;
+        updateHeldParts(now);
+    }
 }
 
 void PromptPartSuspects::block(PromptPart part, bool isDoubtful, SteadyTime now)
 {
+    const auto trialsBefore = m_held.nextNumber(part) - 1;
     m_blocks.insert_or_assign(part,
                               Block{.lastActivity = now,
                                     .lastRecord = now,
+                                    .trials = trialsBefore,
+                                    .trialsBefore = trialsBefore,
+                                    .trialsAtLastDeath = trialsBefore,
                                     .nextTrial = now + (isDoubtful ? m_options.doubtfulTrialDelay : trialDelay(0))});
     m_pending.erase({.kind = RecordKind::Answered, .part = part});
     schedule(RecordKind::Blocked, part, now);
@@ -494,6 +577,11 @@
 {
     const bool wasSuspect = m_suspects.erase(part) > 0;
     m_candidates.erase(part);
+    if (m_held.contains(part)) {
+        m_changes.unheld.push_back(part);
+        m_nextHeldUpdate = now; // other parts may be to blame for its deaths
+    }
+    m_held.erase(part);
     if (m_blocks.erase(part) > 0) {
         m_changes.released.push_back(part);
     } else if (!wasSuspect) {
@@ -557,9 +645,9 @@
         } else if (found != m_blocks.end() && record.kind == RecordKind::Blocked) {
             found->second.lastRecord = now;
             m_changes.toPublish.emplace_back(PromptPartBlocked{.part = record.part, .trials = found->second.trials});
-        } else if (found != m_blocks.end()) {
-            m_changes.toPublish.emplace_back(
-                PromptPartTrial{.part = record.part, .gateway = m_self, .number = found->second.trials + 1});
+        } else if (found != m_blocks.end() || m_held.contains(record.part)) {
+            const auto number = found == m_blocks.end() ? m_held.nextNumber(record.part) : found->second.trials + 1;
+            m_changes.toPublish.emplace_back(PromptPartTrial{.part = record.part, .gateway = m_self, .number = number});
         }
     }
     if (!answered.parts.empty()) {
@@ -581,6 +669,7 @@
         }
     }
     std::erase_if(m_suspects, [](const auto &entry) { return entry.second.deaths.empty(); });
+    m_held.evictClaims(oldest);
     std::erase_if(m_clearedAt, [&](const auto &entry) { return entry.second < oldest; });
     std::erase_if(m_blocks, [&](const auto &entry) {
         const bool isExpired = entry.second.lastActivity < oldest;
--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_state/base/clock.h"
 #include "heatherridge_state/decisions/answeredparts.h"
+#include "heatherridge_state/decisions/heldparts.h"
 #include "heatherridge_state/decisions/promptpartrecord.h"
 
 #include <chrono>
@@ -23,6 +24,8 @@
     std::vector<PromptPartRecord> toPublish{}; ///< for all gateways
     std::vector<PromptPart> blocked{}; ///< were not blocked before
     std::vector<PromptPart> released{}; ///< were blocked before
+    std::vector<PromptPart> held{}; ///< were not held before
+    std::vector<PromptPart> unheld{}; ///< were held before
 };
 
 /**
@@ -37,6 +40,9 @@
  * explains the deaths under it: they do not count for the other parts that were in hand. An answer to any request with
  * a part clears it; at most a few trial requests, each sent by one gateway, give a blocked part that chance.
  *
+ * A part that was in hand at most deaths, but for which the proof is missing, is held: one request with it at a time is
+ * sent, by one gateway, and the others wait for its fate.
+ *
  * Every gateway records the reports of all gateways and its own; the verdicts are published too, so that gateways which
  * miss the reports learn of them. Single-threaded; time comes from the caller.
  */
@@ -84,12 +90,15 @@
         /** Deaths from which an answer is published; one more if all gateways know of an earlier answer. */
         std::size_t deathsToPublishAnswer = 2;
         double shareToBlockInOneEpisode = 0.6; ///< the same if these deaths lie in one episode
+        /** Share of all deaths at which a part must have been in hand to be held. First parts are not held. */
+        double shareToHold = 0.6;
         std::uint32_t maxFailedTrials = 2; ///< of one blocked part; a trial has failed when a target died under it
         std::chrono::milliseconds firstTrialDelay{15'000}; ///< after a block of one part for several episodes
         /** After a block that rests on one episode, or of parts that were in hand at the same deaths. */
         std::chrono::milliseconds doubtfulTrialDelay{5'000};
         int trialDelayGrowth = 4; ///< factor of the delay after each trial
         std::chrono::milliseconds trialLifetime{3'000}; ///< of a claim that is not used
+        HeldParts::Options held{};
         std::size_t maxSuspects = 10'000; ///< parts; beyond it the oldest with one death is dropped
         std::size_t maxDeaths = 10'000; ///< beyond it the oldest is forgotten
         std::size_t maxPartsPerReport = 32; ///< further parts of a prompt are not considered
@@ -116,6 +125,15 @@
      */
     bool isSuspect(std::span<const PromptPart> parts) const;
 
+    /** Returns whether one of @p parts is held. */
+    bool isHeld(std::span<const PromptPart> parts) const;
+
+    /**
+     * Returns whether a request with @p parts may be sent, as far as held parts are concerned, now that a target can
+     * take it. If not, it waits, and this is called again. Uses up the permission of a trial.
+     */
+    bool mayStart(std::span<const PromptPart> parts, SteadyTime now);
+
     /** Returns the number of deaths of @p part that count against it at present. */
     std::size_t deathCount(PromptPart part) const;
 
@@ -177,6 +195,7 @@
         SteadyTime lastActivity{}; ///< last refusal, death or record
         SteadyTime lastRecord{}; ///< when a record of it was published here or read
         std::uint32_t trials = 0; ///< claimed so far by any gateway
+        std::uint32_t trialsBefore = 0; ///< of these, claimed while the part was held
         std::uint32_t trialsAtLastDeath = 0; ///< value of trials when a target last died under the part
         std::set<DeathPointer> deaths{}; ///< of failed trials, known here
         std::uint32_t reportedDeaths = 0; ///< of failed trials, by records of the block
@@ -207,6 +226,8 @@
     std::size_t episodeCount(const Deaths &deaths) const;
     bool isAnswered(PromptPart part, const Suspect &suspect) const;
     bool mayBlock(PromptPart part, const Suspect &suspect, SteadyTime now) const;
+    bool mayHold(PromptPart part, const Suspect &suspect, SteadyTime now) const;
+    void updateHeldParts(SteadyTime now);
     double shareOfAllDeaths(const Deaths &deaths, std::size_t last) const;
     bool mayPublishAnswer(const Suspect &suspect) const;
     std::size_t promptCount(const Suspect &suspect, const Deaths &counted) const;
@@ -237,6 +258,9 @@
     std::set<PromptPart> m_candidates; ///< suspects with enough deaths to be blocked, if they count
     std::set<DeathPointer> m_explained; ///< deaths under a blocked part
     std::map<PromptPart, Block> m_blocks;
+    HeldParts m_held;
+    std::set<DeathPointer> m_heldDeaths; ///< under held parts; they count for no other part with an answer
+    SteadyTime m_nextHeldUpdate{};
     std::map<PromptPart, SteadyTime> m_clearedAt; ///< last published answer to a former suspect
     std::map<PendingRecord, SteadyTime> m_pending; ///< records to publish, with the time at which they are due
     PromptPartChanges m_changes; ///< since the last call
--- a/modules/heatherridge_transport/direct/crashsuspicion.cpp
+++ b/modules/heatherridge_transport/direct/crashsuspicion.cpp
@@ -67,6 +67,16 @@
     return !m_isTrial;
 }
 
+bool CrashSuspicion::mayStart()
+{
+    return m_guards.parts.isIdle() || m_guards.parts.mayStart(parts());
+}
+
+bool CrashSuspicion::isHeld()
+{
+    return !m_guards.parts.isIdle() && m_guards.parts.isHeld(parts());
+}
+
 bool CrashSuspicion::matches(const RequestFingerprint &request)
 {
     return fingerprint() == request;
--- a/modules/heatherridge_transport/direct/crashsuspicion.h
+++ b/modules/heatherridge_transport/direct/crashsuspicion.h
@@ -49,6 +49,15 @@
     /** Returns whether the request must not be sent, unless it is chosen as the trial of a blocked prompt part. */
     bool isBlocked();
 
+    /**
+     * Returns whether the request may be sent to a target that can take it. If not, it waits for the fate of another
+     * request with a part of its prompt.
+     */
+    bool mayStart();
+
+    /** Returns whether a part of its prompt is held. */
+    bool isHeld();
+
     /** Returns whether the request is the one that @p request identifies. */
     bool matches(const RequestFingerprint &request);
 
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -23,11 +23,6 @@
     return std::chrono::steady_clock::now();
 }
 
-std::string outcomeText(const Error &error)
-{
-    return std::string(errorDescriptorFor(error.kind).name) + ": " + error.detail;
-}
-
 } // namespace
 
 GatewayCall::GatewayCall(GatewayTraffic &traffic, std::uint64_t number, std::shared_ptr<HttpExchange> exchange,
@@ -143,15 +138,17 @@
 
 GatewayTargets::Choice GatewayCall::chooseTarget()
 {
+    using Choice = GatewayTargets::Choice;
     auto &targets = m_traffic.m_targets;
+    Choice choice;
     if (m_suspicion.isSuspect()) {
         const auto avoided = m_traffic.m_crashGuard.suspectTargets().targetsToAvoid(m_tried);
-        const auto unsuspectedChoice = targets.choose(requirements(avoided), now(), m_traffic.m_random);
-        if (unsuspectedChoice.target != nullptr) {
-            return unsuspectedChoice;
-        }
+        choice = targets.choose(requirements(avoided), now(), m_traffic.m_random);
+    }
+    if (choice.target == nullptr) {
+        choice = targets.choose(requirements(m_tried), now(), m_traffic.m_random);
     }
-    return targets.choose(requirements(m_tried), now(), m_traffic.m_random);
+    return choice.target == nullptr || m_suspicion.mayStart() ? choice : Choice{.reason = NoChoiceReason::PartHeld};
 }
 
 TargetRequirements GatewayCall::requirements(const std::set<TargetName> &avoided) const
@@ -228,7 +225,9 @@
     // A target that refused the request earlier may accept it now.
     m_tried.clear();
     m_isWaiting = true;
-    if (isStream()) {
+    if (m_suspicion.isHeld()) {
+        m_traffic.dequeue(m_number); // streams behind it need not wait
+    } else if (isStream()) {
         enqueue();
     }
     armTimer();
@@ -555,10 +554,10 @@
     if (m_isDone) {
         return;
     }
-    const auto nextCheck = m_isWaiting && isStream()            ? waitDeadline()
-        : m_isWaiting                                           ? now() + PlacementRetryPeriod
-        : isStream() || m_route.kind == RequestKind::Idempotent ? now() + SilenceCheckPeriod
-                                                                : m_deadline;
+    const auto nextCheck = m_isWaiting && isStream() && !m_suspicion.isHeld() ? waitDeadline()
+        : m_isWaiting                                                         ? now() + PlacementRetryPeriod
+        : isStream() || m_route.kind == RequestKind::Idempotent               ? now() + SilenceCheckPeriod
+                                                                              : m_deadline;
     m_timer.expires_at(std::min(m_deadline, nextCheck));
     m_timer.async_wait([weak = weak_from_this()](const asio::error_code &error) {
         const auto self = weak.lock();
--- a/modules/heatherridge_transport/direct/gatewaytargets.h
+++ b/modules/heatherridge_transport/direct/gatewaytargets.h
@@ -35,6 +35,7 @@
     AllFull,
     AllHeldBack, ///< by their own statements or by limits on what they accept
     ZonesDrained, ///< the operator has drained the zones of all that could serve it
+    PartHeld, ///< a part of its prompt is held until the fate of another request with it is known
     OutsideRegions, ///< all that could serve it are in regions that the request does not allow
 };
 
--- a/modules/heatherridge_transport/direct/placementrefusal.cpp
+++ b/modules/heatherridge_transport/direct/placementrefusal.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds EnginesFullRetryAfter{500};
 /** Retry delay for callers after the targets refused: a slot of a plain service becomes free within this time. */
 constexpr milliseconds TargetsFullRetryAfter{300};
+/** Retry delay for callers refused while a part of their prompt is held: a trial is claimed, sent and answered. */
+constexpr milliseconds PartHeldRetryAfter{1'000};
 /** Retry delay for callers refused until an operator acts: a zone is restored within seconds at the soonest. */
 constexpr milliseconds OperatorRetryAfter{2'000};
 
@@ -43,6 +45,10 @@
         return {.kind = ErrorKind::ZoneDrained,
                 .detail = "all zones of " + service.text() + " are drained",
                 .retryAfter = OperatorRetryAfter};
+    case NoChoiceReason::PartHeld:
+        return {.kind = ErrorKind::Overloaded,
+                .detail = "a part of the prompt is being tried",
+                .retryAfter = PartHeldRetryAfter};
     case NoChoiceReason::OutsideRegions:
         return {.kind = ErrorKind::OutsideRegions,
                 .detail = "no target of " + service.text() + " in an allowed region",
@@ -52,6 +58,11 @@
     return {.kind = ErrorKind::Internal};
 }
 
+std::string outcomeText(const Error &error)
+{
+    return std::string(errorDescriptorFor(error.kind).name) + ": " + error.detail;
+}
+
 Error refusalByTargets(bool mayHaveRun, std::string detail)
 {
     return {.kind = mayHaveRun ? ErrorKind::BackendFailed : ErrorKind::Overloaded,
--- a/modules/heatherridge_transport/direct/placementrefusal.h
+++ b/modules/heatherridge_transport/direct/placementrefusal.h
@@ -24,4 +24,7 @@
  */
 Error refusalByTargets(bool mayHaveRun, std::string detail);
 
+/** Returns how a request that fails with @p error is described in the log. */
+std::string outcomeText(const Error &error);
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/promptpartguard.cpp
+++ b/modules/heatherridge_transport/direct/promptpartguard.cpp
@@ -44,8 +44,24 @@
 {
     const bool isTrial = m_suspects.takeTrial(parts, now());
     if (isTrial) {
-        m_trials.add();
-        logEvent(Severity::Info, "prompt-part-tried", {{"parts", toString(parts)}});
+        recordTrial(parts);
+    }
+    return isTrial;
+}
+
+bool PromptPartGuard::isHeld(Parts parts) const
+{
+    return m_suspects.isHeld(parts);
+}
+
+bool PromptPartGuard::mayStart(Parts parts)
+{
+    if (!isHeld(parts)) {
+        return true;
+    }
+    const bool isTrial = m_suspects.mayStart(parts, now());
+    if (isTrial) {
+        recordTrial(parts);
     }
     return isTrial;
 }
@@ -75,6 +91,12 @@
     handle(m_suspects.tick(now));
 }
 
+void PromptPartGuard::recordTrial(Parts parts)
+{
+    m_trials.add();
+    logEvent(Severity::Info, "prompt-part-tried", {{"parts", toString(parts)}});
+}
+
 void PromptPartGuard::handle(const PromptPartChanges &changes)
 {
     for (const auto &record : changes.toPublish) {
@@ -84,6 +106,13 @@
         m_releasedParts.add();
         logEvent(Severity::Warning, "prompt-part-released", {{"part", toString(part)}});
     }
+    for (const auto part : changes.unheld) {
+        logEvent(Severity::Info, "prompt-part-unheld", {{"part", toString(part)}});
+    }
+    for (const auto part : changes.held) {
+        logEvent(Severity::Warning, "prompt-part-held",
+                 {{"part", toString(part)}, {"deaths", std::to_string(m_suspects.deathCount(part))}});
+    }
     for (const auto part : changes.blocked) {
         m_blockedParts.add();
         logEvent(Severity::Warning, "prompt-part-blocked",
--- a/modules/heatherridge_transport/direct/promptpartguard.h
+++ b/modules/heatherridge_transport/direct/promptpartguard.h
@@ -44,6 +44,12 @@
     /** @see PromptPartSuspects::takeTrial */
     bool takeTrial(Parts parts);
 
+    /** @see PromptPartSuspects::isHeld */
+    bool isHeld(Parts parts) const;
+
+    /** @see PromptPartSuspects::mayStart */
+    bool mayStart(Parts parts);
+
     /** @see PromptPartSuspects::recordTargetDeath */
     void recordTargetDeath(const TargetName &target, Parts parts, std::uint32_t progress);
 
@@ -60,6 +66,7 @@
     void tick(SteadyTime now);
 
 private:
+    void recordTrial(Parts parts);
     void handle(const PromptPartChanges &changes);
 
     Events m_events;
--- a/tests/decisions/promptpartmodel.cpp
+++ b/tests/decisions/promptpartmodel.cpp
@@ -513,7 +513,7 @@
                 }
             }
         }
-        if (usable.empty()) {
+        if (usable.empty() || !gateway.suspects->mayStart(request.parts, time())) {
             return std::nullopt;
         }
         const auto &candidates = isSuspect && !separate.empty() ? separate : usable;
--- a/tests/gateway/placementrefusal_test.cpp
+++ b/tests/gateway/placementrefusal_test.cpp
@@ -24,6 +24,7 @@
     {"AllFull", NoChoiceReason::AllFull, {}, ErrorKind::Overloaded, 500ms},
     {"AllHeldBack", NoChoiceReason::AllHeldBack, 1'234ms, ErrorKind::Overloaded, 1'234ms},
     {"AllHeldBackForUnknownTime", NoChoiceReason::AllHeldBack, {}, ErrorKind::Overloaded, 500ms},
+    {"PartHeld", NoChoiceReason::PartHeld, {}, ErrorKind::Overloaded, 1'000ms},
     {"ZonesDrained", NoChoiceReason::ZonesDrained, {}, ErrorKind::ZoneDrained, 2'000ms},
     {"OutsideRegions", NoChoiceReason::OutsideRegions, {}, ErrorKind::OutsideRegions, 2'000ms},
 };
