Let repeats of a booking wait for an outcome that is on its way after a hand-over

Cause: a target that is withdrawn hands its shards over while it still runs calls, and answers their callers before the outcomes are in the log. Until the new holder read an outcome, it told each repeat at once that the outcome was unknown (409), though the booking had run and its answer was known. BookingFaults/TargetWithdrawn repeats 40 times; a repeat took 1 ms, so an outcome that came 40 ms late failed it.

Change: a repeat of a call that runs in a process which handed the shard over waits for its outcome, for at most 1.5 s (maxParkTime). A shard that was taken over without a hand-over is answered for as before.

Tests: EarlierRuns. Without the change, three of its four rows failed: the repeat was told key-outcome-unknown at once. The check of BookingFaults is unchanged.

--- a/modules/heatherridge_coordination/keys/claimmanager.cpp
+++ b/modules/heatherridge_coordination/keys/claimmanager.cpp
@@ -198,6 +198,12 @@
     return true;
 }
 
+bool ClaimManager::hasHandOverFrom(const GateId &holder) const
+{
+    return std::any_of(m_acceptedHandOvers.begin(), m_acceptedHandOvers.end(),
+                       [&holder](const ClaimId &claim) { return claim.holder == holder; });
+}
+
 std::optional<ClaimId> ClaimManager::onBehalfOf(const KeyLedger &ledger) const
 {
     if (m_handedOverClaim) {
--- a/modules/heatherridge_coordination/keys/claimmanager.h
+++ b/modules/heatherridge_coordination/keys/claimmanager.h
@@ -97,6 +97,9 @@
      */
     bool acceptHandOver(const ReleaseReply &reply);
 
+    /** Returns whether a hand-over by @p holder was accepted: that run of its process was alive then. */
+    bool hasHandOverFrom(const GateId &holder) const;
+
     /** Returns the claim under which this process may write although it isn't its holder, if any. */
     std::optional<ClaimId> onBehalfOf(const KeyLedger &ledger) const;
 
--- a/modules/heatherridge_coordination/keys/keygate.cpp
+++ b/modules/heatherridge_coordination/keys/keygate.cpp
@@ -226,7 +226,10 @@
     const auto entry = m_unrecorded.find(keyedCall.key, m_ledger);
     const bool isReleased = entry && entry->runState == RunState::NotRun;
     const bool isDeadRun = entry && entry->runState == RunState::Open && !m_options.safeguards.deadRunsUnknown;
-    if (entry && !isReleased && !isDeadRun) {
+    const bool mayWait = now - waiting.since <= m_options.maxParkTime && m_calls.size() < m_options.maxCalls;
+    if (entry && !isDeadRun && entry->fingerprint == keyedCall.fingerprint && mayOutcomeFollow(*entry) && mayWait) {
+        m_calls.park(waiting);
+    } else if (entry && !isReleased && !isDeadRun) {
         answerFromEntry(*entry, keyedCall);
     } else if (entry && entry->fingerprint != keyedCall.fingerprint) {
         ++m_counters.mismatches;
@@ -236,6 +239,12 @@
     }
 }
 
+/** Returns whether another process runs the call of @p entry and handed the shard over, so that it was alive then. */
+bool KeyGate::mayOutcomeFollow(const KeyEntry &entry) const
+{
+    return entry.runState == RunState::Open && m_claimManager.hasHandOverFrom(entry.runner);
+}
+
 void KeyGate::join(const OpenCall &call, const KeyedCall &keyedCall)
 {
     if (call.fingerprint != keyedCall.fingerprint) {
@@ -324,7 +333,9 @@
 {
     const bool isHolderNow = m_claimManager.canAnnounce(m_ledger);
     for (const auto &parked : m_calls.takeParked()) {
-        if (now - parked.since <= m_options.maxParkTime) {
+        const auto entry = m_unrecorded.find(parked.call.key, m_ledger);
+        const bool hasRun = entry && entry->runState != RunState::NotRun;
+        if (hasRun || now - parked.since <= m_options.maxParkTime) {
             decide(parked, now);
             continue;
         }
--- a/modules/heatherridge_coordination/keys/keygate.h
+++ b/modules/heatherridge_coordination/keys/keygate.h
@@ -116,6 +116,7 @@
 private:
     bool registerAttempt(const AttemptId &attempt);
     void decide(const ParkedCall &waiting, WallTime now);
+    bool mayOutcomeFollow(const KeyEntry &entry) const;
     void join(const OpenCall &call, const KeyedCall &keyedCall);
     void answerFromEntry(const KeyEntry &entry, const KeyedCall &keyedCall);
     void admit(const ParkedCall &waiting, bool isReleased, WallTime now);
--- a/tests/keys/keygate_test.cpp
+++ b/tests/keys/keygate_test.cpp
@@ -16,9 +16,14 @@
 /** A gate whose log is driven by the test: appends complete and are read back only when the test says so. */
 struct GateFixture
 {
-    explicit GateFixture(KeySafeguards safeguards = {})
+    explicit GateFixture(KeySafeguards safeguards = {}, bool isHolder = true)
         : gate(Self, {.safeguards = safeguards})
     {
+        if (!isHolder) {
+            collect(gate.logAvailabilityChanged(true, Now));
+            collect(gate.streamCaughtUp(Now));
+            return;
+        }
         collect(gate.placementChanged({.shouldHold = true, .witnesses = {Witness}}, Now));
         collect(gate.logAvailabilityChanged(true, Now));
         collect(gate.streamCaughtUp(Now));
@@ -51,6 +56,14 @@
             Now));
     }
 
+    /** Reads records that @p writer has logged. */
+    void read(const GateId &writer, std::vector<KeyRecord> records, WallTime now = Now)
+    {
+        ++offset;
+        collect(gate.recordRead(static_cast<LogOffset>(offset),
+                                KeyBatch{.writer = writer, .serial = offset, .records = std::move(records)}, now));
+    }
+
     /** Ticks as often as a process does until @p time after the start. */
     void tickUntil(std::chrono::milliseconds time)
     {
@@ -159,6 +172,74 @@
     EXPECT_EQ(fixture.lastError(), ErrorKind::KeyNotDecidable);
 }
 
+/** How a shard with a run under way came to this gate, and how that run ends. */
+struct EarlierRunRow
+{
+    const char *name;
+    bool isHandedOver; ///< by the process that runs the call; otherwise it is taken for dead
+    std::optional<RunState> outcome; ///< that this process records; empty if it records none
+    std::optional<ErrorKind> error; ///< that a repeat gets; empty if it gets the answer
+    bool waits; ///< whether the repeat waits for the outcome
+};
+
+const EarlierRunRow EarlierRunRows[] = {
+    {"HandedOverAndAnswered", true, RunState::Answered, std::nullopt, true},
+    {"HandedOverAndFailed", true, RunState::Unknown, ErrorKind::KeyOutcomeUnknown, true},
+    {"HandedOverByAProcessThatThenDies", true, std::nullopt, ErrorKind::KeyOutcomeUnknown, true},
+    {"TakenOverFromADeadProcess", false, std::nullopt, ErrorKind::KeyOutcomeUnknown, false},
+};
+
+class EarlierRuns : public testing::TestWithParam<EarlierRunRow>
+{
+};
+
+// Guards against a caller that repeats a booking and is told that its outcome is unknown although it is on its way: the
+// target that runs it was withdrawn and has handed the shard over.
+TEST_P(EarlierRuns, AreWaitedForIfTheirProcessHandedOver)
+{
+    const auto &row = GetParam();
+    const GateId third{.process = ProcessName("v"), .incarnation = Incarnation{4}};
+    GateFixture fixture({}, false);
+    KeyClaim claim{.id = {.holder = Witness, .serial = 1}, .until = Now + 2h};
+    claim.witnesses = row.isHandedOver ? std::vector{third} : std::vector<GateId>{};
+    fixture.read(Witness, {claim});
+    fixture.read(
+        Witness,
+        {KeyIntent{.key = GateFixture::keyFor(1), .fingerprint = GateFixture::fingerprint(), .runner = Witness}});
+    fixture.collect(fixture.gate.placementChanged({.shouldHold = true}, Now));
+    if (row.isHandedOver) {
+        fixture.collect(fixture.gate.messageReceived(
+            Witness, ReleaseReply{.claim = {.offset = LogOffset{1}, .claim = claim}}, Now));
+    }
+    fixture.completeAppendAndRead();
+    ASSERT_TRUE(fixture.gate.isHolder());
+    fixture.request(1);
+    EXPECT_EQ(fixture.replies.empty(), row.waits);
+    if (row.outcome) {
+        fixture.read(Witness,
+                     {KeyOutcome{.key = GateFixture::keyFor(1),
+                                 .fingerprint = GateFixture::fingerprint(),
+                                 .runner = Witness,
+                                 .runState = *row.outcome,
+                                 .answer = {.status = 201, .body = "seat 7"}}},
+                     Now + 300ms);
+    } else if (row.waits) {
+        fixture.tickUntil(KeyGate::Options{}.maxParkTime);
+        EXPECT_TRUE(fixture.replies.empty());
+        fixture.tickUntil(KeyGate::Options{}.maxParkTime + 50ms);
+    }
+    ASSERT_EQ(fixture.replies.size(), 1U);
+    if (row.error) {
+        EXPECT_EQ(fixture.lastError(), *row.error);
+    } else {
+        EXPECT_EQ(std::get<StoredAnswer>(fixture.replies.back()).body, "seat 7");
+    }
+    EXPECT_TRUE(fixture.runs.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(All, EarlierRuns, testing::ValuesIn(EarlierRunRows),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 struct KeyTimeRow
 {
     const char *description;
