--- /dev/null
+++ b/tests/gateway/conversations/conversation.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "gateway/conversations/conversationplan.h"
+#include "gateway/gatewayfixture.h"
+
+#include <string>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/** Events of a complete stream, numbered from 1. */
+constexpr int StreamEvents = 4;
+
+/** One request as a target received it, and what the target sent. */
+struct ObservedAttempt
+{
+    int number = 0; ///< in the order in which all targets received requests
+    std::string request{}; ///< head and body
+    std::string id{};
+    int status = 0; ///< of the answer to the request; 0 if there was none
+    std::string signature{}; ///< of the answer; empty if it has none
+    std::string body{}; ///< of the answer, as far as the target sent it
+    bool isWhole = false; ///< whether all of the answer was sent, so far as its reader can tell
+    bool hasRun = false; ///< whether the target ran the request
+    bool isSound = false; ///< whether a gateway that does its part delivers this answer whole
+};
+
+/** One request as a caller sent it, and what the caller received. */
+struct ObservedRequest
+{
+    RequestPlan plan{};
+    std::string id{};
+    std::string path{};
+    std::string body{};
+    RawCaller::Answer answer{}; ///< status 0 if there was none
+    int continues = 0; ///< answers with status 100 before the answer
+    bool isSent = false; ///< whether all of the request was sent
+    bool isClosedBefore = false; ///< the connection had ended before this request was sent
+    bool hasLeft = false; ///< the caller closed the connection before the end of the answer
+};
+
+/** What was seen from outside of the gateway in one conversation. */
+struct ObservedConversation
+{
+    std::vector<std::vector<ObservedRequest>> callers{};
+    std::vector<ObservedAttempt> attempts{};
+    int surplusBytes = 0; ///< received by callers after their last answers
+    bool hasStopped = false; ///< the gateway was stopped meanwhile
+    std::int64_t heldBytes = 0; ///< of callers, at the gateway, after all callers have closed their connections
+};
+
+/** Lets callers and targets talk as @p plan says, through a gateway of its own. */
+ObservedConversation hold(const ConversationPlan &plan);
+
+/** Returns the event with number @p event of the stream for request @p id, as sent in attempt @p attempt. */
+std::string streamEvent(const std::string &id, int event, int attempt, std::size_t fillBytes);
+
+/** Returns @p record as text, for the report of a failed test. */
+std::string toText(const ObservedConversation &record);
+
+} // namespace Heatherridge
--- /dev/null
+++ b/tests/gateway/conversations/conversationplan.cpp
@@ -0,0 +1,144 @@
+#include "gateway/conversations/conversationplan.h"
+
+namespace Heatherridge
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/** Status of a target that is not the one asked for, which always means that the request has not run. */
+constexpr int MisdirectedStatus = 421;
+constexpr int DelaysMs[] = {0, 0, 0, 1, 2, 5, 10, 30};
+constexpr std::size_t FillSizes[] = {0, 0, 0, 0, 10, 300, 5'000, 70'000};
+
+std::string toText(std::optional<int> number)
+{
+    return number ? std::to_string(*number) : "-";
+}
+
+} // namespace
+
+AnswerPlan AnswerPlan::draw(Draws draws)
+{
+    AnswerPlan plan;
+    plan.kind = draws.choice({Kind::Answer, Kind::Answer, Kind::Answer, Kind::Answer, Kind::Answer, Kind::Answer,
+                              Kind::Refusal, Kind::Refusal, Kind::Silence, Kind::Garbage, Kind::Crash, Kind::Answer});
+    if (plan.kind == Kind::Refusal) {
+        plan.status = draws.choice({503, 503, 429, 421, 408});
+    } else {
+        plan.status = draws.choice({200, 200, 200, 200, 200, 500, 404, 503, 504, 204, 304, 429, 201, 408, 421, 0, 99,
+                                    600, 302, 500});
+    }
+    if (plan.status == MisdirectedStatus) {
+        plan.kind = Kind::Refusal; // by its status alone
+    }
+    plan.framing = draws.choice({Framing::Length, Framing::Chunked, Framing::Chunked, Framing::Unframed});
+    plan.cutAt = draws.oneIn(3) ? std::optional(draws.below(Draws::Bound) + Draws::Bound * draws.below(2)) : std::nullopt;
+    plan.ending = draws.choice({Ending::KeepOpen, Ending::KeepOpen, Ending::Close, Ending::Reset});
+    plan.surplus = draws.choice({Surplus::None, Surplus::None, Surplus::None, Surplus::None, Surplus::Together,
+                                 Surplus::Late, Surplus::Late, Surplus::Duplicate, Surplus::Duplicate, Surplus::Short});
+    plan.surplusDelay = milliseconds(draws.choice(DelaysMs));
+    plan.surplusStatus = draws.choice({200, 200, 500, 503, 404, 421});
+    plan.surplusIdOf = draws.choice({IdOf::Request, IdOf::Request, IdOf::Other, IdOf::Nobody});
+    plan.writes = draws.choice({1, 1, 2, 3, 8});
+    plan.delay = milliseconds(draws.choice(DelaysMs));
+    plan.isSigned = !draws.oneIn(12);
+    plan.idOf = draws.choice({IdOf::Request, IdOf::Request, IdOf::Request, IdOf::Request, IdOf::Request, IdOf::Request,
+                              IdOf::Request, IdOf::Request, IdOf::Other, IdOf::Nobody});
+    plan.interimCount = draws.choice({0, 0, 0, 0, 1, 2});
+    plan.fillBytes = draws.choice(FillSizes);
+    plan.chunkBytes = draws.choice({0, 0, 1, 7, 100});
+    plan.hasTrailer = draws.oneIn(8);
+    plan.eventShift = draws.choice({0, 0, 0, 0, 0, -1, 1, -2});
+    if (plan.cutAt || plan.framing == Framing::Unframed) {
+        plan.ending = plan.ending == Ending::KeepOpen ? Ending::Close : plan.ending;
+    }
+    // More bytes would be a part of an answer without length, and fewer are a cut in other framings.
+    const bool isShort = plan.surplus == Surplus::Short;
+    if (plan.framing == Framing::Unframed || (isShort && plan.framing != Framing::Length)) {
+        plan.surplus = Surplus::None;
+    }
+    return plan;
+}
+
+bool AnswerPlan::isSound() const
+{
+    const bool hasFinalStatus = status == 200 || status == 201 || status == 404 || status == 500 || status == 302;
+    return kind == Kind::Answer && hasFinalStatus && isSigned && idOf == IdOf::Request && !cutAt && eventShift == 0
+        && ending == Ending::KeepOpen && surplus == Surplus::None && framing != Framing::Unframed;
+}
+
+RequestPlan RequestPlan::draw(Draws draws)
+{
+    RequestPlan plan;
+    plan.route = draws.choice({Route::Stream, Route::Stream, Route::LookUp, Route::Booking});
+    plan.isPipelined = draws.oneIn(3);
+    plan.method = draws.choice<const char *>({"POST", "POST", "POST", "GET", "HEAD"});
+    plan.writes = draws.choice({1, 1, 1, 2, 5});
+    plan.leaving = draws.choice({Leaving::No, Leaving::No, Leaving::No, Leaving::No, Leaving::No, Leaving::No,
+                                 Leaving::AfterSending, Leaving::AfterFirstByte});
+    plan.isHttp10 = draws.oneIn(6);
+    plan.expectsContinue = draws.oneIn(8);
+    plan.isChunked = draws.oneIn(8) && !plan.isHttp10;
+    plan.lastEventId = draws.oneIn(6) ? std::optional<std::uint64_t>(draws.below(4)) : std::nullopt;
+    plan.bodyBytes = draws.choice({20, 20, 1, 3'000});
+    plan.writeDelay = milliseconds(draws.choice({0, 0, 1, 3}));
+    plan.readDelay = milliseconds(draws.choice({0, 0, 0, 2, 40}));
+    if (plan.method != "POST") {
+        plan.bodyBytes = 0;
+        plan.isChunked = false;
+        plan.expectsContinue = false;
+    }
+    return plan;
+}
+
+std::string toText(const AnswerPlan &plan)
+{
+    const char *kinds[] = {"answer", "refusal", "silence", "garbage", "crash"};
+    const char *framings[] = {"length", "chunks", "unframed"};
+    const char *endings[] = {"open", "close", "reset"};
+    const char *surpluses[] = {"none", "together", "late", "duplicate", "short"};
+    const char *ids[] = {"own", "other", "none"};
+    return std::string(kinds[static_cast<int>(plan.kind)]) + " " + std::to_string(plan.status) + " "
+        + framings[static_cast<int>(plan.framing)] + " id " + ids[static_cast<int>(plan.idOf)]
+        + (plan.isSigned ? "" : " unsigned") + " cut " + toText(plan.cutAt) + " ending "
+        + endings[static_cast<int>(plan.ending)] + " shift " + std::to_string(plan.eventShift) + " interim "
+        + std::to_string(plan.interimCount) + " fill " + std::to_string(plan.fillBytes) + " chunk "
+        + std::to_string(plan.chunkBytes) + (plan.hasTrailer ? " trailer" : "") + " writes "
+        + std::to_string(plan.writes) + " delay " + std::to_string(plan.delay.count()) + " surplus "
+        + surpluses[static_cast<int>(plan.surplus)] + " " + std::to_string(plan.surplusStatus) + " of "
+        + ids[static_cast<int>(plan.surplusIdOf)] + " after " + std::to_string(plan.surplusDelay.count());
+}
+
+std::string toText(const RequestPlan &plan)
+{
+    const char *routes[] = {"look", "book", "stream"};
+    const char *leavings[] = {"", " leaves after sending", " leaves after the first byte"};
+    return std::string(routes[static_cast<int>(plan.route)]) + " " + plan.method + " "
+        + std::to_string(plan.bodyBytes) + " bytes" + (plan.isHttp10 ? " 1.0" : "")
+        + (plan.expectsContinue ? " expect" : "") + (plan.isChunked ? " chunked" : "")
+        + (plan.lastEventId ? " last " + std::to_string(*plan.lastEventId) : "")
+        + (plan.isPipelined ? " pipelined" : "") + " writes " + std::to_string(plan.writes) + " delays "
+        + std::to_string(plan.writeDelay.count()) + "/" + std::to_string(plan.readDelay.count())
+        + leavings[static_cast<int>(plan.leaving)];
+}
+
+std::string toText(const ConversationPlan &plan)
+{
+    std::string text = std::to_string(plan.targets) + " targets, " + std::to_string(plan.maxAttempts) + " attempts"
+        + (plan.stopAfter ? ", stop after " + std::to_string(plan.stopAfter->count()) + " ms" : "") + "\n";
+    for (std::size_t caller = 0; caller < plan.callers.size(); ++caller) {
+        for (std::size_t request = 0; request < plan.callers[caller].size(); ++request) {
+            text += "caller " + std::to_string(caller) + " request " + std::to_string(request) + ": "
+                + toText(plan.callers[caller][request]) + "\n";
+        }
+    }
+    for (std::size_t answer = 0; answer < plan.answers.size(); ++answer) {
+        text += "answer " + std::to_string(answer) + ": " + toText(plan.answers[answer]) + "\n";
+    }
+    return text;
+}
+
+} // namespace Heatherridge
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -8,6 +8,8 @@
 #include <algorithm>
 #include <array>
 
+#include <poll.h>
+
 namespace Heatherridge
 {
 
@@ -173,10 +175,7 @@
 
 GatewayFixture::~GatewayFixture()
 {
-    if (!m_isStopping) {
-        beginStop();
-    }
-    awaitStop();
+    stop();
 }
 
 RoutingConfig GatewayFixture::defaultConfig()
@@ -235,8 +234,17 @@
     }
 }
 
-RawCaller::RawCaller(const Endpoint &endpoint)
+void GatewayFixture::stop()
+{
+    if (!m_isStopping) {
+        beginStop();
+    }
+    awaitStop();
+}
+
+RawCaller::RawCaller(const Endpoint &endpoint, milliseconds readTimeout)
     : m_socket(m_loop)
+    , m_readTimeout(readTimeout)
 {
     asio::error_code error;
     m_socket.connect({asio::ip::make_address(endpoint.address), static_cast<std::uint16_t>(endpoint.port)}, error);
@@ -250,6 +258,10 @@
 
 std::string RawCaller::readSome()
 {
+    if (!awaitInput()) {
+        m_hasTimedOut = true;
+        return {};
+    }
     std::array<char, 4096> buffer{};
     asio::error_code error;
     const auto size = m_socket.read_some(asio::buffer(buffer), error);
@@ -257,6 +269,21 @@
     return {buffer.data(), error ? 0 : size};
 }
 
+bool RawCaller::awaitInput()
+{
+    pollfd waiting{.fd = m_socket.native_handle(), .events = POLLIN, .revents = 0};
+    return ::poll(&waiting, 1, static_cast<int>(m_readTimeout.count())) != 0;
+}
+
+int RawCaller::receivedBytesNow()
+{
+    std::array<char, 4096> buffer{};
+    asio::error_code error;
+    m_socket.non_blocking(true, error);
+    const auto size = error ? 0 : m_socket.read_some(asio::buffer(buffer), error);
+    return static_cast<int>(m_buffered.size() + (error ? 0 : size));
+}
+
 RawCaller::Answer RawCaller::receive(bool isHeadRequest)
 {
     Answer answer;
@@ -274,7 +301,8 @@
         if (m_buffered.empty()) {
             m_buffered = readSome();
             if (m_buffered.empty()) {
-                if (!m_isReset) {
+                answer.hasTimedOut = m_hasTimedOut;
+                if (!m_isReset && !m_hasTimedOut) {
                     reader.feedEndOfStream();
                 }
                 break;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -62,6 +62,9 @@
     /** Waits until the gateway has shut down. */
     void awaitStop();
 
+    /** Shuts down and waits for the end. */
+    void stop();
+
 private:
     class FixedRegisters;
 
@@ -77,7 +80,8 @@
 class RawCaller
 {
 public:
-    explicit RawCaller(const Endpoint &endpoint);
+    /** @param readTimeout without a byte, after which receive() gives up */
+    explicit RawCaller(const Endpoint &endpoint, std::chrono::milliseconds readTimeout = std::chrono::hours(1));
 
     void send(const std::string &bytes);
 
@@ -89,20 +93,27 @@
         std::string body{};
         bool isWhole = false;
         bool isInProtocol = true; ///< false if bytes arrived that HTTP does not allow at their place
+        bool hasTimedOut = false; ///< neither bytes nor the end of the connection arrived in time
     };
     Answer receive(bool isHeadRequest = false);
 
     /** Returns whether the other side closes the connection within @p timeout. */
     bool isClosedWithin(std::chrono::milliseconds timeout);
 
+    /** Returns the number of bytes that have arrived beyond the answers received so far. Does not wait. */
+    int receivedBytesNow();
+
     void close();
 
 private:
     std::string readSome();
+    bool awaitInput();
 
     asio::io_context m_loop;
     asio::ip::tcp::socket m_socket;
+    std::chrono::milliseconds m_readTimeout;
     std::string m_buffered;
+    bool m_hasTimedOut = false;
     bool m_isReset = false; ///< the connection has ended, and not in an orderly way
 };
 
