Gateway tests: draw more of what targets and callers may do

Drawn in addition: an answer with another id before the answer, bodies where none may be, events without ids, cuts counted from the end, callers who leave within an answer, slow readers of large answers, targets that crash, are withdrawn or come back at any time, a stop of the gateway among them. At the end no bytes of callers may be held.

Changes to the model, each after a counterexample of its own: an answer without a body is whole with its head; the end of a connection that a crash closed is the end of an answer without length; a target that sends a second answer after a cut inside the first leaves nothing to tell them apart; after a caller has left, or a connection has closed, its pipelined requests await nothing; earlier attempts at a target may have spoilt the connection.

Targets of conversations held at the same time took over the ports of crashed targets, so each conversation has a loopback address of its own, and free ports are chosen without the reuse of addresses.

--- /dev/null
+++ b/tests/gateway/conversations/conversationtargets.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "gateway/conversations/answertext.h"
+#include "gateway/conversations/conversation.h"
+#include "gateway/scriptedtarget.h"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace Heatherridge
+{
+
+/** The targets of a conversation, which answer as the plan says in the order in which requests reach them. */
+class ConversationTargets
+{
+public:
+    /** @param address on which the targets listen */
+    ConversationTargets(const ConversationPlan &plan, const std::string &address);
+
+    std::vector<const ScriptedTarget *> all() const;
+
+    /** Ends a target as a crash of its process does. */
+    void crash(std::size_t target);
+
+    /** Returns what the targets have received and sent so far. */
+    std::vector<ObservedAttempt> attempts() const;
+
+private:
+    std::vector<TargetAction> actionsFor(const std::string &request, std::size_t target);
+    std::vector<TargetAction> actionsFor(const AnswerPlan &plan, ObservedAttempt &attempt) const;
+    std::vector<TargetAction> sendAnswer(const AnswerPlan &plan, ObservedAttempt &attempt) const;
+    std::string surplusOf(const AnswerPlan &plan, const ObservedAttempt &attempt, const std::string &method) const;
+    std::string idFor(AnswerPlan::IdOf idOf, const std::string &own) const;
+
+    const ConversationPlan m_plan;
+    mutable std::mutex m_mutex;
+    std::vector<ObservedAttempt> m_attempts;
+    std::string m_lastId; ///< of the last request before the one that is answered
+    std::vector<std::unique_ptr<ScriptedTarget>> m_targets; ///< last: their threads use the other members
+};
+
+} // namespace Heatherridge
