Gateway tests: draw answers with few peculiarities, for each attempt at a request

Answers now have one to four properties, belong to the attempts at one request whatever the others do, and can be cut near the body's start and the end. A booking may fail after surplus bytes only if these arrived after it was sent.

--- a/tests/gateway/conversations/conversation.cpp
+++ b/tests/gateway/conversations/conversation.cpp
@@ -41,7 +41,7 @@
     std::vector<std::vector<ObservedRequest>> callers(plan.callers.size());
     for (std::size_t caller = 0; caller < callers.size(); ++caller) {
         for (const auto &request : plan.callers[caller]) {
-            const auto id = "c" + std::to_string(caller) + "r" + std::to_string(callers[caller].size());
+            const auto id = requestId(caller, callers[caller].size());
             callers[caller].push_back({.plan = request,
                                        .id = id,
                                        .path = pathOf(request.route, id),
@@ -116,6 +116,11 @@
 
 } // namespace
 
+std::string requestId(std::size_t caller, std::size_t request)
+{
+    return "c" + std::to_string(caller) + "r" + std::to_string(request);
+}
+
 ObservedConversation hold(const ConversationPlan &plan)
 {
     ObservedConversation record{.callers = recordsFor(plan), .isDisturbed = !plan.disturbances.empty()};
--- a/tests/gateway/conversations/conversation.h
+++ b/tests/gateway/conversations/conversation.h
@@ -3,6 +3,7 @@
 #include "gateway/conversations/conversationplan.h"
 #include "gateway/gatewayfixture.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,7 @@
     bool isSound = false; ///< whether a gateway that does its part delivers this answer whole
     bool leavesCleanConnection = false; ///< whether the connection may carry the next request
     bool endsWithConnection = false; ///< the end of the connection is the end of the answer
+    std::optional<std::chrono::steady_clock::time_point> endedAt{}; ///< when all was sent on a connection left open
     bool hasTargetCrashed = false; ///< before the end of the conversation
 };
 
@@ -39,6 +41,7 @@
     std::string body{};
     RawCaller::Answer answer{}; ///< status 0 if there was none
     int continues = 0; ///< answers with status 100 before the answer
+    std::chrono::steady_clock::time_point sentAt{}; ///< its first byte, or that of the first request sent with it
     bool isClosedBefore = false; ///< the connection ended before the answer to this pipelined request was due
     bool hasLeft = false; ///< the caller closed the connection before the end of the answer
 };
@@ -53,6 +56,9 @@
     std::int64_t heldBytes = 0; ///< of callers, at the gateway, after all callers have closed their connections
 };
 
+/** Returns the id of a request, by its caller and its place among that caller's requests. */
+std::string requestId(std::size_t caller, std::size_t request);
+
 /** Lets callers and targets talk as @p plan says, through a gateway of its own. */
 ObservedConversation hold(const ConversationPlan &plan);
 
--- a/tests/gateway/conversations/conversationcaller.cpp
+++ b/tests/gateway/conversations/conversationcaller.cpp
@@ -77,6 +77,7 @@
     std::string text;
     for (auto i = begin; i < end; ++i) {
         text += textOf(m_requests[i]);
+        m_requests[i].sentAt = std::chrono::steady_clock::now();
     }
     const auto &plan = m_requests[begin].plan;
     const auto part = text.size() / static_cast<std::size_t>(plan.writes) + 1;
--- a/tests/gateway/conversations/conversationplan.cpp
+++ b/tests/gateway/conversations/conversationplan.cpp
@@ -15,9 +15,10 @@
 constexpr int DelaysMs[] = {0, 0, 0, 1, 2, 5, 10, 30};
 constexpr std::size_t FillSizes[] = {0, 0, 0, 0, 10, 300, 5'000, 70'000, 400'000};
 
-std::string toText(std::optional<int> number)
+std::string toText(const std::optional<AnswerPlan::Cut> &cut)
 {
-    return number ? std::to_string(*number) : "-";
+    const char *origins[] = {"body", "start", "end"};
+    return cut ? std::string(origins[static_cast<int>(cut->from)]) + " " + std::to_string(cut->distance) : "-";
 }
 
 } // namespace
@@ -25,62 +26,133 @@
 AnswerPlan AnswerPlan::draw(Draws draws)
 {
     AnswerPlan plan;
-    plan.kind = draws.choice({Kind::Answer, Kind::Answer, Kind::Answer, Kind::Answer, Kind::Answer, Kind::Answer,
-                              Kind::Refusal, Kind::Refusal, Kind::Silence, Kind::Garbage, Kind::Crash, Kind::Answer});
-    if (plan.kind == Kind::Refusal) {
-        plan.status = draws.choice({503, 503, 429, 421, 408});
-    } else {
-        plan.status = draws.choice(
-            {200, 200, 200, 200, 200, 500, 404, 503, 504, 204, 304, 429, 201, 408, 421, 0, 99, 600, 302, 500});
+    // Properties that are rare each but many together would leave few answers of which a part reaches a caller.
+    const int properties = draws.choice({1, 1, 1, 2, 2, 3, 0, 4});
+    for (int i = 0; i < properties; ++i) {
+        plan.drawProperty(draws);
     }
-    if (plan.status == MisdirectedStatus) {
-        plan.kind = Kind::Refusal; // by its status alone
+    if (plan.framing == Framing::Length) {
+        plan.framing = draws.choice({Framing::Length, Framing::Chunked, Framing::Chunked});
     }
-    plan.framing = draws.choice({Framing::Length, Framing::Chunked, Framing::Chunked, Framing::Unframed});
-    plan.cutAt =
-        draws.oneIn(3) ? std::optional(draws.below(Draws::Bound) + Draws::Bound * draws.below(2)) : std::nullopt;
-    plan.ending = draws.choice({Ending::KeepOpen, Ending::KeepOpen, Ending::Close, Ending::Reset});
-    plan.surplus = draws.choice({Surplus::None, Surplus::None, Surplus::None, Surplus::None, Surplus::Together,
-                                 Surplus::Late, Surplus::Late, Surplus::Duplicate, Surplus::Duplicate, Surplus::Short,
-                                 Surplus::Before, Surplus::None});
-    plan.surplusDelay = milliseconds(draws.choice(DelaysMs));
-    plan.surplusStatus = draws.choice({200, 200, 500, 503, 404, 421});
-    plan.surplusIdOf = draws.choice({IdOf::Request, IdOf::Request, IdOf::Other, IdOf::Nobody});
     plan.writes = draws.choice({1, 1, 2, 3, 8});
     plan.delay = milliseconds(draws.choice(DelaysMs));
-    plan.isSigned = !draws.oneIn(12);
-    plan.idOf = draws.choice({IdOf::Request, IdOf::Request, IdOf::Request, IdOf::Request, IdOf::Request, IdOf::Request,
-                              IdOf::Request, IdOf::Request, IdOf::Other, IdOf::Nobody});
-    plan.interimCount = draws.choice({0, 0, 0, 0, 1, 2});
     plan.fillBytes = draws.choice(FillSizes);
     plan.chunkBytes = draws.choice({0, 0, 1, 7, 100});
     plan.hasTrailer = draws.oneIn(8);
-    plan.eventShift = draws.choice({0, 0, 0, 0, 0, -1, 1, -2});
-    plan.hasForbiddenBody = draws.oneIn(4);
-    plan.hasEventIds = !draws.oneIn(10);
-    if (plan.cutAt || plan.framing == Framing::Unframed) {
-        plan.ending = plan.ending == Ending::KeepOpen ? Ending::Close : plan.ending;
+    plan.makeConsistent();
+    return plan;
+}
+
+void AnswerPlan::drawProperty(Draws &draws)
+{
+    switch (draws.below(20)) {
+    case 0:
+    case 1:
+    case 2:
+        drawCut(draws);
+        break;
+    case 3:
+    case 4:
+        status = draws.choice({500, 404, 504, 302, 201});
+        break;
+    case 5:
+        status = draws.choice({204, 304});
+        hasForbiddenBody = draws.oneIn(2);
+        break;
+    case 6:
+        status = draws.choice({503, 429, 408, 0, 99, 600});
+        break;
+    case 7:
+    case 8:
+        kind = Kind::Refusal;
+        status = draws.choice({503, 503, 429, 421, 408});
+        if (draws.oneIn(2)) {
+            drawSurplus(draws);
+        }
+        break;
+    case 9:
+    case 10:
+        drawSurplus(draws);
+        break;
+    case 11:
+        framing = Framing::Unframed;
+        if (draws.oneIn(2)) {
+            drawCut(draws);
+        }
+        break;
+    case 12:
+        kind = draws.choice({Kind::Silence, Kind::Garbage, Kind::Crash});
+        break;
+    case 13:
+        eventShift = draws.choice({-1, 1, -2});
+        break;
+    case 14:
+        hasEventIds = false;
+        break;
+    case 15:
+        isSigned = false;
+        break;
+    case 16:
+        idOf = draws.choice({IdOf::Other, IdOf::Nobody});
+        break;
+    case 17:
+        interimCount = draws.choice({1, 2});
+        break;
+    case 18:
+        hasForbiddenBody = true;
+        break;
+    default:
+        ending = draws.choice({Ending::Close, Ending::Reset});
+        break;
+    }
+}
+
+void AnswerPlan::drawCut(Draws &draws)
+{
+    const auto from = draws.choice({Cut::From::Body, Cut::From::End, Cut::From::Start});
+    const int distance = draws.oneIn(4) ? draws.below(4) : draws.below(Draws::Bound);
+    cut = Cut{.from = from, .distance = distance};
+    ending = draws.choice({Ending::Close, Ending::Reset});
+}
+
+void AnswerPlan::drawSurplus(Draws &draws)
+{
+    surplus = draws.choice(
+        {Surplus::Late, Surplus::Duplicate, Surplus::Duplicate, Surplus::Together, Surplus::Short, Surplus::Before});
+    surplusDelay = milliseconds(draws.choice({0, 1, 2, 5, 10, 30, 100}));
+    surplusStatus = draws.choice({200, 200, 500, 503, 404, 421});
+    surplusIdOf = draws.choice({IdOf::Request, IdOf::Request, IdOf::Other, IdOf::Nobody});
+}
+
+void AnswerPlan::makeConsistent()
+{
+    if (status == MisdirectedStatus) {
+        kind = Kind::Refusal; // by its status alone
+    } else if (kind == Kind::Refusal && status != 503 && status != 429 && status != 408) {
+        kind = Kind::Answer; // a later property has changed the status
+    }
+    if ((cut || framing == Framing::Unframed) && ending == Ending::KeepOpen) {
+        ending = Ending::Close;
     }
     // More bytes would be a part of an answer without length, and fewer are a cut in other framings.
-    const bool isShort = plan.surplus == Surplus::Short;
-    const bool isCut = plan.cutAt || plan.kind == Kind::Crash;
-    if (isCut || plan.framing == Framing::Unframed || (isShort && plan.framing != Framing::Length)) {
-        plan.surplus = Surplus::None;
+    const bool isShort = surplus == Surplus::Short;
+    const bool isCut = cut || kind == Kind::Crash;
+    if (isCut || framing == Framing::Unframed || (isShort && framing != Framing::Length)) {
+        surplus = Surplus::None;
     }
     // Of two answers, the one with the id of the request is the answer.
-    if (plan.idOf != IdOf::Request && plan.surplusIdOf == IdOf::Request) {
-        plan.surplusIdOf = IdOf::Other;
+    if (idOf != IdOf::Request && surplusIdOf == IdOf::Request) {
+        surplusIdOf = IdOf::Other;
     }
-    if (plan.idOf != IdOf::Request && plan.surplus == Surplus::Before) {
-        plan.surplus = Surplus::None;
+    if (idOf != IdOf::Request && surplus == Surplus::Before) {
+        surplus = Surplus::None;
     }
-    return plan;
 }
 
 bool AnswerPlan::isSound() const
 {
     const bool hasFinalStatus = status == 200 || status == 201 || status == 404 || status == 500 || status == 302;
-    return kind == Kind::Answer && hasFinalStatus && isSigned && idOf == IdOf::Request && !cutAt && eventShift == 0
+    return kind == Kind::Answer && hasFinalStatus && isSigned && idOf == IdOf::Request && !cut && eventShift == 0
         && hasEventIds && leavesCleanConnection() && framing != Framing::Unframed;
 }
 
@@ -96,15 +168,15 @@
     plan.route = draws.choice({Route::Stream, Route::Stream, Route::LookUp, Route::Booking});
     plan.isPipelined = draws.oneIn(3);
     plan.method = draws.choice<const char *>({"POST", "POST", "POST", "GET", "HEAD"});
-    plan.writes = draws.choice({1, 1, 1, 2, 5});
+    plan.writes = draws.choice({1, 1, 2, 2, 5});
     plan.leaving = draws.choice({Leaving::No, Leaving::No, Leaving::No, Leaving::No, Leaving::No, Leaving::No,
                                  Leaving::AfterSending, Leaving::AfterFirstBytes});
     plan.isHttp10 = draws.oneIn(6);
-    plan.expectsContinue = draws.oneIn(8);
+    plan.expectsContinue = draws.oneIn(5);
     plan.isChunked = draws.oneIn(8) && !plan.isHttp10;
     plan.lastEventId = draws.oneIn(6) ? std::optional<std::uint64_t>(draws.below(4)) : std::nullopt;
     plan.bodyBytes = draws.choice({20, 20, 1, 3'000});
-    plan.writeDelay = milliseconds(draws.choice({0, 0, 1, 3}));
+    plan.writeDelay = milliseconds(draws.choice({0, 1, 3, 10}));
     plan.readDelay = milliseconds(draws.choice({0, 0, 0, 2, 40, 200}));
     if (plan.method != "POST") {
         plan.bodyBytes = 0;
@@ -145,7 +217,7 @@
     const char *ids[] = {"own", "other", "none"};
     return std::string(kinds[static_cast<int>(plan.kind)]) + " " + std::to_string(plan.status) + " "
         + framings[static_cast<int>(plan.framing)] + " id " + ids[static_cast<int>(plan.idOf)]
-        + (plan.isSigned ? "" : " unsigned") + " cut " + toText(plan.cutAt) + " ending "
+        + (plan.isSigned ? "" : " unsigned") + " cut " + toText(plan.cut) + " ending "
         + endings[static_cast<int>(plan.ending)] + " shift " + std::to_string(plan.eventShift) + " interim "
         + std::to_string(plan.interimCount) + " fill " + std::to_string(plan.fillBytes) + " chunk "
         + std::to_string(plan.chunkBytes) + (plan.hasTrailer ? " trailer" : "")
@@ -178,11 +250,11 @@
         for (std::size_t request = 0; request < plan.callers[caller].size(); ++request) {
             text += "caller " + std::to_string(caller) + " request " + std::to_string(request) + ": "
                 + toText(plan.callers[caller][request]) + "\n";
+            for (const auto &answer : plan.callers[caller][request].answers) {
+                text += "  answer: " + toText(answer) + "\n";
+            }
         }
     }
-    for (std::size_t answer = 0; answer < plan.answers.size(); ++answer) {
-        text += "answer " + std::to_string(answer) + ": " + toText(plan.answers[answer]) + "\n";
-    }
     return text;
 }
 
--- a/tests/gateway/conversations/conversationplan.h
+++ b/tests/gateway/conversations/conversationplan.h
@@ -45,6 +45,18 @@
         Nobody,
     };
 
+    struct Cut
+    {
+        enum class From {
+            Body,
+            Start,
+            End,
+        };
+
+        From from = From::Body;
+        int distance = 0; ///< in bytes, back from the end; modulo the size of the answer
+    };
+
     Kind kind = Kind::Answer;
     int status = 200;
     Framing framing = Framing::Length;
@@ -57,7 +69,7 @@
     bool hasForbiddenBody = false; ///< sends a body also after 204, after 304 and to a HEAD request
     bool hasEventIds = true;
     int eventShift = 0; ///< of the first event, against the one that was asked for
-    std::optional<int> cutAt{}; ///< bytes sent before `ending`, or kept back if negative, modulo the size of the answer
+    std::optional<Cut> cut{}; ///< where the answer breaks off, before `ending`
     Ending ending = Ending::KeepOpen;
     int writes = 1; ///< that the answer is sent in
     std::chrono::milliseconds delay{0}; ///< before the first byte, and between writes
@@ -66,6 +78,7 @@
     IdOf surplusIdOf = IdOf::Request;
     std::chrono::milliseconds surplusDelay{0};
 
+    /** Draws an answer with a few properties that make it differ from a sound one. */
     static AnswerPlan draw(Draws draws);
 
     /** Returns whether a gateway that does its part delivers this answer whole. */
@@ -73,6 +86,12 @@
 
     /** Returns whether the connection may carry the next request. */
     bool leavesCleanConnection() const;
+
+private:
+    void drawProperty(Draws &draws);
+    void drawCut(Draws &draws);
+    void drawSurplus(Draws &draws);
+    void makeConsistent();
 };
 
 /** One request of a caller. */
@@ -101,6 +120,7 @@
     std::chrono::milliseconds writeDelay{0};
     std::chrono::milliseconds readDelay{0}; ///< between sending and the first read
     Leaving leaving = Leaving::No;
+    std::vector<AnswerPlan> answers{}; ///< of the targets, one to each attempt; sound after the last
 
     static RequestPlan draw(Draws draws);
 };
@@ -126,7 +146,6 @@
 struct ConversationPlan
 {
     std::vector<std::vector<RequestPlan>> callers{};
-    std::vector<AnswerPlan> answers{}; ///< in the order in which targets receive requests; sound after the last
     int targets = 2;
     int maxAttempts = 2;
     std::vector<Disturbance> disturbances{};
--- a/tests/gateway/conversations/conversationrules.cpp
+++ b/tests/gateway/conversations/conversationrules.cpp
@@ -218,11 +218,16 @@
     std::vector<std::string> m_broken;
 };
 
-/** Returns whether all attempts before @p attempt at its target left connections that can carry it. */
-bool areCleanBefore(const std::vector<ObservedAttempt> &attempts, const ObservedAttempt &attempt)
+/**
+ * Returns whether all attempts before @p attempt at its target left connections that can carry it, or ones of which the
+ * gateway could know before @p request was sent that they cannot.
+ */
+bool areCleanBefore(const ObservedRequest &request, const std::vector<ObservedAttempt> &attempts,
+                    const ObservedAttempt &attempt)
 {
     return std::ranges::all_of(attempts, [&](const ObservedAttempt &other) {
-        return other.number >= attempt.number || other.target != attempt.target || other.leavesCleanConnection;
+        return other.number >= attempt.number || other.target != attempt.target || other.leavesCleanConnection
+            || (other.endedAt && *other.endedAt < request.sentAt);
     });
 }
 
@@ -241,7 +246,7 @@
                 if (attempt.id == request.id) {
                     attempts.push_back(&attempt);
                     isUndisturbed = isUndisturbed && !attempt.hasTargetCrashed;
-                    isUndisturbed = isUndisturbed && areCleanBefore(record.attempts, attempt);
+                    isUndisturbed = isUndisturbed && areCleanBefore(request, record.attempts, attempt);
                 }
             }
             known += attempts.size();
--- a/tests/gateway/conversations/conversationsearch.cpp
+++ b/tests/gateway/conversations/conversationsearch.cpp
@@ -21,7 +21,7 @@
 using DrawnPlan = rc::Shrinkable<ConversationPlan>;
 
 constexpr int MaxDrawsPerRequest = 16;
-constexpr int MaxDrawsPerAnswer = 30;
+constexpr int MaxDrawsPerAnswer = 36;
 constexpr int MaxDrawsPerDisturbance = 3;
 /** Times that a simpler conversation is held, since some faults depend on which event comes first. */
 constexpr std::size_t TriesPerCandidate = 3;
@@ -32,12 +32,6 @@
     return rc::gen::container<std::vector<int>>(static_cast<std::size_t>(maxCount), number);
 }
 
-rc::Gen<RequestPlan> requestPlan()
-{
-    return rc::gen::map(numbers(MaxDrawsPerRequest),
-                        [](std::vector<int> drawn) { return RequestPlan::draw(Draws(std::move(drawn))); });
-}
-
 rc::Gen<AnswerPlan> answerPlan()
 {
     return rc::gen::map(numbers(MaxDrawsPerAnswer),
@@ -59,13 +53,24 @@
     });
 }
 
+rc::Gen<RequestPlan> requestPlan()
+{
+    return rc::gen::apply(
+        [](std::vector<int> drawn, std::vector<AnswerPlan> answers) {
+            auto plan = RequestPlan::draw(Draws(std::move(drawn)));
+            plan.answers = std::move(answers);
+            return plan;
+        },
+        numbers(MaxDrawsPerRequest), between(0, 3, answerPlan()));
+}
+
 rc::Gen<ConversationPlan> conversationPlan()
 {
     return rc::gen::apply(
-        [](std::vector<std::vector<RequestPlan>> callers, std::vector<AnswerPlan> answers,
-           std::vector<Disturbance> disturbances, std::vector<int> drawn) {
+        [](std::vector<std::vector<RequestPlan>> callers, std::vector<Disturbance> disturbances,
+           std::vector<int> drawn) {
             Draws draws(std::move(drawn));
-            ConversationPlan plan{.callers = std::move(callers), .answers = std::move(answers)};
+            ConversationPlan plan{.callers = std::move(callers)};
             plan.targets = draws.choice({2, 1, 3, 4});
             plan.maxAttempts = draws.choice({2, 2, 3, 1});
             // Without disturbances in half of the cases, where the effort of the gateway is checked.
@@ -74,8 +79,7 @@
             }
             return plan;
         },
-        between(1, 3, between(1, 4, requestPlan())), between(0, 8, answerPlan()), between(0, 3, disturbance()),
-        numbers(5));
+        between(1, 3, between(1, 4, requestPlan())), between(0, 3, disturbance()), numbers(5));
 }
 
 /** Holds the conversation; returns a report if a rule was broken. */
--- a/tests/gateway/conversations/conversationtargets.cpp
+++ b/tests/gateway/conversations/conversationtargets.cpp
@@ -13,9 +13,6 @@
 using ActionKind = TargetAction::Kind;
 using Surplus = AnswerPlan::Surplus;
 
-/** Position of a cut in a crash for which none was drawn. */
-constexpr int DefaultCut = 100;
-
 std::string streamBody(const ObservedAttempt &attempt, const AnswerPlan &plan)
 {
     const auto lastId = requestHeader(attempt.request, "Last-Event-Id");
@@ -28,16 +25,25 @@
     return body;
 }
 
-/** Returns how many of @p size bytes are sent; a negative cut counts from the end. */
-std::size_t sentSize(const AnswerPlan &plan, std::size_t size)
+/** Returns how many bytes of @p text are sent. */
+std::size_t sentSize(const AnswerPlan &plan, const AnswerText &text)
 {
-    const bool isCrash = plan.kind == AnswerPlan::Kind::Crash;
-    if (!plan.cutAt && !isCrash) {
+    using From = AnswerPlan::Cut::From;
+    const auto size = text.bytes.size();
+    if (!plan.cut && plan.kind != AnswerPlan::Kind::Crash) {
         return size;
     }
-    const auto cut = plan.cutAt.value_or(DefaultCut);
-    const auto distance = static_cast<std::size_t>(std::abs(cut)) % (size + 1);
-    return cut < 0 ? size - distance : distance;
+    const auto cut = plan.cut.value_or(AnswerPlan::Cut{});
+    const auto distance = static_cast<std::size_t>(cut.distance) % (size + 1);
+    switch (cut.from) {
+    case From::Start:
+        return distance;
+    case From::Body:
+        return std::min(size, text.bodyStart + distance);
+    case From::End:
+        return size - distance;
+    }
+    return size;
 }
 
 Actions writesOf(const std::string &bytes, const AnswerPlan &plan)
@@ -79,8 +85,12 @@
 } // namespace
 
 ConversationTargets::ConversationTargets(const ConversationPlan &plan, const std::string &address)
-    : m_plan(plan)
 {
+    for (std::size_t caller = 0; caller < plan.callers.size(); ++caller) {
+        for (std::size_t request = 0; request < plan.callers[caller].size(); ++request) {
+            m_answers[requestId(caller, request)] = plan.callers[caller][request].answers;
+        }
+    }
     for (std::size_t i = 0; i < static_cast<std::size_t>(plan.targets); ++i) {
         m_targets.push_back(std::make_unique<ScriptedTarget>(
             [this, i](const std::string &request, int) { return actionsFor(request, i); }, address));
@@ -118,14 +128,17 @@
                             .target = target,
                             .request = request,
                             .id = requestHeader(request, "X-Heatherridge-Request-Id")};
-    const auto plan = index < m_plan.answers.size() ? m_plan.answers[index] : AnswerPlan{};
+    const auto answers = m_answers.find(attempt.id);
+    const auto answer = m_attemptCounts[attempt.id]++;
+    const bool isPlanned = answers != m_answers.end() && answer < answers->second.size();
+    const auto plan = isPlanned ? answers->second[answer] : AnswerPlan{};
     auto actions = actionsFor(plan, attempt);
     m_lastId = attempt.id;
     m_attempts.push_back(std::move(attempt));
     return actions;
 }
 
-Actions ConversationTargets::actionsFor(const AnswerPlan &plan, ObservedAttempt &attempt) const
+Actions ConversationTargets::actionsFor(const AnswerPlan &plan, ObservedAttempt &attempt)
 {
     attempt.hasRun = plan.kind != AnswerPlan::Kind::Refusal;
     attempt.isSound = plan.isSound();
@@ -139,7 +152,7 @@
     return sendAnswer(plan, attempt);
 }
 
-Actions ConversationTargets::sendAnswer(const AnswerPlan &plan, ObservedAttempt &attempt) const
+Actions ConversationTargets::sendAnswer(const AnswerPlan &plan, ObservedAttempt &attempt)
 {
     const auto method = attempt.request.substr(0, attempt.request.find(' '));
     const bool isStream = attempt.request.find(" /stream/") < attempt.request.find("\r\n");
@@ -155,11 +168,11 @@
                                   .signature = attempt.signature,
                                   .isRefusal = plan.kind == AnswerPlan::Kind::Refusal},
                                  method, body);
-    const auto size = sentSize(plan, text.bytes.size());
+    const auto size = sentSize(plan, text);
     attempt.body = text.bodyWithin(size);
     attempt.isWhole = isWholeAfter(size, text, plan, hasEvents);
     attempt.endsWithConnection = text.endsWithConnection;
-    const auto surplus = plan.cutAt || plan.kind == AnswerPlan::Kind::Crash ? "" : surplusOf(plan, attempt, method);
+    const auto surplus = plan.cut || plan.kind == AnswerPlan::Kind::Crash ? "" : surplusOf(plan, attempt, method);
     auto bytes = text.bytes.substr(0, size);
     if (plan.surplus == Surplus::Before) {
         bytes.insert(0, surplus);
@@ -171,10 +184,19 @@
         actions.push_back({.kind = ActionKind::Wait, .duration = plan.surplusDelay});
         actions.push_back({.bytes = plan.surplus == Surplus::Late ? surplus : text.bytes});
     }
+    if (plan.ending == AnswerPlan::Ending::KeepOpen) {
+        actions.push_back({.kind = ActionKind::Call, .call = [this, number = attempt.number] { noteEnd(number); }});
+    }
     addEnd(actions, plan);
     return actions;
 }
 
+void ConversationTargets::noteEnd(int attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    m_attempts.at(static_cast<std::size_t>(attempt)).endedAt = std::chrono::steady_clock::now();
+}
+
 std::string ConversationTargets::surplusOf(const AnswerPlan &plan, const ObservedAttempt &attempt,
                                            const std::string &method) const
 {
--- a/tests/gateway/scriptedtarget.cpp
+++ b/tests/gateway/scriptedtarget.cpp
@@ -133,6 +133,9 @@
         ++m_peerCloseCount;
         return false;
     }
+    case TargetAction::Kind::Call:
+        action.call();
+        return true;
     case TargetAction::Kind::Crash:
         crash();
         return false;
--- a/tests/gateway/scriptedtarget.h
+++ b/tests/gateway/scriptedtarget.h
@@ -27,12 +27,14 @@
         Close, ///< closes the connection gracefully
         Reset, ///< resets the connection, which discards data in flight
         AwaitClose, ///< waits until the peer closes the connection
+        Call, ///< calls `call`
         Crash, ///< shuts down all connections and the listening socket
     };
 
     Kind kind = Kind::Send;
     std::string bytes{};
     std::chrono::milliseconds duration{0};
+    std::function<void()> call{};
 };
 
 /** A target on the loopback interface that performs scripted actions, valid or not, for each request. */
