Break off attempts that resume a stream with an event without id

Cause: StreamProgress took an event without id for a new one wherever it came. A target that resumes a stream and starts with such an event may repeat or leave out events; the caller got events twice or a gap in a stream that looked whole.

Change: the first event with which an attempt resumes a begun stream needs an id; otherwise the attempt counts as broken, as with a gap, and another target may resume the stream. Later events without id follow the ones before them.

The row ResumedByEventsWithoutId of StreamSplices failed before: the caller got the event without id after event 1, and two attempts were made instead of three. ResumedByAnEventWithoutIdAfterARepeatedOne keeps what was allowed; it failed on no code.

--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -16,6 +16,7 @@
     m_splitter = {};
     m_isBroken = false;
     m_isRepeating = false;
+    m_isPlaced = !m_hasBegun;
 }
 
 std::vector<StreamEvent> StreamProgress::feed(std::string_view bytes)
@@ -25,12 +26,14 @@
         if (m_isBroken) {
             break;
         }
+        m_isPlaced = m_isPlaced || event.id;
         const bool isDuplicate = event.id && m_lastEventId && *event.id <= *m_lastEventId;
         m_isRepeating = event.id ? isDuplicate && *event.id < *m_lastEventId : m_isRepeating;
         if (isDuplicate || m_isRepeating) {
             continue; // received from an earlier target
         }
-        m_isBroken = event.id && m_lastEventId && *event.id != *m_lastEventId + 1;
+        const bool hasGap = event.id && m_lastEventId && *event.id != *m_lastEventId + 1;
+        m_isBroken = hasGap || (event.hasFields && !m_isPlaced);
         if (m_isBroken) {
             break;
         }
@@ -71,7 +74,7 @@
 std::optional<std::string_view> StreamProgress::brokenOffReason(bool endsWithConnection) const
 {
     if (m_isBroken) {
-        return "an event of the stream is missing";
+        return "an event of the stream is missing or cannot be placed";
     }
     if (m_splitter.hasPartialEvent()) {
         return "the stream ended in the middle of an event";
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -25,7 +25,10 @@
     /** Called when a new attempt starts; its target sends the events after lastEventId(). */
     void beginAttempt();
 
-    /** Returns the events in @p bytes that the caller does not have. A gap in the event ids breaks the attempt. */
+    /**
+     * Returns the events in @p bytes that the caller does not have. A gap in the event ids breaks the attempt. So does
+     * an event without id with which an attempt resumes the stream: it may be one that the caller has.
+     */
     std::vector<StreamEvent> feed(std::string_view bytes);
 
     /**
@@ -46,9 +49,9 @@
     bool isResumable() const;
 
     /**
-     * Returns why the stream is broken off if the current attempt has ended: an event is missing, or its data ends in
-     * the middle of one. An attempt whose data @p endsWithConnection, without length or chunks, is also broken off if
-     * it had no event.
+     * Returns why the stream is broken off if the current attempt has ended: an event is missing or cannot be placed,
+     * or its data ends in the middle of one. An attempt whose data @p endsWithConnection, without length or chunks, is
+     * also broken off if it had no event.
      */
     std::optional<std::string_view> brokenOffReason(bool endsWithConnection) const;
 
@@ -68,7 +71,8 @@
     EventStreamSplitter m_splitter;
     std::optional<std::uint64_t> m_lastEventId;
     bool m_hasBegun = false;
-    bool m_isBroken = false; ///< an event of the current attempt is missing
+    bool m_isBroken = false; ///< an event of the current attempt is missing or cannot be placed
+    bool m_isPlaced = true; ///< it is known which events of the stream the current attempt sends
     bool m_isRepeating = false; ///< the target repeats what precedes the last event that the caller has
     bool m_endsWithoutId = false; ///< the last event that the caller has
     SteadyTime m_lastEventAt{};
