Gateway tests: callers of HTTP/1.0 get neither chunks nor 100 Continue; a sound last attempt reaches the caller

Both were lacking: chunks for an HTTP/1.0 caller passed unseen, and the effort was checked only where all attempts were sound.

--- a/tests/gateway/conversations/conversationrules.cpp
+++ b/tests/gateway/conversations/conversationrules.cpp
@@ -61,6 +61,10 @@
         if (m_answer.status != 0) {
             checkAnswer();
         }
+        if (m_request.plan.isHttp10) {
+            require(headerIn(m_answer.head, "Transfer-Encoding").empty(), "chunks for a caller of HTTP/1.0");
+            require(m_request.continues == 0, "100 Continue for a caller of HTTP/1.0");
+        }
         checkEffort();
         return m_broken;
     }
@@ -183,16 +187,17 @@
         require(hasEnded, "the stream ended early and looks whole");
     }
 
-    /** Where nothing was wrong at any target, the caller gets the whole answer of one. */
+    /** Where nothing was wrong with the last attempt, the caller gets a whole answer of a target. */
     void checkEffort()
     {
-        const bool allSound =
-            std::all_of(m_attempts.begin(), m_attempts.end(), [](const auto *a) { return a->isSound; });
-        if (!m_isUndisturbed || m_attempts.empty() || !allSound) {
+        // An attempt without an answer may have left too little time for the next.
+        const bool allAnswered =
+            std::all_of(m_attempts.begin(), m_attempts.end(), [](const auto *a) { return a->status != 0; });
+        if (!m_isUndisturbed || m_attempts.empty() || !allAnswered || !m_attempts.back()->isSound) {
             return;
         }
         require(m_answer.isWhole && !headerIn(m_answer.head, "X-Heatherridge-Response-Signature").empty(),
-                "answered " + std::to_string(m_answer.status) + " though nothing was wrong");
+                "answered " + std::to_string(m_answer.status) + " though nothing was wrong with the last attempt");
     }
 
     const ObservedAttempt *attemptSigned(const std::string &signature) const
