--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -8,6 +8,10 @@
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <iterator>
+#include <mutex>
+
+#include <poll.h>
 
 namespace Heatherridge
 {
@@ -21,10 +25,10 @@
 constexpr auto Service = "s";
 
 /** Returns a port on which nothing listens at present. */
-int freePort()
+int freePort(const std::string &address)
 {
     asio::io_context loop;
-    tcp::acceptor acceptor(loop, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    const tcp::acceptor acceptor(loop, tcp::endpoint(asio::ip::make_address(address), 0), /*reuse_addr=*/false);
     return acceptor.local_endpoint().port();
 }
 
@@ -75,13 +79,46 @@
 
 } // namespace
 
-/** Registers that never change: one configuration and the given targets. */
+/** Changes to the register of targets after its first content, from any thread. */
+class GatewayFixture::TargetChanges
+{
+public:
+    /** @param size of the first content */
+    explicit TargetChanges(std::size_t size)
+        : m_firstOffset(size)
+    {
+    }
+
+    void add(std::size_t target, std::optional<std::string> value)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_changes.push_back(
+            {.key = std::to_string(target), .value = std::move(value), .offset = m_firstOffset + m_changes.size()});
+    }
+
+    RegisterPage from(std::uint64_t offset) const
+    {
+        const std::lock_guard lock(m_mutex);
+        RegisterPage page{.end = m_firstOffset + m_changes.size()};
+        std::copy_if(m_changes.begin(), m_changes.end(), std::back_inserter(page.changes),
+                     [&](const RegisterChange &change) { return change.offset >= offset; });
+        return page;
+    }
+
+private:
+    const std::uint64_t m_firstOffset;
+    mutable std::mutex m_mutex;
+    std::vector<RegisterChange> m_changes;
+};
+
+/** Registers with one configuration and the given targets, of which only the entries of targets change. */
 class GatewayFixture::FixedRegisters final : public StubRegisterLog
 {
 public:
-    FixedRegisters(RoutingConfig config, std::vector<TargetEntry> targets)
+    FixedRegisters(RoutingConfig config, std::vector<TargetEntry> targets, std::shared_ptr<TargetChanges> changes)
         : m_config(std::move(config))
         , m_targets(std::move(targets))
+        , m_changes(std::move(changes))
     {
     }
 
@@ -93,13 +130,14 @@
         }
         for (std::size_t index = 0; kind == RegisterKind::Targets && index < m_targets.size(); ++index) {
             page.changes.push_back({.key = std::to_string(index), .value = "x", .offset = index});
+            page.end = index + 1;
         }
         done(page);
     }
 
-    void read(RegisterKind, std::uint64_t from, milliseconds, Done done) override
+    void read(RegisterKind kind, std::uint64_t from, milliseconds, Done done) override
     {
-        done(RegisterPage{.end = from});
+        done(kind == RegisterKind::Targets ? m_changes->from(from) : RegisterPage{.end = from});
     }
 
     std::optional<Result<RoutingConfig>> parseRules(const RegisterChange &) const override
@@ -115,8 +153,33 @@
 private:
     RoutingConfig m_config;
     std::vector<TargetEntry> m_targets;
+    std::shared_ptr<TargetChanges> m_changes;
 };
 
+namespace
+{
+
+GatewayServer::Options serverOptions(const GatewayFixture::Options &options, const Endpoint &readiness,
+                                     const Endpoint &metrics)
+{
+    return {.process = ProcessName("g"),
+            .zone = ZoneName("z"),
+            .listen = {.address = options.address},
+            .readyListen = readiness,
+            .readyPath = "/ready",
+            .metricsListen = metrics,
+            .retryBudget = {.slack = options.retrySlack},
+            .refusalTime = options.refusalTime,
+            .sidecarPort = options.sidecarPort,
+            .size = {.processorShare = 0.5},
+            .logPartitions = options.logPartitions,
+            .sharePartitions = options.logPartitions,
+            .maxHeldBytes = options.maxHeldBytes,
+            .balancerDetectionTime = milliseconds(200)};
+}
+
+} // namespace
+
 GatewayFixture::GatewayFixture(const std::vector<const ScriptedTarget *> &targets, const Options &options)
 {
     std::vector<TargetEntry> entries;
@@ -128,6 +191,7 @@
                            .zone = ZoneName("z"),
                            .slots = 8});
     }
+    m_targetChanges = std::make_shared<TargetChanges>(entries.size());
     auto config = options.config;
     if (options.sidecarPort != 0) {
         config.services.front().engine = EngineProfile{};
@@ -135,40 +199,28 @@
     const GatewayServer::Adapter adapter{
         .trafficCodec = std::make_shared<PlatformTraffic>(),
         .makeLogClients =
-            [entries, options, config](HttpClient &, const LogEvents &) {
-                return GatewayServer::LogClients{.registers = std::make_unique<FixedRegisters>(config, entries),
+            [entries, options, config, changes = m_targetChanges](HttpClient &, const LogEvents &) {
+                return GatewayServer::LogClients{.registers =
+                                                     std::make_unique<FixedRegisters>(config, entries, changes),
                                                  .shares = std::make_unique<FixedShares>(options.partitions),
                                                  .largeShares = std::make_unique<FixedShares>(options.partitions),
                                                  .reports = std::make_unique<SharedReportLog>(options.reports)};
             },
         .makeRankControl = [status = options.status](HttpClient &) { return std::make_unique<FixedStatuses>(status); }};
-    // Another process may take a port between its choice and its use.
-    constexpr int maxStarts = 10;
-    Result<std::vector<Endpoint>> started = Error{.kind = ErrorKind::Internal, .detail = "not started"};
-    for (int i = 0; i < maxStarts && errorIn(started) != nullptr; ++i) {
-        m_readinessEndpoint = {.address = "127.0.0.1", .port = freePort()};
-        m_metricsEndpoint = {.address = "127.0.0.1", .port = freePort()};
-        m_server = std::make_unique<GatewayServer>(GatewayServer::Options{.process = ProcessName("g"),
-                                                                          .zone = ZoneName("z"),
-                                                                          .listen = {.address = "127.0.0.1"},
-                                                                          .readyListen = m_readinessEndpoint,
-                                                                          .readyPath = "/ready",
-                                                                          .metricsListen = m_metricsEndpoint,
-                                                                          .retryBudget = {.slack = options.retrySlack},
-                                                                          .refusalTime = options.refusalTime,
-                                                                          .sidecarPort = options.sidecarPort,
-                                                                          .size = {.processorShare = 0.5},
-                                                                          .logPartitions = options.logPartitions,
-                                                                          .sharePartitions = options.logPartitions,
-                                                                          .maxHeldBytes = options.maxHeldBytes,
-                                                                          .balancerDetectionTime = milliseconds(200)},
-                                                   adapter);
-        started = m_server->start();
-        if (const auto *error = errorIn(started)) {
-            std::cout << "start " << i << " failed: " << error->detail << "\n";
+    // Another process or gateway may take a free port before this one listens there.
+    constexpr int maxStarts = 20;
+    for (int i = 0; i < maxStarts && m_callerEndpoint.port == 0; ++i) {
+        m_readinessEndpoint = {.address = options.address, .port = freePort(options.address)};
+        m_metricsEndpoint = {.address = options.address, .port = freePort(options.address)};
+        m_server =
+            std::make_unique<GatewayServer>(serverOptions(options, m_readinessEndpoint, m_metricsEndpoint), adapter);
+        const auto started = m_server->start();
+        if (const auto *endpoints = std::get_if<std::vector<Endpoint>>(&started)) {
+            m_callerEndpoint = endpoints->front();
+        } else {
+            std::cout << "start " << i << " failed: " << errorIn(started)->detail << "\n";
         }
     }
-    m_callerEndpoint = std::get<std::vector<Endpoint>>(started).front();
     // Waits until the control thread has read the registers; before that, callers are refused for want of a
     // configuration.
     constexpr int maxTries = 500;
@@ -184,10 +236,7 @@
 
 GatewayFixture::~GatewayFixture()
 {
-    if (!m_isStopping) {
-        beginStop();
-    }
-    awaitStop();
+    stop();
 }
 
 RoutingConfig GatewayFixture::defaultConfig()
@@ -233,8 +282,21 @@
     return line == std::string::npos ? -1 : std::stoll(text.substr(line + name.size() + 2));
 }
 
+void GatewayFixture::withdrawTarget(std::size_t target)
+{
+    m_targetChanges->add(target, std::nullopt);
+}
+
+void GatewayFixture::returnTarget(std::size_t target)
+{
+    m_targetChanges->add(target, "x");
+}
+
 void GatewayFixture::beginStop()
 {
+    if (m_isStopping) {
+        return;
+    }
     m_isStopping = true;
     m_stopThread = std::thread([this] { m_server->drainAndStop(); });
 }
@@ -246,8 +308,17 @@
     }
 }
 
-RawCaller::RawCaller(const Endpoint &endpoint)
+void GatewayFixture::stop()
+{
+    if (!m_isStopping) {
+        beginStop();
+    }
+    awaitStop();
+}
+
+RawCaller::RawCaller(const Endpoint &endpoint, milliseconds readTimeout)
     : m_socket(m_loop)
+    , m_readTimeout(readTimeout)
 {
     asio::error_code error;
     m_socket.connect({asio::ip::make_address(endpoint.address), static_cast<std::uint16_t>(endpoint.port)}, error);
@@ -261,6 +332,10 @@
 
 std::string RawCaller::readSome()
 {
+    if (!awaitInput()) {
+        m_hasTimedOut = true;
+        return {};
+    }
     std::array<char, 4096> buffer{};
     asio::error_code error;
     const auto size = m_socket.read_some(asio::buffer(buffer), error);
@@ -268,6 +343,28 @@
     return {buffer.data(), error ? 0 : size};
 }
 
+void RawCaller::awaitBytes()
+{
+    if (m_buffered.empty()) {
+        awaitInput();
+    }
+}
+
+bool RawCaller::awaitInput()
+{
+    pollfd waiting{.fd = m_socket.native_handle(), .events = POLLIN, .revents = 0};
+    return ::poll(&waiting, 1, static_cast<int>(m_readTimeout.count())) != 0;
+}
+
+int RawCaller::receivedBytesNow()
+{
+    std::array<char, 4096> buffer{};
+    asio::error_code error;
+    m_socket.non_blocking(true, error);
+    const auto size = error ? 0 : m_socket.read_some(asio::buffer(buffer), error);
+    return static_cast<int>(m_buffered.size() + (error ? 0 : size));
+}
+
 RawCaller::Answer RawCaller::receive(bool isHeadRequest)
 {
     Answer answer;
@@ -285,7 +382,8 @@
         if (m_buffered.empty()) {
             m_buffered = readSome();
             if (m_buffered.empty()) {
-                if (!m_isReset) {
+                answer.hasTimedOut = m_hasTimedOut;
+                if (!m_isReset && !m_hasTimedOut) {
                     reader.feedEndOfStream();
                 }
                 break;
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -23,6 +23,7 @@
 public:
     struct Options
     {
+        std::string address = "127.0.0.1"; ///< of the loopback network, on which the gateway listens
         std::shared_ptr<SharedRecords> reports = std::make_shared<SharedRecords>(); ///< shared with other gateways
         std::set<int> partitions{}; ///< partitions of the log assigned to this gateway; if empty, the log never answers
         int logPartitions = 1;
@@ -57,15 +58,26 @@
     /** Returns the value of the metric @p name, which has no labels; -1 if there is none. */
     std::int64_t metric(const std::string &name) const;
 
-    /** Starts the graceful shutdown on a separate thread. */
+    /** Removes the entry of the target with this index from the register. */
+    void withdrawTarget(std::size_t target);
+
+    /** Writes the entry of the target with this index to the register again. */
+    void returnTarget(std::size_t target);
+
+    /** Starts the graceful shutdown on a separate thread, unless it has begun. */
     void beginStop();
 
     /** Waits until the gateway has shut down. */
     void awaitStop();
 
+    /** Shuts down and waits for the end. */
+    void stop();
+
 private:
     class FixedRegisters;
+    class TargetChanges;
 
+    std::shared_ptr<TargetChanges> m_targetChanges;
     Endpoint m_readinessEndpoint{};
     Endpoint m_metricsEndpoint{};
     Endpoint m_callerEndpoint{};
@@ -78,7 +90,8 @@
 class RawCaller
 {
 public:
-    explicit RawCaller(const Endpoint &endpoint);
+    /** @param readTimeout without a byte, after which receive() gives up */
+    explicit RawCaller(const Endpoint &endpoint, std::chrono::milliseconds readTimeout = std::chrono::hours(1));
 
     void send(const std::string &bytes);
 
@@ -90,20 +103,30 @@
         std::string body{};
         bool isWhole = false;
         bool isInProtocol = true; ///< false if bytes arrived that HTTP does not allow at their place
+        bool hasTimedOut = false; ///< neither bytes nor the end of the connection arrived in time
     };
     Answer receive(bool isHeadRequest = false);
 
+    /** Waits until bytes or the end of the connection have arrived. */
+    void awaitBytes();
+
     /** Returns whether the other side closes the connection within @p timeout. */
     bool isClosedWithin(std::chrono::milliseconds timeout);
 
+    /** Returns the number of bytes that have arrived beyond the answers received so far. Does not wait. */
+    int receivedBytesNow();
+
     void close();
 
 private:
     std::string readSome();
+    bool awaitInput();
 
     asio::io_context m_loop;
     asio::ip::tcp::socket m_socket;
+    std::chrono::milliseconds m_readTimeout;
     std::string m_buffered;
+    bool m_hasTimedOut = false;
     bool m_isReset = false; ///< the connection has ended, and not in an orderly way
 };
 
