Gateway tests: a reset that a caller meets while sending counts as a reset

The system reports a reset once. A raw caller that met it while it sent the rest of pipelined requests then read what looked like an orderly end, so that a stream cut off by a reset looked whole to a caller of HTTP/1.0.

--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -322,8 +322,9 @@
 
 void RawCaller::send(const std::string &bytes)
 {
-    asio::error_code ignored; // the following read reports it
-    asio::write(m_socket, asio::buffer(bytes), ignored);
+    asio::error_code error; // the following read reports it, except a reset, which the system reports only once
+    asio::write(m_socket, asio::buffer(bytes), error);
+    m_isReset = m_isReset || error == asio::error::connection_reset;
 }
 
 std::string RawCaller::readSome()
@@ -335,7 +336,7 @@
     std::array<char, 4096> buffer{};
     asio::error_code error;
     const auto size = m_socket.read_some(asio::buffer(buffer), error);
-    m_isReset = error && error != asio::error::eof;
+    m_isReset = m_isReset || (error && error != asio::error::eof);
     return {buffer.data(), error ? 0 : size};
 }
 
