--- a/tests/gateway/plannedstops_test.cpp
+++ b/tests/gateway/plannedstops_test.cpp
@@ -44,6 +44,7 @@
     std::atomic<bool> hasStopped = false;
     std::atomic<int> answered = 0;
     std::vector<std::thread> callers;
+    callers.reserve(static_cast<std::size_t>(testCase.callers));
     for (int number = 0; number < testCase.callers; ++number) {
         callers.emplace_back([&, number] {
             for (int request = 0; !hasStopped; ++request) {
