Deliver a target's failure when the repeat brings no answer

What callers saw: 502 from the gateway though a target had answered the request whole, with a signed failure of its own.

Cause, traced in a scratch copy: the first target answered 500, the request was repeated, and the repeat went to a kept connection that its target reset at that moment. The answer of the first target was dropped with its attempt. Any repeat that ends without an answer of a target did the same: unsigned, silent, refused.

Change: the call keeps the whole failure of an earlier attempt and delivers it where it would fail with an error of its own.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -430,6 +430,9 @@
         return;
     case NextStep::Retry:
         logAttempt("repeat", result, reason);
+        if (result == AttemptResult::FailedAtTarget && !m_caller->hasBegun()) {
+            m_targetFailure = m_response.take();
+        }
         startAttempt();
         return;
     case NextStep::Fail:
@@ -490,6 +493,10 @@
         conclude(LocalError{.reason = outcomeText(error)});
         return;
     }
+    if (m_targetFailure) {
+        conclude(WholeAnswer{.response = std::move(*m_targetFailure)});
+        return;
+    }
     error.ran = m_possibleExecutions > 0 ? ExecutionStatus::Unknown : ExecutionStatus::No;
     m_traffic.m_metrics.errors(error.kind).add();
     if (isStream() && error.kind == ErrorKind::Overloaded) {
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -133,6 +133,8 @@
     TargetName m_target;
     SteadyTime m_sentAt{};
     SteadyTime m_readingSince{}; ///< when reading from the target began or was last resumed
+    std::optional<HttpResponse>
+        m_targetFailure; ///< whole answer of an earlier attempt, in case no later one does better
     std::optional<SteadyTime> m_refusalDeadline; ///< for the target; set once the request is blocked while it is there
     RequestPlacement m_placement; ///< of the last attempt
     std::set<TargetName> m_tried;
