Gateway tests: a begun stream may be broken off by a sound answer that is no stream

The check of effort asked for a whole answer wherever the last attempt was sound. A stream that has begun, is cut, and whose second target answers with a whole 500 has to be broken off: nothing but a stream may follow its head.

--- a/tests/gateway/conversations/conversationrules.cpp
+++ b/tests/gateway/conversations/conversationrules.cpp
@@ -196,6 +196,10 @@
         if (!m_isUndisturbed || m_attempts.empty() || !allAnswered || !m_attempts.back()->isSound) {
             return;
         }
+        // A begun stream cannot be continued with anything but a stream, and is broken off.
+        if (isStream() && m_answer.status == 200 && m_attempts.back()->status != 200) {
+            return;
+        }
         require(m_answer.isWhole && !headerIn(m_answer.head, "X-Heatherridge-Response-Signature").empty(),
                 "answered " + std::to_string(m_answer.status) + " though nothing was wrong with the last attempt");
     }
