Use the retry slack only for partitions held through a whole window

Cause: the limit holds for the sum over all gateways and a sliding window, but each gateway counted its own part in memory, and parts changed their owner inside a window. (1) A new run began with no repeats counted and its whole part, so a restart of all spent the budget of a window up to twice. (2) Before the log had told its share, a gateway took an eighth of the slack, whatever their number. (3) A gateway that left or whose lease expired handed its part to others, who spent it again in the same window. (4) A gateway that the log rejects kept its part while the others divided all of it.

Change: SlackShare. The part of a partition is usable after it has been owned for a window and a lease, so that all uses in a window rest on the ownership at its beginning. A run that may follow another one uses, for its first window, only the quarter of its requests' share that others leave unused. An eighth of the slack each is divided by partitions that are held for less than a window, in proportion to that time, and by those whose lease has expired. SafetyFactor stays. Log line "retry-slack", gauge heatherridge_retry_slack_percent.

--- a/modules/heatherridge_coordination/feed/workshare.h
+++ b/modules/heatherridge_coordination/feed/workshare.h
@@ -2,7 +2,7 @@
 
 #include "heatherridge_state/base/clock.h"
 #include "heatherridge_state/base/result.h"
-#include "heatherridge_state/decisions/warmupshare.h"
+#include "heatherridge_state/decisions/ownedpartitions.h"
 
 #include <chrono>
 #include <cstdint>
--- a/modules/heatherridge_state/decisions/fleetretrybudget.cpp
+++ b/modules/heatherridge_state/decisions/fleetretrybudget.cpp
@@ -3,8 +3,9 @@
 namespace Heatherridge
 {
 
-FleetRetryBudget::FleetRetryBudget(FleetRetryBudgetOptions options)
+FleetRetryBudget::FleetRetryBudget(FleetRetryBudgetOptions options, SlackShare &slackShare)
     : m_options(options)
+    , m_slackShare(slackShare)
 {
 }
 
@@ -18,11 +19,6 @@
     m_options = options;
 }
 
-void FleetRetryBudget::setSlackShare(double slackShare)
-{
-    m_options.slackShare = slackShare;
-}
-
 bool FleetRetryBudget::tryTake(SteadyTime now)
 {
     if (remaining(now) < 1) {
@@ -34,21 +30,22 @@
 
 double FleetRetryBudget::remaining(SteadyTime now)
 {
-    currentSecond(now);
+    const auto firstSecond = currentSecond(now).number - m_options.window.count() + 1;
     double requests = 0;
     double retries = 0;
     for (const auto &second : m_seconds) {
-        requests += second.requests;
+        requests += second.number >= firstSecond ? second.requests : 0;
+        // Also those of the second that the window covers in part.
         retries += second.retries;
     }
-    const double allowed = m_options.share * requests + m_options.slack * m_options.slackShare;
-    return allowed * SafetyFactor - retries;
+    const double shareFactor = m_slackShare.isPastKnown(now) ? SafetyFactor : 1 - SafetyFactor;
+    return m_options.share * requests * shareFactor + m_options.slack * m_slackShare.usableFraction(now) - retries;
 }
 
 FleetRetryBudget::SecondCounts &FleetRetryBudget::currentSecond(SteadyTime now)
 {
     const auto number = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
-    while (!m_seconds.empty() && m_seconds.front().number <= number - m_options.window.count()) {
+    while (!m_seconds.empty() && m_seconds.front().number < number - m_options.window.count()) {
         m_seconds.pop_front();
     }
     if (m_seconds.empty() || m_seconds.back().number != number) {
--- a/modules/heatherridge_state/decisions/fleetretrybudget.h
+++ b/modules/heatherridge_state/decisions/fleetretrybudget.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/decisions/slackshare.h"
 
 #include <chrono>
 #include <cstdint>
@@ -15,27 +16,24 @@
     double share = 0.2; ///< retries per request over all entries; from the limits of the deployment
     double slack = 0; ///< retries beyond that share which all entries together may make in one window
     std::chrono::seconds window{10};
-    double slackShare = 0.125; ///< fraction of the slack for this entry while its share of the work is unknown
 };
 
 /**
  * Limits retries over all entries without communication between them.
  *
  * Load pattern: a fault makes many requests fail at once, and each is retried. Each entry retries at most the given
- * share of its own requests plus its share of the slack, according to how the log distributes work, so that the total
- * stays within the limit. Requests are counted over the window that ends now, retries over a window of the same length.
- * Single-threaded.
+ * share of its own requests plus its share of the slack, so that the total stays within the limit. An entry that has
+ * just started may follow a run that has used the same window's budget; until a window has passed it uses only what the
+ * others leave unused. Single-threaded.
  */
 class FleetRetryBudget
 {
 public:
-    /**
-     * Fraction of the limit that is used, because the windows of the entries and of whoever checks the limit do not
-     * align.
-     */
+    /** Fraction of the share of requests that an entry uses; the rest is for entries that have just started. */
     static constexpr double SafetyFactor = 0.75;
 
-    explicit FleetRetryBudget(FleetRetryBudgetOptions options);
+    /** Uses @p slackShare, which must outlive it. */
+    FleetRetryBudget(FleetRetryBudgetOptions options, SlackShare &slackShare);
 
     /** Records that a request for the service has arrived. */
     void recordRequest(SteadyTime now);
@@ -43,9 +41,6 @@
     /** Replaces the limits and keeps the counts. */
     void setOptions(FleetRetryBudgetOptions options);
 
-    /** Sets this entry's share of the slack. The shares of all entries add up to at most 1. */
-    void setSlackShare(double slackShare);
-
     /** Takes one retry out of the budget; returns false if none is left. */
     bool tryTake(SteadyTime now);
 
@@ -63,7 +58,8 @@
     SecondCounts &currentSecond(SteadyTime now);
 
     FleetRetryBudgetOptions m_options;
-    std::deque<SecondCounts> m_seconds; ///< of the window, oldest first
+    SlackShare &m_slackShare;
+    std::deque<SecondCounts> m_seconds; ///< of the window and the second before it, oldest first
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_state/decisions/warmupshare.h
+++ b/modules/heatherridge_state/decisions/warmupshare.h
@@ -2,25 +2,13 @@
 
 #include "heatherridge_state/base/clock.h"
 #include "heatherridge_state/base/ids.h"
+#include "heatherridge_state/decisions/ownedpartitions.h"
 
-#include <chrono>
 #include <map>
-#include <set>
 
 namespace Heatherridge
 {
 
-/** The partitions of the platform's log that this process owns, as last confirmed by the log. */
-struct OwnedPartitions
-{
-    std::set<int> partitions{};
-    int partitionCount = 0; ///< of all processes together
-    SteadyTime validUntil{}; ///< no other process owns them before this time
-    std::chrono::milliseconds lease{0}; ///< an earlier owner may use a partition for this long after its loss
-
-    bool operator==(const OwnedPartitions &) const = default;
-};
-
 /** Requests a second that a target accepts from all entries together while it warms up. */
 struct WarmUpRate
 {
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -71,6 +71,7 @@
                .zoneRegions = m_options.control.zoneRegions,
                .warmUpTolerance = m_options.warmUpTolerance,
                .retryBudget = m_options.retryBudget,
+               .isOnlyGateway = m_options.isOnlyGateway,
                .run = m_run,
                .refusalTime = m_options.refusalTime,
                .reportCrash =
@@ -302,7 +303,7 @@
         return {.all = share > 0 ? 1 / share : 1, .inZone = 1 / m_workShare.zoneFraction().value_or(1)};
     }
 
-    /** Divides the retry slack and the targets' limits among the gateways as the log divides the work. */
+    /** Divides the retry slack, targets' limits and warm-up rates among the gateways as the log divides the work. */
     void updateShares()
     {
         auto owned = m_workShare.ownedPartitions();
@@ -311,10 +312,10 @@
             m_trafficLoop.post([this, owned = std::move(owned)] { m_traffic.setOwnedPartitions(owned); });
         }
         const auto share = m_workShare.fraction();
-        if (!share || share == m_budgetShare) {
+        if (!share || share == m_limitShare) {
             return;
         }
-        m_budgetShare = share;
+        m_limitShare = share;
         const auto evenShare = m_workShare.nonZeroFraction().value_or(*share);
         // The log assigns nothing to a member that has just joined: that does not tell the number of members.
         m_trafficLoop.post([this, share = *share, evenShare, others = *share > 0 ? m_workShare.memberCount() - 1 : 0] {
@@ -451,7 +452,7 @@
     GatewayControl m_control;
     GatewayDemand m_demand;
     std::map<ServiceName, std::unique_ptr<ExpertRebalancer>> m_rebalancers;
-    std::optional<double> m_budgetShare; ///< last share posted to the traffic thread
+    std::optional<double> m_limitShare; ///< last share posted to the traffic thread
     OwnedPartitions m_ownedPartitions; ///< last ones posted to the traffic thread
 };
 
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -33,6 +33,7 @@
         std::string readyPath{}; ///< path of its readiness checks
         Endpoint metricsListen{}; ///< no metrics are served if the port is 0
         FleetRetryBudgetOptions retryBudget{};
+        bool isOnlyGateway = false; ///< no other gateway uses the retry budget, nor did one before this one started
         WarmUpTolerance warmUpTolerance{};
         std::chrono::milliseconds refusalTime = DefaultRefusalTime; ///< targets refuse what they do not take within it
         ExpertRebalancerOptions groups{};
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -3,6 +3,7 @@
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/gatewaycall.h"
 
+#include <cmath>
 #include <random>
 
 namespace Heatherridge
@@ -34,6 +35,7 @@
     , heldBackRequests(metrics.counter("heatherridge_requests_held_back_total"))
     , streamFirstEvent(metrics.histogram("heatherridge_stream_first_event_seconds"))
     , plainAnswer(metrics.histogram("heatherridge_plain_answer_seconds"))
+    , retrySlackPercent(metrics.gauge("heatherridge_retry_slack_percent"))
 {
 }
 
@@ -64,6 +66,9 @@
           {m_crashGuard, m_promptPartGuard, [this](const auto &target) { m_targets.recordUnreachable(target); }},
           metrics)
     , m_random(std::random_device{}())
+    , m_slackShare({.window = m_options.retryBudget.window,
+                    .start = std::chrono::steady_clock::now(),
+                    .isSoleUser = m_options.isOnlyGateway})
     , m_queueTimer(loop)
 {
 }
@@ -87,22 +92,18 @@
 
 void GatewayTraffic::setRetryBudget(FleetRetryBudgetOptions options)
 {
-    options.slackShare = m_options.retryBudget.slackShare;
     m_options.retryBudget = options;
+    m_slackShare.setWindow(options.window);
     for (auto &[service, budget] : m_retryBudgets) {
         budget.setOptions(options);
     }
 }
 
-void GatewayTraffic::setShares(double budgetShare, double evenShare, int knownGateways)
+void GatewayTraffic::setShares(double limitShare, double evenShare, int knownGateways)
 {
-    m_options.retryBudget.slackShare = budgetShare;
-    m_targets.setLimitShare(budgetShare);
+    m_targets.setLimitShare(limitShare);
     m_targets.engineShares().setEvenShare(evenShare, knownGateways);
     m_admissionControl.setKnownGateways(knownGateways);
-    for (auto &[service, budget] : m_retryBudgets) {
-        budget.setSlackShare(budgetShare);
-    }
 }
 
 void GatewayTraffic::setDrainedZones(const std::set<ZoneName> &zones)
@@ -112,7 +113,9 @@
 
 void GatewayTraffic::setOwnedPartitions(const OwnedPartitions &owned)
 {
-    m_targets.setOwnedPartitions(owned, std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    m_targets.setOwnedPartitions(owned, now);
+    m_slackShare.setPartitions(owned, now);
 }
 
 std::vector<ServiceDemand> GatewayTraffic::demand(SteadyTime now) const
@@ -158,6 +161,22 @@
     m_crashGuard.tick(now);
     m_targets.tick(now);
     m_admissionControl.tick(now);
+    reportSlackShare(now);
+}
+
+void GatewayTraffic::reportSlackShare(SteadyTime now)
+{
+    constexpr double percent = 100;
+    const auto usable = m_slackShare.usableFraction(now);
+    m_counters.retrySlackPercent.set(std::lround(usable * percent));
+    const auto held = m_slackShare.heldFraction(now);
+    if (m_reportedSlackShare != held) {
+        m_reportedSlackShare = held;
+        logEvent(Severity::Info, "retry-slack",
+                 {{"held-percent", std::to_string(std::lround(held * percent))},
+                  {"usable-percent", std::to_string(std::lround(usable * percent))},
+                  {"whole-window", m_slackShare.isPastKnown(now) ? "yes" : "no"}});
+    }
 }
 
 void GatewayTraffic::tickPromptParts(SteadyTime now)
@@ -184,7 +203,7 @@
 
 FleetRetryBudget &GatewayTraffic::retryBudgetFor(const ServiceName &service)
 {
-    return m_retryBudgets.try_emplace(service, m_options.retryBudget).first->second;
+    return m_retryBudgets.try_emplace(service, m_options.retryBudget, m_slackShare).first->second;
 }
 
 RunningEstimate &GatewayTraffic::firstEventDelayFor(const ServiceName &service)
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -20,6 +20,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 namespace Heatherridge
@@ -44,6 +45,7 @@
         ZoneRegions zoneRegions{};
         WarmUpTolerance warmUpTolerance{};
         FleetRetryBudgetOptions retryBudget{};
+        bool isOnlyGateway = false; ///< no other gateway uses the retry budget, nor did one before this one started
         Incarnation run{}; ///< identifies this run of the process
         std::chrono::milliseconds connectTimeout{300}; ///< 100 round trips; TCP resends a lost SYN only after 1 s
         std::chrono::milliseconds refusalTime = DefaultRefusalTime; ///< targets refuse what they do not take within it
@@ -64,22 +66,22 @@
     /** Replaces the registered targets. */
     void setTargets(const std::vector<TargetEntry> &entries);
 
-    /** Sets new bounds for retries. Keeps this gateway's share of the slack. */
+    /** Sets new bounds for retries. */
     void setRetryBudget(FleetRetryBudgetOptions options);
 
     /**
      * Sets this gateway's share of the resources that all gateways use.
-     * @param budgetShare of the retry slack and of targets' limits; the shares of all gateways must not add up to more
-     *        than the whole
+     * @param limitShare of targets' limits; the shares of all gateways must not add up to more than the whole
      * @param evenShare of the streams, assuming that all gateways have equally many
      * @param knownGateways that the log divides the work among, without this one
      */
-    void setShares(double budgetShare, double evenShare, int knownGateways);
+    void setShares(double limitShare, double evenShare, int knownGateways);
 
     /** Replaces the availability zones that the operator has drained. */
     void setDrainedZones(const std::set<ZoneName> &zones);
 
-    /** Sets the partitions of the log by which the warm-up rates of targets are divided among the gateways. */
+    /** Sets the partitions of the log by which the retry slack and the warm-up rates of targets are divided among the
+     * gateways. */
     void setOwnedPartitions(const OwnedPartitions &owned);
 
     /** Returns the demand of this gateway's streams by service, to state to the other gateways. */
@@ -135,6 +137,7 @@
         Counter &heldBackRequests;
         DurationHistogram &streamFirstEvent;
         DurationHistogram &plainAnswer;
+        Gauge &retrySlackPercent;
     };
 
     FleetRetryBudget &retryBudgetFor(const ServiceName &service);
@@ -153,6 +156,7 @@
     template<typename Blocked>
     void cancelBlocked(const Blocked &blocked);
     void refuse(const std::shared_ptr<HttpExchange> &exchange, const RequestId &id, const Error &error);
+    void reportSlackShare(SteadyTime now);
     Result<RouteMatch> accept(const HttpRequest &request, const CallerFields &fields) const;
     void removeCall(const std::shared_ptr<GatewayCall> &call);
 
@@ -170,6 +174,8 @@
     PromptPartGuard m_promptPartGuard;
     BrokenAttempts m_brokenAttempts;
     SeededRandom m_random;
+    SlackShare m_slackShare; ///< of the retry slack
+    std::optional<double> m_reportedSlackShare;
     std::map<ServiceName, FleetRetryBudget> m_retryBudgets;
     std::map<ServiceName, RunningEstimate> m_firstEventDelays; ///< from sending a stream to its first event
     StreamQueue m_queue; ///< streams waiting for an engine
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -169,6 +169,7 @@
             .readyPath = "/ready",
             .metricsListen = metrics,
             .retryBudget = {.slack = options.retrySlack},
+            .isOnlyGateway = true,
             .refusalTime = options.refusalTime,
             .sidecarPort = options.sidecarPort,
             .size = {.processorShare = 0.5},
