--- a/modules/heatherridge_coordination/demand/demandexchange.cpp
+++ b/modules/heatherridge_coordination/demand/demandexchange.cpp
@@ -1,11 +1,8 @@
 #include "heatherridge_coordination/demand/demandexchange.h"
 
-#include "heatherridge_state/decisions/targetview.h"
 #include "heatherridge_state/demand/demandsum.h"
 #include "heatherridge_state/demand/demandtable.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <cmath>
 #include <memory>
@@ -18,11 +15,6 @@
 
 using std::chrono::milliseconds;
 
-std::uint64_t zoneKey(const ZoneName &zone)
-{
-    return XXH3_64bits(zone.text().data(), zone.text().size());
-}
-
 milliseconds elapsedBetween(SteadyTime start, SteadyTime end)
 {
     return std::chrono::duration_cast<milliseconds>(end - start);
@@ -43,42 +35,16 @@
 DemandExchange::DemandExchange(DemandLink &link, Options options, Events events)
     : m_link(link)
     , m_options(std::move(options))
+    , m_points(m_options.zone)
     , m_events(std::move(events))
 {
 }
 
 void DemandExchange::setTargets(const std::vector<TargetEntry> &targets)
 {
-    m_candidates.clear();
-    for (const auto &target : targets) {
-        m_candidates[target.zone].push_back(
-            {.hash = rendezvousHash(zoneKey(target.zone), targetKey(target.id)), .target = target});
-    }
-    for (auto &[zone, candidates] : m_candidates) {
-        const auto count = std::min(CandidatesPerZone, candidates.size());
-        std::partial_sort(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(count), candidates.end(),
-                          [](const auto &a, const auto &b) { return a.hash > b.hash; });
-        candidates.resize(count);
-    }
-    std::erase_if(m_failures, [this](const auto &failure) {
-        return std::none_of(m_candidates.begin(), m_candidates.end(), [&](const auto &zone) {
-            return std::any_of(zone.second.begin(), zone.second.end(),
-                               [&](const auto &candidate) { return candidate.target.id == failure.first; });
-        });
-    });
-    auto home = m_options.zone;
-    if (!m_candidates.contains(home) && !m_candidates.empty()) {
-        home =
-            std::max_element(m_candidates.begin(), m_candidates.end(),
-                             [key = zoneKey(m_options.zone)](const auto &a, const auto &b) {
-                                 return rendezvousHash(key, zoneKey(a.first)) < rendezvousHash(key, zoneKey(b.first));
-                             })
-                ->first;
-    }
-    if (home != m_homeZone) {
-        m_homeZone = home;
+    if (m_points.setTargets(targets)) {
         m_home.reset();
-        m_others.erase(home);
+        m_others.erase(m_points.homeZone());
     }
 }
 
@@ -113,7 +79,7 @@
     if (now >= m_queryDueAt && !m_isAsking) {
         queryNextZone(now);
     }
-    if (now < m_statementDueAt || m_isStating || m_awaitsDemand || exchangePoint(m_homeZone, now) == nullptr) {
+    if (now < m_statementDueAt || m_isStating || m_awaitsDemand || m_points.find(m_points.homeZone(), now) == nullptr) {
         return;
     }
     if (m_events.demandNeeded) {
@@ -222,22 +188,9 @@
     return m_isOn ? std::max(MinLifetime, LifetimePeriods * period()) : WatchLifetime;
 }
 
-const TargetEntry *DemandExchange::exchangePoint(const ZoneName &zone, SteadyTime now) const
-{
-    const auto found = m_candidates.find(zone);
-    if (found == m_candidates.end()) {
-        return nullptr;
-    }
-    const auto usable = std::find_if(found->second.begin(), found->second.end(), [&](const Candidate &candidate) {
-        const auto failure = m_failures.find(candidate.target.id);
-        return failure == m_failures.end() || now - failure->second >= FailureTime;
-    });
-    return usable == found->second.end() ? nullptr : &usable->target;
-}
-
 void DemandExchange::sendStatement(SteadyTime now)
 {
-    const auto *target = exchangePoint(m_homeZone, now);
+    const auto *target = m_points.find(m_points.homeZone(), now);
     if (target == nullptr) {
         return;
     }
@@ -258,34 +211,15 @@
     std::erase_if(m_stated, [now](const auto &stated) { return stated.second.until < now; });
 }
 
-const ZoneName *DemandExchange::nextZoneToQuery() const
-{
-    std::vector<const ZoneName *> zones;
-    for (const auto &[zone, candidates] : m_candidates) {
-        if (zone != m_homeZone) {
-            zones.push_back(&zone);
-        }
-    }
-    if (zones.empty()) {
-        return nullptr;
-    }
-    if (m_lastQueried.isEmpty()) {
-        return zones[m_options.run % zones.size()]; // so that gateways that start together ask different zones
-    }
-    const auto next =
-        std::find_if(zones.begin(), zones.end(), [this](const auto *zone) { return *zone > m_lastQueried; });
-    return next == zones.end() ? zones.front() : *next;
-}
-
 void DemandExchange::queryNextZone(SteadyTime now)
 {
-    const auto *zone = nextZoneToQuery();
-    if (zone == nullptr) {
+    const auto zone = m_points.zoneAfter(m_lastQueried, m_options.run);
+    if (zone.isEmpty()) {
         return;
     }
     m_queryDueAt = now + period();
-    m_lastQueried = *zone;
-    const auto *target = exchangePoint(*zone, now);
+    m_lastQueried = zone;
+    const auto *target = m_points.find(zone, now);
     if (target == nullptr) {
         return;
     }
@@ -305,7 +239,7 @@
         }
         return;
     }
-    if (m_hasLeft || target.zone != m_homeZone) {
+    if (m_hasLeft || target.zone != m_points.homeZone()) {
         return;
     }
     const auto &own = response->ownZone;
@@ -322,7 +256,7 @@
 {
     m_isAsking = false;
     const auto *response = recordEnd(target, result);
-    if (response == nullptr || target.zone == m_homeZone) {
+    if (response == nullptr || target.zone == m_points.homeZone()) {
         return;
     }
     learnZone(response->ownZone, sentAt);
@@ -341,9 +275,9 @@
         response = nullptr;
     }
     if (error) {
-        m_failures[target.id] = m_now;
+        m_points.recordFailure(target.id, m_now);
     } else {
-        m_failures.erase(target.id);
+        m_points.recordAnswer(target.id);
     }
     if (m_events.callEnded) {
         m_events.callEnded(target, error ? &*error : nullptr);
@@ -355,7 +289,7 @@
 {
     const auto summedAt = asOf - zone.summedAgo;
     const auto known = m_others.find(zone.zone);
-    if (zone.zone == m_homeZone || (known != m_others.end() && known->second.summedAt > summedAt)) {
+    if (zone.zone == m_points.homeZone() || (known != m_others.end() && known->second.summedAt > summedAt)) {
         return;
     }
     m_others.insert_or_assign(zone.zone,
--- a/modules/heatherridge_coordination/demand/demandexchange.h
+++ b/modules/heatherridge_coordination/demand/demandexchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_coordination/demand/exchangepoints.h"
 #include "heatherridge_protocol/demandmessage.h"
 #include "heatherridge_state/base/clock.h"
 #include "heatherridge_state/groups/controlbudget.h"
@@ -38,9 +39,8 @@
  * Exchanges the demand of this gateway with that of all others, through one sidecar in each availability zone.
  *
  * In each period the gateway states its demand to the exchange point of its own zone and asks that of one other zone;
- * the sums of the other zones are passed on with the next statement. The exchange point of a zone is the sidecar of the
- * target with the highest rendezvous hash, so that all gateways choose the same one without an election. One that does
- * not answer is skipped for a while in favour of the next one. Single-threaded; driven by tick().
+ * the sums of the other zones are passed on with the next statement. @see ExchangePoints. Single-threaded; driven by
+ * tick().
  */
 class DemandExchange
 {
@@ -66,8 +66,6 @@
     static constexpr std::chrono::milliseconds WatchLifetime{6'000};
     /** Time since the sum of another zone was calculated after which it is left out. */
     static constexpr std::chrono::milliseconds ZoneLifetime{3'000};
-    /** Time for which a sidecar that failed to answer is not the exchange point. */
-    static constexpr std::chrono::milliseconds FailureTime{4'000};
     /** The largest processor share of a gateway is at least so many times the smallest where sizes are unlike.
      * Gateways that differ by a factor of two carry an even share. */
     static constexpr double UnlikeSizeRatio = 3;
@@ -75,12 +73,6 @@
      * mode, each of up to 14 other zones is asked once in this time; without it, the mode would change with each answer
      * and with each restart of the largest gateway. */
     static constexpr std::chrono::milliseconds SizeMemory{30'000};
-    /**
-     * Targets of a zone that are considered as its exchange point. Within FailureTime, 20 calls can fail at the
-     * shortest period, so more candidates would never be reached.
-     */
-    static constexpr std::size_t CandidatesPerZone = 24;
-
     /** The state that is logged and shown as metrics. */
     struct Status
     {
@@ -138,13 +130,6 @@
     Status status(SteadyTime now) const;
 
 private:
-    /** A target that can be the exchange point of its zone. */
-    struct Candidate
-    {
-        std::uint64_t hash = 0;
-        TargetEntry target{};
-    };
-
     /** The last known sum of a zone. */
     struct KnownZone
     {
@@ -171,10 +156,8 @@
     void updateMode(SteadyTime now);
     std::chrono::milliseconds period() const;
     std::chrono::milliseconds lifetime() const;
-    const TargetEntry *exchangePoint(const ZoneName &zone, SteadyTime now) const;
     void sendStatement(SteadyTime now);
     void forgetExpiredStatements(SteadyTime now);
-    const ZoneName *nextZoneToQuery() const;
     void queryNextZone(SteadyTime now);
     void onStatementAnswer(const TargetEntry &target, SteadyTime sentAt, const Result<DemandResponse> &result);
     void onQueryAnswer(const TargetEntry &target, SteadyTime sentAt, const Result<DemandResponse> &result);
@@ -191,10 +174,8 @@
 
     DemandLink &m_link;
     Options m_options;
+    ExchangePoints m_points;
     Events m_events;
-    std::map<ZoneName, std::vector<Candidate>> m_candidates; ///< best first
-    ZoneName m_homeZone; ///< whose exchange point gets the statements; the own zone if it has engines
-    std::map<TargetName, SteadyTime> m_failures; ///< time of the last failed call
     std::map<TargetName, StatedTarget> m_stated; ///< whose last statement may still count, also if the call failed
     std::optional<KnownZone> m_home; ///< sum of the home zone without this gateway
     std::map<ZoneName, KnownZone> m_others; ///< sums of the other zones
--- /dev/null
+++ b/modules/heatherridge_coordination/feed/heldrules.cpp
@@ -0,0 +1,19 @@
+#include "heatherridge_coordination/feed/heldrules.h"
+
+namespace Heatherridge
+{
+
+RulesResponse HeldRules::exchange(const RulesRequest &request)
+{
+    if (request.record && (!m_newest || request.record->version > m_newest->version)) {
+        m_newest = request.record;
+    }
+    const auto held = m_newest ? m_newest->version : 0;
+    RulesResponse response{.wantsRecord = request.version > held};
+    if (held > request.version) {
+        response.record = m_newest;
+    }
+    return response;
+}
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewaycontrol.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.cpp
@@ -27,6 +27,7 @@
     , m_registerOutages(metrics.counter("heatherridge_register_outages_total"))
     , m_staleRules(metrics.counter("heatherridge_config_stale_total"))
     , m_rulesCopyFailures(metrics.counter("heatherridge_rules_copy_failures_total"))
+    , m_peerRules(metrics.counter("heatherridge_config_from_peers_total"))
     , m_rulesFollower(log, {.kind = RegisterKind::Rules, .pollTimeout = rulesWait(options)},
                       {.replaced = [this](const auto &changes) { replaceRules(changes); },
                        .changed = [this](const auto &changes) { changeRules(changes); },
@@ -67,6 +68,19 @@
 {
 }
 
+std::string_view GatewayControl::nameOf(Source source)
+{
+    switch (source) {
+    case Source::Register:
+        return "register";
+    case Source::Copy:
+        return "copy";
+    case Source::Peer:
+        return "peer";
+    }
+    return {};
+}
+
 std::chrono::milliseconds GatewayControl::rulesWait(const Options &options)
 {
     return fractionOf(options.silenceTime, RulesWaitFraction);
@@ -100,6 +114,24 @@
     m_rulesCopies.logRestored();
 }
 
+void GatewayControl::applyPeerRules(const RulesRecord &record, const TargetName &target)
+{
+    const auto before = m_rules;
+    applyRulesChange({.key = record.key, .value = record.value}, Source::Peer);
+    if (m_rules == before || m_rules->config().version != record.version) {
+        m_malformedRecords.add();
+        logEvent(Severity::Warning, "peer-rules-unusable",
+                 {{"version", std::to_string(record.version)}, {"sidecar", target.text()}});
+        return;
+    }
+    m_peerRules.add();
+}
+
+bool GatewayControl::readsRules() const
+{
+    return m_isRulesRegisterReachable;
+}
+
 std::vector<TargetEntry> GatewayControl::targets() const
 {
     return m_directory.targets();
@@ -174,8 +206,7 @@
         names += (names.empty() ? "" : " ") + zone.text();
     }
     m_drainedZoneCount.set(static_cast<std::int64_t>(m_drainedZones.zones().size()));
-    logEvent(Severity::Info, "zones-drained",
-             {{"zones", names}, {"from", source == Source::Register ? "register" : "copy"}});
+    logEvent(Severity::Info, "zones-drained", {{"zones", names}, {"from", std::string(nameOf(source))}});
     m_events.drainedZonesChanged(m_drainedZones.zones());
 }
 
@@ -209,12 +240,16 @@
     logEvent(Severity::Info, "rules-in-force",
              {{"version", std::to_string(config.version)},
               {"before", std::to_string(currentVersion)},
-              {"from", source == Source::Register ? "register" : "copy"},
+              {"from", std::string(nameOf(source))},
               {"routes", std::to_string(config.routes.size())},
               {"workspaces", std::to_string(config.workspaces.size())}});
     m_rulesVersion.set(static_cast<std::int64_t>(config.version));
     m_rules = std::make_shared<const RouteTable>(std::move(config));
     m_events.rulesChanged(m_rules);
+    if (m_events.rulesRecordChanged) {
+        m_events.rulesRecordChanged(
+            {.version = m_rules->config().version, .key = change.key, .value = change.value.value_or(std::string())});
+    }
 }
 
 void GatewayControl::replaceTargets(const std::vector<RegisterChange> &changes)
--- a/modules/heatherridge_transport/direct/gatewaycontrol.h
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_coordination/feed/registerfollower.h"
 #include "heatherridge_coordination/feed/rulescopies.h"
+#include "heatherridge_protocol/rulesmessage.h"
 #include "heatherridge_state/base/randomsource.h"
 #include "heatherridge_state/routing/drainedzones.h"
 #include "heatherridge_state/routing/regionrule.h"
@@ -12,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <vector>
 
 namespace Heatherridge
@@ -32,6 +34,8 @@
     {
         /** Time after which a target that announced its withdrawal receives no new requests. */
         std::chrono::milliseconds withdrawalTime{2'000};
+        /** Time within which a configuration must be in force at all gateways. */
+        std::chrono::milliseconds configTime{2'000};
         /** Time within which silent connections are detected. */
         std::chrono::milliseconds silenceTime{3'000};
         int rulesCopies = 1; ///< copies of the rules, each in its own partition of the log
@@ -52,6 +56,8 @@
     struct Events
     {
         std::function<void(std::shared_ptr<const RouteTable>)> rulesChanged{};
+        /** Called with the record of the rules that have been put in force, to pass on to other gateways. */
+        std::function<void(const RulesRecord &)> rulesRecordChanged{};
         std::function<void(std::vector<TargetEntry>)> targetsChanged{};
         std::function<void(std::set<ZoneName>)> drainedZonesChanged{};
         std::function<void(bool isReachable)> reachabilityChanged{}; ///< of one of the two registers
@@ -75,6 +81,12 @@
      */
     void logRestored(RandomSource &random);
 
+    /** Puts a newer version of the rules in force that @p target's sidecar has received from another gateway. */
+    void applyPeerRules(const RulesRecord &record, const TargetName &target);
+
+    /** Returns whether the last read of the register of rules was answered. */
+    bool readsRules() const;
+
     /** Returns all targets in their current state, as far as known. */
     std::vector<TargetEntry> targets() const;
 
@@ -86,8 +98,11 @@
     enum class Source {
         Register,
         Copy,
+        Peer, ///< another gateway
     };
 
+    static std::string_view nameOf(Source source);
+
     void replaceRules(const std::vector<RegisterChange> &changes);
     void changeRules(const std::vector<RegisterChange> &changes);
     void applyRules(const std::vector<RegisterChange> &changes, Source source);
@@ -111,6 +126,7 @@
     Counter &m_registerOutages;
     Counter &m_staleRules;
     Counter &m_rulesCopyFailures;
+    Counter &m_peerRules;
     RegisterFollower m_rulesFollower;
     RegisterFollower m_targetsFollower;
     RulesCopies m_rulesCopies;
--- a/modules/heatherridge_transport/direct/gatewaydemand.cpp
+++ b/modules/heatherridge_transport/direct/gatewaydemand.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/direct/gatewaydemand.h"
 
+#include "heatherridge_state/routing/enginetargets.h"
 #include "heatherridge_state/routing/rankedservices.h"
 #include "heatherridge_transport/app/logger.h"
 
@@ -49,19 +50,10 @@
 
 void GatewayDemand::update(const RoutingConfig &config, const std::vector<TargetEntry> &targets)
 {
-    std::set<ServiceName> engineServices;
-    for (const auto &service : config.services) {
-        if (service.engine) {
-            engineServices.insert(service.name);
-        }
-    }
-    std::vector<TargetEntry> engines;
+    const auto engines = engineTargets(config, targets);
     std::set<TargetName> names;
-    for (const auto &target : targets) {
-        if (engineServices.contains(target.service)) {
-            engines.push_back(target);
-            names.insert(target.id);
-        }
+    for (const auto &engine : engines) {
+        names.insert(engine.id);
     }
     std::erase_if(m_failing, [&names](const auto &target) { return !names.contains(target); });
     m_exchange.setTargets(engines);
--- /dev/null
+++ b/modules/heatherridge_transport/direct/gatewayrules.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "heatherridge_coordination/feed/rulesexchange.h"
+#include "heatherridge_state/routing/routingconfig.h"
+#include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/direct/sidecarruleslink.h"
+
+#include <functional>
+#include <set>
+
+namespace Heatherridge
+{
+
+/**
+ * The exchange of rules between a gateway and all others, with its log lines and metrics. Used on the control thread
+ * only.
+ */
+class GatewayRules
+{
+public:
+    struct Options
+    {
+        RulesExchange::Options exchange{};
+        int sidecarPort = 0; ///< 0 if there are no sidecars; rules are not exchanged then
+    };
+
+    using Received = std::function<void(const RulesRecord &record, const TargetName &from)>;
+
+    /** @p client and @p metrics must outlive this object. @param received is called with rules newer than those set */
+    GatewayRules(HttpClient &client, const Options &options, Received received, Metrics &metrics);
+
+    /** Applies the rules and targets in force. */
+    void update(const RoutingConfig &config, const std::vector<TargetEntry> &targets);
+
+    /** Sets the record of the rules that are now in force at this gateway. */
+    void setRules(const RulesRecord &rules);
+
+    /** Performs the work that is due. @param gateways as known from the log's division of work */
+    void tick(SteadyTime now, bool readsLog, const PollerCounts &gateways);
+
+private:
+    void onCallEnded(const TargetEntry &target, const Error *error);
+
+    bool m_isOn;
+    Counter &m_answeredCalls;
+    Counter &m_failedCalls;
+    std::set<TargetName> m_failing; ///< targets whose last call failed
+    SidecarRulesLink m_link;
+    RulesExchange m_exchange;
+};
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -7,6 +7,7 @@
 #include "heatherridge_transport/direct/callerserver.h"
 #include "heatherridge_transport/direct/gatewaydemand.h"
 #include "heatherridge_transport/direct/gatewayduties.h"
+#include "heatherridge_transport/direct/gatewayrules.h"
 #include "heatherridge_transport/direct/sidecarrankclient.h"
 
 #include <atomic>
@@ -115,6 +116,7 @@
                        .lost = [this](auto what) { onCrashReportLost(what); }})
         , m_control(*m_logClients.registers, controlOptions(m_options),
                     {.rulesChanged = [this](auto table) { onRulesChanged(std::move(table)); },
+                     .rulesRecordChanged = [this](const auto &record) { m_rulesExchange.setRules(record); },
                      .targetsChanged = [this](auto targets) { onTargetsChanged(std::move(targets)); },
                      .drainedZonesChanged =
                          [this](auto zones) {
@@ -137,6 +139,11 @@
                         },
                     .demandNeeded = [this] { m_trafficLoop.post([this] { passOwnDemand(); }); }},
                    m_metrics)
+        , m_rulesExchange(
+              m_client,
+              {.exchange = {.zone = m_options.zone, .configTime = m_options.control.configTime, .run = toNumber(m_run)},
+               .sidecarPort = m_options.sidecarPort},
+              [this](const auto &record, const auto &from) { m_control.applyPeerRules(record, from); }, m_metrics)
     {
     }
 
@@ -286,6 +293,7 @@
         updateShares();
         const auto pollers = countPollers();
         m_demand.tick(now, pollers);
+        m_rulesExchange.tick(now, m_control.readsRules(), pollers);
         for (auto &[service, rebalancer] : m_rebalancers) {
             rebalancer->setActive(
                 [this, &name = service](const GroupToAssign &group) { return m_duties.isAssigned(name, group); },
@@ -345,6 +353,7 @@
         m_client.setMaxIdleConnections(ExtraKeptConnections
                                        + KeptConnectionsPerTarget * static_cast<long>(allTargets.size()));
         m_demand.update(rules->config(), allTargets);
+        m_rulesExchange.update(rules->config(), allTargets);
         for (const auto &service : rules->config().services) {
             if (!service.engine || service.engine->layerSets == 0) {
                 continue;
@@ -451,6 +460,7 @@
     CrashFeed m_crashFeed;
     GatewayControl m_control;
     GatewayDemand m_demand;
+    GatewayRules m_rulesExchange;
     std::map<ServiceName, std::unique_ptr<ExpertRebalancer>> m_rebalancers;
     std::optional<double> m_limitShare; ///< last share posted to the traffic thread
     OwnedPartitions m_ownedPartitions; ///< last ones posted to the traffic thread
--- a/modules/heatherridge_transport/direct/sidecarrankclient.h
+++ b/modules/heatherridge_transport/direct/sidecarrankclient.h
@@ -22,6 +22,8 @@
 constexpr std::string_view Order = "/rank/order";
 /** Exchange of demand between gateways; concerns no target. */
 constexpr std::string_view Demand = "/fleet/demand";
+/** Exchange of rules between gateways; concerns no target. */
+constexpr std::string_view Rules = "/fleet/rules";
 /** Header with the target name, which identifies one run of the engine. */
 constexpr std::string_view TargetHeader = "Rank-Target";
 /** Query parameter of a counts request: the mark of the reading to which the returned counts are relative. */
--- a/modules/heatherridge_transport/direct/sidecarserver.cpp
+++ b/modules/heatherridge_transport/direct/sidecarserver.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/direct/sidecarserver.h"
 
+#include "heatherridge_coordination/feed/heldrules.h"
 #include "heatherridge_protocol/demandmessage.h"
 #include "heatherridge_protocol/rankmessage.h"
 #include "heatherridge_state/demand/demandtable.h"
@@ -101,6 +102,8 @@
             forwardOrder(exchange);
         } else if (request.path == SidecarPaths::Demand) {
             exchangeDemand(*exchange);
+        } else if (request.path == SidecarPaths::Rules) {
+            exchangeRules(*exchange);
         } else {
             exchange->respond(errorResponse({.kind = ErrorKind::NotFound}));
         }
@@ -180,6 +183,18 @@
                               .otherZones = m_demand.otherZones(now)})});
     }
 
+    void exchangeRules(HttpExchange &exchange)
+    {
+        const auto decoded = decodeRulesRequest(exchange.request().body);
+        if (const auto *error = errorIn(decoded)) {
+            m_malformedRules.add();
+            logEvent(Severity::Warning, "rules-statement-malformed", {{"reason", error->detail}});
+            exchange.respond(errorResponse({.kind = ErrorKind::BadRequest, .detail = error->detail}));
+            return;
+        }
+        exchange.respond({.body = encode(m_rules.exchange(std::get<RulesRequest>(decoded)))});
+    }
+
     /** Logs and counts statements that were dropped because the table is full. */
     void reportDropped()
     {
@@ -207,6 +222,8 @@
     Metrics m_metrics;
     Counter &m_malformedStatements = m_metrics.counter("heatherridge_demand_statements_malformed_total");
     Counter &m_droppedStatements = m_metrics.counter("heatherridge_demand_statements_dropped_total");
+    Counter &m_malformedRules = m_metrics.counter("heatherridge_rules_statements_malformed_total");
+    HeldRules m_rules; ///< of the gateways that chose this sidecar as the exchange point of a zone
     DemandTable m_demand; ///< by the gateways that chose this sidecar as the exchange point of the zone
     EventLoop m_loop;
     HttpClient m_client;
--- a/modules/heatherridge_transport/direct/sidecarserver.h
+++ b/modules/heatherridge_transport/direct/sidecarserver.h
@@ -16,8 +16,8 @@
  * The server of a sidecar: a process on the host of a model engine that reads the engine's state and forwards orders to
  * it, on behalf of remote keepers.
  *
- * Also adds up the demand that gateways state, if they choose it as the exchange point of its zone. Persists nothing
- * and makes no decisions. Uses one thread.
+ * Also adds up the demand that gateways state, and passes the newest rules on among them, if they choose it as the
+ * exchange point of its zone. Persists nothing and makes no decisions. Uses one thread.
  */
 class SidecarServer
 {
