Break off answers that come without end

Callers would see: a request whose target sends a head, a body or an event without end was held until its deadline, up to 8 MB of it again and again, and events and the sum over all calls had no bound, so that a few such targets could take the memory of the host. A call to an engine, a sidecar or the log read on until its time was over.

Change: the body of an answer that cannot be used is read for 64 kB, a usable one or an event for 8 MB, all calls together for a quarter of the host's memory (64 kB of each call beyond that), interim heads for 16 of them. Beyond that the attempt ends and its connection closes: the caller gets another target's answer where the request may be repeated, else 502. Streams with a gap are left at once. libcurl's calls fail at 64 kB of heads and at their largest body. Counter heatherridge_answers_abandoned_total, gauge heatherridge_response_bytes_held.

--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -31,7 +31,8 @@
      .defaultValue = "256",
      .minimum = 16,
      .maximum = 1000000,
-     .help = "memory of this host in MiB; a quarter of it may be used for callers' requests and responses"},
+     .help = "memory of this host in MiB; a quarter of it may be used for callers' requests and responses, another for "
+             "targets' responses"},
     {.key = "grace",
      .type = SettingType::Seconds,
      .defaultValue = "8",
@@ -151,11 +152,14 @@
 /** Topics of the division among large gateways: only few pieces of work are divided by it. */
 constexpr int LargeShareTopics = 1;
 constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
-/** Share of the host's memory for callers' requests and responses; bodies are copied once on their way to a target. */
-constexpr double CallerMemoryShare = 0.25;
+/** Share of the host's memory for callers' requests and responses, and as much again for targets' responses; bodies are
+ * copied once on their way to a target. */
+constexpr double BufferMemoryShare = 0.25;
 
 GatewayServer::Options optionsFrom(const Settings &settings)
 {
+    const auto bufferBytes = static_cast<std::size_t>(static_cast<double>(settings.number("memory-mb"))
+                                                      * BytesPerMebibyte * BufferMemoryShare);
     const auto window = std::chrono::duration_cast<std::chrono::seconds>(settings.duration("retry-window"));
     return {
         .process = ProcessName(settings.text("name")),
@@ -184,8 +188,8 @@
         .logPartitions = static_cast<int>(settings.number("log-partitions")),
         .sharePartitions = static_cast<int>(settings.number("log-partitions")) * ShareTopics,
         .maxConnections = static_cast<std::size_t>(settings.number("max-connections")),
-        .maxHeldBytes = static_cast<std::size_t>(static_cast<double>(settings.number("memory-mb")) * BytesPerMebibyte
-                                                 * CallerMemoryShare),
+        .maxHeldBytes = bufferBytes,
+        .maxResponseBytes = bufferBytes,
         .gracePeriod = settings.duration("grace")};
 }
 
--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.cpp
@@ -87,6 +87,11 @@
     return m_completedEvents;
 }
 
+std::size_t EventStreamSplitter::bufferedBytes() const
+{
+    return m_buffer.size();
+}
+
 bool EventStreamSplitter::hasPartialEvent() const
 {
     return !m_buffer.empty();
--- a/modules/heatherridge_coordination/answers/eventstreamsplitter.h
+++ b/modules/heatherridge_coordination/answers/eventstreamsplitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,6 +33,9 @@
     /** Whether bytes of an incomplete event are buffered. */
     bool hasPartialEvent() const;
 
+    /** Returns the number of bytes of an incomplete event. */
+    std::size_t bufferedBytes() const;
+
     /** Returns the number of completed events; comments alone are none. */
     std::uint32_t completedEvents() const;
 
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -40,6 +40,7 @@
     , m_arrivedAt(now())
     , m_deadline(m_arrivedAt + std::min(m_route.timeout, m_callerFields.timeout.value_or(m_route.timeout)))
     , m_timer(traffic.m_loop)
+    , m_attemptBytes(traffic.m_responseBytes)
     , m_stream(m_callerFields.lastEventId)
 {
 }
@@ -241,6 +242,8 @@
     m_sentAt = now();
     m_readingSince = m_sentAt;
     m_response = {};
+    m_attemptBytes.release();
+    m_isAbandoningAttempt = false;
     m_suspicion.markAt(m_target);
     m_stream.beginAttempt();
     m_demand.setInProgress();
@@ -278,61 +281,6 @@
                             .failed = [self](const ExchangeFailure &failure) { self->onExchangeFailed(failure); }});
 }
 
-void GatewayCall::onResponseHead(const HttpMessageHead &head)
-{
-    m_response.setHead(head, m_traffic.m_codec.readResponseFields(head.status, head.headers), m_callerFields.id);
-    if (auto *target = m_traffic.m_targets.find(m_target)) {
-        m_traffic.m_targets.recordAnswer(*target, now());
-        if (const auto &load = m_response.fields().load) {
-            target->load.recordReport(load->running + load->waiting, target->lastReceivedAt);
-        }
-        if (m_response.belongsToRequest()) {
-            m_traffic.applyTargetStatements(*target, m_response.fields(), m_callerFields.id);
-        }
-    }
-}
-
-void GatewayCall::onResponseBody(std::string_view bytes)
-{
-    if (auto *target = m_traffic.m_targets.find(m_target)) {
-        target->lastReceivedAt = now();
-    }
-    if (!m_response.beginBody()) {
-        return;
-    }
-    if (isStream() && m_response.status() == 200) {
-        forwardEvents(bytes);
-    } else {
-        m_response.append(bytes);
-    }
-    m_suspicion.recordProgress(m_stream.eventsInAttempt());
-}
-
-void GatewayCall::onResponseComplete()
-{
-    if (m_isDone) {
-        return;
-    }
-    if (isStream() && m_response.status() == 200 && m_response.isUsable()) {
-        onStreamComplete();
-        return;
-    }
-    finishAttempt(m_response.plainResult(), "status " + std::to_string(m_response.status()));
-}
-
-void GatewayCall::onExchangeFailed(const ExchangeFailure &failure)
-{
-    if (m_isDone) {
-        return;
-    }
-    if (failure.mayHaveArrived) {
-        finishBrokenAttempt(failure.reason);
-        return;
-    }
-    m_traffic.m_targets.recordUnreachable(m_target);
-    finishAttempt(AttemptResult::NeverSent, failure.reason);
-}
-
 void GatewayCall::finishBrokenAttempt(const std::string &reason)
 {
     releaseTarget(false);
@@ -354,44 +302,6 @@
     }
 }
 
-void GatewayCall::forwardEvents(std::string_view bytes)
-{
-    for (const auto &event : m_stream.feed(bytes)) {
-        if (!m_isDone) {
-            forwardEvent(event);
-        }
-    }
-}
-
-void GatewayCall::forwardEvent(const StreamEvent &event)
-{
-    const auto forwardedAt = now();
-    const bool isFirstOfAttempt = m_stream.lastEventAt() <= m_sentAt;
-    const auto pause = m_stream.recordForwarded(forwardedAt, age());
-    if (!pause) {
-        m_traffic.firstEventDelayFor(m_service).record(forwardedAt - m_sentAt);
-        m_traffic.m_counters.streamFirstEvent.record(m_stream.timeToFirstEvent());
-    } else if (!isFirstOfAttempt) {
-        m_traffic.m_targets.recordPause(m_placement.group, *pause, forwardedAt);
-    }
-    m_caller->forward(event.text, m_response.status(), m_response.headers());
-    if (m_caller->isFull()) {
-        m_connection->pauseReading();
-    }
-}
-
-void GatewayCall::onStreamComplete()
-{
-    if (const auto reason = m_stream.brokenOffReason(m_response.endsWithConnection())) {
-        finishBrokenAttempt(std::string(*reason));
-        return;
-    }
-    releaseTarget(true);
-    m_traffic.m_targets.recordAttempt(m_target, AttemptOutcome::Succeeded, now());
-    m_suspicion.recordAnswer(m_stream.eventsInAttempt());
-    conclude(CompleteStream{.status = m_response.status(), .headers = m_response.headers()});
-}
-
 void GatewayCall::finishAttempt(AttemptResult result, std::string_view reason)
 {
     const bool hasCompleted = result == AttemptResult::Answered || result == AttemptResult::FailedAtTarget;
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_state/decisions/attemptresult.h"
 #include "heatherridge_state/demand/demandmeter.h"
+#include "heatherridge_transport/direct/attemptbytes.h"
 #include "heatherridge_transport/direct/callerresponse.h"
 #include "heatherridge_transport/direct/crashsuspicion.h"
 #include "heatherridge_transport/direct/gatewaytraffic.h"
@@ -79,6 +80,8 @@
     void send(GatewayTarget &target, double load);
     void onResponseHead(const HttpMessageHead &head);
     void onResponseBody(std::string_view bytes);
+    /** Ends the current attempt, whose response is not read any further. */
+    void abandonAttempt(std::string reason);
     void onResponseComplete();
     void onExchangeFailed(const ExchangeFailure &failure);
     void forwardEvents(std::string_view bytes);
@@ -143,6 +146,8 @@
     int m_possibleArrivals = 0; ///< attempts that may have reached a target
 
     TargetResponse m_response; ///< of the current attempt
+    AttemptBytes m_attemptBytes; ///< buffered of that response
+    bool m_isAbandoningAttempt = false;
     bool m_isProbingTarget = false; ///< the current attempt failed, and its target is being probed
 
     StreamProgress m_stream;
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -74,6 +74,7 @@
                .retryBudget = m_options.retryBudget,
                .isOnlyGateway = m_options.isOnlyGateway,
                .run = m_run,
+               .maxResponseBytes = m_options.maxResponseBytes,
                .refusalTime = m_options.refusalTime,
                .reportCrash =
                    [this](const auto &record) { m_controlLoop.post([this, record] { m_crashFeed.report(record); }); }},
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -45,6 +45,7 @@
         int sharePartitions = 1; ///< partitions by which work is divided among the gateways, over several topics
         std::size_t maxConnections = 1'000; ///< of callers
         std::size_t maxHeldBytes = 64UL << 20U; ///< of callers' requests and responses
+        std::size_t maxResponseBytes = 64UL << 20U; ///< of targets' responses that are not yet complete
         std::chrono::milliseconds gracePeriod{8'000}; ///< from the stop signal until the process is killed
         /** Time during which new connections still arrive after shutdown has begun: the balancer drops a gateway after
          * two failed readiness checks, a second apart. */
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -34,8 +34,10 @@
     , malformedStatements(metrics.counter("heatherridge_target_statements_malformed_total"))
     , heldBackRequests(metrics.counter("heatherridge_requests_held_back_total"))
     , streamFirstEvent(metrics.histogram("heatherridge_stream_first_event_seconds"))
+    , abandonedAnswers(metrics.counter("heatherridge_answers_abandoned_total"))
     , plainAnswer(metrics.histogram("heatherridge_plain_answer_seconds"))
     , retrySlackPercent(metrics.gauge("heatherridge_retry_slack_percent"))
+    , responseBytesHeld(metrics.gauge("heatherridge_response_bytes_held"))
 {
 }
 
@@ -66,6 +68,7 @@
           {m_crashGuard, m_promptPartGuard, [this](const auto &target) { m_targets.recordUnreachable(target); }},
           metrics)
     , m_random(std::random_device{}())
+    , m_responseBytes(m_options.maxResponseBytes)
     , m_slackShare({.window = m_options.retryBudget.window,
                     .start = std::chrono::steady_clock::now(),
                     .isSoleUser = m_options.isOnlyGateway})
@@ -162,6 +165,7 @@
     m_targets.tick(now);
     m_admissionControl.tick(now);
     reportSlackShare(now);
+    m_counters.responseBytesHeld.set(static_cast<std::int64_t>(m_responseBytes.held()));
 }
 
 void GatewayTraffic::reportSlackShare(SteadyTime now)
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -2,6 +2,7 @@
 
 #include "heatherridge_protocol/crashreportcodec.h"
 #include "heatherridge_state/decisions/blockedattempt.h"
+#include "heatherridge_state/decisions/bufferbudget.h"
 #include "heatherridge_state/decisions/fleetretrybudget.h"
 #include "heatherridge_state/decisions/runningestimate.h"
 #include "heatherridge_state/decisions/streamqueue.h"
@@ -47,6 +48,7 @@
         FleetRetryBudgetOptions retryBudget{};
         bool isOnlyGateway = false; ///< no other gateway uses the retry budget, nor did one before this one started
         Incarnation run{}; ///< identifies this run of the process
+        std::size_t maxResponseBytes = 64UL << 20U; ///< of targets' responses that are buffered for all calls together
         std::chrono::milliseconds connectTimeout{300}; ///< 100 round trips; TCP resends a lost SYN only after 1 s
         std::chrono::milliseconds refusalTime = DefaultRefusalTime; ///< targets refuse what they do not take within it
         /** Called with this gateway's records on what crashes targets, to publish to the other gateways in order. */
@@ -136,8 +138,10 @@
         Counter &malformedStatements;
         Counter &heldBackRequests;
         DurationHistogram &streamFirstEvent;
+        Counter &abandonedAnswers;
         DurationHistogram &plainAnswer;
         Gauge &retrySlackPercent;
+        Gauge &responseBytesHeld;
     };
 
     FleetRetryBudget &retryBudgetFor(const ServiceName &service);
@@ -174,6 +178,7 @@
     PromptPartGuard m_promptPartGuard;
     BrokenAttempts m_brokenAttempts;
     SeededRandom m_random;
+    BufferBudget m_responseBytes; ///< of targets' responses that calls buffer
     SlackShare m_slackShare; ///< of the retry slack
     std::optional<double> m_reportedSlackShare;
     std::map<ServiceName, FleetRetryBudget> m_retryBudgets;
--- a/modules/heatherridge_transport/direct/streamprogress.cpp
+++ b/modules/heatherridge_transport/direct/streamprogress.cpp
@@ -61,6 +61,16 @@
     return m_hasBegun;
 }
 
+bool StreamProgress::isBroken() const
+{
+    return m_isBroken;
+}
+
+std::size_t StreamProgress::bufferedBytes() const
+{
+    return m_splitter.bufferedBytes();
+}
+
 bool StreamProgress::isResumable() const
 {
     return !m_endsWithoutId;
--- a/modules/heatherridge_transport/direct/streamprogress.h
+++ b/modules/heatherridge_transport/direct/streamprogress.h
@@ -40,6 +40,12 @@
     /** Returns whether an event has been forwarded to the caller. */
     bool hasBegun() const;
 
+    /** Returns whether the current attempt cannot continue the stream: an event is missing or cannot be placed. */
+    bool isBroken() const;
+
+    /** Returns the number of bytes of an incomplete event. */
+    std::size_t bufferedBytes() const;
+
     /** Returns the number of complete events that the target of the current attempt has sent. */
     std::uint32_t eventsInAttempt() const;
 
@@ -71,7 +77,7 @@
     EventStreamSplitter m_splitter;
     std::optional<std::uint64_t> m_lastEventId;
     bool m_hasBegun = false;
-    bool m_isBroken = false; ///< an event of the current attempt is missing or cannot be placed
+    bool m_isBroken = false; ///< @see isBroken()
     bool m_isPlaced = true; ///< it is known which events of the stream the current attempt sends
     bool m_isRepeating = false; ///< the target repeats what precedes the last event that the caller has
     bool m_endsWithoutId = false; ///< the last event that the caller has
--- a/modules/heatherridge_transport/direct/targetconnection.cpp
+++ b/modules/heatherridge_transport/direct/targetconnection.cpp
@@ -17,6 +17,8 @@
  * or its network path sends no reset; without this timeout, requests written to it would wait for their deadline.
  */
 constexpr std::chrono::milliseconds UnacknowledgedTimeout{1'500};
+/** Interim responses (1xx) to one request after which its final one is not awaited any more. */
+constexpr int MaxInterimHeads = 16;
 
 void setSocketOptions(asio::ip::tcp::socket &socket)
 {
@@ -55,6 +57,7 @@
     m_mayHaveArrived = false;
     m_isPaused = false;
     m_isKeepAlive = true;
+    m_interimHeads = 0;
     m_reader.reset();
     if (m_isOpen) {
         write();
@@ -249,6 +252,10 @@
         if (m_isInterim) {
             m_isInterim = false;
             m_reader.reset();
+            if (++m_interimHeads > MaxInterimHeads) {
+                failExchange("too many interim responses");
+                return;
+            }
             continue;
         }
         completeExchange(!bytes.empty());
--- a/modules/heatherridge_transport/direct/targetconnection.h
+++ b/modules/heatherridge_transport/direct/targetconnection.h
@@ -114,6 +114,7 @@
     bool m_isWritten = false;
     bool m_mayHaveArrived = false; ///< bytes of the current request may have reached the target
     bool m_isKeepAlive = true;
+    int m_interimHeads = 0; ///< of the current exchange
     bool m_isInterim = false;
     SteadyTime m_idleSince{};
 };
--- a/modules/heatherridge_transport/direct/targetresponse.cpp
+++ b/modules/heatherridge_transport/direct/targetresponse.cpp
@@ -27,22 +27,34 @@
     m_isUsable = m_belongsToRequest && isAnswer && !m_fields.isEncoded && isFinalInProtocol(head);
 }
 
-bool TargetResponse::beginBody()
+bool TargetResponse::beginBody(std::size_t size)
 {
     m_hasBodyBegun = m_hasBodyBegun || m_isUsable;
+    m_ignoredBytes += m_isUsable ? 0 : size;
     return m_isUsable;
 }
 
+bool TargetResponse::hasExcessBytes() const
+{
+    return m_ignoredBytes > MaxIgnoredBytes;
+}
+
 void TargetResponse::append(std::string_view bytes)
 {
-    if (m_body.size() + bytes.size() > MaxBufferedBodyBytes) {
-        m_isUsable = false;
-        m_body.clear();
-        return;
-    }
     m_body.append(bytes);
 }
 
+std::size_t TargetResponse::bufferedBytes() const
+{
+    return m_body.size();
+}
+
+void TargetResponse::discard()
+{
+    m_isUsable = false;
+    m_body = {};
+}
+
 int TargetResponse::status() const
 {
     return m_status;
--- a/modules/heatherridge_transport/direct/targetresponse.h
+++ b/modules/heatherridge_transport/direct/targetresponse.h
@@ -4,6 +4,7 @@
 #include "heatherridge_transport/direct/trafficcodec.h"
 #include "heatherridge_transport/http/httpmessagereader.h"
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -14,18 +15,27 @@
 class TargetResponse
 {
 public:
-    /** Largest body of a plain service that is buffered; it is sent to the caller only once it is complete. */
-    static constexpr std::size_t MaxBufferedBodyBytes = 8UL << 20U;
+    /** Bytes of the body of an unusable response that are read to keep the connection. */
+    static constexpr std::size_t MaxIgnoredBytes = 64UL << 10U;
 
     /** Sets the head of the response. @p request is the id of the request that was sent. */
     void setHead(const HttpMessageHead &head, TargetResponseFields fields, const RequestId &request);
 
-    /** Called when body bytes arrive. @returns whether the response may be used */
-    bool beginBody();
+    /** Called when @p size body bytes arrive. @returns whether the response may be used */
+    bool beginBody(std::size_t size);
 
-    /** Buffers @p bytes of the body. A body that is too large makes the response unusable. */
+    /** Returns whether an unusable response has a body that is not worth reading to its end. */
+    bool hasExcessBytes() const;
+
+    /** Buffers @p bytes of the body, which is sent to the caller only once it is complete. */
     void append(std::string_view bytes);
 
+    /** Returns the number of bytes buffered. */
+    std::size_t bufferedBytes() const;
+
+    /** Drops the buffered bytes and makes the response unusable. */
+    void discard();
+
     /** Returns the status; 0 before the head. */
     int status() const;
     const std::vector<HttpHeader> &headers() const;
@@ -54,6 +64,7 @@
     std::vector<HttpHeader> m_headers;
     TargetResponseFields m_fields;
     std::string m_body;
+    std::size_t m_ignoredBytes = 0;
     bool m_endsWithConnection = false;
     bool m_belongsToRequest = false;
     bool m_isUsable = true;
--- a/modules/heatherridge_transport/http/httpclient.cpp
+++ b/modules/heatherridge_transport/http/httpclient.cpp
@@ -44,6 +44,9 @@
     bool isHeadReported = false;
     bool isPaused = false;
     bool isCancelled = false;
+    std::size_t headBytes = 0; ///< received, of all heads
+    std::size_t bodyBytes = 0; ///< received
+    std::string_view abortReason{}; ///< why the client ended the call; empty if it did not
 };
 
 std::size_t onBody(char *bytes, std::size_t size, std::size_t count, void *userData)
@@ -55,6 +58,11 @@
     if (transfer.isPaused) {
         return CURL_WRITEFUNC_PAUSE;
     }
+    transfer.bodyBytes += size * count;
+    if (transfer.call.maxBodyBytes > 0 && transfer.bodyBytes > transfer.call.maxBodyBytes) {
+        transfer.abortReason = "response body too large";
+        return CURL_WRITEFUNC_ERROR;
+    }
     if (!transfer.events.data(std::string_view(bytes, size * count))) {
         transfer.isPaused = true;
     }
@@ -67,6 +75,11 @@
     constexpr long firstFinalStatus = 200;
     auto &transfer = *static_cast<Transfer *>(userData);
     const std::string_view line(bytes, size * count);
+    transfer.headBytes += line.size();
+    if (transfer.headBytes > HttpClient::MaxHeadBytes) {
+        transfer.abortReason = "response head too large";
+        return CURL_WRITEFUNC_ERROR;
+    }
     const auto content = line.substr(0, line.find_last_not_of("\r\n") + 1);
     const auto colon = content.find(':');
     if (content.empty()) {
@@ -390,11 +403,14 @@
         char *userData = nullptr;
         curl_easy_getinfo(easy, CURLINFO_PRIVATE, &userData);
         const auto id = reinterpret_cast<Transfer *>(userData)->id;
-        const Failure failure{.mayHaveArrived = !wasNeverSent(easy, code), .reason = curl_easy_strerror(code)};
+        Failure failure{.mayHaveArrived = !wasNeverSent(easy, code), .reason = curl_easy_strerror(code)};
         const auto transfer = remove(id);
         if (!transfer || transfer->isCancelled) {
             return;
         }
+        if (!transfer->abortReason.empty()) {
+            failure.reason = transfer->abortReason;
+        }
         if (code == CURLE_OK) {
             transfer->events.finished();
         } else {
@@ -445,10 +461,10 @@
     {
         HttpResponse response{};
         std::function<void(std::variant<HttpResponse, Failure>)> done{};
-        bool isTooLarge = false;
     };
     auto collector = std::make_shared<ResponseCollector>();
     collector->done = std::move(done);
+    call.maxBodyBytes = maxBytes;
     return stream(std::move(call),
                   {.head =
                        [collector](int status, const std::vector<HttpHeader> &headers) {
@@ -456,22 +472,11 @@
                            collector->response.headers = headers;
                        },
                    .data =
-                       [collector, maxBytes](std::string_view bytes) {
-                           collector->isTooLarge =
-                               collector->isTooLarge || collector->response.body.size() + bytes.size() > maxBytes;
-                           if (!collector->isTooLarge) {
-                               collector->response.body += bytes;
-                           }
+                       [collector](std::string_view bytes) {
+                           collector->response.body += bytes;
                            return true;
                        },
-                   .finished =
-                       [collector] {
-                           if (collector->isTooLarge) {
-                               collector->done(Failure{.reason = "response body too large"});
-                           } else {
-                               collector->done(std::move(collector->response));
-                           }
-                       },
+                   .finished = [collector] { collector->done(std::move(collector->response)); },
                    .failed = [collector](const Failure &failure) { collector->done(failure); }});
 }
 
--- a/modules/heatherridge_transport/http/httpclient.h
+++ b/modules/heatherridge_transport/http/httpclient.h
@@ -47,8 +47,13 @@
          * request on a new connection is never retried.
          */
         bool reuseConnection = true;
+        /** Largest response body; the call fails as soon as more arrives. 0: unlimited */
+        std::size_t maxBodyBytes = 0;
     };
 
+    /** Largest size of all heads of a response together, interim ones included; the call fails beyond it. */
+    static constexpr std::size_t MaxHeadBytes = 64UL << 10U;
+
     /** Describes a call that ended without a complete response. */
     struct Failure
     {
@@ -80,9 +85,9 @@
     /** Starts @p call and reports its response piece by piece through @p events. */
     CallId stream(Call call, Events events);
 
-    /** Starts @p call and passes its complete response to @p done. Fails if the body exceeds @p maxBytes. */
+    /** Starts @p call and passes its complete response to @p done. Fails as soon as the body exceeds @p maxBytes. */
     CallId send(Call call, std::function<void(std::variant<HttpResponse, Failure>)> done,
-                std::size_t maxBytes = 64UL << 20U);
+                std::size_t maxBytes = 8UL << 20U);
 
     /** Resumes a call whose data callback returned false. Unknown calls are ignored. */
     void resume(CallId call);
--- a/modules/heatherridge_transport/platform/httplogservice.cpp
+++ b/modules/heatherridge_transport/platform/httplogservice.cpp
@@ -10,6 +10,8 @@
 
 constexpr int StatusOk = 200;
 constexpr int FirstServerError = 500;
+/** Largest page of records that is read. */
+constexpr std::size_t MaxPageBytes = 64UL << 20U;
 
 Error unavailable(const std::string &reason, ExecutionStatus ran)
 {
@@ -119,7 +121,8 @@
             } else {
                 done(parsePage(std::get<HttpResponse>(result)));
             }
-        });
+        },
+        MaxPageBytes);
 }
 
 } // namespace Heatherridge
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -176,6 +176,7 @@
             .logPartitions = options.logPartitions,
             .sharePartitions = options.logPartitions,
             .maxHeldBytes = options.maxHeldBytes,
+            .maxResponseBytes = options.maxResponseBytes,
             .balancerDetectionTime = milliseconds(200)};
 }
 
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -28,6 +28,7 @@
         std::set<int> partitions{}; ///< partitions of the log assigned to this gateway; if empty, the log never answers
         int logPartitions = 1;
         std::size_t maxHeldBytes = 64UL << 20U; ///< of callers' requests and responses
+        std::size_t maxResponseBytes = 64UL << 20U; ///< of targets' responses that are not yet complete
         RoutingConfig config = defaultConfig(); ///< the targets serve its first service
         std::optional<RankStatus> status{}; ///< of each target, which is a rank; empty: the targets answer no such call
         int sidecarPort = 0; ///< of the sidecars; if not 0, the targets are model engines
--- a/tests/gateway/scriptedtarget.cpp
+++ b/tests/gateway/scriptedtarget.cpp
@@ -116,6 +116,12 @@
     case TargetAction::Kind::Send:
         asio::write(socket, asio::buffer(action.bytes), error);
         return !error;
+    case TargetAction::Kind::SendUntilClosed:
+        while (!error && !m_isStopping) {
+            asio::write(socket, asio::buffer(action.bytes), error);
+        }
+        ++m_peerCloseCount;
+        return false;
     case TargetAction::Kind::Wait:
         std::this_thread::sleep_for(action.duration);
         return true;
--- a/tests/gateway/scriptedtarget.h
+++ b/tests/gateway/scriptedtarget.h
@@ -23,6 +23,7 @@
 {
     enum class Kind {
         Send, ///< writes `bytes`
+        SendUntilClosed, ///< writes `bytes` again and again until the peer closes the connection
         Wait, ///< waits for `duration`
         Close, ///< closes the connection gracefully
         Reset, ///< resets the connection, which discards data in flight
