--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -31,7 +31,8 @@
      .defaultValue = "256",
      .minimum = 16,
      .maximum = 1000000,
-     .help = "memory of this host in MiB; a quarter of it may be used for callers' requests and responses"},
+     .help = "memory of this host in MiB; a quarter of it may be used for callers' requests and responses, another for "
+             "targets' responses"},
     {.key = "grace",
      .type = SettingType::Seconds,
      .defaultValue = "8",
@@ -92,6 +93,12 @@
      .minimum = 200,
      .maximum = 600000,
      .help = "time after which a target that announced its withdrawal receives no new requests"},
+    {.key = "config-time",
+     .type = SettingType::Milliseconds,
+     .defaultValue = "2000",
+     .minimum = 200,
+     .maximum = 600000,
+     .help = "time within which a new configuration must be in force at all gateways"},
     {.key = "silence",
      .type = SettingType::Milliseconds,
      .defaultValue = "3000",
@@ -145,11 +152,14 @@
 /** Topics of the division among large gateways: only few pieces of work are divided by it. */
 constexpr int LargeShareTopics = 1;
 constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
-/** Share of the host's memory for callers' requests and responses; bodies are copied once on their way to a target. */
-constexpr double CallerMemoryShare = 0.25;
+/** Share of the host's memory for callers' requests and responses, and as much again for targets' responses; bodies are
+ * copied once on their way to a target. */
+constexpr double BufferMemoryShare = 0.25;
 
 GatewayServer::Options optionsFrom(const Settings &settings)
 {
+    const auto bufferBytes = static_cast<std::size_t>(static_cast<double>(settings.number("memory-mb"))
+                                                      * BytesPerMebibyte * BufferMemoryShare);
     const auto window = std::chrono::duration_cast<std::chrono::seconds>(settings.duration("retry-window"));
     return {
         .process = ProcessName(settings.text("name")),
@@ -172,13 +182,14 @@
             settings.text("demand-exchange") == "off" ? DemandExchangeMode::Off : DemandExchangeMode::Auto,
         .size = {.processorShare = settings.fraction("cpu-share")},
         .control = {.withdrawalTime = settings.duration("withdrawal"),
+                    .configTime = settings.duration("config-time"),
                     .silenceTime = settings.duration("silence"),
                     .zoneRegions = parseZoneRegions(settings.text("zone-regions"))},
         .logPartitions = static_cast<int>(settings.number("log-partitions")),
         .sharePartitions = static_cast<int>(settings.number("log-partitions")) * ShareTopics,
         .maxConnections = static_cast<std::size_t>(settings.number("max-connections")),
-        .maxHeldBytes = static_cast<std::size_t>(static_cast<double>(settings.number("memory-mb")) * BytesPerMebibyte
-                                                 * CallerMemoryShare),
+        .maxHeldBytes = bufferBytes,
+        .maxResponseBytes = bufferBytes,
         .gracePeriod = settings.duration("grace")};
 }
 
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -7,6 +7,7 @@
 #include "heatherridge_transport/direct/callerserver.h"
 #include "heatherridge_transport/direct/gatewaydemand.h"
 #include "heatherridge_transport/direct/gatewayduties.h"
+#include "heatherridge_transport/direct/gatewayrules.h"
 #include "heatherridge_transport/direct/sidecarrankclient.h"
 
 #include <atomic>
@@ -71,7 +72,9 @@
                .zoneRegions = m_options.control.zoneRegions,
                .warmUpTolerance = m_options.warmUpTolerance,
                .retryBudget = m_options.retryBudget,
+               .isOnlyGateway = m_options.isOnlyGateway,
                .run = m_run,
+               .maxResponseBytes = m_options.maxResponseBytes,
                .refusalTime = m_options.refusalTime,
                .reportCrash =
                    [this](const auto &record) { m_controlLoop.post([this, record] { m_crashFeed.report(record); }); }},
@@ -114,6 +117,7 @@
                        .lost = [this](auto what) { onCrashReportLost(what); }})
         , m_control(*m_logClients.registers, controlOptions(m_options),
                     {.rulesChanged = [this](auto table) { onRulesChanged(std::move(table)); },
+                     .rulesRecordChanged = [this](const auto &record) { m_rulesExchange.setRules(record); },
                      .targetsChanged = [this](auto targets) { onTargetsChanged(std::move(targets)); },
                      .drainedZonesChanged =
                          [this](auto zones) {
@@ -136,6 +140,11 @@
                         },
                     .demandNeeded = [this] { m_trafficLoop.post([this] { passOwnDemand(); }); }},
                    m_metrics)
+        , m_rulesExchange(
+              m_client,
+              {.exchange = {.zone = m_options.zone, .configTime = m_options.control.configTime, .run = toNumber(m_run)},
+               .sidecarPort = m_options.sidecarPort},
+              [this](const auto &record, const auto &from) { m_control.applyPeerRules(record, from); }, m_metrics)
     {
     }
 
@@ -285,6 +294,7 @@
         updateShares();
         const auto pollers = countPollers();
         m_demand.tick(now, pollers);
+        m_rulesExchange.tick(now, m_control.readsRules(), pollers);
         for (auto &[service, rebalancer] : m_rebalancers) {
             rebalancer->setActive(
                 [this, &name = service](const GroupToAssign &group) { return m_duties.isAssigned(name, group); },
@@ -302,7 +312,7 @@
         return {.all = share > 0 ? 1 / share : 1, .inZone = 1 / m_workShare.zoneFraction().value_or(1)};
     }
 
-    /** Divides the retry slack and the targets' limits among the gateways as the log divides the work. */
+    /** Divides the retry slack, targets' limits and warm-up rates among the gateways as the log divides the work. */
     void updateShares()
     {
         auto owned = m_workShare.ownedPartitions();
@@ -311,10 +321,10 @@
             m_trafficLoop.post([this, owned = std::move(owned)] { m_traffic.setOwnedPartitions(owned); });
         }
         const auto share = m_workShare.fraction();
-        if (!share || share == m_budgetShare) {
+        if (!share || share == m_limitShare) {
             return;
         }
-        m_budgetShare = share;
+        m_limitShare = share;
         const auto evenShare = m_workShare.nonZeroFraction().value_or(*share);
         // The log assigns nothing to a member that has just joined: that does not tell the number of members.
         m_trafficLoop.post([this, share = *share, evenShare, others = *share > 0 ? m_workShare.memberCount() - 1 : 0] {
@@ -344,6 +354,7 @@
         m_client.setMaxIdleConnections(ExtraKeptConnections
                                        + KeptConnectionsPerTarget * static_cast<long>(allTargets.size()));
         m_demand.update(rules->config(), allTargets);
+        m_rulesExchange.update(rules->config(), allTargets);
         for (const auto &service : rules->config().services) {
             if (!service.engine || service.engine->layerSets == 0) {
                 continue;
@@ -450,8 +461,9 @@
     CrashFeed m_crashFeed;
     GatewayControl m_control;
     GatewayDemand m_demand;
+    GatewayRules m_rulesExchange;
     std::map<ServiceName, std::unique_ptr<ExpertRebalancer>> m_rebalancers;
-    std::optional<double> m_budgetShare; ///< last share posted to the traffic thread
+    std::optional<double> m_limitShare; ///< last share posted to the traffic thread
     OwnedPartitions m_ownedPartitions; ///< last ones posted to the traffic thread
 };
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -3,6 +3,7 @@
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/direct/gatewaycall.h"
 
+#include <cmath>
 #include <random>
 
 namespace Heatherridge
@@ -33,7 +34,10 @@
     , malformedStatements(metrics.counter("heatherridge_target_statements_malformed_total"))
     , heldBackRequests(metrics.counter("heatherridge_requests_held_back_total"))
     , streamFirstEvent(metrics.histogram("heatherridge_stream_first_event_seconds"))
+    , abandonedAnswers(metrics.counter("heatherridge_answers_abandoned_total"))
     , plainAnswer(metrics.histogram("heatherridge_plain_answer_seconds"))
+    , retrySlackPercent(metrics.gauge("heatherridge_retry_slack_percent"))
+    , responseBytesHeld(metrics.gauge("heatherridge_response_bytes_held"))
 {
 }
 
@@ -64,6 +68,10 @@
           {m_crashGuard, m_promptPartGuard, [this](const auto &target) { m_targets.recordUnreachable(target); }},
           metrics)
     , m_random(std::random_device{}())
+    , m_responseBytes(m_options.maxResponseBytes)
+    , m_slackShare({.window = m_options.retryBudget.window,
+                    .start = std::chrono::steady_clock::now(),
+                    .isSoleUser = m_options.isOnlyGateway})
     , m_queueTimer(loop)
 {
 }
@@ -87,22 +95,18 @@
 
 void GatewayTraffic::setRetryBudget(FleetRetryBudgetOptions options)
 {
-    options.slackShare = m_options.retryBudget.slackShare;
     m_options.retryBudget = options;
+    m_slackShare.setWindow(options.window);
     for (auto &[service, budget] : m_retryBudgets) {
         budget.setOptions(options);
     }
 }
 
-void GatewayTraffic::setShares(double budgetShare, double evenShare, int knownGateways)
+void GatewayTraffic::setShares(double limitShare, double evenShare, int knownGateways)
 {
-    m_options.retryBudget.slackShare = budgetShare;
-    m_targets.setLimitShare(budgetShare);
+    m_targets.setLimitShare(limitShare);
     m_targets.engineShares().setEvenShare(evenShare, knownGateways);
     m_admissionControl.setKnownGateways(knownGateways);
-    for (auto &[service, budget] : m_retryBudgets) {
-        budget.setSlackShare(budgetShare);
-    }
 }
 
 void GatewayTraffic::setDrainedZones(const std::set<ZoneName> &zones)
@@ -112,7 +116,9 @@
 
 void GatewayTraffic::setOwnedPartitions(const OwnedPartitions &owned)
 {
-    m_targets.setOwnedPartitions(owned, std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    m_targets.setOwnedPartitions(owned, now);
+    m_slackShare.setPartitions(owned, now);
 }
 
 std::vector<ServiceDemand> GatewayTraffic::demand(SteadyTime now) const
@@ -158,6 +164,23 @@
     m_crashGuard.tick(now);
     m_targets.tick(now);
     m_admissionControl.tick(now);
+    reportSlackShare(now);
+    m_counters.responseBytesHeld.set(static_cast<std::int64_t>(m_responseBytes.held()));
+}
+
+void GatewayTraffic::reportSlackShare(SteadyTime now)
+{
+    constexpr double percent = 100;
+    const auto usable = m_slackShare.usableFraction(now);
+    m_counters.retrySlackPercent.set(std::lround(usable * percent));
+    const auto held = m_slackShare.heldFraction(now);
+    if (m_reportedSlackShare != held) {
+        m_reportedSlackShare = held;
+        logEvent(Severity::Info, "retry-slack",
+                 {{"held-percent", std::to_string(std::lround(held * percent))},
+                  {"usable-percent", std::to_string(std::lround(usable * percent))},
+                  {"whole-window", m_slackShare.isPastKnown(now) ? "yes" : "no"}});
+    }
 }
 
 void GatewayTraffic::tickPromptParts(SteadyTime now)
@@ -184,7 +207,7 @@
 
 FleetRetryBudget &GatewayTraffic::retryBudgetFor(const ServiceName &service)
 {
-    return m_retryBudgets.try_emplace(service, m_options.retryBudget).first->second;
+    return m_retryBudgets.try_emplace(service, m_options.retryBudget, m_slackShare).first->second;
 }
 
 RunningEstimate &GatewayTraffic::firstEventDelayFor(const ServiceName &service)
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -169,12 +169,14 @@
             .readyPath = "/ready",
             .metricsListen = metrics,
             .retryBudget = {.slack = options.retrySlack},
+            .isOnlyGateway = true,
             .refusalTime = options.refusalTime,
             .sidecarPort = options.sidecarPort,
             .size = {.processorShare = 0.5},
             .logPartitions = options.logPartitions,
             .sharePartitions = options.logPartitions,
             .maxHeldBytes = options.maxHeldBytes,
+            .maxResponseBytes = options.maxResponseBytes,
             .balancerDetectionTime = milliseconds(200)};
 }
 
