--- a/tests/feed/rulesexchange_test.cpp
+++ b/tests/feed/rulesexchange_test.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr auto ConfigTime = RulesExchange::Options{}.configTime;
+constexpr std::chrono::milliseconds ConfigTime{2'000}; ///< the default of RulesExchange::Options
 
 struct CatchUpRow
 {
--- a/tests/gateway/peerrules_test.cpp
+++ b/tests/gateway/peerrules_test.cpp
@@ -97,13 +97,13 @@
 class RejectedGateway : public testing::Test
 {
 protected:
-    RejectedGateway()
+    void SetUp() override
     {
         const auto listening = m_sidecar.start();
         m_port = std::get<std::vector<Endpoint>>(listening).front().port;
     }
 
-    ~RejectedGateway() override
+    void TearDown() override
     {
         m_sidecar.drainAndStop();
     }
