Leave a call alone that ended while its last event was forwarded

Read in the diff, not seen in a run: forwarding an event may end the call, and then there is no connection to stop reading from when the rest of the stream is to be given up. Bytes of a discarded response are no longer counted while the call waits for another target.

--- a/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
@@ -51,6 +51,7 @@
     m_suspicion.recordProgress(m_stream.eventsInAttempt());
     if (!m_attemptBytes.hold(m_response.bufferedBytes() + m_stream.bufferedBytes())) {
         m_response.discard();
+        m_attemptBytes.release();
         abandonAttempt("the body or an event is too large");
     } else if (m_stream.isBroken()) {
         abandonAttempt("an event of the stream is missing or cannot be placed");
@@ -59,6 +60,9 @@
 
 void GatewayCall::abandonAttempt(std::string reason)
 {
+    if (m_isDone || !m_connection) {
+        return; // forwarding the last event has ended the call
+    }
     m_isAbandoningAttempt = true;
     m_connection->pauseReading();
     // Posted, because the connection calls this while it reads.
