Give a trial back whose request no target has received

Callers saw: requests with a held prompt part were refused for three seconds ("a part of the prompt is being tried") although nothing was being tried; with a blocked part it would have been a minute.

Cause: the permission of a trial was used up when a target was chosen. If that target refused the connection, or the retry budget denied the attempt, no target had received the request, and it waited for its own trial.

Change: CrashSuspicion remembers which part the request is the trial of, and gives the permission back when the attempt was never sent or was denied; HeldParts and PromptPartSuspects grant it again while the claim holds.

--- a/modules/heatherridge_state/decisions/heldparts.cpp
+++ b/modules/heatherridge_state/decisions/heldparts.cpp
@@ -66,6 +66,14 @@
     return Permission::Granted;
 }
 
+void HeldParts::returnPermission(PromptPart part)
+{
+    const auto found = m_trials.find(part);
+    if (found != m_trials.end() && found->second.gateway == m_self) {
+        found->second.mayTryUntil = found->second.claimedAt + m_options.claimLifetime;
+    }
+}
+
 std::chrono::milliseconds HeldParts::claimDelay(const Trials &trials) const
 {
     auto delay = m_options.claimLifetime;
--- a/modules/heatherridge_state/decisions/heldparts.h
+++ b/modules/heatherridge_state/decisions/heldparts.h
@@ -69,6 +69,9 @@
      */
     Permission takePermission(PromptPart part, SteadyTime now);
 
+    /** Gives the permission of a trial of @p part back, whose request has not reached any target. */
+    void returnPermission(PromptPart part);
+
     /** Applies a claim read from the log. @returns whether it is valid: the first one of its number */
     bool applyClaim(const PromptPartTrial &claim, SteadyTime now);
 
--- a/modules/heatherridge_state/decisions/promptpartsuspects.cpp
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.cpp
@@ -68,9 +68,9 @@
     });
 }
 
-bool PromptPartSuspects::isHeld(std::span<const PromptPart> parts) const
+std::optional<PromptPart> PromptPartSuspects::heldPart(std::span<const PromptPart> parts) const
 {
-    return m_held.leadingPart(parts).has_value();
+    return m_held.leadingPart(parts);
 }
 
 bool PromptPartSuspects::mayStart(std::span<const PromptPart> parts, SteadyTime now)
@@ -169,6 +169,16 @@
     return block != m_blocks.end() && now < std::exchange(block->second.mayTryUntil, SteadyTime{});
 }
 
+void PromptPartSuspects::returnTrial(PromptPart part)
+{
+    const auto found = m_blocks.find(part);
+    if (found == m_blocks.end()) {
+        m_held.returnPermission(part);
+        return;
+    }
+    found->second.mayTryUntil = found->second.claimedUntil;
+}
+
 std::map<PromptPart, PromptPartSuspects::Block>::iterator
 PromptPartSuspects::onlyBlock(std::span<const PromptPart> parts)
 {
@@ -282,7 +292,8 @@
     block.trials = record.number;
     // Also if no target dies: the trial may have reached one.
     block.nextTrial = now + trialDelay(record.number - block.trialsBefore);
-    block.mayTryUntil = isOwn ? now + m_options.trialLifetime : SteadyTime{};
+    block.claimedUntil = isOwn ? now + m_options.trialLifetime : SteadyTime{};
+    block.mayTryUntil = block.claimedUntil;
 }
 
 PromptPartSuspects::DeathPointer PromptPartSuspects::deathFor(const PromptPartsDeath &report, SteadyTime now)
--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -126,8 +126,8 @@
      */
     bool isSuspect(std::span<const PromptPart> parts) const;
 
-    /** Returns whether one of @p parts is held. */
-    bool isHeld(std::span<const PromptPart> parts) const;
+    /** Returns the held part among @p parts that stands for all of them, or nothing if none is held. */
+    std::optional<PromptPart> heldPart(std::span<const PromptPart> parts) const;
 
     /**
      * Returns whether a request with @p parts may be sent, as far as held parts are concerned, now that a target can
@@ -161,6 +161,12 @@
      */
     bool takeTrial(std::span<const PromptPart> parts, SteadyTime now);
 
+    /**
+     * Gives the permission of a trial of @p part back, whose request has not reached any target: another request may
+     * be sent in its place while the claim holds.
+     */
+    void returnTrial(PromptPart part);
+
     /** Applies records read from the log, in its order, including those of this gateway. */
     PromptPartChanges apply(std::span<const PromptPartRecord> records, SteadyTime now);
 
@@ -201,7 +207,8 @@
         std::set<DeathPointer> deaths{}; ///< of failed trials, known here
         std::uint32_t reportedDeaths = 0; ///< of failed trials, by records of the block
         SteadyTime nextTrial{};
-        SteadyTime mayTryUntil{}; ///< this gateway holds the last claim and has not used it
+        SteadyTime claimedUntil{}; ///< this gateway holds the last claim
+        SteadyTime mayTryUntil{}; ///< the same, and it has not used the claim
     };
 
     enum class RecordKind { Answered, Blocked, Trial };
--- a/modules/heatherridge_transport/direct/crashsuspicion.cpp
+++ b/modules/heatherridge_transport/direct/crashsuspicion.cpp
@@ -3,6 +3,7 @@
 #include "heatherridge_state/decisions/promptparthash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Heatherridge
 {
@@ -60,21 +61,44 @@
     if (!m_guards.requests.isIdle() && m_guards.requests.isBlocked(fingerprint())) {
         return true;
     }
-    if (m_guards.parts.isIdle() || !m_guards.parts.blockedPart(parts())) {
+    const auto blocked = m_guards.parts.isIdle() ? std::nullopt : m_guards.parts.blockedPart(parts());
+    if (!blocked) {
         return false;
     }
-    m_isTrial = m_isTrial || m_guards.parts.takeTrial(parts());
+    if (!m_isTrial && m_guards.parts.takeTrial(parts())) {
+        m_isTrial = true;
+        m_triedPart = blocked;
+    }
     return !m_isTrial;
 }
 
 bool CrashSuspicion::mayStart()
 {
-    return m_guards.parts.isIdle() || m_guards.parts.mayStart(parts());
+    const auto held = heldPart();
+    if (!held) {
+        return true;
+    }
+    const bool isTrial = m_guards.parts.mayStart(parts());
+    m_triedPart = isTrial ? held : m_triedPart;
+    return isTrial;
+}
+
+void CrashSuspicion::returnTrial()
+{
+    if (const auto part = std::exchange(m_triedPart, {})) {
+        m_isTrial = false;
+        m_guards.parts.returnTrial(*part);
+    }
 }
 
 bool CrashSuspicion::isHeld()
 {
-    return !m_guards.parts.isIdle() && m_guards.parts.isHeld(parts());
+    return heldPart().has_value();
+}
+
+std::optional<PromptPart> CrashSuspicion::heldPart()
+{
+    return m_guards.parts.isIdle() ? std::nullopt : m_guards.parts.heldPart(parts());
 }
 
 bool CrashSuspicion::matches(const RequestFingerprint &request)
@@ -110,6 +134,7 @@
 
 void CrashSuspicion::unmark()
 {
+    m_triedPart.reset();
     if (!m_suspectTarget) {
         return;
     }
--- a/modules/heatherridge_transport/direct/crashsuspicion.h
+++ b/modules/heatherridge_transport/direct/crashsuspicion.h
@@ -55,6 +55,9 @@
      */
     bool mayStart();
 
+    /** Called when the request, which may have been chosen as a trial, has not reached the target chosen for it. */
+    void returnTrial();
+
     /** Returns whether a part of its prompt is held. */
     bool isHeld();
 
@@ -82,6 +85,7 @@
 private:
     const RequestFingerprint &fingerprint();
     const std::vector<PromptPart> &parts();
+    std::optional<PromptPart> heldPart();
     bool isSuspectRequest();
     bool hasSuspectPart();
     void recordPartsAnswered(std::uint32_t events, bool isComplete);
@@ -91,6 +95,7 @@
     std::optional<TargetName> m_suspectTarget;
     bool m_isPartSuspect = false; ///< listed for a part of its prompt
     bool m_isTrial = false; ///< may be sent once although a part is blocked
+    std::optional<PromptPart> m_triedPart; ///< blocked or held part of whose trial it is the request
     bool m_hasRecordedAnswer = false; ///< of its parts, in this attempt
     std::optional<RequestFingerprint> m_fingerprint;
     std::optional<std::vector<PromptPart>> m_parts;
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -117,6 +117,7 @@
     const bool isRetry = m_possibleArrivals > 0;
     if (choice.target != nullptr && isRetry && !m_traffic.retryBudgetFor(m_service).tryTake(now())) {
         m_traffic.m_counters.retriesDenied.add();
+        m_suspicion.returnTrial();
         waitForTarget(refusalByTargets(m_possibleExecutions > 0, "retry budget exhausted"));
         return;
     }
@@ -306,6 +307,9 @@
 {
     const bool hasCompleted = result == AttemptResult::Answered || result == AttemptResult::FailedAtTarget;
     const bool isBlocked = m_refusalDeadline.has_value();
+    if (result == AttemptResult::NeverSent) {
+        m_suspicion.returnTrial();
+    }
     releaseTarget(hasCompleted || result == AttemptResult::RefusedAtTarget);
     if (result == AttemptResult::RefusedAtTarget) {
         m_traffic.m_targets.recordRefusal(m_target, now());
--- a/modules/heatherridge_transport/direct/promptpartguard.cpp
+++ b/modules/heatherridge_transport/direct/promptpartguard.cpp
@@ -49,14 +49,14 @@
     return isTrial;
 }
 
-bool PromptPartGuard::isHeld(Parts parts) const
+std::optional<PromptPart> PromptPartGuard::heldPart(Parts parts) const
 {
-    return m_suspects.isHeld(parts);
+    return m_suspects.heldPart(parts);
 }
 
 bool PromptPartGuard::mayStart(Parts parts)
 {
-    if (!isHeld(parts)) {
+    if (!heldPart(parts)) {
         return true;
     }
     const bool isTrial = m_suspects.mayStart(parts, now());
@@ -66,6 +66,12 @@
     return isTrial;
 }
 
+void PromptPartGuard::returnTrial(PromptPart part)
+{
+    m_suspects.returnTrial(part);
+    logEvent(Severity::Info, "prompt-part-trial-returned", {{"part", toString(part)}});
+}
+
 void PromptPartGuard::recordTargetDeath(const TargetName &target, Parts parts, std::uint32_t progress)
 {
     handle(m_suspects.recordTargetDeath(target, parts, progress, now()));
--- a/modules/heatherridge_transport/direct/promptpartguard.h
+++ b/modules/heatherridge_transport/direct/promptpartguard.h
@@ -44,12 +44,15 @@
     /** @see PromptPartSuspects::takeTrial */
     bool takeTrial(Parts parts);
 
-    /** @see PromptPartSuspects::isHeld */
-    bool isHeld(Parts parts) const;
+    /** @see PromptPartSuspects::heldPart */
+    std::optional<PromptPart> heldPart(Parts parts) const;
 
     /** @see PromptPartSuspects::mayStart */
     bool mayStart(Parts parts);
 
+    /** @see PromptPartSuspects::returnTrial */
+    void returnTrial(PromptPart part);
+
     /** @see PromptPartSuspects::recordTargetDeath */
     void recordTargetDeath(const TargetName &target, Parts parts, std::uint32_t progress);
 
--- a/tests/decisions/heldparts_test.cpp
+++ b/tests/decisions/heldparts_test.cpp
@@ -192,6 +192,21 @@
     EXPECT_TRUE(mayStart());
 }
 
+// Guards against requests that wait seconds for the fate of a trial that no target has received.
+TEST_F(HeldPart, IsTriedByAnotherRequestIfTheFirstReachesNoTarget)
+{
+    startFor(500ms);
+    m_suspects.apply(Records{PromptPartTrial{.part = Poison, .gateway = Self, .number = 1}}, m_now);
+    ASSERT_TRUE(mayStart());
+    EXPECT_FALSE(mayStart());
+    m_suspects.returnTrial(Poison);
+    EXPECT_TRUE(mayStart());
+    EXPECT_FALSE(mayStart());
+    m_suspects.returnTrial(Poison);
+    m_now += HeldParts::Options{}.claimLifetime;
+    EXPECT_FALSE(mayStart()) << "another gateway may claim the next trial";
+}
+
 // Guards against requests that wait for a log which the gateway does not reach.
 TEST_F(HeldPart, IsTriedWithoutAClaimWhenNoneIsRead)
 {
--- a/tests/decisions/promptpartsuspects_test.cpp
+++ b/tests/decisions/promptpartsuspects_test.cpp
@@ -404,6 +404,19 @@
     EXPECT_EQ(countOf<PromptPartsAnswered>(changes.toPublish), 1U);
 }
 
+// Guards against a part that stays blocked for a minute because no target has received the trial request.
+TEST_F(BlockedPart, IsTriedByAnotherRequestIfTheFirstReachesNoTarget)
+{
+    refuseFor(20s);
+    m_suspects.apply(Records{PromptPartTrial{.part = Poison, .gateway = Self, .number = 1}}, m_now);
+    ASSERT_TRUE(m_suspects.takeTrial(Parts{Popular, Poison}, m_now));
+    m_suspects.returnTrial(Poison);
+    EXPECT_TRUE(m_suspects.takeTrial(Parts{Popular, Poison}, m_now));
+    EXPECT_FALSE(m_suspects.takeTrial(Parts{Popular, Poison}, m_now));
+    m_suspects.returnTrial(Poison);
+    EXPECT_FALSE(m_suspects.takeTrial(Parts{Popular, Poison}, m_now + PromptPartSuspects::Options{}.trialLifetime));
+}
+
 TEST_F(BlockedPart, IsNotTriedWhenAnotherClaimIsFirst)
 {
     refuseFor(20s);
--- a/tests/gateway/crashingparts_test.cpp
+++ b/tests/gateway/crashingparts_test.cpp
@@ -235,6 +235,31 @@
 
 INSTANTIATE_TEST_SUITE_P(All, CrashingParts, testing::ValuesIn(CrashCases), caseName);
 
+// Guards against requests with a held part that are refused for seconds because the trial went to a target which
+// refuses connections, so that no target has received it.
+TEST(TrialsOfHeldParts, GoOnToATargetThatAcceptsThem)
+{
+    constexpr std::size_t targetCount = 30;
+    constexpr std::size_t liveCount = 4; // after the first crashes
+    const CrashableTargets targets(targetCount, crashAt(CrashPoint::WithinEvent));
+    const auto reports = std::make_shared<SharedRecords>();
+    const GatewayFixture first(targets.all(), {.reports = reports});
+    const GatewayFixture second(targets.all(), {.reports = reports});
+    EXPECT_EQ(send(first, {.path = "/look/"}).status, 200);
+    EXPECT_EQ(send(first, {.path = "/look/", .part = CrashingPart}).status, 502);
+    for (const auto *target : targets.all()) {
+        if (!target->hasCrashed() && targets.crashedCount() < static_cast<std::ptrdiff_t>(targetCount - liveCount)) {
+            RawCaller caller(target->endpoint());
+            caller.send(PartRequest{.path = "/look/", .body = CrashingBody}.text());
+            caller.receive();
+        }
+    }
+    std::this_thread::sleep_for(ReportPropagationTime);
+    const auto before = targets.crashedCount();
+    EXPECT_EQ(send(second, {.path = "/look/", .part = CrashingPart, .number = 1}).status, 502);
+    EXPECT_EQ(targets.crashedCount(), before + 1);
+}
+
 // Guards against a part that stays refused for good although its requests no longer crash targets.
 TEST(PartsThatWereBlocked, AreServedAgainOnceTheyCrashNoTarget)
 {
