Tell deaths of targets apart in a class of its own

TargetDeaths keeps the deaths that several gateways report, counts and evicts them; the verdicts stay where they were. No behaviour changes: the tests of the verdicts and replays are as before, but for the place of one option.

--- a/modules/heatherridge_state/decisions/promptpartsuspects.cpp
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.cpp
@@ -1,7 +1,6 @@
 #include "heatherridge_state/decisions/promptpartsuspects.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -33,18 +32,13 @@
     return hash;
 }
 
-/** Compares times of another process, which may be any numbers, without overflow. */
-bool isWithin(std::chrono::milliseconds a, std::chrono::milliseconds b, std::chrono::milliseconds gap)
-{
-    return std::abs(static_cast<double>(a.count()) - static_cast<double>(b.count())) < static_cast<double>(gap.count());
-}
-
 } // namespace
 
 PromptPartSuspects::PromptPartSuspects(Incarnation self, Options options)
     : m_self(self)
     , m_options(options)
     , m_answered(options.answered)
+    , m_deaths(self, options.deaths)
     , m_held(self, options.held)
 {
 }
@@ -220,7 +214,8 @@
 
 void PromptPartSuspects::applyRecord(const PromptPartsDeath &report, SteadyTime now)
 {
-    const auto death = deathFor(report, now);
+    const auto death =
+        m_deaths.record({.target = report.target, .reporter = report.reporter, .reportedAt = report.reportedAt}, now);
     m_held.recordDeath(report.parts, report.reporter, death->time);
     const auto count = std::min(report.parts.size(), m_options.maxPartsPerReport);
     for (std::size_t index = 0; index < count; ++index) {
@@ -258,7 +253,7 @@
         }
     }
     const auto cleared = m_clearedAt.find(part);
-    if (cleared != m_clearedAt.end() && now - cleared->second < m_options.sameDeathArrival
+    if (cleared != m_clearedAt.end() && now - cleared->second < m_options.deaths.sameDeathArrival
         && deathCount(part) < m_options.deathsToBlock) {
         return; // written before its gateway read of the answer
     }
@@ -296,36 +291,6 @@
     block.mayTryUntil = block.claimedUntil;
 }
 
-PromptPartSuspects::DeathPointer PromptPartSuspects::deathFor(const PromptPartsDeath &report, SteadyTime now)
-{
-    auto &deaths = m_deathsByTarget[report.target];
-    auto unreported = deaths.begin(); // the first death after the last one that this gateway reported
-    for (auto death = deaths.begin(); death != deaths.end(); ++death) {
-        const auto found = (*death)->reportedAt.find(report.reporter);
-        if (found == (*death)->reportedAt.end()) {
-            continue;
-        }
-        if (isWithin(found->second, report.reportedAt, m_options.sameDeathGap)) {
-            return *death;
-        }
-        unreported = death + 1;
-    }
-    // A report of this gateway is not late; those of others may have waited for the log.
-    const auto maxAge = report.reporter == m_self ? m_options.sameDeathGap : m_options.sameDeathArrival;
-    const auto same =
-        std::find_if(unreported, deaths.end(), [&](const auto &death) { return now - death->time < maxAge; });
-    if (same != deaths.end()) {
-        (*same)->reportedAt.emplace(report.reporter, report.reportedAt);
-        return *same;
-    }
-    auto death = std::make_shared<Death>(Death{.time = now, .reportedAt = {{report.reporter, report.reportedAt}}});
-    deaths.push_back(death);
-    if (++m_deathCount > m_options.maxDeaths) {
-        evictDeaths(now - m_options.retention);
-    }
-    return death;
-}
-
 void PromptPartSuspects::addDeath(const PromptPartsDeath &report, std::size_t index, const DeathPointer &death,
                                   SteadyTime now)
 {
@@ -505,15 +470,8 @@
     // Wider than the deaths themselves: of very many at once, some part is in hand at several in a row.
     const auto from = deaths[deaths.size() - last]->time - m_options.episodeGap;
     const auto to = deaths.back()->time + m_options.episodeGap;
-    const auto countIn = [&](const Deaths &all) {
-        return std::count_if(all.begin(), all.end(),
-                             [&](const auto &death) { return from <= death->time && death->time <= to; });
-    };
-    std::ptrdiff_t all = 0;
-    for (const auto &[target, deathsOfTarget] : m_deathsByTarget) {
-        all += countIn(deathsOfTarget);
-    }
-    return static_cast<double>(countIn(deaths)) / static_cast<double>(std::max<std::ptrdiff_t>(all, 1));
+    const auto all = std::max<std::size_t>(m_deaths.countBetween(from, to), 1);
+    return static_cast<double>(countBetween(deaths, from, to)) / static_cast<double>(all);
 }
 
 std::vector<PromptPart> PromptPartSuspects::nextCulprits(SteadyTime now) const
@@ -676,10 +634,11 @@
 {
     const auto oldest = now - m_options.retention;
     m_answered.evictExpired(now);
-    evictDeaths(oldest);
+    const auto oldestDeath = now - m_options.deaths.retention;
+    m_deaths.evict(oldestDeath);
     for (auto &[part, suspect] : m_suspects) {
-        std::erase_if(suspect.deaths, [&](const auto &death) { return death->time < oldest; });
-        std::erase_if(suspect.prompts, [&](const auto &entry) { return entry.first->time < oldest; });
+        std::erase_if(suspect.deaths, [&](const auto &death) { return death->time < oldestDeath; });
+        std::erase_if(suspect.prompts, [&](const auto &entry) { return entry.first->time < oldestDeath; });
         if (suspect.deaths.size() < std::min(m_options.deathsToBlock, m_options.deathsToHold)) {
             m_candidates.erase(part);
         }
@@ -712,26 +671,6 @@
     }
 }
 
-void PromptPartSuspects::evictDeaths(SteadyTime olderThan)
-{
-    if (m_deathCount > m_options.maxDeaths) {
-        std::vector<SteadyTime> times;
-        for (const auto &[target, deaths] : m_deathsByTarget) {
-            std::transform(deaths.begin(), deaths.end(), std::back_inserter(times),
-                           [](const auto &death) { return death->time; });
-        }
-        const auto last = times.begin() + static_cast<std::ptrdiff_t>(m_deathCount / EvictedFraction);
-        std::nth_element(times.begin(), last, times.end());
-        olderThan = std::max(olderThan, *last);
-    }
-    m_deathCount = 0;
-    for (auto &[target, deaths] : m_deathsByTarget) {
-        std::erase_if(deaths, [&](const auto &death) { return death->time < olderThan; });
-        m_deathCount += deaths.size();
-    }
-    std::erase_if(m_deathsByTarget, [](const auto &entry) { return entry.second.empty(); });
-}
-
 PromptPartChanges PromptPartSuspects::takeChanges()
 {
     return std::exchange(m_changes, {});
--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -4,12 +4,12 @@
 #include "heatherridge_state/decisions/answeredparts.h"
 #include "heatherridge_state/decisions/heldparts.h"
 #include "heatherridge_state/decisions/promptpartrecord.h"
+#include "heatherridge_state/decisions/targetdeaths.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <span>
@@ -63,8 +63,6 @@
         std::chrono::milliseconds settleTime{400};
         /** Answers without the part at this gateway, since the first death, before a part with an answer is blocked. */
         std::uint64_t answersOfOthersToBlock = 8;
-        /** Reports of one gateway on one target that are closer than this are of one death. */
-        std::chrono::milliseconds sameDeathGap{2'000};
         /**
          * Deaths after which a part with an earlier answer is blocked although nothing is answered, if it is not a
          * first part and was in hand at this share of all deaths. Crashes for other reasons hit the first parts of
@@ -73,9 +71,8 @@
         std::size_t deathsToBlockUnproven = 10;
         std::size_t episodesToBlockUnproven = 3; ///< in which these deaths must lie
         double shareToBlockUnproven = 0.9; ///< of all deaths since the first one under the part
-        /** Reports of several gateways on one target may arrive this far apart and be of one death. */
-        std::chrono::milliseconds sameDeathArrival{5'000};
-        std::chrono::milliseconds retention{300'000}; ///< of deaths, and of a block since the last refusal or record
+        TargetDeaths::Options deaths{};
+        std::chrono::milliseconds retention{300'000}; ///< of a block since the last refusal or record
         std::chrono::milliseconds repeatInterval{8'000}; ///< of the record of a block while requests with it arrive
         std::chrono::milliseconds minRepeatInterval{1'000}; ///< when another gateway reports a death under the part
         /** Longest wait before a record that others may publish too; it is dropped when theirs is read meanwhile. */
@@ -101,7 +98,6 @@
         std::chrono::milliseconds trialLifetime{3'000}; ///< of a claim that is not used
         HeldParts::Options held{};
         std::size_t maxSuspects = 10'000; ///< parts; beyond it the oldest with one death is dropped
-        std::size_t maxDeaths = 10'000; ///< beyond it the oldest is forgotten
         std::size_t maxPartsPerReport = 32; ///< further parts of a prompt are not considered
         std::size_t maxPromptsPerSuspect = 16; ///< further prompts with a part are not told apart
         AnsweredParts::Options answered{};
@@ -174,14 +170,8 @@
     PromptPartChanges tick(SteadyTime now);
 
 private:
-    /** A death of a target, as reported by one or more gateways. */
-    struct Death
-    {
-        SteadyTime time{}; ///< of the first report here
-        std::map<Incarnation, std::chrono::milliseconds> reportedAt{}; ///< by reporter, on its clock
-    };
-    using DeathPointer = std::shared_ptr<Death>;
-    using Deaths = std::vector<DeathPointer>; ///< oldest first
+    using DeathPointer = TargetDeathPointer;
+    using Deaths = TargetDeathList;
 
     struct Suspect
     {
@@ -225,7 +215,6 @@
     void applyRecord(const PromptPartBlocked &record, SteadyTime now);
     void applyRecord(const PromptPartTrial &record, SteadyTime now);
 
-    DeathPointer deathFor(const PromptPartsDeath &report, SteadyTime now);
     void addDeath(const PromptPartsDeath &report, std::size_t index, const DeathPointer &death, SteadyTime now);
     Deaths unexplainedDeaths(const Suspect &suspect) const;
     Deaths unansweredDeaths(const Suspect &suspect) const;
@@ -253,15 +242,13 @@
     void publishDue(SteadyTime now);
     void evictExpired(SteadyTime now);
     void evictSuspects();
-    void evictDeaths(SteadyTime olderThan);
     PromptPartChanges takeChanges();
 
     Incarnation m_self;
     Options m_options;
     AnsweredParts m_answered;
     std::uint64_t m_answerCount = 0; ///< answers at this gateway
-    std::map<TargetName, Deaths> m_deathsByTarget;
-    std::size_t m_deathCount = 0; ///< in m_deathsByTarget
+    TargetDeaths m_deaths;
     std::map<PromptPart, Suspect> m_suspects;
     std::set<PromptPart> m_candidates; ///< suspects with enough deaths to be blocked, if they count
     std::set<DeathPointer> m_explained; ///< deaths under a blocked part
--- a/tests/decisions/promptpartsuspects_test.cpp
+++ b/tests/decisions/promptpartsuspects_test.cpp
@@ -465,7 +465,7 @@
 // Guards against callers who send nothing but new parts and so push out the part that crashes targets.
 TEST(PromptPartMemory, KeepsRepeatedSuspectsAndDropsThoseWithOneDeath)
 {
-    PromptPartSuspects suspects(Self, {.maxSuspects = 100, .maxDeaths = 500});
+    PromptPartSuspects suspects(Self, {.deaths = {.maxDeaths = 500}, .maxSuspects = 100});
     auto now = Start;
     std::uint64_t number = 10'000;
     const auto flood = [&] {
