Abandon a switch that does not hold yet once the duty has ended

Cause: a rebalancer that had lost a group went on with its switch. Its successor prepared a map of its own meanwhile; the first one then held a pass for ranks that could not be armed any more, and reverted 0.9 s later. A test existed for the loss while a pass is held, which is safe, and none for the loss before that.

Change: a switch that has not begun to hold is abandoned once another process rebalances the group, and a planned one is dropped; one that holds is completed.

--- a/modules/heatherridge_coordination/groups/expertrebalancer.cpp
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.cpp
@@ -256,9 +256,25 @@
     return !m_isConfirmed && now - *group.imbalancedSince < UnconfirmedSwitchDelay;
 }
 
+void ExpertRebalancer::abandonForSuccessor(const GroupName &name, GroupState &group)
+{
+    const bool isSwitching = group.mapSwitch && !group.mapSwitch->isHolding();
+    if (isRebalancing(group) || (!isSwitching && !group.pendingPlan)) {
+        return;
+    }
+    group.pendingPlan.reset();
+    if (isSwitching) {
+        reportDecision("map-switch-abandoned", name,
+                       "map " + std::to_string(toNumber(group.mapSwitch->plan().mapNumber)) + " duty has ended");
+        group.mapSwitch.reset();
+        group.switchStartedAt = {};
+    }
+}
+
 void ExpertRebalancer::updateGroup(const GroupName &name, GroupState &group, SteadyTime now)
 {
     const auto &monitored = m_rankMonitor.group(name);
+    abandonForSuccessor(name, group);
     if (!m_rankMonitor.isOperational(monitored)) {
         group.mapSwitch.reset();
         group.recovery.reset();
--- a/modules/heatherridge_coordination/groups/expertrebalancer.h
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.h
@@ -174,6 +174,11 @@
 
     void membershipChanged(const GroupName &name);
     void statusReceived(const GroupName &name, const RankStatus &status);
+    /**
+     * Ends a switch that does not hold its group yet once another process rebalances the group: that one prepares maps
+     * of its own, and this one would hold the group for ranks that can't be armed any more.
+     */
+    void abandonForSuccessor(const GroupName &name, GroupState &group);
     void updateGroup(const GroupName &name, GroupState &group, SteadyTime now);
     void checkHold(const GroupName &name, GroupState &group, SteadyTime now);
     bool isHoldAbandoned(GroupState &group, const MonitoredGroup &monitored, SteadyTime now) const;
--- a/tests/heldgroups/heldgroups_test.cpp
+++ b/tests/heldgroups/heldgroups_test.cpp
@@ -92,9 +92,13 @@
     EXPECT_EQ(disturbed, 0);
 }
 
-// Guards against a group that stands still because the process that rebalances it gives up this duty, as a gateway does
-// that learns of larger ones, while it holds a pass.
-TEST(HeldGroups, KeepRunningWhenTheHolderLeavesItsDuties)
+class LeavingHolders : public testing::TestWithParam<HeldGroupSimulation::SwitchStage>
+{
+};
+
+// Guards against a group that stands still because the process that rebalances it gives up this duty in the middle of a
+// switch, as a gateway does that stops or learns of larger ones.
+TEST_P(LeavingHolders, LetTheirGroupsRun)
 {
     constexpr int schedules = 150;
     int disturbed = 0;
@@ -104,12 +108,19 @@
                                         .processes = 2,
                                         .maxStatusAge = 10ms,
                                         .isTraced = isTraced()});
-        disturbed += simulation.haltAfterHolderLeaves() > 400ms ? 1 : 0;
+        disturbed += simulation.haltAfterHolderLeaves(GetParam()) > 400ms ? 1 : 0;
         EXPECT_EQ(simulation.violation(), "");
     }
     EXPECT_EQ(disturbed, 0);
 }
 
+INSTANTIATE_TEST_SUITE_P(All, LeavingHolders,
+                         testing::Values(HeldGroupSimulation::SwitchStage::Preparing,
+                                         HeldGroupSimulation::SwitchStage::Holding),
+                         [](const auto &info) {
+                             return info.param == HeldGroupSimulation::SwitchStage::Preparing ? "Preparing" : "Holding";
+                         });
+
 struct BrokenSafeguardCase
 {
     const char *name;
--- a/tests/heldgroups/heldgroupsimulation.cpp
+++ b/tests/heldgroups/heldgroupsimulation.cpp
@@ -300,10 +300,10 @@
     });
 }
 
-milliseconds HeldGroupSimulation::haltAfterHolderLeaves()
+milliseconds HeldGroupSimulation::haltAfterHolderLeaves(SwitchStage stage)
 {
     runWithoutFaults(milliseconds(500));
-    while (!isAnyPassHeld()) {
+    while (stage == SwitchStage::Holding ? !isAnyPassHeld() : !isAnyMapPrepared()) {
         runWithoutFaults(milliseconds(1));
     }
     m_processes.at(0)->rebalancer->setActive(noGroup, true);
@@ -351,6 +351,11 @@
                        [this](const auto &engine) { return engine->heldStep && *engine->heldStep > m_step; });
 }
 
+bool HeldGroupSimulation::isAnyMapPrepared() const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(), [](const auto &engine) { return engine->prepared; });
+}
+
 std::uint64_t HeldGroupSimulation::step() const
 {
     return m_step;
--- a/tests/heldgroups/heldgroupsimulation.h
+++ b/tests/heldgroups/heldgroupsimulation.h
@@ -64,12 +64,19 @@
      */
     std::chrono::milliseconds haltAfterHolderPauses();
 
+    /** How far the active rebalancer is with a switch when it loses its share. */
+    enum class SwitchStage {
+        Preparing, ///< ranks copy experts for the new map
+        Holding,
+    };
+
     /**
-     * Gives the share to the next rebalancer as soon as the active one holds a pass, which knows that it has lost it.
+     * Gives the share to the next rebalancer as soon as the active one, which knows that it has lost it, has reached
+     * @p stage of a switch.
      *
      * @returns the longest time without a new pass
      */
-    std::chrono::milliseconds haltAfterHolderLeaves();
+    std::chrono::milliseconds haltAfterHolderLeaves(SwitchStage stage);
 
     /**
      * Simulates @p duration without faults while the first rebalancer cannot renew its share and does not know that the
@@ -97,6 +104,7 @@
     struct RebalancerProcess;
 
     bool isAnyPassHeld() const;
+    bool isAnyMapPrepared() const;
     std::chrono::milliseconds longestHalt(std::chrono::milliseconds duration, const std::function<void()> &eachTick);
     void advance(std::chrono::milliseconds duration, bool hasFaults);
     void beginPass();
