Pass drained zones on to gateways that the log rejects

Callers saw: a gateway that the log rejects went on sending requests to a zone that the operator had drained, and kept one empty whose order was withdrawn.

Change: a gateway that reads the register states its drained zones with each statement of its rules; the exchange point keeps the newest by the offset up to which the register was read, and returns them to gateways that cannot read it. A gateway that reads the register takes nothing from peers.

Tests: RulesOfAFleet.AreFollowedByDrainedZonesInTime (4 to 500 gateways, one reader), the drawn schedules, DrainedZonesOfAFleet, RejectedGateway with a real sidecar.

--- a/modules/heatherridge_coordination/feed/heldrules.cpp
+++ b/modules/heatherridge_coordination/feed/heldrules.cpp
@@ -3,7 +3,7 @@
 namespace Heatherridge
 {
 
-RulesResponse HeldRules::exchange(const RulesRequest &request)
+RulesResponse HeldRules::exchange(const RulesRequest &request, SteadyTime now)
 {
     if (request.record && (!m_newest || request.record->version > m_newest->version)) {
         m_newest = request.record;
@@ -13,6 +13,11 @@
     if (held > request.version) {
         response.record = m_newest;
     }
+    if (request.drains) {
+        response.hasNewDrains = m_drains.take(*request.drains, now);
+    } else {
+        response.drains = m_drains.current(now);
+    }
     return response;
 }
 
--- a/modules/heatherridge_coordination/feed/rulesexchange.cpp
+++ b/modules/heatherridge_coordination/feed/rulesexchange.cpp
@@ -32,10 +32,20 @@
     }
 }
 
+void RulesExchange::setDrains(const ZoneDrains &drains)
+{
+    const auto &known = m_drains.value();
+    if (!known || known->zones != drains.zones) {
+        m_statementDueAt = m_now;
+    }
+    m_drains.replace(drains, m_now);
+}
+
 void RulesExchange::setReadsLog(bool readsLog)
 {
     if (std::exchange(m_readsLog, readsLog) && !readsLog) {
         m_statementDueAt = m_now;
+        m_drains.confirm(m_now);
     }
 }
 
@@ -90,6 +100,10 @@
     if (withRecord) {
         request.record = m_rules;
     }
+    const auto &drains = m_drains.value();
+    if (m_readsLog && drains && drains->zones.size() <= MaxDrainedZones) {
+        request.drains = drains;
+    }
     m_link.send(*point, request, [this, target = *point, version = m_rules.version, withRecord](const auto &result) {
         onAnswer(target, version, withRecord, result);
     });
@@ -120,6 +134,12 @@
     m_points.recordAnswer(target.id);
     m_isHomeAnswering = m_isHomeAnswering || isHome;
     const auto &response = std::get<RulesResponse>(result);
+    if (response.drains && !m_readsLog && m_drains.take(*response.drains, m_now) && m_events.drainsReceived) {
+        m_events.drainsReceived(*response.drains);
+    }
+    if (response.hasNewDrains && isHome) {
+        tellOtherZones();
+    }
     if (response.record && response.record->version > m_rules.version) {
         m_events.received(*response.record, target);
         return;
--- a/modules/heatherridge_coordination/feed/rulesexchange.h
+++ b/modules/heatherridge_coordination/feed/rulesexchange.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "heatherridge_coordination/demand/exchangepoints.h"
+#include "heatherridge_coordination/feed/newestdrains.h"
 #include "heatherridge_protocol/rulesmessage.h"
 #include "heatherridge_state/groups/controlbudget.h"
 
 #include <functional>
+#include <optional>
 #include <set>
 
 namespace Heatherridge
@@ -25,15 +27,18 @@
 };
 
 /**
- * Passes the rules in force between gateways through one sidecar in each availability zone, so that a gateway that the
- * platform's log rejects, or whose read of the log is not answered, follows its peers in time.
+ * Passes the rules in force, and the drained zones, between gateways through one sidecar in each availability zone, so
+ * that a gateway that the platform's log rejects, or whose read of the log is not answered, follows its peers in time.
  *
  * Each gateway states the version that it has in force to the exchange point of its home zone: periodically, and at
  * once when it changes. The exchange point asks for the record only if it holds an older one, and returns its own if
- * that is newer. The gateway that is the first of its zone to state a version states it to all other zones as well, and
- * so does one whose home zone does not answer. A gateway that cannot read the log, or whose home zone does not answer,
- * asks more often, and the other zones in turn. Versions only rise: an exchange point
- * or gateway with an older one changes nothing. Single-threaded; driven by tick().
+ * that is newer. The gateway that is the first of its zone to state a version or drained zones states them to all other
+ * zones as well, and so does one whose home zone does not answer. A gateway that cannot read the log, or whose home
+ * zone does not answer, asks more often, and the other zones in turn. Versions only rise: an exchange point or gateway
+ * with an older one changes nothing.
+ *
+ * Drained zones are few, so each statement of a gateway that reads the log has them; only gateways that cannot read it
+ * get them. Single-threaded; driven by tick().
  */
 class RulesExchange
 {
@@ -58,6 +63,8 @@
     {
         /** Called with a record that is newer than the rules of this gateway; it has not been parsed. */
         std::function<void(const RulesRecord &record, const TargetEntry &from)> received{};
+        /** Called in a gateway that cannot read the log with drained zones that another one has read since. */
+        std::function<void(const ZoneDrains &drains)> drainsReceived{};
         /** Called at the end of each call. */
         std::function<void(const TargetEntry &, const Error *)> callEnded{};
     };
@@ -74,6 +81,9 @@
     /** Sets the record of the rules that are now in force at this gateway. */
     void setRules(RulesRecord rules);
 
+    /** Sets the drained zones that this gateway has read from the register. */
+    void setDrains(const ZoneDrains &drains);
+
     /** Sets whether this gateway can read the register of rules. */
     void setReadsLog(bool readsLog);
 
@@ -95,6 +105,7 @@
     ExchangePoints m_points;
     Events m_events;
     RulesRecord m_rules; ///< in force; version 0 if there are none
+    NewestDrains m_drains; ///< read by this gateway, or received while it cannot read
     PollerCounts m_knownGateways{};
     std::set<ZoneName> m_calling; ///< zones with a call on its way
     std::set<ZoneName> m_zonesToTell; ///< zones to which the version in force is still to be stated
--- a/modules/heatherridge_protocol/rulesmessage.cpp
+++ b/modules/heatherridge_protocol/rulesmessage.cpp
@@ -61,16 +61,45 @@
     return record;
 }
 
-/** Decodes @p bytes as an array of the format number and two fields, which @p readFields gets. */
-template<typename ReadFields>
-auto decodeMessage(std::string_view bytes, ReadFields readFields) -> Result<decltype(readFields(json(), json()))>
+json encodeDrains(const std::optional<ZoneDrains> &drains)
+{
+    if (!drains) {
+        return {};
+    }
+    auto zones = json::array();
+    for (const auto &zone : drains->zones) {
+        zones.push_back(zone.text());
+    }
+    return json::array({drains->position, std::move(zones)});
+}
+
+std::optional<ZoneDrains> decodeDrains(const json &value)
+{
+    if (value.is_null()) {
+        return std::nullopt;
+    }
+    require(value.is_array() && value.size() == 2, "wrong number of fields in drained zones");
+    ZoneDrains drains{.position = wholeNumber(value[0])};
+    require(value[1].is_array() && value[1].size() <= MaxDrainedZones, "too many drained zones");
+    for (const auto &name : value[1]) {
+        const auto zone = name.get<std::string>();
+        require(!zone.empty() && zone.size() <= MaxDrainedZoneBytes, "zone name of invalid length");
+        require(drains.zones.insert(ZoneName(zone)).second, "zone named twice");
+    }
+    return drains;
+}
+
+/** Decodes @p bytes as an array of @p size elements, the first of which is the format number, with @p read. */
+template<typename Read>
+auto decodeMessage(std::string_view bytes, std::size_t size, Read read) -> Result<decltype(read(json()))>
 {
     if (!isPlainCbor(Bytes(bytes.begin(), bytes.end()))) {
         return Error{.kind = ErrorKind::MalformedFrame, .detail = "not one plain CBOR item"};
     }
-    return decodeCbor(bytes, [&readFields](const json &message) {
-        require(message.is_array() && message.size() == 3 && wholeNumber(message[0]) == RulesFormat, "unknown format");
-        return readFields(message[1], message[2]);
+    return decodeCbor(bytes, [size, &read](const json &message) {
+        require(message.is_array() && message.size() == size && wholeNumber(message[0]) == RulesFormat,
+                "unknown format");
+        return read(message);
     });
 }
 
@@ -78,25 +107,31 @@
 
 std::string encode(const RulesRequest &request)
 {
-    return encodeCbor(json::array({RulesFormat, request.version, encodeRecord(request.record)}));
+    return encodeCbor(
+        json::array({RulesFormat, request.version, encodeRecord(request.record), encodeDrains(request.drains)}));
 }
 
 std::string encode(const RulesResponse &response)
 {
-    return encodeCbor(json::array({RulesFormat, response.wantsRecord, encodeRecord(response.record)}));
+    return encodeCbor(json::array({RulesFormat, response.wantsRecord, encodeRecord(response.record),
+                                   response.hasNewDrains, encodeDrains(response.drains)}));
 }
 
 Result<RulesRequest> decodeRulesRequest(std::string_view bytes)
 {
-    return decodeMessage(bytes, [](const json &version, const json &record) {
-        return RulesRequest{.version = wholeNumber(version), .record = decodeRecord(record)};
+    return decodeMessage(bytes, 4, [](const json &message) {
+        return RulesRequest{
+            .version = wholeNumber(message[1]), .record = decodeRecord(message[2]), .drains = decodeDrains(message[3])};
     });
 }
 
 Result<RulesResponse> decodeRulesResponse(std::string_view bytes)
 {
-    return decodeMessage(bytes, [](const json &wantsRecord, const json &record) {
-        return RulesResponse{.wantsRecord = wantsRecord.get<bool>(), .record = decodeRecord(record)};
+    return decodeMessage(bytes, 5, [](const json &message) {
+        return RulesResponse{.wantsRecord = message[1].get<bool>(),
+                             .record = decodeRecord(message[2]),
+                             .hasNewDrains = message[3].get<bool>(),
+                             .drains = decodeDrains(message[4])};
     });
 }
 
--- a/modules/heatherridge_transport/direct/gatewaycontrol.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.cpp
@@ -96,7 +96,7 @@
         publishTargets();
     }
     if (m_drainedZones.tick(now)) {
-        m_rulesCopies.setDrains(m_drainedZones.zones(), m_rulesFollower.position());
+        passOnDrains();
         publishDrainedZones(Source::Register);
     }
 }
@@ -127,6 +127,13 @@
     m_peerRules.add();
 }
 
+void GatewayControl::applyPeerDrains(const ZoneDrains &drains)
+{
+    if (!m_isRulesRegisterReachable && m_drainedZones.replaceAll(drains.zones, m_now)) {
+        publishDrainedZones(Source::Peer);
+    }
+}
+
 bool GatewayControl::readsRules() const
 {
     return m_isRulesRegisterReachable;
@@ -156,7 +163,7 @@
     if (m_drainedZones.replaceAll(zones, m_now)) {
         publishDrainedZones(Source::Register);
     }
-    m_rulesCopies.setDrains(m_drainedZones.zones(), m_rulesFollower.position());
+    passOnDrains();
     applyRules(changes, Source::Register);
 }
 
@@ -171,7 +178,7 @@
     if (hasChanged) {
         publishDrainedZones(Source::Register);
     }
-    m_rulesCopies.setDrains(m_drainedZones.zones(), m_rulesFollower.position());
+    passOnDrains();
     applyRules(changes, Source::Register);
 }
 
@@ -210,6 +217,15 @@
     m_events.drainedZonesChanged(m_drainedZones.zones());
 }
 
+void GatewayControl::passOnDrains()
+{
+    const ZoneDrains drains{.position = m_rulesFollower.position(), .zones = m_drainedZones.zones()};
+    m_rulesCopies.setDrains(drains.zones, drains.position);
+    if (m_events.drainsRead) {
+        m_events.drainsRead(drains);
+    }
+}
+
 void GatewayControl::applyRules(const std::vector<RegisterChange> &changes, Source source)
 {
     for (const auto &change : changes) {
--- a/modules/heatherridge_transport/direct/gatewaycontrol.h
+++ b/modules/heatherridge_transport/direct/gatewaycontrol.h
@@ -60,6 +60,8 @@
         std::function<void(const RulesRecord &)> rulesRecordChanged{};
         std::function<void(std::vector<TargetEntry>)> targetsChanged{};
         std::function<void(std::set<ZoneName>)> drainedZonesChanged{};
+        /** Called with the drained zones as read from the register, to pass on to other gateways. */
+        std::function<void(const ZoneDrains &)> drainsRead{};
         std::function<void(bool isReachable)> reachabilityChanged{}; ///< of one of the two registers
     };
 
@@ -84,6 +86,9 @@
     /** Puts a newer version of the rules in force that @p target's sidecar has received from another gateway. */
     void applyPeerRules(const RulesRecord &record, const TargetName &target);
 
+    /** Puts the drained zones in force that another gateway has read, unless this one can read the register. */
+    void applyPeerDrains(const ZoneDrains &drains);
+
     /** Returns whether the last read of the register of rules was answered. */
     bool readsRules() const;
 
@@ -108,6 +113,7 @@
     void applyRules(const std::vector<RegisterChange> &changes, Source source);
     std::optional<ZoneDrain> readZoneDrain(const RegisterChange &change);
     void publishDrainedZones(Source source);
+    void passOnDrains();
     void applyCopiedDrains(const std::set<ZoneName> &zones);
     void applyRulesChange(const RegisterChange &change, Source source);
     void replaceTargets(const std::vector<RegisterChange> &changes);
--- a/modules/heatherridge_transport/direct/gatewayrules.cpp
+++ b/modules/heatherridge_transport/direct/gatewayrules.cpp
@@ -13,14 +13,15 @@
 
 } // namespace
 
-GatewayRules::GatewayRules(HttpClient &client, const Options &options, Received received, Metrics &metrics)
+GatewayRules::GatewayRules(HttpClient &client, const Options &options, Events events, Metrics &metrics)
     : m_isOn(options.sidecarPort != 0)
     , m_answeredCalls(metrics.counter(CallsMetric, R"(result="ok")"))
     , m_failedCalls(metrics.counter(CallsMetric, R"(result="failed")"))
     , m_link(client, {.port = options.sidecarPort})
     , m_exchange(m_link, options.exchange,
-                 {.received = [received = std::move(received)](const auto &record,
-                                                               const auto &from) { received(record, from.id); },
+                 {.received = [received = std::move(events.received)](const auto &record,
+                                                                      const auto &from) { received(record, from.id); },
+                  .drainsReceived = std::move(events.drainsReceived),
                   .callEnded = [this](const auto &target, const auto *error) { onCallEnded(target, error); }})
 {
 }
@@ -41,6 +42,11 @@
     m_exchange.setRules(rules);
 }
 
+void GatewayRules::setDrains(const ZoneDrains &drains)
+{
+    m_exchange.setDrains(drains);
+}
+
 void GatewayRules::tick(SteadyTime now, bool readsLog, const PollerCounts &gateways)
 {
     if (!m_isOn) {
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -123,6 +123,7 @@
                          [this](auto zones) {
                              m_trafficLoop.post([this, zones = std::move(zones)] { m_traffic.setDrainedZones(zones); });
                          },
+                     .drainsRead = [this](const auto &drains) { m_rulesExchange.setDrains(drains); },
                      .reachabilityChanged = [this](bool) { m_crashFeed.restartRead(); }},
                     m_metrics)
         , m_demand(m_client,
@@ -144,7 +145,9 @@
               m_client,
               {.exchange = {.zone = m_options.zone, .configTime = m_options.control.configTime, .run = toNumber(m_run)},
                .sidecarPort = m_options.sidecarPort},
-              [this](const auto &record, const auto &from) { m_control.applyPeerRules(record, from); }, m_metrics)
+              {.received = [this](const auto &record, const auto &from) { m_control.applyPeerRules(record, from); },
+               .drainsReceived = [this](const auto &drains) { m_control.applyPeerDrains(drains); }},
+              m_metrics)
     {
     }
 
--- a/modules/heatherridge_transport/direct/sidecarserver.cpp
+++ b/modules/heatherridge_transport/direct/sidecarserver.cpp
@@ -192,7 +192,8 @@
             exchange.respond(errorResponse({.kind = ErrorKind::BadRequest, .detail = error->detail}));
             return;
         }
-        exchange.respond({.body = encode(m_rules.exchange(std::get<RulesRequest>(decoded)))});
+        exchange.respond(
+            {.body = encode(m_rules.exchange(std::get<RulesRequest>(decoded), std::chrono::steady_clock::now()))});
     }
 
     /** Logs and counts statements that were dropped because the table is full. */
--- a/tests/feed/rulesexchange_test.cpp
+++ b/tests/feed/rulesexchange_test.cpp
@@ -89,6 +89,43 @@
     EXPECT_TRUE(fleet.hasOnlyRisen());
 }
 
+// Guards against a gateway that sends requests to a zone which the operator has drained, and leaves one empty whose
+// order has been withdrawn, for as long as the log rejects it.
+TEST_P(RulesOfAFleet, AreFollowedByDrainedZonesInTime)
+{
+    RulesFleet fleet(GetParam().fleet);
+    fleet.publish(4);
+    fleet.run(3s);
+    GetParam().disturb(fleet);
+    fleet.run(7s);
+    for (const auto &zones : {std::set<ZoneName>{ZoneName("z1")}, std::set<ZoneName>{}}) {
+        fleet.drain(zones);
+        fleet.run(ConfigTime);
+        for (int gateway = 0; gateway < fleet.gatewayCount(); ++gateway) {
+            EXPECT_TRUE(fleet.isUnanswered(gateway) || fleet.drainedZones(gateway) == zones) << "gateway " << gateway;
+        }
+    }
+}
+
+// Guards against drained zones of before a restore of the log that a rejected gateway keeps, or gets from an exchange
+// point, after the others have read newer ones.
+TEST(DrainedZonesOfAFleet, AreTakenFromRestoredRegisters)
+{
+    RulesFleet fleet({.gateways = 4});
+    for (std::uint64_t version = 1; version < 9; ++version) {
+        fleet.publish(version);
+    }
+    fleet.drain({ZoneName("z1")});
+    fleet.run(3s);
+    fleet.restoreLog();
+    fleet.drain({ZoneName("z2")});
+    fleet.run(3s);
+    fleet.restart(2);
+    fleet.setRejected(2, true);
+    fleet.run(2 * NewestDrains::Lifetime + ConfigTime);
+    EXPECT_EQ(fleet.drainedZones(2), std::set<ZoneName>{ZoneName("z2")});
+}
+
 INSTANTIATE_TEST_SUITE_P(All, RulesOfAFleet, testing::ValuesIn(CatchUpRows),
                          [](const auto &info) { return info.param.name; });
 
@@ -109,7 +146,10 @@
         const auto end = time + std::chrono::milliseconds(random.below(4'000));
         const auto gateway = static_cast<int>(random.below(fleet.gatewayCount()));
         const auto sidecar = static_cast<int>(random.below(fleet.sidecarCount()));
-        switch (random.below(5)) {
+        switch (random.below(6)) {
+        case 5:
+            fleet.at(time, [&fleet, zone = random.below(4)] { fleet.drain({ZoneName("z" + std::to_string(zone))}); });
+            break;
         case 0:
             fleet.at(time, [&fleet, &published] { fleet.publish(published += 3); });
             break;
@@ -134,6 +174,7 @@
     RC_ASSERT(fleet.hasOnlyRisen());
     for (int gateway = 0; gateway < fleet.gatewayCount(); ++gateway) {
         RC_ASSERT(fleet.version(gateway) == published);
+        RC_ASSERT(fleet.drainedZones(gateway) == fleet.drainedZones(0));
     }
 }
 
--- a/tests/feed/rulesfleet.cpp
+++ b/tests/feed/rulesfleet.cpp
@@ -40,9 +40,11 @@
     {
         ++m_run;
         version = 0;
+        drainedZones.clear();
         m_exchange = std::make_unique<RulesExchange>(
             *this, RulesExchange::Options{.zone = m_zone, .run = static_cast<std::uint64_t>(m_number)},
-            RulesExchange::Events{.received = [this](const auto &record, const auto &) { putInForce(record); }});
+            RulesExchange::Events{.received = [this](const auto &record, const auto &) { putInForce(record); },
+                                  .drainsReceived = [this](const auto &drains) { drainedZones = drains.zones; }});
         m_exchange->setTargets(m_targets);
         m_exchange->setKnownGateways({.all = 1, .inZone = m_inZone});
         readLog();
@@ -50,9 +52,14 @@
 
     void readLog()
     {
-        if (!isRejected && !isUnanswered && m_fleet.m_published > version) {
+        if (isRejected || isUnanswered) {
+            return;
+        }
+        if (m_fleet.m_published > version) {
             putInForce(recordOf(m_fleet.m_published));
         }
+        drainedZones = m_fleet.m_drains.zones;
+        m_exchange->setDrains(m_fleet.m_drains);
     }
 
     void tick(SteadyTime now)
@@ -72,6 +79,7 @@
     }
 
     std::uint64_t version = 0;
+    std::set<ZoneName> drainedZones;
     bool isRejected = false;
     bool isUnanswered = false;
 
@@ -129,7 +137,25 @@
 void RulesFleet::publish(std::uint64_t version)
 {
     m_published = version;
-    m_publishedAt = m_elapsed;
+    ++m_drains.position;
+    wakeReaders();
+}
+
+void RulesFleet::drain(const std::set<ZoneName> &zones)
+{
+    m_drains.zones = zones;
+    ++m_drains.position;
+    wakeReaders();
+}
+
+void RulesFleet::restoreLog()
+{
+    m_drains.position /= 2;
+    wakeReaders();
+}
+
+void RulesFleet::wakeReaders()
+{
     for (const auto &gateway : m_gateways) {
         at(m_elapsed + milliseconds(m_random.below(MaxReadTime)), [&gateway] { gateway->readLog(); });
     }
@@ -147,6 +173,11 @@
     m_gateways.at(gateway)->readLog();
 }
 
+bool RulesFleet::isUnanswered(int gateway) const
+{
+    return m_gateways.at(gateway)->isUnanswered;
+}
+
 void RulesFleet::restart(int gateway)
 {
     m_gateways.at(gateway)->start();
@@ -170,7 +201,8 @@
             at(m_elapsed + CallTimeout, [done] { done(Error{.kind = ErrorKind::TargetUnreachable}); });
             return;
         }
-        const auto response = encode(sidecar.rules.exchange(std::get<RulesRequest>(decodeRulesRequest(bytes))));
+        const auto response =
+            encode(sidecar.rules.exchange(std::get<RulesRequest>(decodeRulesRequest(bytes)), SteadyTime(m_elapsed)));
         m_sentBytes += response.size();
         at(m_elapsed + CallTime / 2, [done, response] { done(decodeRulesResponse(response)); });
     });
@@ -196,6 +228,11 @@
     return m_gateways.at(gateway)->version;
 }
 
+const std::set<ZoneName> &RulesFleet::drainedZones(int gateway) const
+{
+    return m_gateways.at(gateway)->drainedZones;
+}
+
 bool RulesFleet::hasOnlyRisen() const
 {
     return m_hasOnlyRisen;
--- a/tests/feed/rulesfleet.h
+++ b/tests/feed/rulesfleet.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,12 +42,20 @@
     /** The log accepts @p version: every gateway that reads the log has it within milliseconds. */
     void publish(std::uint64_t version);
 
+    /** The operator drains @p zones and no others; gateways that read the log know within milliseconds. */
+    void drain(const std::set<ZoneName> &zones);
+
+    /** Gives the log's records lower positions, as a restore from an older copy does. */
+    void restoreLog();
+
     /** Sets whether the log rejects @p gateway. */
     void setRejected(int gateway, bool isRejected);
 
     /** Sets whether the log leaves the reads of @p gateway without an answer, which the gateway does not notice. */
     void setUnanswered(int gateway, bool isUnanswered);
 
+    bool isUnanswered(int gateway) const;
+
     /** Starts @p gateway again, without rules until it reads the log or hears of them. */
     void restart(int gateway);
 
@@ -58,6 +67,9 @@
     /** Returns the version that @p gateway has in force. */
     std::uint64_t version(int gateway) const;
 
+    /** Returns the zones that @p gateway takes for drained. */
+    const std::set<ZoneName> &drainedZones(int gateway) const;
+
     /** Returns whether each gateway has put only published versions in force, each higher than the one before. */
     bool hasOnlyRisen() const;
 
@@ -73,6 +85,8 @@
         bool isUp = true;
     };
 
+    /** Each gateway that reads the log does so within MaxReadTime. */
+    void wakeReaders();
     void deliver(const TargetEntry &target, const RulesRequest &request,
                  const std::function<void(Result<RulesResponse>)> &done);
 
@@ -82,8 +96,8 @@
     std::vector<std::unique_ptr<Gateway>> m_gateways;
     std::multimap<std::chrono::milliseconds, std::function<void()>> m_actions;
     std::chrono::milliseconds m_elapsed{0};
-    std::chrono::milliseconds m_publishedAt{0};
     std::uint64_t m_published = 0; ///< newest version in the log
+    ZoneDrains m_drains{.position = 1}; ///< as in the log
     bool m_hasOnlyRisen = true;
     std::size_t m_callCount = 0;
     std::size_t m_sentBytes = 0;
--- a/tests/gateway/peerrules_test.cpp
+++ b/tests/gateway/peerrules_test.cpp
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-/** Register whose only record is one of the rules, with the version as its value; optionally it rejects all calls. */
+/** Register of the rules, with the version as their value, and of drained zones; optionally it rejects all calls. */
 class VersionRegister final : public StubRegisterLog
 {
 public:
@@ -24,9 +24,12 @@
             done(Error{.kind = ErrorKind::PlatformUnavailable, .detail = "rejected"});
             return;
         }
-        RegisterPage page{.end = 1};
+        RegisterPage page{.end = end};
         if (kind == RegisterKind::Rules) {
             page.changes.push_back({.key = "rules", .value = std::to_string(version)});
+            for (const auto &zone : drainedZones) {
+                page.changes.push_back({.key = DrainPrefix + zone, .value = "drain"});
+            }
         }
         done(page);
     }
@@ -38,6 +41,9 @@
 
     std::optional<Result<RoutingConfig>> parseRules(const RegisterChange &change) const override
     {
+        if (change.key != "rules") {
+            return std::nullopt;
+        }
         if (!change.value || change.value->empty()
             || change.value->find_first_not_of("0123456789") != std::string::npos) {
             return Error{.kind = ErrorKind::BadRequest, .detail = "no number"};
@@ -46,8 +52,21 @@
                              .services = {{.name = ServiceName("s"), .engine = EngineProfile{}}}};
     }
 
+    std::optional<ZoneDrain> parseZoneDrain(const RegisterChange &change) const override
+    {
+        if (!change.key.starts_with(DrainPrefix)) {
+            return std::nullopt;
+        }
+        return ZoneDrain{.zone = ZoneName(change.key.substr(DrainPrefix.size()))};
+    }
+
     bool isRejecting = false;
     std::uint64_t version = 4;
+    std::set<std::string> drainedZones;
+    std::uint64_t end = 1;
+
+private:
+    static inline const std::string DrainPrefix = "drain-";
 };
 
 /** The control state of one gateway and its exchange of rules. */
@@ -55,14 +74,16 @@
 {
     TestGateway(asio::io_context &loop, int sidecarPort)
         : client(loop, {})
-        , rules(
-              client, {.exchange = {.zone = ZoneName("z")}, .sidecarPort = sidecarPort},
-              [this](const auto &record, const auto &from) { control.applyPeerRules(record, from); }, metrics)
+        , rules(client, {.exchange = {.zone = ZoneName("z")}, .sidecarPort = sidecarPort},
+                {.received = [this](const auto &record, const auto &from) { control.applyPeerRules(record, from); },
+                 .drainsReceived = [this](const auto &drains) { control.applyPeerDrains(drains); }},
+                metrics)
         , control(log, {},
                   {.rulesChanged = [](const auto &) {},
                    .rulesRecordChanged = [this](const auto &record) { rules.setRules(record); },
                    .targetsChanged = [](const auto &) {},
-                   .drainedZonesChanged = [](const auto &) {},
+                   .drainedZonesChanged = [this](const auto &zones) { drainedZones = zones; },
+                   .drainsRead = [this](const auto &drains) { rules.setDrains(drains); },
                    .reachabilityChanged = [](bool) {}},
                   metrics)
     {
@@ -88,6 +109,7 @@
     }
 
     Metrics metrics;
+    std::set<ZoneName> drainedZones;
     VersionRegister log;
     HttpClient client;
     GatewayRules rules;
@@ -141,6 +163,36 @@
     EXPECT_EQ(rejected.metrics.counter("heatherridge_config_from_peers_total").value(), 1U);
 }
 
+// Guards against a gateway that sends requests to a drained zone, and leaves one empty whose order has been withdrawn,
+// for as long as the log rejects it.
+TEST_F(RejectedGateway, FollowsTheDrainedZonesOfItsPeers)
+{
+    TestGateway reader(m_loop, m_port);
+    TestGateway rejected(m_loop, m_port);
+    ASSERT_TRUE(runUntil({&reader, &rejected}, [&] { return reader.version() == 4 && rejected.version() == 4; }));
+    rejected.log.isRejecting = true;
+    ASSERT_TRUE(runUntil({&reader, &rejected}, [&] { return !rejected.control.readsRules(); }));
+    for (const auto &zones : {std::set<std::string>{"z1"}, std::set<std::string>{}}) {
+        reader.log.drainedZones = zones;
+        ++reader.log.end;
+        std::set<ZoneName> expected;
+        for (const auto &zone : zones) {
+            expected.insert(ZoneName(zone));
+        }
+        EXPECT_TRUE(runUntil({&reader, &rejected}, [&] { return rejected.drainedZones == expected; }));
+    }
+}
+
+// Guards against a peer's older drained zones that replace those which this gateway has read itself.
+TEST_F(RejectedGateway, KeepsItsOwnDrainedZonesWhileItReadsTheLog)
+{
+    TestGateway gateway(m_loop, m_port);
+    gateway.log.drainedZones = {"z1"};
+    ASSERT_TRUE(runUntil({&gateway}, [&] { return gateway.version() == 4; }));
+    gateway.control.applyPeerDrains({.position = 9});
+    EXPECT_EQ(gateway.drainedZones, std::set<ZoneName>{ZoneName("z1")});
+}
+
 struct UnusableRow
 {
     const char *name;
--- a/tests/protocol/rulesmessage_test.cpp
+++ b/tests/protocol/rulesmessage_test.cpp
@@ -10,22 +10,24 @@
 namespace
 {
 
+const ZoneDrains Drains{.position = 12, .zones = {ZoneName("z1"), ZoneName("z2")}};
 const RulesRecord Record{.version = 7, .key = "config", .value = std::string("{\"a\":\0 1}", 9)};
 
 /** Returns a request's fields as they are encoded, with those of Record. */
 json requestFields()
 {
-    return json::from_cbor(encode(RulesRequest{.version = 7, .record = Record}));
+    return json::from_cbor(encode(RulesRequest{.version = 7, .record = Record, .drains = Drains}));
 }
 
 TEST(RulesMessages, AreDecodedAsEncoded)
 {
     for (const auto &request :
-         {RulesRequest{}, RulesRequest{.version = 3}, RulesRequest{.version = 7, .record = Record}}) {
+         {RulesRequest{}, RulesRequest{.version = 3}, RulesRequest{.version = 7, .record = Record},
+          RulesRequest{.version = 7, .drains = ZoneDrains{}}, RulesRequest{.drains = Drains}}) {
         EXPECT_EQ(std::get<RulesRequest>(decodeRulesRequest(encode(request))), request);
     }
-    for (const auto &response :
-         {RulesResponse{}, RulesResponse{.wantsRecord = true}, RulesResponse{.record = Record}}) {
+    for (const auto &response : {RulesResponse{}, RulesResponse{.wantsRecord = true}, RulesResponse{.record = Record},
+                                 RulesResponse{.hasNewDrains = true}, RulesResponse{.drains = Drains}}) {
         EXPECT_EQ(std::get<RulesResponse>(decodeRulesResponse(encode(response))), response);
     }
 }
@@ -51,6 +53,16 @@
      }},
     {"RecordTooLarge",
      [](json &fields) { fields[2][2] = json::binary(std::vector<std::uint8_t>(MaxRulesRecordBytes + 1)); }},
+    {"DrainsWithoutPosition", [](json &fields) { fields[3][0] = nullptr; }},
+    {"ZoneWithoutName", [](json &fields) { fields[3][1][0] = ""; }},
+    {"ZoneNameTooLong", [](json &fields) { fields[3][1][0] = std::string(MaxDrainedZoneBytes + 1, 'z'); }},
+    {"ZoneNamedTwice", [](json &fields) { fields[3][1][0] = fields[3][1][1]; }},
+    {"TooManyZones",
+     [](json &fields) {
+         for (std::size_t number = 0; number <= MaxDrainedZones; ++number) {
+             fields[3][1].push_back("zone " + std::to_string(number));
+         }
+     }},
     {"OtherChecksum", [](json &fields) { fields[2][3] = 1U; }},
 };
 
