--- a/modules/heatherridge_state/decisions/promptpartsuspects.h
+++ b/modules/heatherridge_state/decisions/promptpartsuspects.h
@@ -4,12 +4,12 @@
 #include "heatherridge_state/decisions/answeredparts.h"
 #include "heatherridge_state/decisions/heldparts.h"
 #include "heatherridge_state/decisions/promptpartrecord.h"
+#include "heatherridge_state/decisions/targetdeaths.h"
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <span>
@@ -63,8 +63,6 @@
         std::chrono::milliseconds settleTime{400};
         /** Answers without the part at this gateway, since the first death, before a part with an answer is blocked. */
         std::uint64_t answersOfOthersToBlock = 8;
-        /** Reports of one gateway on one target that are closer than this are of one death. */
-        std::chrono::milliseconds sameDeathGap{2'000};
         /**
          * Deaths after which a part with an earlier answer is blocked although nothing is answered, if it is not a
          * first part and was in hand at this share of all deaths. Crashes for other reasons hit the first parts of
@@ -73,9 +71,8 @@
         std::size_t deathsToBlockUnproven = 10;
         std::size_t episodesToBlockUnproven = 3; ///< in which these deaths must lie
         double shareToBlockUnproven = 0.9; ///< of all deaths since the first one under the part
-        /** Reports of several gateways on one target may arrive this far apart and be of one death. */
-        std::chrono::milliseconds sameDeathArrival{5'000};
-        std::chrono::milliseconds retention{300'000}; ///< of deaths, and of a block since the last refusal or record
+        TargetDeaths::Options deaths{};
+        std::chrono::milliseconds retention{300'000}; ///< of a block since the last refusal or record
         std::chrono::milliseconds repeatInterval{8'000}; ///< of the record of a block while requests with it arrive
         std::chrono::milliseconds minRepeatInterval{1'000}; ///< when another gateway reports a death under the part
         /** Longest wait before a record that others may publish too; it is dropped when theirs is read meanwhile. */
@@ -101,7 +98,6 @@
         std::chrono::milliseconds trialLifetime{3'000}; ///< of a claim that is not used
         HeldParts::Options held{};
         std::size_t maxSuspects = 10'000; ///< parts; beyond it the oldest with one death is dropped
-        std::size_t maxDeaths = 10'000; ///< beyond it the oldest is forgotten
         std::size_t maxPartsPerReport = 32; ///< further parts of a prompt are not considered
         std::size_t maxPromptsPerSuspect = 16; ///< further prompts with a part are not told apart
         AnsweredParts::Options answered{};
@@ -126,8 +122,8 @@
      */
     bool isSuspect(std::span<const PromptPart> parts) const;
 
-    /** Returns whether one of @p parts is held. */
-    bool isHeld(std::span<const PromptPart> parts) const;
+    /** Returns the held part among @p parts that stands for all of them, or nothing if none is held. */
+    std::optional<PromptPart> heldPart(std::span<const PromptPart> parts) const;
 
     /**
      * Returns whether a request with @p parts may be sent, as far as held parts are concerned, now that a target can
@@ -161,6 +157,12 @@
      */
     bool takeTrial(std::span<const PromptPart> parts, SteadyTime now);
 
+    /**
+     * Gives the permission of a trial of @p part back, whose request has not reached any target: another request may
+     * be sent in its place while the claim holds.
+     */
+    void returnTrial(PromptPart part);
+
     /** Applies records read from the log, in its order, including those of this gateway. */
     PromptPartChanges apply(std::span<const PromptPartRecord> records, SteadyTime now);
 
@@ -168,14 +170,8 @@
     PromptPartChanges tick(SteadyTime now);
 
 private:
-    /** A death of a target, as reported by one or more gateways. */
-    struct Death
-    {
-        SteadyTime time{}; ///< of the first report here
-        std::map<Incarnation, std::chrono::milliseconds> reportedAt{}; ///< by reporter, on its clock
-    };
-    using DeathPointer = std::shared_ptr<Death>;
-    using Deaths = std::vector<DeathPointer>; ///< oldest first
+    using DeathPointer = TargetDeathPointer;
+    using Deaths = TargetDeathList;
 
     struct Suspect
     {
@@ -201,7 +197,8 @@
         std::set<DeathPointer> deaths{}; ///< of failed trials, known here
         std::uint32_t reportedDeaths = 0; ///< of failed trials, by records of the block
         SteadyTime nextTrial{};
-        SteadyTime mayTryUntil{}; ///< this gateway holds the last claim and has not used it
+        SteadyTime claimedUntil{}; ///< this gateway holds the last claim
+        SteadyTime mayTryUntil{}; ///< the same, and it has not used the claim
     };
 
     enum class RecordKind { Answered, Blocked, Trial };
@@ -218,7 +215,6 @@
     void applyRecord(const PromptPartBlocked &record, SteadyTime now);
     void applyRecord(const PromptPartTrial &record, SteadyTime now);
 
-    DeathPointer deathFor(const PromptPartsDeath &report, SteadyTime now);
     void addDeath(const PromptPartsDeath &report, std::size_t index, const DeathPointer &death, SteadyTime now);
     Deaths unexplainedDeaths(const Suspect &suspect) const;
     Deaths unansweredDeaths(const Suspect &suspect) const;
@@ -246,15 +242,13 @@
     void publishDue(SteadyTime now);
     void evictExpired(SteadyTime now);
     void evictSuspects();
-    void evictDeaths(SteadyTime olderThan);
     PromptPartChanges takeChanges();
 
     Incarnation m_self;
     Options m_options;
     AnsweredParts m_answered;
     std::uint64_t m_answerCount = 0; ///< answers at this gateway
-    std::map<TargetName, Deaths> m_deathsByTarget;
-    std::size_t m_deathCount = 0; ///< in m_deathsByTarget
+    TargetDeaths m_deaths;
     std::map<PromptPart, Suspect> m_suspects;
     std::set<PromptPart> m_candidates; ///< suspects with enough deaths to be blocked, if they count
     std::set<DeathPointer> m_explained; ///< deaths under a blocked part
--- a/tests/decisions/promptpartsuspects_test.cpp
+++ b/tests/decisions/promptpartsuspects_test.cpp
@@ -404,6 +404,19 @@
     EXPECT_EQ(countOf<PromptPartsAnswered>(changes.toPublish), 1U);
 }
 
+// Guards against a part that stays blocked for a minute because no target has received the trial request.
+TEST_F(BlockedPart, IsTriedByAnotherRequestIfTheFirstReachesNoTarget)
+{
+    refuseFor(20s);
+    m_suspects.apply(Records{PromptPartTrial{.part = Poison, .gateway = Self, .number = 1}}, m_now);
+    ASSERT_TRUE(m_suspects.takeTrial(Parts{Popular, Poison}, m_now));
+    m_suspects.returnTrial(Poison);
+    EXPECT_TRUE(m_suspects.takeTrial(Parts{Popular, Poison}, m_now));
+    EXPECT_FALSE(m_suspects.takeTrial(Parts{Popular, Poison}, m_now));
+    m_suspects.returnTrial(Poison);
+    EXPECT_FALSE(m_suspects.takeTrial(Parts{Popular, Poison}, m_now + PromptPartSuspects::Options{}.trialLifetime));
+}
+
 TEST_F(BlockedPart, IsNotTriedWhenAnotherClaimIsFirst)
 {
     refuseFor(20s);
@@ -452,7 +465,7 @@
 // Guards against callers who send nothing but new parts and so push out the part that crashes targets.
 TEST(PromptPartMemory, KeepsRepeatedSuspectsAndDropsThoseWithOneDeath)
 {
-    PromptPartSuspects suspects(Self, {.maxSuspects = 100, .maxDeaths = 500});
+    PromptPartSuspects suspects(Self, {.deaths = {.maxDeaths = 500}, .maxSuspects = 100});
     auto now = Start;
     std::uint64_t number = 10'000;
     const auto flood = [&] {
