Count and log calls to sidecars in one place

GatewayDemand and GatewayRules had the same counters, the same set of failing targets and the same log line. SidecarCalls serves both; calls about rules are now counted by kind of failure as those about demand were.

--- a/modules/heatherridge_transport/direct/gatewaydemand.cpp
+++ b/modules/heatherridge_transport/direct/gatewaydemand.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-constexpr auto CallsMetric = "heatherridge_demand_calls_total";
-
 DemandExchange::Options exchangeOptions(const GatewayDemand::Options &options)
 {
     auto exchange = options.exchange;
@@ -24,10 +22,7 @@
 } // namespace
 
 GatewayDemand::GatewayDemand(HttpClient &client, const Options &options, Events events, Metrics &metrics)
-    : m_answeredCalls(metrics.counter(CallsMetric, R"(result="ok")"))
-    , m_failedCalls(metrics.counter(CallsMetric, R"(result="failed")"))
-    , m_unsupportedCalls(metrics.counter(CallsMetric, R"(result="unsupported")"))
-    , m_malformedCalls(metrics.counter(CallsMetric, R"(result="malformed")"))
+    : m_calls({.metric = "heatherridge_demand_calls_total", .failureEvent = "demand-call-failed"}, metrics)
     , m_gatewayCount(metrics.gauge("heatherridge_demand_gateways"))
     , m_age(metrics.gauge("heatherridge_demand_age_ms"))
     , m_link(client, {.port = options.sidecarPort})
@@ -44,18 +39,14 @@
                     changed(std::move(demand));
                 },
             .demandNeeded = std::move(events.demandNeeded),
-            .callEnded = [this](const auto &target, const auto *error) { onCallEnded(target, error); },
+            .callEnded = [this](const auto &target, const auto *error) { m_calls.recordEnd(target, error); },
             .statusChanged = [this](const auto &status) { onStatusChanged(status); }};
 }
 
 void GatewayDemand::update(const RoutingConfig &config, const std::vector<TargetEntry> &targets)
 {
     const auto engines = engineTargets(config, targets);
-    std::set<TargetName> names;
-    for (const auto &engine : engines) {
-        names.insert(engine.id);
-    }
-    std::erase_if(m_failing, [&names](const auto &target) { return !names.contains(target); });
+    m_calls.setTargets(engines);
     m_exchange.setTargets(engines);
     m_exchange.setDifferentiated(!rankedServices(config).empty());
 }
@@ -76,27 +67,6 @@
     m_exchange.leave(left);
 }
 
-void GatewayDemand::onCallEnded(const TargetEntry &target, const Error *error)
-{
-    if (error == nullptr) {
-        m_answeredCalls.add();
-        m_failing.erase(target.id);
-        return;
-    }
-    auto &calls = error->kind == ErrorKind::NotFound ? m_unsupportedCalls
-        : error->kind == ErrorKind::MalformedFrame   ? m_malformedCalls
-                                                     : m_failedCalls;
-    calls.add();
-    // Only the first failure in a row is logged: a sidecar of an earlier version fails every few seconds.
-    if (m_failing.insert(target.id).second) {
-        logEvent(Severity::Warning, "demand-call-failed",
-                 {{"target", target.id.text()},
-                  {"zone", target.zone.text()},
-                  {"kind", std::string(errorDescriptorFor(error->kind).name)},
-                  {"reason", error->detail}});
-    }
-}
-
 void GatewayDemand::onStatusChanged(const DemandExchange::Status &status)
 {
     logEvent(Severity::Info, "fleet-demand",
--- a/modules/heatherridge_transport/direct/gatewaydemand.h
+++ b/modules/heatherridge_transport/direct/gatewaydemand.h
@@ -3,10 +3,10 @@
 #include "heatherridge_coordination/demand/demandexchange.h"
 #include "heatherridge_state/routing/routetable.h"
 #include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/direct/sidecarcalls.h"
 #include "heatherridge_transport/direct/sidecardemandlink.h"
 
 #include <functional>
-#include <set>
 
 namespace Heatherridge
 {
@@ -47,16 +47,11 @@
 
 private:
     DemandExchange::Events makeEvents(Events events);
-    void onCallEnded(const TargetEntry &target, const Error *error);
     void onStatusChanged(const DemandExchange::Status &status);
 
-    Counter &m_answeredCalls;
-    Counter &m_failedCalls;
-    Counter &m_unsupportedCalls;
-    Counter &m_malformedCalls;
+    SidecarCalls m_calls;
     Gauge &m_gatewayCount;
     Gauge &m_age;
-    std::set<TargetName> m_failing; ///< targets whose last call failed
     SidecarDemandLink m_link;
     DemandExchange m_exchange;
 };
--- a/modules/heatherridge_transport/direct/gatewayrules.h
+++ b/modules/heatherridge_transport/direct/gatewayrules.h
@@ -3,10 +3,10 @@
 #include "heatherridge_coordination/feed/rulesexchange.h"
 #include "heatherridge_state/routing/routingconfig.h"
 #include "heatherridge_transport/app/metrics.h"
+#include "heatherridge_transport/direct/sidecarcalls.h"
 #include "heatherridge_transport/direct/sidecarruleslink.h"
 
 #include <functional>
-#include <set>
 
 namespace Heatherridge
 {
@@ -48,12 +48,8 @@
     void tick(SteadyTime now, bool readsLog, const PollerCounts &gateways);
 
 private:
-    void onCallEnded(const TargetEntry &target, const Error *error);
-
     bool m_isOn;
-    Counter &m_answeredCalls;
-    Counter &m_failedCalls;
-    std::set<TargetName> m_failing; ///< targets whose last call failed
+    SidecarCalls m_calls;
     SidecarRulesLink m_link;
     RulesExchange m_exchange;
 };
