Repeat reports of blocked requests before a short log has lost them

Callers saw: a request that crashes targets, refused for as long as it keeps coming, was let through again by a gateway that started later, and crashed up to two further targets.

Cause: the reports on a blocked request were repeated after 150 s, half of the retention here, while some logs keep records for 20 s; and a repeat named one dead target where two are needed for the verdict. Class: a verdict that all must reach rests on records that its publisher takes to last.

Change: while the request arrives, as many reports as block it are repeated 8 s after the last one of any gateway, as for prompt parts.

--- a/modules/heatherridge_state/decisions/crashsuspects.cpp
+++ b/modules/heatherridge_state/decisions/crashsuspects.cpp
@@ -49,20 +49,24 @@
     return m_suspects.empty();
 }
 
-std::optional<CrashReport> CrashSuspects::recordRefusal(const RequestFingerprint &request, SteadyTime now)
+std::vector<CrashReport> CrashSuspects::recordRefusal(const RequestFingerprint &request, SteadyTime now)
 {
+    std::vector<CrashReport> reports;
     const auto found = m_suspects.find(request);
     if (found == m_suspects.end()) {
-        return std::nullopt;
+        return reports;
     }
     auto &suspect = found->second;
     suspect.lastActivity = now;
-    if (now - suspect.lastReport < m_options.retention / 2) {
-        return std::nullopt;
+    if (now - suspect.lastReport < m_options.repeatInterval) {
+        return reports;
     }
     suspect.lastReport = now;
-    return CrashReport{
-        .kind = CrashReport::Kind::TargetDied, .request = request, .target = *suspect.deadTargets.begin()};
+    for (auto target = suspect.deadTargets.begin();
+         target != suspect.deadTargets.end() && reports.size() < m_options.deathsToBlock; ++target) {
+        reports.push_back({.kind = CrashReport::Kind::TargetDied, .request = request, .target = *target});
+    }
+    return reports;
 }
 
 void CrashSuspects::evictExpired(SteadyTime now)
--- a/modules/heatherridge_state/decisions/crashsuspects.h
+++ b/modules/heatherridge_state/decisions/crashsuspects.h
@@ -7,8 +7,8 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <set>
+#include <vector>
 
 namespace Heatherridge
 {
@@ -49,6 +49,8 @@
          */
         std::size_t deathsToBlock = 2;
         std::chrono::milliseconds retention{300'000}; ///< since the last report or refusal
+        /** Of the reports on a blocked request while it arrives; the log may keep reports for 20 s only. */
+        std::chrono::milliseconds repeatInterval{8'000};
         std::size_t maxRequests = 10'000; ///< beyond it the least recently active request is evicted
     };
 
@@ -75,9 +77,10 @@
 
     /**
      * Records that the blocked @p request was received again and refused. It stays blocked as long as it keeps coming.
-     * @returns a report to send again if the last one is about to expire at the other entries
+     * @returns reports to send again, as many as block the request at an entry that knows no others; none unless
+     * repeatInterval has passed since the last report of any entry
      */
-    std::optional<CrashReport> recordRefusal(const RequestFingerprint &request, SteadyTime now);
+    std::vector<CrashReport> recordRefusal(const RequestFingerprint &request, SteadyTime now);
 
     /** Evicts suspects without activity within the retention time. */
     void evictExpired(SteadyTime now);
--- a/modules/heatherridge_transport/direct/crashguard.cpp
+++ b/modules/heatherridge_transport/direct/crashguard.cpp
@@ -54,8 +54,8 @@
 
 void CrashGuard::recordRefusal(const RequestFingerprint &request)
 {
-    if (const auto repeatedReport = m_suspects.recordRefusal(request, now())) {
-        publish(*repeatedReport);
+    for (const auto &report : m_suspects.recordRefusal(request, now())) {
+        publish(report);
     }
 }
 
--- a/tests/decisions/crashsuspects_test.cpp
+++ b/tests/decisions/crashsuspects_test.cpp
@@ -78,15 +78,67 @@
         now += 60s;
         suspects.evictExpired(now);
         ASSERT_TRUE(suspects.isBlocked(Request)) << minute;
-        repeatedReports += suspects.recordRefusal(Request, now) ? 1 : 0;
+        repeatedReports += suspects.recordRefusal(Request, now).empty() ? 0 : 1;
     }
-    // The log expires reports too; a gateway that starts must find a report there.
+    // The log expires reports too; a gateway that starts must find them there.
     EXPECT_GE(repeatedReports, 20 * 60 / 300);
     suspects.evictExpired(now + 301s);
     EXPECT_FALSE(suspects.isBlocked(Request));
     EXPECT_TRUE(suspects.isEmpty());
 }
 
+struct RepeatRow
+{
+    const char *name;
+    std::chrono::milliseconds requestInterval; ///< at all gateways together
+    int gateways; ///< that get the request in turn
+};
+
+const RepeatRow RepeatRows[] = {
+    {"OftenAtOneGateway", 100ms, 1},           {"EverySecondAtOneGateway", 1s, 1},
+    {"EverySecondAtFourGateways", 1s, 4},      {"OftenAtFiveHundredGateways", 20ms, 500},
+    {"EveryTenSecondsAtFourGateways", 10s, 4},
+};
+
+class RepeatedReports : public testing::TestWithParam<RepeatRow>
+{
+};
+
+// Guards against a gateway that starts later, finds no reports or too few in a log that keeps them for 20 s, and lets
+// the request crash further targets.
+TEST_P(RepeatedReports, BlockTheRequestAtGatewaysThatStartLater)
+{
+    constexpr auto logRetention = 20s;
+    constexpr auto duration = 200s;
+    std::vector<CrashSuspects> gateways(GetParam().gateways);
+    std::vector<std::pair<SteadyTime, CrashReport>> log;
+    const auto publish = [&](const CrashReport &report, SteadyTime now) {
+        log.emplace_back(now, report);
+        for (auto &gateway : gateways) {
+            gateway.record(report, now);
+        }
+    };
+    publish(deathReport("a"), {});
+    publish(deathReport("b"), {});
+    std::size_t number = 0;
+    for (SteadyTime now{}; now < SteadyTime(duration); now += GetParam().requestInterval) {
+        for (const auto &report : gateways[number++ % gateways.size()].recordRefusal(Request, now)) {
+            publish(report, now);
+        }
+        CrashSuspects later;
+        for (const auto &[time, report] : log) {
+            if (now - time < logRetention) {
+                later.record(report, now);
+            }
+        }
+        EXPECT_TRUE(later.isBlocked(Request)) << now.time_since_epoch().count();
+    }
+    EXPECT_LE(log.size(), 2 + 2 * duration / CrashSuspects::Options{}.repeatInterval);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, RepeatedReports, testing::ValuesIn(RepeatRows),
+                         [](const auto &row) { return row.param.name; });
+
 // Guards against unbounded memory while hundreds of targets die.
 TEST(BlockedRequests, AreBoundedInNumber)
 {
