--- a/tests/gateway/crashingparts_test.cpp
+++ b/tests/gateway/crashingparts_test.cpp
@@ -263,6 +263,33 @@
     EXPECT_EQ(targets.crashedCount(), before + 1);
 }
 
+// Guards against a trial that goes from target to target because each of them refuses it: it may end any of them.
+TEST(TrialsOfHeldParts, AreSentToOneTargetOnlyIfItRefusesThem)
+{
+    std::atomic<bool> areRefused{false};
+    std::atomic<int> refusals{0};
+    const auto script = [&](const std::string &request, int number) {
+        if (!areRefused || !hasPart(request, CrashingPart)) {
+            return crashAt(CrashPoint::WithinEvent)(request, number);
+        }
+        ++refusals;
+        return Actions{{.bytes = "HTTP/1.1 503 X\r\nX-Heatherridge-Request-Id: "
+                            + requestHeader(request, "X-Heatherridge-Request-Id")
+                            + "\r\nX-Heatherridge-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"}};
+    };
+    const CrashableTargets targets(8, script);
+    const GatewayFixture gateway(targets.all());
+    EXPECT_EQ(send(gateway, {.path = "/look/"}).status, 200);
+    EXPECT_EQ(send(gateway, {.path = "/look/", .part = CrashingPart}).status, 502);
+    areRefused = true;
+    std::this_thread::sleep_for(ReportPropagationTime);
+    constexpr int requests = 8; // each waits for 200 ms: together less than the time until the next claim
+    for (int number = 1; number <= requests; ++number) {
+        EXPECT_EQ(send(gateway, {.path = "/look/", .part = CrashingPart, .number = number}).status, 503);
+    }
+    EXPECT_LE(refusals, 1);
+}
+
 // Guards against a part that stays refused for good although its requests no longer crash targets.
 TEST(PartsThatWereBlocked, AreServedAgainOnceTheyCrashNoTarget)
 {
