Count the failures that calls keep among the bytes they hold

What users would see: a host out of memory while targets fail with large bodies. A target's failure is kept while its request is repeated, up to 8 MB a call, and was not counted in the sum that bounds what all calls buffer (docs/incidents/endless-answers.md listed it as open).

Measured: KeptFailures.CountAmongTheBytesOfAllCalls fails before (0 bytes counted for a kept failure of 400 kB) and passes.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -40,6 +40,7 @@
     , m_arrivedAt(now())
     , m_deadline(m_arrivedAt + std::min(m_route.timeout, m_callerFields.timeout.value_or(m_route.timeout)))
     , m_timer(traffic.m_loop)
+    , m_failureBytes(traffic.m_responseBytes)
     , m_attemptBytes(traffic.m_responseBytes)
     , m_stream(m_callerFields.lastEventId)
 {
@@ -345,7 +346,7 @@
     case NextStep::Retry:
         logAttempt("repeat", result, reason);
         if (result == AttemptResult::FailedAtTarget && !m_caller->hasBegun()) {
-            m_targetFailure = m_response.take();
+            keepTargetFailure();
         }
         startAttempt();
         return;
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -82,6 +82,8 @@
     void onResponseBody(std::string_view bytes);
     /** Ends the current attempt, whose response is not read any further. */
     void abandonAttempt(std::string reason);
+    /** Keeps the response for the caller in case no later attempt does better, unless all calls hold too much. */
+    void keepTargetFailure();
     void onResponseComplete();
     void onExchangeFailed(const ExchangeFailure &failure);
     void forwardEvents(std::string_view bytes);
@@ -138,6 +140,7 @@
     SteadyTime m_readingSince{}; ///< when reading from the target began or was last resumed
     std::optional<HttpResponse>
         m_targetFailure; ///< whole answer of an earlier attempt, in case no later one does better
+    AttemptBytes m_failureBytes; ///< buffered of that answer
     std::optional<SteadyTime> m_refusalDeadline; ///< for the target; set once the request is blocked while it is there
     RequestPlacement m_placement; ///< of the last attempt
     std::set<TargetName> m_tried;
--- a/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
@@ -58,6 +58,16 @@
     }
 }
 
+void GatewayCall::keepTargetFailure()
+{
+    m_attemptBytes.release();
+    m_targetFailure = m_response.take();
+    if (!m_failureBytes.hold(m_targetFailure->body.size())) {
+        m_targetFailure.reset();
+        m_failureBytes.release();
+    }
+}
+
 void GatewayCall::abandonAttempt(std::string reason)
 {
     if (m_isDone || !m_connection) {
--- a/tests/gateway/endlessanswers_test.cpp
+++ b/tests/gateway/endlessanswers_test.cpp
@@ -124,6 +124,31 @@
     EXPECT_EQ(gateway.metric("heatherridge_answers_abandoned_total"), 7);
 }
 
+// Guards against failures that many calls keep while they are repeated, and that no limit counts.
+TEST(KeptFailures, CountAmongTheBytesOfAllCalls)
+{
+    constexpr std::int64_t size = 400'000;
+    std::atomic<int> requestCount = 0;
+    const auto script = [&](const std::string &request, int) {
+        return requestCount++ == 0 ? Actions{{.bytes = signedResponse(request, std::string(size, 'x'), 500)}}
+                                   : Actions{{.kind = TargetAction::Kind::AwaitClose}};
+    };
+    const ScriptedTarget first(script);
+    const ScriptedTarget second(script);
+    GatewayFixture gateway({&first, &second});
+    RawCaller caller(gateway.callerEndpoint());
+    caller.send(requestText("GET", "/look/1", "r1"));
+    const auto isHeldInTime = [&gateway](std::int64_t bytes) {
+        for (int poll = 0; poll < 300 && gateway.metric("heatherridge_response_bytes_held") != bytes; ++poll) {
+            std::this_thread::sleep_for(10ms);
+        }
+        return gateway.metric("heatherridge_response_bytes_held") == bytes;
+    };
+    EXPECT_TRUE(isHeldInTime(size));
+    caller.close();
+    EXPECT_TRUE(isHeldInTime(0));
+}
+
 // Guards against a stream of valid events that goes on after its caller has left, or past the deadline as if complete.
 TEST(EndlessEvents, EndWithTheirCallerAndTheirDeadline)
 {
