End an attempt at the head of a response that cannot be used

Callers saw: a target answers with a head that is no answer of its own (no signature, another request's id) and then trickles body bytes; below 64 kB it was read until the deadline. The caller got 504 where a repeat at another target would have served it.

Cause: the body of an unusable response was read to its end although its attempt's result is known from the head and its connection is closed in any case. Class: a peer decides how long a wait lasts whose outcome is known.

Change: such an attempt ends as its head has arrived. A refusal (not run) is still read to its end, as its connection is kept.

--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -81,6 +81,8 @@
     void onResponseHead(const HttpMessageHead &head);
     void onResponseBody(std::string_view bytes);
     /** Ends the current attempt, whose response is not read any further. */
+    /** Ends an attempt whose response is known to be useless from its head: its body need not end. */
+    void leaveInvalidResponse();
     void abandonAttempt(std::string reason);
     /** Keeps the response for the caller in case no later attempt does better, unless all calls hold too much. */
     void keepTargetFailure();
--- a/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
@@ -27,6 +27,19 @@
             m_traffic.applyTargetStatements(*target, m_response.fields(), m_callerFields.id);
         }
     }
+    if (m_response.plainResult() == AttemptResult::InvalidAnswer && !m_response.isUsable()) {
+        leaveInvalidResponse();
+    }
+}
+
+void GatewayCall::leaveInvalidResponse()
+{
+    // Posted, because the connection calls this while it reads.
+    asio::post(m_traffic.m_loop, [self = shared_from_this(), attempt = m_attempts] {
+        if (!self->m_isDone && self->m_attempts == attempt && self->m_connection) {
+            self->finishAttempt(AttemptResult::InvalidAnswer, "status " + std::to_string(self->m_response.status()));
+        }
+    });
 }
 
 void GatewayCall::onResponseBody(std::string_view bytes)
--- a/tests/gateway/endlessanswers_test.cpp
+++ b/tests/gateway/endlessanswers_test.cpp
@@ -124,6 +124,45 @@
     EXPECT_EQ(gateway.metric("heatherridge_answers_abandoned_total"), 7);
 }
 
+struct TrickleRow
+{
+    const char *name;
+    const char *path;
+    int status; ///< that the caller gets; a look-up is repeated at another target, a booking is not
+};
+
+const TrickleRow TrickleRows[] = {{"LookUp", "/look/1", 200}, {"Booking", "/book/1", 502}};
+
+class TrickledAnswers : public testing::TestWithParam<TrickleRow>
+{
+};
+
+// Guards against an attempt that waits until the deadline for the end of a body that cannot be used, whatever its size.
+TEST_P(TrickledAnswers, AreLeftAtTheirHead)
+{
+    std::atomic<int> requestCount = 0;
+    const auto script = [&](const std::string &request, int) {
+        if (requestCount++ > 0) {
+            return Actions{{.bytes = signedResponse(request, "x")}};
+        }
+        Actions trickle{{.bytes = "HTTP/1.1 200 X\r\n\r\n"}};
+        for (int byte = 0; byte < 400; ++byte) {
+            trickle.push_back({.kind = TargetAction::Kind::Wait, .duration = 50ms});
+            trickle.push_back({.bytes = "x"});
+        }
+        return trickle;
+    };
+    const ScriptedTarget first(script);
+    const ScriptedTarget second(script);
+    GatewayFixture gateway({&first, &second});
+    RawCaller caller(gateway.callerEndpoint());
+    caller.send(requestText("GET", GetParam().path, "r1"));
+    EXPECT_EQ(caller.receive().status, GetParam().status);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, TrickledAnswers, testing::ValuesIn(TrickleRows),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // Guards against failures that many calls keep while they are repeated, and that no limit counts.
 TEST(KeptFailures, CountAmongTheBytesOfAllCalls)
 {
