--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -81,7 +81,11 @@
     void onResponseHead(const HttpMessageHead &head);
     void onResponseBody(std::string_view bytes);
     /** Ends the current attempt, whose response is not read any further. */
+    /** Ends an attempt whose response is known to be useless from its head: its body need not end. */
+    void leaveInvalidResponse();
     void abandonAttempt(std::string reason);
+    /** Keeps the response for the caller in case no later attempt does better, unless all calls hold too much. */
+    void keepTargetFailure();
     void onResponseComplete();
     void onExchangeFailed(const ExchangeFailure &failure);
     void forwardEvents(std::string_view bytes);
@@ -138,6 +142,7 @@
     SteadyTime m_readingSince{}; ///< when reading from the target began or was last resumed
     std::optional<HttpResponse>
         m_targetFailure; ///< whole answer of an earlier attempt, in case no later one does better
+    AttemptBytes m_failureBytes; ///< buffered of that answer
     std::optional<SteadyTime> m_refusalDeadline; ///< for the target; set once the request is blocked while it is there
     RequestPlacement m_placement; ///< of the last attempt
     std::set<TargetName> m_tried;
