Let earlier answers arrive before a broken stream resets their connection

Callers saw: a whole answer cut off (113,037 of 400,016 bytes), although nothing was wrong with it, when an HTTP/1.0 stream that was pipelined behind it was broken off.

Cause: such a stream has neither length nor chunks, so only a reset shows that it is incomplete. A reset discards what the caller's host has not received yet, the earlier answer's last bytes included; they had been written, but only to the system.

Change: after an earlier answer on the same connection, an abort waits until the system has nothing unacknowledged left, for a second at most; such a connection counts as busy until then. Others are closed at once as before.

EarlierAnswers fails in 5 of 5 runs without the change, passes in 10 of 10 with it.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -5,6 +5,9 @@
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace Heatherridge
 {
 
@@ -103,7 +106,7 @@
     {
         if (m_connection) {
             const auto connection = std::move(m_connection);
-            connection->close();
+            connection->abort();
         }
     }
 
@@ -200,6 +203,8 @@
     case Phase::Answering:
         if (m_isWriting && now - m_writeStartedAt > WriteTimeout) {
             onCallerDisconnected();
+        } else if (m_abortedAt && (!hasUnacknowledgedBytes() || now - *m_abortedAt > LingerTimeout)) {
+            close();
         }
         break;
     case Phase::Closing:
@@ -259,6 +264,21 @@
     m_socket.close(ignored);
 }
 
+void CallerConnection::abort()
+{
+    if (m_hasAnsweredBefore && m_phase == Phase::Answering && hasUnacknowledgedBytes()) {
+        m_abortedAt = std::chrono::steady_clock::now();
+    } else {
+        close();
+    }
+}
+
+bool CallerConnection::hasUnacknowledgedBytes()
+{
+    int bytes = 0;
+    return ::ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 void CallerConnection::read()
 {
     if (m_isReading || m_phase == Phase::Closed || m_pending.size() > MaxPendingBytes) {
@@ -440,6 +460,7 @@
 
 void CallerConnection::startNextRequest()
 {
+    m_hasAnsweredBefore = true;
     m_reader.reset();
     setPhase(Phase::Waiting);
     if (!m_pending.empty()) {
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -103,6 +103,13 @@
      * end of a write leads here, so that requests which are answered at once do not nest. */
     void continueWhenWritten();
     void startNextRequest();
+    /**
+     * Closes the connection in the middle of a response. That may reset it, and a reset discards what the caller has
+     * not yet received: it waits for earlier responses on the connection first.
+     */
+    void abort();
+    /** Returns whether the system has bytes that the caller's host has not yet received. */
+    bool hasUnacknowledgedBytes();
     void clearPending();
     void linger();
     /**
@@ -140,6 +147,8 @@
     bool m_isWriting = false;
     bool m_isReading = false;
     bool m_closeWhenWritten = false;
+    bool m_hasAnsweredBefore = false; ///< earlier requests on this connection
+    std::optional<SteadyTime> m_abortedAt; ///< closes once earlier responses have arrived
     bool m_isResponseFinished = false; ///< though maybe not yet written
     Phase m_phase = Phase::Waiting;
     SteadyTime m_phaseSince{};
--- a/tests/gateway/unsentanswers_test.cpp
+++ b/tests/gateway/unsentanswers_test.cpp
@@ -90,6 +90,32 @@
 INSTANTIATE_TEST_SUITE_P(All, UnsentAnswers, testing::ValuesIn(UnsentAnswerCases),
                          [](const auto &row) { return row.param.name; });
 
+// Guards against a broken HTTP/1.0 stream, which only a reset shows to be incomplete, that takes the answer to an
+// earlier request on the same connection away from its caller.
+TEST(EarlierAnswers, ArriveBeforeABrokenStreamResetsTheirConnection)
+{
+    constexpr std::size_t size = 400'000; // fits in the kernel's buffers
+    std::promise<void> hasAborted;
+    const GatewayCallerServer server([&](const std::shared_ptr<HttpExchange> &exchange) {
+        if (exchange->request().target == "/whole") {
+            exchange->respond({.body = std::string(size, 'x')});
+            return;
+        }
+        exchange->beginStream(200, {});
+        exchange->write("data: 1\n\n", [](bool) {});
+        exchange->abort();
+        hasAborted.set_value();
+    });
+    RawCaller caller(server.endpoint());
+    caller.send("GET /whole HTTP/1.1\r\nHost: h\r\n\r\nGET /stream HTTP/1.0\r\nHost: h\r\n\r\n");
+    hasAborted.get_future().wait();
+    std::this_thread::sleep_for(100ms); // a reset would have arrived
+    const auto answer = caller.receive();
+    EXPECT_TRUE(answer.isWhole);
+    EXPECT_EQ(answer.body.size(), size);
+    EXPECT_TRUE(caller.isClosedWithin(10s));
+}
+
 // Guards against a gateway whose stop cuts off an answer of which a part is still on its way to its caller.
 TEST(GracefulStop, LetsAnAnswerReachASlowReader)
 {
