--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -720,7 +720,7 @@
     std::vector<int> m_misses;
 };
 
-/** The configuration of a small deployment: a streaming and an unsafe route, with the figures of the sheets. */
+/** The configuration of a small deployment: a streaming, an unsafe and a safe route, with the figures of the sheets. */
 inline std::string configuration()
 {
     const auto route = [](const char *name, const char *prefix, const char *kind, int timeout, int objective,
@@ -738,7 +738,9 @@
     };
     return json{
         {"version", 7},
-        {"routes", {stream, route("r-deposit", "/deposit/", "unsafe", 800, 300, "prenota", 1)}},
+        {"routes",
+         {stream, route("r-deposit", "/deposit/", "unsafe", 800, 300, "prenota", 1),
+          route("r-lookup", "/lookup/", "safe", 800, 300, "prenota", 2)}},
         {"services", {service("sommelier"), service("prenota")}},
         {"limits",
          {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 4194304}, {"headerTimeoutMs", 3000}, {"idleTimeoutMs", 15000}}},
