--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,5 +1,5 @@
-// Two of a zone's three gateways get SIGTERM. The entry finds fewer than half of the zone's nodes in rotation and goes
-// on using all three. Checks that no booking which a stopping gateway read and passed on ends without an answer.
+// A group of model replicas is idle. Orders are carried out late, and the gateway that gives them is killed twice.
+// Checks that no pass begins while ranks of the group have different maps.
 #include "standins.h"
 
 using namespace standins;
@@ -7,63 +7,306 @@
 namespace
 {
 
-constexpr double GraceSeconds = 8;
-constexpr double StreamSentLimit = 3; // the rule excuses requests that were sent up to then
-constexpr int DepositDeadlineMs = 1500;
-constexpr double DepositTimeoutSeconds = 0.8; // of the route
-constexpr double DepositWorkSeconds = 0.12;
-constexpr double DepositPeriod = 1.0 / 60;
-constexpr double StreamPeriod = 1.0 / 6;
-constexpr int StreamEvents = 55; // the sheet's largest stream has 69
-constexpr double EventPeriod = 0.1; // the sheet allows pauses of 120 ms
-
-struct Attempt
+// The figures of sites/ferrauto-degusta.toml.
+constexpr int Ranks = 8;
+constexpr int Sets = 6;
+constexpr int Experts = 64;
+constexpr int Places = 11;
+constexpr int Spare = 4;
+constexpr double PassSeconds = 0.05;
+constexpr double CopySeconds = 0.051; // an expert: 580 MB over 92,000 Mbit/s
+constexpr double ReportLag = 0; // "fresh and free when requested from its own machine": the sidecars ask
+constexpr double ShortestLateness = 2; // orders are carried out 2 to 12 s late
+constexpr double LongestLateness = 12;
+constexpr double RestartDelay = 0.5;
+const std::string Service = "sommelier";
+
+struct Map
+{
+    std::uint64_t version = 0;
+    json layout{}; // by set and rank
+
+    bool operator==(const Map &) const = default;
+};
+
+/** One rank: PROTOCOL.md, "GET /api/report", "POST /api/order". */
+struct Rank
 {
-    std::string id{};
-    std::string gateway{};
-    double sentAt = 0;
-    double endedAt = 0;
-    std::string outcome{}; ///< a status, "cut" or "no connection"
+    Map map{};
+    std::optional<Map> prepared{};
+    double preparedAt = 0;
+    std::uint64_t highestVersion = 0;
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> armed{}; // version, step
+    std::optional<std::uint64_t> held{};
+    std::vector<double> counts{};
+    std::vector<std::pair<double, std::string>> reports{}; // with the time from which they may be read
 };
 
-/** What the replicas saw of each request. */
-class Runs
+/** A group of ranks that makes its passes together. All functions lock. */
+class Group
 {
 public:
-    void begin(const std::string &id)
+    explicit Group(Record &record)
+        : m_record(record)
+        , m_ranks(Ranks)
+    {
+        json set = json::array();
+        for (int rank = 0; rank < Ranks; ++rank) {
+            set.push_back(json::array());
+            for (int expert = rank; expert < Experts; expert += Ranks) {
+                set[rank].push_back(expert); // map 0 assigns experts in turn
+            }
+        }
+        for (auto &rank : m_ranks) {
+            rank.map = {.version = 0, .layout = json(Sets, set)};
+            rank.counts.assign(Sets * Experts, 0);
+            addCounts(rank, 300); // the work of the day so far
+        }
+        for (int rank = 0; rank < Ranks; ++rank) {
+            publish(rank);
+        }
+    }
+
+    std::string report(int rank)
     {
         const std::lock_guard lock(m_mutex);
-        ++m_begun[id];
+        std::string newest = m_ranks[rank].reports.front().second;
+        for (const auto &[time, text] : m_ranks[rank].reports) {
+            newest = time <= elapsed() ? text : newest;
+        }
+        return newest;
     }
 
-    int count(const std::string &id)
+    std::string picked(int rank, bool lists)
     {
         const std::lock_guard lock(m_mutex);
-        return m_begun.count(id) != 0 ? m_begun[id] : 0;
+        const auto &self = m_ranks[rank];
+        if (!lists) {
+            return json{{"step", m_step}, {"epoch", 1}, {"counts", self.counts}}.dump();
+        }
+        const auto entry = [rank](const Map &map) {
+            auto experts = json::array();
+            for (const auto &set : map.layout) {
+                experts.push_back(set[rank]);
+            }
+            return json{{"version", map.version}, {"experts", experts}};
+        };
+        return json{{"step", m_step},
+                    {"epoch", 1},
+                    {"map", entry(self.map)},
+                    {"prepared", self.prepared ? entry(*self.prepared) : json()}}
+            .dump();
+    }
+
+    int order(int rank, const json &order)
+    {
+        const std::lock_guard lock(m_mutex);
+        const int status = execute(rank, order);
+        publish(rank);
+        return status;
+    }
+
+    void setRequests(int change)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_requests += change;
+    }
+
+    std::uint64_t step()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_step;
+    }
+
+    bool isArmed(int rank)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_ranks[rank].armed.has_value();
+    }
+
+    bool isBroken()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_isBroken;
+    }
+
+    /** Begins the next pass if there is work and no rank holds it. */
+    void tick()
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto next = m_step + 1;
+        const bool isHeld =
+            std::any_of(m_ranks.begin(), m_ranks.end(), [&](const auto &rank) { return rank.held == next; });
+        if (m_requests == 0 || isHeld) {
+            return;
+        }
+        m_step = next;
+        for (int rank = 0; rank < Ranks; ++rank) {
+            auto &self = m_ranks[rank];
+            addCounts(self, 1);
+            if (self.armed && self.armed->second == next) {
+                self.map = *self.prepared;
+                self.prepared.reset();
+                self.armed.reset();
+                m_record.line("rank " + std::to_string(rank) + " uses map " + std::to_string(self.map.version)
+                              + " from pass " + std::to_string(next) + " on");
+            }
+            publish(rank);
+        }
+        const bool isSame =
+            std::all_of(m_ranks.begin(), m_ranks.end(), [&](const auto &rank) { return rank.map == m_ranks[0].map; });
+        if (!isSame && !m_isBroken) {
+            m_isBroken = true;
+            std::string maps;
+            for (const auto &rank : m_ranks) {
+                maps += " " + std::to_string(rank.map.version);
+            }
+            m_record.line("MAP: pass " + std::to_string(next) + " begins with the maps" + maps);
+        }
     }
 
 private:
+    /** In each set four experts are liked, all of them at rank 0 by map 0. */
+    static void addCounts(Rank &rank, double work)
+    {
+        for (int index = 0; index < Sets * Experts; ++index) {
+            const int expert = index % Experts;
+            rank.counts[index] += expert % Ranks == 0 && expert < 4 * Ranks ? work * 30 : work;
+        }
+    }
+
+    int execute(int rank, const json &order)
+    {
+        constexpr int accepted = 202;
+        constexpr int holds = 200;
+        constexpr int refused = 409;
+        auto &self = m_ranks[rank];
+        const std::string operation = order.at("operation");
+        if (order.value("epoch", 1) != 1) {
+            return refused;
+        }
+        if (operation == "prepare") {
+            const auto version = order.at("version").get<std::uint64_t>();
+            const auto &layout = order.at("map");
+            int copies = 0;
+            bool isAllowed = version > self.highestVersion && !self.armed;
+            for (int set = 0; set < Sets; ++set) {
+                const auto &own = self.map.layout[set][rank];
+                const auto added =
+                    std::count_if(layout[set][rank].begin(), layout[set][rank].end(), [&](const auto &expert) {
+                        return std::find(own.begin(), own.end(), expert) == own.end();
+                    });
+                isAllowed = isAllowed && added <= Spare && layout[set][rank].size() <= Places;
+                copies += static_cast<int>(added);
+            }
+            if (!isAllowed) {
+                return refused;
+            }
+            self.highestVersion = version;
+            self.prepared = Map{.version = version, .layout = layout};
+            self.preparedAt = elapsed() + copies * CopySeconds;
+            return accepted;
+        }
+        if (operation == "arm") {
+            const auto version = order.at("version").get<std::uint64_t>();
+            const auto step = order.at("step").get<std::uint64_t>();
+            if (self.armed == std::pair(version, step)) {
+                return holds;
+            }
+            if (!self.prepared || self.prepared->version != version || elapsed() < self.preparedAt || step <= m_step) {
+                return refused;
+            }
+            self.armed = {version, step};
+            return accepted;
+        }
+        if (operation == "disarm") {
+            const auto version = order.at("version").get<std::uint64_t>();
+            if (self.map.version == version) {
+                return refused;
+            }
+            const bool isArmed = self.armed && self.armed->first == version;
+            if (isArmed) {
+                self.armed.reset();
+            }
+            return isArmed ? accepted : holds;
+        }
+        const auto step = order.at("step").get<std::uint64_t>();
+        if (operation == "hold") {
+            if (self.held == step) {
+                return holds;
+            }
+            if (step <= m_step || self.held) {
+                return refused;
+            }
+            self.held = step;
+            return accepted;
+        }
+        if (operation == "go") {
+            const bool isHeld = self.held == step;
+            if (isHeld) {
+                self.held.reset();
+            }
+            return isHeld ? accepted : holds;
+        }
+        return 400;
+    }
+
+    void publish(int rank)
+    {
+        auto &self = m_ranks[rank];
+        const bool isComplete = self.prepared && elapsed() >= self.preparedAt;
+        json report{{"stage", "colocated"},
+                    {"models", json::array({{{"name", "m"}, {"version", 1}, {"adapters", json::array()}}})},
+                    {"busy", false},
+                    {"sequence", 0},
+                    {"waiting", 0},
+                    {"running", m_requests},
+                    {"kvUsed", 0},
+                    {"kvTotal", 372000},
+                    {"handles", 0},
+                    {"pace", 1.0},
+                    {"size", Ranks},
+                    {"group", {{"name", "g-1"}, {"epoch", 1}, {"rank", rank}, {"state", "open"}}},
+                    {"step", m_step},
+                    {"map", self.map.version},
+                    {"prepared", isComplete ? json(self.prepared->version) : json()},
+                    {"armed", self.armed ? json(self.armed->first) : json()},
+                    {"held", self.held ? json(*self.held) : json()}};
+        if (self.prepared && !isComplete) {
+            // The copy completes before the next report can be read.
+            report["prepared"] = self.prepared->version;
+        }
+        self.reports.emplace_back(self.reports.empty() ? 0 : elapsed() + ReportLag, report.dump());
+    }
+
+    Record &m_record;
     std::mutex m_mutex;
-    std::map<std::string, int> m_begun;
+    std::vector<Rank> m_ranks;
+    std::uint64_t m_step = 1000;
+    int m_requests = 0;
+    bool m_isBroken = false;
 };
 
-Attempt call(Entry &entry, int client, const std::string &path, const std::string &id, int deadlineMs)
+/** Which orders get no answer, and when the gateway is killed. */
+struct Scenario
 {
-    auto *gateway = entry.choose(client);
-    Attempt attempt{.id = id, .gateway = gateway->name(), .sentAt = elapsed()};
-    const auto connection = Connection::open(gateway->port());
-    if (!connection) {
-        attempt.outcome = "no connection";
-    } else if (!connection->write(requestHead(path, id, deadlineMs, 2) + "{}")) {
-        attempt.outcome = "not sent";
-    } else {
-        attempt.sentAt = elapsed();
-        const auto answer = readMessage(*connection);
-        attempt.outcome = answer ? answer->word(1) : "cut";
-    }
-    attempt.endedAt = elapsed();
-    return attempt;
-}
+    enum class Phase {
+        FirstSwitch, ///< until its hold
+        LateHold, ///< until the recovery's release
+        SecondSwitch, ///< until one of its ranks is armed
+        Traffic,
+    };
+
+    std::mutex mutex{};
+    Phase phase = Phase::FirstSwitch;
+    bool isHoldLost = false;
+    bool isReleaseLost = false;
+    bool isRecovering = false;
+    bool isArmLost = false;
+    double releaseLostAt = 0;
+    std::uint64_t heldStep = 0;
+    std::uint64_t secondHeldStep = 0;
+};
 
 } // namespace
 
@@ -79,40 +322,139 @@
     elapsed();
     limitRunTime(100);
     Store store;
-    Runs runs;
+    Group group(record);
+    Scenario scenario;
+    std::unique_ptr<Gateway> gateway;
+    std::atomic<bool> isOver{false};
+    std::atomic<bool> mustKill{false};
+
+    const auto carryOutLate = [&](int rank, const json &order, double delay) {
+        record.line("unanswered: rank " + std::to_string(rank) + " " + order.dump().substr(0, 60));
+        std::thread([&, rank, order, delay] {
+            sleepFor(delay);
+            const int status = group.order(rank, order);
+            record.line("carried out late: rank " + std::to_string(rank) + " " + order.at("operation").dump() + " "
+                        + std::to_string(status));
+        }).detach();
+    };
+    // Returns whether the order is left unanswered.
+    const auto isLost = [&](int rank, const json &order) {
+        if (!hasTrouble) {
+            return false;
+        }
+        const std::lock_guard lock(scenario.mutex);
+        const std::string operation = order.at("operation");
+        if (scenario.phase == Scenario::Phase::FirstSwitch && operation == "hold" && rank == 0
+            && !scenario.isHoldLost) {
+            scenario.isHoldLost = true;
+            scenario.heldStep = order.at("step");
+            scenario.phase = Scenario::Phase::LateHold;
+            carryOutLate(rank, order, ShortestLateness + 0.1);
+            return true;
+        }
+        if (scenario.phase == Scenario::Phase::LateHold && operation == "go" && rank == 0 && scenario.isRecovering
+            && !scenario.isReleaseLost) {
+            scenario.isReleaseLost = true;
+            scenario.releaseLostAt = elapsed();
+            record.line("unanswered: rank 0 go, to be carried out late");
+            return true;
+        }
+        if (scenario.phase == Scenario::Phase::SecondSwitch && operation == "arm" && rank == 1) {
+            scenario.isArmLost = true;
+            carryOutLate(rank, order, LongestLateness - 1);
+            return true;
+        }
+        return false;
+    };
+    const auto afterOrder = [&](int rank, const json &order, int status) {
+        if (!hasTrouble) {
+            return;
+        }
+        const std::lock_guard lock(scenario.mutex);
+        const std::string operation = order.at("operation");
+        if (scenario.phase == Scenario::Phase::LateHold && operation == "hold" && rank == 1 && status < 300) {
+            scenario.isRecovering = true; // a recovery is under way: its release is the next one
+        }
+        if (scenario.phase == Scenario::Phase::LateHold && operation == "go" && rank == 0 && scenario.isReleaseLost) {
+            scenario.phase = Scenario::Phase::SecondSwitch;
+            mustKill = true;
+        }
+        if (scenario.phase == Scenario::Phase::SecondSwitch && operation == "hold" && rank == 0 && status < 300) {
+            scenario.secondHeldStep = order.at("step");
+        }
+    };
+
     std::vector<std::unique_ptr<Replica>> replicas;
-    for (int index = 0; index < 3; ++index) {
+    for (int rank = 0; rank < Ranks; ++rank) {
         replicas.push_back(std::make_unique<Replica>(
-            "i-prenota-" + std::to_string(index), "prenota", 6,
-            [&](Connection &connection, const Message &request, const std::string &headers) {
-                const auto id = request.header("x-heatherridge-request-id");
-                runs.begin(id);
-                record.line("replica begins " + id);
-                sleepFor(DepositWorkSeconds);
-                const bool isClosed = connection.isClosedByPeer();
-                record.line("replica " + std::string(isClosed ? "has run and finds its caller gone " : "answers ")
-                            + id);
-                return connection.write(response(200, headers, "{\"seat\":true}"));
-            }));
-        replicas.push_back(std::make_unique<Replica>(
-            "i-sommelier-" + std::to_string(index), "sommelier", 24,
-            [&](Connection &connection, const Message &, const std::string &headers) {
+            "i-rank-" + std::to_string(rank), Service, 12,
+            [&, rank](Connection &connection, const Message &request, const std::string &headers) {
+                const auto path = request.word(1);
+                if (path.starts_with("/api/report")) {
+                    return connection.write(response(200, "Content-Type: application/json\r\n", group.report(rank)));
+                }
+                if (path.starts_with("/api/picked")) {
+                    return connection.write(response(200, "Content-Type: application/json\r\n",
+                                                     group.picked(rank, path.find("lists") != std::string::npos)));
+                }
+                if (path.starts_with("/api/order")) {
+                    const auto order = json::parse(request.body);
+                    if (isLost(rank, order)) {
+                        while (connection.waitForInput(1) == false && !isOver) {
+                        }
+                        return false;
+                    }
+                    const int status = group.order(rank, order);
+                    record.line("order: rank " + std::to_string(rank) + " " + order.at("operation").dump() + " "
+                                + order.value("version", json()).dump() + " " + order.value("step", json()).dump()
+                                + ": " + std::to_string(status));
+                    afterOrder(rank, order, status);
+                    return connection.write(response(status, "", ""));
+                }
+                record.line("rank " + std::to_string(rank) + " runs " + request.header("x-heatherridge-request-id"));
+                group.setRequests(1);
                 connection.write("HTTP/1.1 200 OK\r\n" + headers
                                  + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-                for (int event = 1; event <= StreamEvents; ++event) {
-                    sleepFor(EventPeriod);
-                    const auto text = "id: " + std::to_string(event) + "\ndata: token\n\n";
-                    char size[16];
-                    std::snprintf(size, sizeof size, "%zx\r\n", text.size());
-                    if (!connection.write(size + text + "\r\n")) {
-                        return false;
+                auto last = group.step();
+                bool isOpen = true;
+                for (int event = 1; event <= 28 && isOpen && !isOver;) {
+                    sleepFor(0.01);
+                    if (const auto step = group.step(); step > last) {
+                        last = step;
+                        const auto text = "id: " + std::to_string(event++) + "\ndata: token\n\n";
+                        char size[16];
+                        std::snprintf(size, sizeof size, "%zx\r\n", text.size());
+                        isOpen = connection.write(size + text + "\r\n");
                     }
+                    isOpen = isOpen && !connection.isClosedByPeer();
                 }
-                return connection.write("0\r\n\r\n");
-            }));
+                group.setRequests(-1);
+                return isOpen && connection.write("0\r\n\r\n");
+            },
+            "127.0.1." + std::to_string(rank + 1)));
     }
-    store.put("keyed.op", "config", configuration());
-    std::atomic<bool> isOver{false};
+    auto config = json::parse(configuration());
+    for (auto &service : config["services"]) {
+        if (service["name"] == Service) {
+            service["engine"] = {{"slots", 12},
+                                 {"kvTokens", 372000},
+                                 {"stride", 5},
+                                 {"step_ms", 5.85},
+                                 {"per_seq_ms", 0.355},
+                                 {"read_per_s", 61200.0},
+                                 {"report_lag_ms", 200.0},
+                                 {"usual", {{"prompt", 835}, {"answer", 139}}},
+                                 {"linkMbps", 92000.0},
+                                 {"sets", Sets},
+                                 {"experts", Experts},
+                                 {"places", Places},
+                                 {"spare", Spare},
+                                 {"expertMb", 580.0},
+                                 {"expertShare", 0.85},
+                                 {"form_ms", 600.0}};
+        }
+    }
+    store.put("keyed.op", "config", config.dump());
     std::thread beats([&] {
         while (!isOver) {
             for (const auto &replica : replicas) {
@@ -121,99 +463,87 @@
             sleepFor(1.2);
         }
     });
-    std::vector<std::unique_ptr<Gateway>> gateways;
-    std::vector<Gateway *> nodes;
-    bool areReady = true;
-    for (int index = 1; index <= 3; ++index) {
-        gateways.push_back(
-            std::make_unique<Gateway>(root, folder, "front-etna-" + std::to_string(index), store.port()));
-        nodes.push_back(gateways.back().get());
-    }
-    for (const auto &gateway : gateways) {
-        areReady = areReady && gateway->waitUntilReady(10);
-    }
-    if (!areReady) {
-        record.line("a gateway does not become ready");
-        gateways.clear();
-        std::_Exit(2);
-    }
-    Entry entry(nodes);
-    std::thread prober([&] {
+    std::thread passes([&] {
         while (!isOver) {
-            entry.probe();
-            sleepFor(1);
+            sleepFor(PassSeconds);
+            group.tick();
         }
     });
-    sleepFor(1);
+    const int sidecarPort = freePort();
+    std::vector<std::unique_ptr<Sidecar>> sidecars;
+    for (int rank = 0; rank < Ranks; ++rank) {
+        sidecars.push_back(std::make_unique<Sidecar>(root, folder, "side-etna-" + std::to_string(rank + 1),
+                                                     "127.0.1." + std::to_string(rank + 1), sidecarPort,
+                                                     replicas[rank]->address(), store.port()));
+    }
+    sleepFor(0.5);
+    gateway = std::make_unique<Gateway>(root, folder, "front-etna-1", store.port(), sidecarPort);
+    if (!gateway->waitUntilReady(10)) {
+        record.line("the gateway does not become ready");
+        Processes::killAll();
+        std::_Exit(2);
+    }
+    const auto kill = [&](const char *why) {
+        gateway->signal(SIGKILL);
+        record.line(std::string("SIGKILL to the gateway, ") + why);
+        sleepFor(RestartDelay);
+        gateway->restart();
+        record.line("the gateway starts again");
+    };
 
-    const auto begin = elapsed();
-    const auto stopAt = begin + 2;
-    const auto end = stopAt + GraceSeconds + 1.5;
-    std::mutex mutex;
-    std::vector<Attempt> deposits;
-    std::vector<std::thread> calls;
-    int number = 0;
-    double nextDeposit = begin;
-    double nextStream = begin;
-    std::optional<double> stoppedAt;
-    while (elapsed() < end) {
-        if (!stoppedAt && elapsed() >= stopAt) {
-            stoppedAt = elapsed();
-            if (hasTrouble) {
-                record.line("SIGTERM to front-etna-1 and front-etna-2");
-                gateways[0]->signal(SIGTERM);
-                gateways[1]->signal(SIGTERM);
-            }
+    bool wasReached = false;
+    if (hasTrouble) {
+        const auto end = elapsed() + 40;
+        while (elapsed() < end && !mustKill) {
+            sleepFor(0.002);
         }
-        if (elapsed() >= nextDeposit) {
-            nextDeposit += DepositPeriod;
-            calls.emplace_back([&, client = ++number] {
-                const auto id = "deposit-" + std::to_string(client);
-                const auto attempt = call(entry, client, "/deposit/2f", id, DepositDeadlineMs);
-                record.line("client " + id + " at " + attempt.gateway + " sent " + std::to_string(attempt.sentAt) + ": "
-                            + attempt.outcome);
-                const std::lock_guard lock(mutex);
-                deposits.push_back(attempt);
-            });
+        if (mustKill) {
+            kill("which has just given the order to go");
         }
-        if (elapsed() >= nextStream) {
-            nextStream += StreamPeriod;
-            calls.emplace_back([&, client = ++number] {
-                const auto id = "stream-" + std::to_string(client);
-                const auto attempt = call(entry, client, "/tour/2f", id, 8000);
-                record.line("client " + id + " at " + attempt.gateway + " sent " + std::to_string(attempt.sentAt) + ": "
-                            + attempt.outcome);
-            });
+        while (elapsed() < end && !(scenario.isArmLost && group.isArmed(0))) {
+            sleepFor(0.002);
         }
-        sleepFor(0.002);
-    }
-    for (auto &thread : calls) {
-        thread.join();
+        const auto lateness = elapsed() - scenario.releaseLostAt;
+        if (scenario.isArmLost && lateness < LongestLateness) {
+            wasReached = true;
+            gateway->signal(SIGKILL);
+            record.line("SIGKILL to the gateway, which has just given orders to arm");
+            sleepFor(std::max(0.05, ShortestLateness + 0.1 - lateness));
+            const int status = group.order(0, json{{"operation", "go"}, {"step", scenario.heldStep}, {"epoch", 1}});
+            record.line("carried out late: rank 0 go " + std::to_string(scenario.heldStep) + " "
+                        + std::to_string(status) + "; the second switch holds "
+                        + std::to_string(scenario.secondHeldStep));
+            sleepFor(RestartDelay);
+            gateway->restart();
+        }
+    } else {
+        sleepFor(10);
+        wasReached = true;
     }
-
-    int lost = 0;
+    gateway->waitUntilReady(10);
     int answered = 0;
-    for (const auto &attempt : deposits) {
-        answered += attempt.outcome == "200" ? 1 : 0;
-        const bool isStopping = attempt.gateway != "front-etna-3";
-        const bool isAfterStop =
-            attempt.sentAt > *stoppedAt + StreamSentLimit && attempt.sentAt < *stoppedAt + GraceSeconds + 1;
-        const bool isBeforeTimeout = attempt.endedAt - attempt.sentAt < DepositTimeoutSeconds;
-        if (attempt.outcome == "cut" && isStopping && isAfterStop && isBeforeTimeout && runs.count(attempt.id) > 0) {
-            ++lost;
-            record.line("LOST: " + attempt.id + ", sent " + std::to_string(attempt.sentAt - *stoppedAt)
-                        + " s after SIGTERM, passed on to a replica, cut after "
-                        + std::to_string(attempt.endedAt - attempt.sentAt) + " s");
-        }
-    }
-    record.line("deposits answered: " + std::to_string(answered) + " of " + std::to_string(deposits.size())
-                + ", lost: " + std::to_string(lost));
-    isOver = true;
-    prober.join();
-    beats.join();
-    gateways.clear();
-    if (answered < static_cast<int>(deposits.size()) / 2) {
-        std::_Exit(2); // the deployment did not serve: nothing was tested
+    std::vector<std::thread> clients;
+    std::mutex mutex;
+    for (int client = 0; client < 12; ++client) {
+        clients.emplace_back([&, client] {
+            const auto connection = Connection::open(gateway->port());
+            const auto id = "tour-" + std::to_string(client);
+            if (connection && connection->write(requestHead("/tour/2f", id, 8000, 2) + "{}")) {
+                const auto answer = readMessage(*connection);
+                record.line("client " + id + ": " + (answer ? answer->word(1) : "cut"));
+                const std::lock_guard lock(mutex);
+                answered += answer && answer->word(1) == "200" ? 1 : 0;
+            }
+        });
+        sleepFor(0.1);
+    }
+    for (auto &client : clients) {
+        client.join();
     }
-    std::_Exit(lost > 0 ? 1 : 0);
+    const bool isBroken = group.isBroken();
+    record.line(std::string("maps ") + (isBroken ? "differed" : "were the same")
+                + " in each pass; streams answered: " + std::to_string(answered));
+    isOver = true;
+    Processes::killAll();
+    std::_Exit(isBroken ? 1 : wasReached && answered > 0 ? 0 : 2);
 }
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -267,16 +267,16 @@
     return message;
 }
 
-/** Accepts connections on 127.0.0.1 and serves each on a thread of its own. Lives until the process exits. */
+/** Accepts connections on a loopback address and serves each on a thread of its own. Lives until the process exits. */
 class Listener
 {
 public:
-    explicit Listener(std::function<void(Connection &)> serve)
+    explicit Listener(std::function<void(Connection &)> serve, const std::string &host = "127.0.0.1")
     {
         const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address{};
         address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_addr.s_addr = inet_addr(host.c_str());
         socklen_t size = sizeof address;
         if (::bind(socket, reinterpret_cast<sockaddr *>(&address), size) != 0 || ::listen(socket, 512) != 0) {
             throw std::runtime_error("cannot listen");
@@ -480,20 +480,26 @@
     /** Works on @p request and writes the response. @returns whether the connection is still usable */
     using Run = std::function<bool(Connection &, const Message &request, const std::string &headers)>;
 
-    Replica(std::string id, std::string service, int slots, Run run)
+    Replica(std::string id, std::string service, int slots, Run run, std::string host = "127.0.0.1")
         : m_id(std::move(id))
         , m_service(std::move(service))
         , m_slots(slots)
-        , m_listener([this, run = std::move(run)](Connection &connection) { serve(connection, run); })
+        , m_host(std::move(host))
+        , m_listener([this, run = std::move(run)](Connection &connection) { serve(connection, run); }, m_host)
     {
     }
 
+    std::string address() const
+    {
+        return m_host + ":" + std::to_string(m_listener.port());
+    }
+
     /** Writes its entry into @p store. */
     void beat(Store &store)
     {
         store.put("keyed.servers", m_id,
                   json{{"service", m_service},
-                       {"address", "127.0.0.1:" + std::to_string(m_listener.port())},
+                       {"address", address()},
                        {"zone", "etna"},
                        {"version", "v1"},
                        {"slots", m_slots},
@@ -522,6 +528,7 @@
     std::string m_id;
     std::string m_service;
     int m_slots;
+    std::string m_host;
     int m_sequence = 0;
     Listener m_listener;
 };
@@ -575,54 +582,103 @@
     }).detach();
 }
 
-/** A gateway process, started with the command of the deploy file. */
-class Gateway
+/** A program of the project, started with the command of the deploy file. */
+class Program
 {
 public:
-    Gateway(const std::string &root, const std::string &folder, std::string name, int storePort)
-        : m_name(std::move(name))
-        , m_port(freePort())
-        , m_readyPort(freePort())
-    {
-        // The settings that the platform renders from deploy/gateway.ini.template for a front machine of
-        // sites/ferrauto-degusta.toml, without sidecars.
-        const auto file = folder + "/" + m_name + ".conf";
-        std::ofstream(file) << "[gateway]\nname = " << m_name << "\nzone = etna\nlisten = 127.0.0.1:" << m_port
-                            << "\nready-listen = 127.0.0.1:" << m_readyPort
-                            << "\nready-path = /api/readyz\nmetrics-listen = 127.0.0.1:" << freePort()
-                            << "\nlog-service = 127.0.0.1:" << storePort
-                            << "\ngrace = 8\nretry-share = 0.2\nretry-slack = 92\nretry-window = 10\n"
-                               "withdrawal = 2000\nconfig-time = 2000\nsilence = 3000\nlink-mbps = 1000.0\n"
-                               "cpu-share = 0.19\nlog-partitions = 12\n"
-                               "zone-regions = etna:sicilia,marsala:sicilia,noto:sicilia\nmemory-mb = 260\n"
-                               "log-stream = standard-output\n";
-        const auto program = root + "/target/bin/heatherridge-gateway";
-        const auto output = folder + "/" + m_name + ".log";
+    /** Starts target/bin/@p program with @p settings in a file of @p folder. */
+    Program(const std::string &root, const std::string &folder, const std::string &program, const std::string &name,
+            const std::string &settings)
+        : m_program(root + "/target/bin/" + program)
+        , m_file(folder + "/" + name + ".conf")
+        , m_output(folder + "/" + name + ".log")
+    {
+        std::ofstream(m_file) << settings;
+        start();
+    }
+
+    ~Program()
+    {
+        if (!hasEnded()) {
+            ::kill(m_process, SIGKILL);
+            ::waitpid(m_process, nullptr, 0);
+            Processes::remove(m_process);
+        }
+    }
+
+    Program(const Program &) = delete;
+    Program &operator=(const Program &) = delete;
+
+    void signal(int number) const
+    {
+        ::kill(m_process, number);
+    }
+
+    /** Starts it again with the same settings, after it was killed. */
+    void restart()
+    {
+        while (!hasEnded()) {
+            sleepFor(0.005);
+        }
+        m_hasEnded = false;
+        start();
+    }
+
+    bool hasEnded()
+    {
+        if (!m_hasEnded && ::waitpid(m_process, nullptr, WNOHANG) == m_process) {
+            m_hasEnded = true;
+            Processes::remove(m_process);
+        }
+        return m_hasEnded;
+    }
+
+private:
+    void start()
+    {
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
-        posix_spawn_file_actions_addopen(&actions, 1, output.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+        posix_spawn_file_actions_addopen(&actions, 1, m_output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         posix_spawn_file_actions_adddup2(&actions, 1, 2);
         std::string option = "--config";
-        char *arguments[] = {const_cast<char *>(program.c_str()), option.data(), const_cast<char *>(file.c_str()),
-                             nullptr};
-        if (posix_spawn(&m_process, program.c_str(), &actions, nullptr, arguments, environ) != 0) {
-            throw std::runtime_error("cannot start " + program);
+        char *arguments[] = {m_program.data(), option.data(), m_file.data(), nullptr};
+        if (posix_spawn(&m_process, m_program.c_str(), &actions, nullptr, arguments, environ) != 0) {
+            throw std::runtime_error("cannot start " + m_program);
         }
         posix_spawn_file_actions_destroy(&actions);
         Processes::add(m_process);
     }
 
-    ~Gateway()
+    std::string m_program;
+    std::string m_file;
+    std::string m_output;
+    pid_t m_process = 0;
+    bool m_hasEnded = false;
+};
+
+/** A sidecar process beside a replica at @p host. */
+class Sidecar : public Program
+{
+public:
+    Sidecar(const std::string &root, const std::string &folder, const std::string &name, const std::string &host,
+            int port, const std::string &engine, int storePort)
+        : Program(root, folder, "heatherridge-sidecar", name,
+                  "[sidecar]\nname = " + name + "\nzone = etna\nlisten = " + host + ":" + std::to_string(port)
+                      + "\nengine = " + engine + "\nmax-descriptors = 2048\nlog-service = 127.0.0.1:"
+                      + std::to_string(storePort) + "\nlog-stream = standard-output\n")
     {
-        if (!hasEnded()) {
-            ::kill(m_process, SIGKILL);
-            ::waitpid(m_process, nullptr, 0);
-            Processes::remove(m_process);
-        }
     }
+};
 
-    Gateway(const Gateway &) = delete;
-    Gateway &operator=(const Gateway &) = delete;
+/** A gateway process. */
+class Gateway : public Program
+{
+public:
+    Gateway(const std::string &root, const std::string &folder, const std::string &name, int storePort,
+            int sidecarPort = 0)
+        : Gateway(root, folder, name, storePort, sidecarPort, freePort(), freePort())
+    {
+    }
 
     const std::string &name() const
     {
@@ -657,26 +713,30 @@
         return false;
     }
 
-    void signal(int number) const
-    {
-        ::kill(m_process, number);
-    }
-
-    bool hasEnded()
+private:
+    /** The settings that the platform renders from deploy/gateway.ini.template for a front machine of
+     * sites/ferrauto-degusta.toml; sidecar port 0 means that there are none. */
+    Gateway(const std::string &root, const std::string &folder, const std::string &name, int storePort, int sidecarPort,
+            int port, int readyPort)
+        : Program(root, folder, "heatherridge-gateway", name,
+                  "[gateway]\nname = " + name + "\nzone = etna\nlisten = 127.0.0.1:" + std::to_string(port)
+                      + "\nready-listen = 127.0.0.1:" + std::to_string(readyPort)
+                      + "\nready-path = /api/readyz\nmetrics-listen = 127.0.0.1:" + std::to_string(freePort())
+                      + "\nlog-service = 127.0.0.1:" + std::to_string(storePort)
+                      + "\ngrace = 8\nretry-share = 0.2\nretry-slack = 92\nretry-window = 10\n"
+                        "withdrawal = 2000\nconfig-time = 2000\nsilence = 3000\nlink-mbps = 1000.0\n"
+                        "cpu-share = 0.19\nlog-partitions = 12\n"
+                        "zone-regions = etna:sicilia,marsala:sicilia,noto:sicilia\nmemory-mb = 260\nsidecar-port = "
+                      + std::to_string(sidecarPort) + "\nlog-stream = standard-output\n")
+        , m_name(name)
+        , m_port(port)
+        , m_readyPort(readyPort)
     {
-        if (!m_hasEnded && ::waitpid(m_process, nullptr, WNOHANG) == m_process) {
-            m_hasEnded = true;
-            Processes::remove(m_process);
-        }
-        return m_hasEnded;
     }
 
-private:
     std::string m_name;
     int m_port;
     int m_readyPort;
-    pid_t m_process = 0;
-    bool m_hasEnded = false;
 };
 
 /** The platform's entry for one zone: PROTOCOL.md, "Ingress". */
