--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -18,6 +18,7 @@
 constexpr double ReportLag = 0; // "fresh and free when requested from its own machine": the sidecars ask
 constexpr double ShortestLateness = 2; // orders are carried out 2 to 12 s late
 constexpr double LongestLateness = 12;
+constexpr double LateSpell = 5.5; // of the site file, from the first unanswered order to the last
 constexpr double RestartDelay = 0.5;
 const std::string Service = "sommelier";
 
@@ -303,6 +304,7 @@
     bool isReleaseLost = false;
     bool isRecovering = false;
     bool isArmLost = false;
+    double holdLostAt = 0;
     double releaseLostAt = 0;
     std::uint64_t heldStep = 0;
     std::uint64_t secondHeldStep = 0;
@@ -347,6 +349,7 @@
         if (scenario.phase == Scenario::Phase::FirstSwitch && operation == "hold" && rank == 0
             && !scenario.isHoldLost) {
             scenario.isHoldLost = true;
+            scenario.holdLostAt = elapsed();
             scenario.heldStep = order.at("step");
             scenario.phase = Scenario::Phase::LateHold;
             carryOutLate(rank, order, ShortestLateness + 0.1);
@@ -504,7 +507,7 @@
             sleepFor(0.002);
         }
         const auto lateness = elapsed() - scenario.releaseLostAt;
-        if (scenario.isArmLost && lateness < LongestLateness) {
+        if (scenario.isArmLost && lateness < LongestLateness && elapsed() - scenario.holdLostAt < LateSpell) {
             wasReached = true;
             gateway->signal(SIGKILL);
             record.line("SIGKILL to the gateway, which has just given orders to arm");
