Tell passes that earlier runs of a rebalancer held by the numbers of prepared maps

Cause: an engine knows a hold and its release by the pass alone. That a switch holds a later pass than all before it rested on memory that ends with the process (RankMonitor::recordHeldStep). In an idle group a process that has just started chose the same pass again, and the late release of an earlier recovery let the group go while a rank was not armed. The drawn model with processes that restart found a second form: a late hold of a forgotten, later pass is recovered, which disarms a map that is armed for an earlier pass that this hold does not stop.

Change: the number of a map names the passes that were held before it was prepared and those that its switch may hold. Engines keep the number of the prepared map, so every process reads it there. A switch holds a pass after all of them and within its own span. Numbers of switches directly follow what the ranks show, fences leave one generation out, so that a paused process cannot replace a fence. A switch ends when a rank refuses its map, also after a lost answer. A recovery releases a pass that an earlier recovery has released without disarming anything.

--- a/modules/heatherridge_coordination/groups/expertrebalancer.cpp
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t MaxOwnMapNumbers = 256;
 /** How long a switch waits for the statuses of its ranks. */
 constexpr milliseconds StatusTimeout{300};
+/** Upper bound of the passes, as time, between the present one and the one that a switch holds. */
+constexpr milliseconds MaxHoldMargin{800};
 /** Duration of a switch besides copying: statuses, the held pass and its orders. */
 constexpr milliseconds SwitchOverhead{150};
 /** Upper bound of the copies to one rank for one switch. */
@@ -38,13 +40,7 @@
 constexpr double CopySlowdown = 0.15;
 /** Delay before the next attempt after a switch, or after a status that did not match the expected state. */
 constexpr milliseconds SettleDelay{350};
-/**
- * Low bits of a map number that are random, so that two rebalancers never use one number for two maps: with 12 of them
- * a model of the protocol found two maps of one number in 3,000 schedules. With the seconds since MapNumberEpoch above
- * them, numbers fit the 53-bit mantissa of a double until 2054.
- */
-constexpr unsigned RandomBits = 23;
-/** Start of the seconds in map numbers. */
+/** Start of the seconds that the generations of map numbers begin with. */
 constexpr std::chrono::sys_days MapNumberEpoch = std::chrono::year(2020) / 1 / 1;
 
 std::string formatTwoDecimals(double number)
@@ -307,6 +303,7 @@
         return;
     }
     reportDecision("hold-recovery", name, "step " + std::to_string(*monitored.heldStep));
+    m_rankMonitor.recordHeldStep(name, *monitored.heldStep);
     group.recovery =
         std::make_unique<HoldRecovery>(m_control,
                                        RecoveryPlan{.ranks = m_rankMonitor.targetsOf(monitored),
@@ -314,9 +311,8 @@
                                                     .heldStep = *monitored.heldStep,
                                                     .experts = static_cast<std::size_t>(m_profile.experts),
                                                     .mayJoin = now - monitored.heldSince > JoinRecoveryAfter},
-                                       [this, name](MapNumber highestSeen) {
-                                           m_rankMonitor.recordMapNumber(name, highestSeen);
-                                           return allocateMapNumber(name);
+                                       [this, name, fences = FenceNumbers{}](const RankStatus &status) mutable {
+                                           return allocateFenceNumber(name, status, fences);
                                        });
 }
 
@@ -596,8 +592,10 @@
     }
     plan.ranks = m_rankMonitor.targetsOf(monitored);
     plan.epoch = monitored.epoch;
-    plan.mapNumber = allocateMapNumber(name);
-    plan.afterStep = monitored.lastHeldStep;
+    const auto fields = nextSwitchFields(monitored, plan);
+    plan.mapNumber = recordOwnNumber(name, makeMapNumber(fields, m_randomBits()));
+    plan.afterStep = fields.usedSteps;
+    plan.untilStep = lastStepToHold(fields);
     group.switchStartedAt = now;
     group.mapSwitch = std::make_unique<MapSwitch>(m_control, std::move(plan));
     group.mapSwitch->tick(now);
@@ -614,15 +612,56 @@
     });
 }
 
-MapNumber ExpertRebalancer::allocateMapNumber(const GroupName &name)
+MapNumberFields ExpertRebalancer::nextSwitchFields(const MonitoredGroup &monitored, const MapSwitchPlan &plan) const
+{
+    bool isAnyMapSeen = false;
+    std::uint64_t step = 0;
+    std::uint64_t lastHeldStep = monitored.lastHeldStep;
+    for (const auto &id : monitored.ranks) {
+        const auto &status = *m_rankMonitor.statusOf(id);
+        isAnyMapSeen = isAnyMapSeen || status.map != MapNumber{} || status.prepared;
+        step = std::max(step, status.step);
+        // Which pass it was that an own number allowed to hold is known.
+        const bool isOwn = status.prepared && m_ownMapNumbers.contains(*status.prepared);
+        const auto bounds = RankMonitor::heldStepBoundsOf(status);
+        lastHeldStep = std::max(lastHeldStep, isOwn ? bounds.used : bounds.last);
+    }
+    // The direct successor of what the ranks show: if this process has been paused since, they refuse it for the map
+    // that was prepared meanwhile. What ranks had in an earlier epoch does not show.
+    const auto successor = generationOf(monitored.highestMap) + 1;
+    const auto timeToHold = plan.copyTime + MapSwitch::MaxHoldDelay + MaxHoldMargin;
+    return {.generation = isAnyMapSeen ? successor : std::max(successor, generationByClock()),
+            .usedSteps = std::max(step, lastHeldStep),
+            .spanSteps = static_cast<std::uint64_t>(timeToHold / std::max(plan.passTime, milliseconds(1)))};
+}
+
+MapNumber ExpertRebalancer::allocateFenceNumber(const GroupName &name, const RankStatus &status, FenceNumbers &fences)
+{
+    const auto highestSeen = std::max(status.map, status.prepared.value_or(MapNumber{}));
+    m_rankMonitor.recordMapNumber(name, highestSeen);
+    // Also what the switch that is recovered may hold: an order of it may be late.
+    m_rankMonitor.recordHeldStep(name, RankMonitor::heldStepBoundsOf(status).last);
+    const auto &monitored = m_rankMonitor.group(name);
+    const bool isFirstOfRank = fences.ranks.insert(status.rank).second;
+    if (!isFirstOfRank || fences.generation <= generationOf(highestSeen)) {
+        // One generation is left out: the successor of what the ranks show may be a switch whose orders are late.
+        fences.generation = std::max(generationOf(monitored.highestMap) + 2, generationByClock());
+    }
+    return recordOwnNumber(
+        name,
+        makeMapNumber(
+            {.generation = fences.generation, .purpose = MapPurpose::Fence, .usedSteps = monitored.lastHeldStep},
+            m_randomBits()));
+}
+
+std::uint64_t ExpertRebalancer::generationByClock() const
 {
-    // Wall-clock time forms the high bits: ranks refuse numbers below any that they have had, also from rebalancers
-    // that are gone.
     const auto sinceEpoch = std::chrono::duration_cast<std::chrono::seconds>(m_clock.wallNow() - MapNumberEpoch);
-    const auto seconds = static_cast<std::uint64_t>(std::max<std::int64_t>(sinceEpoch.count(), 0));
-    const auto prefix = std::max((toNumber(m_rankMonitor.group(name).highestMap) >> RandomBits) + 1, seconds);
-    const auto bits = m_randomBits() & ((1U << RandomBits) - 1);
-    const auto number = static_cast<MapNumber>((prefix << RandomBits) | bits);
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(sinceEpoch.count(), 0));
+}
+
+MapNumber ExpertRebalancer::recordOwnNumber(const GroupName &name, MapNumber number)
+{
     m_rankMonitor.recordMapNumber(name, number);
     m_ownMapNumbers.insert(number);
     if (m_ownMapNumbers.size() > MaxOwnMapNumbers) {
--- a/modules/heatherridge_coordination/groups/expertrebalancer.h
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.h
@@ -172,6 +172,13 @@
         double skewAfter = 0;
     };
 
+    /** The numbers that one recovery has given to fences: of one generation, unless a rank has had higher ones. */
+    struct FenceNumbers
+    {
+        std::uint64_t generation = 0;
+        std::set<int> ranks{}; ///< that have been given one
+    };
+
     void membershipChanged(const GroupName &name);
     void statusReceived(const GroupName &name, const RankStatus &status);
     /**
@@ -205,7 +212,10 @@
     void detectOtherRebalancer(GroupState &group, const RankStatus &status) const;
     bool mustYield(const GroupState &group, SteadyTime now) const;
     bool mustDelayUnconfirmedSwitch(const GroupState &group, SteadyTime now) const;
-    MapNumber allocateMapNumber(const GroupName &name);
+    MapNumberFields nextSwitchFields(const MonitoredGroup &monitored, const MapSwitchPlan &plan) const;
+    MapNumber allocateFenceNumber(const GroupName &name, const RankStatus &status, FenceNumbers &fences);
+    std::uint64_t generationByClock() const;
+    MapNumber recordOwnNumber(const GroupName &name, MapNumber number);
     void reportDecision(std::string_view event, const GroupName &group, const std::string &details) const;
 
     RankControl &m_control;
--- a/modules/heatherridge_coordination/groups/holdrecovery.cpp
+++ b/modules/heatherridge_coordination/groups/holdrecovery.cpp
@@ -1,5 +1,7 @@
 #include "heatherridge_coordination/groups/holdrecovery.h"
 
+#include "heatherridge_coordination/groups/rankmonitor.h"
+
 #include <algorithm>
 
 namespace Heatherridge
@@ -121,6 +123,11 @@
         finish(State::NothingHeld, "the pass is not held any more");
         return;
     }
+    if (std::all_of(m_ranks.begin(), m_ranks.end(),
+                    [this](const auto &rank) { return hasBeenReleased(*rank.status); })) {
+        releaseHolds(now);
+        return;
+    }
     if (!m_plan.mayJoin && isOtherRecoveryRunning()) {
         finish(State::YieldedToOther, "another recovery is running");
         return;
@@ -224,14 +231,17 @@
         layout.push_back(
             layoutWithFixedRank(static_cast<int>(index), held, static_cast<int>(m_ranks.size()), m_plan.experts));
     }
-    const auto highestSeen = std::max(rank.status->map, rank.status->prepared.value_or(MapNumber{}));
-    rank.fenceMap = m_allocateMapNumber(highestSeen);
+    rank.fenceMap = m_allocateMapNumber(*rank.status);
     startOrder(index, PrepareMap{.map = *rank.fenceMap, .layout = std::move(layout)}, now);
 }
 
 void HoldRecovery::disarm(std::size_t index, SteadyTime now)
 {
     auto &rank = m_ranks[index];
+    if (hasBeenReleased(*rank.status)) {
+        finish(State::NothingHeld, "another recovery has released the pass, and a later switch is in progress");
+        return;
+    }
     if (!rank.armedSince) {
         rank.armedSince = now;
     }
@@ -297,6 +307,11 @@
                        [this](const auto &rank) { return rank.status->heldStep == m_plan.heldStep; });
 }
 
+bool HoldRecovery::hasBeenReleased(const RankStatus &status) const
+{
+    return RankMonitor::heldStepBoundsOf(status).used >= m_plan.heldStep;
+}
+
 bool HoldRecovery::isFenceIntact(std::size_t index) const
 {
     const auto &rank = m_ranks[index];
--- a/modules/heatherridge_coordination/groups/holdrecovery.h
+++ b/modules/heatherridge_coordination/groups/holdrecovery.h
@@ -54,8 +54,11 @@
     /** Delay before a rank that did not answer is asked again: many times the round trip. */
     static constexpr std::chrono::milliseconds RetryDelay{250};
 
-    /** Allocates a map number above @p highestSeen that no rank has had and nobody else uses. */
-    using AllocateMapNumber = std::function<MapNumber(MapNumber highestSeen)>;
+    /**
+     * Allocates the number of a fence for the rank of @p status: above all numbers that the rank has had, and naming
+     * the recovered pass as one that was held, see MapNumberFields.
+     */
+    using AllocateMapNumber = std::function<MapNumber(const RankStatus &status)>;
 
     HoldRecovery(RankControl &control, RecoveryPlan plan, AllocateMapNumber allocateMapNumber);
 
@@ -106,6 +109,11 @@
     void verifyFences(SteadyTime now);
     bool isFenceIntact(std::size_t index) const;
     bool isOtherRecoveryRunning() const;
+    /**
+     * Returns whether the map that the rank has prepared replaced the one of the switch that held the pass: that switch
+     * cannot be armed there any more, and no later one holds the pass.
+     */
+    bool hasBeenReleased(const RankStatus &status) const;
     void repeatFencing(SteadyTime now);
     void releaseHolds(SteadyTime now);
     void startOrder(std::size_t index, RankOrder order, SteadyTime now);
--- a/modules/heatherridge_coordination/groups/mapswitch.cpp
+++ b/modules/heatherridge_coordination/groups/mapswitch.cpp
@@ -127,12 +127,12 @@
     }
     m_maxSends = std::max(m_maxSends, m_orders->maxSends());
     for (std::size_t rank = 0; rank < m_orders->size(); ++rank) {
-        if (m_orders->reply(rank) == OrderReply::Refused && !m_orders->isAmbiguous(rank)) {
+        // Also after a lost answer: that an earlier copy was executed is not certain, and the number may be another
+        // process's.
+        if (m_orders->reply(rank) == OrderReply::Refused) {
             finish(State::Abandoned, "rank " + std::to_string(rank) + " refused the prepare order");
             return;
         }
-        // Refused after a lost answer: an earlier copy was probably executed. If it was not, the rank refuses to be
-        // armed.
     }
     m_orders.reset();
     m_phase = Phase::Copying;
@@ -161,7 +161,16 @@
         finish(State::Abandoned, "the group has changed its epoch, is not open or is held");
         return;
     }
-    m_heldStep = std::max(status.step + marginSteps(), m_plan.afterStep + 1);
+    if (status.prepared && *status.prepared > m_plan.mapNumber) {
+        finish(State::Abandoned, "another process has prepared a map");
+        return;
+    }
+    const auto heldStep = std::max(status.step + marginSteps(), m_plan.afterStep + 1);
+    if (heldStep > m_plan.untilStep) {
+        finish(State::Abandoned, "no pass is left that its map number allows to hold");
+        return;
+    }
+    m_heldStep = heldStep;
     ++m_holdAttempts;
     m_phase = Phase::Holding;
     m_phaseStartedAt = now;
--- a/modules/heatherridge_coordination/groups/mapswitch.h
+++ b/modules/heatherridge_coordination/groups/mapswitch.h
@@ -3,6 +3,7 @@
 #include "heatherridge_coordination/groups/orderbatch.h"
 
 #include <chrono>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,6 +22,7 @@
     std::chrono::milliseconds passTime{50}; ///< duration of one pass
     std::uint64_t afterStep =
         0; ///< the held pass comes after this one, so that no order for an earlier hold matches it
+    std::uint64_t untilStep = std::numeric_limits<std::uint64_t>::max(); ///< and not after this one
 };
 
 /**
--- a/modules/heatherridge_coordination/groups/rankmonitor.cpp
+++ b/modules/heatherridge_coordination/groups/rankmonitor.cpp
@@ -197,6 +197,13 @@
     group.highestMap = std::max(group.highestMap, number);
 }
 
+HeldStepBounds RankMonitor::heldStepBoundsOf(const RankStatus &status)
+{
+    // A map in use was armed for a pass after all that its number tells of.
+    const bool isPending = status.prepared && *status.prepared > status.map;
+    return isPending ? heldStepBounds(*status.prepared, status.step) : HeldStepBounds{};
+}
+
 void RankMonitor::recordHeldStep(const GroupName &name, std::uint64_t step)
 {
     auto &group = m_groups[name];
@@ -305,8 +312,10 @@
     if (hasChanged) {
         rebuildGroup(status.group);
     }
-    recordHeldStep(status.group, status.heldStep.value_or(0));
     auto &group = m_groups[status.group];
+    if (status.epoch == group.epoch) {
+        recordHeldStep(status.group, status.heldStep.value_or(0));
+    }
     updateHold(group, now);
     if (status.rank == 0 && status.epoch == group.epoch) {
         updatePassTime(group, status, now);
--- a/modules/heatherridge_coordination/groups/rankmonitor.h
+++ b/modules/heatherridge_coordination/groups/rankmonitor.h
@@ -3,6 +3,7 @@
 #include "heatherridge_coordination/groups/rankcontrol.h"
 #include "heatherridge_state/base/clock.h"
 #include "heatherridge_state/groups/controlbudget.h"
+#include "heatherridge_state/groups/mapnumbering.h"
 
 #include <functional>
 #include <map>
@@ -121,6 +122,9 @@
     /** Records that @p number was given to a map of group @p name. */
     void recordMapNumber(const GroupName &name, MapNumber number);
 
+    /** Returns which passes were or may be held by any process, by the map which the rank of @p status has prepared. */
+    static HeldStepBounds heldStepBoundsOf(const RankStatus &status);
+
     /** Records that pass @p step of group @p name was held. */
     void recordHeldStep(const GroupName &name, std::uint64_t step);
 
--- a/tests/heldgroups/heldgroups_test.cpp
+++ b/tests/heldgroups/heldgroups_test.cpp
@@ -51,6 +51,29 @@
     RC_ASSERT(switches > SchedulesPerCase);
 }
 
+// Guards against passes in which one rank uses another map than the rest: a process that was killed has orders on their
+// way, and the one that starts in its place knows nothing of them.
+TEST(HeldGroups, UseOneMapInEveryPassThoughRebalancersRestart)
+{
+    constexpr int schedules = 1'500;
+    for (int number = 0; number < schedules; ++number) {
+        auto options = makeSchedule(20261205, number);
+        options.processes = 1 + number % 2;
+        options.unansweredFraction = 0.35;
+        options.restartsProcesses = true;
+        options.hasIdlePeriods = true;
+        options.longestIdlePeriod = 20s;
+        HeldGroupSimulation simulation(options);
+        simulation.runWithFaults(60s);
+        ASSERT_EQ(simulation.violation(), "") << "schedule " << number;
+        simulation.runWithoutFaults(FaultFreeDuration);
+        ASSERT_EQ(simulation.violation(), "") << "schedule " << number;
+        const auto step = simulation.step();
+        simulation.runWithoutFaults(3s);
+        EXPECT_GT(simulation.step(), step + 20) << "schedule " << number;
+    }
+}
+
 // Guards against groups that stand still for two seconds, so that the callers of all their streams leave: the process
 // that switches the map freezes between the hold of a pass and its release, and the others wait until its lease has
 // expired and longer.
--- a/tests/heldgroups/heldgroupsimulation.cpp
+++ b/tests/heldgroups/heldgroupsimulation.cpp
@@ -1,6 +1,7 @@
 #include "heldgroupsimulation.h"
 
 #include "heldgroups/groupassignments.h"
+#include "heldgroups/simulatedengine.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -25,6 +26,8 @@
 constexpr std::int64_t DemandShiftPeriodMs = 3'000;
 constexpr std::int64_t HolderPauseMs = 4'000;
 constexpr std::int64_t LeaseMs = 1'500;
+constexpr std::int64_t RestartMs = 500;
+constexpr std::uint64_t MeanTicksBetweenRestarts = 150;
 
 GroupName testGroup()
 {
@@ -33,17 +36,10 @@
 
 } // namespace
 
-/** The state of one engine, with the rules by which it accepts orders. */
-struct HeldGroupSimulation::Engine
+/** One engine, and what its reports say. */
+struct HeldGroupSimulation::Engine : SimulatedEngine
 {
     TargetEntry target{};
-    MapNumber map{};
-    ExpertLayout layout{};
-    MapNumber highestMap{};
-    std::optional<MapNumber> prepared{};
-    ExpertLayout preparedLayout{};
-    std::optional<ArmMap> armed{};
-    std::optional<std::uint64_t> heldStep{};
     std::vector<double> expertCounts{};
     std::vector<std::pair<std::int64_t, RankStatus>> history{}; ///< older statuses, for reports that lag
     std::map<MapNumber, bool> fakedFences{};
@@ -231,42 +227,64 @@
             set[expert % ranks].push_back(expert);
         }
     }
-    std::vector<TargetEntry> targets;
     for (std::size_t rank = 0; rank < ranks; ++rank) {
         auto engine = std::make_unique<Engine>();
         engine->target.id = TargetName("r" + std::to_string(rank));
         engine->layout = layout;
         engine->expertCounts.assign(m_demand.size(), 0);
-        targets.push_back(engine->target);
         m_engines.push_back(std::move(engine));
     }
+    for (int index = 0; index < m_options.processes; ++index) {
+        m_processes.push_back(std::make_unique<RebalancerProcess>());
+        m_processes.back()->control = std::make_unique<FaultyRankControl>(*this);
+        startProcess(index);
+    }
+    shiftDemand();
+}
+
+HeldGroupSimulation::~HeldGroupSimulation() = default;
+
+void HeldGroupSimulation::startProcess(int index)
+{
+    auto &process = *m_processes.at(static_cast<std::size_t>(index));
     const EngineProfile profile{.layerSets = Sets,
                                 .experts = Experts,
                                 .expertSlots = Experts / m_options.ranks + SparePlaces,
                                 .spareExpertSlots = SparePlaces};
-    for (int index = 0; index < m_options.processes; ++index) {
-        auto process = std::make_unique<RebalancerProcess>();
-        process->control = std::make_unique<FaultyRankControl>(*this);
-        process->rebalancer = std::make_unique<ExpertRebalancer>(
-            *process->control, ExpertRebalancerOptions{.countPeriod = milliseconds(400), .minGainWhenCalm = 0.06},
-            ExpertRebalancerEvents{.decisionMade =
-                                       [this, index](auto what, const auto &, const auto &details) {
-                                           if (m_options.isTraced) {
-                                               std::printf("%6lld rebalancer %d step %llu %.*s %s\n",
-                                                           static_cast<long long>(m_now), index,
-                                                           static_cast<unsigned long long>(m_step),
-                                                           static_cast<int>(what.size()), what.data(), details.c_str());
-                                           }
-                                       }},
-            fixedClock(), [this] { return m_random.draw(); });
-        process->rebalancer->setTargets(targets, profile, milliseconds(120));
-        process->rebalancer->setActive(everyGroup, true);
-        m_processes.push_back(std::move(process));
+    process.rebalancer = std::make_unique<ExpertRebalancer>(
+        *process.control, ExpertRebalancerOptions{.countPeriod = milliseconds(400), .minGainWhenCalm = 0.06},
+        ExpertRebalancerEvents{.decisionMade =
+                                   [this, index](auto what, const auto &, const auto &details) {
+                                       if (m_options.isTraced) {
+                                           std::printf("%6lld rebalancer %d step %llu %.*s %s\n",
+                                                       static_cast<long long>(m_now), index,
+                                                       static_cast<unsigned long long>(m_step),
+                                                       static_cast<int>(what.size()), what.data(), details.c_str());
+                                       }
+                                   }},
+        fixedClock(), [this] { return m_random.draw(); });
+    std::vector<TargetEntry> targets;
+    for (const auto &engine : m_engines) {
+        targets.push_back(engine->target);
     }
-    shiftDemand();
+    process.rebalancer->setTargets(targets, profile, milliseconds(120));
+    process.rebalancer->setActive(everyGroup, true);
 }
 
-HeldGroupSimulation::~HeldGroupSimulation() = default;
+void HeldGroupSimulation::restartAtRandom(int index)
+{
+    if (!m_options.restartsProcesses || m_random.below(MeanTicksBetweenRestarts) != 0) {
+        return;
+    }
+    if (m_options.isTraced) {
+        std::printf("%6lld rebalancer %d is killed\n", static_cast<long long>(m_now), index);
+    }
+    startProcess(index);
+    auto &process = *m_processes.at(static_cast<std::size_t>(index));
+    process.pausedUntil = m_now + RestartMs;
+    process.control->isPaused = true;
+    process.control->pendingAnswers.clear();
+}
 
 void HeldGroupSimulation::runWithFaults(milliseconds duration)
 {
@@ -383,7 +401,8 @@
             m_tasks.erase(m_tasks.begin() + static_cast<std::ptrdiff_t>(index));
             task();
         }
-        for (auto &process : m_processes) {
+        for (int index = 0; index < m_options.processes; ++index) {
+            auto &process = m_processes[static_cast<std::size_t>(index)];
             if (m_now < process->pausedUntil) {
                 continue;
             }
@@ -400,6 +419,8 @@
                 if (isPausing) {
                     process->pausedUntil = m_now + 200 + static_cast<std::int64_t>(m_random.below(5'000));
                     process->control->isPaused = true;
+                } else if (hasFaults) {
+                    restartAtRandom(index);
                 }
             }
         }
@@ -413,7 +434,9 @@
 void HeldGroupSimulation::beginPass()
 {
     if (m_options.hasIdlePeriods && m_hasFaults && m_now >= m_idleUntil && m_random.below(80) == 0) {
-        m_idleUntil = m_now + static_cast<std::int64_t>(m_random.below(6'000));
+        m_idleUntil = m_now
+            + static_cast<std::int64_t>(
+                          m_random.below(static_cast<std::uint64_t>(m_options.longestIdlePeriod.count())));
     }
     if (m_now < m_idleUntil || isNextPassHeld()) {
         return;
@@ -421,12 +444,7 @@
     ++m_step;
     const auto before = m_engines.front()->map;
     for (auto &engine : m_engines) {
-        if (engine->armed && engine->armed->step == m_step) {
-            engine->map = engine->armed->map;
-            engine->layout = engine->preparedLayout;
-            engine->prepared.reset();
-            engine->armed.reset();
-        }
+        engine->beginPass(m_step);
         for (std::size_t index = 0; index < m_demand.size(); ++index) {
             engine->expertCounts[index] += m_demand[index];
         }
@@ -453,7 +471,7 @@
     if (epoch != Epoch) {
         return OrderReply::Refused;
     }
-    const auto reply = applyOrder(*m_engines[rank], order);
+    const auto reply = m_engines[rank]->apply(order, m_step);
     if (m_options.isTraced) {
         constexpr const char *orderNames[] = {"prepare", "arm", "disarm", "hold", "release"};
         const auto number = std::visit(Visitor{[](const PrepareMap &one) { return toNumber(one.map); },
@@ -469,55 +487,6 @@
     return reply;
 }
 
-OrderReply HeldGroupSimulation::applyOrder(Engine &engine, const RankOrder &order)
-{
-    return std::visit(
-        Visitor{[&](const PrepareMap &prepare) {
-                    if (prepare.map <= engine.highestMap || engine.armed) {
-                        return OrderReply::Refused;
-                    }
-                    engine.highestMap = prepare.map;
-                    engine.prepared = prepare.map;
-                    engine.preparedLayout = prepare.layout;
-                    return OrderReply::Accepted;
-                },
-                [&](const ArmMap &arm) {
-                    if (engine.armed && engine.armed->map == arm.map && engine.armed->step == arm.step) {
-                        return OrderReply::Accepted;
-                    }
-                    if (engine.armed || engine.prepared != arm.map || arm.step <= m_step) {
-                        return OrderReply::Refused;
-                    }
-                    engine.armed = arm;
-                    return OrderReply::Accepted;
-                },
-                [&](const DisarmMap &disarm) {
-                    if (engine.map == disarm.map) {
-                        return OrderReply::Refused;
-                    }
-                    if (engine.armed && engine.armed->map == disarm.map) {
-                        engine.armed.reset();
-                    }
-                    return OrderReply::Accepted;
-                },
-                [&](const HoldStep &hold) {
-                    if (hold.step <= m_step
-                        || (engine.heldStep && *engine.heldStep > m_step && *engine.heldStep != hold.step)) {
-                        return OrderReply::Refused;
-                    }
-                    engine.heldStep = hold.step;
-                    return OrderReply::Accepted;
-                },
-                [&](const ReleaseStep &release) {
-                    if (engine.heldStep != release.step) {
-                        return OrderReply::Refused;
-                    }
-                    engine.heldStep.reset();
-                    return OrderReply::Accepted;
-                }},
-        order);
-}
-
 RankStatus HeldGroupSimulation::statusOf(std::size_t rank) const
 {
     auto &engine = *m_engines[rank];
--- a/tests/heldgroups/heldgroupsimulation.h
+++ b/tests/heldgroups/heldgroupsimulation.h
@@ -38,8 +38,10 @@
         double unansweredFraction = 0.15; ///< fraction of the orders without an answer
         double lateFraction = 0.5; ///< fraction of these that are executed nevertheless, up to 12 s later
         bool pausesProcesses = true;
+        bool restartsProcesses = false; ///< they are also killed, and start with empty memory
         std::chrono::milliseconds maxStatusAge{200}; ///< maximum age of a status; 10 ms with processes beside the ranks
         bool hasIdlePeriods = false; ///< the group has no work for seconds at a time
+        std::chrono::milliseconds longestIdlePeriod{6'000};
         BrokenSafeguard brokenSafeguard = BrokenSafeguard::None;
         bool isTraced = false; ///< prints the decisions of the rebalancers
     };
@@ -107,10 +109,11 @@
     bool isAnyMapPrepared() const;
     std::chrono::milliseconds longestHalt(std::chrono::milliseconds duration, const std::function<void()> &eachTick);
     void advance(std::chrono::milliseconds duration, bool hasFaults);
+    void startProcess(int index);
+    void restartAtRandom(int index);
     void beginPass();
     void shiftDemand();
     OrderReply executeOrder(std::size_t rank, const RankOrder &order, std::uint64_t epoch);
-    OrderReply applyOrder(Engine &engine, const RankOrder &order);
     RankStatus statusOf(std::size_t rank) const;
     void schedule(std::chrono::milliseconds delay, std::function<void()> task);
     SteadyTime now() const;
