Begin requests at a stopping gateway only if their latest answer arrives

Cause: a stopping gateway refused streams from the balancer's detection time on, but passed all other requests on until it closed its sockets, whatever their timeout.

Change: StopSchedule decides for all kinds. After the detection time a request that has reached no target begins only if its deadline, the earlier of the caller's and the route's, lies before the moment of the cut; otherwise it is refused as not run.

--- /dev/null
+++ b/modules/heatherridge_state/decisions/stopschedule.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "heatherridge_state/base/clock.h"
+#include "heatherridge_state/routing/routingconfig.h"
+
+namespace Heatherridge
+{
+
+/**
+ * The moments of a planned stop of an entry, and which requests it still begins.
+ *
+ * Load pattern: several entries of an availability zone stop together, so that the balancer goes on sending them new
+ * connections until their sockets close. What is passed on near the end is cut while its target runs it, and the caller
+ * cannot know whether it ran. Most answers take far less than their timeout, so requests are begun as long as even the
+ * latest answer arrives in time, and refused as not run afterwards.
+ */
+struct StopSchedule
+{
+    SteadyTime refusesFrom{}; ///< until then callers have no other entry: the balancer has not noticed the stop
+    SteadyTime cutAt{}; ///< when the process closes its connections, whatever is in progress
+
+    /**
+     * Returns whether a request that has reached no target may be passed on at @p now.
+     * @param deadline by which the caller gets a final response
+     */
+    constexpr bool mayBegin(RequestKind kind, SteadyTime deadline, SteadyTime now) const
+    {
+        return now < refusesFrom || (kind != RequestKind::EventStream && deadline <= cutAt);
+    }
+};
+
+} // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -192,7 +192,10 @@
         m_trafficLoop.post([this] { m_callers.beginDrain(); });
         // After half of the time, few callers still choose a kept connection.
         m_trafficLoop.after(m_options.balancerDetectionTime / 2, [this] { m_callers.closeIdleConnections(); });
-        m_trafficLoop.after(m_options.balancerDetectionTime, [this] { m_traffic.refuseStreams(); });
+        m_trafficLoop.post([this, drainStart] {
+            m_traffic.beginStop({.refusesFrom = drainStart + m_options.balancerDetectionTime,
+                                 .cutAt = drainStart + m_options.gracePeriod - GraceMargin - DrainTick});
+        });
         waitUntilDrained(drainStart);
         leaveDemandExchange();
         while (!stopTraffic(drainStart)) {
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -16,8 +16,6 @@
 constexpr std::chrono::milliseconds UnconfiguredRetryAfter{200};
 /** How often waiting streams look for an engine with free capacity: half of a short pass. */
 constexpr std::chrono::milliseconds QueuePeriod{20};
-/** Delay after which callers retry at another entry while this one shuts down. */
-constexpr std::chrono::milliseconds StoppingRetryAfter{50};
 
 } // namespace
 
@@ -132,9 +130,9 @@
     m_admissionControl.setFleetDemand(std::move(demand));
 }
 
-void GatewayTraffic::refuseStreams()
+void GatewayTraffic::beginStop(const StopSchedule &schedule)
 {
-    m_refusesStreams = true;
+    m_stop = schedule;
 }
 
 void GatewayTraffic::updateEngines(const std::vector<EngineView> &engines)
@@ -383,13 +381,6 @@
                      .detail = "request id or deadline is missing or malformed",
                      .ran = ExecutionStatus::No};
     }
-    const auto &route = *std::get<RouteMatch>(match).route;
-    if (m_refusesStreams && route.kind == RequestKind::EventStream) {
-        return Error{.kind = ErrorKind::Draining,
-                     .detail = "this entry is shutting down",
-                     .ran = ExecutionStatus::No,
-                     .retryAfter = StoppingRetryAfter};
-    }
     return match;
 }
 
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -5,6 +5,7 @@
 #include "heatherridge_state/decisions/bufferbudget.h"
 #include "heatherridge_state/decisions/fleetretrybudget.h"
 #include "heatherridge_state/decisions/runningestimate.h"
+#include "heatherridge_state/decisions/stopschedule.h"
 #include "heatherridge_state/decisions/streamqueue.h"
 #include "heatherridge_state/routing/routetable.h"
 #include "heatherridge_transport/app/metrics.h"
@@ -92,8 +93,8 @@
     /** Replaces the demand at all other gateways. */
     void setFleetDemand(FleetDemand demand);
 
-    /** Refuses new streams from now on, since they could outlast the process. */
-    void refuseStreams();
+    /** Refuses requests from now on whose responses might not arrive before the process has to stop. */
+    void beginStop(const StopSchedule &schedule);
 
     /** Applies the latest reports of engines in expert groups. */
     void updateEngines(const std::vector<EngineView> &engines);
@@ -189,7 +190,7 @@
     bool m_isQueueTimerArmed = false;
     std::uint64_t m_callCount = 0;
     std::unordered_set<std::shared_ptr<GatewayCall>> m_calls;
-    bool m_refusesStreams = false;
+    std::optional<StopSchedule> m_stop; ///< set while the process stops
     bool m_hasTargets = false;
 };
 
--- a/tests/gateway/gatewayfixture.cpp
+++ b/tests/gateway/gatewayfixture.cpp
@@ -177,6 +177,7 @@
             .sharePartitions = options.logPartitions,
             .maxHeldBytes = options.maxHeldBytes,
             .maxResponseBytes = options.maxResponseBytes,
+            .gracePeriod = options.gracePeriod,
             .balancerDetectionTime = milliseconds(200)};
 }
 
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -33,6 +33,7 @@
         std::optional<RankStatus> status{}; ///< of each target, which is a rank; empty: the targets answer no such call
         int sidecarPort = 0; ///< of the sidecars; if not 0, the targets are model engines
         double retrySlack = 800; ///< retries allowed besides those in proportion to the requests
+        std::chrono::milliseconds gracePeriod{8'000}; ///< from beginStop() until the process would be killed
         std::chrono::milliseconds refusalTime = DefaultRefusalTime; ///< targets refuse what they do not take within it
     };
 
--- a/tests/gateway/plannedstops_test.cpp
+++ b/tests/gateway/plannedstops_test.cpp
@@ -71,4 +71,57 @@
 INSTANTIATE_TEST_SUITE_P(All, RequestsDuringAPlannedStop, testing::ValuesIn(LateCallerCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+/** A request that reaches a gateway which has been stopping for longer than the balancer needs to notice. */
+struct LateRequestCase
+{
+    const char *name;
+    const char *method;
+    const char *path;
+    std::chrono::milliseconds callerTimeout;
+    int status;
+};
+
+const LateRequestCase LateRequestCases[] = {
+    {"UnsafeEndsInTime", "POST", "/book/1", 500ms, 200},
+    {"SafeEndsInTime", "GET", "/look/1", 500ms, 200},
+    {"UnsafeMayOutlastTheStop", "POST", "/book/1", 2'500ms, 503},
+    {"SafeMayOutlastTheStop", "GET", "/look/1", 2'500ms, 503},
+    {"ResumableStream", "POST", "/stream/1", 500ms, 503},
+};
+
+class LateRequestsAtAPlannedStop : public testing::TestWithParam<LateRequestCase>
+{
+};
+
+// Guards against a booking that a stopping gateway passes on and then cuts while its target runs it, so that the caller
+// cannot know whether it is booked.
+TEST_P(LateRequestsAtAPlannedStop, AreBegunOnlyIfTheirLatestAnswerArrives)
+{
+    const auto &testCase = GetParam();
+    const ScriptedTarget target([](const std::string &request, int) {
+        const bool isFirst = request.find("first") != std::string::npos;
+        return Actions{{.kind = Kind::Wait, .duration = isFirst ? 1'200ms : 50ms},
+                       {.bytes = signedResponse(request, "ok")}};
+    });
+    GatewayFixture gateway({&target}, {.gracePeriod = 2'500ms});
+    RawCaller first(gateway.callerEndpoint()); // keeps the gateway from ending early
+    first.send(requestText("POST", "/book/1", "first"));
+    while (target.requests().empty()) {
+        std::this_thread::sleep_for(5ms);
+    }
+    gateway.beginStop();
+    std::this_thread::sleep_for(400ms);
+
+    RawCaller late(gateway.callerEndpoint());
+    late.send(requestText(testCase.method, testCase.path, "late", {},
+                          "X-Heatherridge-Deadline-Ms: " + std::to_string(testCase.callerTimeout.count()) + "\r\n"));
+    EXPECT_EQ(late.receive().status, testCase.status);
+    EXPECT_EQ(target.requests().size(), testCase.status == 200 ? 2U : 1U);
+    EXPECT_EQ(first.receive().status, 200);
+    gateway.awaitStop();
+}
+
+INSTANTIATE_TEST_SUITE_P(All, LateRequestsAtAPlannedStop, testing::ValuesIn(LateRequestCases),
+                         [](const auto &row) { return std::string(row.param.name); });
+
 } // namespace
