--- a/modules/heatherridge_coordination/groups/expertrebalancer.cpp
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.cpp
@@ -593,6 +593,11 @@
     plan.ranks = m_rankMonitor.targetsOf(monitored);
     plan.epoch = monitored.epoch;
     const auto fields = nextSwitchFields(monitored, plan);
+    if (fields.usedSteps > monitored.lastStep + MaxPassesAhead) {
+        reportDecision("map-switch-put-off", name, "an idle group that too many passes were chosen for");
+        group.noSwitchBefore = now + FailureRetryDelay;
+        return;
+    }
     plan.mapNumber = recordOwnNumber(name, makeMapNumber(fields, m_randomBits()));
     plan.afterStep = fields.usedSteps;
     plan.untilStep = lastStepToHold(fields);
