Record the held pass of a switch that is dropped when its group changes or does not answer

Found by reading: a switch that is dropped because a rank stops answering left no record of the pass that it had held, and an own number counts as known, so the next switch of the process could have chosen that pass again. It is recorded now in the one place that drops actions, unless the epoch has changed.

--- a/modules/heatherridge_coordination/groups/expertrebalancer.cpp
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.cpp
@@ -215,6 +215,14 @@
     auto &group = stateOf(name);
     group.homeZone = m_rankMonitor.homeZoneOf(m_rankMonitor.group(name));
     group.layout.reset();
+    dropActions(name, group);
+}
+
+void ExpertRebalancer::dropActions(const GroupName &name, GroupState &group)
+{
+    if (group.mapSwitch && group.mapSwitch->plan().epoch == m_rankMonitor.group(name).epoch) {
+        m_rankMonitor.recordHeldStep(name, group.mapSwitch->heldStep()); // its orders may still be executed
+    }
     group.mapSwitch.reset();
     group.recovery.reset();
     group.pendingPlan.reset();
@@ -272,9 +280,7 @@
     const auto &monitored = m_rankMonitor.group(name);
     abandonForSuccessor(name, group);
     if (!m_rankMonitor.isOperational(monitored)) {
-        group.mapSwitch.reset();
-        group.recovery.reset();
-        group.pendingPlan.reset();
+        dropActions(name, group);
         return;
     }
     if (group.recovery) {
--- a/modules/heatherridge_coordination/groups/expertrebalancer.h
+++ b/modules/heatherridge_coordination/groups/expertrebalancer.h
@@ -180,6 +180,8 @@
     };
 
     void membershipChanged(const GroupName &name);
+    /** Drops what is in progress for a group that has changed or does not answer, also between its orders. */
+    void dropActions(const GroupName &name, GroupState &group);
     void statusReceived(const GroupName &name, const RankStatus &status);
     /**
      * Ends a switch that does not hold its group yet once another process rebalances the group: that one prepares maps
--- a/modules/heatherridge_state/groups/mapnumbering.h
+++ b/modules/heatherridge_state/groups/mapnumbering.h
@@ -38,7 +38,7 @@
 /** Returns the generation of @p number. */
 std::uint64_t generationOf(MapNumber number);
 
-/** Returns the latest pass that the switch of @p number may hold. */
+/** Returns the latest pass that the switch with @p fields may hold. */
 std::uint64_t lastStepToHold(const MapNumberFields &fields);
 
 /** Passes ahead of the present one, as told by a map number; 0 where the group has begun them. */
