--- a/tests/gateway/conversations/conversationrules.cpp
+++ b/tests/gateway/conversations/conversationrules.cpp
@@ -1,7 +1,7 @@
 #include "gateway/conversations/conversationrules.h"
 
 #include "gateway/conversations/answertext.h"
-#include "gateway/scriptedtarget.h"
+#include "support/scriptedtarget.h"
 
 #include <algorithm>
 
--- a/tests/gateway/conversations/conversationtargets.h
+++ b/tests/gateway/conversations/conversationtargets.h
@@ -2,7 +2,7 @@
 
 #include "gateway/conversations/answertext.h"
 #include "gateway/conversations/conversation.h"
-#include "gateway/scriptedtarget.h"
+#include "support/scriptedtarget.h"
 
 #include <map>
 #include <memory>
--- a/tests/gateway/crashabletargets.h
+++ b/tests/gateway/crashabletargets.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/scriptedtarget.h"
+#include "support/scriptedtarget.h"
 
 #include <algorithm>
 #include <cstddef>
--- a/tests/gateway/endlessanswers_test.cpp
+++ b/tests/gateway/endlessanswers_test.cpp
@@ -1,8 +1,8 @@
 #include "gateway/gatewayfixture.h"
-#include "gateway/scriptedtarget.h"
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/direct/attemptbytes.h"
 #include "heatherridge_transport/http/httpclient.h"
+#include "support/scriptedtarget.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/gateway/gatewayfixture.h
+++ b/tests/gateway/gatewayfixture.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "gateway/scriptedtarget.h"
 #include "heatherridge_platform.h"
 #include "heatherridge_state/groups/rankvalues.h"
 #include "heatherridge_transport/direct/gatewayserver.h"
+#include "support/scriptedtarget.h"
 #include "support/sharedreportlog.h"
 
 #include <atomic>
--- a/tests/gateway/logclient_test.cpp
+++ b/tests/gateway/logclient_test.cpp
@@ -1,6 +1,6 @@
-#include "gateway/scriptedtarget.h"
 #include "heatherridge_platform.h"
 #include "heatherridge_transport/app/eventloop.h"
+#include "support/scriptedtarget.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -1,10 +1,14 @@
 #include "support/childprocess.h"
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <sstream>
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -32,6 +36,12 @@
 } // namespace
 
 ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
+    : ChildProcess(program, arguments, 0)
+{
+}
+
+ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments,
+                           std::size_t maxDescriptors)
 {
     const std::string path = std::string(HEATHERRIDGE_BIN_DIR) + "/" + program;
     std::vector<char *> words{const_cast<char *>(path.c_str())};
@@ -47,6 +57,10 @@
     if (m_processId == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(pipeEnds[1], STDOUT_FILENO);
+        if (maxDescriptors > 0) {
+            const rlimit limit{.rlim_cur = maxDescriptors, .rlim_max = maxDescriptors};
+            ::setrlimit(RLIMIT_NOFILE, &limit);
+        }
         ::execv(path.c_str(), words.data());
         ::_exit(ExecFailed);
     }
@@ -89,6 +103,33 @@
     }
 }
 
+bool ChildProcess::isRunning() const
+{
+    siginfo_t info{};
+    return m_processId > 0 && ::waitid(P_PID, static_cast<id_t>(m_processId), &info, WEXITED | WNOHANG | WNOWAIT) == 0
+        && info.si_pid == 0;
+}
+
+std::size_t ChildProcess::peakMemory() const
+{
+    constexpr std::string_view label = "VmHWM:";
+    constexpr std::size_t bytesPerKibibyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(m_processId) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.rfind(label, 0) == 0) {
+            return std::stoul(line.substr(label.size())) * bytesPerKibibyte;
+        }
+    }
+    return 0;
+}
+
+std::size_t ChildProcess::descriptorCount() const
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(m_processId) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 int ChildProcess::wait()
 {
     int status = 0;
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -21,6 +21,8 @@
 public:
     /** Starts @p program from the build directory with @p arguments and waits for its ready line. */
     ChildProcess(const std::string &program, const std::vector<std::string> &arguments);
+    /** Starts it with at most @p maxDescriptors open descriptors. */
+    ChildProcess(const std::string &program, const std::vector<std::string> &arguments, std::size_t maxDescriptors);
     /** Kills the program if it is still running. */
     ~ChildProcess();
     ChildProcess(const ChildProcess &) = delete;
@@ -35,6 +37,15 @@
     /** Sends @p signal to the program. */
     void signal(int signal) const;
 
+    /** Returns whether the program has not ended. */
+    bool isRunning() const;
+
+    /** Returns the largest resident memory of the program so far, in bytes; 0 once it has ended. */
+    std::size_t peakMemory() const;
+
+    /** Returns the number of the program's open descriptors; 0 once it has ended. */
+    std::size_t descriptorCount() const;
+
     /** Waits for the program to end. @returns its exit code, or the negated number of the signal that ended it */
     int wait();
 
--- a/tests/gateway/scriptedtarget.cpp
+++ b/tests/support/scriptedtarget.cpp
@@ -1,4 +1,4 @@
-#include "gateway/scriptedtarget.h"
+#include "support/scriptedtarget.h"
 
 #include <asio/read.hpp>
 #include <asio/read_until.hpp>
