--- a/tests/crowds/crowd.cpp
+++ b/tests/crowds/crowd.cpp
@@ -1,5 +1,6 @@
 #include "crowds/crowd.h"
 
+#include <cerrno>
 #include <chrono>
 #include <thread>
 
@@ -24,9 +25,9 @@
 
 } // namespace
 
-void PrintTo(const CrowdBehaviour &behaviour, std::ostream *stream)
+std::ostream &operator<<(std::ostream &stream, const CrowdBehaviour &behaviour)
 {
-    *stream << behaviour.name;
+    return stream << behaviour.name;
 }
 
 Crowd::Crowd(Endpoint endpoint, const CrowdBehaviour &behaviour)
@@ -72,7 +73,11 @@
     client.socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
     sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(static_cast<std::uint16_t>(m_endpoint.port))};
     ::inet_pton(AF_INET, m_endpoint.address.c_str(), &address.sin_addr);
-    ::connect(client.socket, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    const int result = ::connect(client.socket, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+    if (result != 0 && errno != EINPROGRESS) {
+        ::close(client.socket);
+        client.socket = -1;
+    }
 }
 
 bool Crowd::send(Client &client) const
--- a/tests/crowds/crowd.h
+++ b/tests/crowds/crowd.h
@@ -22,7 +22,7 @@
 };
 
 /** Prints the name of the row when its test fails. */
-void PrintTo(const CrowdBehaviour &behaviour, std::ostream *stream);
+std::ostream &operator<<(std::ostream &stream, const CrowdBehaviour &behaviour);
 
 /**
  * Many clients of one process that never read an answer.
