Refuse a head at the byte that exceeds its limit, and count what heads take in memory

What callers saw: the gateway ended, out of memory, when clients sent heads of many short headers, or the same as trailers.

Cause: HttpMessageReader turned each header of four bytes into an object of 64, in a vector that doubles, up to the 80 kB of text that the parser library accepts; the limit of the configuration was checked once the head was complete. No budget counted heads. The head stayed in the reader while its request ran, beside a copy in the exchange; trailers were appended to it and passed every limit. The body was copied on its way to a target.

Change: the reader stops at the byte that exceeds the limit, counted as sent; as many bytes of blank lines are accepted before a head. It hands the head on, drops trailers, and tells what the incomplete head takes. A connection counts that, the objects of the head while its request runs, its text on the way to a target, and pending bytes as allocated. A body is shared with the connection to the target. The exchange of a connection has its own file.

A head inside the limit was refused if its headers were short, since each counted five bytes or more of four: it is served.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -1,135 +1,20 @@
 #include "heatherridge_transport/direct/callerconnection.h"
 
+#include "heatherridge_transport/direct/callerexchange.h"
 #include "heatherridge_transport/direct/httptext.h"
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
 
+#include <numeric>
+#include <utility>
+
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 
 namespace Heatherridge
 {
 
-/** The exchange for the current request of a connection. */
-class CallerExchange final : public HttpExchange
-{
-public:
-    CallerExchange(std::shared_ptr<CallerConnection> connection, HttpRequest request)
-        : m_connection(std::move(connection))
-        , m_server(m_connection->m_server)
-        , m_request(std::move(request))
-    {
-    }
-
-    ~CallerExchange() override
-    {
-        if (m_connection) {
-            m_connection->close();
-        }
-    }
-
-    const HttpRequest &request() const override
-    {
-        return m_request;
-    }
-
-    void onClosed(std::function<void()> closed) override
-    {
-        m_onClosed = std::move(closed);
-    }
-
-    /** Called when the caller disconnects before the end of the response. */
-    void onCallerDisconnected()
-    {
-        m_connection.reset();
-        if (const auto closed = std::exchange(m_onClosed, {})) {
-            closed();
-        }
-    }
-
-private:
-    void sendResponse(HttpResponse response) override
-    {
-        if (!m_connection) {
-            return;
-        }
-        const bool keepAlive = m_connection->canKeepAlive();
-        auto bytes = responseHeadText(response.status, response.headers,
-                                      {.contentLength = response.body.size(), .keepsConnection = keepAlive});
-        if (m_request.method != "HEAD") {
-            bytes += response.body;
-        }
-        m_connection->send(std::move(bytes), {});
-        finish(keepAlive);
-    }
-
-    void sendStreamHead(int status, const std::vector<HttpHeader> &headers) override
-    {
-        if (!m_connection) {
-            return;
-        }
-        m_keepAlive = m_connection->canKeepAlive();
-        m_isChunked = !m_connection->m_isHttp10;
-        if (!m_isChunked) {
-            m_connection->setResetOnClose(true);
-        }
-        m_connection->send(
-            responseHeadText(status, headers, {.isChunked = m_isChunked, .keepsConnection = m_keepAlive}), {});
-    }
-
-    void sendStreamBytes(std::string bytes, WriteCallback done) override
-    {
-        if (!m_connection) {
-            done(false);
-            return;
-        }
-        if (m_request.method == "HEAD") {
-            done(true); // its response has no body
-            return;
-        }
-        m_connection->send(m_isChunked ? chunkText(bytes) : std::move(bytes), std::move(done));
-    }
-
-    void sendStreamEnd() override
-    {
-        if (!m_connection) {
-            return;
-        }
-        if (m_isChunked && m_request.method != "HEAD") {
-            m_connection->send(std::string(LastChunk), {});
-        }
-        finish(m_keepAlive);
-    }
-
-    void closeConnection() override
-    {
-        if (m_connection) {
-            const auto connection = std::move(m_connection);
-            connection->abort();
-        }
-    }
-
-    void recordOutOfOrder() override
-    {
-        m_server->responsesOutOfOrder->add();
-    }
-
-    void finish(bool keepAlive)
-    {
-        m_onClosed = {};
-        const auto connection = std::move(m_connection);
-        connection->onResponseFinished(keepAlive);
-    }
-
-    std::shared_ptr<CallerConnection> m_connection; ///< null once the response has ended
-    std::shared_ptr<CallerServerState> m_server;
-    HttpRequest m_request;
-    std::function<void()> m_onClosed;
-    bool m_keepAlive = true;
-    bool m_isChunked = true;
-};
-
 namespace
 {
 
@@ -138,31 +23,45 @@
     return isSameHeaderName(headerValue(head.headers, "Expect"), "100-continue");
 }
 
-HttpRequest makeRequest(const HttpMessageHead &head)
+HttpRequest makeRequest(HttpMessageHead head)
 {
-    HttpRequest request{.method = head.method, .target = head.target, .headers = head.headers};
-    const auto queryStart = head.target.find('?');
-    request.path = head.target.substr(0, queryStart);
-    if (queryStart != std::string::npos) {
-        request.query = head.target.substr(queryStart + 1);
+    HttpRequest request{.method = std::move(head.method),
+                        .path = head.target.substr(0, head.target.find('?')),
+                        .target = std::move(head.target),
+                        .headers = std::move(head.headers)};
+    if (request.path.size() < request.target.size()) {
+        request.query = request.target.substr(request.path.size() + 1);
     }
     return request;
 }
 
+/** Returns the memory in bytes that the head of @p request takes until it is answered: here, and as text on its way to
+ * a target. */
+std::size_t headMemory(const HttpRequest &request)
+{
+    constexpr std::size_t separators = 4; // after the name and the value of a header
+    const auto textBytes = std::accumulate(request.headers.begin(), request.headers.end(), request.target.size(),
+                                           [](std::size_t sum, const auto &header) {
+                                               return sum + header.name.size() + header.value.size() + separators;
+                                           });
+    return allocatedBytes(request.headers) + allocatedBytes(request.target) + allocatedBytes(request.path)
+        + allocatedBytes(request.query) + textBytes;
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(asio::ip::tcp::socket socket, std::shared_ptr<CallerServerState> server)
     : m_socket(std::move(socket))
     , m_server(std::move(server))
     , m_reader(
-          HttpMessageReader::Side::Requests, [this](const auto &head) { return onHead(head); },
+          HttpMessageReader::Side::Requests, [this](HttpMessageHead head) { return onHead(std::move(head)); },
           [this](std::string_view bytes) {
               if (!m_rejection && m_request.body.size() + bytes.size() > m_server->limits.maxBodyBytes) {
                   m_rejection = ErrorKind::BodyTooLarge;
               }
               if (!m_rejection) {
                   m_request.body.append(bytes);
-                  m_requestBytes = m_request.body.size();
+                  m_bodyBytes = m_request.body.size();
               }
           })
     , m_phaseSince(std::chrono::steady_clock::now())
@@ -219,15 +118,12 @@
 
 std::size_t CallerConnection::heldBytes() const
 {
-    return m_pending.size() + m_requestBytes + m_unsentBytes;
+    return m_reader.heldBytes() + m_headBytes + m_bodyBytes + allocatedBytes(m_pending) + m_unsentBytes;
 }
 
 void CallerConnection::endForMemory()
 {
     if (m_phase == Phase::Receiving) {
-        m_request.body.clear();
-        m_request.body.shrink_to_fit();
-        m_requestBytes = 0;
         reject(ErrorKind::Overloaded);
     } else {
         onCallerDisconnected();
@@ -322,6 +218,7 @@
 
 std::size_t CallerConnection::feedReader(std::string_view bytes)
 {
+    m_reader.setMaxHeadBytes(m_server->limits.maxHeaderBytes);
     const auto consumed = m_reader.feed(bytes);
     if (m_phase == Phase::Waiting && m_reader.state() != HttpMessageReader::State::Idle) {
         setPhase(Phase::Receiving);
@@ -350,19 +247,18 @@
     }
 }
 
-bool CallerConnection::onHead(const HttpMessageHead &head)
+bool CallerConnection::onHead(HttpMessageHead head)
 {
-    m_request = makeRequest(head);
     m_isHttp10 = head.isHttp10;
     m_isKeepAlive = head.isKeepAlive && !m_isHttp10;
     m_expectsContinue = expectsContinue(head) && !m_isHttp10;
-    if (head.headBytes > m_server->limits.maxHeaderBytes) {
-        m_rejection = ErrorKind::HeaderTooLarge;
-    } else if (head.contentLength.value_or(0) > m_server->limits.maxBodyBytes) {
+    if (head.contentLength.value_or(0) > m_server->limits.maxBodyBytes) {
         m_rejection = ErrorKind::BodyTooLarge;
     } else if (head.method == "CONNECT" || head.target.empty() || head.target.front() != '/') {
         m_rejection = ErrorKind::BadRequest;
     }
+    m_request = makeRequest(std::move(head));
+    m_headBytes = headMemory(m_request);
     return true;
 }
 
@@ -377,11 +273,17 @@
 void CallerConnection::reject(ErrorKind kind)
 {
     const auto response = m_server->makeRejection(kind);
+    const bool isHeadRequest = m_reader.isHeadRequest();
+    m_request = {};
+    m_reader.reset();
+    m_headBytes = 0;
+    m_bodyBytes = 0;
+    clearPending();
     m_closeWhenWritten = true;
     setPhase(Phase::Answering);
     auto bytes = responseHeadText(response.status, response.headers,
                                   {.contentLength = response.body.size(), .keepsConnection = false});
-    if (m_request.method != "HEAD") {
+    if (!isHeadRequest) {
         bytes += response.body;
     }
     send(std::move(bytes), {});
@@ -436,7 +338,8 @@
 void CallerConnection::onResponseFinished(bool keepAlive)
 {
     m_exchange.reset();
-    m_requestBytes = 0;
+    m_headBytes = 0;
+    m_bodyBytes = 0;
     updateHeldBytes();
     if (m_phase != Phase::Answering) {
         return;
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -65,7 +65,7 @@
     /** Enforces the timeouts at the time @p now. Called every few hundred milliseconds. */
     void tick(SteadyTime now);
 
-    /** Returns the bytes of requests and responses that it holds. */
+    /** Returns the memory in bytes that it holds for requests and responses. */
     std::size_t heldBytes() const;
 
     /** Ends the connection because it holds too much: rejects a request that is arriving, closes it otherwise. */
@@ -93,7 +93,7 @@
     /** Parses @p bytes up to the end of the current request. @returns the number of bytes consumed */
     std::size_t feedReader(std::string_view bytes);
     void handleReaderState();
-    bool onHead(const HttpMessageHead &head);
+    bool onHead(HttpMessageHead head);
     void dispatchRequest();
     void reject(ErrorKind kind);
     void send(std::string bytes, HttpExchange::WriteCallback done);
@@ -135,7 +135,8 @@
     std::string m_pending; ///< bytes received after the current request, from m_pendingStart on
     std::size_t m_pendingStart = 0;
     HttpRequest m_request;
-    std::size_t m_requestBytes = 0; ///< size of the body of the request in progress
+    std::size_t m_headBytes = 0; ///< memory for the head of the request in progress
+    std::size_t m_bodyBytes = 0; ///< size of its body
     std::size_t m_unsentBytes = 0; ///< of responses
     std::size_t m_countedBytes = 0; ///< held bytes as last counted in the budget
     bool m_isKeepAlive = true; ///< the current request allows reuse of the connection
--- a/modules/heatherridge_transport/direct/httptext.cpp
+++ b/modules/heatherridge_transport/direct/httptext.cpp
@@ -84,19 +84,19 @@
     return text;
 }
 
-std::string requestText(std::string_view method, std::string_view target, const std::vector<HttpHeader> &headers,
-                        std::string_view body)
+std::string requestHeadText(std::string_view method, std::string_view target, const std::vector<HttpHeader> &headers,
+                            std::size_t bodyBytes)
 {
     std::string text;
-    text.reserve(512 + body.size());
+    text.reserve(512);
     text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
     for (const auto &header : headers) {
         appendHeader(text, header.name, header.value);
     }
-    if (!body.empty() || (method != "GET" && method != "HEAD")) {
-        appendHeader(text, "Content-Length", std::to_string(body.size()));
+    if (bodyBytes > 0 || (method != "GET" && method != "HEAD")) {
+        appendHeader(text, "Content-Length", std::to_string(bodyBytes));
     }
-    text.append("\r\n").append(body);
+    text.append("\r\n");
     return text;
 }
 
--- a/modules/heatherridge_transport/direct/httptext.h
+++ b/modules/heatherridge_transport/direct/httptext.h
@@ -24,9 +24,10 @@
 /** Returns the status line, the end-to-end headers among @p headers, and the headers that @p framing requires. */
 std::string responseHeadText(int status, const std::vector<HttpHeader> &headers, const ResponseFraming &framing);
 
-/** Returns a request with @p headers unchanged, plus Content-Length if it has a body or its method allows one. */
-std::string requestText(std::string_view method, std::string_view target, const std::vector<HttpHeader> &headers,
-                        std::string_view body);
+/** Returns the head of a request with @p headers unchanged, plus Content-Length if it has @p bodyBytes or its method
+ * allows a body. */
+std::string requestHeadText(std::string_view method, std::string_view target, const std::vector<HttpHeader> &headers,
+                            std::size_t bodyBytes);
 
 /** Returns @p bytes encoded as one chunk. */
 std::string chunkText(std::string_view bytes);
--- a/modules/heatherridge_transport/direct/targetconnection.cpp
+++ b/modules/heatherridge_transport/direct/targetconnection.cpp
@@ -36,7 +36,7 @@
     , m_endpoint(std::move(endpoint))
     , m_number(number)
     , m_reader(
-          HttpMessageReader::Side::Responses, [this](const auto &head) { return onHead(head); },
+          HttpMessageReader::Side::Responses, [this](HttpMessageHead head) { return onHead(std::move(head)); },
           [this](std::string_view bytes) {
               if (m_isBusy && !m_isInterim && m_events.body) {
                   m_events.body(bytes);
@@ -46,11 +46,11 @@
 {
 }
 
-void TargetConnection::exchange(std::string request, bool isHeadRequest, std::chrono::milliseconds connectTimeout,
+void TargetConnection::exchange(OutgoingRequest request, std::chrono::milliseconds connectTimeout,
                                 ExchangeEvents events)
 {
+    m_isHeadRequest = request.isHead;
     m_request = std::move(request);
-    m_isHeadRequest = isHeadRequest;
     m_events = std::move(events);
     m_isBusy = true;
     m_isWritten = false;
@@ -161,8 +161,10 @@
 void TargetConnection::write()
 {
     m_mayHaveArrived = true;
-    asio::async_write(m_socket, asio::buffer(m_request),
+    const auto body = m_request.body ? asio::buffer(*m_request.body) : asio::const_buffer();
+    asio::async_write(m_socket, std::array{asio::const_buffer(asio::buffer(m_request.head)), body},
                       [self = shared_from_this()](const asio::error_code &error, std::size_t) {
+                          self->m_request = {};
                           // The following read reports a failed write, after any response that arrived before it.
                           self->m_isWritten = !error;
                       });
--- a/modules/heatherridge_transport/direct/targetconnection.h
+++ b/modules/heatherridge_transport/direct/targetconnection.h
@@ -23,6 +23,14 @@
     std::string reason{};
 };
 
+/** A request as it is sent. */
+struct OutgoingRequest
+{
+    std::string head{}; ///< up to the blank line, inclusive
+    std::shared_ptr<const std::string> body{}; ///< shared with the caller's request; null if there is none
+    bool isHead = false; ///< the method is HEAD, so that the response has no body
+};
+
 /** Events of one exchange on a TargetConnection. None follows `complete` or `failed`. */
 struct ExchangeEvents
 {
@@ -51,11 +59,9 @@
 
     /**
      * Sends @p request. The first exchange opens the connection.
-     * @param isHeadRequest whether the method is HEAD, so that the response has no body
      * @param connectTimeout an attempt to connect that takes longer fails, with nothing sent
      */
-    void exchange(std::string request, bool isHeadRequest, std::chrono::milliseconds connectTimeout,
-                  ExchangeEvents events);
+    void exchange(OutgoingRequest request, std::chrono::milliseconds connectTimeout, ExchangeEvents events);
 
     /** Cancels the exchange without further events and closes the connection. */
     void close();
@@ -103,7 +109,7 @@
     HttpMessageReader m_reader;
     ExchangeEvents m_events;
     std::function<void()> m_onUnusable;
-    std::string m_request;
+    OutgoingRequest m_request; ///< until it is written
     std::array<char, 8192> m_buffer{};
     bool m_isHeadRequest = false;
     bool m_isOpen = false; ///< connected, and closed by neither side
--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -77,15 +77,19 @@
             return 0;
         };
         m_settings.on_url = [](http_parser *parser, const char *at, std::size_t length) {
-            self(parser).m_head.target.append(at, length);
+            self(parser).append(self(parser).m_head.target, {at, length});
             return 0;
         };
         m_settings.on_header_field = [](http_parser *parser, const char *at, std::size_t length) {
-            self(parser).appendHeaderName({at, length});
+            if (!self(parser).isInTrailers()) {
+                self(parser).appendHeaderName({at, length});
+            }
             return 0;
         };
         m_settings.on_header_value = [](http_parser *parser, const char *at, std::size_t length) {
-            self(parser).appendHeaderValue({at, length});
+            if (!self(parser).isInTrailers()) {
+                self(parser).appendHeaderValue({at, length});
+            }
             return 0;
         };
         m_settings.on_headers_complete = [](http_parser *parser) { return self(parser).completeHead(); };
@@ -104,28 +108,44 @@
     {
         http_parser_init(&m_parser, m_type);
         m_parser.data = this;
-        m_head = {};
+        takeHead();
+        m_blankBytes = 0;
+        m_headBytes = 0;
         m_isInHeaderValue = false;
         m_lineEnds = {};
         m_state = State::Idle;
     }
 
+    void setMaxHeadBytes(std::size_t bytes)
+    {
+        m_maxHeadBytes = std::min(bytes, LargestHeadBytes);
+    }
+
     std::size_t feed(std::string_view bytes)
     {
-        if (m_state == State::Complete || m_state == State::Malformed || bytes.empty()) {
-            return 0;
-        }
-        m_unchecked = bytes.data();
-        const auto consumed = http_parser_execute(&m_parser, &m_settings, bytes.data(), bytes.size());
-        const auto error = HTTP_PARSER_ERRNO(&m_parser);
-        const bool hasFailed = m_state != State::Complete && error != HPE_OK;
-        if (hasFailed || !acceptLineEnds(bytes.data() + consumed)) {
-            m_state = State::Malformed;
-            m_headTooLarge = error == HPE_HEADER_OVERFLOW;
+        std::size_t consumed = 0;
+        while (consumed < bytes.size() && m_state != State::Complete && m_state != State::Malformed) {
+            const auto piece = acceptablePiece(bytes.substr(consumed));
+            if (piece.empty()) {
+                m_state = State::Malformed;
+                m_headTooLarge = true;
+                break;
+            }
+            consumed += parse(piece);
         }
         return consumed;
     }
 
+    bool isHeadRequest() const
+    {
+        return m_type == HTTP_REQUEST && m_state != State::Idle && m_parser.method == HTTP_HEAD;
+    }
+
+    std::size_t heldBytes() const
+    {
+        return m_textMemory + m_head.headers.capacity() * sizeof(HttpHeader);
+    }
+
     void feedEndOfStream()
     {
         if (m_state != State::Body) {
@@ -153,19 +173,66 @@
         return *static_cast<Implementation *>(parser->data);
     }
 
+    /** Returns the beginning of @p bytes that may be parsed within the limits; empty if the next byte exceeds one.
+     * Counts the bytes of blank lines and of the head. */
+    std::string_view acceptablePiece(std::string_view bytes)
+    {
+        if (m_state == State::Body) {
+            return bytes;
+        }
+        const auto blank = m_state == State::Idle ? std::min(bytes.find_first_not_of("\r\n"), bytes.size()) : 0;
+        auto &count = blank > 0 ? m_blankBytes : m_headBytes;
+        const auto piece = bytes.substr(
+            0, std::min(blank > 0 ? blank : bytes.size(), m_maxHeadBytes - std::min(count, m_maxHeadBytes)));
+        count += piece.size();
+        return piece;
+    }
+
+    std::size_t parse(std::string_view bytes)
+    {
+        m_unchecked = bytes.data();
+        const auto consumed = http_parser_execute(&m_parser, &m_settings, bytes.data(), bytes.size());
+        const auto error = HTTP_PARSER_ERRNO(&m_parser);
+        const bool hasFailed = m_state != State::Complete && error != HPE_OK;
+        if (hasFailed || !acceptLineEnds(bytes.data() + consumed)) {
+            m_state = State::Malformed;
+            m_headTooLarge = error == HPE_HEADER_OVERFLOW;
+        }
+        return consumed;
+    }
+
+    bool isInTrailers() const
+    {
+        return m_state == State::Body;
+    }
+
+    /** Appends @p piece to @p text, a part of the head. */
+    void append(std::string &text, std::string_view piece)
+    {
+        const auto before = allocatedBytes(text);
+        text.append(piece);
+        m_textMemory += allocatedBytes(text) - before;
+    }
+
+    HttpMessageHead takeHead()
+    {
+        m_textMemory = 0;
+        return std::exchange(m_head, {});
+    }
+
     void appendHeaderName(std::string_view piece)
     {
         if (m_isInHeaderValue || m_head.headers.empty()) {
             m_head.headers.emplace_back();
             m_isInHeaderValue = false;
         }
-        m_head.headers.back().name.append(piece);
+        append(m_head.headers.back().name, piece);
     }
 
     void appendHeaderValue(std::string_view piece)
     {
         m_isInHeaderValue = true;
-        m_head.headers.back().value.append(piece);
+        append(m_head.headers.back().value, piece);
     }
 
     bool addBody(std::string_view piece)
@@ -190,8 +257,8 @@
 
     int completeHead()
     {
-        if (m_state == State::Body) {
-            return 0; // trailers after the last chunk
+        if (isInTrailers()) {
+            return 0;
         }
         if (!areNamesWellFormed(m_head.headers) || !isBodyDecoded(m_head.headers)) {
             return -1;
@@ -200,7 +267,6 @@
             m_head.method = http_method_str(static_cast<http_method>(m_parser.method));
         }
         m_head.status = m_type == HTTP_RESPONSE ? static_cast<int>(m_parser.status_code) : 0;
-        m_head.headBytes = headBytes();
         m_head.isHttp10 = m_parser.http_major < 1 || (m_parser.http_major == 1 && m_parser.http_minor == 0);
         m_head.isKeepAlive = http_should_keep_alive(&m_parser) != 0;
         if ((m_parser.flags & F_CONTENTLENGTH) != 0) {
@@ -210,21 +276,7 @@
         m_head.endsWithConnection =
             m_type == HTTP_RESPONSE && isBodyAllowed(m_head.status) && !m_head.isChunked && !m_head.contentLength;
         m_state = State::Body;
-        return m_onHead(m_head) ? 0 : 1;
-    }
-
-    /** Computes the size of the head as sent, excluding whitespace dropped by the parser, which does not count the
-     * bytes itself. */
-    std::size_t headBytes() const
-    {
-        constexpr std::size_t startLineOverhead = sizeof(" HTTP/1.1 \r\n") - 1;
-        constexpr std::size_t headerOverhead = sizeof(": \r\n") - 1;
-        constexpr std::size_t lineEndBytes = 2;
-        std::size_t size = m_head.method.size() + m_head.target.size() + startLineOverhead + lineEndBytes;
-        for (const auto &header : m_head.headers) {
-            size += header.name.size() + header.value.size() + headerOverhead;
-        }
-        return size;
+        return m_onHead(takeHead()) ? 0 : 1;
     }
 
     http_parser_type m_type;
@@ -232,7 +284,11 @@
     BodyCallback m_onBody;
     http_parser_settings m_settings{};
     http_parser m_parser{};
-    HttpMessageHead m_head;
+    HttpMessageHead m_head; ///< until it is complete
+    std::size_t m_textMemory = 0; ///< allocated for the strings of the head
+    std::size_t m_maxHeadBytes = LargestHeadBytes;
+    std::size_t m_blankBytes = 0; ///< before the head
+    std::size_t m_headBytes = 0; ///< so far; after the head without meaning
     LineEndCheck m_lineEnds;
     const char *m_unchecked = nullptr; ///< in the bytes that are fed
     bool m_isInHeaderValue = false;
@@ -247,6 +303,11 @@
 
 HttpMessageReader::~HttpMessageReader() = default;
 
+void HttpMessageReader::setMaxHeadBytes(std::size_t bytes)
+{
+    m_implementation->setMaxHeadBytes(bytes);
+}
+
 std::size_t HttpMessageReader::feed(std::string_view bytes)
 {
     return m_implementation->feed(bytes);
@@ -272,4 +333,14 @@
     return m_implementation->isHeadTooLarge();
 }
 
+bool HttpMessageReader::isHeadRequest() const
+{
+    return m_implementation->isHeadRequest();
+}
+
+std::size_t HttpMessageReader::heldBytes() const
+{
+    return m_implementation->heldBytes();
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/http/httpmessages.cpp
+++ b/modules/heatherridge_transport/http/httpmessages.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <numeric>
 
 namespace Heatherridge
 {
@@ -41,6 +42,20 @@
                        [name](auto candidate) { return isSameHeaderName(candidate, name); });
 }
 
+std::size_t allocatedBytes(const std::string &text)
+{
+    constexpr std::size_t allocatorBytes = 16;
+    return text.capacity() > std::string().capacity() ? text.capacity() + allocatorBytes : 0;
+}
+
+std::size_t allocatedBytes(const std::vector<HttpHeader> &headers)
+{
+    return std::accumulate(headers.begin(), headers.end(), headers.capacity() * sizeof(HttpHeader),
+                           [](std::size_t sum, const auto &header) {
+                               return sum + allocatedBytes(header.name) + allocatedBytes(header.value);
+                           });
+}
+
 std::string_view headerValue(const std::vector<HttpHeader> &headers, std::string_view name)
 {
     const auto header = std::find_if(headers.begin(), headers.end(),
--- a/modules/heatherridge_transport/http/httpmessages.h
+++ b/modules/heatherridge_transport/http/httpmessages.h
@@ -15,6 +15,12 @@
     std::string value{};
 };
 
+/** Returns the memory in bytes that @p text takes besides its object. */
+std::size_t allocatedBytes(const std::string &text);
+
+/** Returns the memory in bytes that @p headers take besides the vector's object. */
+std::size_t allocatedBytes(const std::vector<HttpHeader> &headers);
+
 /** Returns the value of the header @p name in @p headers, or an empty string. Names are case-insensitive. */
 std::string_view headerValue(const std::vector<HttpHeader> &headers, std::string_view name);
 
--- a/tests/gateway/targetconnectionpool_test.cpp
+++ b/tests/gateway/targetconnectionpool_test.cpp
@@ -112,7 +112,7 @@
         peer.awaitDelivery();
     };
     bool isComplete = false;
-    connection->exchange("GET / HTTP/1.1\r\n\r\n", false, 5s, {.complete = [&] {
+    connection->exchange({.head = "GET / HTTP/1.1\r\n\r\n"}, 5s, {.complete = [&] {
                              isComplete = true;
                              if (GetParam().actsAtCompletion) {
                                  act();
--- a/tests/transport/httpmessagereader_test.cpp
+++ b/tests/transport/httpmessagereader_test.cpp
@@ -66,4 +66,62 @@
 INSTANTIATE_TEST_SUITE_P(All, HttpMessages, testing::ValuesIn(MessageCases),
                          [](const auto &row) { return row.param.name; });
 
+struct HeadLimitCase
+{
+    const char *name;
+    std::string bytes;
+    std::size_t limit;
+    State state; ///< after the bytes
+};
+
+const std::string SmallHead = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+const HeadLimitCase HeadLimitCases[] = {
+    {"AtTheLimit", SmallHead, SmallHead.size(), State::Complete},
+    {"OneByteBeyond", SmallHead, SmallHead.size() - 1, State::Malformed},
+    {"BeforeItsEnd", SmallHead.substr(0, 20), 19, State::Malformed},
+    {"BlankLinesDoNotCount", "\r\n\r\n" + SmallHead, SmallHead.size(), State::Complete},
+    {"TooManyBlankLines", "\r\n\r\n\r\n", 5, State::Malformed},
+    {"BodyDoesNotCount", "POST / HTTP/1.1\r\nContent-Length: 99\r\n\r\n" + std::string(99, 'x'), 50, State::Complete},
+    {"TrailersDoNotCount",
+     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\na: " + std::string(99, 'x') + "\r\n\r\n", 50,
+     State::Complete},
+};
+
+class HeadLimits : public testing::TestWithParam<HeadLimitCase>
+{
+};
+
+// Guards against heads that take memory beyond their limit until they are complete, which is never.
+TEST_P(HeadLimits, HoldAtTheByteThatExceedsThemHoweverTheyArrive)
+{
+    const auto &testCase = GetParam();
+    const std::string_view bytes = testCase.bytes;
+    for (std::size_t first = 0; first < bytes.size(); ++first) {
+        HttpMessageReader reader(
+            Side::Requests, [](const HttpMessageHead &) { return true; }, [](std::string_view) {});
+        reader.setMaxHeadBytes(testCase.limit);
+        reader.feed(bytes.substr(0, first));
+        reader.feed(bytes.substr(first));
+        EXPECT_EQ(reader.state(), testCase.state) << first;
+        EXPECT_EQ(reader.isHeadTooLarge(), testCase.state == State::Malformed) << first;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(All, HeadLimits, testing::ValuesIn(HeadLimitCases),
+                         [](const auto &row) { return row.param.name; });
+
+// Guards against trailers, and heads that were handed on, which a connection kept until its next request.
+TEST(HeadMemory, IsHeldUntilTheHeadIsComplete)
+{
+    HttpMessageReader reader(
+        Side::Requests, [](const HttpMessageHead &) { return true; }, [](std::string_view) {});
+    reader.feed("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nX-Note: " + std::string(1'000, 'x') + "\r\n");
+    EXPECT_GE(reader.heldBytes(), 1'000U);
+    reader.feed("\r\n0\r\n");
+    EXPECT_EQ(reader.heldBytes(), 0U);
+    reader.feed("X-Note: " + std::string(1'000, 'x') + "\r\n");
+    EXPECT_EQ(reader.heldBytes(), 0U);
+}
+
 } // namespace
