End stalled callers and arriving requests before running ones when memory is short

Cause: whoever held most was ended, whatever its state. A request that runs holds its whole body, one that arrives a part of it; and a crowd of small holders makes the one large request of an ordinary caller pay.

Change: connections that hold bytes have a stage. Stalled ones end first: for a second they have sent nothing of their request or taken nothing of their answer. Then requests that still arrive, refused as not run, then all others; within a stage the largest, so that few are ended. Requests of 64 KiB and more that arrive are refused when a sixteenth of the memory is left, so that small ones still find room. Each operation beyond the limit made a scan for each connection that it ended; now one scan serves all.

Weighed: refusing the newest arrival frees next to nothing and would refuse many; reserving the declared length would let silent clients hold the memory with heads alone.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -4,6 +4,7 @@
 #include "heatherridge_transport/direct/httptext.h"
 
 #include <asio/buffer.hpp>
+#include <asio/completion_condition.hpp>
 #include <asio/write.hpp>
 
 #include <numeric>
@@ -65,6 +66,7 @@
               }
           })
     , m_phaseSince(std::chrono::steady_clock::now())
+    , m_receivedAt(m_phaseSince)
 {
 }
 
@@ -121,6 +123,20 @@
     return m_reader.heldBytes() + m_headBytes + m_bodyBytes + allocatedBytes(m_pending) + m_unsentBytes;
 }
 
+HoldingStage CallerConnection::holdingStage(SteadyTime now) const
+{
+    const bool isReceiving = m_phase == Phase::Receiving;
+    if (isReceiving ? now - m_receivedAt > StallTime : isUnread(now)) {
+        return HoldingStage::Stalled;
+    }
+    return isReceiving ? HoldingStage::Arriving : HoldingStage::Running;
+}
+
+bool CallerConnection::isUnread(SteadyTime now) const
+{
+    return m_isWriting && now - m_writeProgressAt > StallTime;
+}
+
 void CallerConnection::endForMemory()
 {
     if (m_phase == Phase::Receiving) {
@@ -137,7 +153,12 @@
     m_server->buffers.change(m_countedBytes, held);
     const bool hasGrown = held > m_countedBytes;
     m_countedBytes = held;
-    if (hasGrown && m_server->buffers.isExceeded() && m_server->buffersExceeded) {
+    if (!hasGrown || !m_server->buffersExceeded) {
+        return;
+    }
+    const auto scope = m_server->buffers.scopeToEnd();
+    const bool isLargeArrival = m_phase == Phase::Receiving && held >= BufferBudget::LargeArrivalBytes;
+    if (scope == BufferBudget::Scope::All || (scope && isLargeArrival)) {
         m_server->buffersExceeded();
     }
 }
@@ -201,6 +222,7 @@
         }
         return;
     }
+    m_receivedAt = std::chrono::steady_clock::now();
     if (m_phase == Phase::Closing) {
         read(); // discards data received after the last response
         return;
@@ -310,13 +332,20 @@
     }
     m_isWriting = true;
     m_writeStartedAt = std::chrono::steady_clock::now();
+    m_writeProgressAt = m_writeStartedAt;
     auto batch = std::make_shared<std::deque<PendingWrite>>(std::exchange(m_pendingWrites, {}));
     std::vector<asio::const_buffer> buffers;
     buffers.reserve(batch->size());
     for (const auto &write : *batch) {
         buffers.emplace_back(asio::buffer(write.bytes));
     }
-    asio::async_write(m_socket, buffers,
+    const auto recordProgress = [self = shared_from_this()](const asio::error_code &error, std::size_t size) {
+        if (size > 0) {
+            self->m_writeProgressAt = std::chrono::steady_clock::now();
+        }
+        return asio::transfer_all()(error, size);
+    };
+    asio::async_write(m_socket, buffers, recordProgress,
                       [self = shared_from_this(), batch](const asio::error_code &error, std::size_t) {
                           for (const auto &write : *batch) {
                               self->m_unsentBytes -= write.bytes.size();
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -52,6 +52,9 @@
     static constexpr std::chrono::milliseconds LingerTimeout{1'000};
     /** A write that takes longer than this disconnects the caller. */
     static constexpr std::chrono::milliseconds WriteTimeout{15'000};
+    /** A caller that has for longer sent nothing of its request, or read nothing of its response, ends before others.
+     */
+    static constexpr std::chrono::milliseconds StallTime{1'000};
 
     CallerConnection(asio::ip::tcp::socket socket, std::shared_ptr<CallerServerState> server);
     ~CallerConnection();
@@ -68,6 +71,9 @@
     /** Returns the memory in bytes that it holds for requests and responses. */
     std::size_t heldBytes() const;
 
+    /** Returns why it holds bytes at the time @p now. */
+    HoldingStage holdingStage(SteadyTime now) const;
+
     /** Ends the connection because it holds too much: rejects a request that is arriving, closes it otherwise. */
     void endForMemory();
 
@@ -121,6 +127,8 @@
     void updateHeldBytes();
     void onCallerDisconnected();
     bool canKeepAlive() const;
+    /** Returns whether the caller has stopped reading. */
+    bool isUnread(SteadyTime now) const;
 
     struct PendingWrite
     {
@@ -153,7 +161,9 @@
     bool m_isResponseFinished = false; ///< though maybe not yet written
     Phase m_phase = Phase::Waiting;
     SteadyTime m_phaseSince{};
+    SteadyTime m_receivedAt{}; ///< last bytes of the caller
     SteadyTime m_writeStartedAt{};
+    SteadyTime m_writeProgressAt{}; ///< when the caller's host last took bytes of the write in progress
 };
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/callerserver.cpp
+++ b/modules/heatherridge_transport/direct/callerserver.cpp
@@ -80,28 +80,32 @@
         if (!std::exchange(m_isEndScheduled, true)) {
             asio::post(m_acceptor.get_executor(), [self = shared_from_this()] {
                 self->m_isEndScheduled = false;
-                self->endLargestHolders();
+                self->endHolders();
             });
         }
     }
 
-    /** Ends the connections that hold most until the others fit. */
-    void endLargestHolders()
+    /** Ends connections until the others fit. */
+    void endHolders()
     {
-        auto connections = openConnections();
-        while (m_state->buffers.isExceeded()) {
-            std::vector<std::size_t> held(connections.size());
-            std::transform(connections.begin(), connections.end(), held.begin(),
-                           [](const auto &connection) { return connection->heldBytes(); });
-            const auto largest = BufferBudget::largestHolder(held);
-            if (!largest) {
+        const auto now = std::chrono::steady_clock::now();
+        const auto connections = openConnections();
+        std::vector<BufferHolder> holders(connections.size());
+        std::transform(connections.begin(), connections.end(), holders.begin(), [now](const auto &connection) {
+            return BufferHolder{.bytes = connection->heldBytes(), .stage = connection->holdingStage(now)};
+        });
+        while (const auto scope = m_state->buffers.scopeToEnd()) {
+            const auto next = BufferBudget::nextToEnd(holders, *scope);
+            if (!next) {
                 break;
             }
             m_endedForMemory.add();
             logEvent(Severity::Warning, "caller-ended-for-memory",
-                     {{"held", std::to_string(held[*largest])}, {"all", std::to_string(m_state->buffers.held())}});
-            connections[*largest]->endForMemory();
-            connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(*largest));
+                     {{"held", std::to_string(holders[*next].bytes)},
+                      {"all", std::to_string(m_state->buffers.held())},
+                      {"stage", std::string(toString(holders[*next].stage))}});
+            connections[*next]->endForMemory();
+            holders[*next].bytes = 0;
         }
     }
 
