Close the least useful connection when a new one finds no room, and keep descriptors for targets

What callers saw: closed unread as long as a silent crowd held all connections. With fewer descriptors than connections, nothing was reached any more, and accepting was tried again without a pause.

Cause: the connection that comes when all are taken was the one that closed. The number was 1,000 whatever the host's descriptors and memory were.

Change: connectionToClose() chooses by use: the longest unused one (no whole request yet), then the longest idle one; those that have just come or been answered after them, unread answers last, busy ones never. Where all are busy, the new one closes as before, and one connection with pipelined requests closes after its next answer, which cuts nothing. A failed accept is tried again after 100 ms.

--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -1,9 +1,13 @@
 #include "heatherridge_platform.h"
+#include "heatherridge_state/decisions/connectionlimit.h"
 #include "heatherridge_transport/app/daemon.h"
 #include "heatherridge_transport/direct/gatewayserver.h"
 
+#include <algorithm>
 #include <memory>
 
+#include <sys/resource.h>
+
 using namespace Heatherridge;
 
 namespace
@@ -25,7 +29,14 @@
      .defaultValue = "1000",
      .minimum = 1,
      .maximum = 100000,
-     .help = "maximum number of callers' connections; further ones are closed"},
+     .help = "maximum number of callers' connections; fewer where memory-mb or max-descriptors allow no more. For a "
+             "further one, the longest unused or idle one is closed"},
+    {.key = "max-descriptors",
+     .type = SettingType::Number,
+     .defaultValue = "0",
+     .minimum = 0,
+     .maximum = 10000000,
+     .help = "descriptors that this host gives a process, 200 of them for files; 0: as many as the system allows"},
     {.key = "memory-mb",
      .type = SettingType::Number,
      .defaultValue = "256",
@@ -152,14 +163,27 @@
 /** Topics of the division among large gateways: only few pieces of work are divided by it. */
 constexpr int LargeShareTopics = 1;
 constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
-/** Share of the host's memory for callers' requests and responses, and as much again for targets' responses; bodies are
- * copied once on their way to a target. */
+/** Share of the host's memory for callers' requests and responses, and as much again for targets' responses. */
 constexpr double BufferMemoryShare = 0.25;
 
+/** Descriptors that a host with a stated number of descriptors keeps for files. */
+constexpr long long FileDescriptors = 200;
+
+/** Returns the number of descriptors for sockets; 0 if they are not limited. */
+std::size_t socketDescriptors(const Settings &settings)
+{
+    if (const auto stated = settings.number("max-descriptors"); stated > 0) {
+        return static_cast<std::size_t>(std::max(stated - FileDescriptors, 1LL));
+    }
+    rlimit allowed{};
+    const bool isLimited = ::getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur != RLIM_INFINITY;
+    return isLimited ? static_cast<std::size_t>(allowed.rlim_cur) : 0;
+}
+
 GatewayServer::Options optionsFrom(const Settings &settings)
 {
-    const auto bufferBytes = static_cast<std::size_t>(static_cast<double>(settings.number("memory-mb"))
-                                                      * BytesPerMebibyte * BufferMemoryShare);
+    const auto memory = static_cast<double>(settings.number("memory-mb")) * BytesPerMebibyte;
+    const auto bufferBytes = static_cast<std::size_t>(memory * BufferMemoryShare);
     const auto window = std::chrono::duration_cast<std::chrono::seconds>(settings.duration("retry-window"));
     return {
         .process = ProcessName(settings.text("name")),
@@ -187,7 +211,10 @@
                     .zoneRegions = parseZoneRegions(settings.text("zone-regions"))},
         .logPartitions = static_cast<int>(settings.number("log-partitions")),
         .sharePartitions = static_cast<int>(settings.number("log-partitions")) * ShareTopics,
-        .maxConnections = static_cast<std::size_t>(settings.number("max-connections")),
+        .maxConnections =
+            callerConnectionLimit({.configured = static_cast<std::size_t>(settings.number("max-connections")),
+                                   .memory = static_cast<std::size_t>(memory),
+                                   .descriptors = socketDescriptors(settings)}),
         .maxHeldBytes = bufferBytes,
         .maxResponseBytes = bufferBytes,
         .gracePeriod = settings.duration("grace")};
--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -66,8 +66,10 @@
               }
           })
     , m_phaseSince(std::chrono::steady_clock::now())
+    , m_connectedAt(m_phaseSince)
     , m_receivedAt(m_phaseSince)
 {
+    ++m_server->openCount;
 }
 
 CallerConnection::~CallerConnection()
@@ -103,7 +105,7 @@
         break;
     case Phase::Answering:
         if (m_isWriting && now - m_writeStartedAt > WriteTimeout) {
-            onCallerDisconnected();
+            disconnect();
         } else if (m_abortedAt && (!hasUnacknowledgedBytes() || now - *m_abortedAt > LingerTimeout)) {
             close();
         }
@@ -132,6 +134,27 @@
     return isReceiving ? HoldingStage::Arriving : HoldingStage::Running;
 }
 
+RetainedConnection CallerConnection::retention(SteadyTime now) const
+{
+    switch (m_phase) {
+    case Phase::Waiting:
+        return m_hasAnsweredBefore ? RetainedConnection{ConnectionUse::Idle, m_phaseSince}
+                                   : RetainedConnection{ConnectionUse::Unused, m_connectedAt};
+    case Phase::Receiving:
+        if (!m_hasAnsweredBefore) {
+            return {ConnectionUse::Unused, m_connectedAt};
+        }
+        return now - m_receivedAt > StallTime ? RetainedConnection{ConnectionUse::Unused, m_receivedAt}
+                                              : RetainedConnection{ConnectionUse::Busy, m_receivedAt};
+    case Phase::Answering:
+        return {isUnread(now) ? ConnectionUse::Unread : ConnectionUse::Busy, m_writeProgressAt};
+    case Phase::Closing:
+    case Phase::Closed:
+        break;
+    }
+    return {ConnectionUse::Closing, m_phaseSince};
+}
+
 bool CallerConnection::isUnread(SteadyTime now) const
 {
     return m_isWriting && now - m_writeProgressAt > StallTime;
@@ -142,7 +165,7 @@
     if (m_phase == Phase::Receiving) {
         reject(ErrorKind::Overloaded);
     } else {
-        onCallerDisconnected();
+        disconnect();
     }
     updateHeldBytes();
 }
@@ -198,7 +221,7 @@
 
 void CallerConnection::read()
 {
-    if (m_isReading || m_phase == Phase::Closed || m_pending.size() > MaxPendingBytes) {
+    if (m_isReading || m_phase == Phase::Closed || m_pending.size() > m_server->maxPendingBytes) {
         return;
     }
     m_isReading = true;
@@ -216,7 +239,7 @@
     }
     if (error) {
         if (m_phase == Phase::Answering) {
-            onCallerDisconnected();
+            disconnect();
         } else {
             close();
         }
@@ -356,7 +379,7 @@
                           self->m_isWriting = false; // not earlier: what the callbacks send is written together
                           self->updateHeldBytes();
                           if (error) {
-                              self->onCallerDisconnected();
+                              self->disconnect();
                               return;
                           }
                           self->writeNext();
@@ -442,11 +465,12 @@
     } else if (m_phase == Phase::Answering && phase != Phase::Answering) {
         --m_server->busyCount;
     }
+    m_server->openCount -= phase == Phase::Closed ? 1 : 0;
     m_phase = phase;
     m_phaseSince = std::chrono::steady_clock::now();
 }
 
-void CallerConnection::onCallerDisconnected()
+void CallerConnection::disconnect()
 {
     m_server->callerDisconnects->add();
     const auto exchange = m_exchange.lock();
@@ -456,8 +480,18 @@
     }
 }
 
-bool CallerConnection::canKeepAlive() const
+bool CallerConnection::isOpen() const
 {
+    return m_phase != Phase::Closed;
+}
+
+bool CallerConnection::canKeepAlive()
+{
+    const bool hasNextRequest = !m_pending.empty();
+    if (hasNextRequest && m_server->connectionsToShed > 0) {
+        --m_server->connectionsToShed;
+        return false;
+    }
     return m_isKeepAlive && !m_server->isDraining;
 }
 
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_state/decisions/bufferbudget.h"
+#include "heatherridge_state/decisions/connectionretention.h"
 #include "heatherridge_state/routing/routingconfig.h"
 #include "heatherridge_transport/direct/callerserver.h"
 #include "heatherridge_transport/http/httpmessagereader.h"
@@ -20,8 +21,9 @@
 /** State that all connections of one CallerServer share. */
 struct CallerServerState
 {
-    explicit CallerServerState(std::size_t maxHeldBytes)
-        : buffers(maxHeldBytes)
+    CallerServerState(std::size_t maxHeldBytes, std::size_t maxPending)
+        : maxPendingBytes(maxPending)
+        , buffers(maxHeldBytes)
     {
     }
 
@@ -29,6 +31,10 @@
     CallerServer::RejectionHandler makeRejection{};
     ClientLimits limits{};
     bool isDraining = false;
+    std::size_t openCount = 0; ///< connections that are not closed
+    std::size_t connectionsToShed = 0; ///< connections with pipelined requests that close after their next response
+    std::size_t maxPendingBytes; ///< of pipelined requests on one connection; above it, reading stops until the
+                                 ///< response is finished
     std::size_t busyCount = 0; ///< connections with a request whose response is not yet written
     BufferBudget buffers; ///< of all connections
     std::function<void()> buffersExceeded{}; ///< called when the connections hold too much together
@@ -46,8 +52,6 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-    /** Limit for buffered bytes of pipelined requests; above it, reading stops until the response is finished. */
-    static constexpr std::size_t MaxPendingBytes = 64UL << 10U;
     /** How long a closing connection waits for the caller to close; a reset could discard the last response. */
     static constexpr std::chrono::milliseconds LingerTimeout{1'000};
     /** A write that takes longer than this disconnects the caller. */
@@ -74,6 +78,9 @@
     /** Returns why it holds bytes at the time @p now. */
     HoldingStage holdingStage(SteadyTime now) const;
 
+    /** Returns what it is in use for at the time @p now. */
+    RetainedConnection retention(SteadyTime now) const;
+
     /** Ends the connection because it holds too much: rejects a request that is arriving, closes it otherwise. */
     void endForMemory();
 
@@ -83,6 +90,11 @@
     /** Closes the connection immediately. */
     void close();
 
+    /** Closes the connection immediately, and ends the exchange that is in progress as if the caller had closed it. */
+    void disconnect();
+
+    bool isOpen() const;
+
 private:
     friend class CallerExchange;
 
@@ -125,8 +137,8 @@
     void setResetOnClose(bool isReset);
     void setPhase(Phase phase);
     void updateHeldBytes();
-    void onCallerDisconnected();
-    bool canKeepAlive() const;
+    /** Returns whether the response that is about to be sent leaves the connection open. */
+    bool canKeepAlive();
     /** Returns whether the caller has stopped reading. */
     bool isUnread(SteadyTime now) const;
 
@@ -161,6 +173,7 @@
     bool m_isResponseFinished = false; ///< though maybe not yet written
     Phase m_phase = Phase::Waiting;
     SteadyTime m_phaseSince{};
+    SteadyTime m_connectedAt{};
     SteadyTime m_receivedAt{}; ///< last bytes of the caller
     SteadyTime m_writeStartedAt{};
     SteadyTime m_writeProgressAt{}; ///< when the caller's host last took bytes of the write in progress
--- a/modules/heatherridge_transport/direct/callerserver.cpp
+++ b/modules/heatherridge_transport/direct/callerserver.cpp
@@ -21,6 +21,18 @@
 constexpr std::chrono::milliseconds SweepPeriod{250};
 /** Length of the kernel's accept queue. While it is full, SYN packets are dropped and retried after one second. */
 constexpr int Backlog = 512;
+/** Pause after a connection could not be accepted, for example for lack of descriptors. */
+constexpr std::chrono::milliseconds AcceptRetryDelay{100};
+/** Bounds of the bytes of pipelined requests that one connection may hold. */
+constexpr std::size_t MinPendingBytes = 4UL << 10U;
+constexpr std::size_t MaxPendingBytes = 64UL << 10U;
+
+/** Returns how many bytes of pipelined requests one connection may hold, so that all together take at most half of the
+ * memory. */
+std::size_t pendingLimit(const CallerServer::Options &options)
+{
+    return std::clamp(options.maxHeldBytes / (2 * options.maxConnections), MinPendingBytes, MaxPendingBytes);
+}
 
 } // namespace
 
@@ -31,10 +43,13 @@
                    Metrics &metrics)
         : m_options(std::move(options))
         , m_acceptor(loop)
+        , m_acceptTimer(loop)
         , m_sweepTimer(loop)
-        , m_state(std::make_shared<CallerServerState>(m_options.maxHeldBytes))
+        , m_state(std::make_shared<CallerServerState>(m_options.maxHeldBytes, pendingLimit(m_options)))
         , m_accepted(metrics.counter("heatherridge_caller_connections_total"))
         , m_refused(metrics.counter("heatherridge_caller_connections_refused_total"))
+        , m_replaced(metrics.counter("heatherridge_caller_connections_replaced_total"))
+        , m_acceptFailures(metrics.counter("heatherridge_caller_accept_failures_total"))
         , m_endedForMemory(metrics.counter("heatherridge_callers_ended_for_memory_total"))
         , m_heldBytes(metrics.gauge("heatherridge_caller_held_bytes"))
     {
@@ -113,6 +128,7 @@
     {
         asio::error_code ignored; // the process is about to exit
         m_acceptor.close(ignored);
+        m_acceptTimer.cancel();
         m_sweepTimer.cancel();
         for (const auto &connection : openConnections()) {
             connection->close();
@@ -139,18 +155,53 @@
                 if (error == asio::error::operation_aborted || !self->m_acceptor.is_open()) {
                     return;
                 }
-                if (!error) {
-                    self->addConnection(std::move(socket));
+                if (error) {
+                    self->retryAccept(error);
+                    return;
                 }
+                self->addConnection(std::move(socket));
                 self->accept();
             });
     }
 
+    void retryAccept(const asio::error_code &error)
+    {
+        m_acceptFailures.add();
+        logEvent(Severity::Warning, "accept-failed", {{"reason", error.message()}});
+        replaceConnection();
+        m_acceptTimer.expires_after(AcceptRetryDelay);
+        m_acceptTimer.async_wait([self = shared_from_this()](const asio::error_code &cancelled) {
+            if (!cancelled && self->m_acceptor.is_open()) {
+                self->accept();
+            }
+        });
+    }
+
+    /** Closes the connection that makes room for another. @returns whether there was one */
+    bool replaceConnection()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto connections = openConnections();
+        std::vector<RetainedConnection> retained(connections.size());
+        std::transform(connections.begin(), connections.end(), retained.begin(),
+                       [now](const auto &connection) { return connection->retention(now); });
+        const auto chosen = connectionToClose(retained, now);
+        if (chosen) {
+            m_replaced.add();
+            logEvent(
+                Severity::Info, "caller-connection-replaced",
+                {{"use", std::string(toString(retained[*chosen].use))}, {"open", std::to_string(m_state->openCount)}});
+            connections[*chosen]->disconnect();
+        }
+        return chosen.has_value();
+    }
+
     void addConnection(asio::ip::tcp::socket socket)
     {
         m_accepted.add();
-        if (m_connections.size() >= m_options.maxConnections) {
+        if (m_state->openCount >= m_options.maxConnections && !replaceConnection()) {
             m_refused.add();
+            m_state->connectionsToShed = std::min(m_state->connectionsToShed + 1, m_options.maxConnections);
             return; // destroys the socket, which closes it; no part of a request has been read
         }
         const auto connection = std::make_shared<CallerConnection>(std::move(socket), m_state);
@@ -179,7 +230,8 @@
     {
         std::vector<std::shared_ptr<CallerConnection>> connections;
         for (const auto &entry : m_connections) {
-            if (auto connection = entry.lock()) {
+            auto connection = entry.lock();
+            if (connection && connection->isOpen()) {
                 connections.push_back(std::move(connection));
             }
         }
@@ -188,11 +240,14 @@
 
     Options m_options;
     asio::ip::tcp::acceptor m_acceptor;
+    asio::steady_timer m_acceptTimer;
     asio::steady_timer m_sweepTimer;
     std::shared_ptr<CallerServerState> m_state;
     std::list<std::weak_ptr<CallerConnection>> m_connections;
     Counter &m_accepted;
     Counter &m_refused;
+    Counter &m_replaced;
+    Counter &m_acceptFailures;
     Counter &m_endedForMemory;
     Gauge &m_heldBytes;
     bool m_isEndScheduled = false;
--- a/modules/heatherridge_transport/direct/callerserver.h
+++ b/modules/heatherridge_transport/direct/callerserver.h
@@ -29,9 +29,9 @@
     struct Options
     {
         Endpoint listen{}; ///< port 0 lets the kernel choose a port
-        std::size_t maxConnections =
-            1'000; ///< further ones are closed immediately; derived from the file descriptor limit
-        std::size_t maxHeldBytes = 64UL << 20U; ///< of requests and responses, for all connections together
+        /** For a further one, the longest unused or idle connection is closed; if all are busy, the new one is. */
+        std::size_t maxConnections = 1'000;
+        std::size_t maxHeldBytes = 64UL << 20U; ///< memory for requests and responses, for all connections together
     };
 
     /** Called for each request once its body is complete. */
