Bound the addresses for readiness and metrics, and a sidecar's calls by its memory

What callers saw: strangers at these addresses took 140 of the 112 MB of a gateway with bodies, and 622 descriptors.

Cause: each had the defaults of a server for callers, 1,000 connections and 64 MiB, beside the callers' own share. A sidecar had 64 MiB whatever its memory was.

--- a/extras/heatherridge-sidecar/main.cpp
+++ b/extras/heatherridge-sidecar/main.cpp
@@ -20,11 +20,19 @@
      .minimum = 256,
      .maximum = 1000000,
      .help = "descriptors that this host gives a process; half of those that are left for sockets serve gateways"},
+    {.key = "memory-mb",
+     .type = SettingType::Number,
+     .defaultValue = "128",
+     .minimum = 16,
+     .maximum = 1000000,
+     .help = "memory of this host in MiB for this process; a quarter of it may be used for gateways' calls"},
     {.key = "engine", .type = SettingType::Address, .required = true, .help = "the model engine on this host"},
 };
 
 /** Descriptors for files and the log. */
 constexpr long long ReservedDescriptors = 200;
+/** Share of the memory for calls and their responses. */
+constexpr std::size_t BufferMemoryShare = 4;
 
 SidecarServer::Options optionsFrom(const Settings &settings)
 {
@@ -32,7 +40,8 @@
             .zone = ZoneName(settings.text("zone")),
             .listen = settings.address("listen"),
             .engine = settings.address("engine"),
-            .maxConnections = static_cast<std::size_t>(settings.number("max-descriptors") - ReservedDescriptors) / 2};
+            .maxConnections = static_cast<std::size_t>(settings.number("max-descriptors") - ReservedDescriptors) / 2,
+            .maxHeldBytes = (static_cast<std::size_t>(settings.number("memory-mb")) << 20U) / BufferMemoryShare};
 }
 
 } // namespace
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -1,6 +1,7 @@
 #include "heatherridge_transport/direct/gatewayserver.h"
 
 #include "heatherridge_coordination/feed/crashfeed.h"
+#include "heatherridge_state/decisions/connectionlimit.h"
 #include "heatherridge_transport/app/daemon.h"
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/app/logger.h"
@@ -51,6 +52,16 @@
 /** With three copies, an outage of a third of the log's partitions seldom makes all of them unreachable. */
 constexpr int MaxRulesCopies = 3;
 
+/** Limits for requests to the addresses for readiness checks and metrics, which have short heads and no bodies. */
+constexpr ClientLimits ServiceLimits{.maxHeaderBytes = 8UL << 10U, .maxBodyBytes = 0};
+/** Memory for the requests and responses of each of these addresses; a few expositions of metrics. */
+constexpr std::size_t ServiceHeldBytes = 2UL << 20U;
+
+CallerServer::Options serviceOptions(const Endpoint &listen)
+{
+    return {.listen = listen, .maxConnections = ServiceConnections, .maxHeldBytes = ServiceHeldBytes};
+}
+
 GatewayControl::Options controlOptions(const GatewayServer::Options &options)
 {
     auto control = options.control;
@@ -87,11 +98,11 @@
               [this](const auto &exchange) { m_traffic.handle(exchange); },
               [this](ErrorKind kind) { return refusal(kind); }, m_metrics)
         , m_readiness(
-              m_trafficLoop.context(), {.listen = m_options.readyListen},
+              m_trafficLoop.context(), serviceOptions(m_options.readyListen),
               [this](const auto &exchange) { answerReadiness(*exchange); },
               [this](ErrorKind kind) { return refusal(kind); }, m_metrics)
         , m_metricsServer(
-              m_trafficLoop.context(), {.listen = m_options.metricsListen},
+              m_trafficLoop.context(), serviceOptions(m_options.metricsListen),
               [this](const auto &exchange) { answerMetrics(*exchange); },
               [this](ErrorKind kind) { return refusal(kind); }, m_metrics)
         , m_client(m_controlLoop.context(), {.connectTimeout = milliseconds(500)})
@@ -149,6 +160,8 @@
                .drainsReceived = [this](const auto &drains) { m_control.applyPeerDrains(drains); }},
               m_metrics)
     {
+        m_readiness.setLimits(ServiceLimits);
+        m_metricsServer.setLimits(ServiceLimits);
     }
 
     Result<std::vector<Endpoint>> start()
--- a/modules/heatherridge_transport/direct/sidecarserver.cpp
+++ b/modules/heatherridge_transport/direct/sidecarserver.cpp
@@ -60,7 +60,10 @@
         , m_client(m_loop.context(), {.connectTimeout = std::chrono::milliseconds(200), .maxIdleConnections = 4})
         , m_rankControl(makeRankControl(m_client))
         , m_server(
-              m_loop.context(), {.listen = m_options.listen, .maxConnections = m_options.maxConnections},
+              m_loop.context(),
+              {.listen = m_options.listen,
+               .maxConnections = m_options.maxConnections,
+               .maxHeldBytes = m_options.maxHeldBytes},
               [this](const auto &exchange) { handle(exchange); },
               [](ErrorKind kind) { return errorResponse({.kind = kind}); }, m_metrics)
     {
