Log at most 1,024 bytes of a value

Found by reading: the id of a request is its caller's choice, up to the limit of a head, and stands whole in each of its log lines, of which 512 may wait: 8 MB of a gateway's memory, and the log's readers. Longer values end with "...". Metric labels hold no caller's text. Not shown by a test of its own.

--- a/modules/heatherridge_transport/app/logger.cpp
+++ b/modules/heatherridge_transport/app/logger.cpp
@@ -40,6 +40,9 @@
 /** Capacity of the writer thread's queue: two seconds of a busy gateway's lines, at about 300 bytes each. */
 constexpr std::size_t MaxQueuedLines = 512;
 
+/** Longest value of a field that is logged whole. */
+constexpr std::size_t MaxLogValueBytes = 1024;
+
 /** Overflow strategy of the queue: drops the newest line and counts it. */
 class DropNewestAndCount
 {
@@ -99,12 +102,20 @@
     return std::string(text.data(), length) + fraction + "Z";
 }
 
+/** Returns the beginning of @p value that is logged. A caller chooses some of the values, such as its request's id. */
+std::string boundedLogValue(std::string_view value)
+{
+    constexpr std::string_view mark = "...";
+    return value.size() <= MaxLogValueBytes ? std::string(value)
+                                            : std::string(value.substr(0, MaxLogValueBytes)).append(mark);
+}
+
 std::string formatKeyValue(std::string_view level, std::string_view event, std::initializer_list<LogField> fields)
 {
     std::string line = "time=" + currentTimestamp() + " level=" + std::string(level)
         + " process=" + quotedLogValue(options().process) + " event=" + std::string(event);
     for (const auto &[key, value] : fields) {
-        line += " " + std::string(key) + "=" + quotedLogValue(value);
+        line += " " + std::string(key) + "=" + quotedLogValue(boundedLogValue(value));
     }
     return line;
 }
@@ -114,7 +125,7 @@
     nlohmann::ordered_json line{
         {"time", currentTimestamp()}, {"level", level}, {"process", options().process}, {"event", event}};
     for (const auto &[key, value] : fields) {
-        line[std::string(key)] = value;
+        line[std::string(key)] = boundedLogValue(value);
     }
     return line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
