Limit the headers of a request to an entry or a target process to 4,096

What callers saw: 200 clients with heads of many short headers, or trailers, took 302 to 337 MB of an entry and a target process, of 256.

Cause: RESTinio had no limit on the number of headers. Change: 4,096, as many as fit into 16 KiB with a name of one byte.

Evidence: six cases of CrowdsAtAnEntry and CrowdsAtATargetProcess failed before and hold. Bodies and chunks stay red: the library offers no bound on the bytes of all connections together.

--- a/modules/heatherridge_transport/http/httpserver.cpp
+++ b/modules/heatherridge_transport/http/httpserver.cpp
@@ -17,6 +17,10 @@
  * time. */
 constexpr std::size_t MaxPipelinedRequests = 2;
 
+/** Headers of one request, and trailers as well. As many fit into 16 KiB with names of one byte and no values; each
+ * takes many times its text. Beyond, the connection is closed. */
+constexpr std::size_t MaxFields = 4096;
+
 /** Notifies exchanges when their connection closes. Thread-safe. */
 class ConnectionCloseNotifier
 {
@@ -289,6 +293,7 @@
                     .handle_request_timeout(m_options.handleTimeout)
                     .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                                   .max_body_size(m_options.maxBodyBytes)
+                                                  .max_field_count(MaxFields)
                                                   .max_field_value_size(m_options.maxHeaderBytes));
             });
             m_runner = std::make_unique<Runner>(static_cast<std::size_t>(m_options.threads), *m_server);
