Answer pipelined requests that were read before a stopping gateway closes their connection

Cause: while the server drains, each response closed its connection, whatever was pending. Change: a response closes it only if nothing of a further request has been read. PipelinedRequestsAtAPlannedStop fails without the change (the first answer says "Connection: close", the second is not sent) and passes with it.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -492,7 +492,7 @@
         --m_server->connectionsToShed;
         return false;
     }
-    return m_isKeepAlive && !m_server->isDraining;
+    return m_isKeepAlive && (!m_server->isDraining || hasNextRequest);
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -137,7 +137,8 @@
     void setResetOnClose(bool isReset);
     void setPhase(Phase phase);
     void updateHeldBytes();
-    /** Returns whether the response that is about to be sent leaves the connection open. */
+    /** Returns whether the response that is about to be sent leaves the connection open. While the server drains, it
+     * does so only if a part of a further request has been read. */
     bool canKeepAlive();
     /** Returns whether the caller has stopped reading. */
     bool isUnread(SteadyTime now) const;
--- a/tests/gateway/plannedstops_test.cpp
+++ b/tests/gateway/plannedstops_test.cpp
@@ -124,4 +124,27 @@
 INSTANTIATE_TEST_SUITE_P(All, LateRequestsAtAPlannedStop, testing::ValuesIn(LateRequestCases),
                          [](const auto &row) { return std::string(row.param.name); });
 
+// Guards against a pipelined request that was read and is dropped, because the answer to the one before it, written
+// while the gateway stops, closes the connection.
+TEST(PipelinedRequestsAtAPlannedStop, AreAnsweredBeforeTheConnectionCloses)
+{
+    const ScriptedTarget target([](const std::string &request, int) {
+        return Actions{{.kind = Kind::Wait, .duration = 300ms}, {.bytes = signedResponse(request, "ok")}};
+    });
+    GatewayFixture gateway({&target});
+    RawCaller caller(gateway.callerEndpoint());
+    caller.send(requestText("GET", "/look/1", "first") + requestText("GET", "/look/2", "second"));
+    while (target.requests().empty()) {
+        std::this_thread::sleep_for(5ms);
+    }
+    gateway.beginStop();
+    const auto first = caller.receive();
+    EXPECT_EQ(first.status, 200);
+    EXPECT_EQ(first.head.find("Connection: close"), std::string::npos);
+    const auto second = caller.receive();
+    EXPECT_EQ(second.status, 200);
+    EXPECT_NE(second.head.find("Connection: close"), std::string::npos);
+    gateway.awaitStop();
+}
+
 } // namespace
