Free the strings of a request that is refused, and of one that is written

Cause: assigning an empty string moves its characters and keeps the buffer, so a connection whose request was refused kept its body, which the budget no longer counted, until it closed; a connection to a target kept the text of its last head.

Change: the request is moved into a local object, which frees it.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -319,7 +319,7 @@
 {
     const auto response = m_server->makeRejection(kind);
     const bool isHeadRequest = m_reader.isHeadRequest();
-    m_request = {};
+    const auto dropped = std::exchange(m_request, {}); // assigning alone would keep the memory of its strings
     m_reader.reset();
     m_headBytes = 0;
     m_bodyBytes = 0;
--- a/modules/heatherridge_transport/direct/targetconnection.cpp
+++ b/modules/heatherridge_transport/direct/targetconnection.cpp
@@ -4,6 +4,8 @@
 #include <asio/io_context.hpp>
 #include <asio/write.hpp>
 
+#include <utility>
+
 #include <netinet/tcp.h>
 
 namespace Heatherridge
@@ -164,7 +166,7 @@
     const auto body = m_request.body ? asio::buffer(*m_request.body) : asio::const_buffer();
     asio::async_write(m_socket, std::array{asio::const_buffer(asio::buffer(m_request.head)), body},
                       [self = shared_from_this()](const asio::error_code &error, std::size_t) {
-                          self->m_request = {};
+                          const auto written = std::exchange(self->m_request, {});
                           // The following read reports a failed write, after any response that arrived before it.
                           self->m_isWritten = !error;
                       });
