Forget connections to be shed once there is room

Found on reading the change again: each caller that found no room left an order to close one connection with pipelined requests after its next answer. Orders that no such connection had carried out stayed, up to the limit of connections, so ordinary callers that pipeline would have been closed long after a crowd had left, and during a planned stop what had been read would have been dropped. They are dropped now as soon as a new connection finds room, and count for nothing while the server drains. No test of its own; the crowds concerned (Silence, HalfAHead, AnswersNeverRead of a sidecar, descriptors) and 19 tests of pipelining, planned stops and slow readers pass.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -488,7 +488,7 @@
 bool CallerConnection::canKeepAlive()
 {
     const bool hasNextRequest = !m_pending.empty();
-    if (hasNextRequest && m_server->connectionsToShed > 0) {
+    if (hasNextRequest && m_server->connectionsToShed > 0 && !m_server->isDraining) {
         --m_server->connectionsToShed;
         return false;
     }
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -32,7 +32,8 @@
     ClientLimits limits{};
     bool isDraining = false;
     std::size_t openCount = 0; ///< connections that are not closed
-    std::size_t connectionsToShed = 0; ///< connections with pipelined requests that close after their next response
+    std::size_t connectionsToShed =
+        0; ///< connections with pipelined requests that close after their next response, while there is no room
     std::size_t maxPendingBytes; ///< of pipelined requests on one connection; above it, reading stops until the
                                  ///< response is finished
     std::size_t busyCount = 0; ///< connections with a request whose response is not yet written
--- a/modules/heatherridge_transport/direct/callerserver.cpp
+++ b/modules/heatherridge_transport/direct/callerserver.cpp
@@ -199,7 +199,9 @@
     void addConnection(asio::ip::tcp::socket socket)
     {
         m_accepted.add();
-        if (m_state->openCount >= m_options.maxConnections && !replaceConnection()) {
+        if (m_state->openCount < m_options.maxConnections) {
+            m_state->connectionsToShed = 0;
+        } else if (!replaceConnection()) {
             m_refused.add();
             m_state->connectionsToShed = std::min(m_state->connectionsToShed + 1, m_options.maxConnections);
             return; // destroys the socket, which closes it; no part of a request has been read
