Keep event loops running after a handler that throws, and state why a process ends

Callers saw: all connections of a process closed. And an end by an exception or a signal left one line of the C++ library on standard error, or nothing. Change: a loop reports the exception (handler-failed, heatherridge_handler_failures_total) and goes on; periodic tasks are scheduled before they run; a task that somebody waits for throws to him.

--- a/modules/heatherridge_transport/app/eventloop.cpp
+++ b/modules/heatherridge_transport/app/eventloop.cpp
@@ -1,10 +1,13 @@
 #include "heatherridge_transport/app/eventloop.h"
 
+#include "heatherridge_transport/app/processhealth.h"
+
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <exception>
 #include <future>
 #include <thread>
 
@@ -30,8 +33,8 @@
         m_timer.expires_after(m_period);
         m_timer.async_wait([self = shared_from_this()](const asio::error_code &error) {
             if (!error) {
+                self->schedule(); // first, as the task may throw
                 self->m_task();
-                self->schedule();
             }
         });
     }
@@ -47,6 +50,20 @@
 class EventLoop::Implementation
 {
 public:
+    /** Runs handlers until the loop is stopped, also after one that throws: it concerns one connection or call, and the
+     * process serves many others. */
+    void run()
+    {
+        while (true) {
+            try {
+                context.run();
+                return;
+            } catch (const std::exception &exception) {
+                reportHandlerFailure(exception);
+            }
+        }
+    }
+
     asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard = asio::make_work_guard(context);
     std::thread thread{};
@@ -64,7 +81,7 @@
 
 void EventLoop::start()
 {
-    m_implementation->thread = std::thread([this] { m_implementation->context.run(); });
+    m_implementation->thread = std::thread([this] { m_implementation->run(); });
 }
 
 void EventLoop::stop()
@@ -100,10 +117,14 @@
 {
     std::promise<void> done;
     post([&task, &done] {
-        task();
-        done.set_value();
+        try {
+            task();
+            done.set_value();
+        } catch (...) {
+            done.set_exception(std::current_exception());
+        }
     });
-    done.get_future().wait();
+    done.get_future().get();
 }
 
 asio::io_context &EventLoop::context()
--- a/modules/heatherridge_transport/app/eventloop.h
+++ b/modules/heatherridge_transport/app/eventloop.h
@@ -17,6 +17,9 @@
  *
  * A process has one loop for control state and one or more for traffic. Objects that belong to a loop are accessed only
  * on its thread; other threads use post().
+ *
+ * A handler that throws is reported by reportHandlerFailure() and the loop goes on. A task of runAndWait() throws to
+ * its caller instead.
  */
 class EventLoop
 {
--- a/modules/heatherridge_transport/app/metrics.cpp
+++ b/modules/heatherridge_transport/app/metrics.cpp
@@ -1,5 +1,7 @@
 #include "heatherridge_transport/app/metrics.h"
 
+#include "heatherridge_transport/app/processhealth.h"
+
 #include <boost/histogram.hpp>
 
 #include <map>
@@ -150,6 +152,7 @@
     for (const auto &[key, value] : m_implementation->histograms) {
         value->write(text, key.first);
     }
+    writeProcessMetrics(text);
     return text;
 }
 
--- a/modules/heatherridge_transport/app/metrics.h
+++ b/modules/heatherridge_transport/app/metrics.h
@@ -106,7 +106,7 @@
     /** Returns the counter of refusals and failures of @p kind. The counters of all kinds exist from the start. */
     Counter &errors(ErrorKind kind);
 
-    /** Returns all metrics in the text exposition format, sorted by name within each type. */
+    /** Returns all metrics in the text exposition format, sorted by name within each type, and those of the process. */
     std::string exposition() const;
 
 private:
