Accept bounds written with a fraction, and name keys that are not known

The platform writes bounds as whole numbers or fractions. Milliseconds, and memory, accept both; counts accept a fraction of zero.

--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -38,7 +38,7 @@
      .maximum = 10000000,
      .help = "descriptors that this host gives a process, 200 of them for files; 0: as many as the system allows"},
     {.key = "memory-mb",
-     .type = SettingType::Number,
+     .type = SettingType::Fraction,
      .defaultValue = "256",
      .minimum = 16,
      .maximum = 1000000,
@@ -182,7 +182,7 @@
 
 GatewayServer::Options optionsFrom(const Settings &settings)
 {
-    const auto memory = static_cast<double>(settings.number("memory-mb")) * BytesPerMebibyte;
+    const auto memory = settings.fraction("memory-mb") * BytesPerMebibyte;
     const auto bufferBytes = static_cast<std::size_t>(memory * BufferMemoryShare);
     const auto window = std::chrono::duration_cast<std::chrono::seconds>(settings.duration("retry-window"));
     return {
--- a/extras/heatherridge-sidecar/main.cpp
+++ b/extras/heatherridge-sidecar/main.cpp
@@ -21,7 +21,7 @@
      .maximum = 1000000,
      .help = "descriptors that this host gives a process; half of those that are left for sockets serve gateways"},
     {.key = "memory-mb",
-     .type = SettingType::Number,
+     .type = SettingType::Fraction,
      .defaultValue = "128",
      .minimum = 16,
      .maximum = 1000000,
@@ -32,7 +32,8 @@
 /** Descriptors for files and the log. */
 constexpr long long ReservedDescriptors = 200;
 /** Share of the memory for calls and their responses. */
-constexpr std::size_t BufferMemoryShare = 4;
+constexpr double BufferMemoryShare = 0.25;
+constexpr double BytesPerMebibyte = 1024.0 * 1024.0;
 
 SidecarServer::Options optionsFrom(const Settings &settings)
 {
@@ -41,7 +42,8 @@
             .listen = settings.address("listen"),
             .engine = settings.address("engine"),
             .maxConnections = static_cast<std::size_t>(settings.number("max-descriptors") - ReservedDescriptors) / 2,
-            .maxHeldBytes = (static_cast<std::size_t>(settings.number("memory-mb")) << 20U) / BufferMemoryShare};
+            .maxHeldBytes =
+                static_cast<std::size_t>(settings.fraction("memory-mb") * BytesPerMebibyte * BufferMemoryShare)};
 }
 
 } // namespace
--- a/modules/heatherridge_transport/app/settings.cpp
+++ b/modules/heatherridge_transport/app/settings.cpp
@@ -44,18 +44,28 @@
 
 bool acceptsFraction(SettingType type)
 {
-    return type == SettingType::Seconds || type == SettingType::Fraction;
+    return type == SettingType::Milliseconds || type == SettingType::Seconds || type == SettingType::Fraction;
 }
 
 bool isBounded(const SettingSpec &spec)
 {
-    return spec.type == SettingType::Number || spec.type == SettingType::Milliseconds || acceptsFraction(spec.type);
+    return spec.type == SettingType::Number || acceptsFraction(spec.type);
+}
+
+/** Parses @p text as an integer, which may have a fraction of zero. */
+std::optional<long long> parseInteger(std::string_view text, long long minimum, long long maximum)
+{
+    const auto point = text.find('.');
+    const auto fraction = point == std::string_view::npos ? std::string_view() : text.substr(point + 1);
+    const bool isWhole = fraction.find_first_not_of('0') == std::string_view::npos;
+    const bool endsWithPoint = point != std::string_view::npos && fraction.empty();
+    return isWhole && !endsWithPoint ? parseNumber(text.substr(0, point), minimum, maximum) : std::nullopt;
 }
 
 bool isWithinBounds(const SettingSpec &spec, const std::string &value)
 {
     if (!acceptsFraction(spec.type)) {
-        return parseNumber(value, spec.minimum, spec.maximum).has_value();
+        return parseInteger(value, spec.minimum, spec.maximum).has_value();
     }
     const auto number = parseFraction(value);
     return number && *number >= static_cast<double>(spec.minimum) && *number <= static_cast<double>(spec.maximum);
@@ -136,21 +146,29 @@
     return spec == specs.end() ? nullptr : &*spec;
 }
 
-/** Reads @p file into @p values. @returns the errors, each as one line "file:line: reason" */
-std::string readFile(const std::string &file, std::string_view section, std::span<const SettingSpec> specs,
-                     Values &values)
+/** The content of a settings file. */
+struct FileContent
+{
+    Values values{};
+    std::vector<std::string> unknownKeys{};
+    std::string errors{}; ///< each as one line "file:line: reason"
+    std::string unknownKeyErrors{}; ///< one for each unknown key
+};
+
+FileContent readFile(const std::string &file, std::string_view section, std::span<const SettingSpec> specs)
 {
     std::ifstream stream(file);
     if (!stream) {
-        return file + ": cannot be read\n";
+        return {.errors = file + ": cannot be read\n"};
     }
     std::ostringstream text;
     text << stream.rdbuf();
     const auto document = IniDocument::parse(text.str());
-    std::string errors;
-    const auto report = [&errors, &file](int line, const std::string &reason) {
-        errors += file + ":" + std::to_string(line) + ": " + reason + "\n";
+    FileContent content;
+    const auto errorLine = [&file](int line, const std::string &reason) {
+        return file + ":" + std::to_string(line) + ": " + reason + "\n";
     };
+    const auto report = [&](int line, const std::string &reason) { content.errors += errorLine(line, reason); };
     for (const auto &error : document.faults()) {
         report(error.line, error.reason);
     }
@@ -161,15 +179,18 @@
         }
         for (const auto &entry : iniSection.entries) {
             const auto *spec = findSpec(specs, entry.key);
-            const auto error =
-                spec == nullptr ? "unknown key '" + entry.key + "'" : validationError(*spec, entry.value);
-            if (!error.empty()) {
+            if (spec == nullptr) {
+                content.unknownKeyErrors += errorLine(entry.line, "unknown key '" + entry.key + "'");
+                content.unknownKeys.push_back(entry.key);
+                continue;
+            }
+            if (const auto error = validationError(*spec, entry.value); !error.empty()) {
                 report(entry.line, error);
             }
-            values[entry.key] = entry.value;
+            content.values[entry.key] = entry.value;
         }
     }
-    return errors;
+    return content;
 }
 
 options::options_description flagsDescription(std::string_view program, std::span<const SettingSpec> specs)
@@ -193,7 +214,7 @@
 
 std::variant<Settings, Settings::Exit> Settings::load(std::string_view program, std::string_view section,
                                                       std::span<const SettingSpec> specs, int argc,
-                                                      const char *const *argv)
+                                                      const char *const *argv, UnknownKeys unknownKeys)
 {
     const auto flags = flagsDescription(program, specs);
     options::variables_map flagValues;
@@ -215,9 +236,13 @@
     }
     Settings settings;
     std::string errors;
+    std::string flagErrors;
     if (flagValues.count("config") != 0) {
         settings.m_file = flagValues["config"].as<std::string>();
-        errors = readFile(settings.m_file, section, specs, settings.m_values);
+        auto content = readFile(settings.m_file, section, specs);
+        settings.m_values = std::move(content.values);
+        settings.m_ignoredKeys = std::move(content.unknownKeys);
+        errors = content.errors + (unknownKeys == UnknownKeys::Reject ? content.unknownKeyErrors : "");
     }
     for (const auto &spec : specs) {
         const std::string key(spec.key);
@@ -226,15 +251,17 @@
             settings.m_values[key] = flagValues[key].as<std::string>();
             const auto error = validationError(spec, settings.m_values[key]);
             if (!error.empty()) {
-                errors.append("--").append(key).append(": ").append(error).append("\n");
+                flagErrors.append("--").append(key).append(": ").append(error).append("\n");
             }
         } else if (!settings.m_values.contains(key)) {
             errors += spec.required ? "'" + key + "' is missing\n" : "";
             settings.m_values[key] = spec.defaultValue;
         }
     }
-    if (!errors.empty()) {
-        return usageError(errors);
+    if (!errors.empty() || !flagErrors.empty()) {
+        auto exit = usageError(errors + flagErrors);
+        exit.isCausedByFile = flagErrors.empty() && !settings.m_file.empty();
+        return exit;
     }
     return settings;
 }
@@ -244,6 +271,11 @@
     return m_file;
 }
 
+const std::vector<std::string> &Settings::ignoredKeys() const
+{
+    return m_ignoredKeys;
+}
+
 std::vector<std::string> Settings::changedKeys(const Settings &other) const
 {
     std::vector<std::string> keys;
@@ -279,7 +311,7 @@
 
 long long Settings::number(std::string_view key) const
 {
-    return parseNumber(text(key), INT64_MIN, INT64_MAX).value_or(0);
+    return parseInteger(text(key), INT64_MIN, INT64_MAX).value_or(0);
 }
 
 double Settings::fraction(std::string_view key) const
@@ -294,7 +326,7 @@
         const std::chrono::duration<double> seconds(fraction(key));
         return std::chrono::duration_cast<std::chrono::milliseconds>(seconds);
     }
-    return std::chrono::milliseconds(number(key));
+    return std::chrono::milliseconds(static_cast<long long>(fraction(key)));
 }
 
 bool Settings::toggle(std::string_view key) const
--- a/modules/heatherridge_transport/app/settings.h
+++ b/modules/heatherridge_transport/app/settings.h
@@ -18,8 +18,8 @@
     Text, ///< any text
     Address, ///< IP address, colon, port; for a listening address, port 0 lets the kernel choose
     AddressList, ///< comma-separated addresses; may be empty
-    Number, ///< integer within bounds
-    Milliseconds, ///< integer number of milliseconds within bounds
+    Number, ///< integer within bounds; may be written with a fraction of zero
+    Milliseconds, ///< milliseconds within bounds, with or without a decimal fraction
     Seconds, ///< seconds within bounds, with or without a decimal fraction
     Fraction, ///< number within bounds, with or without a decimal fraction
     Switch, ///< yes or no
@@ -48,6 +48,13 @@
     {
         int code = 0; ///< ExitOk or ExitUsage
         std::string text{}; ///< for standard output if code is 0, otherwise for standard error
+        bool isCausedByFile = false; ///< a changed file may be accepted
+    };
+
+    /** What is done about keys in the file that the program does not know. */
+    enum class UnknownKeys {
+        Reject,
+        Ignore, ///< they are listed by ignoredKeys()
     };
 
     static constexpr int ExitOk = 0;
@@ -60,11 +67,15 @@
      * @returns the settings, or why the program must exit; errors in the file are reported with file, line and reason
      */
     static std::variant<Settings, Exit> load(std::string_view program, std::string_view section,
-                                             std::span<const SettingSpec> specs, int argc, const char *const *argv);
+                                             std::span<const SettingSpec> specs, int argc, const char *const *argv,
+                                             UnknownKeys unknownKeys = UnknownKeys::Reject);
 
     /** Returns the file that the settings were read from, or an empty string. */
     const std::string &file() const;
 
+    /** Returns the keys in the file that the program does not know. */
+    const std::vector<std::string> &ignoredKeys() const;
+
     /** Returns the keys whose values differ from those in @p other, which must belong to the same program. */
     std::vector<std::string> changedKeys(const Settings &other) const;
 
@@ -91,6 +102,7 @@
 
 private:
     std::string m_file;
+    std::vector<std::string> m_ignoredKeys;
     std::map<std::string, std::string, std::less<>> m_values;
     std::map<std::string, SettingType, std::less<>> m_types;
 };
