Attempt a start again while a port is held or the settings file is incomplete

Seen: a process exited at once, each time, if the one before still held one of its ports, if another program had the port for metrics (9100 is a usual one), if the settings file was just being written, or had a key of a later version. The platform starts it again and counts the exit. Cause: one failed attempt ended the process. Nothing told what it can do without. A gateway serves without its metrics address and takes it once it is free (metrics-unavailable, heatherridge_metrics_unavailable). Unknown keys are logged (setting-ignored); a reload still rejects them, since the settings in force are known to be good. The readiness address is opened before the callers'.

--- a/modules/heatherridge_transport/app/daemon.cpp
+++ b/modules/heatherridge_transport/app/daemon.cpp
@@ -1,6 +1,8 @@
 #include "heatherridge_transport/app/daemon.h"
 
+#include "heatherridge_state/decisions/startretry.h"
 #include "heatherridge_transport/app/logger.h"
+#include "heatherridge_transport/app/processhealth.h"
 
 #include <csignal>
 #include <ctime>
@@ -14,8 +16,15 @@
 namespace
 {
 
+/** Exit code of a process that could not start. */
+constexpr int ExitStartFailed = 1;
 /** Interval between checks of the settings file, which may change without a signal. */
 constexpr std::chrono::seconds FileCheckPeriod{2};
+/** A settings file that is being written is complete within this time. */
+constexpr StartRetryOptions SettingsRetry{.patience = std::chrono::seconds(3)};
+/** The process that held an address before has ended within this time, which is longer than grace periods usually are.
+ */
+constexpr StartRetryOptions ServerRetry{.patience = std::chrono::seconds(30)};
 
 const SettingSpec CommonSettings[] = {
     {.key = "name", .required = true, .help = "name of this process, unique in the deployment; a target's own name"},
@@ -102,15 +111,42 @@
     return error ? std::filesystem::file_time_type() : time;
 }
 
+/** Waits at most @p timeout for a handled signal. @returns its number, or -1 if none has arrived */
+int awaitSignal(std::chrono::milliseconds timeout)
+{
+    const auto signals = handledSignals();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(timeout);
+    const timespec period{.tv_sec = seconds.count(), .tv_nsec = std::chrono::nanoseconds(timeout - seconds).count()};
+    return sigtimedwait(&signals, nullptr, &period);
+}
+
+bool isStopSignal(int signal)
+{
+    return signal == SIGTERM || signal == SIGINT;
+}
+
+/** Waits for @p delay. @returns false as soon as a stop signal arrives */
+bool pauseUnlessStopped(std::chrono::milliseconds delay)
+{
+    const auto end = std::chrono::steady_clock::now() + delay;
+    while (true) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
+        if (left <= std::chrono::milliseconds(0)) {
+            return true;
+        }
+        if (isStopSignal(awaitSignal(left))) {
+            return false;
+        }
+    }
+}
+
 /** Blocks until SIGTERM or SIGINT arrives. Calls @p reload on SIGHUP and whenever @p file has changed. */
 void waitForStopSignal(const std::string &file, const std::function<void()> &reload)
 {
-    const auto signals = handledSignals();
     auto lastWritten = lastWriteTime(file);
     while (true) {
-        const timespec period{.tv_sec = FileCheckPeriod.count(), .tv_nsec = 0};
-        const int received = sigtimedwait(&signals, nullptr, &period);
-        if (received == SIGTERM || received == SIGINT) {
+        const int received = awaitSignal(FileCheckPeriod);
+        if (isStopSignal(received)) {
             return;
         }
         const auto now = lastWriteTime(file);
@@ -146,6 +182,66 @@
     }
 }
 
+/** Loads settings. An invalid file is reported and read again for a while, as it may be incomplete. */
+std::variant<Settings, Settings::Exit> loadForStart(const std::function<std::variant<Settings, Settings::Exit>()> &load)
+{
+    StartRetry retry(SettingsRetry);
+    std::string reported;
+    while (true) {
+        auto loaded = load();
+        const auto *exit = std::get_if<Settings::Exit>(&loaded);
+        if (exit == nullptr) {
+            return loaded;
+        }
+        if (exit->text != reported) {
+            (exit->code == Settings::ExitOk ? std::cout : std::cerr) << exit->text << std::flush;
+            reported = exit->text;
+        }
+        const auto delay =
+            exit->isCausedByFile ? retry.delayAfterFailure(std::chrono::steady_clock::now()) : std::nullopt;
+        if (!delay || !pauseUnlessStopped(*delay)) {
+            return loaded;
+        }
+    }
+}
+
+/** A server that serves at its addresses. */
+struct StartedServer
+{
+    DaemonServer server{};
+    std::vector<Endpoint> endpoints{};
+};
+
+/** Starts a server, and a new one if that fails, as long as ServerRetry allows. @returns the server or an exit code */
+std::variant<StartedServer, int> startServer(const std::function<DaemonServer()> &create)
+{
+    StartRetry retry(ServerRetry);
+    std::string reported;
+    while (true) {
+        auto server = create();
+        auto started = server.start();
+        const auto *error = errorIn(started);
+        if (error == nullptr) {
+            return StartedServer{.server = std::move(server),
+                                 .endpoints = std::get<std::vector<Endpoint>>(std::move(started))};
+        }
+        const auto delay = retry.delayAfterFailure(std::chrono::steady_clock::now());
+        if (!delay) {
+            logEvent(Severity::Error, "start-failed", {{"reason", error->detail}});
+            return ExitStartFailed;
+        }
+        if (error->detail != reported) {
+            logEvent(Severity::Warning, "start-delayed", {{"reason", error->detail}});
+            reported = error->detail;
+        }
+        server = {};
+        if (!pauseUnlessStopped(*delay)) {
+            logEvent(Severity::Info, "ended", {{"before", "start"}});
+            return 0;
+        }
+    }
+}
+
 } // namespace
 
 std::span<const SettingSpec> commonSettings()
@@ -164,26 +260,30 @@
 {
     blockHandledSignals();
     const auto specs = withCommonSettings(description.settings);
-    const auto loaded = Settings::load(description.program, description.role, specs, argc, argv);
+    const auto load = [&](Settings::UnknownKeys unknownKeys) {
+        return Settings::load(description.program, description.role, specs, argc, argv, unknownKeys);
+    };
+    const auto loaded = loadForStart([&] { return load(Settings::UnknownKeys::Ignore); });
     if (const auto *exit = std::get_if<Settings::Exit>(&loaded)) {
-        (exit->code == Settings::ExitOk ? std::cout : std::cerr) << exit->text;
         return exit->code;
     }
     auto settings = std::get<Settings>(loaded);
     setUpLoggerFrom(settings);
-    const auto server = create(settings);
-    const auto started = server.start();
-    if (const auto *error = errorIn(started)) {
-        logEvent(Severity::Error, "start-failed", {{"reason", error->detail}});
+    reportFatalEnds(settings.text("name"));
+    for (const auto &key : settings.ignoredKeys()) {
+        logEvent(Severity::Warning, "setting-ignored", {{"key", key}});
+    }
+    auto started = startServer([&] { return create(settings); });
+    if (const auto *exitCode = std::get_if<int>(&started)) {
         stopLogger();
-        return 1;
+        return *exitCode;
     }
-    announceReady(description.role, std::get<std::vector<Endpoint>>(started));
+    const auto &[server, endpoints] = std::get<StartedServer>(started);
+    announceReady(description.role, endpoints);
     logEvent(Severity::Info, "started", {{"role", std::string(description.role)}});
-    waitForStopSignal(settings.file(), [&] {
-        applyReload(Settings::load(description.program, description.role, specs, argc, argv), settings, server);
-    });
+    waitForStopSignal(settings.file(), [&] { applyReload(load(Settings::UnknownKeys::Reject), settings, server); });
     server.drainAndStop();
+    logEvent(Severity::Info, "ended", {});
     stopLogger();
     return 0;
 }
--- a/modules/heatherridge_transport/app/daemon.h
+++ b/modules/heatherridge_transport/app/daemon.h
@@ -42,10 +42,13 @@
  * it blocks these signals for all threads, because otherwise a signal could end the process on any thread in the middle
  * of a response.
  *
+ * At the start, an invalid settings file is read again for 3 s, and an address that cannot be listened on is retried
+ * for 30 s with a new server; keys that are not known are logged and ignored. A stop signal ends both.
+ *
  * Settings are reloaded on SIGHUP and when their file has changed. Invalid settings are logged and change nothing.
  *
  * Prints one line "ready ROLE ADDRESS:PORT ..." on standard output once the daemon serves.
- * @param create creates the server from validated settings; called once, after the log is set up
+ * @param create creates the server from validated settings, once for each attempt to start, after the log is set up
  * @returns the program's exit code
  */
 int runDaemon(const DaemonDescription &description, const std::function<DaemonServer(const Settings &)> &create,
--- a/modules/heatherridge_transport/direct/callerserver.cpp
+++ b/modules/heatherridge_transport/direct/callerserver.cpp
@@ -70,15 +70,12 @@
             return Error{.detail = "not an IP address: " + m_options.listen.address};
         }
         const tcp::endpoint endpoint(address, static_cast<std::uint16_t>(m_options.listen.port));
-        m_acceptor.open(endpoint.protocol(), error);
-        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-        m_acceptor.bind(endpoint, error);
-        if (!error) {
-            m_acceptor.listen(Backlog, error);
-        }
-        if (error) {
+        if (!listen(endpoint, error)) {
+            asio::error_code ignored; // the acceptor is opened anew by the next start
+            m_acceptor.close(ignored);
             return Error{.detail = "cannot listen on " + toString(m_options.listen) + ": " + error.message()};
         }
+        const auto bound = m_acceptor.local_endpoint(error);
         m_state->buffersExceeded = [weak = weak_from_this()] {
             if (const auto self = weak.lock()) {
                 self->scheduleEndOfHolders();
@@ -86,7 +83,7 @@
         };
         accept();
         sweep();
-        return Endpoint{.address = m_options.listen.address, .port = m_acceptor.local_endpoint().port()};
+        return Endpoint{.address = m_options.listen.address, .port = bound.port()};
     }
 
     /** Ends connections after the current operation, which may be one of the connection that has to end. */
@@ -148,6 +145,14 @@
     }
 
 private:
+    bool listen(const asio::ip::tcp::endpoint &endpoint, asio::error_code &error)
+    {
+        using asio::ip::tcp;
+        return !m_acceptor.open(endpoint.protocol(), error)
+            && !m_acceptor.set_option(tcp::acceptor::reuse_address(true), error) && !m_acceptor.bind(endpoint, error)
+            && !m_acceptor.listen(Backlog, error);
+    }
+
     void accept()
     {
         m_acceptor.async_accept(
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -33,6 +33,8 @@
 constexpr milliseconds TrafficTick{1'000};
 /** How often the traffic thread publishes what is due on prompt parts that crash targets. */
 constexpr milliseconds PromptPartTick{100};
+/** Delay between attempts to listen for requests of metrics. */
+constexpr milliseconds MetricsRetryDelay{1'000};
 /** How often a gateway that shuts down checks whether all requests have finished. */
 constexpr milliseconds DrainTick{50};
 /** Idle connections to engines and their sidecars that are kept, per target: to each of both, one for a status or
@@ -166,18 +168,16 @@
 
     Result<std::vector<Endpoint>> start()
     {
-        auto callers = m_callers.start();
-        if (const auto *error = errorIn(callers)) {
+        const auto readiness = m_readiness.start();
+        if (const auto *error = errorIn(readiness)) {
             return *error;
         }
-        auto readiness = m_readiness.start();
-        if (const auto *error = errorIn(readiness)) {
+        auto callers = m_callers.start();
+        if (const auto *error = errorIn(callers)) {
             return *error;
         }
         if (m_options.metricsListen.port != 0) {
-            if (const auto metrics = m_metricsServer.start(); errorIn(metrics) != nullptr) {
-                return *errorIn(metrics);
-            }
+            startMetricsServer();
         }
         m_controlLoop.start();
         m_controlLoop.post([this] { controlTick(); });
@@ -219,6 +219,18 @@
     }
 
 private:
+    /** Starts to serve metrics, as soon as their address is free: requests are served without them. */
+    void startMetricsServer()
+    {
+        const auto started = m_metricsServer.start();
+        const auto *error = errorIn(started);
+        m_metricsUnavailable.set(error == nullptr ? 0 : 1);
+        if (error != nullptr && !m_isStopping) {
+            logEvent(Severity::Warning, "metrics-unavailable", {{"reason", error->detail}});
+            m_trafficLoop.after(MetricsRetryDelay, [this] { startMetricsServer(); });
+        }
+    }
+
     void leaveDemandExchange()
     {
         const auto left = std::make_shared<std::promise<void>>();
@@ -471,6 +483,7 @@
     std::random_device m_entropy;
     SystemClock m_clock;
     Gauge &m_groupSkew = m_metrics.gauge("heatherridge_group_skew_percent");
+    Gauge &m_metricsUnavailable = m_metrics.gauge("heatherridge_metrics_unavailable");
     Counter &m_logRestores = m_metrics.counter("heatherridge_log_restores_total");
     Counter &m_logAnswersMalformed = m_metrics.counter("heatherridge_log_answers_malformed_total");
     Counter &m_crashFeedFailures = m_metrics.counter("heatherridge_crash_report_failures_total");
