Take the end of a connection for the end of an answer only if the write has not failed

A target answers an upload early, without a length, sends part of the body and resets the connection while the request is still being written. Cause: the kernel reports a connection's error once. The write received it and ignored it, relying on the read; the read then saw an orderly end, which ends a body without length. Change: the end of the stream is judged when the write has ended. A failed write makes it a broken answer, except for a broken pipe: then the end was received before the reset.

--- a/modules/heatherridge_transport/direct/targetconnection.cpp
+++ b/modules/heatherridge_transport/direct/targetconnection.cpp
@@ -56,6 +56,8 @@
     m_events = std::move(events);
     m_isBusy = true;
     m_isWritten = false;
+    m_isEndPending = false;
+    m_writeError.clear();
     m_mayHaveArrived = false;
     m_isPaused = false;
     m_isKeepAlive = true;
@@ -163,16 +165,27 @@
 void TargetConnection::write()
 {
     m_mayHaveArrived = true;
+    m_isWriting = true;
     const auto body = m_request.body ? asio::buffer(*m_request.body) : asio::const_buffer();
     asio::async_write(m_socket, std::array{asio::const_buffer(asio::buffer(m_request.head)), body},
                       [self = shared_from_this()](const asio::error_code &error, std::size_t) {
                           const auto written = std::exchange(self->m_request, {});
-                          // The following read reports a failed write, after any response that arrived before it.
-                          self->m_isWritten = !error;
+                          self->onWritten(error);
                       });
     read();
 }
 
+void TargetConnection::onWritten(const asio::error_code &error)
+{
+    // A failed write ends no exchange by itself: a response may have arrived before it, which is read first.
+    m_isWriting = false;
+    m_isWritten = !error;
+    m_writeError = error;
+    if (std::exchange(m_isEndPending, false) && m_isBusy && !m_isClosed) {
+        onEndOfStream();
+    }
+}
+
 void TargetConnection::read()
 {
     if (m_isReading || m_isPaused || !m_isOpen || m_isClosed) {
@@ -221,13 +234,7 @@
         return;
     }
     if (error == asio::error::eof) {
-        m_isKeepAlive = false;
-        m_reader.feedEndOfStream();
-        if (m_reader.state() == HttpMessageReader::State::Complete) {
-            completeExchange(false);
-        } else {
-            failExchange("connection closed before the end of the response");
-        }
+        onEndOfStream();
         return;
     }
     if (error) {
@@ -238,6 +245,27 @@
     read();
 }
 
+void TargetConnection::onEndOfStream()
+{
+    m_isKeepAlive = false;
+    if (m_isWriting) {
+        m_isEndPending = true;
+        return;
+    }
+    // The kernel reports a reset once. If the write has reported it, the read sees an orderly end. A write to a
+    // connection whose end was received before its reset fails with a broken pipe.
+    if (m_writeError && m_writeError != asio::error::broken_pipe) {
+        failExchange(m_writeError.message());
+        return;
+    }
+    m_reader.feedEndOfStream();
+    if (m_reader.state() == HttpMessageReader::State::Complete) {
+        completeExchange(false);
+    } else {
+        failExchange("connection closed before the end of the response");
+    }
+}
+
 void TargetConnection::processBytes(std::string_view bytes)
 {
     while (!bytes.empty() && m_isBusy) {
--- a/modules/heatherridge_transport/direct/targetconnection.h
+++ b/modules/heatherridge_transport/direct/targetconnection.h
@@ -96,6 +96,8 @@
     void read();
     void awaitInput();
     void onRead(const asio::error_code &error, std::size_t size);
+    void onWritten(const asio::error_code &error);
+    void onEndOfStream();
     bool onHead(HttpMessageHead head);
     void processBytes(std::string_view bytes);
     void completeExchange(bool hasLeftover);
@@ -118,6 +120,9 @@
     bool m_isReading = false;
     bool m_isPaused = false;
     bool m_isWritten = false;
+    bool m_isWriting = false;
+    bool m_isEndPending = false; ///< the end of the stream was read while the request was being written
+    asio::error_code m_writeError; ///< of the current request
     bool m_mayHaveArrived = false; ///< bytes of the current request may have reached the target
     bool m_isKeepAlive = true;
     int m_interimHeads = 0; ///< of the current exchange
--- a/tests/support/scriptedtarget.cpp
+++ b/tests/support/scriptedtarget.cpp
@@ -6,6 +6,7 @@
 #include <asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 
 #include <sys/socket.h>
 
@@ -14,8 +15,9 @@
 
 using asio::ip::tcp;
 
-ScriptedTarget::ScriptedTarget(Script script, const std::string &address)
+ScriptedTarget::ScriptedTarget(Script script, const std::string &address, Reading reading)
     : m_script(std::move(script))
+    , m_reading(reading)
     // Reused addresses would let two sockets take the same free port, of which the second cannot listen.
     , m_acceptor(m_loop, tcp::endpoint(asio::ip::make_address(address), 0), /*reuse_addr=*/false)
     , m_acceptThread([this] {
@@ -89,7 +91,8 @@
         std::string request(headSize, '\0');
         buffer.sgetn(request.data(), static_cast<std::streamsize>(headSize));
         const auto length = requestHeader(request, "Content-Length");
-        const auto bodySize = length.empty() ? std::size_t{0} : std::stoul(length);
+        const bool readsBody = m_reading == Reading::WholeRequests && !length.empty();
+        const auto bodySize = readsBody ? std::stoul(length) : std::size_t{0};
         if (buffer.size() < bodySize) {
             asio::read(socket, buffer, asio::transfer_exactly(bodySize - buffer.size()), error);
         }
@@ -128,6 +131,15 @@
     case TargetAction::Kind::Close:
         socket.close(error);
         return false;
+    case TargetAction::Kind::EndOutput: {
+        socket.shutdown(tcp::socket::shutdown_send, error);
+        std::array<char, 65'536> ignored{};
+        while (!error) {
+            socket.read_some(asio::buffer(ignored), error);
+        }
+        ++m_peerCloseCount;
+        return false;
+    }
     case TargetAction::Kind::Reset:
         socket.set_option(asio::socket_base::linger(true, 0), error);
         socket.close(error);
--- a/tests/support/scriptedtarget.h
+++ b/tests/support/scriptedtarget.h
@@ -26,6 +26,7 @@
         SendUntilClosed, ///< writes `bytes` again and again until the peer closes the connection
         Wait, ///< waits for `duration`
         Close, ///< closes the connection gracefully
+        EndOutput, ///< sends the end of the stream, and reads on until the peer closes the connection
         Reset, ///< resets the connection, which discards data in flight
         AwaitClose, ///< waits until the peer closes the connection
         Call, ///< calls `call`
@@ -45,8 +46,15 @@
     /** Returns the actions for the request with the text @p request; @p requestIndex counts requests from 0. */
     using Script = std::function<std::vector<TargetAction>(const std::string &request, int requestIndex)>;
 
+    /** What a target reads of a request before it performs its actions. */
+    enum class Reading {
+        WholeRequests,
+        HeadsOnly, ///< the body is left unread; for one request a connection
+    };
+
     /** @param address of the loopback network, on which the target listens */
-    explicit ScriptedTarget(Script script, const std::string &address = "127.0.0.1");
+    explicit ScriptedTarget(Script script, const std::string &address = "127.0.0.1",
+                            Reading reading = Reading::WholeRequests);
     ~ScriptedTarget();
 
     ScriptedTarget(const ScriptedTarget &) = delete;
@@ -76,6 +84,7 @@
     bool perform(asio::ip::tcp::socket &socket, const TargetAction &action);
 
     Script m_script;
+    const Reading m_reading;
     asio::io_context m_loop;
     asio::ip::tcp::acceptor m_acceptor;
     mutable std::mutex m_mutex;
