Refuse heads whose status line or fields are not in the protocol's form

Seen: a status 0200 was passed on as 200, and a line that begins with a blank or tab was joined to the field before it, also to the signature of the answer (MIXED: the caller's signature is not the target's). Status 000, 099 and 600 were refused by one of the readers of answers only. Cause: the parser library accepts them; each reader checked for itself. Change: one check of heads (headsyntax.h), used by the reader of all messages: a status of three digits from 100 to 599, names that are tokens, values without control bytes, no folded lines.

--- a/modules/heatherridge_transport/http/httpmessagereader.cpp
+++ b/modules/heatherridge_transport/http/httpmessagereader.cpp
@@ -1,6 +1,7 @@
 #include "heatherridge_transport/http/httpmessagereader.h"
 
 #include "heatherridge_state/config/inidocument.h"
+#include "heatherridge_transport/http/headsyntax.h"
 
 #include <http_parser.h>
 
@@ -13,15 +14,8 @@
 namespace
 {
 
-/**
- * Returns whether no name has a space, which the parser library accepts as it is commonly built. It takes a length or
- * an encoding from "Content-Length : 2", and a proxy that compares names passes that on beside its own framing.
- */
-bool areNamesWellFormed(const std::vector<HttpHeader> &headers)
-{
-    return std::none_of(headers.begin(), headers.end(),
-                        [](const auto &header) { return header.name.find(' ') != std::string::npos; });
-}
+/** Bytes of a status line up to the one after its status. */
+constexpr std::size_t StatusLineBytes = 13;
 
 /** Returns whether the body is sent as it is or in chunks. The parser decodes no other transfer coding. */
 bool isBodyDecoded(const std::vector<HttpHeader> &headers)
@@ -34,16 +28,19 @@
 
 /**
  * Checks the bytes of a message outside of its body. The parser library, as it is commonly built, accepts any byte
- * after a CR there, and any two bytes after the data of a chunk.
+ * after a CR there, and any two bytes after the data of a chunk. It joins a line that begins with a blank to the header
+ * before it.
  */
 class LineEndCheck
 {
 public:
-    /** Returns whether @p bytes, which follow those of the last call, have an LF after each CR. */
+    /** Returns whether @p bytes, which follow those of the last call, have an LF after each CR and no line that begins
+     * with a blank. */
     bool accept(std::string_view bytes)
     {
         for (const char byte : bytes) {
-            if (m_expected && byte != *m_expected) {
+            const bool isBlank = byte == ' ' || byte == '\t';
+            if ((m_expected && byte != *m_expected) || (std::exchange(m_isLineStart, byte == '\n') && isBlank)) {
                 return false;
             }
             m_expected = byte == '\r' ? std::optional('\n') : std::nullopt;
@@ -59,6 +56,7 @@
 
 private:
     std::optional<char> m_expected; ///< next byte; if empty, any may follow
+    bool m_isLineStart = false;
 };
 
 } // namespace
@@ -111,6 +109,7 @@
         takeHead();
         m_blankBytes = 0;
         m_headBytes = 0;
+        m_statusLine.clear();
         m_isInHeaderValue = false;
         m_lineEnds = {};
         m_state = State::Idle;
@@ -185,6 +184,9 @@
         const auto piece = bytes.substr(
             0, std::min(blank > 0 ? blank : bytes.size(), m_maxHeadBytes - std::min(count, m_maxHeadBytes)));
         count += piece.size();
+        if (blank == 0 && m_type == HTTP_RESPONSE) {
+            m_statusLine.append(piece.substr(0, StatusLineBytes - m_statusLine.size()));
+        }
         return piece;
     }
 
@@ -260,7 +262,10 @@
         if (isInTrailers()) {
             return 0;
         }
-        if (!areNamesWellFormed(m_head.headers) || !isBodyDecoded(m_head.headers)) {
+        // The parser library accepts names with blanks as it is commonly built, and statuses of any number of digits.
+        const bool isResponse = m_type == HTTP_RESPONSE;
+        if (!areHeadersWellFormed(m_head.headers) || !isBodyDecoded(m_head.headers)
+            || (isResponse && !isStatusLine(m_statusLine))) {
             return -1;
         }
         if (m_type == HTTP_REQUEST) {
@@ -285,6 +290,7 @@
     http_parser_settings m_settings{};
     http_parser m_parser{};
     HttpMessageHead m_head; ///< until it is complete
+    std::string m_statusLine; ///< beginning of a response
     std::size_t m_textMemory = 0; ///< allocated for the strings of the head
     std::size_t m_maxHeadBytes = LargestHeadBytes;
     std::size_t m_blankBytes = 0; ///< before the head
--- a/tests/transport/httpmessagereader_test.cpp
+++ b/tests/transport/httpmessagereader_test.cpp
@@ -63,6 +63,46 @@
     }
 }
 
+std::string headWithStatus(const std::string &status)
+{
+    return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+std::string headWithLine(const std::string &line)
+{
+    return "HTTP/1.1 200 X\r\nX-Signature: a\r\n" + line + "\r\nContent-Length: 0\r\n\r\n";
+}
+
+const MessageCase HeadCases[] = {
+    {"Status200", Side::Responses, headWithStatus("200 OK"), State::Complete},
+    {"StatusWithoutReason", Side::Responses, headWithStatus("204"), State::Complete},
+    {"Status000", Side::Responses, headWithStatus("000 X"), State::Malformed},
+    {"Status099", Side::Responses, headWithStatus("099 X"), State::Malformed},
+    {"Status600", Side::Responses, headWithStatus("600 X"), State::Malformed},
+    {"StatusOfTwoDigits", Side::Responses, headWithStatus("20 X"), State::Malformed},
+    {"StatusOfFourDigits", Side::Responses, headWithStatus("0200 X"), State::Malformed},
+    {"StatusAndALetter", Side::Responses, headWithStatus("200X"), State::Malformed},
+    {"NameWithABlank", Side::Responses, headWithLine("X A: 1"), State::Malformed},
+    {"NameEndsWithABlank", Side::Responses, headWithLine("X-A : 1"), State::Malformed},
+    {"NameWithATab", Side::Responses, headWithLine("X\tA: 1"), State::Malformed},
+    {"NameWithAControlByte", Side::Responses, headWithLine("X\x01: 1"), State::Malformed},
+    {"NameWithAByteBeyondAscii", Side::Responses, headWithLine("X\x80: 1"), State::Malformed},
+    {"NameWithQuotes", Side::Responses, headWithLine("\"X\": 1"), State::Malformed},
+    {"NameWithParentheses", Side::Responses, headWithLine("X(1): 1"), State::Malformed},
+    {"EmptyName", Side::Responses, headWithLine(": 1"), State::Malformed},
+    {"NoColon", Side::Responses, headWithLine("X-A 1"), State::Malformed},
+    {"ValueWithAControlByte", Side::Responses, headWithLine("X-A: \x01"), State::Malformed},
+    {"ValueWithATab", Side::Responses, headWithLine("X-A: a\tb"), State::Complete},
+    {"ValueBeyondAscii", Side::Responses, headWithLine("X-A: \x80"), State::Complete},
+    {"LineThatBeginsWithABlank", Side::Responses, headWithLine(" b"), State::Malformed},
+    {"LineThatBeginsWithATab", Side::Responses, headWithLine("\tb"), State::Malformed},
+    {"LineOfARequestThatBeginsWithABlank", Side::Requests, "GET / HTTP/1.1\r\nX-A: 1\r\n b\r\n\r\n", State::Malformed},
+    {"TrailerThatBeginsWithABlank", Side::Responses, ChunkedHead + "0\r\nX: a\r\n b\r\n\r\n", State::Malformed},
+};
+
+INSTANTIATE_TEST_SUITE_P(Heads, HttpMessages, testing::ValuesIn(HeadCases),
+                         [](const auto &row) { return row.param.name; });
+
 INSTANTIATE_TEST_SUITE_P(All, HttpMessages, testing::ValuesIn(MessageCases),
                          [](const auto &row) { return row.param.name; });
 
