Check heads and completeness of answers to the HTTP client as the reader of messages does

Seen: HttpClient, through which engines, back ends, sidecars and the log answer, took statuses 600 and 999, field names with blanks, control bytes or none at all, folded lines and values with control bytes; a switch of protocols (101) was reported as status 200 with a body, since no final head replaced the default. Cause: libcurl accepts them, and the client checked nothing. Change: each line of a head is checked by headsyntax.h; a body or an end without a final head is a failure; a body that ends with its connection while the request was not sent whole is a failure too.

--- a/modules/heatherridge_transport/http/httpclient.cpp
+++ b/modules/heatherridge_transport/http/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "heatherridge_transport/http/httpclient.h"
 
+#include "heatherridge_transport/http/headsyntax.h"
+
 #include <asio/io_context.hpp>
 #include <asio/posix/stream_descriptor.hpp>
 #include <asio/post.hpp>
@@ -42,6 +44,8 @@
     std::unique_ptr<curl_slist, ListDeleter> headerList{};
     std::vector<HttpHeader> responseHeaders{};
     bool isHeadReported = false;
+    bool isInHead = false; ///< of an interim or the final response
+    bool endsWithConnection = false; ///< the body of the response has neither a length nor chunks
     bool isPaused = false;
     bool isCancelled = false;
     std::size_t headBytes = 0; ///< received, of all heads
@@ -55,6 +59,10 @@
     if (transfer.isCancelled) {
         return 0;
     }
+    if (!transfer.isHeadReported) {
+        transfer.abortReason = "response body without a final head";
+        return CURL_WRITEFUNC_ERROR;
+    }
     if (transfer.isPaused) {
         return CURL_WRITEFUNC_PAUSE;
     }
@@ -69,10 +77,38 @@
     return size * count;
 }
 
+/** Reports the final head of @p transfer, whose last line has arrived. */
+void reportHead(Transfer &transfer)
+{
+    constexpr long firstFinalStatus = 200;
+    long status = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
+    if (status < firstFinalStatus || transfer.isHeadReported || transfer.isCancelled) {
+        return;
+    }
+    const auto &headers = transfer.responseHeaders;
+    transfer.isHeadReported = true;
+    transfer.endsWithConnection = headerValue(headers, "Content-Length").empty()
+        && headerValue(headers, "Transfer-Encoding").empty() && isBodyAllowed(static_cast<int>(status))
+        && transfer.call.request.method != "HEAD";
+    transfer.events.head(static_cast<int>(status), headers);
+}
+
+/** Adds a header or trailer. @returns whether @p line is well-formed; libcurl accepts any, and joins folded ones */
+bool addHeader(Transfer &transfer, std::string_view line)
+{
+    const auto colon = line.find(':');
+    if (colon == std::string_view::npos) {
+        return false;
+    }
+    transfer.responseHeaders.push_back(
+        {.name = std::string(line.substr(0, colon)), .value = std::string(trimmed(line.substr(colon + 1)))});
+    return areHeadersWellFormed({transfer.responseHeaders.back()});
+}
+
 /** Collects the header lines and reports the response head once its final empty line arrives. */
 std::size_t onHeader(char *bytes, std::size_t size, std::size_t count, void *userData)
 {
-    constexpr long firstFinalStatus = 200;
     auto &transfer = *static_cast<Transfer *>(userData);
     const std::string_view line(bytes, size * count);
     transfer.headBytes += line.size();
@@ -81,22 +117,32 @@
         return CURL_WRITEFUNC_ERROR;
     }
     const auto content = line.substr(0, line.find_last_not_of("\r\n") + 1);
-    const auto colon = content.find(':');
+    const bool isStart = !transfer.isInHead && !transfer.isHeadReported;
     if (content.empty()) {
-        long status = 0;
-        curl_easy_getinfo(transfer.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-        if (status >= firstFinalStatus && !transfer.isHeadReported && !transfer.isCancelled) {
-            transfer.isHeadReported = true;
-            transfer.events.head(static_cast<int>(status), transfer.responseHeaders);
-        }
+        transfer.isInHead = false;
+        reportHead(transfer);
         transfer.responseHeaders.clear();
-    } else if (colon != std::string_view::npos && content.substr(0, 5) != "HTTP/") {
-        transfer.responseHeaders.push_back(
-            {.name = std::string(content.substr(0, colon)), .value = std::string(trimmed(content.substr(colon + 1)))});
+    } else if (isStart ? !isStatusLine(line) : !addHeader(transfer, content)) {
+        transfer.abortReason = "malformed response head";
+        return CURL_WRITEFUNC_ERROR;
+    } else {
+        transfer.isInHead = true;
     }
     return size * count;
 }
 
+/** Returns why a response that libcurl takes for complete is not, or an empty text. */
+std::string_view incompleteReason(const Transfer &transfer)
+{
+    if (!transfer.isHeadReported) {
+        return "connection closed before a final response head";
+    }
+    curl_off_t sent = 0;
+    curl_easy_getinfo(transfer.easy.get(), CURLINFO_SIZE_UPLOAD_T, &sent);
+    const bool isRequestSent = sent >= static_cast<curl_off_t>(transfer.call.request.body.size());
+    return transfer.endsWithConnection && !isRequestSent ? "connection closed before the end of the request" : "";
+}
+
 /** Returns whether no part of the request can have reached the server. */
 bool wasNeverSent(CURL *easy, CURLcode code)
 {
@@ -411,7 +457,11 @@
         if (!transfer->abortReason.empty()) {
             failure.reason = transfer->abortReason;
         }
-        if (code == CURLE_OK) {
+        const auto incomplete = code == CURLE_OK ? incompleteReason(*transfer) : std::string_view();
+        if (!incomplete.empty()) {
+            failure.reason = incomplete;
+        }
+        if (code == CURLE_OK && incomplete.empty()) {
             transfer->events.finished();
         } else {
             transfer->events.failed(failure);
