Let no exception pass through libcurl, and try again to watch a socket

Cause: a callback of the client that throws passed through libcurl's frames, which left its handle locked ("in a callback"): the loop goes on, but no call of this client ever ends. Change: each callback of libcurl reports an exception as handler-failed and ends its call; a socket that cannot be watched is attempted again after 10 ms (socket-not-watched). No test provokes a registration that fails.

--- a/modules/heatherridge_transport/http/httpclient.cpp
+++ b/modules/heatherridge_transport/http/httpclient.cpp
@@ -1,5 +1,7 @@
 #include "heatherridge_transport/http/httpclient.h"
 
+#include "heatherridge_transport/app/logger.h"
+#include "heatherridge_transport/app/processhealth.h"
 #include "heatherridge_transport/http/headsyntax.h"
 
 #include <asio/io_context.hpp>
@@ -53,9 +55,23 @@
     std::string_view abortReason{}; ///< why the client ended the call; empty if it did not
 };
 
-std::size_t onBody(char *bytes, std::size_t size, std::size_t count, void *userData)
+/**
+ * Runs @p callback for libcurl and returns its result, or @p ifFailed if it throws. An exception that passed through
+ * libcurl would leave its handle locked, and no call would ever be made again.
+ */
+template<typename Callback, typename Value>
+Value withoutException(const Callback &callback, Value ifFailed)
+{
+    try {
+        return callback();
+    } catch (const std::exception &exception) {
+        reportHandlerFailure(exception);
+        return ifFailed;
+    }
+}
+
+std::size_t receiveBody(Transfer &transfer, std::string_view bytes)
 {
-    auto &transfer = *static_cast<Transfer *>(userData);
     if (transfer.isCancelled) {
         return 0;
     }
@@ -66,15 +82,24 @@
     if (transfer.isPaused) {
         return CURL_WRITEFUNC_PAUSE;
     }
-    transfer.bodyBytes += size * count;
+    transfer.bodyBytes += bytes.size();
     if (transfer.call.maxBodyBytes > 0 && transfer.bodyBytes > transfer.call.maxBodyBytes) {
         transfer.abortReason = "response body too large";
         return CURL_WRITEFUNC_ERROR;
     }
-    if (!transfer.events.data(std::string_view(bytes, size * count))) {
+    if (!transfer.events.data(bytes)) {
         transfer.isPaused = true;
     }
-    return size * count;
+    return bytes.size();
+}
+
+std::size_t onBody(char *bytes, std::size_t size, std::size_t count, void *userData)
+{
+    return withoutException(
+        [&] {
+            return receiveBody(*static_cast<Transfer *>(userData), {bytes, size * count});
+        },
+        std::size_t{0});
 }
 
 /** Reports the final head of @p transfer, whose last line has arrived. */
@@ -107,10 +132,8 @@
 }
 
 /** Collects the header lines and reports the response head once its final empty line arrives. */
-std::size_t onHeader(char *bytes, std::size_t size, std::size_t count, void *userData)
+std::size_t receiveHeadLine(Transfer &transfer, std::string_view line)
 {
-    auto &transfer = *static_cast<Transfer *>(userData);
-    const std::string_view line(bytes, size * count);
     transfer.headBytes += line.size();
     if (transfer.headBytes > HttpClient::MaxHeadBytes) {
         transfer.abortReason = "response head too large";
@@ -128,7 +151,16 @@
     } else {
         transfer.isInHead = true;
     }
-    return size * count;
+    return line.size();
+}
+
+std::size_t onHeader(char *bytes, std::size_t size, std::size_t count, void *userData)
+{
+    return withoutException(
+        [&] {
+            return receiveHeadLine(*static_cast<Transfer *>(userData), {bytes, size * count});
+        },
+        std::size_t{0});
 }
 
 /** Returns why a response that libcurl takes for complete is not, or an empty text. */
@@ -194,6 +226,7 @@
         curl_multi_cleanup(m_multi);
         m_multi = nullptr;
         m_sockets.clear();
+        m_unwatched.clear();
         m_timer.cancel();
     }
 
@@ -309,21 +342,29 @@
 
     static int onSocket(CURL * /*easy*/, curl_socket_t socket, int what, void *userData, void * /*socketData*/)
     {
-        static_cast<Implementation *>(userData)->updateWatchedSocket(socket, what);
-        return 0;
+        return withoutException(
+            [&] {
+                static_cast<Implementation *>(userData)->updateWatchedSocket(socket, what);
+                return 0;
+            },
+            0);
     }
 
     static int onTimer(CURLM * /*multi*/, long timeoutMs, void *userData)
     {
-        static_cast<Implementation *>(userData)->setTimer(timeoutMs);
-        return 0;
+        return withoutException(
+            [&] {
+                static_cast<Implementation *>(userData)->setTimer(timeoutMs);
+                return 0;
+            },
+            0);
     }
 
     /** A socket owned by libcurl, watched for the events that libcurl requested. */
     struct WatchedSocket
     {
-        explicit WatchedSocket(asio::io_context &loop, curl_socket_t socket)
-            : descriptor(loop, socket)
+        explicit WatchedSocket(asio::io_context &loop)
+            : descriptor(loop)
         {
         }
 
@@ -347,19 +388,42 @@
 
     void updateWatchedSocket(curl_socket_t socket, int what)
     {
+        m_unwatched.erase(socket);
         if (what == CURL_POLL_REMOVE) {
             stopWatching(socket);
             return;
         }
         auto &watched = m_sockets[socket];
         if (!watched) {
-            watched = std::make_shared<WatchedSocket>(m_loop, socket);
+            watched = std::make_shared<WatchedSocket>(m_loop);
+            asio::error_code error;
+            if (watched->descriptor.assign(socket, error)) {
+                logEvent(Severity::Warning, "socket-not-watched", {{"reason", error.message()}});
+                m_sockets.erase(socket);
+                watchLater(socket, what);
+                return;
+            }
         }
         watched->wantRead = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
         watched->wantWrite = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
         startPendingWaits(socket, watched);
     }
 
+    /** Attempts again to watch @p socket, unless libcurl has released it, or stated another wish, by then. */
+    void watchLater(curl_socket_t socket, int what)
+    {
+        constexpr std::chrono::milliseconds delay{10};
+        const auto timer = std::make_shared<asio::steady_timer>(m_loop, delay);
+        m_unwatched[socket] = timer;
+        timer->async_wait([self = shared_from_this(), timer, socket, what](const asio::error_code &error) {
+            const auto entry = self->m_unwatched.find(socket);
+            if (!error && entry != self->m_unwatched.end() && entry->second == timer) {
+                self->m_unwatched.erase(entry);
+                self->updateWatchedSocket(socket, what);
+            }
+        });
+    }
+
     /** Releases @p socket immediately, although onSocketReady() may still hold its WatchedSocket: libcurl may reuse the
      * socket number for another call before onSocketReady() returns, and Asio throws if a descriptor is registered
      * twice. */
@@ -487,6 +551,7 @@
     std::uint64_t m_lastId = 0;
     std::unordered_map<CallId, std::unique_ptr<Transfer>> m_transfers;
     std::unordered_map<curl_socket_t, std::shared_ptr<WatchedSocket>> m_sockets;
+    std::unordered_map<curl_socket_t, std::shared_ptr<asio::steady_timer>> m_unwatched; ///< that are attempted again
 };
 
 HttpClient::HttpClient(asio::io_context &loop, Options options)
--- a/tests/transport/answerheads_test.cpp
+++ b/tests/transport/answerheads_test.cpp
@@ -95,6 +95,70 @@
 INSTANTIATE_TEST_SUITE_P(All, AnswersToAClient, testing::ValuesIn(AnswerCases),
                          [](const auto &info) { return std::string(info.param.name); });
 
+enum class ThrowingCallback {
+    Head,
+    Data,
+    Finished,
+};
+
+class CallbacksThatThrow : public testing::TestWithParam<ThrowingCallback>
+{
+};
+
+/** Runs @p loop until @p isDone, as an EventLoop does: a handler that throws does not end it. */
+void runUntil(asio::io_context &loop, const bool &isDone)
+{
+    while (!isDone) {
+        try {
+            loop.run_one();
+        } catch (const std::runtime_error &) {
+            continue;
+        }
+    }
+}
+
+// Guards against a client that makes no calls any more after one callback has thrown.
+TEST_P(CallbacksThatThrow, LeaveTheClientUsable)
+{
+    const ScriptedTarget server([](const std::string &, int) { return Actions{{.bytes = withStatus("200 X")}}; });
+    asio::io_context loop;
+    HttpClient client(loop, {});
+    const HttpClient::Call call{
+        .endpoint = server.endpoint(), .request = {.method = "GET", .path = "/"}, .timeout = 5s};
+    const auto throwAt = [](ThrowingCallback place) {
+        if (GetParam() == place) {
+            throw std::runtime_error("callback");
+        }
+    };
+    bool isFirstDone = false;
+    client.stream(call,
+                  {.head = [&](int, const auto &) { throwAt(ThrowingCallback::Head); },
+                   .data =
+                       [&](std::string_view) {
+                           throwAt(ThrowingCallback::Data);
+                           return true;
+                       },
+                   .finished =
+                       [&] {
+                           isFirstDone = true;
+                           throwAt(ThrowingCallback::Finished);
+                       },
+                   .failed = [&](const auto &) { isFirstDone = true; }});
+    runUntil(loop, isFirstDone);
+    bool isSecondDone = false;
+    int status = 0;
+    client.send(call, [&](auto result) {
+        isSecondDone = true;
+        const auto *response = std::get_if<HttpResponse>(&result);
+        status = response != nullptr ? response->status : 0;
+    });
+    runUntil(loop, isSecondDone);
+    EXPECT_EQ(status, 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, CallbacksThatThrow,
+                         testing::Values(ThrowingCallback::Head, ThrowingCallback::Data, ThrowingCallback::Finished));
+
 class ResetUploadsOfAClient : public testing::TestWithParam<std::size_t>
 {
 };
