--- a/modules/heatherridge_transport/direct/callerserver.cpp
+++ b/modules/heatherridge_transport/direct/callerserver.cpp
@@ -164,8 +164,8 @@
                     self->retryAccept(error);
                     return;
                 }
+                self->accept(); // first, as the connection may find no memory
                 self->addConnection(std::move(socket));
-                self->accept();
             });
     }
 
@@ -223,13 +223,13 @@
             if (error) {
                 return;
             }
+            self->sweep(); // first, as what follows may throw
             const auto now = std::chrono::steady_clock::now();
             for (const auto &connection : self->openConnections()) {
                 connection->tick(now);
             }
             self->m_heldBytes.set(static_cast<std::int64_t>(self->m_state->buffers.held()));
             self->m_connections.remove_if([](const auto &entry) { return entry.expired(); });
-            self->sweep();
         });
     }
 
--- a/modules/heatherridge_transport/target/groupagent.cpp
+++ b/modules/heatherridge_transport/target/groupagent.cpp
@@ -142,6 +142,11 @@
         if (m_stopped) {
             return;
         }
+        m_loop.after(m_options.tick, [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->tick();
+            }
+        });
         if (m_gate) {
             perform(m_gate->tick());
             updateMetrics();
@@ -152,11 +157,6 @@
                 claimLeadership();
             }
         }
-        m_loop.after(m_options.tick, [weak = weak_from_this()] {
-            if (const auto self = weak.lock()) {
-                self->tick();
-            }
-        });
     }
 
     /** Exports the state machines' counters as metrics. They restart from zero with the process, and the leader's also
