--- a/modules/heatherridge_transport/app/daemon.cpp
+++ b/modules/heatherridge_transport/app/daemon.cpp
@@ -278,11 +278,12 @@
         stopLogger();
         return *exitCode;
     }
-    const auto &[server, endpoints] = std::get<StartedServer>(started);
-    announceReady(description.role, endpoints);
+    const auto &running = std::get<StartedServer>(started);
+    announceReady(description.role, running.endpoints);
     logEvent(Severity::Info, "started", {{"role", std::string(description.role)}});
-    waitForStopSignal(settings.file(), [&] { applyReload(load(Settings::UnknownKeys::Reject), settings, server); });
-    server.drainAndStop();
+    waitForStopSignal(settings.file(),
+                      [&] { applyReload(load(Settings::UnknownKeys::Reject), settings, running.server); });
+    running.server.drainAndStop();
     logEvent(Severity::Info, "ended", {});
     stopLogger();
     return 0;
--- a/tests/transport/starts_test.cpp
+++ b/tests/transport/starts_test.cpp
@@ -36,9 +36,9 @@
         ::inet_pton(AF_INET, Address, &address.sin_addr);
         auto *generic = reinterpret_cast<sockaddr *>(&address);
         socklen_t size = sizeof address;
-        ::bind(m_socket, generic, size);
-        ::listen(m_socket, 1);
-        ::getsockname(m_socket, generic, &size);
+        const bool isListening = ::bind(m_socket, generic, size) == 0 && ::listen(m_socket, 1) == 0
+            && ::getsockname(m_socket, generic, &size) == 0;
+        EXPECT_TRUE(isListening);
         m_port = ntohs(address.sin_port);
     }
 
