Let a process stop whose standard output nobody reads

Seen: with a full pipe as standard output, SIGTERM did not end a gateway: the system killed it after its grace (trial: 8 s after SIGTERM with a grace of 2 s it still ran). If the pipe is full at the start, the process waits in its ready line and doesn't see the signal at all. Cause: the writer thread of the log, and the main thread with the ready line, wait in write(2), which only a reader ends; the stop joins the writer. Change: standard output is written only while it takes bytes. The ready line is given up after 0.5 s, log lines 30 ms after the stop has ended; they are counted as dropped.

--- a/modules/heatherridge_transport/app/daemon.cpp
+++ b/modules/heatherridge_transport/app/daemon.cpp
@@ -3,6 +3,7 @@
 #include "heatherridge_state/decisions/startretry.h"
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/app/processhealth.h"
+#include "heatherridge_transport/app/standardoutput.h"
 
 #include <csignal>
 #include <ctime>
@@ -25,6 +26,8 @@
 /** The process that held an address before has ended within this time, which is longer than grace periods usually are.
  */
 constexpr StartRetryOptions ServerRetry{.patience = std::chrono::seconds(30)};
+/** A process whose output nobody reads serves all the same, and has to notice its stop signal. */
+constexpr std::chrono::milliseconds ReadyLinePatience{500};
 
 const SettingSpec CommonSettings[] = {
     {.key = "name", .required = true, .help = "name of this process, unique in the deployment; a target's own name"},
@@ -89,11 +92,12 @@
 
 void announceReady(std::string_view role, const std::vector<Endpoint> &endpoints)
 {
-    std::cout << "ready " << role;
+    std::string line = "ready " + std::string(role);
     for (const auto &endpoint : endpoints) {
-        std::cout << ' ' << toString(endpoint);
+        line += ' ' + toString(endpoint);
     }
-    std::cout << std::endl;
+    const auto end = std::chrono::steady_clock::now() + ReadyLinePatience;
+    writeToStandardOutput(line + "\n", [end] { return std::chrono::steady_clock::now() >= end; });
 }
 
 void blockHandledSignals()
--- a/modules/heatherridge_transport/app/logger.cpp
+++ b/modules/heatherridge_transport/app/logger.cpp
@@ -1,10 +1,12 @@
 #include "heatherridge_transport/app/logger.h"
 
 #include "heatherridge_transport/app/logratelimiter.h"
+#include "heatherridge_transport/app/standardoutput.h"
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/bounded_fifo_queue.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
@@ -65,9 +67,27 @@
     }
 };
 
-using Backend = boost::log::sinks::text_ostream_backend;
+/** How long lines that nobody reads delay the end of the process; it exits shortly before its grace period ends. */
+constexpr std::chrono::milliseconds StopPatience{30};
+
+/** When the writer gives up lines that nobody reads. */
+std::atomic<std::chrono::steady_clock::time_point> givesUpAt{std::chrono::steady_clock::time_point::max()};
+
+/** Writes lines to standard output. */
+class StandardOutputBackend
+    : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::synchronized_feeding>
+{
+public:
+    static void consume(const boost::log::record_view &, const std::string &line)
+    {
+        if (!writeToStandardOutput(line + "\n", [] { return std::chrono::steady_clock::now() >= givesUpAt.load(); })) {
+            droppedLineCount.fetch_add(1, std::memory_order_relaxed);
+        }
+    }
+};
+
 using QueuedSink =
-    boost::log::sinks::asynchronous_sink<Backend,
+    boost::log::sinks::asynchronous_sink<StandardOutputBackend,
                                          boost::log::sinks::bounded_fifo_queue<MaxQueuedLines, DropNewestAndCount>>;
 
 boost::shared_ptr<QueuedSink> &queuedSink()
@@ -144,15 +164,15 @@
 {
     namespace sinks = boost::log::sinks;
     options() = newOptions;
-    const bool isQueued = newOptions.stream == LogStream::StandardOutput;
-    auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(isQueued ? &std::cout : &std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    if (isQueued) {
-        queuedSink() = boost::make_shared<QueuedSink>(backend);
+    if (newOptions.stream == LogStream::StandardOutput) {
+        queuedSink() = boost::make_shared<QueuedSink>();
         boost::log::core::get()->add_sink(queuedSink());
     } else {
-        boost::log::core::get()->add_sink(boost::make_shared<sinks::synchronous_sink<Backend>>(backend));
+        const auto backend = boost::make_shared<sinks::text_ostream_backend>();
+        backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+        backend->auto_flush(true);
+        boost::log::core::get()->add_sink(
+            boost::make_shared<sinks::synchronous_sink<sinks::text_ostream_backend>>(backend));
     }
     isSetUp = true;
 }
@@ -161,6 +181,7 @@
 {
     if (const auto sink = std::exchange(queuedSink(), nullptr)) {
         boost::log::core::get()->remove_sink(sink);
+        givesUpAt = std::chrono::steady_clock::now() + StopPatience;
         sink->stop();
         sink->flush();
     }
--- a/tests/transport/starts_test.cpp
+++ b/tests/transport/starts_test.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <spawn.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -132,16 +133,21 @@
     EXPECT_NE(output.find("event=start-delayed"), std::string::npos) << output;
 }
 
-/** Starts @p program and does not wait for it. */
-pid_t spawn(const std::string &program, const Flags &flags)
+/** Starts @p program with the standard output @p output and does not wait for it. */
+pid_t spawn(const std::string &program, const Flags &flags, int output = STDOUT_FILENO)
 {
     const std::string path = std::string(HEATHERRIDGE_BIN_DIR) + "/" + program;
     std::vector<char *> words{const_cast<char *>(path.c_str())};
     std::transform(flags.begin(), flags.end(), std::back_inserter(words),
                    [](const auto &flag) { return const_cast<char *>(flag.c_str()); });
     words.push_back(nullptr);
+    posix_spawn_file_actions_t actions;
+    ::posix_spawn_file_actions_init(&actions);
+    ::posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
     pid_t process = 0;
-    return ::posix_spawn(&process, path.c_str(), nullptr, nullptr, words.data(), environ) == 0 ? process : 0;
+    const int error = ::posix_spawn(&process, path.c_str(), &actions, nullptr, words.data(), environ);
+    ::posix_spawn_file_actions_destroy(&actions);
+    return error == 0 ? process : 0;
 }
 
 // Guards against a process that cannot be stopped, or ends as failed, while it waits for its port.
@@ -281,4 +287,51 @@
     EXPECT_EQ(runProgram("heatherridge-gateway", {"--config", file.path()}).exitCode, 2);
 }
 
+/** Standard output that nobody reads, and from which side of the ready line on. */
+struct UnreadCase
+{
+    const char *name;
+    bool isFullAtStart;
+};
+
+const UnreadCase UnreadCases[] = {{"FromTheStart", true}, {"LaterOn", false}};
+
+class UnreadOutput : public testing::TestWithParam<UnreadCase>
+{
+};
+
+// Guards against a process that has to be killed because nobody reads its standard output.
+TEST_P(UnreadOutput, LeavesTheProcessAbleToStop)
+{
+    constexpr int bufferBytes = 4096;
+    int ends[2] = {-1, -1};
+    ASSERT_EQ(::pipe2(ends, O_CLOEXEC), 0);
+    ASSERT_GE(::fcntl(ends[1], F_SETPIPE_SZ, bufferBytes), bufferBytes);
+    // The rest takes the ready line and the first log lines, but no further ones.
+    const std::string filling(static_cast<std::size_t>(bufferBytes) - (GetParam().isFullAtStart ? 0 : 200), 'x');
+    ASSERT_EQ(::write(ends[1], filling.data(), filling.size()), static_cast<ssize_t>(filling.size()));
+    auto flags = withCommonFlags(GatewayFlags);
+    flags.push_back("--grace=2");
+    const auto process = spawn("heatherridge-gateway", flags, ends[1]);
+    ASSERT_NE(process, 0);
+    std::this_thread::sleep_for(2s);
+    ::kill(process, SIGTERM);
+    int status = 0;
+    bool hasEnded = false;
+    for (int attempt = 0; attempt < 50 && !hasEnded; ++attempt) {
+        std::this_thread::sleep_for(100ms);
+        hasEnded = ::waitpid(process, &status, WNOHANG) == process;
+    }
+    if (!hasEnded) {
+        ::kill(process, SIGKILL);
+        ::waitpid(process, &status, 0);
+    }
+    ::close(ends[0]);
+    ::close(ends[1]);
+    EXPECT_TRUE(hasEnded && WIFEXITED(status) && WEXITSTATUS(status) == 0) << "status " << status;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, UnreadOutput, testing::ValuesIn(UnreadCases),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
