--- a/tests/support/platformlogstandin.cpp
+++ b/tests/support/platformlogstandin.cpp
@@ -87,8 +87,16 @@
     return m_server.endpoint();
 }
 
+void PlatformLogStandin::setAway(bool isAway)
+{
+    m_isAway = isAway;
+}
+
 std::vector<TargetAction> PlatformLogStandin::answer(const std::string &request) const
 {
+    if (m_isAway) {
+        return {{.kind = TargetAction::Kind::Reset}};
+    }
     const auto isCall = [&](std::string_view path) { return request.find(path) < request.find("\r\n"); };
     const auto values = m_registers.find(queryValue(request, "topic"));
     if (isCall("/api/log-newest")) {
--- a/tests/support/platformlogstandin.h
+++ b/tests/support/platformlogstandin.h
@@ -2,6 +2,7 @@
 
 #include "support/scriptedtarget.h"
 
+#include <atomic>
 #include <map>
 #include <string>
 
@@ -25,10 +26,14 @@
     /** Returns the endpoint listened on. */
     Endpoint endpoint() const;
 
+    /** Sets whether each request resets its connection instead of being answered. */
+    void setAway(bool isAway);
+
 private:
     std::vector<TargetAction> answer(const std::string &request) const;
 
     const std::map<std::string, Register> m_registers;
+    std::atomic<bool> m_isAway{false};
     ScriptedTarget m_server;
 };
 
