--- a/tests/ends/ends_test.cpp
+++ b/tests/ends/ends_test.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <iostream>
 #include <optional>
 #include <thread>
 
@@ -20,6 +21,8 @@
 
 constexpr int Gateways = 4;
 constexpr int Sidecars = 12;
+constexpr int Engines = 8; ///< of the hosts with sidecars, in groups of GroupSize ranks; the others are plain targets
+constexpr int GroupSize = 4;
 constexpr int ClientsPerGateway = 5;
 constexpr int Rounds = 2;
 /** Nothing else uses these ports on the addresses of hostAddress(). */
@@ -29,13 +32,17 @@
 constexpr int SidecarPort = 7104;
 constexpr const char *ConfigDocument = R"({"version": 7,
     "routes": [{"name": "look", "host": "h", "pathPrefix": "/look/", "kind": "safe", "timeoutMs": 700,
-                "targetLatencyMs": 300, "priority": 1, "service": "s", "maxAttempts": 2, "public": true},
+                "targetLatencyMs": 300, "priority": 1, "service": "p", "maxAttempts": 2, "public": true},
                {"name": "book", "host": "h", "pathPrefix": "/book/", "kind": "unsafe", "timeoutMs": 700,
-                "targetLatencyMs": 300, "priority": 1, "service": "s", "maxAttempts": 1, "public": true},
+                "targetLatencyMs": 300, "priority": 1, "service": "p", "maxAttempts": 1, "public": true},
                {"name": "tour", "host": "h", "pathPrefix": "/tour/", "kind": "streaming", "timeoutMs": 3000,
-                "targetLatencyMs": 300, "priority": 1, "service": "s", "maxAttempts": 2, "public": true,
+                "targetLatencyMs": 300, "priority": 1, "service": "e", "maxAttempts": 2, "public": true,
                 "resumable": true, "gapAimMs": 120}],
-    "services": [{"name": "s", "healthPath": "/healthz", "maxConns": 400}],
+    "services": [{"name": "p", "healthPath": "/healthz", "maxConns": 400},
+                 {"name": "e", "healthPath": "/healthz", "maxConns": 400,
+                  "engine": {"slots": 12, "kvTokens": 372000, "stride": 5, "step_ms": 5.85, "per_seq_ms": 0.355,
+                             "read_per_s": 61200.0, "sets": 2, "experts": 8, "places": 3, "spare": 1,
+                             "expertMb": 580.0, "linkMbps": 92000.0, "expertShare": 0.85}}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})";
 
 /** Returns an address of this test's own hosts, on which no other program runs. */
@@ -44,11 +51,29 @@
     return "127.0." + std::to_string(100 + ::getpid() % 100) + "." + std::to_string(host);
 }
 
+/** Returns what the engine with number @p engine states, if @p path is that of a statement. */
+std::optional<std::string> engineStatement(const std::string &path, int engine)
+{
+    if (path.ends_with("/api/report")) {
+        return R"({"size": 4, "step": 7, "map": {"version": 1}, "pace": 1, "running": 3, "waiting": 0, "group":
+                   {"epoch": 3, "state": "open", "name": "g)"
+            + std::to_string(engine / GroupSize) + R"(", "rank": )" + std::to_string(engine % GroupSize) + "}}";
+    }
+    if (path.find("/api/picked") != std::string::npos) {
+        return R"({"epoch": 3, "counts": [9, 1, 40, 2, 0, 7, 7, 7, 1, 1, 1, 60, 3, 3, 3, 3],
+                   "map": {"version": 1, "experts": [[0, 1, 2], [3, 4, 5]]}})";
+    }
+    return path.ends_with("/api/order") ? std::optional<std::string>("{}") : std::nullopt;
+}
+
 /** Answers soundly most of the time; the last digit of the path decides. */
-std::vector<TargetAction> answer(const std::string &request, int)
+std::vector<TargetAction> answer(const std::string &request, int engine)
 {
     using Kind = TargetAction::Kind;
     const auto path = request.substr(0, request.find(" HTTP"));
+    if (const auto statement = engineStatement(path, engine)) {
+        return {{.bytes = signedResponse(request, *statement)}};
+    }
     const auto sound = signedResponse(request, std::string(2'000, 'x'));
     switch (path.back()) {
     case '0':
@@ -64,9 +89,10 @@
     }
 }
 
-std::string targetEntry(const ScriptedTarget &target)
+std::string targetEntry(const ScriptedTarget &target, int index)
 {
-    return R"({"service": "s", "zone": "a", "version": "v1", "slots": 100, "state": "ready", "coldMs": 0, "born": 1,
+    return std::string(R"({"service": ")") + (index < Engines ? "e" : "p")
+        + R"(", "zone": "a", "version": "v1", "slots": 100, "state": "ready", "coldMs": 0, "born": 1,
                "sequence": 1, "address": ")"
         + toString(target.endpoint()) + "\"}";
 }
@@ -191,8 +217,9 @@
     std::vector<std::unique_ptr<ScriptedTarget>> targets;
     PlatformLogStandin::Register entries;
     for (int index = 0; index < Sidecars; ++index) {
-        targets.push_back(std::make_unique<ScriptedTarget>(answer, hostAddress(100 + index)));
-        entries["t" + std::to_string(index)] = targetEntry(*targets.back());
+        targets.push_back(std::make_unique<ScriptedTarget>(
+            [index](const std::string &request, int) { return answer(request, index); }, hostAddress(100 + index)));
+        entries["t" + std::to_string(index)] = targetEntry(*targets.back(), index);
     }
     PlatformLogStandin log({{"keyed.op", {{"config", ConfigDocument}}}, {"keyed.servers", entries}});
     std::vector<std::unique_ptr<DaemonProcess>> processes;
@@ -213,10 +240,11 @@
     }
 
     std::atomic<bool> isOver{false};
+    std::atomic<int> answered{0};
     std::vector<std::thread> threads;
     for (int client = 0; client < Gateways * ClientsPerGateway; ++client) {
         threads.emplace_back(useGateway, Endpoint{.address = hostAddress(1 + client % Gateways), .port = CallerPort},
-                             random(), std::cref(isOver));
+                             random(), std::cref(isOver), std::ref(answered));
     }
     threads.emplace_back([&log, &isOver, own = Random(random())]() mutable {
         while (!isOver) {
@@ -254,6 +282,8 @@
     isOver = true;
     std::for_each(threads.begin(), threads.end(), [](auto &thread) { thread.join(); });
     std::filesystem::remove_all(folder);
+    EXPECT_GT(answered, 100) << "too little traffic to tell anything";
+    std::cout << answered << " answered" << std::endl;
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, EndsOfProcesses, testing::ValuesIn(seeds()),
--- a/tests/ends/gatewayclient.cpp
+++ b/tests/ends/gatewayclient.cpp
@@ -1,5 +1,6 @@
 #include "gatewayclient.h"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <thread>
@@ -43,12 +44,13 @@
         return m_isUsable;
     }
 
-    /** Receives a part of what has arrived. @returns whether the connection may be used further */
-    bool receive()
+    /** Receives a part of what has arrived; empty if the connection cannot be used further. */
+    std::string receive()
     {
         char bytes[4096];
-        m_isUsable = m_isUsable && ::recv(m_socket, bytes, sizeof bytes, 0) > 0;
-        return m_isUsable;
+        const auto size = m_isUsable ? ::recv(m_socket, bytes, sizeof bytes, 0) : 0;
+        m_isUsable = size > 0;
+        return {bytes, static_cast<std::size_t>(std::max<ssize_t>(size, 0))};
     }
 
     void resetOnClose() const
@@ -64,7 +66,7 @@
 
 } // namespace
 
-void useGateway(const Endpoint &gateway, unsigned seed, const std::atomic<bool> &isOver)
+void useGateway(const Endpoint &gateway, unsigned seed, const std::atomic<bool> &isOver, std::atomic<int> &answered)
 {
     Random random(seed);
     const char *const prefixes[] = {"/look/", "/book/", "/tour/"};
@@ -80,8 +82,12 @@
                 + " HTTP/1.1\r\nHost: h\r\nX-Heatherridge-Request-Id: r" + std::to_string(random())
                 + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
             const bool isCut = isReset && requests == 1;
-            if (!connection.send(isCut ? request.substr(0, request.size() / 2) : request) || isCut
-                || !connection.receive()) {
+            if (!connection.send(isCut ? request.substr(0, request.size() / 2) : request) || isCut) {
+                break;
+            }
+            const auto response = connection.receive();
+            answered += response.starts_with("HTTP/1.1 200") ? 1 : 0;
+            if (response.empty()) {
                 break;
             }
         }
