Never wait for a reader in the last line of a process

Cause: the line about a fatal end was written with a blocking write; with full output it would have kept a broken process alive. Result: FatalEnds/NobodyReads passes; the other rows as before.

--- a/modules/heatherridge_transport/app/processhealth.cpp
+++ b/modules/heatherridge_transport/app/processhealth.cpp
@@ -15,6 +15,7 @@
 #include <typeinfo>
 
 #include <execinfo.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <unistd.h>
 
@@ -35,6 +36,13 @@
 /** Stack on which fatal signals are handled: the ordinary one may be exhausted. */
 constexpr std::size_t SignalStackBytes = 64UL << 10U;
 
+/** Returns whether a short text can be written to @p descriptor without waiting for its reader. */
+bool isWritable(int descriptor)
+{
+    pollfd entry{.fd = descriptor, .events = POLLOUT, .revents = 0};
+    return ::poll(&entry, 1, 0) > 0;
+}
+
 /** A line of text in fixed memory, to be composed in a signal handler. */
 class FixedLine
 {
@@ -59,8 +67,12 @@
         return *this << std::string_view(digits.data() + next, digits.size() - next);
     }
 
+    /** Writes the line, unless nobody reads @p descriptor: the process has to end. */
     void write(int descriptor) const
     {
+        if (!isWritable(descriptor)) {
+            return;
+        }
         const auto ignored = ::write(descriptor, m_text.data(), m_size); // nobody is left to be told
         static_cast<void>(ignored);
     }
@@ -88,7 +100,9 @@
     line << linePrefix() << "event=fatal-signal signal=" << signal << "\n";
     writeToBothStreams(line);
     std::array<void *, MaxStackFrames> frames{};
-    backtrace_symbols_fd(frames.data(), backtrace(frames.data(), MaxStackFrames), STDERR_FILENO);
+    if (isWritable(STDERR_FILENO)) {
+        backtrace_symbols_fd(frames.data(), backtrace(frames.data(), MaxStackFrames), STDERR_FILENO);
+    }
     std::raise(signal); // the default action has been restored
 }
 
--- a/tests/transport/processends_test.cpp
+++ b/tests/transport/processends_test.cpp
@@ -8,7 +8,12 @@
 #include <future>
 #include <new>
 #include <stdexcept>
+#include <string>
 #include <system_error>
+#include <thread>
+
+#include <fcntl.h>
+#include <unistd.h>
 
 using namespace Heatherridge;
 using namespace std::chrono_literals;
@@ -83,11 +88,30 @@
     const char *line;
 };
 
+/** Replaces both output streams by a pipe that is full and that nobody reads. */
+void blockOutput()
+{
+    int ends[2] = {-1, -1};
+    ASSERT_EQ(::pipe2(ends, O_NONBLOCK), 0);
+    const std::string filling(4096, 'x');
+    while (::write(ends[1], filling.data(), filling.size()) > 0) {
+    }
+    ASSERT_EQ(::fcntl(ends[1], F_SETFL, 0), 0);
+    ::dup2(ends[1], STDOUT_FILENO);
+    ::dup2(ends[1], STDERR_FILENO);
+}
+
 const EndCase EndCases[] = {
     {"Exception", [] { std::terminate(); }, SIGABRT, "process=p event=uncaught-exception"},
     {"ExceptionOfAThread", [] { std::thread([] { throw std::runtime_error("told"); }).join(); }, SIGABRT,
      "event=uncaught-exception type=.*runtime_error reason=\"told\""},
     {"InvalidAddress", [] { std::raise(SIGSEGV); }, SIGSEGV, "process=p event=fatal-signal signal=11"},
+    {"NobodyReads",
+     [] {
+         blockOutput();
+         std::raise(SIGSEGV);
+     },
+     SIGSEGV, ""},
     {"FailedAssertion", [] { std::abort(); }, SIGABRT, "process=p event=fatal-signal signal=6"},
 };
 
