Check the nesting of each CBOR message and record before it is decoded

Cause: the CBOR decoder of the JSON library is recursive. Messages about rules and demand were checked with isPlainCbor() before it saw them; crash records from the log, counts, statuses, lists of experts and orders between a gateway and its sidecars were not. One record of 500,000 nested arrays exhausts the stack of each process that reads it, and those that start again read it again.

Change: decodeCbor() checks all of them, and the two checks of its own are gone. isPlainCbor() takes any span of bytes, so that nothing is copied.

--- a/modules/heatherridge_protocol/cborstructure.cpp
+++ b/modules/heatherridge_protocol/cborstructure.cpp
@@ -22,7 +22,7 @@
 class CborScanner
 {
 public:
-    explicit CborScanner(const Bytes &bytes)
+    explicit CborScanner(std::span<const std::uint8_t> bytes)
         : m_bytes(bytes)
     {
     }
@@ -111,7 +111,7 @@
         return true;
     }
 
-    const Bytes &m_bytes;
+    std::span<const std::uint8_t> m_bytes;
     std::size_t m_position = 0;
     std::array<std::uint64_t, MaxCborDepth + 1> m_remainingItems{}; ///< number of remaining items at each nesting level
     std::size_t m_depth = 0;
@@ -119,9 +119,14 @@
 
 } // namespace
 
-bool isPlainCbor(const Bytes &bytes)
+bool isPlainCbor(std::span<const std::uint8_t> bytes)
 {
     return CborScanner(bytes).scanDocument();
 }
 
+bool isPlainCbor(std::string_view bytes)
+{
+    return isPlainCbor(std::span(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size()));
+}
+
 } // namespace Heatherridge
--- a/modules/heatherridge_protocol/cborstructure.h
+++ b/modules/heatherridge_protocol/cborstructure.h
@@ -1,6 +1,8 @@
 #pragma once
 
-#include "heatherridge_protocol/envelope.h"
+#include <cstdint>
+#include <span>
+#include <string_view>
 
 namespace Heatherridge
 {
@@ -16,6 +18,9 @@
  * stack of every process that reads the record. It also throws for an array whose declared length exceeds any memory.
  * This check is not recursive and runs before the decoder, so that neither input reaches it.
  */
-bool isPlainCbor(const Bytes &bytes);
+bool isPlainCbor(std::span<const std::uint8_t> bytes);
+
+/** Like the function above, for bytes that are held as text. */
+bool isPlainCbor(std::string_view bytes);
 
 } // namespace Heatherridge
--- a/modules/heatherridge_protocol/cborvalue.h
+++ b/modules/heatherridge_protocol/cborvalue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "heatherridge_protocol/cborstructure.h"
 #include "heatherridge_state/base/result.h"
 
 #include <nlohmann/json.hpp>
@@ -18,10 +19,14 @@
     return bytes;
 }
 
-/** Decodes @p bytes and passes the value to @p readFields. A decoding or type error yields MalformedFrame. */
+/** Decodes @p bytes and passes the value to @p readFields. A decoding or type error yields MalformedFrame, as do bytes
+ * that the decoder must not see. @see isPlainCbor() */
 template<typename ReadFields>
 auto decodeCbor(std::string_view bytes, ReadFields readFields) -> Result<decltype(readFields(nlohmann::json{}))>
 {
+    if (!isPlainCbor(bytes)) {
+        return Error{.kind = ErrorKind::MalformedFrame, .detail = "not one plain CBOR item"};
+    }
     try {
         return readFields(nlohmann::json::from_cbor(bytes));
     } catch (const nlohmann::json::exception &error) {
--- a/modules/heatherridge_protocol/demandmessage.cpp
+++ b/modules/heatherridge_protocol/demandmessage.cpp
@@ -1,6 +1,5 @@
 #include "heatherridge_protocol/demandmessage.h"
 
-#include "heatherridge_protocol/cborstructure.h"
 #include "heatherridge_protocol/cborvalue.h"
 
 #include <cmath>
@@ -212,16 +211,6 @@
     return fieldsOf(message, count);
 }
 
-/** Decodes @p bytes with @p readFields. Rejects input that the recursive CBOR decoder must not see. */
-template<typename ReadFields>
-auto decodeMessage(std::string_view bytes, ReadFields readFields) -> decltype(decodeCbor(bytes, readFields))
-{
-    if (!isPlainCbor(Bytes(bytes.begin(), bytes.end()))) {
-        return Error{.kind = ErrorKind::MalformedFrame, .detail = "not one plain CBOR item"};
-    }
-    return decodeCbor(bytes, readFields);
-}
-
 } // namespace
 
 std::string encode(const DemandRequest &request)
@@ -237,7 +226,7 @@
 
 Result<DemandRequest> decodeDemandRequest(std::string_view bytes)
 {
-    return decodeMessage(bytes, [](const json &message) {
+    return decodeCbor(bytes, [](const json &message) {
         const auto &fields = checkedFormat(message, 4);
         DemandRequest request{.lifetime = duration(fields[2], MaxStatementLifetime), .zones = decodeZones(fields[3])};
         if (!fields[1].is_null()) {
@@ -249,7 +238,7 @@
 
 Result<DemandResponse> decodeDemandResponse(std::string_view bytes)
 {
-    return decodeMessage(bytes, [](const json &message) {
+    return decodeCbor(bytes, [](const json &message) {
         const auto &fields = checkedFormat(message, 3);
         return DemandResponse{.ownZone = decodeZone(fields[1]), .otherZones = decodeZones(fields[2])};
     });
--- a/modules/heatherridge_protocol/rulesmessage.cpp
+++ b/modules/heatherridge_protocol/rulesmessage.cpp
@@ -1,6 +1,5 @@
 #include "heatherridge_protocol/rulesmessage.h"
 
-#include "heatherridge_protocol/cborstructure.h"
 #include "heatherridge_protocol/cborvalue.h"
 
 #include <xxhash.h>
@@ -93,9 +92,6 @@
 template<typename Read>
 auto decodeMessage(std::string_view bytes, std::size_t size, Read read) -> Result<decltype(read(json()))>
 {
-    if (!isPlainCbor(Bytes(bytes.begin(), bytes.end()))) {
-        return Error{.kind = ErrorKind::MalformedFrame, .detail = "not one plain CBOR item"};
-    }
     return decodeCbor(bytes, [size, &read](const json &message) {
         require(message.is_array() && message.size() == size && wholeNumber(message[0]) == RulesFormat,
                 "unknown format");
