Refuse JSON of other processes that is nested more than 128 deep

Cause: the JSON library parses and destroys values without recursion, but copies, compares and writes them recursively. The entry writes the messages of each chat request as text; decoding a configuration copies the usual requests of an engine. A few hundred kilobytes of nested arrays there end the process, each time that the request is repeated or the record is read again.

Change: parseJson() and the platform's parseDocument() check the depth before they parse; all readers of bodies, records and entries use them.

--- a/modules/heatherridge_transport/entry/callerrequest.cpp
+++ b/modules/heatherridge_transport/entry/callerrequest.cpp
@@ -1,6 +1,6 @@
 #include "heatherridge_transport/entry/callerrequest.h"
 
-#include <nlohmann/json.hpp>
+#include "heatherridge_protocol/jsondocument.h"
 
 #include <xxhash.h>
 
@@ -180,7 +180,7 @@
         if (m_request.method != "POST") {
             return makeError(ErrorKind::MethodNotAllowed, m_request.method);
         }
-        const auto body = nlohmann::json::parse(m_request.body, nullptr, false);
+        const auto body = parseJson(m_request.body);
         if (!body.is_object()) {
             return makeError(ErrorKind::BadRequest, "the body is not a JSON object");
         }
--- a/modules/heatherridge_transport/entry/streamresume.cpp
+++ b/modules/heatherridge_transport/entry/streamresume.cpp
@@ -1,10 +1,9 @@
 #include "heatherridge_transport/entry/streamresume.h"
 
 #include "heatherridge_coordination/answers/eventstreamsplitter.h"
+#include "heatherridge_protocol/jsondocument.h"
 #include "heatherridge_transport/http/httpmessages.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 
 namespace Heatherridge
@@ -77,7 +76,7 @@
 
 Bytes withResumeFrom(const Bytes &body, std::uint64_t token)
 {
-    auto request = nlohmann::json::parse(body, nullptr, false);
+    auto request = parseJson({reinterpret_cast<const char *>(body.data()), body.size()});
     if (!request.is_object()) {
         return body;
     }
--- a/modules/heatherridge_transport/platform/hostlistreader.cpp
+++ b/modules/heatherridge_transport/platform/hostlistreader.cpp
@@ -1,6 +1,6 @@
 #include "heatherridge_transport/platform/hostlistreader.h"
 
-#include <nlohmann/json.hpp>
+#include "heatherridge_protocol/jsondocument.h"
 
 namespace Heatherridge
 {
@@ -15,7 +15,7 @@
 
 std::optional<std::vector<HostListEntry>> parseHostList(std::string_view body)
 {
-    const auto list = nlohmann::json::parse(body, nullptr, false);
+    const auto list = parseJson(body);
     if (!list.is_object() || !list.contains("hosts") || !list["hosts"].is_array()) {
         return std::nullopt;
     }
--- a/modules/heatherridge_transport/platform/httplogservice.cpp
+++ b/modules/heatherridge_transport/platform/httplogservice.cpp
@@ -1,6 +1,7 @@
 #include "heatherridge_transport/platform/httplogservice.h"
 
 #include "heatherridge_protocol/cborreader.h"
+#include "heatherridge_protocol/jsondocument.h"
 
 namespace Heatherridge
 {
@@ -32,7 +33,7 @@
         const auto ran = response.status < FirstServerError ? ExecutionStatus::No : ExecutionStatus::Unknown;
         return unavailable("status " + std::to_string(response.status), ran);
     }
-    const auto body = nlohmann::json::parse(response.body, nullptr, false);
+    const auto body = parseJson(response.body);
     if (!body.is_object() || !body.contains("offset") || !body["offset"].is_number_unsigned()) {
         return unavailable("response has no offset", ExecutionStatus::Unknown);
     }
--- a/tests/transport/callerrequest_test.cpp
+++ b/tests/transport/callerrequest_test.cpp
@@ -54,6 +54,13 @@
     return {.method = std::move(method), .path = std::move(path), .headers = {{"X-Workspace", "mills"}}};
 }
 
+/** Returns a body whose messages are nested so deeply that writing them recursively exhausts the stack. */
+std::string nestedMessages()
+{
+    constexpr std::size_t depth = 400'000;
+    return R"({"model":"chip","messages":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+}
+
 struct RejectionCase
 {
     const char *description;
@@ -73,6 +80,7 @@
      ErrorKind::BadDeadline},
     {"broken JSON", makeChatRequest({{"X-Workspace", "mills"}}, "{\"model\":"), ErrorKind::BadRequest},
     {"no messages", makeChatRequest({{"X-Workspace", "mills"}}, R"({"model":"chip"})"), ErrorKind::BadRequest},
+    {"messages nested deeply", makeChatRequest({{"X-Workspace", "mills"}}, nestedMessages()), ErrorKind::BadRequest},
     {"unknown model", makeChatRequest({{"X-Workspace", "mills"}}, R"({"model":"oak","messages":[]})"),
      ErrorKind::UnknownModel},
     {"body too large", makeChatRequest({{"X-Workspace", "mills"}}, std::string(2UL << 20U, 'x')),
