--- a/tests/platform/odddocuments_test.cpp
+++ b/tests/platform/odddocuments_test.cpp
@@ -99,6 +99,20 @@
 
 INSTANTIATE_TEST_SUITE_P(All, OddEntries, testing::ValuesIn(OddEntryRows));
 
+const char *const OddIds[] = {"", "i 1", "i\r\nX: y", "i\x01", "i\x7f", "i\xff", "\u00e4"};
+
+class OddIdentifiers : public testing::TestWithParam<const char *>
+{
+};
+
+// Guards against an entry whose key cannot be the value of a header that names the expected replica.
+TEST_P(OddIdentifiers, NameNoReplica)
+{
+    EXPECT_NE(errorIn(decodeTargetRecord(GetParam(), SoundEntry)), nullptr);
+}
+
+INSTANTIATE_TEST_SUITE_P(All, OddIdentifiers, testing::ValuesIn(OddIds));
+
 TEST(SoundDocuments, AreDecoded)
 {
     EXPECT_EQ(errorIn(decodeTargetRecord("i-1", SoundEntry)), nullptr);
