Let gateways leave records of their runs behind

Change: a gateway records its run (GatewayRuns) on the control thread; its next run logs previous-run-unfinished with the probable cause and counts it. The log's stand-in of the tests keeps other keyed topics.

--- a/extras/heatherridge-gateway/main.cpp
+++ b/extras/heatherridge-gateway/main.cpp
@@ -169,17 +169,26 @@
 /** Descriptors that a host with a stated number of descriptors keeps for files. */
 constexpr long long FileDescriptors = 200;
 
-/** Returns the number of descriptors for sockets; 0 if they are not limited. */
-std::size_t socketDescriptors(const Settings &settings)
+/** Returns the number of descriptors of this process; 0 if they are not limited. */
+std::size_t descriptorLimit(const Settings &settings)
 {
     if (const auto stated = settings.number("max-descriptors"); stated > 0) {
-        return static_cast<std::size_t>(std::max(stated - FileDescriptors, 1LL));
+        return static_cast<std::size_t>(stated);
     }
     rlimit allowed{};
     const bool isLimited = ::getrlimit(RLIMIT_NOFILE, &allowed) == 0 && allowed.rlim_cur != RLIM_INFINITY;
     return isLimited ? static_cast<std::size_t>(allowed.rlim_cur) : 0;
 }
 
+/** Returns the number of descriptors for sockets; 0 if they are not limited. */
+std::size_t socketDescriptors(const Settings &settings)
+{
+    if (const auto stated = settings.number("max-descriptors"); stated > 0) {
+        return static_cast<std::size_t>(std::max(stated - FileDescriptors, 1LL));
+    }
+    return descriptorLimit(settings);
+}
+
 GatewayServer::Options optionsFrom(const Settings &settings)
 {
     const auto memory = settings.fraction("memory-mb") * BytesPerMebibyte;
@@ -217,6 +226,7 @@
                                    .descriptors = socketDescriptors(settings)}),
         .maxHeldBytes = bufferBytes,
         .maxResponseBytes = bufferBytes,
+        .hostLimits = {.memory = static_cast<std::uint64_t>(memory), .descriptors = descriptorLimit(settings)},
         .gracePeriod = settings.duration("grace")};
 }
 
@@ -242,7 +252,9 @@
                                                                                .topics = LargeShareTopics,
                                                                                .partitionsPerTopic = partitions,
                                                                                .zone = zone}),
-                    .reports = std::make_unique<PlatformReports>(calls, "heatherridge-crashes")};
+                    .reports = std::make_unique<PlatformReports>(calls, "heatherridge-crashes"),
+                    .runs = std::make_unique<PlatformRuns>(
+                        calls, PlatformRuns::Options{.topic = "keyed.heatherridge-runs", .partitions = partitions})};
             },
         .makeRankControl =
             [](HttpClient &client) { return std::make_unique<PlatformEngines>(client, PlatformEngines::Options{}); }};
--- a/modules/heatherridge_transport/app/processhealth.cpp
+++ b/modules/heatherridge_transport/app/processhealth.cpp
@@ -12,6 +12,7 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <mutex>
 #include <typeinfo>
 
 #include <execinfo.h>
@@ -25,6 +26,35 @@
 {
 
 std::atomic<std::uint64_t> failureCount{0};
+/** Longest reason that is kept of a handler's failure. */
+constexpr std::size_t MaxKeptReasonBytes = 256;
+
+/** The reason of the last handler that has thrown. Thread-safe. */
+class LastFailure
+{
+public:
+    void set(std::string_view reason)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_reason = reason.substr(0, MaxKeptReasonBytes);
+    }
+
+    std::string reason(std::size_t maxBytes) const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_reason.substr(0, maxBytes);
+    }
+
+private:
+    mutable std::mutex m_mutex;
+    std::string m_reason;
+};
+
+LastFailure &lastFailure()
+{
+    static LastFailure failure;
+    return failure;
+}
 
 /** Signals by which the system ends a process for a fault of its own. */
 constexpr std::array FatalSignals{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
@@ -123,6 +153,7 @@
 
 void reportHandlerFailure(const std::exception &exception)
 {
+    lastFailure().set(exception.what());
     failureCount.fetch_add(1, std::memory_order_relaxed);
     logEvent(Severity::Error, "handler-failed",
              {{"type", std::string(typeid(exception).name())}, {"reason", std::string(exception.what())}});
@@ -133,13 +164,42 @@
     return failureCount.load(std::memory_order_relaxed);
 }
 
-void writeProcessMetrics(std::string &exposition)
+std::string lastHandlerFailure(std::size_t maxBytes)
+{
+    return lastFailure().reason(maxBytes);
+}
+
+std::optional<std::uint64_t> peakProcessMemory()
 {
-    constexpr double bytesPerKibibyte = 1024;
+    constexpr std::uint64_t bytesPerKibibyte = 1024;
     rusage usage{};
-    if (::getrusage(RUSAGE_SELF, &usage) == 0) {
-        writeMetric(exposition, "heatherridge_process_peak_memory_bytes", "gauge",
-                    static_cast<double>(usage.ru_maxrss) * bytesPerKibibyte);
+    if (::getrusage(RUSAGE_SELF, &usage) != 0) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint64_t>(usage.ru_maxrss) * bytesPerKibibyte;
+}
+
+std::optional<std::uint64_t> openDescriptors()
+{
+    std::error_code error;
+    std::filesystem::directory_iterator descriptors("/proc/self/fd", error);
+    std::uint64_t count = 0;
+    while (!error && descriptors != std::filesystem::directory_iterator()) {
+        ++count;
+        descriptors.increment(error);
+    }
+    return error ? std::nullopt : std::optional(count);
+}
+
+std::chrono::system_clock::time_point processStart()
+{
+    return StartTime;
+}
+
+void writeProcessMetrics(std::string &exposition)
+{
+    if (const auto peak = peakProcessMemory()) {
+        writeMetric(exposition, "heatherridge_process_peak_memory_bytes", "gauge", static_cast<double>(*peak));
     }
     long long totalPages = 0;
     long long residentPages = 0;
@@ -147,11 +207,8 @@
         writeMetric(exposition, "heatherridge_process_memory_bytes", "gauge",
                     static_cast<double>(residentPages * ::sysconf(_SC_PAGESIZE)));
     }
-    std::error_code error;
-    const std::filesystem::directory_iterator descriptors("/proc/self/fd", error);
-    if (!error) {
-        writeMetric(exposition, "heatherridge_process_open_descriptors", "gauge",
-                    static_cast<double>(std::distance(begin(descriptors), end(descriptors))));
+    if (const auto descriptors = openDescriptors()) {
+        writeMetric(exposition, "heatherridge_process_open_descriptors", "gauge", static_cast<double>(*descriptors));
     }
     writeMetric(exposition, "heatherridge_process_start_seconds", "gauge",
                 std::chrono::duration<double>(StartTime.time_since_epoch()).count());
--- a/modules/heatherridge_transport/app/processhealth.h
+++ b/modules/heatherridge_transport/app/processhealth.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <exception>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -14,6 +16,19 @@
 /** Returns the number of handlers that have thrown. Thread-safe. */
 std::uint64_t handlerFailures();
 
+/** Returns the reason of the last handler that has thrown, at most @p maxBytes of it; empty if there is none.
+ * Thread-safe. */
+std::string lastHandlerFailure(std::size_t maxBytes);
+
+/** Returns the largest resident memory of the process so far, in bytes, if the system tells. */
+std::optional<std::uint64_t> peakProcessMemory();
+
+/** Returns the number of open descriptors of the process, if the system tells. */
+std::optional<std::uint64_t> openDescriptors();
+
+/** Returns when the process started. */
+std::chrono::system_clock::time_point processStart();
+
 /**
  * Appends what the process uses, in the text exposition format: resident memory now and at its peak in bytes, open
  * descriptors, the time of its start and handlers that have thrown. Leaves out what the system does not tell.
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -137,7 +137,7 @@
                              m_trafficLoop.post([this, zones = std::move(zones)] { m_traffic.setDrainedZones(zones); });
                          },
                      .drainsRead = [this](const auto &drains) { m_rulesExchange.setDrains(drains); },
-                     .reachabilityChanged = [this](bool) { m_crashFeed.restartRead(); }},
+                     .reachabilityChanged = [this](bool isReachable) { onReachabilityChanged(isReachable); }},
                     m_metrics)
         , m_demand(m_client,
                    {.exchange = {.mode = m_options.demandExchange,
@@ -161,6 +161,9 @@
               {.received = [this](const auto &record, const auto &from) { m_control.applyPeerRules(record, from); },
                .drainsReceived = [this](const auto &drains) { m_control.applyPeerDrains(drains); }},
               m_metrics)
+        , m_runs(m_logClients.runs.get(),
+                 {.process = m_options.process, .run = m_run, .limits = m_options.hostLimits, .seed = m_entropy()},
+                 m_metrics)
     {
         m_readiness.setLimits(ServiceLimits);
         m_metricsServer.setLimits(ServiceLimits);
@@ -201,6 +204,7 @@
         m_controlLoop.post([this] {
             m_workShare.leave();
             m_duties.leave();
+            m_runs.beginStop();
         });
         m_trafficLoop.post([this] { m_callers.beginDrain(); });
         // After half of the time, few callers still choose a kept connection.
@@ -210,6 +214,7 @@
                                  .cutAt = drainStart + m_options.gracePeriod - GraceMargin - DrainTick});
         });
         waitUntilDrained(drainStart);
+        m_controlLoop.post([this] { m_runs.end(); });
         leaveDemandExchange();
         while (!stopTraffic(drainStart)) {
             std::this_thread::sleep_for(DrainTick);
@@ -322,6 +327,7 @@
         m_workShare.tick(now);
         m_duties.tick(now);
         m_crashFeed.tick(now);
+        m_runs.tick(now);
         updateShares();
         const auto pollers = countPollers();
         m_demand.tick(now, pollers);
@@ -441,6 +447,15 @@
         m_workShare.logRestored();
         m_duties.logRestored();
         m_crashFeed.logRestored();
+        m_runs.logRestored();
+    }
+
+    void onReachabilityChanged(bool isReachable)
+    {
+        m_crashFeed.restartRead();
+        if (isReachable) {
+            m_runs.logRegained();
+        }
     }
 
     void onLogAnswerMalformed(std::string_view answer)
@@ -494,6 +509,7 @@
     GatewayControl m_control;
     GatewayDemand m_demand;
     GatewayRules m_rulesExchange;
+    GatewayRuns m_runs;
     std::map<ServiceName, std::unique_ptr<ExpertRebalancer>> m_rebalancers;
     std::optional<double> m_limitShare; ///< last share posted to the traffic thread
     OwnedPartitions m_ownedPartitions; ///< last ones posted to the traffic thread
--- a/modules/heatherridge_transport/direct/gatewayserver.h
+++ b/modules/heatherridge_transport/direct/gatewayserver.h
@@ -3,9 +3,11 @@
 #include "heatherridge_coordination/demand/demandexchange.h"
 #include "heatherridge_coordination/feed/logrestore.h"
 #include "heatherridge_coordination/feed/reportlog.h"
+#include "heatherridge_coordination/feed/runlog.h"
 #include "heatherridge_coordination/feed/workshare.h"
 #include "heatherridge_coordination/groups/expertrebalancer.h"
 #include "heatherridge_transport/direct/gatewaycontrol.h"
+#include "heatherridge_transport/direct/gatewayruns.h"
 #include "heatherridge_transport/direct/gatewaytraffic.h"
 #include "heatherridge_transport/http/httpclient.h"
 
@@ -46,6 +48,7 @@
         std::size_t maxConnections = 1'000; ///< of callers
         std::size_t maxHeldBytes = 64UL << 20U; ///< of callers' requests and responses
         std::size_t maxResponseBytes = 64UL << 20U; ///< of targets' responses that are not yet complete
+        HostLimits hostLimits{}; ///< stated in the records of runs
         std::chrono::milliseconds gracePeriod{8'000}; ///< from the stop signal until the process is killed
         /** Time during which new connections still arrive after shutdown has begun: the balancer drops a gateway after
          * two failed readiness checks, a second apart. */
@@ -59,6 +62,7 @@
         std::unique_ptr<ShareLog> shares{};
         std::unique_ptr<ShareLog> largeShares{}; ///< of duties among large gateways; joined only while it is in force
         std::unique_ptr<ReportLog> reports{}; ///< on requests that crash targets
+        std::unique_ptr<RunLog> runs{}; ///< of the gateways; none are recorded if there is none
     };
 
     /** Creates the platform-specific parts. The factories are called on construction. */
--- a/tests/support/platformlogstandin.cpp
+++ b/tests/support/platformlogstandin.cpp
@@ -87,12 +87,67 @@
     return m_server.endpoint();
 }
 
-std::vector<TargetAction> PlatformLogStandin::answer(const std::string &request) const
+std::string PlatformLogStandin::newest(const std::string &topic, const std::string &key) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto partitions = m_appended.find(topic);
+    if (partitions == m_appended.end()) {
+        return {};
+    }
+    for (const auto &[partition, values] : partitions->second) {
+        if (const auto value = values.find(key); value != values.end()) {
+            return value->second;
+        }
+    }
+    return {};
+}
+
+PlatformLogStandin::Register PlatformLogStandin::registerAt(const std::string &topic,
+                                                            const std::string &partition) const
+{
+    if (const auto values = m_registers.find(topic); values != m_registers.end()) {
+        return values->second;
+    }
+    const std::lock_guard lock(m_mutex);
+    const auto partitions = m_appended.find(topic);
+    if (partitions == m_appended.end() || !partitions->second.contains(partition)) {
+        return {};
+    }
+    return partitions->second.at(partition);
+}
+
+void PlatformLogStandin::keep(const std::string &topic, const std::string &partition, std::string_view records)
+{
+    constexpr std::size_t lengthBytes = 4;
+    const std::lock_guard lock(m_mutex);
+    while (records.size() > lengthBytes) {
+        std::size_t size = 0;
+        for (const char byte : records.substr(0, lengthBytes)) {
+            size = size << 8U | static_cast<unsigned char>(byte);
+        }
+        const auto record = records.substr(lengthBytes, size);
+        const auto keySize = static_cast<unsigned char>(record.front());
+        const std::string key(record.substr(1, keySize));
+        const auto value = record.substr(1 + keySize);
+        auto &values = m_appended[topic][partition];
+        if (value.empty()) {
+            values.erase(key);
+        } else {
+            values[key] = value;
+        }
+        records.remove_prefix(lengthBytes + record.size());
+    }
+}
+
+std::vector<TargetAction> PlatformLogStandin::answer(const std::string &request)
 {
     const auto isCall = [&](std::string_view path) { return request.find(path) < request.find("\r\n"); };
-    const auto values = m_registers.find(queryValue(request, "topic"));
+    const auto topic = queryValue(request, "topic");
     if (isCall("/api/log-newest")) {
-        return {{.bytes = response(newestPage(values == m_registers.end() ? Register() : values->second).dump())}};
+        return {{.bytes = response(newestPage(registerAt(topic, queryValue(request, "part"))).dump())}};
+    }
+    if (isCall("/api/log-append") && topic.starts_with("keyed.")) {
+        keep(topic, queryValue(request, "part"), std::string_view(request).substr(request.find("\r\n\r\n") + 4));
     }
     if (isCall("/api/log-read")) {
         constexpr std::size_t offsetsBytes = 16; // the end and the first offset, which no reader of these records uses
--- a/tests/support/platformlogstandin.h
+++ b/tests/support/platformlogstandin.h
@@ -3,7 +3,9 @@
 #include "support/scriptedtarget.h"
 
 #include <map>
+#include <mutex>
 #include <string>
+#include <string_view>
 
 namespace Heatherridge
 {
@@ -11,7 +13,8 @@
 /**
  * The platform's log on the loopback interface, with registers that never change.
  *
- * Members that join a group are assigned all partitions of the first topic. Other records are accepted and dropped.
+ * Keeps what is appended to other keyed topics. Members that join a group are assigned all partitions of the first
+ * topic. Other records are accepted and dropped.
  */
 class PlatformLogStandin
 {
@@ -25,10 +28,17 @@
     /** Returns the endpoint listened on. */
     Endpoint endpoint() const;
 
+    /** Returns the newest value of @p key in any partition of the keyed topic @p topic; empty if there is none. */
+    std::string newest(const std::string &topic, const std::string &key) const;
+
 private:
-    std::vector<TargetAction> answer(const std::string &request) const;
+    std::vector<TargetAction> answer(const std::string &request);
+    Register registerAt(const std::string &topic, const std::string &partition) const;
+    void keep(const std::string &topic, const std::string &partition, std::string_view records);
 
     const std::map<std::string, Register> m_registers;
+    mutable std::mutex m_mutex;
+    std::map<std::string, std::map<std::string, Register>> m_appended; ///< by topic and partition
     ScriptedTarget m_server;
 };
 
