--- a/tests/gateway/gatewayruns_test.cpp
+++ b/tests/gateway/gatewayruns_test.cpp
@@ -22,14 +22,15 @@
 class GatewayRunRecords : public testing::Test
 {
 protected:
-    std::unique_ptr<ChildProcess> startGateway() const
+    std::unique_ptr<ChildProcess> startGateway(const std::string &memory = "100000",
+                                               const std::string &descriptors = "100000") const
     {
-        return std::make_unique<ChildProcess>("heatherridge-gateway",
-                                              std::vector<std::string>{"--name", "g 1/é", "--zone", "a", "--listen",
-                                                                       "127.0.0.1:0", "--ready-listen", "127.0.0.1:0",
-                                                                       "--ready-path", "/readyz", "--log-service",
-                                                                       toString(m_log.endpoint()), "--log-stream",
-                                                                       "standard-output", "--memory-mb", "100000"});
+        return std::make_unique<ChildProcess>(
+            "heatherridge-gateway",
+            std::vector<std::string>{"--name", "g 1/é", "--zone", "a", "--listen", "127.0.0.1:0", "--ready-listen",
+                                     "127.0.0.1:0", "--ready-path", "/readyz", "--log-service",
+                                     toString(m_log.endpoint()), "--log-stream", "standard-output", "--memory-mb",
+                                     memory, "--max-descriptors", descriptors});
     }
 
     std::optional<RunRecord> record() const
@@ -98,4 +99,40 @@
     EXPECT_TRUE(linesWith(last->output(), "event=previous-run-unfinished").empty());
 }
 
+struct KilledRow
+{
+    const char *name;
+    const char *memory; ///< MiB of the host
+    const char *descriptors; ///< of the host
+    const char *likely;
+};
+
+const KilledRow KilledRows[] = {
+    {"LittleMemory", "16", "100000", "memory"},
+    {"FewDescriptors", "100000", "10", "descriptors"},
+};
+
+class KilledGateways : public GatewayRunRecords, public testing::WithParamInterface<KilledRow>
+{
+};
+
+// Guards against a probable cause that does not follow from what the process really used.
+TEST_P(KilledGateways, AreReportedWithWhatTheyCameCloseTo)
+{
+    auto killed = startGateway(GetParam().memory, GetParam().descriptors);
+    const auto first = await([](const auto &) { return true; });
+    killed->kill();
+    auto next = startGateway();
+    await([&](const auto &found) { return found.run != first.run; });
+    next->signal(SIGTERM);
+    EXPECT_EQ(next->wait(), 0);
+    const auto lines = linesWith(next->output(), "event=previous-run-unfinished");
+    ASSERT_EQ(lines.size(), 1U);
+    EXPECT_NE(lines.front().find(std::string(" likely=") + GetParam().likely + " "), std::string::npos)
+        << lines.front();
+}
+
+INSTANTIATE_TEST_SUITE_P(All, KilledGateways, testing::ValuesIn(KilledRows),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
