Test that records are spaced when levels are reached together

Cause: with the space between two writes removed, the test still passed: its levels were never reached within 10 s. Result: it fails without the space and without the memory of the highest level, and passes with both (test_feed 99).

--- a/tests/feed/runrecorder_test.cpp
+++ b/tests/feed/runrecorder_test.cpp
@@ -222,8 +222,8 @@
     startAndWrite();
     std::vector<int> writeSeconds;
     for (int second = 1; second <= 600; ++second) {
-        m_observation.use.peakMemory = std::min(74 + second / 30, 100);
-        m_observation.use.descriptors = second % 2 == 0 ? 0 : std::min(second / 3, 100);
+        m_observation.use.peakMemory = std::min(74 + second / 2, 100);
+        m_observation.use.descriptors = second % 2 == 0 ? 0 : std::min(60 + 3 * second, 100);
         m_observation.handlerFailures = second;
         advance(1s);
         if (m_log.isWriteOpen()) {
@@ -231,8 +231,9 @@
             writeSeconds.push_back(second);
         }
     }
-    EXPECT_GE(writeSeconds.size(), 3U);
+    ASSERT_GE(writeSeconds.size(), 3U);
     EXPECT_LE(writeSeconds.size(), 5U);
+    EXPECT_GE(writeSeconds.front(), 10) << "after the write at the start";
     for (std::size_t index = 1; index < writeSeconds.size(); ++index) {
         EXPECT_GE(writeSeconds[index] - writeSeconds[index - 1], 10);
     }
