Follow the list of hosts around its odd entries

Cause: parseHostList() dropped the whole list for one entry that lacked a field or had one of another type. The list before stayed in force as long as the entry was there, so that a host that left was not followed.

Change: malformed entries are left out and the others hold. A list whose entries are all malformed is still no list, since it does not say that there are no hosts.

--- a/modules/heatherridge_transport/platform/hostlistreader.cpp
+++ b/modules/heatherridge_transport/platform/hostlistreader.cpp
@@ -21,12 +21,14 @@
     }
     std::vector<HostListEntry> hosts;
     hosts.reserve(list["hosts"].size());
+    std::size_t readable = 0;
     for (const auto &entry : list["hosts"]) {
         const bool isReadable = entry.is_object() && entry.contains("host") && entry["host"].is_string()
             && entry.contains("state") && entry["state"].is_string();
         if (!isReadable) {
-            return std::nullopt;
+            continue;
         }
+        ++readable;
         // Hosts with a state from a later release are skipped: an unknown state must neither remove nor restore a host.
         const auto state = entry["state"].get<std::string>();
         if (state == "live" || state == "leaving") {
@@ -34,7 +36,8 @@
                              .state = state == "live" ? HostState::Live : HostState::Leaving});
         }
     }
-    return hosts;
+    // A list of odd entries alone does not say that there are no hosts.
+    return readable > 0 || list["hosts"].empty() ? std::optional(hosts) : std::nullopt;
 }
 
 HostListReader::HostListReader(HttpClient &client, Options options, ListHandler onList)
--- a/modules/heatherridge_transport/platform/hostlistreader.h
+++ b/modules/heatherridge_transport/platform/hostlistreader.h
@@ -10,7 +10,8 @@
 namespace Heatherridge
 {
 
-/** Parses @p body as the platform's host list; returns no value if it is malformed. */
+/** Parses @p body as the platform's host list, without its malformed entries; returns no value if it is not a list or
+ * all of its entries are malformed. */
 std::optional<std::vector<HostListEntry>> parseHostList(std::string_view body);
 
 /**
