Begin no further attempt in a planned stop whose answer comes after the cut

Callers saw: a booking that its target had refused as not run, 0.6 s into a stop, was sent to a second target although its deadline lay beyond the cut, to be cut there; a stream that targets refused waited in the queue until the sockets closed, and got no answer; a look-up was repeated shortly before the cut.

Cause: StopSchedule was asked only for requests that had reached no target. Change: it is asked before each attempt. What has not run is judged as new; what may have run is repeated while an answer within the route's objective arrives before the cut. A silent target isn't left for a repeat that would be refused.

--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -513,14 +513,6 @@
     }
 }
 
-bool GatewayCall::canContinueElsewhere()
-{
-    // A stalled group usually recovers, and all its streams fall silent at once. A stream without retry budget or
-    // another engine is better left where it is.
-    return m_traffic.retryBudgetFor(m_service).remaining(now()) >= 1
-        && m_traffic.m_targets.choose(requirements(m_tried), now(), m_traffic.m_random).target != nullptr;
-}
-
 void GatewayCall::onCallerDisconnected()
 {
     if (m_isDone) {
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -93,7 +93,12 @@
     void onStreamComplete();
     void finishAttempt(AttemptResult result, std::string_view reason);
     void finishBrokenAttempt(const std::string &reason);
+    /** Ends the call without an attempt if it is blocked or because of a stop. @returns whether it did */
     bool refuseIfBlocked();
+    /** Returns whether an attempt may begin at present, as far as a stop of the process is concerned. */
+    bool mayAttemptInStop() const;
+    bool refuseIfStopping();
+    void failForStop();
     void refuseBlocked();
     void cancelBlocked();
     void endBlockedAttempt();
--- a/modules/heatherridge_transport/direct/gatewaycallblocking.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycallblocking.cpp
@@ -4,27 +4,13 @@
 namespace Heatherridge
 {
 
-namespace
-{
-
-/** Callers retry at other entries; this one need not be waited for. */
-constexpr std::chrono::milliseconds StoppingRetryAfter{50};
-
-} // namespace
-
 bool GatewayCall::refuseIfBlocked()
 {
     if (m_suspicion.isBlocked()) {
         refuseBlocked();
         return true;
     }
-    const auto &stop = m_traffic.m_stop;
-    const bool hasBegun = m_possibleArrivals > 0 || m_stream.hasBegun();
-    if (!stop || hasBegun || stop->mayBegin(m_route.kind, m_deadline, std::chrono::steady_clock::now())) {
-        return false;
-    }
-    fail({.kind = ErrorKind::Draining, .detail = "this entry is shutting down", .retryAfter = StoppingRetryAfter});
-    return true;
+    return refuseIfStopping();
 }
 
 void GatewayCall::refuseBlocked()
