Answer what is open or still arriving before a planned stop closes its sockets

Callers saw: uploads and heads that were still arriving when the gateway ended were closed without an answer, alone, in a stop without other work and at the end of the grace; a request that was begun before the stop and whose target still worked at the cut got a closed connection too.

Cause: stopTraffic dropped all calls and closed all sockets in one step. Change: one step on the traffic thread refuses what arrives (503, not run, Connection: close) and answers each open call, as not run if no target may have run it, as unknown (502) otherwise; the sockets close after the answers are written and read, 50 ms later at most. The waits at the end add up to 230 ms, below the margin of 250 ms before the grace ends.

--- a/modules/heatherridge_transport/direct/callerconnection.cpp
+++ b/modules/heatherridge_transport/direct/callerconnection.cpp
@@ -193,6 +193,16 @@
     }
 }
 
+bool CallerConnection::refuseIfArriving()
+{
+    if (m_phase != Phase::Receiving) {
+        return false;
+    }
+    reject(ErrorKind::Draining);
+    updateHeldBytes();
+    return true;
+}
+
 void CallerConnection::close()
 {
     if (m_phase == Phase::Closed) {
@@ -275,6 +285,10 @@
 {
     const auto state = m_reader.state();
     const bool isContinueExpected = std::exchange(m_expectsContinue, false);
+    if (m_server->isRefusing && m_phase == Phase::Receiving) {
+        reject(ErrorKind::Draining);
+        return;
+    }
     if (m_rejection) {
         reject(*m_rejection);
         return;
--- a/modules/heatherridge_transport/direct/callerconnection.h
+++ b/modules/heatherridge_transport/direct/callerconnection.h
@@ -31,6 +31,7 @@
     CallerServer::RejectionHandler makeRejection{};
     ClientLimits limits{};
     bool isDraining = false;
+    bool isRefusing = false; ///< rejects requests as soon as they begin to arrive
     std::size_t openCount = 0; ///< connections that are not closed
     std::size_t connectionsToShed =
         0; ///< connections with pipelined requests that close after their next response, while there is no room
@@ -88,6 +89,9 @@
     /** Closes the connection unless a request is in progress or its response is not yet written. */
     void closeIfIdle();
 
+    /** Rejects the request that is arriving, if any. @returns whether there was one */
+    bool refuseIfArriving();
+
     /** Closes the connection immediately. */
     void close();
 
--- a/modules/heatherridge_transport/direct/callerserver.cpp
+++ b/modules/heatherridge_transport/direct/callerserver.cpp
@@ -139,6 +139,25 @@
         }
     }
 
+    std::size_t refuseArriving()
+    {
+        m_state->isRefusing = true;
+        const auto connections = openConnections();
+        return static_cast<std::size_t>(std::count_if(connections.begin(), connections.end(),
+                                                      [](const auto &entry) { return entry->refuseIfArriving(); }));
+    }
+
+    std::size_t unfinishedConnections() const
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto connections = openConnections();
+        return static_cast<std::size_t>(
+            std::count_if(connections.begin(), connections.end(), [now](const auto &connection) {
+                const auto use = connection->retention(now).use;
+                return use != ConnectionUse::Idle && use != ConnectionUse::Unused;
+            }));
+    }
+
     CallerServerState &state()
     {
         return *m_state;
@@ -287,6 +306,11 @@
     m_implementation->state().isDraining = true;
 }
 
+std::size_t CallerServer::refuseArriving()
+{
+    return m_implementation->refuseArriving();
+}
+
 void CallerServer::closeIdleConnections()
 {
     m_implementation->closeIdleConnections();
@@ -297,6 +321,11 @@
     return m_implementation->state().busyCount;
 }
 
+std::size_t CallerServer::unfinishedConnections() const
+{
+    return m_implementation->unfinishedConnections();
+}
+
 void CallerServer::stop()
 {
     m_implementation->stop();
--- a/modules/heatherridge_transport/direct/callerserver.h
+++ b/modules/heatherridge_transport/direct/callerserver.h
@@ -58,9 +58,19 @@
     /** Closes the persistent connections that have no request in progress and nothing left to write. */
     void closeIdleConnections();
 
+    /**
+     * Rejects what is arriving and every further request as not run, and closes their connections.
+     * @returns the number of requests that were arriving
+     */
+    std::size_t refuseArriving();
+
     /** Returns the number of connections whose current response has not been written to its end. */
     std::size_t busyConnections() const;
 
+    /** Returns the number of connections that have an answer to write, or whose caller may not have read the last one.
+     */
+    std::size_t unfinishedConnections() const;
+
     /** Stops listening and closes all connections. */
     void stop();
 
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -58,6 +58,9 @@
         }
     }
 
+    /** Answers the call before the process closes its connections: as not run, or with an unknown outcome. */
+    void endForStop();
+
     /** Aborts the call without an answer. */
     void drop();
 
--- a/modules/heatherridge_transport/direct/gatewaycallstop.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycallstop.cpp
@@ -38,6 +38,16 @@
           .retryAfter = StoppingRetryAfter});
 }
 
+void GatewayCall::endForStop()
+{
+    if (m_isDone) {
+        return;
+    }
+    m_possibleExecutions += m_connection || m_isProbingTarget ? 1 : 0;
+    releaseTarget(false);
+    failForStop();
+}
+
 bool GatewayCall::canContinueElsewhere()
 {
     // A stalled group usually recovers, and all its streams fall silent at once. A stream without retry budget or
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -46,8 +46,12 @@
 constexpr milliseconds GraceMargin{250};
 /** How long the process still runs after its last answer. */
 constexpr milliseconds LeaveTime{50};
-/** How much longer it waits until the others know that it leaves. With LeaveTime below GraceMargin. */
-constexpr milliseconds MaxLeaveWait{150};
+/** How much longer it waits until the others know that it leaves. */
+constexpr milliseconds MaxLeaveWait{130};
+/** How long the last answers may take to be written and read. With the two waits before it below GraceMargin. */
+constexpr milliseconds MaxWriteWait{50};
+/** How often it checks whether they are. */
+constexpr milliseconds WriteTick{5};
 /** Name of the task of writing the copies of the rules, which is assigned to one gateway. */
 constexpr std::string_view RulesCopiesTask = "copies-of-rules";
 
@@ -210,10 +214,15 @@
                                  .cutAt = drainStart + m_options.gracePeriod - GraceMargin - DrainTick});
         });
         waitUntilDrained(drainStart);
+        if (isGraceOver(drainStart)) {
+            endTraffic(drainStart); // first, as the answers take time to be written
+        }
         leaveDemandExchange();
-        while (!stopTraffic(drainStart)) {
+        while (!endTraffic(drainStart)) {
             std::this_thread::sleep_for(DrainTick);
         }
+        awaitAnswersWritten();
+        closeSockets();
         m_trafficLoop.stop();
         m_controlLoop.stop();
     }
@@ -259,25 +268,48 @@
     }
 
     /**
-     * Closes all sockets, unless requests are open and there is time left for them. Both in one step of the traffic
-     * thread: a request that is read between a check and the close would be cut.
+     * Answers the requests that are open and refuses all further ones, unless some are open and there is time left for
+     * them. All in one step of the traffic thread: a request that is read between the steps would be cut.
+     * @returns whether it has ended, now or earlier
      */
-    bool stopTraffic(SteadyTime drainStart)
+    bool endTraffic(SteadyTime drainStart)
     {
-        bool hasStopped = false;
         m_trafficLoop.runAndWait([&] {
             const auto open = openCallCountOnTrafficThread();
-            hasStopped = open == 0 || isGraceOver(drainStart);
-            if (!hasStopped) {
+            if (m_hasTrafficEnded || (open > 0 && !isGraceOver(drainStart))) {
                 return;
             }
-            logEvent(Severity::Info, "stopped", {{"cut", std::to_string(open)}});
+            m_hasTrafficEnded = true;
+            const auto refused = m_callers.refuseArriving();
+            m_traffic.endCalls();
+            logEvent(Severity::Info, "stopped",
+                     {{"cut", std::to_string(open)}, {"refused-arriving", std::to_string(refused)}});
+        });
+        return m_hasTrafficEnded;
+    }
+
+    /** Waits for the last answers to be written and read. A close discards an answer while its caller still sends. */
+    void awaitAnswersWritten()
+    {
+        const auto until = std::chrono::steady_clock::now() + MaxWriteWait;
+        const auto unfinishedConnections = [this] {
+            std::size_t unfinished = 0;
+            m_trafficLoop.runAndWait([&] { unfinished = m_callers.unfinishedConnections(); });
+            return unfinished;
+        };
+        while (unfinishedConnections() > 0 && std::chrono::steady_clock::now() < until) {
+            std::this_thread::sleep_for(WriteTick);
+        }
+    }
+
+    void closeSockets()
+    {
+        m_trafficLoop.runAndWait([this] {
             m_traffic.stop();
             m_callers.stop();
             m_readiness.stop();
             m_metricsServer.stop();
         });
-        return hasStopped;
     }
 
     std::size_t openCallCount()
@@ -473,6 +505,7 @@
     EventLoop m_trafficLoop;
     EventLoop m_controlLoop;
     std::atomic<bool> m_isStopping{false};
+    bool m_hasTrafficEnded = false; ///< on the traffic thread, or between its steps
     GatewayTraffic m_traffic; ///< on the traffic thread, like the servers below
     CallerServer m_callers;
     CallerServer m_readiness;
--- a/modules/heatherridge_transport/direct/gatewaytraffic.cpp
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.cpp
@@ -196,6 +196,14 @@
     return m_calls.size();
 }
 
+void GatewayTraffic::endCalls()
+{
+    const std::vector<std::shared_ptr<GatewayCall>> calls(m_calls.begin(), m_calls.end());
+    for (const auto &call : calls) {
+        call->endForStop();
+    }
+}
+
 void GatewayTraffic::stop()
 {
     for (const auto &call : std::exchange(m_calls, {})) {
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -117,6 +117,9 @@
     /** Returns the number of requests whose answer is not complete. */
     std::size_t openCallCount() const;
 
+    /** Ends all calls with an answer of this process; only streams that have begun break off. */
+    void endCalls();
+
     /** Aborts all calls without an answer. */
     void stop();
 
