Count the heads of targets' responses, and end the one that holds most

Cause: a head of 80 kB in fields of two bytes takes 1 to 2 MB as objects while it arrives. No budget counted them, nor those of a complete head; a target that then sent nothing kept them until the deadline. When the memory for responses was exceeded, the response that grew next ended, not the one that held most.

Change: a target's head has at most 64 KiB. Its memory counts among the bytes of all calls, from its first byte on, also in a failure that is kept. When they exceed the budget, the attempt ends whose response holds most, stalled ones (1 s without a byte) first; it fails as one with a broken response, which may have run. The first 64 kB of each call remain assured.

KeptFailures compared the bytes held with the body alone; it now expects exactly body and head, since the head counts.

--- a/modules/heatherridge_transport/direct/attemptbytes.h
+++ b/modules/heatherridge_transport/direct/attemptbytes.h
@@ -43,6 +43,12 @@
         return bytes <= Assured || (bytes <= Max && !m_budget.isExceeded());
     }
 
+    /** Returns the number of bytes held. */
+    std::size_t held() const
+    {
+        return m_held;
+    }
+
     void release()
     {
         m_budget.change(std::exchange(m_held, 0), 0);
--- a/modules/heatherridge_transport/direct/gatewaycall.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycall.cpp
@@ -274,15 +274,10 @@
                                                              .lastEventId = m_stream.lastEventId(),
                                                              .priority = control.enginePriority(m_service, m_match)});
     m_connection = m_traffic.m_pool.acquire(target.entry, m_usedConnections);
-    const auto self = shared_from_this();
     m_connection->exchange({.head = requestHeadText(request.method, request.target, headers, request.body.size()),
                             .body = std::shared_ptr<const std::string>(m_exchange, &request.body),
                             .isHead = request.method == "HEAD"},
-                           m_traffic.m_options.connectTimeout,
-                           {.head = [self](const HttpMessageHead &head) { self->onResponseHead(head); },
-                            .body = [self](std::string_view bytes) { self->onResponseBody(bytes); },
-                            .complete = [self] { self->onResponseComplete(); },
-                            .failed = [self](const ExchangeFailure &failure) { self->onExchangeFailed(failure); }});
+                           m_traffic.m_options.connectTimeout, exchangeEvents());
 }
 
 void GatewayCall::finishBrokenAttempt(const std::string &reason)
--- a/modules/heatherridge_transport/direct/gatewaycall.h
+++ b/modules/heatherridge_transport/direct/gatewaycall.h
@@ -61,6 +61,13 @@
     /** Aborts the call without an answer. */
     void drop();
 
+    /** Returns what the response of the current attempt holds beyond what each call may hold; no bytes if the attempt
+     * cannot be ended for them. */
+    BufferHolder bufferHolder() const;
+
+    /** Ends the current attempt because of the memory that its response holds. */
+    void endAttemptForMemory();
+
 private:
     /** With less time left, no further attempt is made: the shortest answers take about this long. */
     static constexpr std::chrono::milliseconds MinAttemptTime{60};
@@ -78,6 +85,9 @@
     SteadyTime waitDeadline();
     void enqueue();
     void send(GatewayTarget &target, double load);
+    ExchangeEvents exchangeEvents();
+    /** Sets the memory in bytes that the response of the current attempt takes. Returns whether it may be kept. */
+    bool holdBytes(std::size_t bytes);
     void onResponseHead(const HttpMessageHead &head);
     void onResponseBody(std::string_view bytes);
     /** Ends the current attempt, whose response is not read any further. */
@@ -152,6 +162,7 @@
 
     TargetResponse m_response; ///< of the current attempt
     AttemptBytes m_attemptBytes; ///< buffered of that response
+    SteadyTime m_lastHeldAt{}; ///< when that response last grew
     bool m_isAbandoningAttempt = false;
     bool m_isProbingTarget = false; ///< the current attempt failed, and its target is being probed
 
--- a/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
@@ -15,6 +15,16 @@
 
 } // namespace
 
+ExchangeEvents GatewayCall::exchangeEvents()
+{
+    const auto self = shared_from_this();
+    return {.headBytes = [self](std::size_t bytes) { return self->holdBytes(bytes); },
+            .head = [self](const HttpMessageHead &head) { self->onResponseHead(head); },
+            .body = [self](std::string_view bytes) { self->onResponseBody(bytes); },
+            .complete = [self] { self->onResponseComplete(); },
+            .failed = [self](const ExchangeFailure &failure) { self->onExchangeFailed(failure); }};
+}
+
 void GatewayCall::onResponseHead(const HttpMessageHead &head)
 {
     m_response.setHead(head, m_traffic.m_codec.readResponseFields(head.status, head.headers), m_callerFields.id);
@@ -29,6 +39,8 @@
     }
     if (m_response.plainResult() == AttemptResult::InvalidAnswer && !m_response.isUsable()) {
         leaveInvalidResponse();
+    } else if (!holdBytes(m_response.bufferedBytes())) {
+        endAttemptForMemory();
     }
 }
 
@@ -62,10 +74,8 @@
         m_response.append(bytes);
     }
     m_suspicion.recordProgress(m_stream.eventsInAttempt());
-    if (!m_attemptBytes.hold(m_response.bufferedBytes() + m_stream.bufferedBytes())) {
-        m_response.discard();
-        m_attemptBytes.release();
-        abandonAttempt("the body or an event is too large");
+    if (!holdBytes(m_response.bufferedBytes() + m_stream.bufferedBytes())) {
+        endAttemptForMemory();
     } else if (m_stream.isBroken()) {
         abandonAttempt("an event of the stream is missing or cannot be placed");
     }
@@ -75,7 +85,7 @@
 {
     m_attemptBytes.release();
     m_targetFailure = m_response.take();
-    if (!m_failureBytes.hold(m_targetFailure->body.size())) {
+    if (!m_failureBytes.hold(allocatedBytes(m_targetFailure->headers) + m_targetFailure->body.size())) {
         m_targetFailure.reset();
         m_failureBytes.release();
     }
--- a/modules/heatherridge_transport/direct/gatewaytraffic.h
+++ b/modules/heatherridge_transport/direct/gatewaytraffic.h
@@ -164,6 +164,9 @@
     void reportSlackShare(SteadyTime now);
     Result<RouteMatch> accept(const HttpRequest &request, const CallerFields &fields) const;
     void removeCall(const std::shared_ptr<GatewayCall> &call);
+    /** Ends attempts whose responses hold most, stalled ones first, until the memory for responses suffices or
+     * @p growing itself holds most. */
+    void makeRoomFor(const GatewayCall &growing);
 
     asio::io_context &m_loop;
     Options m_options;
--- a/modules/heatherridge_transport/direct/targetconnection.cpp
+++ b/modules/heatherridge_transport/direct/targetconnection.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds UnacknowledgedTimeout{1'500};
 /** Interim responses (1xx) to one request after which its final one is not awaited any more. */
 constexpr int MaxInterimHeads = 16;
+/** Largest head of a response, as sent. */
+constexpr std::size_t MaxHeadBytes = 64UL << 10U;
 
 void setSocketOptions(asio::ip::tcp::socket &socket)
 {
@@ -46,6 +48,7 @@
           })
     , m_idleSince(std::chrono::steady_clock::now())
 {
+    m_reader.setMaxHeadBytes(MaxHeadBytes);
 }
 
 void TargetConnection::exchange(OutgoingRequest request, std::chrono::milliseconds connectTimeout,
@@ -278,6 +281,12 @@
             failExchange("malformed HTTP response");
             return;
         }
+        if (m_reader.state() == HttpMessageReader::State::Head && m_events.headBytes
+            && !m_events.headBytes(m_reader.heldBytes())) {
+            m_reader.reset();
+            failExchange("the head of the response takes too much memory");
+            return;
+        }
         if (m_reader.state() != HttpMessageReader::State::Complete) {
             return;
         }
--- a/modules/heatherridge_transport/direct/targetconnection.h
+++ b/modules/heatherridge_transport/direct/targetconnection.h
@@ -34,6 +34,8 @@
 /** Events of one exchange on a TargetConnection. None follows `complete` or `failed`. */
 struct ExchangeEvents
 {
+    /** Called with the memory in bytes of the head that is arriving. Returns whether it may be kept. */
+    std::function<bool(std::size_t bytes)> headBytes{};
     std::function<void(const HttpMessageHead &head)> head{};
     std::function<void(std::string_view bytes)> body{};
     std::function<void()> complete{}; ///< the response is complete according to its framing
--- a/modules/heatherridge_transport/direct/targetresponse.cpp
+++ b/modules/heatherridge_transport/direct/targetresponse.cpp
@@ -20,6 +20,7 @@
 {
     m_status = head.status;
     m_headers = head.headers;
+    m_headBytes = allocatedBytes(m_headers);
     m_endsWithConnection = head.endsWithConnection;
     m_fields = std::move(fields);
     m_belongsToRequest = m_fields.id == request;
@@ -46,13 +47,15 @@
 
 std::size_t TargetResponse::bufferedBytes() const
 {
-    return m_body.size();
+    return m_headBytes + m_body.size();
 }
 
 void TargetResponse::discard()
 {
     m_isUsable = false;
     m_body = {};
+    m_headers = {};
+    m_headBytes = 0;
 }
 
 int TargetResponse::status() const
--- a/modules/heatherridge_transport/direct/targetresponse.h
+++ b/modules/heatherridge_transport/direct/targetresponse.h
@@ -30,10 +30,10 @@
     /** Buffers @p bytes of the body, which is sent to the caller only once it is complete. */
     void append(std::string_view bytes);
 
-    /** Returns the number of bytes buffered. */
+    /** Returns the memory in bytes of the headers and of what is buffered of the body. */
     std::size_t bufferedBytes() const;
 
-    /** Drops the buffered bytes and makes the response unusable. */
+    /** Drops the headers and the buffered bytes and makes the response unusable. */
     void discard();
 
     /** Returns the status; 0 before the head. */
@@ -62,6 +62,7 @@
 private:
     int m_status = 0;
     std::vector<HttpHeader> m_headers;
+    std::size_t m_headBytes = 0; ///< memory of the headers
     TargetResponseFields m_fields;
     std::string m_body;
     std::size_t m_ignoredBytes = 0;
--- a/tests/crowds/gatewaycrowds_test.cpp
+++ b/tests/crowds/gatewaycrowds_test.cpp
@@ -1,10 +1,8 @@
 #include "crowds/behaviours.h"
+#include "crowds/gatewayprocess.h"
 #include "crowds/withstand.h"
 #include "support/platformlogstandin.h"
 
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-
 #include <csignal>
 
 using namespace Heatherridge;
@@ -30,14 +28,6 @@
     "services": [{"name": "s", "healthPath": "/healthz", "maxConns": 1000}],
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})";
 
-int freePort()
-{
-    asio::io_context loop;
-    return asio::ip::tcp::acceptor(loop, {asio::ip::make_address("127.0.0.1"), 0}, /*reuse_addr=*/false)
-        .local_endpoint()
-        .port();
-}
-
 /** Answers /…/slow after a while, /…/large with a large body, and all else at once. */
 std::vector<TargetAction> answer(const std::string &request, int)
 {
@@ -69,29 +59,15 @@
     explicit GatewaySite(Log log = Log::Reachable, std::size_t maxDescriptors = 0)
         : m_target(answer)
         , m_log({{"keyed.op", {{"config", ConfigDocument}}}, {"keyed.servers", {{"t1", targetEntry(m_target)}}}})
-        , m_ready{.address = "127.0.0.1", .port = freePort()}
-        , m_metrics{.address = "127.0.0.1", .port = freePort()}
+        , m_ready(freeEndpoint())
+        , m_metrics(freeEndpoint())
         , m_process("heatherridge-gateway",
-                    {"--name",
-                     "g",
-                     "--zone",
-                     "a",
-                     "--listen",
-                     "127.0.0.1:0",
-                     "--ready-listen",
-                     toString(m_ready),
-                     "--ready-path",
-                     "/readyz",
-                     "--metrics-listen",
-                     toString(m_metrics),
-                     "--log-service",
-                     log == Log::Reachable ? toString(m_log.endpoint()) : "127.0.0.1:1",
-                     "--memory-mb",
-                     std::to_string(MemoryMebibytes),
-                     "--max-connections",
-                     std::to_string(MaxConnections),
-                     "--log-stream",
-                     "standard-output"},
+                    gatewayArguments(
+                        {.ready = m_ready,
+                         .metrics = m_metrics,
+                         .log = log == Log::Reachable ? m_log.endpoint() : Endpoint{.address = "127.0.0.1", .port = 1},
+                         .memoryMebibytes = MemoryMebibytes,
+                         .maxConnections = MaxConnections}),
                     maxDescriptors)
     {
         if (log == Log::Reachable) {
--- a/tests/gateway/endlessanswers_test.cpp
+++ b/tests/gateway/endlessanswers_test.cpp
@@ -163,6 +163,43 @@
 INSTANTIATE_TEST_SUITE_P(All, TrickledAnswers, testing::ValuesIn(TrickleRows),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Guards against heads of many short fields that are no bytes of a body, so that no limit counts what they take, and
+// against targets that stall in the middle of them and so keep the room of the others.
+TEST(StalledHeadsTogether, LeaveRoomForOthers)
+{
+    constexpr int heads = 12;
+    std::string fields;
+    for (int field = 0; field < 10'000; ++field) {
+        fields += "a:\r\n";
+    }
+    const std::string large(300'000, 'x');
+    const ScriptedTarget target([&](const std::string &request, int) {
+        return request.find("/book/stalled") != std::string::npos
+            ? Actions{{.bytes = "HTTP/1.1 200 X\r\n" + fields}, {.kind = TargetAction::Kind::AwaitClose}}
+            : Actions{{.bytes = signedResponse(request, large)}};
+    });
+    GatewayFixture gateway({&target}, {.maxResponseBytes = 1'200'000});
+    std::vector<std::unique_ptr<RawCaller>> callers;
+    for (int request = 0; request < heads; ++request) {
+        callers.push_back(std::make_unique<RawCaller>(gateway.callerEndpoint()));
+        callers.back()->send(requestText("GET", "/book/stalled", "s" + std::to_string(request)));
+    }
+    while (target.peerCloseCount() < heads - 1) {
+        std::this_thread::sleep_for(10ms); // the test's time limit ends it
+    }
+    std::this_thread::sleep_for(1'200ms); // what is left of them has stalled
+    for (int request = 0; request < 5; ++request) {
+        RawCaller caller(gateway.callerEndpoint());
+        caller.send(requestText("GET", "/look/1", "r" + std::to_string(request)));
+        const auto answer = caller.receive();
+        EXPECT_EQ(answer.status, 200);
+        EXPECT_EQ(answer.body, large);
+    }
+    for (const auto &caller : callers) {
+        EXPECT_EQ(caller->receive().status, 502);
+    }
+}
+
 // Guards against failures that many calls keep while they are repeated, and that no limit counts.
 TEST(KeptFailures, CountAmongTheBytesOfAllCalls)
 {
@@ -183,7 +220,10 @@
         }
         return gateway.metric("heatherridge_response_bytes_held") == bytes;
     };
-    EXPECT_TRUE(isHeldInTime(size));
+    const std::vector<HttpHeader> head{{"X-Heatherridge-Request-Id", "r1"},
+                                       {"X-Heatherridge-Response-Signature", "s"},
+                                       {"Content-Length", std::to_string(size)}};
+    EXPECT_TRUE(isHeldInTime(size + static_cast<std::int64_t>(allocatedBytes(head))));
     caller.close();
     EXPECT_TRUE(isHeldInTime(0));
 }
