Keep the body of a target's response in pieces of one size

Cause: a body was one string, which doubles as it grows. 600 that grew at the same time left gaps in the process's memory that the next larger ones did not fit into: several times the bytes that the budget of all calls allows. Doubling and gaps were not measured apart; the change ends both.

Change: BufferedBody keeps pieces of 16 KiB, and joins them when the response is complete, freeing each once it is copied.

--- a/modules/heatherridge_transport/direct/targetresponse.cpp
+++ b/modules/heatherridge_transport/direct/targetresponse.cpp
@@ -111,7 +111,7 @@
 
 HttpResponse TargetResponse::take()
 {
-    return {.status = m_status, .headers = std::move(m_headers), .body = std::move(m_body)};
+    return {.status = m_status, .headers = std::move(m_headers), .body = m_body.take()};
 }
 
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/targetresponse.h
+++ b/modules/heatherridge_transport/direct/targetresponse.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "heatherridge_state/decisions/attemptresult.h"
+#include "heatherridge_transport/direct/bufferedbody.h"
 #include "heatherridge_transport/direct/trafficcodec.h"
 #include "heatherridge_transport/http/httpmessagereader.h"
 
@@ -64,7 +65,7 @@
     std::vector<HttpHeader> m_headers;
     std::size_t m_headBytes = 0; ///< memory of the headers
     TargetResponseFields m_fields;
-    std::string m_body;
+    BufferedBody m_body;
     std::size_t m_ignoredBytes = 0;
     bool m_endsWithConnection = false;
     bool m_belongsToRequest = false;
--- a/tests/crowds/endlesstargets_test.cpp
+++ b/tests/crowds/endlesstargets_test.cpp
@@ -143,10 +143,15 @@
 };
 
 const std::string Filler(16'000, 'x');
+const std::string ChunkOfFiller = "3e80\r\n" + Filler + "\r\n";
 constexpr std::size_t LargeHeadBytes = 78'000; // with the rest a little less than the parser library accepts
+constexpr std::size_t HeadBytesWithinTheLimit = 60'000;
 
 const EndlessRow EndlessRows[] = {
     {"ManyShortFields", "/look/", shortHeaders(LargeHeadBytes), ""},
+    {"ManyShortFieldsWithinTheLimit", "/look/", shortHeaders(HeadBytesWithinTheLimit), ""},
+    {"BodyWithoutEnd", "/look/", "\r\n", Filler},
+    {"ChunksWithoutEnd", "/look/", "Transfer-Encoding: chunked\r\n\r\n", ChunkOfFiller},
     {"EventsWithoutEnd", "/stream/", "Content-Type: text/event-stream\r\n\r\ndata: ", Filler},
 };
 
