Count open descriptors without listing them

Change: the size of the folder of descriptors is their number since Linux 6.2; they are listed where it is 0.

--- a/modules/heatherridge_transport/app/processhealth.cpp
+++ b/modules/heatherridge_transport/app/processhealth.cpp
@@ -17,6 +17,7 @@
 
 #include <execinfo.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace Heatherridge
@@ -181,6 +182,13 @@
 
 std::optional<std::uint64_t> openDescriptors()
 {
+    // Since Linux 6.2 the size of the folder is their number; listing thousands of them takes milliseconds.
+    struct stat folder
+    {
+    };
+    if (::stat("/proc/self/fd", &folder) == 0 && folder.st_size > 0) {
+        return static_cast<std::uint64_t>(folder.st_size);
+    }
     std::error_code error;
     std::filesystem::directory_iterator descriptors("/proc/self/fd", error);
     std::uint64_t count = 0;
