Bound the memory of an engine's responses at its sidecar

Cause: each question of a gateway for counts or experts is a call of its own to the engine, whose response may take 8 MB and a head many times its text. Nothing bounded all calls together.

Change: HttpClient has a limit for the responses of all calls of send() together (maxHeldBytes, off unless set); a call beyond 64 kB fails when its response grows beyond it.

--- a/modules/heatherridge_transport/direct/sidecarserver.cpp
+++ b/modules/heatherridge_transport/direct/sidecarserver.cpp
@@ -57,7 +57,10 @@
     Implementation(Options options, const RankControlFactory &makeRankControl)
         : m_options(std::move(options))
         , m_demand(m_options.zone)
-        , m_client(m_loop.context(), {.connectTimeout = std::chrono::milliseconds(200), .maxIdleConnections = 4})
+        , m_client(m_loop.context(),
+                   {.connectTimeout = std::chrono::milliseconds(200),
+                    .maxIdleConnections = 4,
+                    .maxHeldBytes = m_options.maxHeldBytes})
         , m_rankControl(makeRankControl(m_client))
         , m_server(
               m_loop.context(),
--- a/modules/heatherridge_transport/direct/sidecarserver.h
+++ b/modules/heatherridge_transport/direct/sidecarserver.h
@@ -29,7 +29,7 @@
         Endpoint listen{}; ///< where keepers connect
         Endpoint engine{}; ///< on this host
         std::size_t maxConnections = 900; ///< of keepers and gateways; further ones read from the engine itself
-        std::size_t maxHeldBytes = 32UL << 20U; ///< memory for calls and their responses
+        std::size_t maxHeldBytes = 32UL << 20U; ///< memory for calls, and as much for responses of the engine
     };
 
     /** Connections without a request are closed after this time: most gateways ask a sidecar of another zone less often
--- a/modules/heatherridge_transport/http/httpclient.cpp
+++ b/modules/heatherridge_transport/http/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "heatherridge_transport/http/httpclient.h"
 
+#include "heatherridge_state/decisions/bufferbudget.h"
 #include "heatherridge_transport/app/logger.h"
 #include "heatherridge_transport/app/processhealth.h"
 #include "heatherridge_transport/http/headsyntax.h"
@@ -36,9 +37,52 @@
     }
 };
 
+/** The memory that the response to one call takes, as a part of that of all calls. */
+class HeldBytes
+{
+public:
+    /** @param budget of all calls; null if there is none */
+    explicit HeldBytes(std::shared_ptr<BufferBudget> budget)
+        : m_budget(std::move(budget))
+    {
+    }
+
+    ~HeldBytes()
+    {
+        if (m_budget) {
+            m_budget->change(m_bytes, 0);
+        }
+    }
+
+    HeldBytes(const HeldBytes &) = delete;
+    HeldBytes &operator=(const HeldBytes &) = delete;
+
+    /** Adds @p bytes. Returns whether they may be kept. */
+    bool add(std::size_t bytes)
+    {
+        if (!m_budget) {
+            return true;
+        }
+        m_budget->change(0, bytes);
+        m_bytes += bytes;
+        return m_bytes <= Assured || !m_budget->isExceeded();
+    }
+
+private:
+    static constexpr std::size_t Assured = 64UL << 10U;
+
+    std::shared_ptr<BufferBudget> m_budget;
+    std::size_t m_bytes = 0;
+};
+
 /** A running call and its libcurl handle. */
 struct Transfer
 {
+    explicit Transfer(std::shared_ptr<BufferBudget> budget)
+        : held(std::move(budget))
+    {
+    }
+
     HttpClient::CallId id{};
     HttpClient::Call call{};
     HttpClient::Events events{};
@@ -52,6 +96,7 @@
     bool isCancelled = false;
     std::size_t headBytes = 0; ///< received, of all heads
     std::size_t bodyBytes = 0; ///< received
+    HeldBytes held; ///< of a response that is collected
     std::string_view abortReason{}; ///< why the client ended the call; empty if it did not
 };
 
@@ -87,6 +132,11 @@
         transfer.abortReason = "response body too large";
         return CURL_WRITEFUNC_ERROR;
     }
+    constexpr std::size_t growthFactor = 2; // of a string that is appended to
+    if (transfer.call.maxBodyBytes > 0 && !transfer.held.add(growthFactor * bytes.size())) {
+        transfer.abortReason = "responses take too much memory";
+        return CURL_WRITEFUNC_ERROR;
+    }
     if (!transfer.events.data(bytes)) {
         transfer.isPaused = true;
     }
@@ -139,6 +189,11 @@
         transfer.abortReason = "response head too large";
         return CURL_WRITEFUNC_ERROR;
     }
+    constexpr std::size_t copies = 4; // of a vector that grows, its copy for the caller, and libcurl's own
+    if (transfer.call.maxBodyBytes > 0 && !transfer.held.add(line.size() + copies * sizeof(HttpHeader))) {
+        transfer.abortReason = "responses take too much memory";
+        return CURL_WRITEFUNC_ERROR;
+    }
     const auto content = line.substr(0, line.find_last_not_of("\r\n") + 1);
     const bool isStart = !transfer.isInHead && !transfer.isHeadReported;
     if (content.empty()) {
@@ -198,6 +253,7 @@
     Implementation(asio::io_context &loop, Options options)
         : m_loop(loop)
         , m_options(options)
+        , m_budget(options.maxHeldBytes > 0 ? std::make_shared<BufferBudget>(options.maxHeldBytes) : nullptr)
         , m_timer(loop)
     {
         initialiseCurlOnce();
@@ -232,7 +288,7 @@
 
     CallId start(Call call, Events events)
     {
-        auto transfer = std::make_unique<Transfer>();
+        auto transfer = std::make_unique<Transfer>(m_budget);
         transfer->id = static_cast<CallId>(++m_lastId);
         transfer->call = std::move(call);
         transfer->events = std::move(events);
@@ -546,6 +602,7 @@
 
     asio::io_context &m_loop;
     Options m_options;
+    std::shared_ptr<BufferBudget> m_budget; ///< null: unlimited
     asio::steady_timer m_timer;
     CURLM *m_multi = nullptr;
     std::uint64_t m_lastId = 0;
--- a/modules/heatherridge_transport/http/httpclient.h
+++ b/modules/heatherridge_transport/http/httpclient.h
@@ -33,6 +33,9 @@
          * closes the connections to most targets when they are called in turn: 570 new connections in 12 s instead of
          * 60. */
         long maxIdleConnections = 256;
+        /** Memory for the responses to all running calls of send() together, besides a little of each; a call fails
+         * when its response grows beyond it. 0: unlimited */
+        std::size_t maxHeldBytes = 0;
     };
 
     /** One request to one endpoint. */
