--- a/tests/platform/odddocuments_test.cpp
+++ b/tests/platform/odddocuments_test.cpp
@@ -157,6 +157,26 @@
 
 INSTANTIATE_TEST_SUITE_P(All, OddConfigs, testing::ValuesIn(OddConfigRows));
 
+const OddValueRow LargeConfigRows[] = {
+    {"/routes/0/priority", "2147483647"},
+    {"/routes/0/trafficSplit/0/weight", "1000000"},
+    {"/services/0/maxConns", "2147483647"},
+    {"/tenants/0/priority", "2147483647"},
+};
+
+class LargeConfigs : public testing::TestWithParam<OddValueRow>
+{
+};
+
+// Guards against a configuration that is refused because its operator writes "unlimited" or "last" as a large number.
+TEST_P(LargeConfigs, AreAccepted)
+{
+    const auto document = withValue(SoundConfig, GetParam().pointer, GetParam().value);
+    EXPECT_EQ(errorIn(decodeRoutingConfig(document)), nullptr) << document;
+}
+
+INSTANTIATE_TEST_SUITE_P(All, LargeConfigs, testing::ValuesIn(LargeConfigRows));
+
 /** Returns @p document with one random value replaced by a random odd one. */
 std::string withRandomOddValue(const char *document)
 {
