Follow changes of the settings while a start is tried again, and with keys that were ignored

Found in review: a corrected port was not tried until the start had failed for 30 s, and a process that had started with a key it does not know rejected each later change of its settings.

--- a/modules/heatherridge_transport/app/daemon.cpp
+++ b/modules/heatherridge_transport/app/daemon.cpp
@@ -216,8 +216,10 @@
     std::vector<Endpoint> endpoints{};
 };
 
-/** Starts a server, and a new one if that fails, as long as ServerRetry allows. @returns the server or an exit code */
-std::variant<StartedServer, int> startServer(const std::function<DaemonServer()> &create)
+/** Starts a server, and a new one if that fails, as long as ServerRetry allows. Calls @p reload before each further
+ * attempt. @returns the server or an exit code */
+std::variant<StartedServer, int> startServer(const std::function<DaemonServer()> &create,
+                                             const std::function<void()> &reload)
 {
     StartRetry retry(ServerRetry);
     std::string reported;
@@ -243,6 +245,7 @@
             logEvent(Severity::Info, "ended", {{"before", "start"}});
             return 0;
         }
+        reload();
     }
 }
 
@@ -277,7 +280,13 @@
     for (const auto &key : settings.ignoredKeys()) {
         logEvent(Severity::Warning, "setting-ignored", {{"key", key}});
     }
-    auto started = startServer([&] { return create(settings); });
+    auto started = startServer([&] { return create(settings); },
+                               [&] {
+                                   auto changed = load(Settings::UnknownKeys::Ignore);
+                                   if (auto *valid = std::get_if<Settings>(&changed)) {
+                                       settings = std::move(*valid);
+                                   }
+                               });
     if (const auto *exitCode = std::get_if<int>(&started)) {
         stopLogger();
         return *exitCode;
@@ -285,8 +294,14 @@
     const auto &running = std::get<StartedServer>(started);
     announceReady(description.role, running.endpoints);
     logEvent(Severity::Info, "started", {{"role", std::string(description.role)}});
-    waitForStopSignal(settings.file(),
-                      [&] { applyReload(load(Settings::UnknownKeys::Reject), settings, running.server); });
+    // Keys that did not stop the start do not stop a reload either; a further one may be a typing error.
+    const auto reload = [&] {
+        auto changed = load(Settings::UnknownKeys::Ignore);
+        const auto *valid = std::get_if<Settings>(&changed);
+        const bool isKnown = valid != nullptr && valid->ignoredKeys() == settings.ignoredKeys();
+        applyReload(isKnown ? changed : load(Settings::UnknownKeys::Reject), settings, running.server);
+    };
+    waitForStopSignal(settings.file(), reload);
     running.server.drainAndStop();
     logEvent(Severity::Info, "ended", {});
     stopLogger();
--- a/tests/transport/settings_test.cpp
+++ b/tests/transport/settings_test.cpp
@@ -112,4 +112,21 @@
     std::filesystem::remove(file);
 }
 
+// Guards against a process that follows no further change because of a key that it ignored at its start.
+TEST(Reload, GoesOnWithKeysThatWereIgnoredAtTheStart)
+{
+    const auto file = std::filesystem::temp_directory_path() / ("reload-known-" + std::to_string(getpid()) + ".ini");
+    writeSidecarSettings(file, "colour = red\n");
+    ChildProcess sidecar("heatherridge-sidecar", {"--config", file.string()});
+    ASSERT_FALSE(sidecar.endpoints().empty());
+    writeSidecarSettings(file, "colour = red\nlog-level = warning\n");
+    sidecar.signal(SIGHUP);
+    std::this_thread::sleep_for(1s);
+    sidecar.signal(SIGTERM);
+    const auto output = sidecar.output();
+    EXPECT_EQ(sidecar.wait(), 0);
+    EXPECT_NE(output.find("event=reloaded changed=log-level"), std::string::npos) << output;
+    std::filesystem::remove(file);
+}
+
 } // namespace
--- a/tests/transport/starts_test.cpp
+++ b/tests/transport/starts_test.cpp
@@ -279,6 +279,24 @@
     EXPECT_FALSE(gateway.endpoints().empty());
 }
 
+// Guards against a process that keeps to an address that the operator has corrected meanwhile.
+TEST(StartsWithTakenPortInFile, FollowChangesOfTheSettings)
+{
+    const HeldPort held;
+    const TemporaryFile file;
+    const auto text = requiredLines("heatherridge-sidecar");
+    const std::string freePort = "listen = 127.0.0.1:0";
+    auto taken = text;
+    taken.replace(taken.find(freePort), freePort.size(), "listen = " + toString(held.endpoint()));
+    file.write(taken);
+    const auto corrected = std::async(std::launch::async, [&] {
+        std::this_thread::sleep_for(1s);
+        file.write(text);
+    });
+    const ChildProcess sidecar("heatherridge-sidecar", {"--config", file.path()});
+    EXPECT_FALSE(sidecar.endpoints().empty());
+}
+
 // Guards against a process with invalid settings that neither serves nor ends.
 TEST(StartsWithIncompleteFile, FailIfItStaysSo)
 {
