Ignore what a target still sends to an attempt that is being given up

Found in review, by reading: a read that had completed before reading was paused could complete a head, which made a response that had been dropped for memory usable again; its caller would have got its status without its body. No test of its own.

--- a/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
+++ b/modules/heatherridge_transport/direct/gatewaycallresponses.cpp
@@ -27,6 +27,9 @@
 
 void GatewayCall::onResponseHead(const HttpMessageHead &head)
 {
+    if (m_isAbandoningAttempt) {
+        return; // a read that had completed before reading was paused
+    }
     m_response.setHead(head, m_traffic.m_codec.readResponseFields(head.status, head.headers), m_callerFields.id);
     if (auto *target = m_traffic.m_targets.find(m_target)) {
         m_traffic.m_targets.recordAnswer(*target, now());
@@ -115,6 +118,9 @@
 
 void GatewayCall::onResponseComplete()
 {
+    if (m_isAbandoningAttempt) {
+        return; // the attempt ends as abandoned
+    }
     if (m_isDone) {
         return;
     }
