Bound the waits at the end of a stop by the grace period, and isolate failures of duties and calls

Found in review, by reading: the waits at the end of a stop added up to more than the margin before the end of the grace period; each now ends by it. A duty or a finished call that throws kept those after it from their work, and a socket whose watch found no memory left a null entry. Loop threads have a stack of their own for fatal signals.

--- a/modules/heatherridge_transport/app/eventloop.cpp
+++ b/modules/heatherridge_transport/app/eventloop.cpp
@@ -54,6 +54,7 @@
      * process serves many others. */
     void run()
     {
+        useSignalStack();
         while (true) {
             try {
                 context.run();
--- a/modules/heatherridge_transport/app/processhealth.cpp
+++ b/modules/heatherridge_transport/app/processhealth.cpp
@@ -237,17 +237,22 @@
     writeMetric(exposition, "heatherridge_handler_failures_total", "counter", static_cast<double>(handlerFailures()));
 }
 
+void useSignalStack()
+{
+    static thread_local std::array<std::byte, SignalStackBytes> memory;
+    stack_t stack{};
+    stack.ss_sp = memory.data();
+    stack.ss_size = memory.size();
+    ::sigaltstack(&stack, nullptr);
+}
+
 void reportFatalEnds(std::string_view process)
 {
-    static std::array<std::byte, SignalStackBytes> signalStack;
     linePrefix() = "level=error process=" + quotedLogValue(process) + " ";
     std::set_terminate(onTerminate);
     std::array<void *, 1> frames{};
     backtrace(frames.data(), 1); // loads the library that a handler must not load
-    stack_t stack{};
-    stack.ss_sp = signalStack.data();
-    stack.ss_size = signalStack.size();
-    ::sigaltstack(&stack, nullptr);
+    useSignalStack();
     struct sigaction action
     {
     };
--- a/modules/heatherridge_transport/app/processhealth.h
+++ b/modules/heatherridge_transport/app/processhealth.h
@@ -13,6 +13,17 @@
 /** Logs that a handler of an event loop has thrown @p exception, and counts it. Thread-safe. */
 void reportHandlerFailure(const std::exception &exception);
 
+/** Runs @p task. An exception is reported as a handler's failure and does not pass on. */
+template<typename Task>
+void reportingFailures(const Task &task)
+{
+    try {
+        task();
+    } catch (const std::exception &exception) {
+        reportHandlerFailure(exception);
+    }
+}
+
 /** Returns the number of handlers that have thrown. Thread-safe. */
 std::uint64_t handlerFailures();
 
@@ -42,4 +53,7 @@
  */
 void reportFatalEnds(std::string_view process);
 
+/** Gives the calling thread a stack of its own for fatal signals: its ordinary one may be exhausted. Call once. */
+void useSignalStack();
+
 } // namespace Heatherridge
--- a/modules/heatherridge_transport/direct/gatewayserver.cpp
+++ b/modules/heatherridge_transport/direct/gatewayserver.cpp
@@ -5,6 +5,7 @@
 #include "heatherridge_transport/app/daemon.h"
 #include "heatherridge_transport/app/eventloop.h"
 #include "heatherridge_transport/app/logger.h"
+#include "heatherridge_transport/app/processhealth.h"
 #include "heatherridge_transport/direct/callerserver.h"
 #include "heatherridge_transport/direct/gatewaydemand.h"
 #include "heatherridge_transport/direct/gatewayduties.h"
@@ -48,7 +49,9 @@
 constexpr milliseconds LeaveTime{50};
 /** How much longer it waits until the others know that it leaves. */
 constexpr milliseconds MaxLeaveWait{130};
-/** How long the last answers may take to be written and read. With the two waits before it below GraceMargin. */
+/** What the process needs at least from the close of its sockets to its exit. */
+constexpr milliseconds ExitMargin{60};
+/** How long the last answers may take to be written and read. With ExitMargin below GraceMargin. */
 constexpr milliseconds MaxWriteWait{50};
 /** How often it checks whether they are. */
 constexpr milliseconds WriteTick{5};
@@ -222,7 +225,7 @@
         if (isGraceOver(drainStart)) {
             endTraffic(drainStart); // first, as the answers take time to be written
         }
-        leaveDemandExchange();
+        leaveDemandExchange(drainStart);
         while (!endTraffic(drainStart)) {
             std::this_thread::sleep_for(DrainTick);
         }
@@ -245,13 +248,15 @@
         }
     }
 
-    void leaveDemandExchange()
+    void leaveDemandExchange(SteadyTime drainStart)
     {
         const auto left = std::make_shared<std::promise<void>>();
         const auto isLeft = left->get_future();
         m_controlLoop.post([this, left] { m_demand.leave([left] { left->set_value(); }); });
         std::this_thread::sleep_for(LeaveTime);
-        if (isLeft.wait_for(MaxLeaveWait) != std::future_status::ready) {
+        const auto until = std::min(std::chrono::steady_clock::now() + MaxLeaveWait,
+                                    endOfGrace(drainStart) - ExitMargin - MaxWriteWait);
+        if (isLeft.wait_until(until) != std::future_status::ready) {
             logEvent(Severity::Warning, "demand-leave-unconfirmed");
         }
     }
@@ -259,7 +264,8 @@
     void waitUntilDrained(SteadyTime drainStart)
     {
         while (true) {
-            std::this_thread::sleep_for(DrainTick);
+            std::this_thread::sleep_until(
+                std::min(std::chrono::steady_clock::now() + DrainTick, endOfGrace(drainStart) - GraceMargin));
             const auto waited = std::chrono::steady_clock::now() - drainStart;
             if (isGraceOver(drainStart) || (waited >= m_options.balancerDetectionTime && openCallCount() == 0)) {
                 return;
@@ -267,9 +273,14 @@
         }
     }
 
+    SteadyTime endOfGrace(SteadyTime drainStart) const
+    {
+        return drainStart + m_options.gracePeriod;
+    }
+
     bool isGraceOver(SteadyTime drainStart) const
     {
-        return std::chrono::steady_clock::now() - drainStart >= m_options.gracePeriod - GraceMargin;
+        return std::chrono::steady_clock::now() >= endOfGrace(drainStart) - GraceMargin;
     }
 
     /**
@@ -355,25 +366,33 @@
     void controlTick()
     {
         const auto now = std::chrono::steady_clock::now();
-        m_control.tick(now, m_workShare.isMine(RulesCopiesTask));
-        m_workShare.tick(now);
-        m_duties.tick(now);
-        m_crashFeed.tick(now);
-        m_runs.tick(now);
-        updateShares();
+        // A duty that fails must not keep those after it from their work.
+        reportingFailures([&] { m_control.tick(now, m_workShare.isMine(RulesCopiesTask)); });
+        reportingFailures([&] { m_workShare.tick(now); });
+        reportingFailures([&] { m_duties.tick(now); });
+        reportingFailures([&] { m_crashFeed.tick(now); });
+        reportingFailures([&] { m_runs.tick(now); });
+        reportingFailures([&] { updateShares(); });
         const auto pollers = countPollers();
-        m_demand.tick(now, pollers);
-        m_rulesExchange.tick(now, m_control.readsRules(), pollers);
+        reportingFailures([&] { m_demand.tick(now, pollers); });
+        reportingFailures([&] { m_rulesExchange.tick(now, m_control.readsRules(), pollers); });
         for (auto &[service, rebalancer] : m_rebalancers) {
-            rebalancer->setActive(
-                [this, &name = service](const GroupToAssign &group) { return m_duties.isAssigned(name, group); },
-                m_duties.isConfirmed(now));
-            rebalancer->setPollers(pollers);
-            rebalancer->tick(now);
-            m_groupSkew.set(static_cast<std::int64_t>(rebalancer->lastSkew() * 100));
+            reportingFailures(
+                [&, &name = service, &rebalancer = rebalancer] { tickRebalancer(name, *rebalancer, pollers, now); });
         }
     }
 
+    void tickRebalancer(const ServiceName &service, ExpertRebalancer &rebalancer, const PollerCounts &pollers,
+                        SteadyTime now)
+    {
+        rebalancer.setActive(
+            [this, &service](const GroupToAssign &group) { return m_duties.isAssigned(service, group); },
+            m_duties.isConfirmed(now));
+        rebalancer.setPollers(pollers);
+        rebalancer.tick(now);
+        m_groupSkew.set(static_cast<std::int64_t>(rebalancer.lastSkew() * 100));
+    }
+
     /** Estimates how many gateways there are from the work that the log has assigned to this one. */
     PollerCounts countPollers() const
     {
--- a/modules/heatherridge_transport/http/httpclient.cpp
+++ b/modules/heatherridge_transport/http/httpclient.cpp
@@ -449,22 +449,32 @@
             stopWatching(socket);
             return;
         }
-        auto &watched = m_sockets[socket];
+        auto watched = watchedSocket(socket);
         if (!watched) {
-            watched = std::make_shared<WatchedSocket>(m_loop);
-            asio::error_code error;
-            if (watched->descriptor.assign(socket, error)) {
-                logEvent(Severity::Warning, "socket-not-watched", {{"reason", error.message()}});
-                m_sockets.erase(socket);
-                watchLater(socket, what);
-                return;
-            }
+            watchLater(socket, what);
+            return;
         }
         watched->wantRead = what == CURL_POLL_IN || what == CURL_POLL_INOUT;
         watched->wantWrite = what == CURL_POLL_OUT || what == CURL_POLL_INOUT;
         startPendingWaits(socket, watched);
     }
 
+    /** Returns the watch of @p socket, a new one if needed; null if the loop does not take the socket. */
+    std::shared_ptr<WatchedSocket> watchedSocket(curl_socket_t socket)
+    {
+        if (const auto entry = m_sockets.find(socket); entry != m_sockets.end()) {
+            return entry->second;
+        }
+        auto watched = std::make_shared<WatchedSocket>(m_loop);
+        asio::error_code error;
+        if (watched->descriptor.assign(socket, error)) {
+            logEvent(Severity::Warning, "socket-not-watched", {{"reason", error.message()}});
+            return nullptr;
+        }
+        m_sockets.emplace(socket, watched);
+        return watched;
+    }
+
     /** Attempts again to watch @p socket, unless libcurl has released it, or stated another wish, by then. */
     void watchLater(curl_socket_t socket, int what)
     {
@@ -559,7 +569,8 @@
                 return;
             }
             if (message->msg == CURLMSG_DONE) {
-                finish(message->easy_handle, message->data.result);
+                // A callback that throws must not keep the other calls from ending.
+                reportingFailures([&] { finish(message->easy_handle, message->data.result); });
             }
         }
     }
