--- a/tests/crowds/endlessservers_test.cpp
+++ b/tests/crowds/endlessservers_test.cpp
@@ -78,6 +78,7 @@
                                 toString(engine.endpoint()), "--log-service", "127.0.0.1:1", "--log-stream",
                                 "standard-output"});
     std::vector<HttpCall> calls;
+    calls.reserve(gateways);
     for (int gateway = 0; gateway < gateways; ++gateway) {
         calls.push_back({.endpoint = sidecar.endpoints().front(),
                          .request = {.method = "GET",
--- a/tests/crowds/endlesstargets_test.cpp
+++ b/tests/crowds/endlesstargets_test.cpp
@@ -119,6 +119,7 @@
     static std::vector<std::unique_ptr<ScriptedTarget>> faultyTargets(const EndlessRow &row)
     {
         std::vector<std::unique_ptr<ScriptedTarget>> targets;
+        targets.reserve(FaultyTargets);
         for (int target = 0; target < FaultyTargets; ++target) {
             targets.push_back(std::make_unique<ScriptedTarget>(
                 [&row](const std::string &request, int) { return answerEndlessly(row, request); }));
--- a/tests/ends/daemonprocess.cpp
+++ b/tests/ends/daemonprocess.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-DaemonProcess::DaemonProcess(std::string program, std::string name, std::string settings,
+DaemonProcess::DaemonProcess(const std::string &program, std::string name, std::string settings,
                              const std::filesystem::path &folder)
     : m_program(std::string(HEATHERRIDGE_BIN_DIR) + "/" + program)
     , m_name(std::move(name))
--- a/tests/ends/daemonprocess.h
+++ b/tests/ends/daemonprocess.h
@@ -13,7 +13,8 @@
 {
 public:
     /** Does not start it yet. @param folder of its settings and its output */
-    DaemonProcess(std::string program, std::string name, std::string settings, const std::filesystem::path &folder);
+    DaemonProcess(const std::string &program, std::string name, std::string settings,
+                  const std::filesystem::path &folder);
     /** Kills it. */
     ~DaemonProcess();
 
--- a/tests/ends/ends_test.cpp
+++ b/tests/ends/ends_test.cpp
@@ -223,6 +223,7 @@
     }
     PlatformLogStandin log({{"keyed.op", {{"config", ConfigDocument}}}, {"keyed.servers", entries}});
     std::vector<std::unique_ptr<DaemonProcess>> processes;
+    processes.reserve(Gateways + Sidecars);
     for (int index = 0; index < Gateways; ++index) {
         processes.push_back(std::make_unique<DaemonProcess>("heatherridge-gateway", "g" + std::to_string(index),
                                                             gatewaySettings(index, log, 1 + draw(random, 4)), folder));
@@ -242,6 +243,7 @@
     std::atomic<bool> isOver{false};
     std::atomic<int> answered{0};
     std::vector<std::thread> threads;
+    threads.reserve(Gateways * ClientsPerGateway + 1);
     for (int client = 0; client < Gateways * ClientsPerGateway; ++client) {
         threads.emplace_back(useGateway, Endpoint{.address = hostAddress(1 + client % Gateways), .port = CallerPort},
                              random(), std::cref(isOver), std::ref(answered));
--- a/tests/platform/odddocuments_test.cpp
+++ b/tests/platform/odddocuments_test.cpp
@@ -185,7 +185,7 @@
     for (const auto &[pointer, value] : values.items()) {
         pointers.push_back(pointer);
     }
-    static const std::vector<std::string> oddValues{"null",
+    static const std::vector<std::string> OddValues{"null",
                                                     "true",
                                                     "-1",
                                                     "0",
@@ -209,7 +209,7 @@
                                                     nested(100),
                                                     nested(100'000),
                                                     ""};
-    return withValue(document, *rc::gen::elementOf(pointers), *rc::gen::elementOf(oddValues));
+    return withValue(document, *rc::gen::elementOf(pointers), *rc::gen::elementOf(OddValues));
 }
 
 bool isWithinBounds(std::chrono::milliseconds time)
